--- /dev/null
+++ b/packages/wagtailroute-core/src/index.ts
@@ -0,0 +1,23 @@
+/**
+The core: types and small mechanisms that all parts share. It knows no I/O.
+*/
+export {
+	type Address,
+	type FailureDomain,
+	formatAddress,
+	type HostId,
+	type Organisation,
+	type Region,
+	type ServiceName,
+	type UpstreamId,
+} from './names.ts';
+export {isIdempotent, type Outcome, type RequestClass} from './outcomes.ts';
+export {createFailure, type Failure} from './failures.ts';
+export type {Circumstances, Step, Transition} from './transitions.ts';
+export {createSnapshotStore, type SnapshotStore, type UpdateListener} from './snapshots.ts';
+export {
+	type CommandHandler,
+	type CommandRegistry,
+	createCommandRegistry,
+	type Priority,
+} from './commands.ts';
