--- /dev/null
+++ b/packages/wagtailroute-catalogue/src/entry.ts
@@ -0,0 +1,128 @@
+/**
+A catalogue entry: one service, how its requests may be treated, and the limits that bound what the system may do to it.
+The schema is the only way in, so that everything behind it holds checked values with their defaults filled in.
+*/
+import * as buffer from 'node:buffer';
+import * as core from 'wagtailroute-core';
+import * as results from 'ts-results-es';
+import * as yaml from 'yaml';
+import * as zod from 'zod';
+import {
+	MAXIMUM_ENTRY_BYTES,
+	MAXIMUM_NAME_LENGTH,
+	MAXIMUM_PREFIX_LENGTH,
+	MAXIMUM_ROUTES_PER_ENTRY,
+} from './constants.ts';
+
+const NAME_PATTERN = /^[\da-z](?:[\d\-.a-z]*[\da-z])?$/v;
+const HOST_PATTERN = /^[\da-z](?:[\d\-.:a-z]*[\da-z])?$/v;
+const METHOD_PATTERN = /^[A-Z]+$/v;
+const PERCENT_PATTERN = /^(?:\d{1,2}|100)%$/v;
+const RESERVED_PREFIX = '/.wagtailroute';
+
+const nameSchema = zod.string().max(MAXIMUM_NAME_LENGTH).regex(NAME_PATTERN, 'must be lower-case letters, digits, dots and dashes');
+
+const prefixSchema = zod.string()
+	.max(MAXIMUM_PREFIX_LENGTH)
+	.startsWith('/')
+	.refine(prefix => !prefix.startsWith(RESERVED_PREFIX), `must not begin with ${RESERVED_PREFIX}`)
+	.refine(prefix => !/[\s#%?]|\/\/|\/\.{1,2}(?:\/|$)/v.test(prefix), 'must be a plain path without query, escapes, empty or dot segments');
+
+const routeSchema = zod.strictObject({
+	host: zod.string().max(253).regex(HOST_PATTERN, 'must be a lower-case host name').optional(),
+	pathPrefix: prefixSchema,
+	methods: zod.array(zod.string().regex(METHOD_PATTERN, 'must be an upper-case method')).min(1).max(20).optional(),
+	class: zod.enum(['read', 'idempotent', 'non-idempotent']),
+	requireIdempotencyKey: zod.boolean().optional(),
+});
+
+const limitsSchema = zod.strictObject({
+	concurrency: zod.int().min(1).max(10_000_000).default(1000),
+	ratePerSecond: zod.number().positive().max(10_000_000).optional(),
+	perOrganisationShare: zod.number().positive().max(1).optional(),
+	queueMilliseconds: zod.int().min(0).max(60_000).default(100),
+	retryRatio: zod.number().min(0).max(1).default(0.1),
+	timeoutMilliseconds: zod.int().min(1).max(3_600_000).default(30_000),
+	bodyBytes: zod.int().min(0).max(17_179_869_184).default(67_108_864),
+	probesPerSecond: zod.number().min(0).max(10_000).default(1),
+	connectionsPerUpstream: zod.int().min(1).max(10_000).default(300),
+});
+
+const floorSchema = zod.union([
+	zod.int().min(0).max(1_000_000),
+	zod.string().regex(PERCENT_PATTERN, 'must be a count or a percentage such as "70%"'),
+]);
+
+const objectiveSchema = zod.strictObject({
+	availability: zod.number().gt(0).lt(1).default(0.999),
+	latencyMilliseconds: zod.number().positive().max(3_600_000).default(1000),
+	windowDays: zod.int().min(1).max(90).default(28),
+});
+
+const entrySchema = zod.strictObject({
+	name: nameSchema,
+	owner: zod.string().min(1).max(MAXIMUM_NAME_LENGTH),
+	routes: zod.array(routeSchema).min(1).max(MAXIMUM_ROUTES_PER_ENTRY),
+	limits: limitsSchema.prefault({}),
+	healthyFloor: floorSchema.default('70%'),
+	detection: zod.enum(['fast', 'careful']).default('careful'),
+	objective: objectiveSchema.prefault({}),
+});
+
+/**
+One checked catalogue entry, defaults filled in.
+*/
+export type Entry = zod.infer<typeof entrySchema>;
+
+/**
+One route of an entry: requests that match it belong to the entry's service.
+*/
+export type Route = Entry['routes'][number];
+
+/**
+The limits of a service.
+*/
+export type Limits = Entry['limits'];
+
+/**
+Why an entry was refused. Nothing was changed.
+*/
+export type EntryFailure = core.Failure<'entry-malformed' | 'entry-invalid' | 'entry-too-large'>;
+
+/**
+The media types an entry may arrive in.
+*/
+export type EntryMedia = 'json' | 'yaml';
+
+const PARSERS: Readonly<Record<EntryMedia, (text: string) => unknown>> = {
+	json: text => JSON.parse(text) as unknown,
+	// Aliases are off: a small document could otherwise expand without bound.
+	yaml: text => yaml.parse(text, {maxAliasCount: 0}) as unknown,
+};
+
+/**
+Checks a value that claims to be an entry.
+*/
+export function parseEntry(value: unknown): results.Result<Entry, EntryFailure> {
+	const parsed = entrySchema.safeParse(value);
+	if (parsed.success) {
+		return results.Ok(parsed.data);
+	}
+
+	const issue = parsed.error.issues[0];
+	const place = issue?.path.join('.') ?? '';
+	const message = `${place === '' ? 'The entry' : place}: ${issue?.message ?? 'is not valid'}.`;
+	return results.Err(core.createFailure('entry-invalid', message));
+}
+
+/**
+Reads an entry from its text.
+*/
+export function parseEntryText(text: string, media: EntryMedia): results.Result<Entry, EntryFailure> {
+	if (buffer.Buffer.byteLength(text) > MAXIMUM_ENTRY_BYTES) {
+		return results.Err(core.createFailure('entry-too-large', `The entry is larger than ${MAXIMUM_ENTRY_BYTES} bytes.`));
+	}
+
+	const document = results.Result.wrap(() => PARSERS[media](text));
+	return document.isErr() ? results.Err(core.createFailure('entry-malformed', `The entry is not well-formed ${media.toUpperCase()}.`)) : parseEntry(document.value);
+}
--- a/packages/wagtailroute-catalogue/src/index.ts
+++ b/packages/wagtailroute-catalogue/src/index.ts
@@ -1,1 +1,39 @@
-export {};
+/**
+The catalogue: its entries and their checks, the route table, the replicated state machine, and the views by which hosts
+bring each other up to date.
+*/
+export {
+	type Entry,
+	type EntryFailure,
+	type EntryMedia,
+	type Limits,
+	parseEntry,
+	parseEntryText,
+	type Route,
+} from './entry.ts';
+export {
+	createRouteTable,
+	matchRoute,
+	type RouteMatch,
+	type RouteTable,
+} from './routes.ts';
+export {
+	applyDelta,
+	type Delta,
+	EMPTY_VIEW,
+	getDelta,
+	type Removal,
+	type Revision,
+	type VersionedEntry,
+	type View,
+} from './view.ts';
+export {
+	type CatalogueSnapshot,
+	type Change,
+	type ChangeAnswer,
+	type ChangeFailure,
+	createReplicatedCatalogue,
+	type HistoryItem,
+	type ReplicatedCatalogue,
+	toResult,
+} from './replicated.ts';
--- /dev/null
+++ b/packages/wagtailroute-catalogue/src/routes.ts
@@ -0,0 +1,105 @@
+/**
+The route table: which service a request belongs to, by host name and path prefix.
+
+A prefix matches whole path segments. A route that names the host goes before one that does not, and a longer prefix goes
+before a shorter one. A look-up costs one map access a segment of the path, whatever the number of routes.
+*/
+import type * as core from 'wagtailroute-core';
+import type {Entry, Route} from './entry.ts';
+
+/**
+Where a request belongs.
+*/
+export type RouteMatch = {
+	readonly service: core.ServiceName;
+	readonly route: Route;
+};
+
+/**
+Every route of the catalogue, by host name ('' for any) and then by path prefix.
+*/
+export type RouteTable = ReadonlyMap<string, ReadonlyMap<string, readonly RouteMatch[]>>;
+
+const ANY_HOST = '';
+
+/**
+Builds the table from the entries.
+*/
+export function createRouteTable(entries: Iterable<Entry>): RouteTable {
+	const table = new Map<string, Map<string, RouteMatch[]>>();
+	for (const entry of entries) {
+		for (const route of entry.routes) {
+			addRoute(table, {service: entry.name, route});
+		}
+	}
+
+	return table;
+}
+
+function addRoute(table: Map<string, Map<string, RouteMatch[]>>, match: RouteMatch): void {
+	const host = match.route.host ?? ANY_HOST;
+	const byPrefix = table.get(host) ?? new Map<string, RouteMatch[]>();
+	const prefix = normalizePrefix(match.route.pathPrefix);
+	const matches = byPrefix.get(prefix) ?? [];
+	matches.push(match);
+	byPrefix.set(prefix, matches);
+	table.set(host, byPrefix);
+}
+
+function normalizePrefix(prefix: string): string {
+	return prefix.endsWith('/') ? prefix.slice(0, -1) : prefix;
+}
+
+/**
+Finds the route of a request.
+
+@param host The Host header without its port, in lower case.
+@param path The path without its query.
+*/
+export function matchRoute(table: RouteTable, host: string, method: string, path: string): RouteMatch | undefined {
+	return matchHost(table.get(host), method, path) ?? matchHost(table.get(ANY_HOST), method, path);
+}
+
+function matchHost(
+	byPrefix: ReadonlyMap<string, readonly RouteMatch[]> | undefined,
+	method: string,
+	path: string,
+): RouteMatch | undefined {
+	if (byPrefix === undefined) {
+		return undefined;
+	}
+
+	let prefix = normalizePrefix(path);
+	for (;;) {
+		const match = byPrefix.get(prefix)?.find(candidate => isMethodServed(candidate.route, method));
+		if (match !== undefined || prefix === '') {
+			return match;
+		}
+
+		prefix = prefix.slice(0, Math.max(0, prefix.lastIndexOf('/')));
+	}
+}
+
+function isMethodServed(route: Route, method: string): boolean {
+	return route.methods?.includes(method) ?? true;
+}
+
+/**
+Finds a route of the entry that another service already has: the same host, prefix and a method in common. Without this
+check a request would go to whichever service happened to be first.
+*/
+export function findConflict(table: RouteTable, entry: Entry): RouteMatch | undefined {
+	for (const route of entry.routes) {
+		const matches = table.get(route.host ?? ANY_HOST)?.get(normalizePrefix(route.pathPrefix)) ?? [];
+		const conflict = matches.find(match => match.service !== entry.name && haveCommonMethod(match.route, route));
+		if (conflict !== undefined) {
+			return conflict;
+		}
+	}
+
+	return undefined;
+}
+
+function haveCommonMethod(left: Route, right: Route): boolean {
+	return left.methods === undefined || right.methods === undefined ? true : left.methods.some(method => right.methods?.includes(method));
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -33,6 +33,12 @@
 			'unicorn/consistent-boolean-name': 'off',
 			// The test folder's name, `__tests__`, is that of the layout the developers' page asks for.
 			'unicorn/filename-case': ['error', {case: 'kebabCase', checkDirectories: false}],
+			// `Ok` and `Err` are functions of the results library.
+			'new-cap': ['error', {newIsCap: true, capIsNew: false}],
+			// The developers' page: `@param` only where the type doesn't tell.
+			'jsdoc/require-param': 'off',
+			'jsdoc/require-param-description': 'off',
+			'jsdoc/check-param-names': 'off',
 			// Tests are tables of cases; their names come from the table.
 			'ava/no-identical-title': 'off',
 		},
@@ -43,6 +49,8 @@
 			// The test tools are declared once, at the root.
 			'import-x/no-extraneous-dependencies': 'off',
 			'n/no-extraneous-import': 'off',
+			// Builders of fast-check's cases nest.
+			'unicorn/max-nested-calls': 'off',
 		},
 	},
 ];
