--- /dev/null
+++ b/packages/wagtailroute-peer/src/server.ts
@@ -0,0 +1,107 @@
+/**
+The receiving side of the calls between hosts: JSON-RPC 2.0 in the bodies of HTTPS requests, the key taken from the fleet
+secret.
+*/
+import type * as http from 'node:http';
+import * as https from 'node:https';
+import type * as core from 'wagtailroute-core';
+import * as rpc from 'json-rpc-2.0';
+import {FROM_HEADER, MAXIMUM_BODY_BYTES, RPC_PATH} from './constants.ts';
+import {type FleetKeys, getServerTls} from './secret.ts';
+
+/**
+Who calls.
+*/
+export type Caller = {
+	readonly from: core.HostId;
+};
+
+/**
+The server's methods and its life.
+*/
+export type RpcServer = {
+	readonly methods: rpc.JSONRPCServer<Caller>;
+	readonly close: () => Promise<void>;
+};
+
+/**
+Opens the server.
+*/
+export async function openRpcServer(address: core.Address, keys: FleetKeys): Promise<RpcServer> {
+	const methods = new rpc.JSONRPCServer<Caller>({errorListener: () => undefined});
+	const server = https.createServer(getServerTls(keys), (request, response) => {
+		void answer(methods, request, response);
+	});
+	server.keepAliveTimeout = 0;
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(address.port, address.ip, () => {
+			server.off('error', reject);
+			resolve();
+		});
+	});
+	return {
+		methods,
+		async close() {
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+				server.closeAllConnections();
+			});
+		},
+	};
+}
+
+async function answer(
+	methods: rpc.JSONRPCServer<Caller>,
+	request: http.IncomingMessage,
+	response: http.ServerResponse,
+): Promise<void> {
+	const text = request.url === RPC_PATH ? await readBody(request) : undefined;
+	const call = parseBody(text ?? '');
+	if (call === undefined) {
+		response.writeHead(400).end();
+		return;
+	}
+
+	const from = String(request.headers[FROM_HEADER] ?? '');
+	const result = await methods.receive(call, {from});
+	if (result === null) {
+		response.writeHead(204).end();
+		return;
+	}
+
+	response.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify(result));
+}
+
+function parseBody(text: string): rpc.JSONRPCRequest | undefined {
+	try {
+		return JSON.parse(text) as rpc.JSONRPCRequest;
+	} catch {
+		return undefined;
+	}
+}
+
+/**
+Reads a body up to the bound. Returns nothing when it is larger or the connection ends before it is whole.
+*/
+async function readBody(request: http.IncomingMessage): Promise<string | undefined> {
+	request.setEncoding('utf8');
+	const parts: string[] = [];
+	let size = 0;
+	try {
+		for await (const part of request as AsyncIterable<string>) {
+			size += part.length;
+			if (size > MAXIMUM_BODY_BYTES) {
+				return undefined;
+			}
+
+			parts.push(part);
+		}
+	} catch {
+		return undefined;
+	}
+
+	return parts.join('');
+}
