--- /dev/null
+++ b/packages/wagtailroute-replication/src/bench/replication.ts
@@ -0,0 +1,250 @@
+/**
+What replication costs: messages and bytes when idle and per command, processor time, and restart time and disk use by the
+number of changes over a live state that stays the same.
+*/
+import * as fs from 'node:fs/promises';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as utils from 'wagtailroute-utils';
+import * as replication from '../index.ts';
+import * as networks from './network.ts';
+
+/**
+A group of a size. Bytes are those of the JSON, without the envelope of the peer protocol.
+*/
+export type GroupRow = {
+	readonly members: number;
+	readonly voters: number;
+	readonly idleMessagesPerSecond: number;
+	readonly idleBytesPerSecond: number;
+	readonly idleLeaderBytesPerSecond: number;
+	readonly idleMicrosecondsPerSecond: number;
+	readonly messagesPerCommand: number;
+	readonly bytesPerCommand: number;
+	readonly messagesPerBatchedCommand: number;
+	readonly bytesPerBatchedCommand: number;
+	readonly microsecondsPerCommand: number;
+	readonly leaderMicrosecondsPerCommand: number;
+	readonly microsecondsPerHeartbeat: number;
+};
+
+/**
+A single host on the real disk after so many changes. `restartMilliseconds`: load, replay and restore, best of several.
+*/
+export type RestartRow = {
+	readonly changes: number;
+	readonly diskBytes: number;
+	readonly restartMilliseconds: number;
+	readonly commandsPerSecond: number;
+};
+
+/**
+A ratio of two figures of one run and the most it may be.
+*/
+export type Bound = {
+	readonly name: string;
+	readonly ratio: number;
+	readonly most: number;
+};
+
+const SIZES = [3, 5, 7, 28];
+const VOTERS_MAX = 5;
+const IDLE_MS = 60_000;
+const COMMANDS = 500;
+const BATCH = 100;
+const COMMAND_MS = 20;
+const CHANGES = [100, 1000, 10_000];
+const KEYS = 200;
+const VALUE = 'v'.repeat(200);
+const MICROSECONDS = 1000;
+const RESTARTS = 20;
+const WAIT_MS = 5;
+
+/**
+Measures groups of 3, 5, 7 and 28 members.
+*/
+export function benchGroups(): GroupRow[] {
+	// The first run warms the code up.
+	measureGroup(VOTERS_MAX);
+	return SIZES.map(members => measureGroup(members));
+}
+
+function measureGroup(members: number): GroupRow {
+	const voters = Math.min(VOTERS_MAX, members);
+	const network = networks.createNetwork(members, voters);
+	const leader = networks.getLeader(network);
+	const idle = measure(network, () => {
+		networks.pass(network, IDLE_MS);
+	});
+	const single = measure(network, () => {
+		for (let count = 0; count < COMMANDS; count++) {
+			propose(network, leader, count, 1);
+		}
+	});
+	const batched = measure(network, () => {
+		for (let count = 0; count < COMMANDS; count++) {
+			propose(network, leader, count, BATCH);
+		}
+	});
+	const seconds = IDLE_MS / MICROSECONDS;
+	const idleCost = idle.milliseconds * MICROSECONDS;
+	return {
+		members,
+		voters,
+		idleMessagesPerSecond: idle.messages / seconds,
+		idleBytesPerSecond: idle.bytes / seconds,
+		idleLeaderBytesPerSecond: idle.leaderBytes / seconds,
+		idleMicrosecondsPerSecond: idleCost / seconds,
+		messagesPerCommand: single.messages / single.applied,
+		bytesPerCommand: single.bytes / single.applied,
+		messagesPerBatchedCommand: batched.messages / batched.applied,
+		bytesPerBatchedCommand: batched.bytes / batched.applied,
+		microsecondsPerCommand: single.milliseconds * MICROSECONDS / single.applied,
+		leaderMicrosecondsPerCommand: single.leaderMilliseconds * MICROSECONDS / single.applied,
+		// One message out and one back.
+		microsecondsPerHeartbeat: idleCost / (idle.messages / 2),
+	};
+}
+
+/**
+Runs the same twice, once for the bytes and once for the time.
+*/
+function measure(network: networks.Network, action: () => void): networks.Traffic {
+	network.isMeasured = true;
+	networks.resetTraffic(network);
+	action();
+	const {bytes, leaderBytes} = network.traffic;
+	network.isMeasured = false;
+	networks.resetTraffic(network);
+	action();
+	return {...network.traffic, bytes, leaderBytes};
+}
+
+function propose(network: networks.Network, leader: replication.MemberId, count: number, batch: number): void {
+	const command = {key: `service-${count % KEYS}`, value: VALUE};
+	const bytes = JSON.stringify(command).length;
+	const proposals = Array.from({length: batch}, (_, at) => ({id: `${count}.${at}`, command, bytes}));
+	networks.run(network, leader, {kind: 'propose', proposals});
+	networks.pass(network, COMMAND_MS);
+}
+
+/**
+Bounds of the figures of groups: cost grows with the number of members and no faster.
+*/
+export function getGroupBounds(rows: readonly GroupRow[]): readonly Bound[] {
+	const small = rows.find(row => row.members === VOTERS_MAX)!;
+	const large = rows.at(-1)!;
+	const followers = (large.members - 1) / (small.members - 1);
+	return [
+		{name: 'idle bytes, 28 members over 5', ratio: large.idleBytesPerSecond / small.idleBytesPerSecond, most: followers * 1.05},
+		{name: 'messages a command, 28 members over 5', ratio: large.messagesPerCommand / small.messagesPerCommand, most: followers * 1.05},
+		{name: 'bytes a command, 28 members over 5', ratio: large.bytesPerCommand / small.bytesPerCommand, most: followers * 1.1},
+		{name: 'processor time a command, 28 members over 5', ratio: large.microsecondsPerCommand / small.microsecondsPerCommand, most: followers * 3},
+		{name: 'messages a command, batched over single', ratio: small.messagesPerBatchedCommand / small.messagesPerCommand, most: 0.05},
+	];
+}
+
+/**
+Bounds of the figures of restarts: they follow the live state and not the number of changes.
+*/
+export function getRestartBounds(rows: readonly RestartRow[]): readonly Bound[] {
+	const [, middle, last] = rows;
+	return [
+		{name: 'bytes on disk, 10,000 changes over 1,000', ratio: last!.diskBytes / middle!.diskBytes, most: 2},
+		{name: 'restart time, 10,000 changes over 1,000', ratio: last!.restartMilliseconds / middle!.restartMilliseconds, most: 3},
+	];
+}
+
+/**
+Measures restarts of a single host on the disk of this machine, in a folder for temporary files.
+*/
+export async function benchRestarts(): Promise<RestartRow[]> {
+	const rows: RestartRow[] = [];
+	for (const changes of [CHANGES[0]!, ...CHANGES]) {
+		rows.push(await measureRestart(changes)); // eslint-disable-line no-await-in-loop -- one at a time, for the time's sake.
+	}
+
+	// The first one warmed the code up.
+	return rows.slice(1);
+}
+
+async function measureRestart(changes: number): Promise<RestartRow> {
+	const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'replication-bench-'));
+	const group = await openLeader(folder);
+	const startedAt = performance.now();
+	for (let done = 0; done < changes; done += BATCH) {
+		const batch = Array.from({length: BATCH}, async (_, at) => group.propose({key: `service-${(done + at) % KEYS}`, value: VALUE}));
+		await Promise.all(batch); // eslint-disable-line no-await-in-loop -- batch by batch.
+	}
+
+	const commandsPerSecond = changes / (performance.now() - startedAt) * MICROSECONDS;
+	await group.close();
+	const times: number[] = [];
+	for (let count = 0; count < RESTARTS; count++) {
+		times.push(await measureStart(folder)); // eslint-disable-line no-await-in-loop -- one at a time.
+	}
+
+	const files = await fs.readdir(folder);
+	const stats = await Promise.all(files.map(async file => fs.stat(path.join(folder, file))));
+	await fs.rm(folder, {recursive: true});
+	return {
+		changes,
+		diskBytes: stats.reduce((sum, stat) => sum + stat.size, 0),
+		restartMilliseconds: Math.min(...times),
+		commandsPerSecond,
+	};
+}
+
+async function measureStart(folder: string): Promise<number> {
+	const startedAt = performance.now();
+	const group = await open(folder);
+	const milliseconds = performance.now() - startedAt;
+	await group.close();
+	return milliseconds;
+}
+
+async function open(folder: string): Promise<replication.Group> {
+	const values = new Map<string, string>();
+	const created = await replication.createGroup({
+		group: 'catalogue',
+		host: 'control-0',
+		store: replication.createDurableStore(folder),
+		stateMachine: {
+			apply(command) {
+				const {key, value} = command as {key: string; value: string};
+				values.set(key, value);
+				return null;
+			},
+			takeSnapshot: () => [...values],
+			restoreSnapshot(state) {
+				for (const [key, value] of state as Array<readonly [string, string]>) {
+					values.set(key, value);
+				}
+			},
+		},
+		send() {
+			// A group of one sends nothing.
+		},
+		clock: () => performance.now(),
+		random: utils.createRandom(1),
+		schedule(delayMs, run) {
+			const timer = setTimeout(run, delayMs);
+			return () => {
+				clearTimeout(timer);
+			};
+		},
+		first: {hosts: ['control-0']},
+	});
+	return created.unwrap();
+}
+
+async function openLeader(folder: string): Promise<replication.Group> {
+	const group = await open(folder);
+	while (group.getStatus().role !== 'leader') {
+		await new Promise(resolve => { // eslint-disable-line no-await-in-loop -- until it leads.
+			setTimeout(resolve, WAIT_MS);
+		});
+	}
+
+	return group;
+}
--- /dev/null
+++ b/packages/wagtailroute-replication/src/committing.ts
@@ -0,0 +1,201 @@
+/**
+The leader's bookkeeping of answers: commits, check-quorum and linearizable reads; and the application of committed
+entries on every replica.
+*/
+import * as constants from './constants.ts';
+import * as election from './election.ts';
+import * as log from './log.ts';
+import * as members from './members.ts';
+import type * as messages from './messages.ts';
+import type * as replica from './replica.ts';
+import * as sending from './sending.ts';
+import type * as work from './work.ts';
+
+/**
+Takes a follower's answer.
+*/
+export function receiveAppendAnswer(step: work.Work, message: messages.AppendAnswer): void {
+	const {draft} = step;
+	const progress = draft.progress.get(message.from);
+	const isExpected = draft.role === 'leader' && message.term === draft.term;
+	if (progress === undefined || !isExpected) {
+		return;
+	}
+
+	const heard = {...progress, heardAt: step.now, round: Math.max(progress.round, message.round)};
+	const next = message.accepted ? acceptAnswer(heard, message) : rejectAnswer(heard, message);
+	draft.progress.set(message.from, next);
+	sending.sendMissing(step, message.from);
+}
+
+function acceptAnswer(progress: replica.Progress, message: messages.AppendAnswer): replica.Progress {
+	const match = Math.max(progress.match, message.match);
+	return {
+		...progress,
+		match,
+		next: Math.max(progress.next, match + 1),
+		sent: progress.sent.filter(last => last > match),
+		isProbing: false,
+	};
+}
+
+/**
+Goes back to where the logs may agree. A rejection of something other than the current probe is late and is ignored:
+each would otherwise start another resend.
+*/
+function rejectAnswer(progress: replica.Progress, message: messages.AppendAnswer): replica.Progress {
+	const isLate = message.previousIndex <= progress.match || (progress.isProbing && message.previousIndex !== progress.next - 1);
+	if (isLate) {
+		return progress;
+	}
+
+	return {
+		...progress,
+		next: Math.max(progress.match + 1, Math.min(message.previousIndex, message.match + 1)),
+		sent: [],
+		isProbing: true,
+	};
+}
+
+/**
+Says whether a voter answered this leader within the shortest election timeout.
+*/
+export function isHeard(state: Pick<replica.Replica, 'settings' | 'progress'>, id: members.MemberId, now: number): boolean {
+	const heardAt = state.progress.get(id)?.heardAt ?? -Infinity;
+	return id === state.settings.self || now - heardAt < state.settings.electionTimeoutMinMs;
+}
+
+/**
+Steps down without a quorum of recent answers, by the own monotonic clock.
+
+A leader that is heard but hears nobody, or is cut off, would otherwise believe in itself for hours: callers would wait
+on proposals that can't be committed, and the others could not elect a leader while they hear its heartbeats.
+*/
+export function checkQuorum(step: work.Work): void {
+	const {draft} = step;
+	if (!members.isQuorum(draft.members, id => isHeard(draft, id, step.now))) {
+		election.becomeFollower(step, draft.term, null);
+	}
+}
+
+/**
+Advances the commit index to the highest entry of this term that a quorum holds durably; the leader counts itself only up
+to what its own store confirmed.
+*/
+export function advanceCommit(step: work.Work): void {
+	const {draft} = step;
+	const matches = members.getVoters(draft.members)
+		.map(voter => voter.id === draft.settings.self ? draft.durableIndex : draft.progress.get(voter.id)!.match)
+		.toSorted((one, other) => other - one);
+	const agreed = matches[members.getQuorum(matches.length) - 1] ?? 0;
+	if (agreed > draft.commit && log.getTerm(draft, agreed) === draft.term) {
+		draft.commit = agreed;
+	}
+}
+
+/**
+Starts a read round when none is under way: reads that arrive meanwhile share the next one.
+
+The read is answered only after a quorum confirmed, since the read came in, that this leader still leads; a deposed one
+that doesn't know it yet would otherwise give an old state. Before its first commit in the term a leader doesn't know what
+was committed before it, so reads wait for that too.
+*/
+export function advanceReads(step: work.Work): void {
+	finishReads(step);
+	const {draft} = step;
+	const canStart = draft.activeReads.length === 0 && draft.queuedReads.length > 0 && draft.commit >= draft.termStart;
+	if (!canStart) {
+		return;
+	}
+
+	draft.readRound++;
+	draft.activeReads = draft.queuedReads;
+	draft.queuedReads = [];
+	sending.broadcastRound(step);
+	finishReads(step);
+}
+
+function finishReads(step: work.Work): void {
+	const {draft} = step;
+	const isConfirmed = members.isQuorum(draft.members, id =>
+		id === draft.settings.self || draft.progress.get(id)!.round >= draft.readRound);
+	if (!isConfirmed) {
+		return;
+	}
+
+	const answer: replica.Answer = {outcome: 'done', token: {term: draft.term, index: draft.applied}};
+	for (const id of draft.activeReads) {
+		step.effects.push({kind: 'answer', id, answer});
+	}
+
+	draft.activeReads = [];
+}
+
+/**
+Hands out the committed entries in order, each once, with the proposals that wait for them.
+*/
+export function applyCommitted(step: work.Work): void {
+	const {draft} = step;
+	const entries = log.getEntries(draft, draft.applied + 1, draft.commit);
+	let waiting = 0;
+	for (const entry of entries) {
+		const isAwaited = draft.pending[waiting]?.index === entry.index;
+		applyEntry(step, entry, isAwaited ? draft.pending[waiting]!.id : null);
+		waiting += isAwaited ? 1 : 0;
+	}
+
+	draft.pending = draft.pending.slice(waiting);
+	draft.applied = draft.commit;
+	askForSnapshot(step);
+}
+
+function applyEntry(step: work.Work, entry: messages.Entry, id: string | null): void {
+	const token = {term: entry.term, index: entry.index};
+	if (entry.kind === 'command') {
+		step.effects.push({
+			kind: 'apply', token, command: entry.value, id,
+		});
+	} else if (id !== null) {
+		step.effects.push({kind: 'answer', id, answer: {outcome: 'done', token}});
+	}
+}
+
+function askForSnapshot(step: work.Work): void {
+	const {draft} = step;
+	const threshold = Math.max(draft.settings.compactionBytesMin, draft.snapshot.bytes);
+	const isDue = draft.bytesSinceSnapshot >= threshold && draft.applied > draft.snapshotAskedAt;
+	if (!isDue) {
+		return;
+	}
+
+	draft.snapshotAskedAt = draft.applied;
+	step.effects.push({kind: 'take-snapshot', index: draft.applied});
+}
+
+/**
+Replaces the entries up to `index` by a snapshot, but for a few that followers may still need.
+*/
+export function compactLog(step: work.Work, index: number, state: unknown, bytes: number): void {
+	const {draft} = step;
+	const term = log.getTerm(draft, index);
+	const isUsable = index > draft.snapshot.index && index <= draft.applied && term !== undefined;
+	// A state too large for one message is not taken as a snapshot; it is asked for again after as many bytes.
+	draft.bytesSinceSnapshot = 0;
+	if (!isUsable || bytes > constants.SNAPSHOT_BYTES_MAX) {
+		return;
+	}
+
+	const {members: listed} = log.findMembers(draft, index);
+	draft.snapshot = {
+		index, term, members: listed, state, bytes,
+	};
+	step.newSnapshot = draft.snapshot;
+	for (const entry of log.getEntries(draft, index + 1)) {
+		draft.bytesSinceSnapshot += entry.bytes;
+	}
+
+	const baseIndex = Math.max(draft.base.index, index - draft.settings.retainedEntries);
+	const base = {index: baseIndex, term: log.getTerm(draft, baseIndex)!, members: log.findMembers(draft, baseIndex).members};
+	draft.log = log.getEntries(draft, baseIndex + 1);
+	draft.base = base;
+}
--- /dev/null
+++ b/packages/wagtailroute-replication/src/engine.ts
@@ -0,0 +1,299 @@
+/**
+The replication engine: a Raft replica as a pure state machine.
+
+Every event is handled by one entry of a table; then, in a fixed order, the leader commits and answers reads, committed
+entries are applied and the changes of the durable state become one write.
+*/
+import type * as core from 'wagtailroute-core';
+import * as committing from './committing.ts';
+import * as constants from './constants.ts';
+import * as election from './election.ts';
+import * as log from './log.ts';
+import * as members from './members.ts';
+import type * as messages from './messages.ts';
+import * as receiving from './receiving.ts';
+import type * as replica from './replica.ts';
+import * as requests from './requests.ts';
+import * as sending from './sending.ts';
+import * as work from './work.ts';
+
+/**
+Settings with the default timings.
+*/
+export function createSettings(
+	settings: Pick<replica.ReplicaSettings, 'group' | 'self'> & Partial<replica.ReplicaSettings>,
+): replica.ReplicaSettings {
+	return {
+		heartbeatMs: constants.HEARTBEAT_MS,
+		idleHeartbeatMs: constants.IDLE_HEARTBEAT_MS,
+		learnerHeartbeatMs: constants.LEARNER_HEARTBEAT_MS,
+		electionTimeoutMinMs: constants.ELECTION_TIMEOUT_MIN_MS,
+		electionTimeoutMaxMs: constants.ELECTION_TIMEOUT_MAX_MS,
+		compactionBytesMin: constants.COMPACTION_BYTES_MIN,
+		retainedEntries: constants.RETAINED_ENTRIES,
+		...settings,
+	};
+}
+
+/**
+The durable state of a member that has just come to be. `first` is empty for a host that will join or create a group;
+otherwise all of the members listed must start with the same list.
+*/
+export function createDurableState(self: members.MemberId, first: readonly members.Member[]): replica.DurableState {
+	return {
+		self,
+		term: 0,
+		votedFor: null,
+		commit: 0,
+		snapshot: {
+			index: 0, term: 0, members: first, state: null, bytes: 0,
+		},
+		entries: [],
+	};
+}
+
+/**
+Creates a replica from what its store held. The caller restores the state machine from the snapshot, if its index is above
+0, before the first step; that step hands out the entries known to be committed.
+*/
+export function createReplica(
+	settings: replica.ReplicaSettings,
+	restored: replica.DurableState,
+	circumstances: core.Circumstances,
+): replica.Replica {
+	const {snapshot, entries} = restored;
+	const base = {index: snapshot.index, term: snapshot.term, members: snapshot.members};
+	const listed = log.findMembers({base, log: entries}, snapshot.index + entries.length);
+	const initial: replica.Replica = {
+		settings,
+		role: 'follower',
+		term: restored.term,
+		votedFor: restored.votedFor,
+		base,
+		log: entries,
+		snapshot,
+		commit: Math.min(Math.max(restored.commit, snapshot.index), snapshot.index + entries.length),
+		applied: snapshot.index,
+		members: listed.members,
+		membersIndex: listed.index,
+		leader: null,
+		heardLeaderAt: -Infinity,
+		electionDueAt: 0,
+		votes: new Set(),
+		voteSequence: 0,
+		lastSequence: 0,
+		persistedSequence: 0,
+		unsynced: [],
+		durableIndex: snapshot.index + entries.length,
+		held: [],
+		termStart: 0,
+		progress: new Map(),
+		pending: [],
+		readRound: 0,
+		activeReads: [],
+		queuedReads: [],
+		bytesSinceSnapshot: entries.reduce((sum, entry) => sum + entry.bytes, 0),
+		snapshotAskedAt: snapshot.index,
+	};
+	const step = work.createWork(initial, circumstances);
+	election.resetElectionTimer(step);
+	return step.draft;
+}
+
+type Handlers = {
+	readonly [Kind in replica.ReplicaEvent['kind']]: (
+		step: work.Work,
+		event: Extract<replica.ReplicaEvent, {kind: Kind}>,
+	) => void;
+};
+
+const HANDLERS: Handlers = {
+	tick,
+	receive(step, {message}) {
+		receive(step, message);
+	},
+	persisted(step, {sequence}) {
+		confirmWrites(step, sequence);
+	},
+	'persist-failed': stop,
+	propose(step, {proposals}) {
+		requests.propose(step, proposals);
+	},
+	read(step, {ids}) {
+		requests.read(step, ids);
+	},
+	'change-members'(step, {id, change}) {
+		requests.requestChange(step, id, change);
+	},
+	'create-group'(step, {members: first}) {
+		requests.createGroup(step, first);
+	},
+	'snapshot-taken'(step, {index, state, bytes}) {
+		committing.compactLog(step, index, state, bytes);
+	},
+};
+
+/**
+Events that still get an answer after the store failed.
+*/
+const ANSWERED_WHEN_FAILED: ReadonlySet<replica.ReplicaEvent['kind']> = new Set(['propose', 'read', 'change-members']);
+
+/**
+Runs one event.
+*/
+export const stepReplica: replica.ReplicaStep = (state, event, circumstances) => {
+	if (state.role === 'failed' && !ANSWERED_WHEN_FAILED.has(event.kind)) {
+		return {state, effects: []};
+	}
+
+	const step = work.createWork(state, circumstances);
+	HANDLERS[event.kind](step, event as never);
+	settle(step);
+	return work.finishWork(step);
+};
+
+function settle(step: work.Work): void {
+	const {draft} = step;
+	if (draft.role === 'failed') {
+		return;
+	}
+
+	if (draft.role === 'leader') {
+		committing.advanceCommit(step);
+		sending.sendCommit(step);
+	}
+
+	committing.applyCommitted(step);
+	if (draft.role !== 'leader') {
+		return;
+	}
+
+	committing.advanceReads(step);
+	leaveIfRemoved(step);
+}
+
+/**
+A leader that committed its own removal stops leading.
+*/
+function leaveIfRemoved(step: work.Work): void {
+	const {draft} = step;
+	const isRemoved = !members.isVoter(draft.members, draft.settings.self) && draft.membersIndex <= draft.commit;
+	if (isRemoved) {
+		election.becomeFollower(step, draft.term, null);
+	}
+}
+
+function tick(step: work.Work): void {
+	const {draft} = step;
+	if (draft.role === 'leader') {
+		committing.checkQuorum(step);
+	}
+
+	if (draft.role === 'leader') {
+		sending.sendHeartbeats(step);
+	} else if (draft.electionDueAt <= step.now) {
+		election.startPreVote(step);
+	}
+}
+
+/**
+Says whether this replica never took part in a group.
+*/
+export function isEmpty(state: replica.Replica): boolean {
+	return log.getLastIndex(state) === 0 && state.members.length === 0;
+}
+
+/**
+Monotonic time at which the replica wants its next tick; `Infinity` for a leader without other members.
+*/
+export function getNextTick(state: replica.Replica): number {
+	return state.role === 'leader' ? Math.min(...state.progress.values().map(progress => progress.heartbeatDueAt)) : state.electionDueAt;
+}
+
+type MessageHandlers = {
+	readonly [Kind in messages.Message['kind']]: (
+		step: work.Work,
+		message: Extract<messages.Message, {kind: Kind}>,
+	) => void;
+};
+
+const MESSAGE_HANDLERS: MessageHandlers = {
+	'pre-vote': election.receivePreVote,
+	'pre-vote-answer': election.receivePreVoteAnswer,
+	vote: election.receiveVote,
+	'vote-answer': election.receiveVoteAnswer,
+	append: receiving.receiveAppend,
+	'append-answer': committing.receiveAppendAnswer,
+	install: receiving.receiveInstall,
+};
+
+/**
+Messages whose term is only a question or the answer to one.
+*/
+const WITHOUT_TERM: ReadonlySet<messages.Message['kind']> = new Set(['pre-vote', 'pre-vote-answer']);
+const FROM_LEADER: ReadonlySet<messages.Message['kind']> = new Set(['append', 'install']);
+
+function receive(step: work.Work, message: messages.Message): void {
+	const {draft} = step;
+	const {group, self} = draft.settings;
+	// A message to the old identity of a host that lost its state is not for this member.
+	const isOurs = message.group === group && message.to === self;
+	const isIgnoredVote = message.kind === 'vote' && election.isLeaderLive(step);
+	if (!isOurs || isIgnoredVote) {
+		return;
+	}
+
+	if (WITHOUT_TERM.has(message.kind)) {
+		MESSAGE_HANDLERS[message.kind](step, message as never);
+		return;
+	}
+
+	if (message.term < draft.term) {
+		rejectStale(step, message);
+		return;
+	}
+
+	if (message.term > draft.term) {
+		election.becomeFollower(step, message.term, null);
+	}
+
+	MESSAGE_HANDLERS[message.kind](step, message as never);
+}
+
+/**
+Tells a leader of an older term of the newer one, so that it stops; anything else of an older term is dropped.
+*/
+function rejectStale(step: work.Work, message: messages.Message): void {
+	if (FROM_LEADER.has(message.kind)) {
+		work.sendWhenDurable(step, message.from, {
+			kind: 'append-answer', accepted: false, previousIndex: 0, match: 0, round: 0,
+		});
+	}
+}
+
+function confirmWrites(step: work.Work, sequence: number): void {
+	const {draft} = step;
+	draft.persistedSequence = Math.max(draft.persistedSequence, sequence);
+	const synced = draft.unsynced.filter(item => item.sequence <= sequence);
+	draft.unsynced = draft.unsynced.filter(item => item.sequence > sequence);
+	draft.durableIndex = Math.max(draft.durableIndex, synced.at(-1)?.lastIndex ?? 0);
+	const released = draft.held.filter(item => item.sequence <= sequence);
+	draft.held = draft.held.filter(item => item.sequence > sequence);
+	step.effects.push(...released.map(({message}) => ({kind: 'send', message} as const)));
+	if (draft.role === 'candidate' && draft.voteSequence <= sequence) {
+		election.countVote(step, draft.settings.self);
+	}
+}
+
+/**
+Stops for good. After a failed sync nobody knows what the disk holds, and a second sync may say yes to pages that were
+dropped; a replica that went on could acknowledge what is not there.
+*/
+function stop(step: work.Work): void {
+	const {draft} = step;
+	election.abandonRequests(step, null);
+	draft.role = 'failed';
+	draft.leader = null;
+	draft.held = [];
+	step.effects.push({kind: 'stopped'});
+}
--- /dev/null
+++ b/packages/wagtailroute-retries/src/bench/hedging.ts
@@ -0,0 +1,69 @@
+/**
+What hedging of reads saves and costs. Latencies are drawn, not queued: a share of sends meets a slow upstream. Seeded.
+*/
+import * as utils from 'wagtailroute-utils';
+import * as retries from '../index.ts';
+
+/**
+One row: by the share of sends that take twenty times as long.
+*/
+export type HedgingRow = {
+	readonly isHedged: boolean;
+	readonly slowPart: number;
+	readonly p50Milliseconds: number;
+	readonly p99Milliseconds: number;
+	/**
+	Sends over requests.
+	*/
+	readonly amplification: number;
+};
+
+const REQUESTS = 50_000;
+const USUAL_MILLISECONDS = 20;
+const SLOW_FACTOR = 20;
+const SLOW_PARTS = [0, 0.02, 0.2, 1];
+const RETRY_RATIO = 0.1;
+const REMAINING_MILLISECONDS = 5000;
+const SEED = 12;
+
+/**
+Runs with and without hedges.
+*/
+export function benchHedging(): HedgingRow[] {
+	return SLOW_PARTS.flatMap(slowPart => [false, true].map(isHedged => measure(slowPart, isHedged)));
+}
+
+function measure(slowPart: number, isHedged: boolean): HedgingRow {
+	const random = utils.createRandom(SEED);
+	const latencies: number[] = [];
+	let histogram = retries.createLatencyHistogram();
+	let budget = retries.createRetryBudget(0);
+	let sends = 0;
+	const send = () => {
+		sends++;
+		const factor = random() < slowPart ? SLOW_FACTOR : 1;
+		return USUAL_MILLISECONDS * factor * (0.5 + random());
+	};
+
+	for (let request = 0; request < REQUESTS; request++) {
+		budget = retries.countRequest(budget, {retryRatio: RETRY_RATIO, now: request});
+		const first = send();
+		const delay = retries.getHedgeDelay({
+			requestClass: 'read', histogram, remainingMilliseconds: REMAINING_MILLISECONDS, isResendOfTier: false,
+		});
+		const isLate = isHedged && delay !== undefined && first > delay && retries.hasRetry(budget);
+		budget = isLate ? retries.takeRetry(budget) : budget;
+		const latency = isLate ? Math.min(first, delay + send()) : first;
+		histogram = retries.recordLatency(histogram, latency);
+		latencies.push(latency);
+	}
+
+	const sorted = latencies.toSorted((left, right) => left - right);
+	return {
+		isHedged,
+		slowPart,
+		p50Milliseconds: sorted[Math.floor(REQUESTS * 0.5)]!,
+		p99Milliseconds: sorted[Math.floor(REQUESTS * 0.99)]!,
+		amplification: sends / REQUESTS,
+	};
+}
--- /dev/null
+++ b/packages/wagtailroute-selection/src/bench/selection.ts
@@ -0,0 +1,200 @@
+/**
+Bench of the choice of an upstream: latency and sheds against random and least-outstanding, with one slow upstream and
+hosts that don't talk about single requests. Deterministic: seeded, in simulated time.
+
+An upstream whose slots are all busy sheds (503, not-run) and the host tries another one, three in all; then it waits a
+moment and begins again, until the deadline.
+*/
+import * as utils from 'wagtailroute-utils';
+import * as agendas from './agenda.ts';
+import * as choosers from './choosers.ts';
+
+/**
+One row of the table.
+*/
+export type Row = {
+	readonly hosts: number;
+	readonly load: number;
+	readonly chooser: choosers.ChooserName;
+	readonly requests: number;
+	readonly p50Milliseconds: number;
+	readonly p99Milliseconds: number;
+	/**
+	Sheds by upstreams per 100 requests.
+	*/
+	readonly shedsPercent: number;
+	/**
+	Requests without an answer by their deadline, per 100.
+	*/
+	readonly failedPercent: number;
+};
+
+const UPSTREAMS = 30;
+const SLOTS = 4;
+const FAILURE_DOMAINS = 4;
+const MEDIAN_MILLISECONDS = 40;
+const SIGMA = 0.5;
+const SLOW_UPSTREAM = 0;
+const SLOW_FACTOR = 10;
+const LOCAL_MILLISECONDS = 0.25;
+const REMOTE_MILLISECONDS = 1;
+const TRIES = 3;
+const BACKOFF_MILLISECONDS = 5;
+const DEADLINE_MILLISECONDS = 2000;
+const WARM_UP_MILLISECONDS = 3000;
+const DURATION_MILLISECONDS = 18_000;
+
+const HOSTS: readonly number[] = [40, 8, 4];
+const LOADS: readonly number[] = [0.5, 0.8, 0.95];
+const CHOOSER_NAMES: readonly choosers.ChooserName[] = ['random', 'least-outstanding', 'power-of-two', 'selector'];
+
+/**
+Runs the bench and returns its rows.
+*/
+export function runSelectionBench({seed = 1}: {readonly seed?: number} = {}): Row[] {
+	return HOSTS.flatMap(hosts => LOADS.flatMap(load => CHOOSER_NAMES.map(chooser => run(hosts, load, chooser, seed))));
+}
+
+/**
+Returns what the rows break of the bounds: the selector's p99 and sheds must stay below those of both baselines, and of
+the rows of the same run only.
+*/
+export function getBrokenBounds(rows: readonly Row[]): string[] {
+	return rows.filter(({chooser}) => chooser === 'selector').flatMap(row => {
+		const baselines = rows.filter(({hosts, load, chooser}) =>
+			hosts === row.hosts && load === row.load && (chooser === 'random' || chooser === 'least-outstanding'));
+		const p99 = Math.min(...baselines.map(({p99Milliseconds}) => p99Milliseconds));
+		const sheds = Math.min(...baselines.map(({shedsPercent}) => shedsPercent));
+		const name = `selection, ${row.hosts} hosts at ${row.load * 100}% load`;
+		return [
+			...(row.p99Milliseconds > p99 * P99_BOUND ? [`${name}: p99 ${row.p99Milliseconds} ms, baseline ${p99} ms`] : []),
+			...(row.shedsPercent > sheds * SHEDS_BOUND ? [`${name}: sheds ${row.shedsPercent}%, baseline ${sheds}%`] : []),
+		];
+	});
+}
+
+const P99_BOUND = 1;
+const SHEDS_BOUND = 1;
+
+type Request = {
+	readonly host: number;
+	readonly arrivedAt: number;
+	readonly service: number;
+	readonly isCounted: boolean;
+};
+
+function run(hosts: number, load: number, chooser: choosers.ChooserName, seed: number): Row {
+	const arrivals = utils.createRandom(seed);
+	const services = utils.createRandom(seed + 1);
+	const random = utils.createRandom(seed + 2);
+	const agenda = agendas.createAgenda();
+	const byHost = Array.from({length: hosts}, (_, host) => choosers.CHOOSERS[chooser]({
+		host,
+		hosts,
+		upstreams: UPSTREAMS,
+		slots: SLOTS,
+		failureDomains: FAILURE_DOMAINS,
+		random,
+	}));
+	const busy = Array.from({length: UPSTREAMS}, () => 0);
+	const latencies: number[] = [];
+	let requests = 0;
+	let sheds = 0;
+	let failed = 0;
+
+	const attempt = (request: Request, now: number, tried: ReadonlySet<number>): void => {
+		if (now - request.arrivedAt >= DEADLINE_MILLISECONDS) {
+			failed += request.isCounted ? 1 : 0;
+			return;
+		}
+
+		const host = byHost[request.host]!;
+		const upstream = tried.size >= TRIES ? undefined : host.choose(now, tried);
+		if (upstream === undefined) {
+			agenda.schedule(now + BACKOFF_MILLISECONDS, later => {
+				attempt(request, later, new Set());
+			});
+			return;
+		}
+
+		host.begin(upstream, now);
+		const oneWay = getOneWay(request.host, upstream);
+		agenda.schedule(now + oneWay, reached => {
+			arrive(request, upstream, {now: reached, sentAt: now, tried});
+		});
+	};
+
+	const arrive = (request: Request, upstream: number, {now, sentAt, tried}: {
+		readonly now: number;
+		readonly sentAt: number;
+		readonly tried: ReadonlySet<number>;
+	}): void => {
+		const isShed = busy[upstream]! >= SLOTS;
+		const service = isShed ? 0 : request.service * (upstream === SLOW_UPSTREAM ? SLOW_FACTOR : 1);
+		sheds += isShed && request.isCounted ? 1 : 0;
+		if (!isShed) {
+			busy[upstream]!++;
+			agenda.schedule(now + service, () => {
+				busy[upstream]!--;
+			});
+		}
+
+		agenda.schedule(now + service + getOneWay(request.host, upstream), ended => {
+			const result = isShed ? 'shed' : 'success';
+			byHost[request.host]!.end(upstream, {now: ended, latencyMilliseconds: ended - sentAt, result});
+			if (isShed) {
+				attempt(request, ended, new Set([...tried, upstream]));
+			} else if (request.isCounted) {
+				latencies.push(ended - request.arrivedAt);
+			}
+		});
+	};
+
+	const meanMilliseconds = MEDIAN_MILLISECONDS * Math.exp((SIGMA ** 2) / 2);
+	const perMillisecond = (load * UPSTREAMS * SLOTS) / meanMilliseconds;
+	const begin = (now: number): void => {
+		const isCounted = now >= WARM_UP_MILLISECONDS;
+		requests += isCounted ? 1 : 0;
+		attempt({
+			host: utils.pickIndex(arrivals, hosts),
+			arrivedAt: now,
+			service: MEDIAN_MILLISECONDS * Math.exp(SIGMA * drawNormal(services)),
+			isCounted,
+		}, now, new Set());
+		const next = now - (Math.log(1 - arrivals()) / perMillisecond);
+		if (next < DURATION_MILLISECONDS) {
+			agenda.schedule(next, begin);
+		}
+	};
+
+	begin(0);
+	agenda.runUntil(DURATION_MILLISECONDS * 2);
+	latencies.sort((left, right) => left - right);
+	return {
+		hosts,
+		load,
+		chooser,
+		requests,
+		p50Milliseconds: getQuantile(latencies, 0.5),
+		p99Milliseconds: getQuantile(latencies, 0.99),
+		shedsPercent: round((sheds * 100) / requests),
+		failedPercent: round((failed * 100) / requests),
+	};
+}
+
+function getOneWay(host: number, upstream: number): number {
+	const isLocal = choosers.getFailureDomain(host, FAILURE_DOMAINS) === choosers.getFailureDomain(upstream, FAILURE_DOMAINS);
+	return isLocal ? LOCAL_MILLISECONDS : REMOTE_MILLISECONDS;
+}
+
+function getQuantile(sorted: readonly number[], quantile: number): number {
+	return round(sorted[Math.max(0, Math.ceil(sorted.length * quantile) - 1)] ?? 0);
+}
+
+function drawNormal(random: utils.Random): number {
+	return Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+}
+
+function round(value: number): number {
+	return Math.round(value * 100) / 100;
+}
--- /dev/null
+++ b/packages/wagtailroute-selection/src/upstreams.ts
@@ -0,0 +1,127 @@
+/**
+The upstreams as the choice sees them: what the caller declares, and what this host measured.
+*/
+import type * as core from 'wagtailroute-core';
+import * as constants from './constants.ts';
+
+/**
+`in`: takes work. `trial`: ejected, but gets a small share to show whether it recovered. `ejected`: takes none.
+*/
+export type Admission = 'in' | 'trial' | 'ejected';
+
+/**
+An upstream as announced, with what detection decided about it.
+*/
+export type Upstream = {
+	readonly id: core.UpstreamId;
+	readonly failureDomain: core.FailureDomain;
+	/**
+	Requests it runs at a time, over all hosts.
+	*/
+	readonly slots: number;
+	readonly state: 'serving' | 'draining';
+	readonly admission: Admission;
+	/**
+	This host alone should avoid it (a path fault): chosen only when no other upstream has room.
+	*/
+	readonly avoided?: boolean;
+	/**
+	Monotonic time in milliseconds at which its ramp began; absent when it is warm.
+	*/
+	readonly rampStartedAt?: number;
+};
+
+/**
+How a request ended at an upstream, as far as the choice cares. `shed` is a 503 with the outcome not-run.
+*/
+export type Result = 'success' | 'failure' | 'shed' | 'cancelled';
+
+/**
+Mutable record of one upstream: measured by this host.
+*/
+export type Entry = {
+	declared: Upstream;
+	ownedSlots: number;
+	outstanding: number;
+	latency: number;
+	latencyAt: number;
+	shedsInRow: number;
+	backoffUntil: number;
+};
+
+/**
+Creates the record of an upstream not seen before.
+*/
+export function createEntry(declared: Upstream): Entry {
+	return {
+		declared,
+		ownedSlots: declared.slots,
+		outstanding: 0,
+		latency: constants.INITIAL_LATENCY_MILLISECONDS,
+		latencyAt: 0,
+		shedsInRow: 0,
+		backoffUntil: 0,
+	};
+}
+
+/**
+Estimated cost of one more request: outstanding requests times the latency estimate.
+*/
+export function getCost(entry: Entry): number {
+	return (entry.outstanding + 1) * Math.max(1, Math.floor(entry.latency / 200));
+}
+
+/**
+Share of its normal traffic that an upstream may have, in [0, 1].
+*/
+export function getShare(entry: Entry, now: number): number {
+	const {admission, rampStartedAt} = entry.declared;
+	if (admission === 'trial') {
+		return constants.TRIAL_SHARE;
+	}
+
+	if (rampStartedAt === undefined) {
+		return 1;
+	}
+
+	const progress = (now - rampStartedAt) / constants.RAMP_MILLISECONDS;
+	return Math.min(1, Math.max(constants.RAMP_FLOOR, progress));
+}
+
+type Ending = {readonly now: number; readonly latencyMilliseconds: number};
+
+const ENDINGS: Readonly<Record<Result, (entry: Entry, ending: Ending) => void>> = {
+	success(entry, ending) {
+		entry.shedsInRow = 0;
+		observeLatency(entry, ending.latencyMilliseconds, ending.now);
+	},
+	failure(entry, ending) {
+		const penalised = Math.max(ending.latencyMilliseconds, entry.latency * constants.FAILURE_PENALTY);
+		observeLatency(entry, penalised, ending.now);
+	},
+	shed(entry, ending) {
+		const backoff = constants.SHED_BACKOFF_MILLISECONDS * (2 ** entry.shedsInRow);
+		entry.backoffUntil = ending.now + Math.min(backoff, constants.SHED_BACKOFF_CEILING_MILLISECONDS);
+		entry.shedsInRow++;
+	},
+	cancelled() {
+		// The caller went away: this says nothing about the upstream.
+	},
+};
+
+/**
+Takes the end of a request into the record.
+*/
+export function observeEnd(entry: Entry, result: Result, ending: Ending): void {
+	entry.outstanding = Math.max(0, entry.outstanding - 1);
+	ENDINGS[result](entry, ending);
+}
+
+// Peak-EWMA: a rise counts at once, a fall only over the decay time, since a slow server costs more than a missed fast one.
+function observeLatency(entry: Entry, sample: number, now: number): void {
+	const bounded = Math.min(sample, constants.LATENCY_CEILING_MILLISECONDS);
+	const weight = Math.exp((entry.latencyAt - now) / constants.LATENCY_DECAY_MILLISECONDS);
+	const decayed = (entry.latency * weight) + (bounded * (1 - weight));
+	entry.latency = Math.max(bounded, decayed);
+	entry.latencyAt = now;
+}
