--- a/packages/wagtailroute-records/src/__tests__/unit/quarantine.test.ts
+++ b/packages/wagtailroute-records/src/__tests__/unit/quarantine.test.ts
@@ -3,7 +3,7 @@
 */
 import test from 'ava';
 import * as records from '../../index.ts';
-import {benchCrashes} from '../../bench/crashes.ts';
+import {benchCrashes} from '../../bench/crashes.bench.ts';
 
 type Cell = {
 	readonly crash: (upstream: string, fingerprints: readonly string[], incarnation?: string, at?: number) => void;
--- a/packages/wagtailroute-records/src/__tests__/unit/records.test.ts
+++ b/packages/wagtailroute-records/src/__tests__/unit/records.test.ts
@@ -255,6 +255,16 @@
 	t.deepEqual(stamps.map(([now]) => clock.stamp(now)), stamps.map(([, stamp]) => stamp));
 });
 
+// Symptom: group time stands still for an hour, or runs ahead, after a host leads for the second time.
+// Sequence: it leads, another host leads for an hour, it leads again with the clock that it had.
+// Cause: a clock that goes on from its own last stamp, or counts the other's time once more.
+test('a clock goes on from what another leader stamped', t => {
+	const clock = records.createGroupClock({groupTime: 100, now: 0});
+	t.is(clock.stamp(50, 100), 150);
+	t.is(clock.stamp(3_600_050, 3_500_000), 3_500_000);
+	t.is(clock.stamp(3_600_060, 3_500_000), 3_500_010);
+});
+
 test('a digest keeps its parts apart and a fingerprint holds the discriminator', t => {
 	const digest = records.getRequestDigest({method: 'post', path: '/a', bodyDigest: 'b'});
 	t.is(digest, records.getRequestDigest({method: 'POST', path: '/a', bodyDigest: 'b'}));
--- a/packages/wagtailroute-records/src/allowance.ts
+++ b/packages/wagtailroute-records/src/allowance.ts
@@ -16,9 +16,12 @@
 export type UpstreamCounts = {
 	readonly healthyFloor: HealthyFloor;
 	/**
-	Announced as serving, the ejected among them counted.
+	Announced as serving and not ejected.
 	*/
 	readonly serving: number;
+	/**
+	Announced as serving and ejected.
+	*/
 	readonly ejected: number;
 	/**
 	Announced as draining. They count towards what a percentage is of, but not as healthy.
@@ -27,18 +30,18 @@
 };
 
 /**
-Returns how many upstreams must stay healthy. A part of an upstream counts as a whole one: 70% of 8 is 6.
+Returns how many upstreams must stay healthy. A part of an upstream counts as a whole one: 70% of 8 is 6. At least one
+stays whatever the floor: no answer at all is worse than a bad one.
 */
-export function getRequiredHealthy({healthyFloor, serving, draining}: Omit<UpstreamCounts, 'ejected'>): number {
-	return healthyFloor.kind === 'count'
-		? healthyFloor.value
-		: Math.ceil((serving + draining) * healthyFloor.value / 100);
+export function getRequiredHealthy({healthyFloor, serving, ejected, draining}: UpstreamCounts): number {
+	const {kind, value} = healthyFloor;
+	const required = kind === 'count' ? value : (serving + ejected + draining) * value / 100;
+	return Math.max(1, Math.ceil(required));
 }
 
 /**
 Returns how many further upstreams may be ejected, 0 when the floor is reached or already broken.
 */
 export function getEjectionAllowance(counts: UpstreamCounts): number {
-	const healthy = counts.serving - counts.ejected;
-	return Math.max(0, Math.floor(healthy - getRequiredHealthy(counts)));
+	return Math.max(0, counts.serving - getRequiredHealthy(counts));
 }
--- a/packages/wagtailroute-records/src/bench/claims.ts
+++ b/packages/wagtailroute-records/src/bench/claims.bench.ts
@@ -18,6 +18,8 @@
 const RUNS = 5000;
 const BODY = 'x'.repeat(200);
 const MICROSECONDS_PER_MILLISECOND = 1000;
+const MAX_TIME_RATIO = 4;
+const MAX_SNAPSHOT_BYTES = 600;
 
 /**
 Measures each size.
@@ -29,7 +31,7 @@
 function measure(size: number): ClaimRow {
 	const cell = records.createRecords();
 	cell.apply({name: 'open-service', stampedAt: 0, payload: {service: 's', origin: {kind: 'new'}}});
-	const run = (index: number) => {
+	const execute = (index: number) => {
 		const name = {service: 's', organisation: `o${index % 1000}`, key: `key ${index}`};
 		cell.apply({
 			name: 'claim',
@@ -45,12 +47,12 @@
 	};
 
 	for (let index = 0; index < size; index++) {
-		run(index);
+		execute(index);
 	}
 
 	const begun = performance.now();
 	for (let index = size; index < size + RUNS; index++) {
-		run(index);
+		execute(index);
 	}
 
 	const ran = performance.now();
@@ -62,3 +64,29 @@
 		snapshotMilliseconds: performance.now() - ran,
 	};
 }
+
+/**
+Runs the bench and checks its bounds.
+*/
+export async function run(): Promise<{
+	title: string;
+	rows: ReadonlyArray<Record<string, string | number>>;
+	broken: readonly string[];
+}> {
+	const rows = benchClaims();
+	const [few, , many] = rows as [ClaimRow, ClaimRow, ClaimRow];
+	const ratio = many.microsecondsPerRun / few.microsecondsPerRun;
+	return {
+		title: 'Claims and settlements by the records held',
+		rows: rows.map(row => ({
+			'records held': row.heldRecords,
+			'microseconds each': Number(row.microsecondsPerRun.toFixed(2)),
+			'snapshot bytes a record': Math.round(row.snapshotBytesPerRecord),
+			'snapshot milliseconds': Math.round(row.snapshotMilliseconds),
+		})),
+		broken: [
+			...ratio > MAX_TIME_RATIO ? [`A claim takes ${ratio.toFixed(1)} times as long with ${many.heldRecords} records as with ${few.heldRecords}, the bound is ${MAX_TIME_RATIO}.`] : [],
+			...many.snapshotBytesPerRecord > MAX_SNAPSHOT_BYTES ? [`A record takes ${Math.round(many.snapshotBytesPerRecord)} bytes in a snapshot, the bound is ${MAX_SNAPSHOT_BYTES}.`] : [],
+		],
+	};
+}
--- a/packages/wagtailroute-records/src/bench/crashes.ts
+++ b/packages/wagtailroute-records/src/bench/crashes.bench.ts
@@ -100,9 +100,9 @@
 		innocentRequests: 0, innocentTrials: 0, innocentRefused: 0, attempts: 0,
 	};
 	let now = 0;
-	const plan = (delay: number, run: () => void) => {
+	const plan = (delay: number, action: () => void) => {
 		const at = now + delay;
-		agenda.set(at, [...agenda.get(at) ?? [], run]);
+		agenda.set(at, [...agenda.get(at) ?? [], action]);
 	};
 
 	const apply = <Name extends records.CommandName>(name: Name, payload: records.Commands[Name]) => {
@@ -120,7 +120,7 @@
 		return result;
 	};
 
-	const run = (request: Request, index: number, isTrial: boolean) => {
+	const begin = (request: Request, index: number, isTrial: boolean) => {
 		const isCulprit = request.fingerprint.startsWith(CULPRIT);
 		const usual = Math.ceil(-Math.log(1 - random()) * SERVICE_MILLISECONDS);
 		upstreams[index]!.running.push({request, isTrial, endsAt: now + (isCulprit ? CRASH_AFTER_MILLISECONDS : usual)});
@@ -153,7 +153,7 @@
 		}
 
 		if (standing !== 'suspect' || policy === 'two-crashes') {
-			run(request, index, false);
+			begin(request, index, false);
 			return;
 		}
 
@@ -162,7 +162,7 @@
 		});
 		counts.innocentTrials += isInnocent && request.tries === 0 ? 1 : 0;
 		if (result.kind === 'granted' || result.kind === 'clear') {
-			run(request, index, result.kind === 'granted');
+			begin(request, index, result.kind === 'granted');
 		} else {
 			retry(request);
 		}
@@ -282,3 +282,36 @@
 		innocentRefused: counts.innocentRefused,
 	};
 }
+
+/**
+Runs the bench and checks its bounds.
+*/
+export async function run(): Promise<{
+	title: string;
+	rows: ReadonlyArray<Record<string, string | number>>;
+	broken: readonly string[];
+}> {
+	const rows = benchCrashes();
+	const getRow = (policy: CrashPolicy) => rows.find(row => row.policy === policy)!;
+	const chosen = getRow('trials');
+	const checks: ReadonlyArray<readonly [isKept: boolean, sentence: string]> = [
+		[chosen.mostLost <= 2, `A request cost ${chosen.mostLost} upstreams, the bound is 2.`],
+		[chosen.wrongQuarantines <= chosen.crashingRequests / 40, `${chosen.wrongQuarantines} innocents were quarantined, the bound is one for 40 crashing requests.`],
+		[chosen.innocentRefused * 50 <= getRow('no-completions').innocentRefused, `${chosen.innocentRefused} innocents were refused, the bound is a fiftieth of those without completions.`],
+		[getRow('two-crashes').mostLost > 2, 'The policy without trials loses no more: the load does not show the fault.'],
+	];
+	return {
+		title: 'Upstreams lost to requests that crash them, and innocents harmed',
+		rows: rows.map(row => ({
+			policy: row.policy,
+			'crashing requests': row.crashingRequests,
+			'most lost to one': row.mostLost,
+			'mean lost': Number(row.meanLost.toFixed(2)),
+			'innocent requests': row.innocentRequests,
+			'innocents quarantined': row.wrongQuarantines,
+			'innocents refused': row.innocentRefused,
+			'innocents on trial': row.innocentTrials,
+		})),
+		broken: checks.filter(([isKept]) => !isKept).map(([, sentence]) => sentence),
+	};
+}
--- a/packages/wagtailroute-records/src/ejections.ts
+++ b/packages/wagtailroute-records/src/ejections.ts
@@ -184,7 +184,7 @@
 	// The asked upstream may linger from an earlier ejection: ejecting it again takes no further capacity.
 	outOfService.delete(request.upstream);
 	const ejected = [...outOfService].filter(upstream => serving.has(upstream)).length;
-	const counts = {serving: serving.size, ejected, draining: draining.size};
+	const counts = {serving: serving.size - ejected, ejected, draining: draining.size};
 	const allowance = getEjectionAllowance({...counts, healthyFloor: getStrictestFloor(state.views, counts)});
 	return allowance > 0 ? undefined : 'floor';
 }
@@ -206,10 +206,10 @@
 // Healthy upstreams can leave after ejections were granted. Then the least bad of the ejected come back first.
 function restoreFloor(before: EjectionState, time: number): EjectionChange {
 	const {serving, draining} = getAgreedUpstreams(before.views);
-	const counts = {serving: serving.size, draining: draining.size};
-	const required = getRequiredHealthy({...counts, healthyFloor: getStrictestFloor(before.views, counts)});
 	const present = before.ejected.filter(({upstream}) => serving.has(upstream));
-	const missing = Math.ceil(required - (serving.size - present.length));
+	const healthy = serving.size - present.length;
+	const counts = {serving: healthy, ejected: present.length, draining: draining.size};
+	const missing = getRequiredHealthy({...counts, healthyFloor: getStrictestFloor(before.views, counts)}) - healthy;
 	const returning = present
 		.toSorted(compareBadness)
 		.slice(0, Math.max(0, missing));
--- a/packages/wagtailroute-records/src/group-time.ts
+++ b/packages/wagtailroute-records/src/group-time.ts
@@ -15,9 +15,10 @@
 */
 export type GroupClock = {
 	/**
-	Returns the stamp for a command, in ms of group time. `now` is the leader's monotonic clock in ms.
+	Returns the stamp for a command, in ms of group time. `now` is the leader's monotonic clock in ms, `groupTime` that of
+	its state machine: where another leader has stamped meanwhile, the clock goes on from there.
 	*/
-	readonly stamp: (now: number) => number;
+	readonly stamp: (now: number, groupTime?: number) => number;
 };
 
 /**
@@ -27,10 +28,12 @@
 	let stamped = groupTime;
 	let last = now;
 	return {
-		stamp(current) {
-			const step = Math.min(Math.max(current - last, 0), MAX_STAMP_STEP_MILLISECONDS);
+		stamp(current, applied = stamped) {
+			// The time since the last stamp is in the other leader's stamps already.
+			const elapsed = applied > stamped ? 0 : current - last;
+			const step = Math.min(Math.max(elapsed, 0), MAX_STAMP_STEP_MILLISECONDS);
 			last = Math.max(last, current);
-			stamped += step;
+			stamped = Math.max(stamped, applied) + step;
 			return stamped;
 		},
 	};
--- a/packages/wagtailroute-records/src/idempotency.ts
+++ b/packages/wagtailroute-records/src/idempotency.ts
@@ -44,8 +44,14 @@
 	readonly removeService: (service: string) => readonly IdempotencyRecord[];
 	readonly addRecords: (records: readonly IdempotencyRecord[]) => void;
 	readonly takeSnapshot: () => IdempotencySnapshot;
+	readonly getHolders: () => readonly Holder[];
 };
 
+/**
+One process of a host.
+*/
+export type Holder = {readonly host: string; readonly bootId: string};
+
 type Tables = {
 	readonly bounds: IdempotencyBounds;
 	nextToken: number;
@@ -84,6 +90,7 @@
 		expire(time) {
 			expire(tables, time);
 		},
+		getHolders: () => getHolders(tables),
 		removeService: service => removeService(tables, service),
 		addRecords(records) {
 			addRecords(tables, records);
@@ -207,6 +214,15 @@
 	return held.length;
 }
 
+function getHolders(tables: Tables): readonly Holder[] {
+	const holders = new Map<string, Holder>();
+	for (const {host, bootId} of tables.running.values()) {
+		holders.set(JSON.stringify([host, bootId]), {host, bootId});
+	}
+
+	return holders.values().toArray();
+}
+
 function makeUnknown(tables: Tables, records: readonly IdempotencyRecord[], time: number): void {
 	const until = time + tables.bounds.retentionMilliseconds;
 	for (const record of records) {
--- a/packages/wagtailroute-records/src/index.ts
+++ b/packages/wagtailroute-records/src/index.ts
@@ -69,9 +69,12 @@
 } from './fingerprints.ts';
 export {type Applied, DEFAULT_RECORDS_BOUNDS, type RecordsBounds} from './handlers.ts';
 export {createRecords, type Records, type RecordsSnapshot} from './records.ts';
+export type {Holder} from './idempotency.ts';
 export {
+	getInitialSafePart,
 	getOutstanding,
 	type Share,
 	type ShareRequest,
 	type ShareState,
+	type ShareUnit,
 } from './shares.ts';
--- a/packages/wagtailroute-records/src/records.ts
+++ b/packages/wagtailroute-records/src/records.ts
@@ -19,7 +19,7 @@
 	type RecordsBounds,
 	type Tables,
 } from './handlers.ts';
-import {createIdempotencyTable, type IdempotencySnapshot} from './idempotency.ts';
+import {createIdempotencyTable, type Holder, type IdempotencySnapshot} from './idempotency.ts';
 
 /**
 The whole state as plain JSON.
@@ -40,6 +40,10 @@
 	readonly getGroupTime: () => number;
 	readonly getService: (service: string) => ServiceState | undefined;
 	readonly getServices: () => readonly string[];
+	/**
+	The hosts, by process, that hold running records.
+	*/
+	readonly getHolders: () => readonly Holder[];
 };
 
 /**
@@ -68,5 +72,6 @@
 		getGroupTime: () => tables.groupTime,
 		getService: service => tables.services.get(service),
 		getServices: () => tables.services.keys().toArray(),
+		getHolders: () => tables.idempotency.getHolders(),
 	};
 }
--- a/packages/wagtailroute-records/src/shares.ts
+++ b/packages/wagtailroute-records/src/shares.ts
@@ -94,6 +94,18 @@
 	};
 }
 
+/**
+Returns the safe part that a carrier gets when all carriers ask alike. A host that starts while the cell can not be reached
+goes by it: its safe part is most likely still held for it from before.
+*/
+export function getInitialSafePart({limit, carriers, unit}: {
+	readonly limit: number;
+	readonly carriers: number;
+	readonly unit: ShareUnit;
+}): number {
+	return ROUNDING[unit](limit * SAFE_FRACTION / Math.max(1, carriers));
+}
+
 /**
 Grants or renews a share.
 */
--- a/packages/wagtailroute-records/src/upstream-views.ts
+++ b/packages/wagtailroute-records/src/upstream-views.ts
@@ -49,7 +49,7 @@
 */
 export function getStrictestFloor(
 	views: readonly UpstreamView[],
-	counts: Omit<UpstreamCounts, 'ejected' | 'healthyFloor'>,
+	counts: Omit<UpstreamCounts, 'healthyFloor'>,
 ): HealthyFloor {
 	const required = views.map(({healthyFloor}) => getRequiredHealthy({...counts, healthyFloor}));
 	return {kind: 'count', value: Math.max(0, ...required)};
--- a/packages/wagtailroute-replication/src/__tests__/unit/cluster.ts
+++ b/packages/wagtailroute-replication/src/__tests__/unit/cluster.ts
@@ -45,6 +45,10 @@
 	readonly counts: Counts;
 	readonly cuts: Set<string>;
 	readonly first: readonly replication.Member[];
+	/**
+	Elections start after a delay that the network often brings, so that terms change all the time.
+	*/
+	readonly isHasty: boolean;
 	network: replication.Message[];
 	now: number;
 	nextId: number;
@@ -52,6 +56,9 @@
 
 const SNAPSHOT_BYTES = 40;
 const COMMAND_BYTES = 5;
+const HASTY = {
+	heartbeatMs: 80, idleHeartbeatMs: 120, learnerHeartbeatMs: 150, electionTimeoutMinMs: 200, electionTimeoutMaxMs: 500,
+};
 
 /**
 Creates hosts that are all voters of a new group.
@@ -74,6 +81,7 @@
 		},
 		cuts: new Set(),
 		first,
+		isHasty: seed % 2 === 1,
 		network: [],
 		now: 0,
 		nextId: 0,
@@ -90,7 +98,7 @@
 */
 export function boot(cluster: Cluster, node: Node): void {
 	const settings = replication.createSettings({
-		group: 'g', self: node.disk.self, compactionBytesMin: 60, retainedEntries: 3,
+		group: 'g', self: node.disk.self, compactionBytesMin: 60, retainedEntries: 3, ...(cluster.isHasty && HASTY),
 	});
 	node.machine = (node.disk.snapshot.state ?? checking.EMPTY_MACHINE) as checking.Machine;
 	node.replica = replication.createReplica(settings, node.disk, cluster);
@@ -210,21 +218,29 @@
 }
 
 /**
-Says whether every list of members in use keeps a quorum of intact voters when this host loses its disk.
+Says whether every list of members, in logs, on disks or in flight, keeps a quorum of intact voters when this host loses its
+disk. Beyond that no group can go on.
 */
-function canWipe({nodes}: Cluster, wiped: Node): boolean {
-	const intact = new Set(nodes.filter(node => node !== wiped).map(node => node.disk.self));
-	const isWhole = (members: readonly replication.Member[]) => {
+function canWipe(cluster: Cluster, wiped: Node): boolean {
+	const intact = new Set(cluster.nodes.filter(node => node !== wiped).map(node => node.disk.self));
+	return listMembers(cluster).every(members => {
 		const voters = members.filter(member => member.role === 'voter');
 		return voters.length === 0 || voters.filter(voter => intact.has(voter.id)).length > voters.length / 2;
-	};
-
-	return nodes.every(({disk, replica}) => {
-		const listed = disk.entries.filter(entry => entry.kind === 'members').map(entry => entry.value as readonly replication.Member[]);
-		return [disk.snapshot.members, ...listed, replica?.members ?? []].every(members => isWhole(members));
 	});
 }
 
+function listMembers({nodes, network}: Cluster): ReadonlyArray<readonly replication.Member[]> {
+	const snapshots = nodes.flatMap(({disk, replica}) => [disk.snapshot, replica?.snapshot ?? disk.snapshot]);
+	const entries = [
+		...nodes.flatMap(({disk, replica}) => [...disk.entries, ...replica?.log ?? []]),
+		...network.flatMap(message => message.kind === 'append' ? message.entries : []),
+	];
+	return [
+		...snapshots.map(snapshot => snapshot.members),
+		...entries.filter(entry => entry.kind === 'members').map(entry => entry.value as readonly replication.Member[]),
+	];
+}
+
 /**
 Ends a process, takes its disk and starts it anew, if the group can do without.
 */
--- a/packages/wagtailroute-replication/src/bench/network.ts
+++ b/packages/wagtailroute-replication/src/bench/network.ts
@@ -37,7 +37,7 @@
 /**
 Creates a group of so many members, the first of them voters, and lets it elect a leader.
 */
-export function createNetwork(members: number, voters: number): Network {
+export function createNetwork(members: number, voters: number, seed = SEED): Network {
 	const list = Array.from({length: members}, (_, at): replication.Member => ({
 		id: replication.createMemberId(`control-${at}`, 'a1b2c3d4e5f6'), role: at < voters ? 'voter' : 'learner',
 	}));
@@ -47,7 +47,7 @@
 		isMeasured: false,
 		now: 0,
 		inFlight: [],
-		random: utils.createRandom(SEED),
+		random: utils.createRandom(seed),
 	};
 	for (const {id} of list) {
 		const settings = replication.createSettings({group: 'catalogue', self: id});
@@ -84,7 +84,11 @@
 Runs an event and those that follow from it at once.
 */
 export function run(network: Network, id: replication.MemberId, event: replication.ReplicaEvent): void {
-	const before = network.replicas.get(id)!;
+	const before = network.replicas.get(id);
+	if (before === undefined) {
+		return;
+	}
+
 	const startedAt = performance.now();
 	const {state, effects} = replication.stepReplica(before, event, network);
 	const milliseconds = performance.now() - startedAt;
--- a/packages/wagtailroute-replication/src/bench/replication.ts
+++ b/packages/wagtailroute-replication/src/bench/replication.ts
@@ -58,6 +58,7 @@
 const VALUE = 'v'.repeat(200);
 const MICROSECONDS = 1000;
 const RESTARTS = 20;
+const FAILOVERS = 400;
 const WAIT_MS = 5;
 
 /**
@@ -128,6 +129,44 @@
 	networks.pass(network, COMMAND_MS);
 }
 
+/**
+How long a group of five goes without a leader when its leader ends, in milliseconds, from the end to the first commit of
+the next one; a millisecond a message, writes durable at once.
+*/
+export type FailoverRow = {
+	readonly runs: number;
+	readonly median: number;
+	readonly p99: number;
+	readonly longest: number;
+};
+
+/**
+Measures failovers; the leader ends at another moment between two heartbeats in each run.
+*/
+export function benchFailover(): FailoverRow {
+	const times = Array.from({length: FAILOVERS}, (_, run) => measureFailover(run)).toSorted((one, other) => one - other);
+	return {
+		runs: FAILOVERS,
+		median: times[FAILOVERS / 2]!,
+		p99: times[Math.floor(FAILOVERS * 0.99)]!,
+		longest: times.at(-1)!,
+	};
+}
+
+function measureFailover(run: number): number {
+	const network = networks.createNetwork(VOTERS_MAX, VOTERS_MAX, run);
+	networks.pass(network, run % FAILOVERS);
+	const leader = networks.getLeader(network);
+	const {term} = network.replicas.get(leader)!;
+	network.replicas.delete(leader);
+	const startedAt = network.now;
+	while (!network.replicas.values().some(replica => replica.term > term && replica.role === 'leader' && replica.commit >= replica.termStart)) {
+		networks.pass(network, 1);
+	}
+
+	return network.now - startedAt;
+}
+
 /**
 Bounds of the figures of groups: cost grows with the number of members and no faster.
 */
--- a/packages/wagtailroute-retries/src/bench/amplification.ts
+++ b/packages/wagtailroute-retries/src/bench/amplification.bench.ts
@@ -24,6 +24,8 @@
 const RETRY_RATIO = 0.1;
 const FAILURE_RATES = [0.01, 0.1, 0.5, 1];
 const SEED = 11;
+// A retry ratio of a tenth, and what time adds for a service with few requests.
+const MAX_AMPLIFICATION = 1.101;
 
 /**
 Runs every policy at every failure rate.
@@ -78,7 +80,7 @@
 			const decision = retries.decideRetry({
 				requestClass: 'read',
 				isKeyed: false,
-				failure: 'reset-before-answer',
+				failure: 'upstream-lost',
 				sent: 'some',
 				attempts,
 				earlierOutcome: 'not-run',
@@ -96,3 +98,33 @@
 		}
 	};
 }
+
+/**
+Runs the bench and checks its bounds.
+*/
+export async function run(): Promise<{
+	title: string;
+	rows: ReadonlyArray<Record<string, string | number>>;
+	broken: readonly string[];
+}> {
+	const rows = benchAmplification();
+	const getRow = (policy: Policy, failureRate: number) =>
+		rows.find(row => row.policy === policy && row.failureRate === failureRate)!;
+	const chosen = rows.filter(row => row.policy === 'budget');
+	const isHelping = getRow('budget', 0.1).successRate > 1 - (0.2 * (1 - getRow('none', 0.1).successRate));
+	return {
+		title: 'Load amplification and success of retries',
+		rows: rows.map(row => ({
+			policy: row.policy,
+			'failing part': row.failureRate,
+			'sends a request': Number(row.amplification.toFixed(3)),
+			'requests answered': Number(row.successRate.toFixed(4)),
+		})),
+		broken: [
+			...chosen.filter(row => row.amplification > MAX_AMPLIFICATION)
+				.map(row => `${row.amplification.toFixed(4)} sends a request at ${row.failureRate} failing, the bound is ${MAX_AMPLIFICATION}.`),
+			...isHelping ? [] : ['Retries at 0.1 failing save less than four fifths of the failures.'],
+			...getRow('three-sends', 1).amplification > 2 ? [] : ['The policy without a budget amplifies no more: the load does not show the fault.'],
+		],
+	};
+}
--- a/packages/wagtailroute-retries/src/bench/hedging.ts
+++ b/packages/wagtailroute-retries/src/bench/hedging.bench.ts
@@ -25,6 +25,8 @@
 const RETRY_RATIO = 0.1;
 const REMAINING_MILLISECONDS = 5000;
 const SEED = 12;
+const MAX_TAIL_RATIO = 0.25;
+const MAX_AMPLIFICATION = 1.1;
 
 /**
 Runs with and without hedges.
@@ -67,3 +69,32 @@
 		amplification: sends / REQUESTS,
 	};
 }
+
+/**
+Runs the bench and checks its bounds.
+*/
+export async function run(): Promise<{
+	title: string;
+	rows: ReadonlyArray<Record<string, string | number>>;
+	broken: readonly string[];
+}> {
+	const rows = benchHedging();
+	const getRow = (isHedged: boolean, slowPart: number) =>
+		rows.find(row => row.isHedged === isHedged && row.slowPart === slowPart)!;
+	const ratio = getRow(true, 0.02).p99Milliseconds / getRow(false, 0.02).p99Milliseconds;
+	return {
+		title: 'What hedging of reads saves and costs',
+		rows: rows.map(row => ({
+			hedged: row.isHedged ? 'yes' : 'no',
+			'slow part': row.slowPart,
+			'p50 ms': Math.round(row.p50Milliseconds),
+			'p99 ms': Math.round(row.p99Milliseconds),
+			'sends a request': Number(row.amplification.toFixed(3)),
+		})),
+		broken: [
+			...ratio > MAX_TAIL_RATIO ? [`The 99th percentile with a slow part of 0.02 is ${ratio.toFixed(2)} of that without hedges, the bound is ${MAX_TAIL_RATIO}.`] : [],
+			...rows.filter(row => row.amplification > MAX_AMPLIFICATION)
+				.map(row => `${row.amplification.toFixed(3)} sends a request with a slow part of ${row.slowPart}, the bound is ${MAX_AMPLIFICATION}.`),
+		],
+	};
+}
--- a/packages/wagtailroute-retries/src/index.ts
+++ b/packages/wagtailroute-retries/src/index.ts
@@ -30,7 +30,7 @@
 	getSendOutcome,
 	mergeOutcomes,
 	REQUEST_FAILURES,
-	type RequestFailure,
+	type RequestFailureMeaning,
 	type RequestFailureKind,
 	type RequestStage,
 } from './request-failures.ts';
--- a/packages/wagtailroute-selection/src/constants.ts
+++ b/packages/wagtailroute-selection/src/constants.ts
@@ -23,7 +23,8 @@
 export const INITIAL_LATENCY_MILLISECONDS = 1;
 
 /**
-Factor on the latency estimate after a failure. A server that fails at once looks like the fastest one.
+Factor on the latency estimate after a failure, from the least latency that counts as slow. A server that fails at once
+looks like the fastest one.
 */
 export const FAILURE_PENALTY = 2;
 
@@ -33,14 +34,34 @@
 export const LATENCY_CEILING_MILLISECONDS = 30_000;
 
 /**
-Back-off after the first shed of an upstream, in milliseconds; it doubles with each shed in a row.
+Time constant, as a part of the service's usual latency, after which slots that were busy at a shed are taken for free.
 */
-export const SHED_BACKOFF_MILLISECONDS = 20;
+export const SHED_DECAY_RATIO = 0.5;
 
 /**
-Longest back-off after sheds, in milliseconds.
+Sheds in a row after which that time grows no more.
 */
-export const SHED_BACKOFF_CEILING_MILLISECONDS = 640;
+export const SHED_CEILING = 4;
+
+/**
+Extra cost, in requests in flight, of an upstream where this host has no free slot of its own.
+*/
+export const BORROWING_COST = 1;
+
+/**
+Weight of a new sample in the usual latency of the service.
+*/
+export const USUAL_WEIGHT = 0.02;
+
+/**
+Usual latency assumed before the first sample, in milliseconds.
+*/
+export const INITIAL_USUAL_MILLISECONDS = 20;
+
+/**
+Ratio to the usual latency from which an upstream's latency counts: below it, differences are mostly chance.
+*/
+export const SLOW_RATIO = 4;
 
 /**
 Factor on the cost of an upstream outside this host's failure domain.
--- a/packages/wagtailroute-selection/src/selector.ts
+++ b/packages/wagtailroute-selection/src/selector.ts
@@ -1,34 +1,16 @@
 /**
-Choice of an upstream: power of two choices over outstanding requests and peak-EWMA latency, among the best tier of
-upstreams that has room.
+Choice of an upstream: the one with the fewest requests in flight, weighted by peak-EWMA latency, among the best tier of
+upstreams that has room. Ties are broken at random.
 
 This runs for every request, so the table is mutable and held in a closure, and a choice allocates nothing. It stays
 deterministic: time and random numbers are passed in.
 */
 import type * as core from 'wagtailroute-core';
+import * as candidates from './candidates.ts';
 import * as constants from './constants.ts';
 import * as shares from './shares.ts';
 import * as upstreams from './upstreams.ts';
 
-/**
-What a choice may know.
-*/
-export type ChoiceContext = {
-	/**
-	Monotonic time in milliseconds.
-	*/
-	readonly now: number;
-	readonly random: () => number;
-	/**
-	Upstreams that this request must not go to, such as those tried before.
-	*/
-	readonly excluded?: ReadonlySet<core.UpstreamId>;
-	/**
-	Whether the request may go to an upstream on trial. Say no for a non-idempotent request.
-	*/
-	readonly trialAllowed?: boolean;
-};
-
 /**
 End of a request at an upstream.
 */
@@ -52,7 +34,7 @@
 	/**
 	Returns the upstream to send to, or undefined when none has room.
 	*/
-	readonly choose: (context: ChoiceContext) => core.UpstreamId | undefined;
+	readonly choose: (context: candidates.ChoiceContext) => core.UpstreamId | undefined;
 	readonly begin: (id: core.UpstreamId, now: number) => void;
 	readonly end: (id: core.UpstreamId, ending: Ending) => void;
 	/**
@@ -65,33 +47,19 @@
 	readonly getOwnedCapacity: () => number;
 };
 
-/**
-Upstreams that take a request, best first: an own slot is free; a slot is free by this host's count; it is ramping, on
-trial, shedding or avoided, so others go first.
-*/
-type Tier = 'owned' | 'borrowed' | 'reluctant';
-
-const TIERS: readonly Tier[] = ['owned', 'borrowed', 'reluctant'];
-
 const ONLY_CARRIER: shares.Carriers = {count: 1, rank: 0};
 
-/**
-Candidates of one tier, in storage that is used again for each choice.
-*/
-type Candidates = {readonly entries: upstreams.Entry[]; count: number};
-
-type Proximity = 'local' | 'remote';
-
 /**
 Creates a selector for a host in the given failure domain.
 */
 export function createSelector({localFailureDomain}: {readonly localFailureDomain: core.FailureDomain}): Selector {
 	const byId = new Map<core.UpstreamId, upstreams.Entry>();
 	let entries: upstreams.Entry[] = [];
-	const candidates = createCandidates();
+	const table = candidates.createCandidates();
+	let usualMilliseconds = constants.INITIAL_USUAL_MILLISECONDS;
 
-	const collect = (context: ChoiceContext): void => {
-		resetCandidates(candidates);
+	const collect = (context: candidates.ChoiceContext): void => {
+		candidates.resetCandidates(table);
 		for (const entry of entries) {
 			const tier = getTier(entry, context);
 			if (tier === undefined) {
@@ -99,7 +67,7 @@
 			}
 
 			const proximity = entry.declared.failureDomain === localFailureDomain ? 'local' : 'remote';
-			append(candidates[tier][proximity], entry);
+			candidates.append(table[tier][proximity], entry);
 		}
 	};
 
@@ -118,8 +86,8 @@
 		},
 		choose(context) {
 			collect(context);
-			for (const tier of TIERS) {
-				const chosen = chooseWithin(candidates[tier], context.random, tier === 'owned' ? constants.REMOTE_PENALTY : 1);
+			for (const tier of candidates.TIERS) {
+				const chosen = candidates.chooseWithin(table[tier], context, usualMilliseconds);
 				if (chosen !== undefined) {
 					return chosen.declared.id;
 				}
@@ -134,12 +102,16 @@
 			}
 		},
 		end(id, ending) {
+			if (ending.result === 'success') {
+				usualMilliseconds += (ending.latencyMilliseconds - usualMilliseconds) * constants.USUAL_WEIGHT;
+			}
+
 			const entry = byId.get(id);
 			if (entry === undefined) {
 				return;
 			}
 
-			upstreams.observeEnd(entry, ending.result, ending);
+			upstreams.observeEnd(entry, ending.result, {...ending, usualMilliseconds});
 			forgetWhenIdle(byId, entries, entry);
 		},
 		getOutstanding: id => byId.get(id)?.outstanding ?? 0,
@@ -147,7 +119,7 @@
 	};
 }
 
-function getTier(entry: upstreams.Entry, context: ChoiceContext): Tier | undefined {
+function getTier(entry: upstreams.Entry, context: candidates.ChoiceContext): candidates.Tier | undefined {
 	const {declared} = entry;
 	if (!isEligible(declared, context) || entry.outstanding >= declared.slots) {
 		return undefined;
@@ -157,18 +129,13 @@
 	const share = upstreams.getShare(entry, context.now);
 	const isWithinShare = share >= 1 || context.random() < share;
 	if (declared.admission === 'trial') {
-		return isWithinShare && entry.outstanding === 0 ? 'owned' : undefined;
+		return isWithinShare && entry.outstanding === 0 ? 'ready' : undefined;
 	}
 
-	if (context.now < entry.backoffUntil) return undefined;
-	if (!isWithinShare || declared.avoided === true) {
-		return 'reluctant';
-	}
-
-	return entry.outstanding < entry.ownedSlots ? 'owned' : 'borrowed';
+	return !isWithinShare || declared.avoided === true ? 'reluctant' : 'ready';
 }
 
-function isEligible(declared: upstreams.Upstream, context: ChoiceContext): boolean {
+function isEligible(declared: upstreams.Upstream, context: candidates.ChoiceContext): boolean {
 	return declared.state === 'draining' || declared.admission === 'ejected' || (declared.admission === 'trial' && context.trialAllowed === false) ? false : !context.excluded?.has(declared.id);
 }
 
@@ -181,55 +148,6 @@
 	return left < right ? -1 : 1;
 }
 
-// A remote upstream must be clearly cheaper: so work stays in the failure domain until that is the more loaded one.
-function chooseWithin(
-	tier: Readonly<Record<Proximity, Candidates>>,
-	random: () => number, penalty: number
-): upstreams.Entry | undefined {
-	const local = chooseOfTwo(tier.local, random);
-	const remote = chooseOfTwo(tier.remote, random);
-	if (local === undefined || remote === undefined) {
-		return local ?? remote;
-	}
-
-	const isRemoteCheaper = upstreams.getCost(remote) * penalty < upstreams.getCost(local) || (penalty === 1 && upstreams.getCost(remote) === upstreams.getCost(local) && random() < 0.75);
-	return isRemoteCheaper ? remote : local;
-}
-
-function chooseOfTwo({entries, count}: Candidates, random: () => number): upstreams.Entry | undefined {
-	let best: upstreams.Entry | undefined;
-	let least = Infinity;
-	let ties = 0;
-	for (let index = 0; index < count; index++) {
-		const entry = entries[index]!;
-		const cost = upstreams.getCost(entry);
-		if (cost < least) {
-			best = entry; least = cost; ties = 1;
-		} else if (cost === least) {
-			ties++;
-			if (random() * ties < 1) best = entry;
-		}
-	}
-	return best;
-}
-
-function createCandidates(): Readonly<Record<Tier, Readonly<Record<Proximity, Candidates>>>> {
-	const create = () => ({local: {entries: [], count: 0}, remote: {entries: [], count: 0}});
-	return {owned: create(), borrowed: create(), reluctant: create()};
-}
-
-function resetCandidates(candidates: ReturnType<typeof createCandidates>): void {
-	for (const tier of TIERS) {
-		candidates[tier].local.count = 0;
-		candidates[tier].remote.count = 0;
-	}
-}
-
-function append(candidates: Candidates, entry: upstreams.Entry): void {
-	candidates.entries[candidates.count] = entry;
-	candidates.count++;
-}
-
 // An upstream that left with requests in flight stays in the table until they end, so that their ends still count if it
 // is announced again; without this its slots would seem free and it would be overfilled.
 function replaceTable(
--- a/packages/wagtailroute-selection/src/upstreams.ts
+++ b/packages/wagtailroute-selection/src/upstreams.ts
@@ -46,7 +46,11 @@
 	latency: number;
 	latencyAt: number;
 	shedsInRow: number;
-	backoffUntil: number;
+	/**
+	Slots that others held at the last shed, and when that was.
+	*/
+	foreign: number;
+	shedAt: number;
 };
 
 /**
@@ -60,15 +64,34 @@
 		latency: constants.INITIAL_LATENCY_MILLISECONDS,
 		latencyAt: 0,
 		shedsInRow: 0,
-		backoffUntil: 0,
+		foreign: 0,
+		shedAt: 0,
 	};
 }
 
 /**
-Estimated cost of one more request: outstanding requests times the latency estimate.
+Estimated cost of one more request: requests in flight, this host's and those of others as far as a shed showed them,
+more where this host has no free slot of its own; times how much slower than usual the upstream is.
 */
-export function getCost(entry: Entry): number {
-	return (entry.outstanding + 1) * Math.max(1, Math.floor(entry.latency / 200));
+export function getCost(entry: Entry, now: number, usualMilliseconds: number): number {
+	const slowness = Math.max(1, entry.latency / (usualMilliseconds * constants.SLOW_RATIO));
+	const borrowing = entry.outstanding < entry.ownedSlots ? 0 : constants.BORROWING_COST;
+	return (entry.outstanding + 1 + borrowing + getForeign(entry, now, usualMilliseconds)) * slowness;
+}
+
+const FORGOTTEN_SLOTS = 0.2;
+
+// A shed shows that all slots were busy. This host knows its own part; the others' part is taken to end over time, more
+// slowly after each shed in a row, so that an upstream that sheds all the time isn't asked all the time.
+function getForeign({foreign, shedAt, shedsInRow}: Entry, now: number, usualMilliseconds: number): number {
+	if (foreign === 0) {
+		return 0;
+	}
+
+	const inRow = Math.min(shedsInRow, constants.SHED_CEILING);
+	const decay = usualMilliseconds * constants.SHED_DECAY_RATIO * inRow;
+	const left = foreign * Math.exp((shedAt - now) / decay);
+	return left < FORGOTTEN_SLOTS ? 0 : left;
 }
 
 /**
@@ -88,21 +111,27 @@
 	return Math.min(1, Math.max(constants.RAMP_FLOOR, progress));
 }
 
-type Ending = {readonly now: number; readonly latencyMilliseconds: number};
+type Ending = {
+	readonly now: number;
+	readonly latencyMilliseconds: number;
+	readonly usualMilliseconds: number;
+};
 
 const ENDINGS: Readonly<Record<Result, (entry: Entry, ending: Ending) => void>> = {
 	success(entry, ending) {
 		entry.shedsInRow = 0;
+		entry.foreign = 0;
 		observeLatency(entry, ending.latencyMilliseconds, ending.now);
 	},
 	failure(entry, ending) {
-		const penalised = Math.max(ending.latencyMilliseconds, entry.latency * constants.FAILURE_PENALTY);
+		const slow = Math.max(entry.latency, ending.usualMilliseconds * constants.SLOW_RATIO);
+		const penalised = Math.max(ending.latencyMilliseconds, slow * constants.FAILURE_PENALTY);
 		observeLatency(entry, penalised, ending.now);
 	},
 	shed(entry, ending) {
-		const backoff = constants.SHED_BACKOFF_MILLISECONDS * (2 ** entry.shedsInRow);
-		entry.backoffUntil = ending.now + Math.min(backoff, constants.SHED_BACKOFF_CEILING_MILLISECONDS);
 		entry.shedsInRow++;
+		entry.foreign = Math.max(0, entry.declared.slots - entry.outstanding);
+		entry.shedAt = ending.now;
 	},
 	cancelled() {
 		// The caller went away: this says nothing about the upstream.
