Let groups create themselves; compare at once after a start

Cause: the host asked for the others' terms before the first start, while the replication engine since decides this itself with random incarnations: the same logic twice.

--- a/packages/wagtailroute-experiments/src/children.ts
+++ b/packages/wagtailroute-experiments/src/children.ts
@@ -98,10 +98,12 @@
 export type LoadReport = Readonly<Record<string, unknown>>;
 
 /**
-Runs the command `load` to its end.
+Runs the command `load` to its end. The environment variable `SHOW_PROGRESS` lets its progress through.
 */
 export async function runLoad(program: string, flags: readonly string[]): Promise<LoadReport> {
-	const child = childProcess.spawn(program, ['load', '--format', 'json', ...flags], {stdio: ['ignore', 'pipe', 'ignore']});
+	const child = childProcess.spawn(program, ['load', '--format', 'json', ...flags], {
+		stdio: ['ignore', 'pipe', process.env.SHOW_PROGRESS === undefined ? 'ignore' : 'inherit'],
+	});
 	const parts: string[] = [];
 	child.stdout.on('data', (chunk: unknown) => {
 		parts.push(String(chunk));
--- a/packages/wagtailroute-experiments/src/fixture.ts
+++ b/packages/wagtailroute-experiments/src/fixture.ts
@@ -43,7 +43,14 @@
 		secret: crypto.randomUUID(),
 		hosts,
 	});
-	await Promise.all(started.map(async host => host.start()));
+	try {
+		await Promise.all(started.map(async host => host.start()));
+	} catch (error) {
+		// Hosts that did start would go on running without anybody to end them.
+		await Promise.all(started.filter(host => host.isRunning()).map(async host => host.kill()));
+		throw error;
+	}
+
 	return {
 		hosts: started,
 		async createEntry(entry) {
--- a/packages/wagtailroute-experiments/src/main.ts
+++ b/packages/wagtailroute-experiments/src/main.ts
@@ -3,6 +3,7 @@
 */
 import process from 'node:process';
 import {runAtMostOnce} from './at-most-once.ts';
+import {runCuts} from './cuts.ts';
 import {runDrain} from './draining.ts';
 import {runFaults} from './faults.ts';
 import {runGray} from './gray.ts';
@@ -20,6 +21,7 @@
 	['drain', runDrain],
 	['at-most-once', runAtMostOnce],
 	['faults', runFaults],
+	['cuts', runCuts],
 ]);
 
 const [name = '', program = 'bin/wagtailroute'] = process.argv.slice(2);
--- a/packages/wagtailroute-host/src/constants.ts
+++ b/packages/wagtailroute-host/src/constants.ts
@@ -77,11 +77,6 @@
 */
 export const REPLACE_MILLISECONDS = 60_000;
 
-/**
-Milliseconds between two questions whether the control group exists already.
-*/
-export const BOOTSTRAP_RETRY_MILLISECONDS = 100;
-
 /**
 Largest body of an operator's request, in bytes.
 */
--- a/packages/wagtailroute-host/src/control.ts
+++ b/packages/wagtailroute-host/src/control.ts
@@ -7,7 +7,6 @@
 import type * as records from 'wagtailroute-records';
 import * as replication from 'wagtailroute-replication';
 import * as utils from 'wagtailroute-utils';
-import {decideStart, type GroupHistory} from './bootstrap.ts';
 import {GROUP_TIME_MILLISECONDS, LOST_HOSTS_MILLISECONDS, RECONCILE_MILLISECONDS} from './constants.ts';
 import {findPeerAddress, type HostContext} from './context.ts';
 import {applyView} from './distribution.ts';
@@ -56,13 +55,8 @@
 		pushEjections(context, notices);
 	});
 	const lossWatch = createLossWatch();
-	let isClosed = false;
-	let isDiskRead = false;
 
 	const teardown = utils.mergeTeardowns(
-		peer.registerMethod('control.history', (): GroupHistory => ({
-			term: isDiskRead ? Math.max(0, ...Object.values(groups).map(group => group.getStatus().term)) : null,
-		})),
 		peer.registerMethod('control.message', (message: replication.GroupMessage) => {
 			groups[message.group as GroupName]?.receive(message);
 		}),
@@ -86,21 +80,15 @@
 			catalogue: createCatalogueMachine(context, replicated),
 			records: recordsMachine.stateMachine,
 		};
-		const isEmpty = await isFolderEmpty(context);
-		isDiskRead = isEmpty;
-		const start = isEmpty ? await decideStart(context, () => isClosed) : 'joining';
-		// The folder of the catalogue says whether this host was ever a member, so it is made last: a crash in between is
-		// followed by the same start again.
-		for (const name of ['records', 'catalogue'] as const) {
+		for (const name of ['catalogue', 'records'] as const) {
 			// eslint-disable-next-line no-await-in-loop -- One after the other.
-			const group = await openGroup(context, name, machines[name], isEmpty && start === 'first');
+			const group = await openGroup(context, name, machines[name]);
 			if (group === undefined) {
 				continue;
 			}
 
 			groups[name] = group;
-			isDiskRead = true;
-			log.info('Group opened.', {group: name, start: isEmpty ? start : 'restored'});
+			log.info('Group opened.', {group: name});
 		}
 	};
 
@@ -109,7 +97,6 @@
 		getStatus: () => Object.fromEntries(Object.entries(groups).map(([name, group]) => [name, group.getStatus()])),
 		getHistory: name => replicated.getHistory(name),
 		async close() {
-			isClosed = true;
 			teardown();
 			await Promise.all(Object.values(groups).map(async group => group.close()));
 		},
@@ -120,18 +107,10 @@
 	return path.join(context.settings.dataFolder!, name);
 }
 
-async function isFolderEmpty(context: HostContext): Promise<boolean> {
-	const store = replication.createDurableStore(getFolder(context, 'catalogue'));
-	const loaded = await store.load();
-	await store.close();
-	return loaded.isOk() && loaded.value === undefined;
-}
-
 async function openGroup(
 	context: HostContext,
 	name: GroupName,
 	stateMachine: replication.StateMachine,
-	isFirst: boolean,
 ): Promise<replication.Group | undefined> {
 	const log = context.log('control');
 	const {initialControl, hostId} = context.settings;
@@ -149,7 +128,8 @@
 		clock: context.now,
 		random: context.random,
 		schedule: context.schedule,
-		first: isFirst ? {hosts: initialControl.map(initial => initial.id), incarnation: 'first'} : undefined,
+		// Given at every start: the group creates itself once, and a wiped host joins as a new member.
+		first: {hosts: initialControl.map(initial => initial.id)},
 		getSeeds: () => getControlHosts(context),
 		onStopped(failure) {
 			log.error('Store failed, the replica stopped.', {group: name, failure: failure.message});
--- a/packages/wagtailroute-host/src/sharing.ts
+++ b/packages/wagtailroute-host/src/sharing.ts
@@ -61,6 +61,7 @@
 	readonly plan: SharePlan;
 	readonly held: Map<records.LimitName, heldShares.HeldShare>;
 	readonly becomeReady: () => void;
+	readonly isReady: () => boolean;
 };
 
 type Question = {
@@ -109,6 +110,11 @@
 			service.becomeReady();
 			service.plan.onChange();
 		}
+
+		// A service that was opened meanwhile has requests that wait for its first share.
+		if (open.values().some(service => !service.isReady())) {
+			void askAll();
+		}
 	};
 
 	const stop = context.repeat(SHARE_TICK_MILLISECONDS, () => {
@@ -130,6 +136,7 @@
 					isReady = true;
 					first.resolve();
 				},
+				isReady: () => isReady,
 			};
 			open.add(service);
 			context.schedule(0, () => {
@@ -138,7 +145,7 @@
 			return {
 				getAmounts: () => getAmounts(service, now()),
 				ready: first.promise,
-				isReady: () => isReady,
+				isReady: service.isReady,
 				close() {
 					open.delete(service);
 					first.resolve();
--- a/packages/wagtailroute-replication/src/group.ts
+++ b/packages/wagtailroute-replication/src/group.ts
@@ -70,10 +70,6 @@
 */
 export type FirstMembers = {
 	readonly hosts: readonly core.HostId[];
-	/**
-	Ignored: incarnations are drawn at random.
-	*/
-	readonly incarnation?: string;
 };
 
 /**
