--- a/packages/wagtailroute-announcements/src/bench/announcements.bench.ts
+++ b/packages/wagtailroute-announcements/src/bench/announcements.bench.ts
@@ -36,9 +36,15 @@
 	readonly drainingMilliseconds: number;
 };
 
-type Size = {readonly hosts: number; readonly services: number; readonly carriers: number; readonly upstreams: number};
+/**
+Size of a fleet; carriers and upstreams are those of a service.
+*/
+export type Size = {readonly hosts: number; readonly services: number; readonly carriers: number; readonly upstreams: number};
 
-type Bench = {
+/**
+A fleet and what went over its network.
+*/
+export type Bench = {
 	readonly size: Size;
 	readonly states: readonly announcements.AnnouncementState[];
 	readonly carriers: ReadonlyArray<readonly number[]>;
@@ -109,7 +115,10 @@
 	};
 }
 
-function createBench(size: Size): Bench {
+/**
+Creates the hosts and tells them the carriers.
+*/
+export function createBench(size: Size): Bench {
 	const random = utils.createRandom(SEED);
 	const indexes = Array.from({length: size.hosts}, (_, index) => index);
 	const bench: Bench = {
@@ -148,7 +157,10 @@
 	return sum / counts.length;
 }
 
-function handle(bench: Bench, host: number, event: announcements.Event): void {
+/**
+Gives a host an event and sends what it sends.
+*/
+export function handle(bench: Bench, host: number, event: announcements.Event): void {
 	const state = bench.states[host]!;
 	const {effects} = announcements.stepAnnouncements(state, event, {now: bench.now, random: bench.random});
 	for (const effect of effects) {
@@ -165,7 +177,10 @@
 	}
 }
 
-function pass(bench: Bench, milliseconds: number): void {
+/**
+Lets time pass, a millisecond at a time; upstreams renew meanwhile.
+*/
+export function pass(bench: Bench, milliseconds: number): void {
 	const end = bench.now + milliseconds;
 	while (bench.now < end) {
 		bench.now++;
--- a/packages/wagtailroute-catalogue/src/bench/catalogue.bench.ts
+++ b/packages/wagtailroute-catalogue/src/bench/catalogue.bench.ts
@@ -42,17 +42,15 @@
 function findBroken(rows: readonly Row[]): readonly string[] {
 	const first = rows[0]!;
 	const last = rows.at(-1)!;
-	const broken: string[] = [];
-	if (last.lookupNanoseconds > first.lookupNanoseconds * LOOKUP_BOUND) {
-		broken.push(`a route look-up grows more than ${LOOKUP_BOUND} times from ${first.entries} to ${last.entries} entries`);
-	}
-
 	const proportional = first.hostMicroseconds * last.entries / first.entries;
-	if (last.hostMicroseconds > proportional * CHANGE_BOUND) {
-		broken.push(`a change costs a host more than ${CHANGE_BOUND} times its proportional share`);
-	}
-
-	return broken;
+	return [
+		...last.lookupNanoseconds > first.lookupNanoseconds * LOOKUP_BOUND
+			? [`a route look-up grows more than ${LOOKUP_BOUND} times from ${first.entries} to ${last.entries} entries`]
+			: [],
+		...last.hostMicroseconds > proportional * CHANGE_BOUND
+			? [`a change costs a host more than ${CHANGE_BOUND} times its proportional share`]
+			: [],
+	];
 }
 
 function createFollowing(view: catalogue.View): catalogue.RouteIndex {
--- a/packages/wagtailroute-detection/src/events.ts
+++ b/packages/wagtailroute-detection/src/events.ts
@@ -9,7 +9,8 @@
 
 /**
 What detection is told. `ejected` and `readmitted` are the grantor's decisions, in its order; `refused` answers a request
-of this host.
+of this host. An upstream that is new in `upstreams-changed` counts as in service: tell `ejected` again for those that the
+grantor holds ejected, such as one whose lease ran out and came back.
 */
 export type Event =
 	| {readonly kind: 'summary'; readonly summary: summaries.Summary}
--- a/packages/wagtailroute-host/src/constants.ts
+++ b/packages/wagtailroute-host/src/constants.ts
@@ -231,3 +231,18 @@
 Summaries that a host sends in a second over all services without urgent evidence; at least four for a single service.
 */
 export const SUMMARIES_PER_SECOND = 20;
+
+/**
+Milliseconds that a carrier may take to list its upstreams for another host's operator.
+*/
+export const ASK_MILLISECONDS = 1000;
+
+/**
+Milliseconds between the ticks of detection: half of what the machine asks for, so that urgent evidence leaves soon.
+*/
+export const DETECTION_TICK_MILLISECONDS = 50;
+
+/**
+Steps of detection that a host makes in a second over all services without failures; at least ten for a single service.
+*/
+export const STEPS_PER_SECOND = 40;
--- a/packages/wagtailroute-host/src/detecting.ts
+++ b/packages/wagtailroute-host/src/detecting.ts
@@ -1,29 +1,24 @@
 /**
 Detection on this host: evidence from its own requests, pooled with that of the other carriers, and the verdicts that follow.
 
-One detection machine runs for each service that this host carries. What it asks for goes to the records, which grant an
-ejection only while the floor of the whole service holds; what they granted comes back through the ejection leases.
+One watch runs for each service that this host carries. What it asks for goes to the records, which grant an ejection only
+while the floor of the whole service holds; what they granted comes back through the ejection leases.
 */
-import type * as announcements from 'wagtailroute-announcements';
-import type * as catalogue from 'wagtailroute-catalogue';
 import type * as core from 'wagtailroute-core';
 import * as detection from 'wagtailroute-detection';
-import type * as proxy from 'wagtailroute-proxy';
-import type * as records from 'wagtailroute-records';
-import type * as selection from 'wagtailroute-selection';
 import * as utils from 'wagtailroute-utils';
 import type {Announcing} from './announcing.ts';
 import {
-	GRANT_MILLISECONDS,
-	KNOWN_MILLISECONDS,
+	DETECTION_TICK_MILLISECONDS,
+	MILLISECONDS_PER_SECOND,
+	STEPS_PER_SECOND,
 	SUMMARIES_PER_SECOND,
-	VIEW_REPORT_MILLISECONDS,
 } from './constants.ts';
 import {findPeerAddress, type HostContext} from './context.ts';
 import {startEjectionLeases} from './ejection-leases.ts';
-import {type Machine, runMachine} from './events.ts';
-import {proposeCommand} from './proposals.ts';
+import {createGrants} from './grants.ts';
 import type {Verdicts} from './services.ts';
+import {startWatch, type Watch, type WatchPeriods} from './watches.ts';
 
 /**
 Detection on a host.
@@ -37,52 +32,18 @@
 	readonly summary: detection.Summary;
 };
 
-/**
-Detection of one service.
-*/
-type Watch = {
-	readonly machine: Machine<detection.Detection, detection.Event>;
-	readonly evidence: detection.Evidence;
-	readonly createdAt: number;
-	readonly rampStarts: Map<core.UpstreamId, number>;
-	readonly avoidedUntil: Map<core.UpstreamId, number>;
-	summarizedAt: number;
-	viewReportedAt: number;
-};
-
 const SUMMARY_METHOD = 'detection.summary';
 const EPOCH_RANGE = 2 ** 31;
 
-const RESULTS: Readonly<Record<proxy.AttemptEnding, detection.Result>> = {
-	success: 'success',
-	'server-error': 'status',
-	shed: 'shed',
-	'connect-error': 'connect',
-	reset: 'reset',
-	truncated: 'truncated',
-	timeout: 'timeout',
-	impatience: 'cancelled',
-	cancelled: 'cancelled',
-};
-
-const ADMISSIONS: Readonly<Record<detection.Phase['kind'], selection.Admission>> = {
-	serving: 'in',
-	requested: 'in',
-	ejected: 'ejected',
-	trial: 'trial',
-	readmitting: 'trial',
-};
-
 /**
 Starts the part. Its method: `detection.summary` between carriers.
 */
 export function startDetecting(context: HostContext, announcing: Announcing): Detecting {
-	const {settings, now, random, peer, store} = context;
-	const log = context.log('detection');
+	const {settings, peer, store} = context;
 	const watches = new Map<core.ServiceName, Watch>();
-	const tickets = new WeakMap<proxy.Target, detection.Ticket>();
 	const listeners = new Set<(service: core.ServiceName) => void>();
-	const epoch = utils.pickIndex(random, EPOCH_RANGE);
+	const epoch = utils.pickIndex(context.random, EPOCH_RANGE);
+	const grants = createGrants(context, announcing);
 
 	const tellChanged = (service: core.ServiceName) => {
 		for (const listener of listeners) {
@@ -93,179 +54,54 @@
 	const leases = startEjectionLeases(context, {
 		getServices: () => watches.keys(),
 		onEjected(service, upstream) {
-			watches.get(service)?.machine.send({kind: 'ejected', upstream});
+			watches.get(service)?.send({kind: 'ejected', upstream});
 			tellChanged(service);
 		},
 		onReadmitted(service, upstream) {
-			watches.get(service)?.machine.send({kind: 'readmitted', upstream});
+			watches.get(service)?.send({kind: 'readmitted', upstream});
 			tellChanged(service);
 		},
 	});
 
-	const findEntry = (service: core.ServiceName): catalogue.Entry | undefined =>
-		store.read(state => state.view.entries.get(service)?.entry);
-
-	const createView = (service: core.ServiceName, entry: catalogue.Entry) => {
-		const upstreams = announcing.getUpstreams(service);
-		const listIn = (state: announcements.Upstream['state']) =>
-			upstreams.filter(upstream => upstream.state === state).map(upstream => upstream.id);
-		return {
-			service,
-			host: settings.hostId,
-			serving: listIn('serving'),
-			draining: listIn('draining'),
-			healthyFloor: parseFloor(entry.healthyFloor),
-		};
-	};
-
-	const requestEjection = async (service: core.ServiceName, upstream: core.UpstreamId, finding: detection.Finding) => {
-		const entry = findEntry(service);
-		if (entry === undefined) {
-			return;
-		}
-
-		log.info('Upstream looks sick.', {
-			service, upstream, symptom: finding.symptom, rate: finding.rate, normal: finding.normalRate, hosts: finding.hosts,
-		});
-		const payload = {...createView(service, entry), upstream, badness: finding.evidence};
-		const proposed = await proposeCommand(context, 'records', {name: 'request-ejection', stampedAt: 0, payload}, {
-			timeoutMilliseconds: GRANT_MILLISECONDS,
-			isRepeatable: true,
-		});
-		const result = proposed.isOk() ? proposed.value as records.Results['request-ejection'] : undefined;
-		if (result?.kind === 'granted') {
-			leases.poll();
-			return;
-		}
-
-		const reason = result === undefined ? 'unreachable' : 'floor';
-		log.warn('Ejection refused.', {service, upstream, reason: result?.kind === 'refused' ? result.reason : reason});
-		watches.get(service)?.machine.send({kind: 'refused', upstream, reason});
-	};
-
-	const requestReadmission = async (service: core.ServiceName, upstream: core.UpstreamId) => {
-		const heldEpoch = leases.getEpoch(service, upstream);
-		if (heldEpoch === undefined) {
-			watches.get(service)?.machine.send({kind: 'readmitted', upstream});
-			return;
+	const sendSummary = (service: core.ServiceName, summary: detection.Summary) => {
+		const carriers = store.read(state => state.carriers.get(service) ?? []);
+		for (const carrier of carriers) {
+			const address = carrier === settings.hostId ? undefined : findPeerAddress(context, carrier);
+			if (address !== undefined) {
+				peer.notify(address, SUMMARY_METHOD, {service, summary} satisfies SummaryEnvelope);
+			}
 		}
-
-		const payload = {service, upstream, epoch: heldEpoch};
-		await proposeCommand(context, 'records', {name: 'readmit', stampedAt: 0, payload}, {
-			timeoutMilliseconds: GRANT_MILLISECONDS,
-			isRepeatable: true,
-		});
-		leases.poll();
-	};
-
-	const createWatch = (service: core.ServiceName, entry: catalogue.Entry): Watch => {
-		const avoidedUntil = new Map<core.UpstreamId, number>();
-		const machine = runMachine<detection.Detection, detection.Event, detection.Effect>({
-			initial: detection.createDetection({host: settings.hostId, operatingPoint: entry.detection}),
-			step: detection.stepDetection,
-			circumstances: () => ({now: now(), random}),
-			onDefect: context.fail,
-			handlers: {
-				'request-ejection'({upstream, finding}) {
-					void requestEjection(service, upstream, finding);
-				},
-				'request-readmission'({upstream}) {
-					void requestReadmission(service, upstream);
-				},
-				'start-trial'() {
-					tellChanged(service);
-				},
-				'end-trial'() {
-					tellChanged(service);
-				},
-				'steer-away'({upstream, until, cause}) {
-					log.info('Upstream avoided by this host.', {service, upstream, cause});
-					avoidedUntil.set(upstream, until);
-					tellChanged(service);
-					context.schedule(until - now(), () => {
-						tellChanged(service);
-					});
-				},
-				'report-shared'({suspects}) {
-					log.warn('Many upstreams look sick together, none is ejected.', {service, suspects: suspects.length});
-				},
-				'report-self'({unreachable}) {
-					log.error('This host reaches few upstreams that others reach.', {service, unreachable: unreachable.length});
-				},
-			},
-		});
-		return {
-			machine,
-			avoidedUntil,
-			evidence: detection.createEvidence({host: settings.hostId, failureDomain: settings.failureDomain, epoch}),
-			createdAt: now(),
-			rampStarts: new Map(),
-			summarizedAt: 0,
-			viewReportedAt: 0,
-		};
 	};
 
 	const getWatch = (service: core.ServiceName): Watch | undefined => {
 		const present = watches.get(service);
-		const entry = findEntry(service);
+		const entry = store.read(state => state.view.entries.get(service)?.entry);
 		if (present !== undefined || entry === undefined) {
 			return present;
 		}
 
-		const created = createWatch(service, entry);
+		const created = startWatch(context, {
+			entry,
+			epoch,
+			announcing,
+			grants,
+			leases,
+			sendSummary(summary) {
+				sendSummary(service, summary);
+			},
+			onChange() {
+				tellChanged(service);
+			},
+		});
 		watches.set(service, created);
-		takeUpstreams(service, created);
 		leases.poll();
 		return created;
 	};
 
-	const takeUpstreams = (service: core.ServiceName, watch: Watch) => {
-		const upstreams = announcing.getUpstreams(service);
-		noteRamps(watch, upstreams, now());
-		watch.machine.send({
-			kind: 'upstreams-changed',
-			upstreams: upstreams.map(({id, state}) => ({id, state, rampStartedAt: watch.rampStarts.get(id)})),
-		});
-	};
-
-	const sendSummary = (service: core.ServiceName, watch: Watch) => {
-		const summary = watch.evidence.takeSummary(now());
-		watch.summarizedAt = now();
-		if (summary === undefined) {
-			return;
-		}
-
-		watch.machine.send({kind: 'summary', summary});
-		for (const carrier of store.read(state => state.carriers.get(service) ?? [])) {
-			const address = carrier === settings.hostId ? undefined : findPeerAddress(context, carrier);
-			if (address !== undefined) {
-				peer.notify(address, SUMMARY_METHOD, {service, summary} satisfies SummaryEnvelope);
-			}
-		}
-	};
-
-	const reportView = (service: core.ServiceName, watch: Watch) => {
-		const entry = findEntry(service);
-		if (entry === undefined || !leases.hasEjections(service) || now() - watch.viewReportedAt < VIEW_REPORT_MILLISECONDS) {
-			return;
-		}
-
-		watch.viewReportedAt = now();
-		void proposeCommand(context, 'records', {name: 'report-upstreams', stampedAt: 0, payload: createView(service, entry)}, {
-			timeoutMilliseconds: GRANT_MILLISECONDS,
-			isRepeatable: true,
-		});
-	};
-
 	const tick = () => {
-		const period = getSummaryPeriod(watches.size);
-		for (const [service, watch] of watches) {
-			if (now() - watch.summarizedAt >= period || watch.evidence.isUrgent(now())) {
-				sendSummary(service, watch);
-			}
-
-			watch.machine.send({kind: 'tick'});
-			reportView(service, watch);
+		const periods = getPeriods(watches.size);
+		for (const watch of watches.values()) {
+			watch.tick(periods);
 		}
 	};
 
@@ -277,29 +113,29 @@
 				continue;
 			}
 
-			watch.machine.stop();
+			watch.stop();
 			watches.delete(service);
 		}
 	};
 
+	const configure = () => {
+		for (const [service, watch] of watches) {
+			const point = store.read(state => state.view.entries.get(service)?.entry.detection);
+			if (point !== undefined) {
+				watch.send({kind: 'configured', operatingPoint: point});
+			}
+		}
+	};
+
 	return {
-		getAdmission(service, upstream) {
-			const phase = watches.get(service)?.machine.read().upstreams.get(upstream)?.phase;
-			return phase === undefined ? 'in' : ADMISSIONS[phase.kind];
-		},
-		isAvoided: (service, upstream) => (watches.get(service)?.avoidedUntil.get(upstream) ?? 0) > now(),
-		getRampStart: (service, upstream) => watches.get(service)?.rampStarts.get(upstream),
+		getAdmission: (service, upstream) => watches.get(service)?.getAdmission(upstream) ?? 'in',
+		isAvoided: (service, upstream) => watches.get(service)?.isAvoided(upstream) ?? false,
+		getRampStart: (service, upstream) => watches.get(service)?.getRampStart(upstream),
 		begin(service, target) {
-			const ticket = getWatch(service)?.evidence.begin(target.id, now());
-			if (ticket !== undefined) {
-				tickets.set(target, ticket);
-			}
+			getWatch(service)?.begin(target);
 		},
 		record(service, report) {
-			const ticket = tickets.get(report.target);
-			if (ticket !== undefined) {
-				watches.get(service)?.evidence.end(ticket, RESULTS[report.ending], now());
-			}
+			watches.get(service)?.end(report);
 		},
 		registerChangeListener(listener) {
 			listeners.add(listener);
@@ -310,64 +146,37 @@
 		teardown: utils.mergeTeardowns(
 			leases.teardown,
 			peer.registerMethod(SUMMARY_METHOD, ({service, summary}: SummaryEnvelope) => {
-				getWatch(service)?.machine.send({kind: 'summary', summary});
+				getWatch(service)?.takeSummary(summary);
 			}),
 			announcing.registerChangeListener(service => {
-				const watch = watches.get(service);
-				if (watch !== undefined) {
-					takeUpstreams(service, watch);
-				}
+				watches.get(service)?.refresh();
 			}),
-			store.registerUpdateListener((state, previous, dirty) => {
+			store.registerUpdateListener((_state, _previous, dirty) => {
 				if (dirty.has('view')) {
-					for (const [service, watch] of watches) {
-						const point = state.view.entries.get(service)?.entry.detection;
-						if (point !== undefined && point !== previous.view.entries.get(service)?.entry.detection) {
-							watch.machine.send({kind: 'configured', operatingPoint: point});
-						}
-					}
+					configure();
 				}
 
 				if (dirty.has('view') || dirty.has('carriers')) {
 					dropUnneeded();
 				}
 			}),
-			context.repeat(detection.TICK_MILLISECONDS / 2, tick),
+			context.repeat(DETECTION_TICK_MILLISECONDS, tick),
+			() => {
+				for (const watch of watches.values()) {
+					watch.stop();
+				}
+			},
 		),
 	};
 }
 
 /**
-An upstream that appears while its service is already known here has just started, and starts cold. Those that are there
-when this host begins to know the service are taken for warm.
-*/
-function noteRamps(watch: Watch, upstreams: readonly announcements.Upstream[], now: number): void {
-	const known = watch.machine.read().upstreams;
-	const present = new Set(upstreams.map(upstream => upstream.id));
-	const isSettled = now - watch.createdAt > KNOWN_MILLISECONDS;
-	for (const id of present) {
-		if (isSettled && !known.has(id)) {
-			watch.rampStarts.set(id, now);
-		}
-	}
-
-	for (const id of watch.rampStarts.keys()) {
-		if (!present.has(id)) {
-			watch.rampStarts.delete(id);
-		}
-	}
-}
-
-function parseFloor(floor: catalogue.Entry['healthyFloor']): records.HealthyFloor {
-	return typeof floor === 'number'
-		? {kind: 'count', value: floor}
-		: {kind: 'percent', value: Number(floor.slice(0, -1))};
-}
-
-/**
-Returns the milliseconds between two summaries of a service without urgent evidence. A host that carries many services
-sends each less often, so that what it spends on summaries stays the same; failures are told at once all the same.
+A host that carries many services does the regular work of each less often, so that what it spends in all stays the same;
+failures are told and weighed at once all the same.
 */
-function getSummaryPeriod(services: number): number {
-	return Math.max(detection.SUMMARY_MILLISECONDS, services * 1000 / SUMMARIES_PER_SECOND);
+function getPeriods(services: number): WatchPeriods {
+	return {
+		summary: Math.max(detection.SUMMARY_MILLISECONDS, services * MILLISECONDS_PER_SECOND / SUMMARIES_PER_SECOND),
+		step: Math.max(detection.TICK_MILLISECONDS, services * MILLISECONDS_PER_SECOND / STEPS_PER_SECOND),
+	};
 }
--- /dev/null
+++ b/packages/wagtailroute-host/src/fleet-routes.ts
@@ -0,0 +1,140 @@
+/**
+The fleet and the upstreams on the admin port, as this host sees them.
+*/
+import type * as http from 'node:http';
+import * as core from 'wagtailroute-core';
+import * as proxy from 'wagtailroute-proxy';
+import type * as utils from 'wagtailroute-utils';
+import type {AdminRoute} from './admin-routes.ts';
+import type {Announcing} from './announcing.ts';
+import {ASK_MILLISECONDS} from './constants.ts';
+import type {HostContext, Member} from './context.ts';
+import type {Control} from './control.ts';
+import {answerUnknownEntry} from './problems.ts';
+import type {Verdicts} from './services.ts';
+
+/**
+The parts that the routes read.
+*/
+export type FleetParts = {
+	readonly announcing: Announcing;
+	readonly verdicts: Verdicts;
+	readonly control?: Control;
+};
+
+/**
+Creates the routes.
+*/
+export function createFleetRoutes(context: HostContext, parts: FleetParts): readonly AdminRoute[] {
+	return [
+		{
+			method: 'GET',
+			pattern: /^\/fleet$/v,
+			handle({response}) {
+				proxy.answerJson(response, 200, describeFleet(context, parts.control));
+			},
+		},
+		{
+			method: 'GET',
+			pattern: /^\/services\/(?<name>[^\/]+)\/upstreams$/v,
+			async handle({response, name}) {
+				await answerUpstreams(context, parts, response, name);
+			},
+		},
+	];
+}
+
+function describeFleet(context: HostContext, control: Control | undefined) {
+	const state = context.store.read(snapshot => snapshot);
+	const hosts = state.members.values()
+		.map(member => describeMember(member))
+		.toArray()
+		.toSorted((left, right) => left.id.localeCompare(right.id));
+	return {
+		host: context.settings.hostId,
+		revision: state.view.revision,
+		hosts,
+		...control !== undefined && {groups: control.getStatus()},
+	};
+}
+
+function describeMember(member: Member) {
+	return {
+		id: member.id,
+		state: member.draining ? 'draining' : member.state,
+		roles: member.roles.join(','),
+		failureDomain: member.failureDomain,
+		region: member.region,
+		traffic: core.formatAddress(member.trafficAddress),
+		admin: core.formatAddress(member.adminAddress),
+	};
+}
+
+/**
+What this host knows of an upstream.
+*/
+type UpstreamRow = {
+	readonly id: core.UpstreamId;
+	readonly address: string;
+	readonly failureDomain: core.FailureDomain;
+	readonly state: string;
+	readonly admission: string;
+	readonly slots: number;
+};
+
+function listUpstreams(parts: FleetParts, name: core.ServiceName): readonly UpstreamRow[] {
+	return parts.announcing.getUpstreams(name).map(upstream => ({
+		id: upstream.id,
+		address: core.formatAddress(upstream),
+		failureDomain: upstream.failureDomain,
+		state: upstream.state,
+		admission: parts.verdicts.getAdmission(name, upstream.id),
+		slots: upstream.slots,
+	}));
+}
+
+async function answerUpstreams(
+	context: HostContext,
+	parts: FleetParts,
+	response: http.ServerResponse,
+	name: core.ServiceName,
+): Promise<void> {
+	const state = context.store.read(snapshot => snapshot);
+	if (!state.view.entries.has(name)) {
+		answerUnknownEntry(response, name);
+		return;
+	}
+
+	const carriers = state.carriers.get(name) ?? [];
+	const upstreams = carriers.includes(context.settings.hostId)
+		? listUpstreams(parts, name)
+		: await askCarriers(context, name);
+	proxy.answerJson(response, 200, {service: name, carriers, upstreams});
+}
+
+async function askCarriers(context: HostContext, name: core.ServiceName): Promise<readonly UpstreamRow[]> {
+	const carriers = context.store.read(state => (state.carriers.get(name) ?? []).map(id => state.members.get(id)));
+	for (const carrier of carriers) {
+		if (carrier === undefined) {
+			continue;
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- One carrier's answer is enough.
+		const answer = await context.peer.call(carrier.peerAddress, 'upstreams.list', {service: name}, ASK_MILLISECONDS);
+		if (answer.isOk()) {
+			return answer.value as readonly UpstreamRow[];
+		}
+	}
+
+	return [];
+}
+
+/**
+Registers the method by which a carrier lists its upstreams for other hosts.
+*/
+export function registerUpstreamList(
+	context: HostContext,
+	parts: FleetParts,
+): utils.Teardown {
+	return context.peer.registerMethod('upstreams.list', ({service}: {service: core.ServiceName}) => listUpstreams(parts, service));
+}
--- /dev/null
+++ b/packages/wagtailroute-host/src/grants.ts
@@ -0,0 +1,97 @@
+/**
+What a host asks of the records about upstreams that look sick: an ejection, its end, and a report of the upstreams it knows.
+*/
+import type * as announcements from 'wagtailroute-announcements';
+import type * as catalogue from 'wagtailroute-catalogue';
+import type * as core from 'wagtailroute-core';
+import type * as detection from 'wagtailroute-detection';
+import type * as records from 'wagtailroute-records';
+import type {Announcing} from './announcing.ts';
+import {GRANT_MILLISECONDS} from './constants.ts';
+import type {HostContext} from './context.ts';
+import {proposeCommand} from './proposals.ts';
+
+/**
+Answer to a request for an ejection; `unreachable` when the records gave none in time.
+*/
+export type GrantAnswer = 'granted' | 'floor' | 'not-serving' | 'settling' | 'unreachable';
+
+/**
+The grantor as this host reaches it. An entry that is no longer in the catalogue asks for nothing.
+*/
+export type Grants = {
+	readonly requestEjection: (
+		service: core.ServiceName,
+		upstream: core.UpstreamId,
+		finding: detection.Finding,
+	) => Promise<GrantAnswer>;
+	readonly endEjection: (service: core.ServiceName, upstream: core.UpstreamId, epoch: number) => Promise<void>;
+	readonly reportView: (service: core.ServiceName) => void;
+};
+
+/**
+Creates the way to the grantor.
+*/
+export function createGrants(context: HostContext, announcing: Announcing): Grants {
+	const createView = (service: core.ServiceName) => {
+		const entry = context.store.read(state => state.view.entries.get(service)?.entry);
+		if (entry === undefined) {
+			return undefined;
+		}
+
+		const upstreams = announcing.getUpstreams(service);
+		const listIn = (state: announcements.Upstream['state']) =>
+			upstreams.filter(upstream => upstream.state === state).map(upstream => upstream.id);
+		return {
+			service,
+			host: context.settings.hostId,
+			serving: listIn('serving'),
+			draining: listIn('draining'),
+			healthyFloor: parseFloor(entry.healthyFloor),
+		};
+	};
+
+	return {
+		async requestEjection(service, upstream, finding) {
+			const view = createView(service);
+			if (view === undefined) {
+				return 'not-serving';
+			}
+
+			const payload = {...view, upstream, badness: finding.evidence};
+			const result = await propose(context, 'request-ejection', payload);
+			return result === undefined || result.kind === 'not-held' ? 'unreachable' : readResult(result);
+		},
+		async endEjection(service, upstream, epoch) {
+			await propose(context, 'readmit', {service, upstream, epoch});
+		},
+		reportView(service) {
+			const view = createView(service);
+			if (view !== undefined) {
+				void propose(context, 'report-upstreams', view);
+			}
+		},
+	};
+}
+
+function readResult(result: records.EjectionResult): GrantAnswer {
+	return result.kind === 'granted' ? 'granted' : result.reason;
+}
+
+async function propose<Name extends records.CommandName>(
+	context: HostContext,
+	name: Name,
+	payload: records.Commands[Name],
+): Promise<records.Results[Name] | undefined> {
+	const proposed = await proposeCommand(context, 'records', {name, stampedAt: 0, payload}, {
+		timeoutMilliseconds: GRANT_MILLISECONDS,
+		isRepeatable: true,
+	});
+	return proposed.isOk() ? proposed.value as records.Results[Name] : undefined;
+}
+
+function parseFloor(floor: catalogue.Entry['healthyFloor']): records.HealthyFloor {
+	return typeof floor === 'number'
+		? {kind: 'count', value: floor}
+		: {kind: 'percent', value: Number(floor.slice(0, -1))};
+}
--- a/packages/wagtailroute-host/src/host.ts
+++ b/packages/wagtailroute-host/src/host.ts
@@ -11,7 +11,8 @@
 import * as proxy from 'wagtailroute-proxy';
 import * as utils from 'wagtailroute-utils';
 import {openAdminServer} from './admin.ts';
-import {createAdminRoutes, registerUpstreamList} from './admin-routes.ts';
+import {createCatalogueRoutes} from './catalogue-routes.ts';
+import {createFleetRoutes, registerUpstreamList} from './fleet-routes.ts';
 import {startAnnouncing} from './announcing.ts';
 import {startBurn} from './burn.ts';
 import {registerCarriers} from './carriers.ts';
@@ -98,7 +99,8 @@
 		note: createNoting(context, burn.note),
 	});
 	const admin = await openAdminServer(context, [
-		...createAdminRoutes(context, {announcing, verdicts: detecting, control}),
+		...createCatalogueRoutes(context),
+		...createFleetRoutes(context, {announcing, verdicts: detecting, control}),
 		burn.route,
 	]);
 	log.info('Host started.', {id: settings.hostId, traffic: core.formatAddress(settings.trafficAddress)});
--- a/packages/wagtailroute-host/src/problems.ts
+++ b/packages/wagtailroute-host/src/problems.ts
@@ -2,7 +2,7 @@
 Problem documents (RFC 9457) of the directory, the announcements and the admin port.
 */
 import type * as http from 'node:http';
-import type * as core from 'wagtailroute-core';
+import * as core from 'wagtailroute-core';
 import * as proxy from 'wagtailroute-proxy';
 
 /**
@@ -34,3 +34,10 @@
 		...!response.req.complete && {connection: 'close'},
 	});
 }
+
+/**
+Answers that there is no such entry.
+*/
+export function answerUnknownEntry(response: http.ServerResponse, name: string): void {
+	answerProblem(response, 404, core.createFailure('entry-unknown', `There is no entry ${name}.`), {revision: 0});
+}
--- /dev/null
+++ b/packages/wagtailroute-host/src/watches.ts
@@ -0,0 +1,258 @@
+/**
+Detection of one service on this host: its machine, the evidence of this host's own requests, and what follows for the
+choice of an upstream.
+*/
+import type * as announcements from 'wagtailroute-announcements';
+import type * as catalogue from 'wagtailroute-catalogue';
+import type * as core from 'wagtailroute-core';
+import * as detection from 'wagtailroute-detection';
+import type * as proxy from 'wagtailroute-proxy';
+import type * as selection from 'wagtailroute-selection';
+import type {Announcing} from './announcing.ts';
+import {KNOWN_MILLISECONDS, VIEW_REPORT_MILLISECONDS} from './constants.ts';
+import type {HostContext} from './context.ts';
+import type {EjectionLeases} from './ejection-leases.ts';
+import {runMachine} from './events.ts';
+import type {Grants} from './grants.ts';
+
+/**
+Detection of one service.
+*/
+export type Watch = {
+	readonly send: (event: detection.Event) => void;
+	/**
+	Takes what another carrier saw.
+	*/
+	readonly takeSummary: (summary: detection.Summary) => void;
+	/**
+	Takes the service's upstreams anew.
+	*/
+	readonly refresh: () => void;
+	/**
+	Does what is due: a summary and a step of the machine when their periods are over, both earlier on failures; a report
+	while upstreams are ejected.
+	*/
+	readonly tick: (periods: WatchPeriods) => void;
+	readonly begin: (target: proxy.Target) => void;
+	readonly end: (report: proxy.AttemptReport) => void;
+	readonly getAdmission: (upstream: core.UpstreamId) => selection.Admission;
+	readonly isAvoided: (upstream: core.UpstreamId) => boolean;
+	readonly getRampStart: (upstream: core.UpstreamId) => number | undefined;
+	readonly stop: () => void;
+};
+
+/**
+Milliseconds between the regular work of a watch.
+*/
+export type WatchPeriods = {
+	readonly summary: number;
+	readonly step: number;
+};
+
+/**
+What a watch needs.
+*/
+export type WatchPlan = {
+	readonly entry: catalogue.Entry;
+	/**
+	Differs from that of the host's earlier lives.
+	*/
+	readonly epoch: number;
+	readonly announcing: Announcing;
+	readonly grants: Grants;
+	readonly leases: EjectionLeases;
+	readonly sendSummary: (summary: detection.Summary) => void;
+	/**
+	Told when the choice of an upstream must follow.
+	*/
+	readonly onChange: () => void;
+};
+
+const RESULTS: Readonly<Record<proxy.AttemptEnding, detection.Result>> = {
+	success: 'success',
+	'server-error': 'status',
+	shed: 'shed',
+	'connect-error': 'connect',
+	reset: 'reset',
+	truncated: 'truncated',
+	timeout: 'timeout',
+	impatience: 'cancelled',
+	cancelled: 'cancelled',
+};
+
+const ADMISSIONS: Readonly<Record<detection.Phase['kind'], selection.Admission>> = {
+	serving: 'in',
+	requested: 'in',
+	ejected: 'ejected',
+	trial: 'trial',
+	readmitting: 'trial',
+};
+
+/**
+Starts to watch a service.
+*/
+export function startWatch(context: HostContext, plan: WatchPlan): Watch {
+	const {settings, now, random} = context;
+	const {announcing, grants, leases, onChange} = plan;
+	const service = plan.entry.name;
+	const log = context.log('detection');
+	const tickets = new WeakMap<proxy.Target, detection.Ticket>();
+	const rampStarts = new Map<core.UpstreamId, number>();
+	const avoidedUntil = new Map<core.UpstreamId, number>();
+	const evidence = detection.createEvidence({host: settings.hostId, failureDomain: settings.failureDomain, epoch: plan.epoch});
+	const createdAt = now();
+	let summarizedAt = 0;
+	let reportedAt = 0;
+	let steppedAt = 0;
+	let hasFailures = false;
+
+	const requestEjection = async (upstream: core.UpstreamId, finding: detection.Finding) => {
+		log.info('Upstream looks sick.', {
+			service, upstream, symptom: finding.symptom, rate: finding.rate, normal: finding.normalRate, hosts: finding.hosts,
+		});
+		const answer = await grants.requestEjection(service, upstream, finding);
+		if (answer === 'granted') {
+			leases.poll();
+			return;
+		}
+
+		log.warn('Ejection refused.', {service, upstream, reason: answer});
+		machine.send({kind: 'refused', upstream, reason: answer === 'unreachable' ? 'unreachable' : 'floor'});
+	};
+
+	const requestReadmission = async (upstream: core.UpstreamId) => {
+		const epoch = leases.getEpoch(service, upstream);
+		if (epoch === undefined) {
+			machine.send({kind: 'readmitted', upstream});
+			onChange();
+			return;
+		}
+
+		await grants.endEjection(service, upstream, epoch);
+		leases.poll();
+	};
+
+	const machine = runMachine<detection.Detection, detection.Event, detection.Effect>({
+		initial: detection.createDetection({host: settings.hostId, operatingPoint: plan.entry.detection}),
+		step: detection.stepDetection,
+		circumstances: () => ({now: now(), random}),
+		onDefect: context.fail,
+		handlers: {
+			'request-ejection'({upstream, finding}) {
+				void requestEjection(upstream, finding);
+			},
+			'request-readmission'({upstream}) {
+				void requestReadmission(upstream);
+			},
+			'start-trial': onChange,
+			'end-trial': onChange,
+			'steer-away'({upstream, until, cause}) {
+				log.info('Upstream avoided by this host.', {service, upstream, cause});
+				avoidedUntil.set(upstream, until);
+				onChange();
+				context.schedule(until - now(), onChange);
+			},
+			'report-shared'({suspects}) {
+				log.warn('Many upstreams look sick together, none is ejected.', {service, suspects: suspects.length});
+			},
+			'report-self'({unreachable}) {
+				log.error('This host reaches few upstreams that others reach.', {service, unreachable: unreachable.length});
+			},
+		},
+	});
+
+	/**
+	An upstream that appears while its service is already known here has just started, and starts cold. Those that are
+	there when this host begins to know the service are taken for warm.
+	*/
+	const noteRamps = (upstreams: readonly announcements.Upstream[]) => {
+		const known = machine.read().upstreams;
+		const present = new Set(upstreams.map(upstream => upstream.id));
+		const isSettled = now() - createdAt > KNOWN_MILLISECONDS;
+		for (const id of present) {
+			if (isSettled && !known.has(id)) {
+				rampStarts.set(id, now());
+			}
+		}
+
+		for (const id of rampStarts.keys()) {
+			if (!present.has(id)) {
+				rampStarts.delete(id);
+			}
+		}
+	};
+
+	const getPhase = (upstream: core.UpstreamId) => machine.read().upstreams.get(upstream)?.phase.kind;
+
+	const refresh = () => {
+		const upstreams = announcing.getUpstreams(service);
+		noteRamps(upstreams);
+		machine.send({
+			kind: 'upstreams-changed',
+			upstreams: upstreams.map(({id, state}) => ({id, state, rampStartedAt: rampStarts.get(id)})),
+		});
+		// An ejected upstream that announces itself anew comes as an unknown one: it must not slip back into service.
+		for (const {id} of upstreams) {
+			if (leases.getEpoch(service, id) !== undefined && getPhase(id) === 'serving') {
+				machine.send({kind: 'ejected', upstream: id});
+			}
+		}
+	};
+
+	const takeSummary = (summary: detection.Summary) => {
+		hasFailures ||= summary.upstreams.some(seen => Object.keys(seen.failures).length > 0);
+		machine.send({kind: 'summary', summary});
+	};
+
+	const summarize = () => {
+		summarizedAt = now();
+		const summary = evidence.takeSummary(now());
+		if (summary === undefined) {
+			return;
+		}
+
+		machine.send({kind: 'summary', summary});
+		plan.sendSummary(summary);
+	};
+
+	refresh();
+	return {
+		send: machine.send,
+		refresh,
+		takeSummary,
+		tick({summary, step}) {
+			if (now() - summarizedAt >= summary || evidence.isUrgent(now())) {
+				summarize();
+			}
+
+			if (now() - steppedAt >= (hasFailures ? detection.TICK_MILLISECONDS : step)) {
+				steppedAt = now();
+				hasFailures = false;
+				machine.send({kind: 'tick'});
+			}
+
+			if (!(leases.hasEjections(service) && now() - reportedAt >= VIEW_REPORT_MILLISECONDS)) {
+				return;
+			}
+
+			reportedAt = now();
+			grants.reportView(service);
+		},
+		begin(target) {
+			tickets.set(target, evidence.begin(target.id, now()));
+		},
+		end(report) {
+			const ticket = tickets.get(report.target);
+			if (ticket !== undefined) {
+				evidence.end(ticket, RESULTS[report.ending], now());
+			}
+		},
+		getAdmission(upstream) {
+			const phase = getPhase(upstream);
+			return phase === undefined ? 'in' : ADMISSIONS[phase];
+		},
+		isAvoided: upstream => (avoidedUntil.get(upstream) ?? 0) > now(),
+		getRampStart: upstream => rampStarts.get(upstream),
+		stop: machine.stop,
+	};
+}
--- /dev/null
+++ b/packages/wagtailroute-peer/src/bench/alone.bench.ts
@@ -0,0 +1,141 @@
+/**
+What messages between hosts cost when they come alone, as they mostly do on a quiet host: a notification that shares its
+request with no other, a call or notification that opens its connection first, and a datagram. Processor time is that of
+both ends; bytes are those of the connections, TLS included, without TCP and IP headers. A datagram's bytes include those.
+*/
+import process from 'node:process';
+import * as timers from 'node:timers/promises';
+import * as peer from '../index.ts';
+import {findFreePort, openRelay, type Relay} from './relay.ts';
+
+const CONTENT_BYTES = [50, 200, 500, 1000] as const;
+const MESSAGES = 300;
+const CONNECTIONS = 100;
+const TIMEOUT_MILLISECONDS = 5000;
+const CUT_MILLISECONDS = 5;
+const IP_AND_UDP_BYTES = 28;
+const TAG_BYTES = 16;
+
+/**
+A datagram may cost at most this part of a call.
+*/
+const DATAGRAM_BOUND = 0.7;
+
+type Bench = {
+	readonly left: peer.Peer;
+	readonly right: peer.Peer;
+	readonly relay: Relay;
+	readonly direct: {readonly ip: string; readonly port: number};
+	readonly relayed: {readonly ip: string; readonly port: number};
+};
+
+type Cost = {readonly microseconds: number; readonly bytes: number};
+
+/**
+Measures all sizes.
+*/
+export async function run() {
+	const bench = await openBench();
+	await measureCalls(bench, CONTENT_BYTES[0]);
+	const rows = [];
+	for (const contentBytes of CONTENT_BYTES) {
+		// eslint-disable-next-line no-await-in-loop -- One measurement at a time.
+		rows.push(await measureSize(bench, contentBytes));
+	}
+
+	await Promise.all([bench.left.close(), bench.right.close()]);
+	await bench.relay.close();
+	const broken = rows
+		.filter(row => row.datagramMicroseconds > row.callMicroseconds * DATAGRAM_BOUND)
+		.map(row => `a datagram of ${row.contentBytes} bytes costs more than ${DATAGRAM_BOUND} of a call`);
+	return {title: 'Messages between hosts that come alone: cost by size of content', rows, broken};
+}
+
+async function openBench(): Promise<Bench> {
+	const direct = {ip: '127.0.0.1', port: await findFreePort()};
+	const right = await peer.openPeer({self: 'right', address: direct, secret: 's'});
+	right.registerMethod('echo', () => ({}));
+	const relay = await openRelay(direct.port);
+	const left = await peer.openPeer({self: 'left', address: {ip: '127.0.0.1', port: await findFreePort()}, secret: 's'});
+	return {
+		left, right, relay, direct, relayed: {ip: '127.0.0.1', port: relay.port},
+	};
+}
+
+async function measureSize(bench: Bench, contentBytes: number) {
+	const calls = await measureCalls(bench, contentBytes);
+	const notifications = await measureNotifications(bench, contentBytes);
+	const connections = await measureConnections(bench, contentBytes);
+	const datagrams = await measureDatagrams(bench, contentBytes);
+	return {
+		contentBytes,
+		callMicroseconds: Math.round(calls.microseconds),
+		callBytes: Math.round(calls.bytes),
+		notificationMicroseconds: Math.round(notifications.microseconds),
+		notificationBytes: Math.round(notifications.bytes),
+		connectingCallMicroseconds: Math.round(connections.microseconds),
+		connectingCallBytes: Math.round(connections.bytes),
+		datagramMicroseconds: Math.round(datagrams.microseconds),
+		datagramBytes: Math.round(datagrams.bytes),
+	};
+}
+
+async function measureCalls({left, relay, relayed}: Bench, size: number): Promise<Cost> {
+	return measure(relay, MESSAGES, async () => {
+		await left.call(relayed, 'echo', {text: 'x'.repeat(size)}, TIMEOUT_MILLISECONDS);
+	});
+}
+
+async function measureNotifications({
+	left, right, relay, relayed,
+}: Bench, size: number): Promise<Cost> {
+	return measure(relay, MESSAGES, async () => {
+		const arrived = Promise.withResolvers<void>();
+		const teardown = right.registerMethod('tell', () => {
+			arrived.resolve();
+		});
+		left.notify(relayed, 'tell', {text: 'x'.repeat(size)});
+		await arrived.promise;
+		teardown();
+		// The answer to the request of the notification, so that the next one doesn't join it.
+		await timers.setTimeout(1);
+	});
+}
+
+async function measureConnections({left, relay, relayed}: Bench, size: number): Promise<Cost> {
+	return measure(relay, CONNECTIONS, async () => {
+		relay.cutAll();
+		await timers.setTimeout(CUT_MILLISECONDS);
+		const answer = await left.call(relayed, 'echo', {text: 'x'.repeat(size)}, TIMEOUT_MILLISECONDS);
+		answer.unwrap();
+	});
+}
+
+async function measureDatagrams({
+	left, right, relay, direct,
+}: Bench, size: number): Promise<Cost> {
+	const parameters = {text: 'x'.repeat(size)};
+	const cost = await measure(relay, MESSAGES, async () => {
+		const arrived = Promise.withResolvers<void>();
+		const teardown = right.registerDatagramHandler(() => {
+			arrived.resolve();
+		});
+		left.sendDatagram(direct, 'tell', parameters);
+		await arrived.promise;
+		teardown();
+	});
+	const payload = JSON.stringify({jsonrpc: '2.0', method: 'tell', params: parameters});
+	return {microseconds: cost.microseconds, bytes: payload.length + TAG_BYTES + IP_AND_UDP_BYTES};
+}
+
+async function measure(relay: Relay, count: number, work: () => Promise<void>): Promise<Cost> {
+	relay.takeBytes();
+	const before = process.cpuUsage();
+	for (let index = 0; index < count; index++) {
+		// eslint-disable-next-line no-await-in-loop -- One after the other: they come alone.
+		await work();
+	}
+
+	const used = process.cpuUsage(before);
+	return {microseconds: (used.user + used.system) / count, bytes: relay.takeBytes() / count};
+}
--- a/packages/wagtailroute-peer/src/bench/peer.bench.ts
+++ b/packages/wagtailroute-peer/src/bench/peer.bench.ts
@@ -2,9 +2,9 @@
 What calls between hosts cost: processor time and bytes on the wire, of a call, of a notification and of a datagram, by
 the size of their content. Both ends run in this process, so the processor time is that of both.
 */
-import * as net from 'node:net';
 import process from 'node:process';
 import * as peer from '../index.ts';
+import {findFreePort, openRelay, type Relay} from './relay.ts';
 
 const CONTENT_BYTES = [50, 200, 1000, 4000] as const;
 const CALLS = 1000;
@@ -85,65 +85,3 @@
 	const used = process.cpuUsage(before);
 	return {microseconds: (used.user + used.system) / CALLS, bytes: relay.takeBytes() / CALLS};
 }
-
-type Relay = {
-	readonly port: number;
-	/**
-	Returns the bytes relayed since the last time, both ways.
-	*/
-	readonly takeBytes: () => number;
-	readonly close: () => Promise<void>;
-};
-
-async function openRelay(to: number): Promise<Relay> {
-	let bytes = 0;
-	const sockets = new Set<net.Socket>();
-	const watch = (socket: net.Socket) => {
-		sockets.add(socket);
-		socket.setNoDelay(true);
-		socket.on('error', () => undefined);
-		socket.on('data', chunk => {
-			bytes += chunk.length;
-		});
-	};
-
-	const server = net.createServer(inbound => {
-		const outbound = net.connect(to, '127.0.0.1');
-		watch(inbound);
-		watch(outbound);
-		inbound.pipe(outbound);
-		outbound.pipe(inbound);
-	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	return {
-		port: (server.address() as net.AddressInfo).port,
-		takeBytes() {
-			const taken = bytes;
-			bytes = 0;
-			return taken;
-		},
-		async close() {
-			for (const socket of sockets) {
-				socket.destroy();
-			}
-
-			await new Promise(resolve => {
-				server.close(resolve);
-			});
-		},
-	};
-}
-
-async function findFreePort(): Promise<number> {
-	const server = net.createServer();
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const {port} = server.address() as net.AddressInfo;
-	await new Promise(resolve => {
-		server.close(resolve);
-	});
-	return port;
-}
--- a/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
@@ -34,6 +34,10 @@
 	readonly standing?: ReturnType<proxy.Guard['getStanding']>;
 	readonly trial?: proxy.TrialAnswer | 'granted';
 	readonly isBudgetEmpty?: boolean;
+	/**
+	The service is carried by other hosts, for which the backend servers stand in.
+	*/
+	readonly isForwarding?: boolean;
 	readonly admit?: proxy.ServicePort['admit'];
 	readonly hasCrashed?: boolean;
 };
@@ -82,7 +86,8 @@
 		kind: 'upstream' as const,
 		address: {ip: '127.0.0.1', port: UNUSED_PORT},
 	}));
-	const present = standins.map(started => ({id: started.id, kind: 'upstream' as const, address: started.getAddress()}));
+	const kind = setup.isForwarding === true ? 'host' : 'upstream';
+	const present = standins.map(started => ({id: started.id, kind, address: started.getAddress()} as const));
 	return [...absent, ...present];
 }
 
@@ -100,7 +105,7 @@
 	const table = catalogue.createRouteTable([ENTRY]);
 	const service: proxy.ServicePort = {
 		entry: ENTRY,
-		isCarried: true,
+		isCarried: setup.isForwarding !== true,
 		admit: setup.admit ?? (() => undefined),
 		release(release) {
 			releases.push(release);
--- a/packages/wagtailroute-proxy/src/__tests__/unit/truth.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/truth.test.ts
@@ -91,6 +91,15 @@
 	{
 		title: 'a deadline after the request was sent', setup: {faults: [SLOW]}, request: HURRIED, status: 504, outcome: 'unknown', runs: 1,
 	},
+	{
+		title: 'a carrier that did not run a write', setup: {faults: [SHED, []], isForwarding: true}, request: WRITE, status: 503, outcome: 'not-run', runs: 0,
+	},
+	{
+		title: 'a carrier that did not run a read, then another', setup: {faults: [SHED, []], isForwarding: true}, request: READ, status: 200, outcome: 'unknown', runs: 1,
+	},
+	{
+		title: 'a carrier lost with a keyed write', setup: {faults: [RESET, []], isForwarding: true}, request: KEYED, status: 502, outcome: 'unknown', runs: 0,
+	},
 	{
 		title: 'a missing key', setup: {faults: [[]]}, request: STRICT, status: 400, outcome: 'not-run', runs: 0,
 	},
