--- a/packages/wagtailroute-host/src/watches.ts
+++ b/packages/wagtailroute-host/src/watches.ts
@@ -211,7 +211,7 @@
 			return;
 		}
 
-		machine.send({kind: 'summary', summary});
+		takeSummary(summary);
 		plan.sendSummary(summary);
 	};
 
--- a/scripts/capacity/bare-node.ts
+++ b/scripts/capacity/bare-node.ts
@@ -70,5 +70,5 @@
 async function getResidentBytes(pid: number): Promise<number> {
 	const text = await fs.readFile(`/proc/${pid}/status`, 'utf8');
 	const match = /VmRSS:\s+(?<kilobytes>\d+) kB/v.exec(text);
-	return Number(match?.groups?.kilobytes ?? Number.NaN) * 1024;
+	return Number(match?.groups?.kilobytes ?? NaN) * 1024;
 }
--- a/scripts/capacity/detection.ts
+++ b/scripts/capacity/detection.ts
@@ -2,10 +2,10 @@
 What detection costs a carrier: bytes of a summary, and processor time of taking one in and of a tick, by the upstreams of a
 service; and the requests that a summary counts at the size to design for.
 */
-import * as detection from 'wagtailroute-detection';
-import * as utils from 'wagtailroute-utils';
 import {SIZE} from './size.ts';
 import {measureMicroseconds, type Row} from './slopes.ts';
+import * as detection from 'wagtailroute-detection';
+import * as utils from 'wagtailroute-utils';
 
 const UPSTREAMS = [5, 10, 20, 40] as const;
 const CARRIERS = 6;
@@ -30,7 +30,7 @@
 	const ids = Array.from({length: upstreams}, (_, index) => `service-1234-upstream-${index}`);
 	const evidences = Array.from({length: CARRIERS}, (_, index) =>
 		detection.createEvidence({host: `entry-${1000 + index}`, failureDomain: `domain-${index}`, epoch: index}));
-	let state = detection.createDetection({host: 'entry-1000', operatingPoint: 'sensitive' in detection.OPERATING_POINTS ? 'sensitive' as detection.OperatingPointName : Object.keys(detection.OPERATING_POINTS)[0] as detection.OperatingPointName});
+	let state = detection.createDetection({host: 'entry-1000', operatingPoint: 'fast'});
 	let now = 0;
 	const step = (event: detection.Event) => {
 		const transition = detection.stepDetection(state, event, {now, random});
--- a/scripts/capacity/shares.ts
+++ b/scripts/capacity/shares.ts
@@ -2,8 +2,8 @@
 What the records' leader pays for one host's renewal of its shares: bytes of the command, and processor time of applying it,
 by the services in it; each limit is shared by six hosts.
 */
-import * as records from 'wagtailroute-records';
 import {measureMicroseconds, type Row} from './slopes.ts';
+import * as records from 'wagtailroute-records';
 
 const SERVICES = [4, 8, 17, 34] as const;
 const CARRIERS = 6;
@@ -31,12 +31,14 @@
 			const host = `entry-${1000 + (round % CARRIERS)}`;
 			const command = createRenewal(host, services, held.get(host) ?? []);
 			const {result} = cell.apply({...command, stampedAt: round * 500});
-			const {shares} = result as records.Results['renew-shares'];
+			const {shares} = result;
 			held.set(host, shares.map(share => 'sequence' in share ? share.sequence : 0));
-			if (round === ROUNDS - 1) {
-				bytes = JSON.stringify({group: 'records', command}).length;
-				answerBytes = JSON.stringify(result).length;
+			if (round !== ROUNDS - 1) {
+				continue;
 			}
+
+			bytes = JSON.stringify({group: 'records', command}).length;
+			answerBytes = JSON.stringify(result).length;
 		}
 	});
 	return {
