--- a/packages/wagtailroute-catalogue/src/__tests__/unit/catalogue.test.ts
+++ b/packages/wagtailroute-catalogue/src/__tests__/unit/catalogue.test.ts
@@ -64,6 +64,18 @@
 	});
 }
 
+test('a class of the entry holds for the routes that name none', t => {
+	const entry = catalogue.parseEntry({
+		name: 'archive',
+		owner: 'genealogy',
+		class: 'non-idempotent',
+		requireIdempotencyKey: true,
+		routes: [{pathPrefix: '/a'}, {pathPrefix: '/b', class: 'read', requireIdempotencyKey: false}],
+	}).unwrap();
+	t.like(entry.routes[0], {class: 'non-idempotent', requireIdempotencyKey: true});
+	t.like(entry.routes[1], {class: 'read', requireIdempotencyKey: false});
+});
+
 test('defaults are filled in', t => {
 	const entry = catalogue.parseEntry(ARCHIVE).unwrap();
 	t.is(entry.detection, 'careful');
--- a/packages/wagtailroute-catalogue/src/bench/memory.bench.ts
+++ b/packages/wagtailroute-catalogue/src/bench/memory.bench.ts
@@ -44,11 +44,13 @@
 function measureEntries(count: number): Row {
 	const control = measureHeap(() => fill(count, count));
 	const text = JSON.stringify(catalogue.getDelta(control.kept.getView(), -1));
+	// Read once before the measurement, which would else count what reading it for the first time frees.
+	JSON.parse(text);
 	const host = measureHeap(() => {
 		const view = catalogue.applyDelta(catalogue.EMPTY_VIEW, JSON.parse(text) as catalogue.Delta);
 		const routes = catalogue.createRouteIndex();
 		routes.follow(catalogue.EMPTY_VIEW, view);
-		return {view, routes};
+		return {view, routes, text};
 	});
 	return {
 		measure: 'entries', count, hostBytes: host.bytes, controlBytes: control.bytes, ...measureSnapshot(control.kept),
--- a/packages/wagtailroute-catalogue/src/entry.ts
+++ b/packages/wagtailroute-catalogue/src/entry.ts
@@ -104,7 +104,7 @@
 Checks a value that claims to be an entry.
 */
 export function parseEntry(value: unknown): results.Result<Entry, EntryFailure> {
-	const parsed = entrySchema.safeParse(value);
+	const parsed = entrySchema.safeParse(spreadClass(value));
 	if (parsed.success) {
 		return results.Ok(parsed.data);
 	}
@@ -115,6 +115,29 @@
 	return results.Err(core.createFailure('entry-invalid', message));
 }
 
+/**
+An entry may name the class, and whether a key is required, once for all its routes: routes that say nothing get it.
+*/
+function spreadClass(value: unknown): unknown {
+	if (!isRecord(value) || !Array.isArray(value.routes)) {
+		return value;
+	}
+
+	const {class: requestClass, requireIdempotencyKey, ...entry} = value;
+	const defaults = {
+		...requestClass !== undefined && {class: requestClass},
+		...requireIdempotencyKey !== undefined && {requireIdempotencyKey},
+	};
+	return {
+		...entry,
+		routes: value.routes.map((route: unknown) => isRecord(route) ? {...defaults, ...route} : route),
+	};
+}
+
+function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
+	return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
 /**
 Reads an entry from its text.
 */
--- a/packages/wagtailroute-cli/src/__tests__/unit/catalogue.test.ts
+++ b/packages/wagtailroute-cli/src/__tests__/unit/catalogue.test.ts
@@ -106,6 +106,19 @@
 	t.deepEqual(puts.map(({headers}) => headers['if-match']), ['"3"', '"3"', '"3"']);
 });
 
+test('a change whose first answer is lost is never told as not run', async t => {
+	// Symptom: an operator makes a change a second time, under another Change-Id, although the first one was taken.
+	// Sequence: the change is taken, its answer is lost, every resend meets a fleet without a quorum that says not-run.
+	// Cause: only the outcome of the last sending was told.
+	const file = await writeEntries('name: archive\n');
+	const {code, errors} = await runAgainst(['catalogue', 'apply', file, '--no-wait'], {
+		'GET /catalogue/archive': [{headers: {etag: '"3"'}}],
+		'PUT /catalogue/archive': [{isLost: true}, {status: 503, headers: {'wagtailroute-outcome': 'not-run'}, body: {title: 'No quorum'}}],
+	});
+	t.is(code, 1);
+	t.regex(errors, /may have been taken, its outcome is unknown/v);
+});
+
 type RefusedCase = {
 	readonly name: string;
 	readonly words: readonly string[];
--- a/packages/wagtailroute-cli/src/changes.ts
+++ b/packages/wagtailroute-cli/src/changes.ts
@@ -108,19 +108,36 @@
 	question: admin.AdminQuestion,
 ): Promise<results.Result<admin.AdminAnswer, admin.AdminFailure>> {
 	let wait = constants.CHANGE_WAIT_MILLISECONDS;
+	let isPossiblyTaken = false;
 	for (let attempt = 1; ; attempt++) {
 		// eslint-disable-next-line no-await-in-loop
 		const answer = await client.ask(question);
-		if (answer.isOk() || !isResent(answer.error) || attempt >= constants.CHANGE_ATTEMPTS) {
+		if (answer.isOk() || !isResent(answer.error)) {
 			return answer;
 		}
 
+		isPossiblyTaken ||= answer.error.outcome !== 'not-run';
+		if (attempt >= constants.CHANGE_ATTEMPTS) {
+			return isPossiblyTaken ? results.Err(describePossiblyTaken(answer.error)) : answer;
+		}
+
 		// eslint-disable-next-line no-await-in-loop
 		await timers.setTimeout(wait);
 		wait *= 2;
 	}
 }
 
+/**
+A last answer of `not-run` speaks of the last sending only: an earlier one, whose answer was lost, may have been taken.
+*/
+function describePossiblyTaken(failure: admin.AdminFailure): admin.AdminFailure {
+	return {
+		...failure,
+		outcome: 'unknown',
+		message: `The change may have been taken, its outcome is unknown; the last attempt failed: ${failure.message}`,
+	};
+}
+
 /**
 Says whether the change may have been taken, or may be taken next time: no answer, or an error of the fleet's own.
 */
--- a/packages/wagtailroute-host/src/admin.ts
+++ b/packages/wagtailroute-host/src/admin.ts
@@ -22,7 +22,11 @@
 /**
 Opens the server with its routes.
 */
-export async function openAdminServer(context: HostContext, routes: readonly AdminRoute[]): Promise<AdminServer> {
+export async function openAdminServer(
+	context: HostContext,
+	routes: readonly AdminRoute[],
+	getFailures: () => Readonly<Record<string, string>>,
+): Promise<AdminServer> {
 	const log = context.log('admin');
 	const server = http.createServer({
 		maxHeaderSize: HEADER_BYTES,
@@ -30,7 +34,7 @@
 	}, (message, response) => {
 		message.on('error', () => undefined);
 		response.on('error', () => undefined);
-		void serve(context, routes, message, response).catch((error: unknown) => {
+		void serve({context, routes, getFailures}, message, response).catch((error: unknown) => {
 			log.error('Request failed.', {error: error instanceof Error ? error.stack : String(error)});
 			response.destroy();
 		});
@@ -53,15 +57,20 @@
 	};
 }
 
+type Served = {
+	readonly context: HostContext;
+	readonly routes: readonly AdminRoute[];
+	readonly getFailures: () => Readonly<Record<string, string>>;
+};
+
 async function serve(
-	context: HostContext,
-	routes: readonly AdminRoute[],
+	{context, routes, getFailures}: Served,
 	message: http.IncomingMessage,
 	response: http.ServerResponse,
 ): Promise<void> {
 	const url = new URL(message.url ?? '/', 'http://host');
 	if (url.pathname === '/healthz') {
-		answerHealth(context, response);
+		answerHealth(context, response, getFailures());
 		return;
 	}
 
@@ -85,11 +94,21 @@
 	await route.handle(request);
 }
 
-function answerHealth(context: HostContext, response: http.ServerResponse): void {
+/**
+A host whose replica failed goes on serving callers, so it is degraded and not down: an operator must see it, and a monitor
+that restarts what is down must not.
+*/
+function answerHealth(
+	context: HostContext,
+	response: http.ServerResponse,
+	failures: Readonly<Record<string, string>>,
+): void {
 	const {isDraining, view} = context.store.read(state => state);
+	const health = Object.keys(failures).length === 0 ? 'ok' : 'degraded';
 	proxy.answerJson(response, isDraining ? 503 : 200, {
-		status: isDraining ? 'draining' : 'ok',
+		status: isDraining ? 'draining' : health,
 		revision: view.revision,
+		...health === 'degraded' && {failures},
 	});
 }
 
--- a/packages/wagtailroute-host/src/constants.ts
+++ b/packages/wagtailroute-host/src/constants.ts
@@ -246,3 +246,13 @@
 Steps of detection that a host makes in a second over all services without failures; at least ten for a single service.
 */
 export const STEPS_PER_SECOND = 40;
+
+/**
+Milliseconds that a host waits at its start for another host's catalogue before it serves.
+*/
+export const FIRST_CATALOGUE_MILLISECONDS = 3000;
+
+/**
+Milliseconds between two log lines on connections with another fleet secret.
+*/
+export const REFUSAL_LOG_MILLISECONDS = 60_000;
--- a/packages/wagtailroute-host/src/context.ts
+++ b/packages/wagtailroute-host/src/context.ts
@@ -55,7 +55,7 @@
 	/**
 	Another host was heard to have a newer catalogue: fetch it from there.
 	*/
-	readonly 'fetch-catalogue': {readonly address: core.Address};
+	readonly 'fetch-catalogue': {readonly address: core.Address; readonly revision: catalogue.Revision};
 };
 
 /**
@@ -95,6 +95,14 @@
 	readonly fail: (error: Error) => void;
 };
 
+/**
+Returns the peer addresses that a host is told of by its settings, without its own.
+*/
+export function getSeeds({peerAddress, seeds, initialControl}: HostSettings): readonly core.Address[] {
+	return [...seeds, ...initialControl.map(initial => initial.address)]
+		.filter(seed => seed.ip !== peerAddress.ip || seed.port !== peerAddress.port);
+}
+
 /**
 Returns the other hosts that are believed to run.
 */
--- a/packages/wagtailroute-host/src/control.ts
+++ b/packages/wagtailroute-host/src/control.ts
@@ -27,6 +27,10 @@
 */
 export type Control = {
 	readonly getStatus: () => Readonly<Partial<Record<GroupName, replication.GroupStatus>>>;
+	/**
+	Groups that this host can't take part in, with the reason: its store is damaged, or its disk failed.
+	*/
+	readonly getFailures: () => Readonly<Partial<Record<GroupName, string>>>;
 	readonly getHistory: (name: core.ServiceName) => readonly catalogue.HistoryItem[];
 	readonly close: () => Promise<void>;
 };
@@ -46,6 +50,7 @@
 	const log = context.log('control');
 	const replicated = catalogue.createReplicatedCatalogue();
 	const groups: Groups = {};
+	const failures: Partial<Record<GroupName, string>> = {};
 	const recordsMachine = createRecordsMachine(context.now, notices => {
 		if (groups.records?.getStatus().role !== 'leader') {
 			return;
@@ -82,7 +87,7 @@
 		};
 		for (const name of ['catalogue', 'records'] as const) {
 			// eslint-disable-next-line no-await-in-loop -- One after the other.
-			const group = await openGroup(context, name, machines[name]);
+			const group = await openGroup(context, name, machines[name], failures);
 			if (group === undefined) {
 				continue;
 			}
@@ -95,6 +100,7 @@
 	void open();
 	return {
 		getStatus: () => Object.fromEntries(Object.entries(groups).map(([name, group]) => [name, group.getStatus()])),
+		getFailures: () => failures,
 		getHistory: name => replicated.getHistory(name),
 		async close() {
 			teardown();
@@ -111,6 +117,7 @@
 	context: HostContext,
 	name: GroupName,
 	stateMachine: replication.StateMachine,
+	failures: Partial<Record<GroupName, string>>,
 ): Promise<replication.Group | undefined> {
 	const log = context.log('control');
 	const {initialControl, hostId} = context.settings;
@@ -132,10 +139,12 @@
 		first: {hosts: initialControl.map(initial => initial.id)},
 		getSeeds: () => getControlHosts(context),
 		onStopped(failure) {
+			failures[name] = failure.message;
 			log.error('Store failed, the replica stopped.', {group: name, failure: failure.message});
 		},
 	});
 	if (opened.isErr()) {
+		failures[name] = opened.error.message;
 		log.error('Group could not be opened.', {group: name, failure: opened.error.message});
 		return undefined;
 	}
--- a/packages/wagtailroute-host/src/distribution.ts
+++ b/packages/wagtailroute-host/src/distribution.ts
@@ -15,38 +15,68 @@
 	FIRST_COMPARE_MILLISECONDS,
 	REVISION_FANOUT,
 } from './constants.ts';
-import {getOtherMembers, type HostContext} from './context.ts';
+import {getOtherMembers, getSeeds, type HostContext} from './context.ts';
 
 type RevisionNotice = {
 	readonly revision: catalogue.Revision;
 	readonly address: core.Address;
 };
 
+/**
+The distribution on a host.
+*/
+export type Distribution = {
+	/**
+	Resolves when this host has compared its catalogue with another host's, or knows no other to compare with.
+	*/
+	readonly whenCompared: Promise<void>;
+	readonly teardown: utils.Teardown;
+};
+
 /**
 Registers the part. Its methods: `catalogue.revision` tells a revision, `catalogue.delta` returns what a host lacks,
 `catalogue.in-force` returns the revision in force.
 */
-export function registerDistribution(context: HostContext): utils.Teardown {
+export function registerDistribution(context: HostContext): Distribution {
 	const {peer, store} = context;
 	const log = context.log('catalogue');
 	let isFetching = false;
 	let hasCompared = false;
+	let missed: RevisionNotice | undefined;
+	const {promise: whenCompared, resolve: noteCompared} = Promise.withResolvers<void>();
 
 	const getView = () => store.read(state => state.view);
 
-	const fetchFrom = async (address: core.Address) => {
+	/**
+	A notice that comes while a fetch is under way is kept: the fetched delta may be older, and without it this host would
+	stay behind until its next comparison.
+	*/
+	const follow = async (notice: RevisionNotice) => {
 		if (isFetching) {
+			missed = notice.revision > (missed?.revision ?? 0) ? notice : missed;
 			return;
 		}
 
+		await fetchFrom(notice.address);
+		const next = missed;
+		missed = undefined;
+		if (next !== undefined && next.revision > getView().revision) {
+			await follow(next);
+		}
+	};
+
+	const fetchFrom = async (address: core.Address) => {
 		isFetching = true;
 		const since = getView().revision;
 		const answer = await peer.call(address, 'catalogue.delta', {since}, CALL_MILLISECONDS);
 		isFetching = false;
-		hasCompared ||= answer.isOk();
-		if (answer.isOk()) {
-			applyDelta(context, answer.value as catalogue.Delta);
+		if (!answer.isOk()) {
+			return;
 		}
+
+		applyDelta(context, answer.value as catalogue.Delta);
+		hasCompared = true;
+		noteCompared();
 	};
 
 	const tellOthers = () => {
@@ -59,17 +89,23 @@
 
 	const compare = () => {
 		const others = getOtherMembers(context).map(member => member.peerAddress);
-		const candidates = others.length > 0 ? others : context.settings.seeds;
+		const candidates = others.length > 0 ? others : getSeeds(context.settings);
 		const chosen = candidates[utils.pickIndex(context.random, candidates.length)];
-		if (chosen !== undefined) {
-			void fetchFrom(chosen);
+		if (chosen === undefined) {
+			noteCompared();
+			return;
+		}
+
+		if (!isFetching) {
+			void follow({revision: 0, address: chosen});
 		}
 	};
 
-	return utils.mergeTeardowns(
+	compare();
+	const teardown = utils.mergeTeardowns(
 		peer.registerMethod('catalogue.revision', (notice: RevisionNotice) => {
 			if (notice.revision > getView().revision) {
-				void fetchFrom(notice.address);
+				void follow(notice);
 			}
 		}),
 		peer.registerMethod('catalogue.delta', ({since}: {since: catalogue.Revision}) => catalogue.getDelta(getView(), since)),
@@ -83,8 +119,8 @@
 			log.info('Catalogue in force.', {revision: state.view.revision});
 			tellOthers();
 		}),
-		context.commands.registerCommand('fetch-catalogue', ({address}) => {
-			void fetchFrom(address);
+		context.commands.registerCommand('fetch-catalogue', notice => {
+			void follow(notice);
 			return true;
 		}, 'normal'),
 		context.repeat(COMPARE_MILLISECONDS, compare),
@@ -95,6 +131,7 @@
 			}
 		}),
 	);
+	return {whenCompared, teardown};
 }
 
 /**
--- a/packages/wagtailroute-host/src/fleet-routes.ts
+++ b/packages/wagtailroute-host/src/fleet-routes.ts
@@ -61,7 +61,7 @@
 function describeMember(member: Member) {
 	return {
 		id: member.id,
-		state: member.draining ? 'draining' : member.state,
+		state: member.state === 'alive' && member.draining ? 'draining' : member.state,
 		roles: member.roles.join(','),
 		failureDomain: member.failureDomain,
 		region: member.region,
--- a/packages/wagtailroute-host/src/host.ts
+++ b/packages/wagtailroute-host/src/host.ts
@@ -17,13 +17,19 @@
 import {startBurn} from './burn.ts';
 import {registerCarriers} from './carriers.ts';
 import {claimKey} from './claims.ts';
-import {DRAIN_LIMIT_MILLISECONDS, DRAIN_SPREAD_MILLISECONDS, MILLISECONDS_PER_SECOND} from './constants.ts';
+import {
+	DRAIN_LIMIT_MILLISECONDS,
+	DRAIN_SPREAD_MILLISECONDS,
+	FIRST_CATALOGUE_MILLISECONDS,
+	REFUSAL_LOG_MILLISECONDS,
+	MILLISECONDS_PER_SECOND,
+} from './constants.ts';
 import {getOtherMembers, type HostContext, type HostState} from './context.ts';
 import {startControl} from './control.ts';
 import {startDetecting} from './detecting.ts';
 import {registerDistribution} from './distribution.ts';
 import {startGuarding} from './guarding.ts';
-import {createLogs} from './logs.ts';
+import {createLogs, type Log} from './logs.ts';
 import {createMetrics} from './metrics.ts';
 import {startMembership} from './membership.ts';
 import {createReserved} from './reserved.ts';
@@ -75,7 +81,7 @@
 	const burn = startBurn(context);
 	const teardown = utils.mergeTeardowns(
 		carriers,
-		distribution,
+		distribution.teardown,
 		announcing.teardown,
 		detecting.teardown,
 		services.teardown,
@@ -86,6 +92,7 @@
 	);
 	const membership = startMembership(context);
 	const control = settings.roles.includes('control') ? startControl(context) : undefined;
+	await waitForCatalogue(distribution.whenCompared);
 	const traffic = await proxy.openTrafficServer(settings.trafficAddress, {
 		hostId: settings.hostId,
 		now: context.now,
@@ -102,7 +109,7 @@
 		...createCatalogueRoutes(context),
 		...createFleetRoutes(context, {announcing, verdicts: detecting, control}),
 		burn.route,
-	]);
+	], () => control?.getFailures() ?? {});
 	log.info('Host started.', {id: settings.hostId, traffic: core.formatAddress(settings.trafficAddress)});
 
 	return {
@@ -131,6 +138,7 @@
 		address: settings.peerAddress,
 		secret: settings.fleetSecret,
 		isCut: fakes.isCut,
+		onRefused: createRefusalLog(logs('host')),
 	});
 	return {
 		settings,
@@ -164,11 +172,34 @@
 
 const DEFECT_EXIT_CODE = 70;
 
+/**
+A host that serves before it has the catalogue tells callers that there is no such route. It waits a moment for another host
+to answer; when none does, it is the first one, or cut off, and starts with what it has.
+*/
+async function waitForCatalogue(whenCompared: Promise<void>): Promise<void> {
+	await Promise.race([whenCompared, timers.setTimeout(FIRST_CATALOGUE_MILLISECONDS, undefined, {ref: false})]);
+}
+
 function endProcess(): never {
 	// eslint-disable-next-line unicorn/no-process-exit -- A known state is reached only by a new start.
 	process.exit(DEFECT_EXIT_CODE);
 }
 
+/**
+Writes one line a minute at most: whoever holds a wrong secret tries again and again.
+*/
+function createRefusalLog(log: Log): () => void {
+	let writtenAt = -Infinity;
+	return () => {
+		if (!(performance.now() - writtenAt > REFUSAL_LOG_MILLISECONDS)) {
+			return;
+		}
+
+		writtenAt = performance.now();
+		log.warn('A connection with another fleet secret was refused.');
+	};
+}
+
 /**
 Callers keep the directory's answer for its time to live and come here meanwhile; a host that closed its port at once would
 cut them off. Without other hosts there is nobody they could go to, so there is nothing to wait for.
--- a/packages/wagtailroute-host/src/membership.ts
+++ b/packages/wagtailroute-host/src/membership.ts
@@ -7,7 +7,7 @@
 import * as membership from 'wagtailroute-membership';
 import * as utils from 'wagtailroute-utils';
 import {LEAVE_MILLISECONDS, MEMBERSHIP_TICK_MILLISECONDS} from './constants.ts';
-import type {HostContext, Member} from './context.ts';
+import {getSeeds, type HostContext, type Member} from './context.ts';
 import {runMachine} from './events.ts';
 import type {HostRole} from './settings.ts';
 
@@ -51,7 +51,7 @@
 				region: settings.region,
 				roles: settings.roles,
 			},
-			seeds: getSeeds(context),
+			seeds: getSeeds(settings),
 			firstSequence: utils.pickIndex(context.random, SEQUENCE_RANGE),
 		}),
 		step: membership.stepMembership,
@@ -63,7 +63,7 @@
 			},
 			changed({member}) {
 				if (member.catalogueRevision > store.read(state => state.view.revision)) {
-					context.commands.dispatchCommand('fetch-catalogue', {address: member.peerAddress});
+					context.commands.dispatchCommand('fetch-catalogue', {address: member.peerAddress, revision: member.catalogueRevision});
 				}
 
 				// A new revision alone changes the record of every host of the fleet: copying the table for each would cost
@@ -104,7 +104,7 @@
 			machine.send({kind: 'tick'});
 		}),
 	);
-	log.info('Membership started.', {seeds: settings.seeds.length});
+	log.info('Membership started.', {seeds: getSeeds(settings).length});
 
 	return {
 		hasPathFault: host => membership.hasPathFault(machine.read(), host),
@@ -121,12 +121,6 @@
 	};
 }
 
-function getSeeds(context: HostContext): readonly core.Address[] {
-	const {peerAddress, seeds, initialControl} = context.settings;
-	return [...seeds, ...initialControl.map(initial => initial.address)]
-		.filter(seed => seed.ip !== peerAddress.ip || seed.port !== peerAddress.port);
-}
-
 function logChange(context: HostContext, member: membership.Member): void {
 	const previous = context.store.read(state => state.members.get(member.id));
 	if (previous?.state !== member.state || previous.draining !== member.draining) {
--- a/packages/wagtailroute-host/src/problems.ts
+++ b/packages/wagtailroute-host/src/problems.ts
@@ -10,6 +10,19 @@
 */
 export type ProblemFields = Readonly<Record<string, string | number>>;
 
+const UNAVAILABLE_STATUS = 503;
+const RETRY_AFTER_SECONDS = '1';
+
+/**
+Error types of Proxy-Status (RFC 9209) by status.
+*/
+const PROXY_ERRORS: ReadonlyMap<number, string> = new Map([
+	[401, 'http_request_denied'],
+	[404, 'destination_not_found'],
+	[UNAVAILABLE_STATUS, 'destination_unavailable'],
+	[507, 'proxy_internal_error'],
+]);
+
 /**
 Answers with a problem document. Nothing was changed unless `outcome` says otherwise.
 */
@@ -31,7 +44,9 @@
 	proxy.answerJson(response, status, problem, {
 		'content-type': 'application/problem+json',
 		'wagtailroute-outcome': outcome,
-		...!response.req.complete && {connection: 'close'},
+		'proxy-status': proxy.createProxyStatus(PROXY_ERRORS.get(status) ?? 'http_request_error'),
+		...status === UNAVAILABLE_STATUS && {'retry-after': RETRY_AFTER_SECONDS},
+		...!proxy.isReadWhole(response.req) && {connection: 'close'},
 	});
 }
 
--- a/packages/wagtailroute-host/src/reserved.ts
+++ b/packages/wagtailroute-host/src/reserved.ts
@@ -69,7 +69,10 @@
 		random: context.random,
 		unreachable: hasPathFault,
 	});
-	proxy.answerJson(response, 200, answer, {'cache-control': `max-age=${answer.ttlSeconds}`});
+	proxy.answerJson(response, 200, answer, {
+		'cache-control': `max-age=${answer.ttlSeconds}`,
+		'wagtailroute-outcome': 'ran',
+	});
 }
 
 /**
@@ -126,7 +129,7 @@
 	proxy.answerJson(response, 200, {
 		leaseSeconds: announcements.LEASE_SECONDS,
 		renewSeconds: announcements.RENEW_SECONDS,
-	});
+	}, {'wagtailroute-outcome': 'ran'});
 }
 
 async function answerLeave(
@@ -141,7 +144,7 @@
 		return;
 	}
 
-	response.writeHead(204).end();
+	response.writeHead(204, {'wagtailroute-outcome': 'ran'}).end();
 }
 
 const STATUSES: Readonly<Record<AnnouncingFailure['kind'], number>> = {
--- a/packages/wagtailroute-peer/src/__tests__/unit/peer.test.ts
+++ b/packages/wagtailroute-peer/src/__tests__/unit/peer.test.ts
@@ -66,9 +66,9 @@
 		right.registerMethod('throws', () => {
 			throw new TypeError('broken');
 		});
-		right.registerMethod('never', async () => new Promise<never>(resolve => {
-			t.teardown(resolve as () => void);
-		}));
+		const {promise, resolve} = Promise.withResolvers<void>();
+		t.teardown(resolve);
+		right.registerMethod('never', async () => promise);
 		const answer = await left.call(to, method, {}, timeout);
 		t.is(answer.unwrapErr().kind, kind);
 		t.true(peer.isPossiblyDelivered(answer.unwrapErr()));
--- a/packages/wagtailroute-peer/src/peer.ts
+++ b/packages/wagtailroute-peer/src/peer.ts
@@ -44,6 +44,10 @@
 	readonly address: core.Address;
 	readonly secret: string;
 	/**
+	Told when a connection was refused because its key is another one: a host of another fleet, or a wrong secret.
+	*/
+	readonly onRefused?: () => void;
+	/**
 	A fake network for tests: true drops whatever this host sends to the address.
 	*/
 	readonly isCut?: (to: core.Address) => boolean;
@@ -57,7 +61,7 @@
 	const isCut = settings.isCut ?? (() => false);
 	const channels = new Map<string, Channel>();
 	const handlers = new Set<DatagramHandler>();
-	const server = await openRpcServer(settings.address, keys);
+	const server = await openRpcServer(settings.address, keys, settings.onRefused);
 	const socket = await openDatagramSocket(settings.address, keys, (method, parameters) => {
 		for (const handler of handlers) {
 			handler(method, parameters);
--- a/packages/wagtailroute-peer/src/server.ts
+++ b/packages/wagtailroute-peer/src/server.ts
@@ -27,12 +27,17 @@
 /**
 Opens the server.
 */
-export async function openRpcServer(address: core.Address, keys: FleetKeys): Promise<RpcServer> {
+export async function openRpcServer(
+	address: core.Address,
+	keys: FleetKeys,
+	onRefused: () => void = () => undefined,
+): Promise<RpcServer> {
 	const methods = new rpc.JSONRPCServer<Caller>({errorListener: () => undefined});
 	const server = https.createServer(getServerTls(keys), (request, response) => {
 		void answer(methods, request, response);
 	});
 	server.keepAliveTimeout = 0;
+	server.on('tlsClientError', onRefused);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(address.port, address.ip, () => {
--- a/packages/wagtailroute-proxy/src/answers.ts
+++ b/packages/wagtailroute-proxy/src/answers.ts
@@ -42,9 +42,7 @@
 		headers: {
 			'content-type': 'application/problem+json',
 			'content-length': String(buffer.Buffer.byteLength(body)),
-			'proxy-status': structuredHeaders.serializeList([
-				[new structuredHeaders.Token(PROXY_NAME), new Map([['error', new structuredHeaders.Token(telling.proxyStatus)]])],
-			]),
+			'proxy-status': createProxyStatus(telling.proxyStatus),
 			[OUTCOME_HEADER]: telling.outcome,
 			...retryAfter !== undefined && {'retry-after': String(getAdvice(retryAfter, random))},
 		},
@@ -71,12 +69,28 @@
 
 	const problem = createProblem(failure, random);
 	// Unless the request was read whole, what follows on the connection is the rest of its body.
-	const {complete, headers} = response.req;
-	const isWhole = complete || (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined);
-	response.writeHead(problem.status, {...problem.headers, ...!isWhole && {connection: 'close'}});
+	response.writeHead(problem.status, {...problem.headers, ...!isReadWhole(response.req) && {connection: 'close'}});
 	response.end(problem.body);
 }
 
+/**
+Says whether nothing of a request's body is left on its connection.
+*/
+export function isReadWhole({complete, headers}: http.IncomingMessage): boolean {
+	return complete || (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined);
+}
+
+/**
+Returns the field value of Proxy-Status (RFC 9209) for an error of the fleet's own.
+
+@param error An error type of the RFC.
+*/
+export function createProxyStatus(error: string): string {
+	return structuredHeaders.serializeList([
+		[new structuredHeaders.Token(PROXY_NAME), new Map([['error', new structuredHeaders.Token(error)]])],
+	]);
+}
+
 /**
 Answers with JSON of the fleet's own.
 */
--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -237,6 +237,7 @@
 			milliseconds: now() - this.#startedAt,
 			failure: conclusion,
 			isCancelled: this.#givingUp.getReason() === 'cancelled',
+			isForwarded: this.#context.request.isForwarded,
 		});
 	}
 }
--- a/packages/wagtailroute-proxy/src/index.ts
+++ b/packages/wagtailroute-proxy/src/index.ts
@@ -2,7 +2,7 @@
 The way of a request: from a caller through this host to a backend server and back.
 */
 export {
-	answerFailure, answerJson, createProblem, type Problem,
+	answerFailure, answerJson, createProblem, createProxyStatus, isReadWhole, type Problem,
 } from './answers.ts';
 export {
 	createRequestFailure,
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -264,4 +264,8 @@
 	The caller went away before it had the whole answer.
 	*/
 	readonly isCancelled: boolean;
+	/**
+	Another host sent it here: that host notes it too, so whoever counts a fleet's requests leaves this one out.
+	*/
+	readonly isForwarded: boolean;
 };
