--- a/packages/wagtailroute-host/src/problems.ts
+++ b/packages/wagtailroute-host/src/problems.ts
@@ -45,6 +45,7 @@
 		'content-type': 'application/problem+json',
 		'wagtailroute-outcome': outcome,
 		'proxy-status': proxy.createProxyStatus(PROXY_ERRORS.get(status) ?? 'http_request_error'),
+		...fields.revision !== undefined && {etag: `"${fields.revision}"`},
 		...status === UNAVAILABLE_STATUS && {'retry-after': RETRY_AFTER_SECONDS},
 		...!proxy.isReadWhole(response.req) && {connection: 'close'},
 	});
