--- a/packages/wagtailroute-experiments/src/main.ts
+++ b/packages/wagtailroute-experiments/src/main.ts
@@ -7,6 +7,7 @@
 import {runDrain} from './draining.ts';
 import {runFaults} from './faults.ts';
 import {runGray} from './gray.ts';
+import {runIdle} from './idle.ts';
 import {runOverhead} from './overhead.ts';
 import {runSurvival} from './survival.ts';
 import {runThinPath} from './thin-path.ts';
@@ -17,6 +18,7 @@
 	['thin-path', runThinPath],
 	['overhead', runOverhead],
 	['gray', runGray],
+	['idle', runIdle],
 	['survival', runSurvival],
 	['drain', runDrain],
 	['at-most-once', runAtMostOnce],
