--- a/packages/wagtailroute-announcements/src/bench/announcements.bench.ts
+++ b/packages/wagtailroute-announcements/src/bench/announcements.bench.ts
@@ -144,7 +144,10 @@
 	return bench;
 }
 
-function countPeers(bench: Bench): number {
+/**
+Mean number of other hosts that carry a service which a host carries.
+*/
+export function countPeers(bench: Bench): number {
 	const counts = bench.states.map((_, host) => {
 		const shared = bench.carriers.filter(carriers => carriers.includes(host));
 		return new Set(shared.flat()).size - Math.min(1, shared.length);
--- a/packages/wagtailroute-catalogue/src/entry.ts
+++ b/packages/wagtailroute-catalogue/src/entry.ts
@@ -97,7 +97,7 @@
 const PARSERS: Readonly<Record<EntryMedia, (text: string) => unknown>> = {
 	json: text => JSON.parse(text) as unknown,
 	// Aliases are off: a small document could otherwise expand without bound.
-	yaml: text => yaml.parse(text, {maxAliasCount: 0}) as unknown,
+	yaml: text => yaml.parse(text, {maxAliasCount: 0, logLevel: 'error'}) as unknown,
 };
 
 /**
--- a/packages/wagtailroute-cli/src/arguments.ts
+++ b/packages/wagtailroute-cli/src/arguments.ts
@@ -56,7 +56,9 @@
 
 function describeUnknownCommand(words: readonly string[], definitions: readonly CommandDefinition[]): string {
 	const commands = definitions.map(({path}) => path.join(' ')).toSorted((left, right) => left.localeCompare(right));
-	const given = words.filter(word => !word.startsWith('-')).join(' ');
+	// What follows a flag is its value, which may be a secret.
+	const flagIndex = words.findIndex(word => word.startsWith('-'));
+	const given = words.slice(0, flagIndex === -1 ? undefined : flagIndex).join(' ');
 	return `command: the value ${JSON.stringify(given)} is not accepted; accepted: ${commands.join(', ')}, --help, --version`;
 }
 
@@ -65,8 +67,10 @@
 	const next = words[index + 1];
 	const separator = word.indexOf('=');
 	const value = separator === -1 ? next : word.slice(separator + 1);
-	const shown = value === undefined || (separator === -1 && value.startsWith('-')) ? '' : value;
-	return `${getFlagName(word)}: an unknown flag, its value ${JSON.stringify(shown)} is not accepted; accepted: ${definition.flags.join(', ')}`;
+	const given = value === undefined || (separator === -1 && value.startsWith('-')) ? '' : value;
+	// A misspelt name of a secret must not print the secret.
+	const shown = flags.isLikeSecret(getFlagName(word)) ? '(hidden)' : JSON.stringify(given);
+	return `${getFlagName(word)}: an unknown flag, its value ${shown} is not accepted; accepted: ${definition.flags.join(', ')}`;
 }
 
 function getFlagName(word: string): string {
--- a/packages/wagtailroute-cli/src/cli.ts
+++ b/packages/wagtailroute-cli/src/cli.ts
@@ -56,7 +56,7 @@
 		.andThen(() => checking.checkArguments(words, getDefinitions(cli)))
 		.andThen(() => parseCommand(cli, words, context));
 	if (command.isErr()) {
-		surroundings.stderr.write(`${BINARY_NAME}: ${command.error.message}\n`);
+		surroundings.stderr.write(`${BINARY_NAME}: ${failures.toLine(command.error.message)}\n`);
 		return failures.getExitCode(command.error);
 	}
 
--- a/packages/wagtailroute-cli/src/flags.ts
+++ b/packages/wagtailroute-cli/src/flags.ts
@@ -166,3 +166,12 @@
 export function getVariables(): readonly string[] {
 	return [...new Set(Object.values(FLAGS).map(flag => getVariable(flag)))];
 }
+
+const SECRET_NAME = /tok|secret|key|pass|operator|fleet/iv;
+
+/**
+Says whether an unknown flag or variable may be meant for a secret, so that its value must not be printed.
+*/
+export function isLikeSecret(name: string): boolean {
+	return SECRET_NAME.test(name);
+}
--- a/packages/wagtailroute-cli/src/settings.ts
+++ b/packages/wagtailroute-cli/src/settings.ts
@@ -128,13 +128,11 @@
 	}
 
 	// A misspelt name of a secret must not print the secret.
-	const shown = SECRET_NAME.test(unknown) ? '(hidden)' : JSON.stringify(environment[unknown]);
+	const shown = flags.isLikeSecret(unknown) ? '(hidden)' : JSON.stringify(environment[unknown]);
 	const message = `${unknown}: an unknown setting, its value ${shown} is not accepted; accepted: ${flags.getVariables().join(', ')}`;
 	return results.Err(core.createFailure('bad-setting', message));
 }
 
-const SECRET_NAME = /tok|secret|key|pass/iv;
-
 function getText(key: flags.FlagKey, given: GivenFlags, environment: Environment): string | undefined {
 	const flag: flags.Flag = flags.FLAGS[key];
 	const value = given[key];
--- /dev/null
+++ b/packages/wagtailroute-detection/src/__tests__/unit/codec.test.ts
@@ -0,0 +1,63 @@
+/**
+Tests of the compact text of summaries.
+*/
+import {Buffer} from 'node:buffer';
+import test from 'ava';
+import * as fc from 'fast-check';
+import * as detection from '../../index.ts';
+
+const IDS: readonly string[] = Array.from({length: 20}, (_, index) => `quoting-${24_500 + index}`);
+const COUNT = fc.oneof(fc.nat({max: 20}), fc.nat({max: 100_000}));
+const FAILURES = fc.dictionary(fc.constantFrom(...detection.FAILURE_KINDS), COUNT.map(count => count + 1), {noNullPrototype: true});
+const LATENCIES = fc.uniqueArray(fc.tuple(fc.nat({max: 71}), COUNT), {selector: ([bucket]) => bucket, maxLength: 30})
+	.map(pairs => pairs.toSorted(([left], [right]) => left - right).flat());
+const UPSTREAMS = fc.uniqueArray(
+	fc.record({
+		id: fc.constantFrom(...IDS), successes: COUNT, failures: FAILURES, sheds: COUNT, latencies: LATENCIES,
+	}),
+	{selector: ({id}) => id},
+);
+
+test('what is written is read', t => {
+	const seed = 21;
+	t.log(`seed ${seed}`);
+	fc.assert(fc.property(UPSTREAMS, fc.nat(), (upstreams, salt) => {
+		t.deepEqual(detection.decodeUpstreams(detection.encodeUpstreams(upstreams, salt), IDS, salt), upstreams);
+	}), {seed, numRuns: 300});
+});
+
+test('text cut short or of another sort is refused or read in part, and ends', t => {
+	// Symptom: a host stops at a message of another version.
+	// Sequence: any bytes arrive where a summary is expected.
+	// Cause: a count that is read and believed.
+	const seed = 22;
+	t.log(`seed ${seed}`);
+	fc.assert(fc.property(fc.uint8Array({maxLength: 200}), bytes => {
+		const read = detection.decodeUpstreams(Buffer.from(bytes).toString('base64'), IDS, 1) ?? [];
+		t.true(read.every(({id}) => IDS.includes(id)));
+	}), {seed, numRuns: 500});
+	const text = detection.encodeUpstreams([{
+		id: IDS[0]!, successes: 3, failures: {reset: 1}, sheds: 0, latencies: [20, 3],
+	}], 1);
+	t.is(detection.decodeUpstreams(text.slice(0, 4), IDS, 1), undefined);
+});
+
+test('evidence about upstreams whose hashes are the same counts for neither', t => {
+	// Symptom: a healthy upstream is ejected for another one's failures.
+	// Sequence: two names of one service have the same hash.
+	// Cause: the reader takes the first name that fits.
+	const names = Array.from({length: 12_000}, (_, index) => `u-${index}`);
+	const one = (id: string) => detection.encodeUpstreams([{
+		id, successes: 1, failures: {}, sheds: 0, latencies: [],
+	}], 1);
+	const seen = new Map<string, string>();
+	const pair = names.flatMap(id => {
+		const text = one(id);
+		const other = seen.get(text);
+		seen.set(text, id);
+		return other === undefined ? [] : [[other, id]];
+	})[0];
+	t.truthy(pair);
+	t.deepEqual(detection.decodeUpstreams(one(pair![0]!), pair!, 1), []);
+	t.is(detection.decodeUpstreams(one(pair![0]!), [pair![0]!], 1)?.length, 1);
+});
--- a/packages/wagtailroute-detection/src/__tests__/unit/evidence.test.ts
+++ b/packages/wagtailroute-detection/src/__tests__/unit/evidence.test.ts
@@ -63,3 +63,42 @@
 
 	return total;
 }
+
+test('successes before the first failure take nothing from it, those after an alert do', t => {
+	// Symptom: an upstream that began to fail is ejected seconds later than its failures call for.
+	// Sequence: it serves well, fails once, and the choice of upstreams sends it nothing more.
+	// Cause: successes of the time before, told in one summary with the failure.
+	const evidence = createEvidence();
+	const succeed = () => {
+		evidence.record('u', 'success', 20);
+	};
+
+	succeed();
+	evidence.record('u', 'status', 20);
+	succeed();
+	t.like(evidence.takeDue(1000, 1000)?.upstreams, [{successes: 1, failures: {status: 1}}]);
+	evidence.record('u', 'status', 20);
+	t.like(evidence.takeDue(1100, 1000)?.upstreams, [{successes: 0, failures: {status: 1}}]);
+	succeed();
+	evidence.record('u', 'status', 20);
+	t.like(evidence.takeDue(1200, 1000)?.upstreams, [{successes: 1, failures: {status: 1}}]);
+});
+
+test('in quiet times only what is urgent is told between whole summaries, and what is alerted from any host', t => {
+	// Symptom: a sick upstream is found late, or hosts tell each other everything all the time.
+	// Sequence: one host sees failures; the others have sent it good requests that they haven't told yet.
+	// Cause: one period for all that is told.
+	const evidence = createEvidence();
+	evidence.takeDue(1000, 1000);
+	evidence.record('u', 'success', 20);
+	evidence.record('v', 'success', 20);
+	t.is(evidence.takeDue(1400, 1000), undefined);
+	evidence.hear({
+		host: 'other', failureDomain: 'd', epoch: 1, sequence: 1, upstreams: [{
+			id: 'u', successes: 0, failures: {reset: 2}, sheds: 0, latencies: [],
+		}],
+	}, 1400);
+	t.deepEqual(evidence.takeDue(1410, 1000)?.upstreams.map(({id}) => id), ['u']);
+	t.is(evidence.takeDue(1420, 1000), undefined);
+	t.deepEqual(evidence.takeDue(2000, 1000)?.upstreams.map(({id}) => id), ['v']);
+});
--- a/packages/wagtailroute-detection/src/__tests__/unit/statistics.test.ts
+++ b/packages/wagtailroute-detection/src/__tests__/unit/statistics.test.ts
@@ -60,6 +60,25 @@
 	}), {seed: SEED, numRuns: 100});
 });
 
+test('a window of latencies is the sum of its history, and a peer taken out of the sum leaves the others', t => {
+	t.log(`seed ${SEED}`);
+	const pairs = fc.array(fc.tuple(fc.nat({max: latencies.BUCKET_COUNT + 3}), fc.nat({max: 9})), {maxLength: 8});
+	const history = fc.array(fc.record({pairs, elapsed: fc.integer({min: 10, max: 500})}), {minLength: 1, maxLength: 30});
+	fc.assert(fc.property(history, steps => {
+		let kept = windows.EMPTY_WINDOWS;
+		for (const {pairs: added, elapsed} of steps) {
+			kept = windows.addLatencies(kept, added.flat(), elapsed);
+		}
+
+		const expected = naiveLatencies(steps, 1000);
+		t.true(kept.short.latencies.every((count, bucket) => Math.abs(count - expected[bucket]!) < 1e-6));
+		const sum = latencies.sumHistograms([kept.short.latencies, kept.long.latencies]);
+		const rest = latencies.subtractHistogram(sum, kept.long.latencies);
+		t.true(rest.every((count, bucket) => Math.abs(count - expected[bucket]!) < 1e-6));
+		t.is(latencies.getCommonMedianBucket(kept.short.latencies, kept.long.latencies), latencies.getQuantileBucket(sum, 0.5));
+	}), {seed: SEED, numRuns: 100});
+});
+
 test('a quantile by buckets holds the exact one within a bucket', t => {
 	t.log(`seed ${SEED}`);
 	const values = fc.array(fc.double({min: 0.6, max: 60_000, noNaN: true}), {minLength: 1, maxLength: 80});
@@ -98,3 +117,19 @@
 
 	return largest;
 }
+
+function naiveLatencies(
+	steps: ReadonlyArray<{readonly pairs: ReadonlyArray<readonly [number, number]>; readonly elapsed: number}>,
+	windowMilliseconds: number,
+): readonly number[] {
+	const counts = Array.from({length: latencies.BUCKET_COUNT}, () => 0);
+	for (const [index, {pairs}] of steps.entries()) {
+		const age = steps.slice(index + 1).reduce((sum, {elapsed}) => sum + elapsed, 0);
+		const known = pairs.filter(([bucket]) => bucket < latencies.BUCKET_COUNT);
+		for (const [bucket, count] of known) {
+			counts[bucket]! += count * Math.exp(-age / windowMilliseconds);
+		}
+	}
+
+	return counts;
+}
--- a/packages/wagtailroute-detection/src/baselines.ts
+++ b/packages/wagtailroute-detection/src/baselines.ts
@@ -50,32 +50,47 @@
 const MEDIAN = 0.5;
 
 /**
-Returns a function from an upstream to its latency limits; undefined while its peers have too few samples.
+What is normal for the latencies of a service.
 */
-export function createLatencyBaseline(peers: Peers): (upstream: core.UpstreamId) => Limits | undefined {
+export type LatencyBaseline = {
+	/**
+	Returns the latency limits of an upstream; undefined while its peers have too few samples.
+	*/
+	readonly getLimits: (upstream: core.UpstreamId) => Limits | undefined;
+	/**
+	Whether the service as a whole has become slow: overload, or something that all upstreams depend on.
+	*/
+	readonly isDistressed: boolean;
+};
+
+/**
+Creates the baseline of latencies. Limits are made when they are first asked for: a step asks only for upstreams that had
+traffic.
+*/
+export function createLatencyBaseline(peers: Peers): LatencyBaseline {
 	const kept = trim(peers, getMedianBadness);
 	const pooled = {short: poolLatencies(kept, 'short'), long: poolLatencies(kept, 'long')};
-	return upstream => {
+	const made = new Map<core.UpstreamId, Limits | undefined>();
+	const makeLimits = (upstream: core.UpstreamId): Limits | undefined => {
 		const own = kept.get(upstream);
 		const limits = LENGTHS
-			.map(length => own === undefined
-				? pooled[length]
-				: latencies.combineHistograms(pooled[length], 1, own[length].latencies, -1))
-			.filter(histogram => latencies.getTotal(histogram) >= constants.MINIMUM_PEER_SAMPLES)
-			.map(histogram => getLimits(histogram));
+			.map(length => own === undefined ? pooled[length] : takeOut(pooled[length], own[length]))
+			.filter(({total}) => total >= constants.MINIMUM_PEER_SAMPLES)
+			.map(pool => getLimits(pool));
 		return limits.length === 0 ? undefined : mergeLimits(limits);
 	};
-}
 
-/**
-Whether the service as a whole has become slow: overload, or something that all upstreams depend on.
-*/
-export function isDistressed(peers: Peers): boolean {
-	const kept = trim(peers, getMedianBadness);
-	const short = poolLatencies(kept, 'short');
-	const long = poolLatencies(kept, 'long');
-	return latencies.getTotal(short) >= constants.MINIMUM_PEER_SAMPLES
-		&& latencies.getQuantile(short, MEDIAN) >= latencies.getQuantile(long, MEDIAN) * constants.DISTRESS_RATIO;
+	return {
+		getLimits(upstream) {
+			if (!made.has(upstream)) {
+				made.set(upstream, makeLimits(upstream));
+			}
+
+			return made.get(upstream);
+		},
+		isDistressed: pooled.short.total >= constants.MINIMUM_PEER_SAMPLES
+			&& getMedian(pooled.short) >= getMedian(pooled.long) * constants.DISTRESS_RATIO,
+	};
 }
 
 /**
@@ -109,16 +124,26 @@
 }
 
 function getMedianBadness({short, long}: windows.Windows): number {
-	return latencies.getQuantileBucket(addHistograms(short.latencies, long.latencies), MEDIAN);
+	return latencies.getCommonMedianBucket(short.latencies, long.latencies, short.total + long.total);
 }
 
-function poolLatencies(peers: Peers, length: Length): latencies.Histogram {
-	let pooled = latencies.EMPTY_HISTOGRAM;
+type Pool = Pick<windows.Window, 'latencies' | 'total'>;
+
+function poolLatencies(peers: Peers, length: Length): Pool {
+	let total = 0;
 	for (const peer of peers.values()) {
-		pooled = addHistograms(pooled, peer[length].latencies);
+		total += peer[length].total;
 	}
 
-	return pooled;
+	return {latencies: latencies.sumHistograms(peers.values().map(peer => peer[length].latencies)), total};
+}
+
+function takeOut(pool: Pool, own: Pool): Pool {
+	return {latencies: latencies.subtractHistogram(pool.latencies, own.latencies), total: pool.total - own.total};
+}
+
+function getMedian({latencies: histogram, total}: Pool): number {
+	return latencies.getUpperEnd(latencies.getQuantileBucket(histogram, MEDIAN, total));
 }
 
 function poolSamples(peers: Peers, get: (windows: windows.Windows) => symptoms.Sample): symptoms.Sample {
@@ -130,13 +155,9 @@
 	return pooled;
 }
 
-function addHistograms(left: latencies.Histogram, right: latencies.Histogram): latencies.Histogram {
-	return latencies.combineHistograms(left, 1, right, 1);
-}
-
-function getLimits(histogram: latencies.Histogram): Limits {
-	const median = latencies.getQuantileBucket(histogram, MEDIAN);
-	const high = latencies.getQuantileBucket(histogram, SLOW_QUANTILE);
+function getLimits({latencies: histogram, total}: Pool): Limits {
+	const median = latencies.getQuantileBucket(histogram, MEDIAN, total);
+	const high = latencies.getQuantileBucket(histogram, SLOW_QUANTILE, total);
 	const least = latencies.getBucket(latencies.getUpperEnd(median) + constants.MINIMUM_EXCESS_MILLISECONDS);
 	const slow = Math.max(high, least);
 	return {slow, stalled: latencies.getBucket(latencies.getUpperEnd(slow) * constants.STALL_RATIO), median};
--- /dev/null
+++ b/packages/wagtailroute-detection/src/bench/detection-cost.bench.ts
@@ -0,0 +1,217 @@
+/**
+What detection of one healthy service costs a host: processor time of its steps, and bytes told to each other carrier. Two
+ways over the same traffic: everything told as JSON each 250 ms with a step each 100 ms, as it once was, and work that
+follows the change, as it is. Bytes are deterministic; times are means without the longest tenth, and bounds are ratios within the run.
+*/
+import * as utils from 'wagtailroute-utils';
+import * as detection from '../index.ts';
+
+type Size = {readonly upstreams: number; readonly hosts: number};
+
+type Row = {
+	readonly upstreams: number;
+	readonly hosts: number;
+	readonly stepMicroseconds: number;
+	readonly stepsPerSecond: number;
+	readonly steadyMicroseconds: number;
+	readonly followingMicroseconds: number;
+	readonly jsonBytes: number;
+	readonly summaryBytes: number;
+	readonly steadyBytes: number;
+	readonly followingBytes: number;
+};
+
+type Cost = {
+	readonly steps: readonly number[];
+	readonly summaries: number;
+	readonly jsonBytes: number;
+	readonly textBytes: number;
+};
+
+type Way = {
+	readonly take: (evidence: detection.Evidence, now: number) => detection.Summary | undefined;
+	readonly getStepMilliseconds: (state: detection.Detection) => number;
+};
+
+const SIZES: readonly Size[] = [6, 8, 20, 30].flatMap(upstreams => [4, 8, 16, 44].map(hosts => ({upstreams, hosts})));
+const REQUESTS_PER_UPSTREAM_SECOND = 45;
+const USUAL_ERROR_RATE = 0.001;
+const MEDIAN_MILLISECONDS = 40;
+const SIGMA = 0.5;
+const SECONDS = 12;
+const LOOP_MILLISECONDS = 50;
+const WARM_UP_SIZES = 4;
+const KEPT_SHARE = 0.9;
+const LOOPS = SECONDS * 1000 / LOOP_MILLISECONDS;
+
+const WAYS: Readonly<Record<'steady' | 'following', Way>> = {
+	steady: {
+		take: (evidence, now) => now % detection.SUMMARY_MILLISECONDS < LOOP_MILLISECONDS ? evidence.takeSummary(now) : undefined,
+		getStepMilliseconds: () => detection.TICK_MILLISECONDS,
+	},
+	following: {
+		take: (evidence, now) => evidence.takeDue(now, detection.QUIET_SUMMARY_MILLISECONDS),
+		getStepMilliseconds: detection.getTickMilliseconds,
+	},
+};
+
+/**
+Largest parts of the steady way that the following one may cost.
+*/
+const BYTES_RATIO = 0.2;
+const TIME_RATIO = 0.6;
+const STEPS_RATIO = 0.35;
+const STEADY_STEPS_PER_SECOND = 1000 / detection.TICK_MILLISECONDS;
+
+/**
+Largest part of the JSON of a summary that its compact text may take, where it tells of some requests of each upstream.
+*/
+const TEXT_RATIO = 0.3;
+
+/**
+Largest ratio of a step's cost on the largest size to that on the smallest; there are 55 times as many pairs of an upstream
+and a host.
+*/
+const GROWTH_RATIO = 40;
+
+/**
+Runs the bench.
+*/
+export async function run(): Promise<{
+	readonly title: string;
+	readonly rows: readonly Row[];
+	readonly broken: readonly string[];
+}> {
+	// The first runs compile the code.
+	for (const size of SIZES.slice(-WARM_UP_SIZES)) {
+		measureSize(size);
+	}
+
+	const rows = SIZES.map(size => measureSize(size));
+	return {
+		title: 'Cost of detection for each service: microseconds and bytes to each carrier, a second',
+		rows,
+		broken: [...rows.flatMap(row => getBroken(row)), ...getBrokenTime(rows), ...getBrokenGrowth(rows)],
+	};
+}
+
+function measureSize(size: Size): Row {
+	const steady = measure(size, WAYS.steady);
+	const following = measure(size, WAYS.following);
+	const perSecond = (value: number): number => Math.round(value / SECONDS);
+	return {
+		...size,
+		stepMicroseconds: Math.round(getMean(following.steps)),
+		stepsPerSecond: Math.round(following.steps.length * 10 / SECONDS) / 10,
+		steadyMicroseconds: perSecond(getMean(steady.steps) * steady.steps.length),
+		followingMicroseconds: perSecond(getMean(following.steps) * following.steps.length),
+		jsonBytes: Math.round(steady.jsonBytes / steady.summaries),
+		summaryBytes: Math.round(following.textBytes / following.summaries),
+		steadyBytes: perSecond(steady.jsonBytes / size.hosts),
+		followingBytes: perSecond(following.textBytes / size.hosts),
+	};
+}
+
+function measure({upstreams, hosts}: Size, way: Way): Cost {
+	const random = utils.createRandom(1);
+	const ids = Array.from({length: upstreams}, (_, index) => `quoting-${24_500 + index}`);
+	const evidence = Array.from({length: hosts}, (_, host) => detection.createEvidence({
+		host: `entry-${host}`,
+		failureDomain: `domain-${host % 3}`,
+		epoch: host,
+	}));
+	let state = detection.createDetection({host: 'entry-0', operatingPoint: 'fast'});
+	const tell = (event: detection.Event, now: number) => {
+		const transition = detection.stepDetection(state, event, {now, random});
+		state = transition.state;
+	};
+
+	tell({kind: 'upstreams-changed', upstreams: ids.map(id => ({id, state: 'serving'}))}, 0);
+	const cost = {
+		steps: [] as number[],
+		summaries: 0,
+		jsonBytes: 0,
+		textBytes: 0,
+	};
+	const getClock = (host: number, now: number): number => now + Math.floor(host * 1000 / hosts);
+	let steppedAt = 0;
+	for (let loop = 1; loop <= LOOPS; loop++) {
+		const now = loop * LOOP_MILLISECONDS;
+		serve(ids, evidence, random);
+		const due = evidence.map((own, host) => [host, way.take(own, getClock(host, now))] as const);
+		const told = due.filter(isTold);
+		for (const [host, summary] of told) {
+			cost.summaries++;
+			cost.jsonBytes += JSON.stringify({service: 'quoting', summary}).length;
+			cost.textBytes += JSON.stringify(['quoting', summary.sequence, detection.encodeUpstreams(summary.upstreams, host)]).length;
+			tell({kind: 'summary', summary}, now);
+			hearAll(evidence, host, {summary, now, getClock});
+		}
+
+		if (now - steppedAt < way.getStepMilliseconds(state)) {
+			continue;
+		}
+
+		steppedAt = now;
+		const startedAt = performance.now();
+		tell({kind: 'tick'}, now);
+		cost.steps.push((performance.now() - startedAt) * 1000);
+	}
+
+	return cost;
+}
+
+function serve(ids: readonly string[], evidence: readonly detection.Evidence[], random: utils.Random): void {
+	const requests = Math.round(REQUESTS_PER_UPSTREAM_SECOND * ids.length * LOOP_MILLISECONDS / 1000);
+	for (let request = 0; request < requests; request++) {
+		const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+		const result = random() < USUAL_ERROR_RATE ? 'status' : 'success';
+		const host = utils.pickIndex(random, evidence.length);
+		const id = ids[utils.pickIndex(random, ids.length)]!;
+		evidence[host]!.record(id, result, MEDIAN_MILLISECONDS * Math.exp(SIGMA * normal));
+	}
+}
+
+function isTold(told: readonly [number, detection.Summary | undefined]): told is readonly [number, detection.Summary] {
+	return told[1] !== undefined;
+}
+
+function hearAll(evidence: readonly detection.Evidence[], from: number, {summary, now, getClock}: {
+	readonly summary: detection.Summary;
+	readonly now: number;
+	readonly getClock: (host: number, now: number) => number;
+}): void {
+	const others = evidence.entries().filter(([host]) => host !== from);
+	for (const [host, other] of others) {
+		other.hear(summary, getClock(host, now));
+	}
+}
+
+// The longest tenth is left out: pauses of the process, and of a busy machine.
+function getMean(values: readonly number[]): number {
+	const ordered = values.toSorted((left, right) => left - right);
+	const kept = ordered.slice(0, Math.ceil(ordered.length * KEPT_SHARE));
+	return kept.reduce((sum, value) => sum + value, 0) / Math.max(1, kept.length);
+}
+
+function getBroken(row: Row): string[] {
+	const name = `detection cost, ${row.upstreams} upstreams, ${row.hosts} hosts`;
+	return [
+		...(row.followingBytes > row.steadyBytes * BYTES_RATIO ? [`${name}: ${row.followingBytes} bytes a second, steady ${row.steadyBytes}`] : []),
+		...(row.stepsPerSecond > STEADY_STEPS_PER_SECOND * STEPS_RATIO ? [`${name}: ${row.stepsPerSecond} steps a second`] : []),
+		...(row.summaryBytes > row.jsonBytes * TEXT_RATIO ? [`${name}: summary of ${row.summaryBytes} bytes, JSON ${row.jsonBytes}`] : []),
+	];
+}
+
+// Over all sizes together: single times are a matter of chance on a busy machine.
+function getBrokenTime(rows: readonly Row[]): string[] {
+	const steady = rows.reduce((sum, row) => sum + row.steadyMicroseconds, 0);
+	const following = rows.reduce((sum, row) => sum + row.followingMicroseconds, 0);
+	return following > steady * TIME_RATIO ? [`detection cost: ${following} microseconds a second over all sizes, steady ${steady}`] : [];
+}
+
+function getBrokenGrowth(rows: readonly Row[]): string[] {
+	const least = rows[0]!.stepMicroseconds;
+	const largest = rows.at(-1)!.stepMicroseconds;
+	return largest > least * GROWTH_RATIO ? [`detection cost: a step takes ${largest} microseconds on the largest size, ${least} on the smallest`] : [];
+}
--- a/packages/wagtailroute-detection/src/constants.ts
+++ b/packages/wagtailroute-detection/src/constants.ts
@@ -8,10 +8,35 @@
 export const TICK_MILLISECONDS = 100;
 
 /**
-Recommended period between summaries of a host, in milliseconds.
+Period between summaries of alerted upstreams, in milliseconds.
 */
 export const SUMMARY_MILLISECONDS = 250;
 
+/**
+Recommended period between whole summaries of a host in quiet times, in milliseconds; alerted upstreams are told of each
+`SUMMARY_MILLISECONDS`.
+*/
+export const QUIET_SUMMARY_MILLISECONDS = 1000;
+
+/**
+Period between ticks while nothing stands out, in milliseconds.
+*/
+export const QUIET_TICK_MILLISECONDS = 500;
+
+/**
+Part of the threshold that evidence must reach to end quiet times: more than a single failure among usual ones gives.
+*/
+export const ACTIVE_SHARE = 0.4;
+
+/**
+Failures, over a window of so many milliseconds, that alert the hosts to an upstream, and for how long. A request that is
+far too late counts as a part of one.
+*/
+export const ALERT_COUNT = 1.5;
+export const ALERT_WINDOW_MILLISECONDS = 2000;
+export const ALERT_MILLISECONDS = 3000;
+export const LATE_WEIGHT = 0.5;
+
 /**
 Shortest time between summaries when there is urgent evidence, in milliseconds.
 */
@@ -88,7 +113,12 @@
 /**
 Ages, as multiples of this host's own 90th percentile, at which a request still in flight is reported as it stands.
 */
-export const OVERDUE_RATIOS = [2, 6] as const;
+export const OVERDUE_RATIOS = [3, 6] as const;
+
+/**
+Time constant of a host's own usual latencies, in milliseconds.
+*/
+export const USUAL_WINDOW_MILLISECONDS = 5000;
 
 /**
 Ramp of a cold upstream, in milliseconds. Its latency is no evidence before that.
--- a/packages/wagtailroute-detection/src/detection.ts
+++ b/packages/wagtailroute-detection/src/detection.ts
@@ -13,6 +13,7 @@
 import * as operatingPoints from './operating-points.ts';
 import * as phases from './phases.ts';
 import type * as events from './events.ts';
+import * as groups from './groups.ts';
 import * as states from './state.ts';
 import * as steering from './steering.ts';
 
@@ -25,25 +26,11 @@
 };
 
 const HANDLERS: Handlers = {
-	summary(state, {summary}, {now}) {
-		const before = state.received.get(summary.host);
+	summary(state, {summary}) {
+		const before = state.pending.findLast(({host}) => host === summary.host) ?? state.received.get(summary.host);
 		// A summary that comes again, or late, would count its requests twice.
-		if (before?.epoch === summary.epoch && before.sequence >= summary.sequence) {
-			return settle(state);
-		}
-
-		const {host, failureDomain, epoch, sequence} = summary;
-		const reception = {
-			failureDomain,
-			epoch,
-			sequence,
-			at: now,
-		};
-		return settle({
-			...state,
-			pending: [...state.pending, summary],
-			received: new Map(state.received).set(host, reception),
-		});
+		const isKnown = before?.epoch === summary.epoch && before.sequence >= summary.sequence;
+		return settle(isKnown ? state : {...state, pending: [...state.pending, summary]});
 	},
 	tick: (state, _event, circumstances) => tick(state, circumstances),
 	'upstreams-changed'(state, {upstreams}, {now}) {
@@ -102,7 +89,8 @@
 
 function tick(state: states.Detection, {now, random}: core.Circumstances): events.Transition {
 	const point = operatingPoints.OPERATING_POINTS[state.operatingPoint];
-	const measurement = measuring.measure(state, now);
+	const known = receive(state, now);
+	const measurement = measuring.measure(known, now);
 	const suspects = getSuspects(measurement, point);
 	const isShared = suspects.length > getSharedLimit(measurement.upstreams);
 	const effects: events.Effect[] = isShared ? [{kind: 'report-shared', suspects}] : [];
@@ -128,10 +116,9 @@
 	});
 	return {
 		state: {
-			...state,
+			...known,
 			upstreams: steered.upstreams,
 			pending: [],
-			received: forgetSilentHosts(state.received, now),
 			tickedAt: now,
 			reported: {isShared, isSelf: steered.isSelfFault},
 		},
@@ -184,10 +171,27 @@
 	});
 }
 
-// A host that left must not stay in the groups: it would make a group look as if it had hosts outside.
-function forgetSilentHosts(received: states.Detection['received'], now: number): states.Detection['received'] {
-	const isSilent = ({at}: states.Reception): boolean => now - at > constants.SILENCE_MILLISECONDS;
-	return received.values().some(reception => isSilent(reception))
-		? new Map([...received].filter(([, reception]) => !isSilent(reception)))
-		: received;
+// Notes the hosts of the pending summaries, and forgets those that are silent: a host that left must not stay in the
+// groups, it would make a group look as if it had hosts outside. Groups are formed anew only when the hosts change.
+function receive(state: states.Detection, now: number): states.Detection {
+	const received = new Map(state.received);
+	let isChanged = false;
+	for (const {host, failureDomain, epoch, sequence} of state.pending) {
+		isChanged ||= received.get(host)?.failureDomain !== failureDomain;
+		received.set(host, {
+			failureDomain, epoch, sequence, at: now,
+		});
+	}
+
+	for (const [host, {at}] of received) {
+		if (!(now - at > constants.SILENCE_MILLISECONDS)) {
+			continue;
+		}
+
+		received.delete(host);
+		isChanged = true;
+	}
+
+	const domains = (): groups.Hosts => new Map(received.entries().map(([host, {failureDomain}]) => [host, failureDomain]));
+	return {...state, received, membership: isChanged ? groups.getMembership(domains()) : state.membership};
 }
--- a/packages/wagtailroute-detection/src/evidence.ts
+++ b/packages/wagtailroute-detection/src/evidence.ts
@@ -7,9 +7,12 @@
 as it stands.
 */
 import type * as core from 'wagtailroute-core';
+import {createAlerts} from './alerts.ts';
 import * as constants from './constants.ts';
+import * as counting from './counts.ts';
 import * as latencies from './latencies.ts';
 import type * as summaries from './summaries.ts';
+import {createUsual} from './usual.ts';
 
 /**
 A request in flight. Only `evidence` reads it.
@@ -47,14 +50,16 @@
 	Returns what was seen since the last summary and starts over; undefined when nothing was.
 	*/
 	readonly takeSummary: (now: number) => summaries.Summary | undefined;
-};
-
-type Counts = {
-	successes: number;
-	failures: Partial<Record<summaries.FailureKind, number>>;
-	sheds: number;
-	latencies: Map<number, number>;
-	urgent: number;
+	/**
+	Returns what should be told now: all that was seen, at each multiple of `quietMilliseconds`;
+	before that the upstreams with urgent evidence, and the alerted ones each `SUMMARY_MILLISECONDS`. Undefined when nothing
+	is due.
+	*/
+	readonly takeDue: (now: number, quietMilliseconds: number) => summaries.Summary | undefined;
+	/**
+	Takes what another host told, to be alerted by it.
+	*/
+	readonly hear: (summary: summaries.Summary, now: number) => void;
 };
 
 /**
@@ -65,30 +70,20 @@
 	readonly failureDomain: core.FailureDomain;
 	readonly epoch: number;
 }): Evidence {
-	const counts = new Map<core.UpstreamId, Counts>();
+	const counts = new Map<core.UpstreamId, counting.Counts>();
 	const inFlight = new Set<Ticket>();
 	const usual = createUsual();
 	let sequence = 0;
 	let takenAt = -Infinity;
+	let wholeAt = -Infinity;
+	let lateBucket = Infinity;
+	const alerts = createAlerts();
 	let overdueMilliseconds = Infinity;
 
-	const getCounts = (upstream: core.UpstreamId): Counts => {
-		const existing = counts.get(upstream);
-		if (existing !== undefined) {
-			return existing;
-		}
-
-		const created: Counts = {
-			successes: 0, failures: {}, sheds: 0, latencies: new Map(), urgent: 0,
-		};
-		counts.set(upstream, created);
-		return created;
-	};
-
-	const countLatency = (upstream: core.UpstreamId, milliseconds: number): void => {
-		const bucket = latencies.getBucket(milliseconds);
-		const byBucket = getCounts(upstream).latencies;
-		byBucket.set(bucket, (byBucket.get(bucket) ?? 0) + 1);
+	const getCounts = (upstream: core.UpstreamId): counting.Counts => {
+		const present = counts.get(upstream) ?? counting.createCounts();
+		counts.set(upstream, present);
+		return present;
 	};
 
 	const record = (upstream: core.UpstreamId, result: summaries.Result, reported: number, milliseconds: number): void => {
@@ -96,15 +91,15 @@
 			return;
 		}
 
-		const recorder = RECORDERS[result] as (counts: Counts, result: Recorded) => void;
-		recorder(getCounts(upstream), result);
+		const present = getCounts(upstream);
+		counting.countResult(present, result, !alerts.isAlerted(upstream, takenAt));
 		if (result !== 'success') {
 			return;
 		}
 
 		usual.add(milliseconds);
 		if (reported === 0) {
-			countLatency(upstream, milliseconds);
+			counting.countLatency(present, latencies.getBucket(milliseconds));
 		}
 	};
 
@@ -117,11 +112,59 @@
 			}
 
 			ticket.reported++;
-			countLatency(ticket.upstream, age);
-			getCounts(ticket.upstream).urgent++;
+			const present = getCounts(ticket.upstream);
+			counting.countLatency(present, latencies.getBucket(age));
+			present.urgent++;
+		}
+	};
+
+	const isUrgent = (now: number): boolean => {
+		if (now - takenAt < constants.URGENT_SUMMARY_MILLISECONDS) {
+			return false;
+		}
+
+		reportOverdue(now);
+		return counts.values().some(({urgent}) => urgent >= constants.URGENT_COUNT);
+	};
+
+	const hear = (summary: summaries.Summary, now: number): void => {
+		alerts.hear(summary, bucket => bucket > lateBucket, now);
+	};
+
+	const take = (now: number, isTaken: (upstream: core.UpstreamId, seen: counting.Counts) => boolean): summaries.Summary | undefined => {
+		takenAt = now;
+		const chosen = [...counts].filter(([id, seen]) => isTaken(id, seen));
+		if (chosen.length === 0) {
+			return undefined;
 		}
+
+		for (const [id] of chosen) {
+			counts.delete(id);
+		}
+
+		sequence++;
+		const summary = {
+			host,
+			failureDomain,
+			epoch,
+			sequence,
+			upstreams: chosen.map(([id, seen]) => counting.writeSummary(id, seen)),
+		};
+		hear(summary, now);
+		return summary;
+	};
+
+	const takeWhole = (now: number): summaries.Summary | undefined => {
+		reportOverdue(now);
+		wholeAt = now;
+		overdueMilliseconds = usual.takeQuantile(now);
+		lateBucket = overdueMilliseconds === Infinity ? Infinity : latencies.getBucket(overdueMilliseconds * constants.OVERDUE_RATIOS[0]);
+		return take(now, () => true);
 	};
 
+	const takePart = (now: number): summaries.Summary | undefined =>
+		take(now, (id, {urgent}) => urgent >= constants.URGENT_COUNT || alerts.isAlerted(id, now));
+
 	return {
 		begin(upstream, now) {
 			const ticket = {upstream, startedAt: now, reported: 0};
@@ -135,93 +178,17 @@
 		record(upstream, result, latencyMilliseconds) {
 			record(upstream, result, 0, latencyMilliseconds);
 		},
-		isUrgent(now) {
-			if (now - takenAt < constants.URGENT_SUMMARY_MILLISECONDS) {
-				return false;
-			}
-
-			reportOverdue(now);
-			return counts.values().some(({urgent}) => urgent >= constants.URGENT_COUNT);
-		},
-		takeSummary(now) {
-			reportOverdue(now);
-			takenAt = now;
-			overdueMilliseconds = usual.takeQuantile();
-			if (counts.size === 0) {
-				return undefined;
+		isUrgent,
+		hear,
+		takeSummary: takeWhole,
+		takeDue(now, quietMilliseconds) {
+			// All services of a host become due together, so that one message can tell of them.
+			if (Math.floor(now / quietMilliseconds) !== Math.floor(wholeAt / quietMilliseconds)) {
+				return takeWhole(now);
 			}
 
-			sequence++;
-			const taken = [...counts].map(([id, seen]) => writeSummary(id, seen));
-			counts.clear();
-			return {
-				host,
-				failureDomain,
-				epoch,
-				sequence,
-				upstreams: taken,
-			};
-		},
-	};
-}
-
-function countFailure(counts: Counts, kind: summaries.FailureKind): void {
-	counts.failures[kind] = (counts.failures[kind] ?? 0) + 1;
-	counts.urgent++;
-}
-
-type Recorded = Exclude<summaries.Result, 'cancelled'>;
-
-const RECORDERS: {readonly [Kind in Recorded]: (counts: Counts, result: Kind) => void} = {
-	success(counts) {
-		counts.successes++;
-	},
-	shed(counts) {
-		counts.sheds++;
-	},
-	connect: countFailure,
-	reset: countFailure,
-	status: countFailure,
-	truncated: countFailure,
-	timeout: countFailure,
-};
-
-function writeSummary(id: core.UpstreamId, counts: Counts): summaries.UpstreamSummary {
-	return {
-		id,
-		successes: counts.successes,
-		failures: counts.failures,
-		sheds: counts.sheds,
-		latencies: [...counts.latencies].flat(),
-	};
-}
-
-type Usual = {
-	readonly add: (milliseconds: number) => void;
-	readonly takeQuantile: () => number;
-};
-
-// Share of the older samples that each summary keeps: a window of about 20 summaries.
-const USUAL_DECAY = 0.95;
-
-const USUAL_QUANTILE = 0.9;
-
-// Latencies of this host over all upstreams of the service, decaying with each summary.
-function createUsual(): Usual {
-	let usual = [...latencies.EMPTY_HISTOGRAM];
-	return {
-		add(milliseconds) {
-			usual[latencies.getBucket(milliseconds)]!++;
-		},
-		takeQuantile() {
-			if (latencies.getTotal(usual) < constants.MINIMUM_PEER_SAMPLES) {
-				return Infinity;
-			}
-
-			const quantile = latencies.getQuantile(usual, USUAL_QUANTILE);
-			usual = usual.map(count => count * USUAL_DECAY);
-
-			return quantile;
+			const isPartDue = alerts.isAny(now) && now - takenAt >= constants.SUMMARY_MILLISECONDS;
+			return isPartDue || isUrgent(now) ? takePart(now) : undefined;
 		},
 	};
 }
--- a/packages/wagtailroute-detection/src/findings.ts
+++ b/packages/wagtailroute-detection/src/findings.ts
@@ -99,9 +99,9 @@
 		}
 
 		const others = countRequests(windows.requests, other => other !== host);
-		const outside = standing.outside.entries()
-			.filter(([group]) => !groups.isOutside(membership, host, group))
-			.map(([, statistics]) => symptoms.getStrongest(statistics[symptom]));
+		const outside = membership.groups
+			.filter(group => !groups.isOutside(membership, host, group))
+			.map(group => symptoms.getStrongest((standing.outside.get(group) ?? symptoms.EMPTY_STATISTICS)[symptom]));
 		return others >= constants.OUTSIDE_MINIMUM_REQUESTS
 			&& Math.min(...outside) < point.threshold * constants.OUTSIDE_HEALTHY_SHARE;
 	});
--- a/packages/wagtailroute-detection/src/groups.ts
+++ b/packages/wagtailroute-detection/src/groups.ts
@@ -20,23 +20,32 @@
 /**
 Groups of each host.
 */
-export type Membership = ReadonlyMap<core.HostId, readonly Group[]>;
+export type Membership = {
+	readonly byHost: ReadonlyMap<core.HostId, readonly Group[]>;
+	/**
+	Groups that leave other hosts outside. A group of all hosts says nothing.
+	*/
+	readonly groups: readonly Group[];
+};
+
+/**
+Membership without hosts.
+*/
+export const NO_MEMBERSHIP: Membership = {byHost: new Map(), groups: []};
 
 /**
 Returns the groups of each host.
 */
 export function getMembership(hosts: Hosts): Membership {
 	const ordered = [...hosts].toSorted(([left], [right]) => compareNames(left, right));
-	return new Map(ordered.map(([host, failureDomain], rank) => [
+	const byHost = new Map(ordered.map(([host, failureDomain], rank): [core.HostId, readonly Group[]] => [
 		host,
 		[`part ${rank % constants.HOST_PARTS}`, `failure domain ${failureDomain}`],
 	]));
+	return {byHost, groups: listGroups(byHost)};
 }
 
-/**
-Returns the groups that leave other hosts outside. A group of all hosts says nothing.
-*/
-export function getGroups(membership: Membership): readonly Group[] {
+function listGroups(membership: Membership['byHost']): readonly Group[] {
 	const sizes = new Map<Group, number>();
 	for (const groups of membership.values()) {
 		for (const group of groups) {
@@ -51,7 +60,7 @@
 Whether the host is outside the group.
 */
 export function isOutside(membership: Membership, host: core.HostId, group: Group): boolean {
-	return membership.get(host)?.includes(group) !== true;
+	return membership.byHost.get(host)?.includes(group) !== true;
 }
 
 function compareNames(left: string, right: string): number {
--- a/packages/wagtailroute-detection/src/index.ts
+++ b/packages/wagtailroute-detection/src/index.ts
@@ -15,6 +15,7 @@
 	Transition,
 } from './events.ts';
 export {stepDetection} from './detection.ts';
+export {decodeUpstreams, encodeUpstreams} from './codec.ts';
 export {createEvidence, type Evidence, type Ticket} from './evidence.ts';
 export {
 	FAILURE_KINDS,
@@ -32,4 +33,10 @@
 } from './floor.ts';
 export {OPERATING_POINTS, type OperatingPoint, type OperatingPointName} from './operating-points.ts';
 export {type Symptom} from './symptoms.ts';
-export {SUMMARY_MILLISECONDS, TICK_MILLISECONDS} from './constants.ts';
+export {getTickMilliseconds} from './activity.ts';
+export {
+	QUIET_SUMMARY_MILLISECONDS,
+	QUIET_TICK_MILLISECONDS,
+	SUMMARY_MILLISECONDS,
+	TICK_MILLISECONDS,
+} from './constants.ts';
--- a/packages/wagtailroute-detection/src/latencies.ts
+++ b/packages/wagtailroute-detection/src/latencies.ts
@@ -26,7 +26,12 @@
 /**
 A histogram without samples.
 */
-export const EMPTY_HISTOGRAM: Histogram = Array.from({length: BUCKET_COUNT}, () => 0);
+export const EMPTY_HISTOGRAM: Histogram = createEmpty();
+
+/**
+Counts by bucket without the empty ones: pairs of bucket and count, flattened. A bucket may come several times.
+*/
+export type Pairs = readonly number[];
 
 /**
 Bucket of a latency.
@@ -48,15 +53,49 @@
 }
 
 /**
-Adds histograms bucket by bucket, each scaled by its factor.
+Scales a histogram and adds pairs to it.
+*/
+export function scaleAndAdd(histogram: Histogram, factor: number, added: Pairs): Histogram {
+	const next = [...histogram];
+	for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
+		next[bucket]! *= factor;
+	}
+
+	for (let index = 0; index + 1 < added.length; index += 2) {
+		const bucket = added[index]!;
+		// A bucket that doesn't exist comes from a host of another version: dropped, not counted elsewhere.
+		if (next[bucket] !== undefined) {
+			next[bucket] += added[index + 1]!;
+		}
+	}
+
+	return next;
+}
+
+/**
+Adds up histograms.
+*/
+export function sumHistograms(all: Iterable<Histogram>): Histogram {
+	const sum = [...EMPTY_HISTOGRAM];
+	for (const histogram of all) {
+		for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
+			sum[bucket]! += histogram[bucket]!;
+		}
+	}
+
+	return sum;
+}
+
+/**
+Takes a histogram out of a sum that it is part of.
 */
-export function combineHistograms(left: Histogram, leftFactor: number, right: Histogram, rightFactor: number): Histogram {
-	const combined = [...left];
+export function subtractHistogram(sum: Histogram, part: Histogram): Histogram {
+	const rest = [...sum];
 	for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
-		combined[bucket] = (left[bucket]! * leftFactor) + (right[bucket]! * rightFactor);
+		rest[bucket]! -= part[bucket]!;
 	}
 
-	return combined;
+	return rest;
 }
 
 /**
@@ -74,8 +113,8 @@
 /**
 Bucket that holds the quantile; 0 when there are no samples.
 */
-export function getQuantileBucket(histogram: Histogram, quantile: number): number {
-	const wanted = getTotal(histogram) * quantile;
+export function getQuantileBucket(histogram: Histogram, quantile: number, total = getTotal(histogram)): number {
+	const wanted = total * quantile;
 	let seen = 0;
 	for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
 		seen += histogram[bucket]!;
@@ -95,13 +134,39 @@
 }
 
 /**
-Number of samples in buckets above the given one.
+Bucket that holds the median of two histograms together; 0 when there are no samples.
 */
-export function countAbove(histogram: Histogram, bucket: number): number {
+export function getCommonMedianBucket(left: Histogram, right: Histogram, total = getTotal(left) + getTotal(right)): number {
+	const wanted = total / 2;
+	let seen = 0;
+	for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
+		seen += left[bucket]! + right[bucket]!;
+		if (seen >= wanted && seen > 0) {
+			return bucket;
+		}
+	}
+
+	return 0;
+}
+
+/**
+Number of samples in pairs, and of those in buckets above the given one.
+*/
+export function countPairs(pairs: Pairs, bucket: number): {readonly count: number; readonly above: number} {
+	let count = 0;
 	let above = 0;
-	for (let index = bucket + 1; index < histogram.length; index++) {
-		above += histogram[index]!;
+	for (let index = 0; index + 1 < pairs.length; index += 2) {
+		const samples = pairs[index]! < BUCKET_COUNT ? pairs[index + 1]! : 0;
+		count += samples;
+		above += pairs[index]! > bucket ? samples : 0;
 	}
 
-	return above;
+	return {count, above};
+}
+
+// An array that holds whole numbers only is converted, and copied whole, at the first fraction written to it. Histograms
+// are copied in each step, so the empty one is made an array of fractions from the start.
+function createEmpty(): Histogram {
+	const empty = Array.from({length: BUCKET_COUNT}, () => 0.5);
+	return empty.fill(0);
 }
--- a/packages/wagtailroute-detection/src/measuring.ts
+++ b/packages/wagtailroute-detection/src/measuring.ts
@@ -3,7 +3,7 @@
 */
 import type * as core from 'wagtailroute-core';
 import * as baselines from './baselines.ts';
-import * as groups from './groups.ts';
+import type * as groups from './groups.ts';
 import * as latencies from './latencies.ts';
 import * as observations from './observations.ts';
 import * as operatingPoints from './operating-points.ts';
@@ -36,23 +36,23 @@
 		windows: windows.addLatencies(
 			tracked.windows,
 			states.isRamping(tracked, now)
-				? latencies.EMPTY_HISTOGRAM
-				: observations.mergeHosts(seen.get(tracked.upstream.id)).latencies,
+				? []
+				: observations.mergeLatencies(seen.get(tracked.upstream.id)),
 			elapsed,
 		),
 	}));
-	const warm = states.getPeers(withLatencies, now);
-	const getLimits = baselines.createLatencyBaseline(warm);
-	const isDistressed = baselines.isDistressed(warm);
+	const baseline = baselines.createLatencyBaseline(states.getPeers(withLatencies, now));
 	const samples = new Map(withLatencies.values().map((tracked): [core.UpstreamId, weighing.SamplesByHost] => {
 		const {id} = tracked.upstream;
-		return [id, classify(seen.get(id), states.isRamping(tracked, now) ? undefined : getLimits(id), isDistressed)];
+		const byHost = seen.get(id);
+		const getLimits = () => states.isRamping(tracked, now) ? undefined : baseline.getLimits(id);
+		return [id, byHost === undefined ? NO_SAMPLES : classify(byHost, getLimits(), baseline.isDistressed)];
 	}));
 	const withSamples = states.mapTracked(withLatencies, tracked => ({
 		...tracked,
 		windows: windows.addSamples(tracked.windows, samples.get(tracked.upstream.id)!, elapsed),
 	}));
-	const membership = getMembership(state);
+	const {membership} = state;
 	return {
 		upstreams: weighing.weigh(withSamples, {
 			host: state.host,
@@ -61,19 +61,21 @@
 			membership,
 			now,
 		}),
-		getPeersMedian: id => latencies.getUpperEnd(getLimits(id)?.median ?? 0),
+		getPeersMedian: id => latencies.getUpperEnd(baseline.getLimits(id)?.median ?? 0),
 		getSamples: id => symptoms.sumSamples(samples.get(id)?.values() ?? []),
 		membership,
 	};
 }
 
+const NO_SAMPLES: weighing.SamplesByHost = new Map();
+
 function classify(
-	byHost: ReadonlyMap<core.HostId, observations.Observation> | undefined,
+	byHost: ReadonlyMap<core.HostId, observations.Observation>,
 	limits: baselines.Limits | undefined,
 	isDistressed: boolean,
 ): weighing.SamplesByHost {
 	const samples = new Map<core.HostId, symptoms.Samples>();
-	for (const [host, observation] of byHost ?? []) {
+	for (const [host, observation] of byHost) {
 		samples.set(host, classifyObservation(observation, limits, isDistressed));
 	}
 
@@ -81,7 +83,7 @@
 }
 
 function classifyObservation(
-	{successes, failures, timeouts, latencies: histogram}: observations.Observation,
+	{successes, failures, timeouts, latencies: pairs}: observations.Observation,
 	limits: baselines.Limits | undefined,
 	isDistressed: boolean,
 ): symptoms.Samples {
@@ -92,15 +94,10 @@
 		return {...symptoms.EMPTY_SAMPLES, errors};
 	}
 
-	const count = latencies.getTotal(histogram);
+	const {count, above} = latencies.countPairs(pairs, limits.slow);
 	return {
 		errors,
-		slowness: {count, bad: latencies.countAbove(histogram, limits.slow)},
-		stalls: {count, bad: latencies.countAbove(histogram, limits.stalled)},
+		slowness: {count, bad: above},
+		stalls: {count, bad: above === 0 ? 0 : latencies.countPairs(pairs, limits.stalled).above},
 	};
 }
-
-function getMembership(state: states.Detection): groups.Membership {
-	return groups.getMembership(new Map(state.received.entries().map(([host, {failureDomain}]) => [host, failureDomain])));
-}
-
--- a/packages/wagtailroute-detection/src/observations.ts
+++ b/packages/wagtailroute-detection/src/observations.ts
@@ -2,7 +2,7 @@
 The observations of one tick: summaries of the hosts, added up by upstream and by host.
 */
 import type * as core from 'wagtailroute-core';
-import * as latencies from './latencies.ts';
+import type * as latencies from './latencies.ts';
 import type * as summaries from './summaries.ts';
 
 /**
@@ -15,7 +15,7 @@
 	*/
 	readonly failures: number;
 	readonly timeouts: number;
-	readonly latencies: latencies.Histogram;
+	readonly latencies: latencies.Pairs;
 };
 
 /**
@@ -25,7 +25,7 @@
 	successes: 0,
 	failures: 0,
 	timeouts: 0,
-	latencies: latencies.EMPTY_HISTOGRAM,
+	latencies: [],
 };
 
 /**
@@ -41,8 +41,9 @@
 	for (const summary of pending) {
 		for (const upstream of summary.upstreams) {
 			const byHost = collected.get(upstream.id) ?? new Map<core.HostId, Observation>();
-			const before = byHost.get(summary.host) ?? EMPTY_OBSERVATION;
-			byHost.set(summary.host, mergeObservations(before, readObservation(upstream)));
+			const before = byHost.get(summary.host);
+			const observation = readObservation(upstream);
+			byHost.set(summary.host, before === undefined ? observation : mergeObservations(before, observation));
 			collected.set(upstream.id, byHost);
 		}
 	}
@@ -51,15 +52,15 @@
 }
 
 /**
-Adds up the observations of all hosts.
+Latencies that all hosts saw.
 */
-export function mergeHosts(byHost: ReadonlyMap<core.HostId, Observation> | undefined): Observation {
-	let merged = EMPTY_OBSERVATION;
-	for (const observation of byHost?.values() ?? []) {
-		merged = mergeObservations(merged, observation);
+export function mergeLatencies(byHost: ReadonlyMap<core.HostId, Observation> | undefined): latencies.Pairs {
+	const pairs: number[] = [];
+	for (const {latencies: seen} of byHost?.values() ?? []) {
+		pairs.push(...seen);
 	}
 
-	return merged;
+	return pairs;
 }
 
 function mergeObservations(left: Observation, right: Observation): Observation {
@@ -67,23 +68,16 @@
 		successes: left.successes + right.successes,
 		failures: left.failures + right.failures,
 		timeouts: left.timeouts + right.timeouts,
-		latencies: latencies.combineHistograms(left.latencies, 1, right.latencies, 1),
+		latencies: [...left.latencies, ...right.latencies],
 	};
 }
 
 function readObservation(upstream: summaries.UpstreamSummary): Observation {
-	const histogram = [...latencies.EMPTY_HISTOGRAM];
-	for (let index = 0; index + 1 < upstream.latencies.length; index += 2) {
-		const bucket = upstream.latencies[index]!;
-		// A bucket that doesn't exist comes from a host of another version: dropped, not counted elsewhere.
-		if (histogram[bucket] !== undefined) {
-			histogram[bucket] += upstream.latencies[index + 1]!;
-		}
-	}
-
 	let failures = 0;
-	for (const count of Object.values(upstream.failures)) {
-		failures += count;
+	for (const kind in upstream.failures) {
+		if (Object.hasOwn(upstream.failures, kind)) {
+			failures += upstream.failures[kind as summaries.FailureKind]!;
+		}
 	}
 
 	const timeouts = upstream.failures.timeout ?? 0;
@@ -91,6 +85,6 @@
 		successes: upstream.successes,
 		failures: failures - timeouts,
 		timeouts,
-		latencies: histogram,
+		latencies: upstream.latencies,
 	};
 }
--- a/packages/wagtailroute-detection/src/phases.ts
+++ b/packages/wagtailroute-detection/src/phases.ts
@@ -47,7 +47,7 @@
 
 		const finding = findings.getFinding(tracked, context.point, context.measurement);
 		if (finding === undefined) {
-			return keep({...tracked, phase: {...phase, foundAt: undefined}});
+			return keep(phase.foundAt === undefined ? tracked : {...tracked, phase: {...phase, foundAt: undefined}});
 		}
 
 		// Evidence gathered while all got worse says nothing about this one: without the reset it would eject a healthy
--- a/packages/wagtailroute-detection/src/state.ts
+++ b/packages/wagtailroute-detection/src/state.ts
@@ -3,7 +3,7 @@
 */
 import type * as core from 'wagtailroute-core';
 import * as constants from './constants.ts';
-import type * as groups from './groups.ts';
+import * as groups from './groups.ts';
 import type * as operatingPoints from './operating-points.ts';
 import type * as summaries from './summaries.ts';
 import * as symptoms from './symptoms.ts';
@@ -47,6 +47,9 @@
 export type Standing = {
 	readonly pooled: symptoms.Statistics;
 	readonly own: symptoms.Statistics;
+	/**
+	Empty while there is no pooled evidence.
+	*/
 	readonly outside: ReadonlyMap<groups.Group, symptoms.Statistics>;
 };
 
@@ -107,9 +110,13 @@
 	*/
 	readonly pending: readonly summaries.Summary[];
 	/**
-	Latest summary taken of each host.
+	Latest summary of each host that a tick took in; those in `pending` are later.
 	*/
 	readonly received: ReadonlyMap<core.HostId, Reception>;
+	/**
+	Groups of the hosts in `received`.
+	*/
+	readonly membership: groups.Membership;
 	readonly tickedAt: number | undefined;
 	/**
 	What was reported and still holds: each is reported once.
@@ -140,6 +147,7 @@
 		upstreams: new Map(),
 		pending: [],
 		received: new Map(),
+		membership: groups.NO_MEMBERSHIP,
 		tickedAt: undefined,
 		reported: {isShared: false, isSelf: false},
 	};
--- a/packages/wagtailroute-detection/src/steering.ts
+++ b/packages/wagtailroute-detection/src/steering.ts
@@ -40,7 +40,10 @@
 	for (const [id, tracked] of upstreams) {
 		const isSuspected = tracked.phase.kind === 'serving' && findings.isPathFault(tracked, host, point, membership);
 		const suspectedAt = isSuspected ? tracked.steering.suspectedAt ?? now : undefined;
-		next.set(id, {...tracked, steering: {...tracked.steering, suspectedAt}});
+		if (suspectedAt !== tracked.steering.suspectedAt) {
+			next.set(id, {...tracked, steering: {...tracked.steering, suspectedAt}});
+		}
+
 		if (suspectedAt !== undefined && now - suspectedAt >= constants.STEER_DELAY_MILLISECONDS) {
 			unreachable.push(id);
 		}
--- a/packages/wagtailroute-detection/src/symptoms.ts
+++ b/packages/wagtailroute-detection/src/symptoms.ts
@@ -94,7 +94,7 @@
 	},
 ): Evidence {
 	// Nearly all samples of a healthy service: no evidence before, and none to add.
-	if (sample.bad === 0 && (sample.count === 0 || evidence.every(value => value === 0))) {
+	if (sample.bad === 0 && (sample.count === 0 || isZero(evidence))) {
 		return evidence;
 	}
 
@@ -122,7 +122,11 @@
 Takes samples out of a sum that they are part of.
 */
 export function subtractSamples(sum: Samples, part: Samples): Samples {
-	return mapSymptoms(symptom => mergeSamples(sum[symptom], scaleSample(part[symptom], -1)));
+	return {
+		errors: subtractSample(sum.errors, part.errors),
+		slowness: subtractSample(sum.slowness, part.slowness),
+		stalls: subtractSample(sum.stalls, part.stalls),
+	};
 }
 
 /**
@@ -145,13 +149,30 @@
 export function sumSamples(all: Iterable<Samples>): Samples {
 	let sum = EMPTY_SAMPLES;
 	for (const samples of all) {
-		const before = sum;
-		sum = mapSymptoms(symptom => mergeSamples(before[symptom], samples[symptom]));
+		sum = sum === EMPTY_SAMPLES ? samples : addAll(sum, samples);
 	}
 
 	return sum;
 }
 
+/**
+Adds two samples of all symptoms, the first scaled.
+*/
+export function scaleAndAddAll(left: Samples, factor: number, right: Samples): Samples {
+	return {
+		errors: scaleAndAdd(left.errors, factor, right.errors),
+		slowness: scaleAndAdd(left.slowness, factor, right.slowness),
+		stalls: scaleAndAdd(left.stalls, factor, right.stalls),
+	};
+}
+
+/**
+Whether nothing speaks for any alternative.
+*/
+export function isEmpty({errors, slowness, stalls}: Statistics): boolean {
+	return isZero(errors) && isZero(slowness) && isZero(stalls);
+}
+
 /**
 Share of requests that showed the symptom. Less than one request, what a decayed window is left with, counts as one.
 */
@@ -168,3 +189,29 @@
 		return Math.max(0, value - added);
 	});
 }
+
+function isZero(evidence: Evidence): boolean {
+	for (const value of evidence) {
+		if (value !== 0) {
+			return false;
+		}
+	}
+
+	return true;
+}
+
+function addAll(left: Samples, right: Samples): Samples {
+	return {
+		errors: mergeSamples(left.errors, right.errors),
+		slowness: mergeSamples(left.slowness, right.slowness),
+		stalls: mergeSamples(left.stalls, right.stalls),
+	};
+}
+
+function scaleAndAdd(left: Sample, factor: number, right: Sample): Sample {
+	return {count: (left.count * factor) + right.count, bad: (left.bad * factor) + right.bad};
+}
+
+function subtractSample(sum: Sample, part: Sample): Sample {
+	return {count: sum.count - part.count, bad: sum.bad - part.bad};
+}
--- a/packages/wagtailroute-detection/src/windows.ts
+++ b/packages/wagtailroute-detection/src/windows.ts
@@ -12,6 +12,10 @@
 export type Window = {
 	readonly samples: symptoms.Samples;
 	readonly latencies: latencies.Histogram;
+	/**
+	Number of samples in `latencies`: asked for many times in each step.
+	*/
+	readonly total: number;
 };
 
 /**
@@ -24,7 +28,7 @@
 	readonly requests: ReadonlyMap<core.HostId, number>;
 };
 
-const EMPTY_WINDOW: Window = {samples: symptoms.EMPTY_SAMPLES, latencies: latencies.EMPTY_HISTOGRAM};
+const EMPTY_WINDOW: Window = {samples: symptoms.EMPTY_SAMPLES, latencies: latencies.EMPTY_HISTOGRAM, total: 0};
 
 /**
 Windows that have seen nothing.
@@ -40,11 +44,17 @@
 /**
 Adds latencies, and lets those that were there decay by the elapsed time.
 */
-export function addLatencies(windows: Windows, added: latencies.Histogram, elapsed: number): Windows {
-	const add = (window: Window, length: number): Window => ({
-		samples: window.samples,
-		latencies: latencies.combineHistograms(window.latencies, getDecay(elapsed, length), added, 1),
-	});
+export function addLatencies(windows: Windows, added: latencies.Pairs, elapsed: number): Windows {
+	const {count} = latencies.countPairs(added, 0);
+	const add = (window: Window, length: number): Window => {
+		const decay = getDecay(elapsed, length);
+		return {
+			samples: window.samples,
+			latencies: latencies.scaleAndAdd(window.latencies, decay, added),
+			total: (window.total * decay) + count,
+		};
+	};
+
 	return {
 		instant: windows.instant,
 		short: add(windows.short, constants.SHORT_WINDOW_MILLISECONDS),
@@ -63,11 +73,12 @@
 ): Windows {
 	const pooled = symptoms.sumSamples(added.values());
 	const add = (window: Window, length: number): Window => ({
-		samples: decayAndAdd(window.samples, getDecay(elapsed, length), pooled),
+		samples: symptoms.scaleAndAddAll(window.samples, getDecay(elapsed, length), pooled),
 		latencies: window.latencies,
+		total: window.total,
 	});
 	return {
-		instant: decayAndAdd(windows.instant, getDecay(elapsed, constants.INSTANT_WINDOW_MILLISECONDS), pooled),
+		instant: symptoms.scaleAndAddAll(windows.instant, getDecay(elapsed, constants.INSTANT_WINDOW_MILLISECONDS), pooled),
 		short: add(windows.short, constants.SHORT_WINDOW_MILLISECONDS),
 		long: add(windows.long, constants.LONG_WINDOW_MILLISECONDS),
 		requests: addRequests(windows.requests, added, elapsed),
@@ -96,11 +107,6 @@
 	return Math.exp(-elapsed / length);
 }
 
-function decayAndAdd(samples: symptoms.Samples, decay: number, added: symptoms.Samples): symptoms.Samples {
-	return symptoms.mapSymptoms(symptom =>
-		symptoms.mergeSamples(symptoms.scaleSample(samples[symptom], decay), added[symptom]));
-}
-
 function addRequests(
 	requests: Windows['requests'],
 	added: ReadonlyMap<core.HostId, symptoms.Samples>,
--- a/packages/wagtailroute-host/src/__tests__/unit/fake-fleet.ts
+++ b/packages/wagtailroute-host/src/__tests__/unit/fake-fleet.ts
@@ -24,7 +24,7 @@
 		{pathPrefix: '/transfers', class: 'non-idempotent', requireIdempotencyKey: true},
 		{pathPrefix: '/', class: 'read'},
 	],
-	limits: {concurrency: 100, timeoutMilliseconds: 10_000},
+	limits: {concurrency: 100, timeoutMilliseconds: 60_000},
 };
 
 /**
--- a/packages/wagtailroute-host/src/admin.ts
+++ b/packages/wagtailroute-host/src/admin.ts
@@ -68,7 +68,12 @@
 	message: http.IncomingMessage,
 	response: http.ServerResponse,
 ): Promise<void> {
-	const url = new URL(message.url ?? '/', 'http://host');
+	const url = URL.parse(message.url ?? '/', 'http://host');
+	if (url === null) {
+		answerProblem(response, 400, core.createFailure('target-invalid', 'The target must be a path that begins with one slash.'));
+		return;
+	}
+
 	if (url.pathname === '/healthz') {
 		answerHealth(context, response, getFailures());
 		return;
--- a/packages/wagtailroute-host/src/burn.ts
+++ b/packages/wagtailroute-host/src/burn.ts
@@ -7,6 +7,7 @@
 */
 import * as buffer from 'node:buffer';
 import type * as http from 'node:http';
+import * as timers from 'node:timers/promises';
 import type * as proxy from 'wagtailroute-proxy';
 import * as report from 'wagtailroute-report';
 import * as utils from 'wagtailroute-utils';
@@ -65,9 +66,9 @@
 A request that another host forwarded is counted there, where its caller is: counted here too it would stand twice, and a
 host that forwards to a sick carrier would be told only half of it.
 */
-function record(context: HostContext, counters: report.BurnCounters, note: proxy.RequestNote & {readonly isForwarded?: boolean}): void {
+function record(context: HostContext, counters: report.BurnCounters, note: proxy.RequestNote): void {
 	const versioned = context.store.read(({view}) => view.entries.get(note.service));
-	if (versioned === undefined || note.isForwarded === true) {
+	if (versioned === undefined || note.isForwarded) {
 		return;
 	}
 
@@ -85,9 +86,18 @@
 	readonly write: (burn: report.BurnReport) => string | Promise<string>;
 };
 
+/**
+Milliseconds between two plots of a page: a request in flight needs several turns of the event loop, and without a rest it
+would wait for the whole page.
+*/
+const PLOT_PAUSE_MILLISECONDS = 10;
+
+const pause = async () => timers.setTimeout(PLOT_PAUSE_MILLISECONDS);
+
 const FORMATS: ReadonlyMap<string, Format> = new Map([
 	['text', {contentType: 'text/plain; charset=utf-8', write: report.formatText}],
 	['json', {contentType: 'application/json', write: (burn: report.BurnReport) => JSON.stringify(burn)}],
+	['html', {contentType: 'text/html; charset=utf-8', write: async (burn: report.BurnReport) => report.formatHtml(burn, pause)}],
 ]);
 
 async function answerReport(
--- a/packages/wagtailroute-host/src/carriers.ts
+++ b/packages/wagtailroute-host/src/carriers.ts
@@ -36,9 +36,11 @@
 	}
 
 	const changed: core.ServiceName[] = [];
+	const isEachDraining = areAllDraining(state);
+	const isTurned = isEachDraining !== areAllDraining(previous);
 	for (const member of state.members.values()) {
-		if (member !== previous.members.get(member.id)) {
-			changed.push(...isCarrier(member)
+		if (isTurned || member !== previous.members.get(member.id)) {
+			changed.push(...isCarrier(member, isEachDraining)
 				? index.setHost({id: member.id, failureDomain: member.failureDomain, weight: 1})
 				: index.removeHost(member.id));
 		}
@@ -58,12 +60,25 @@
 /**
 A suspected host keeps its services: most suspicions are wrong, and moving them would cost more than the wait.
 */
-function isCarrier(member: Member): boolean {
-	return member.roles.includes('entry') && !member.draining && (member.state === 'alive' || member.state === 'suspect');
+function isRunningEntry(member: Member): boolean {
+	return member.roles.includes('entry') && (member.state === 'alive' || member.state === 'suspect');
+}
+
+/**
+Says whether no entry host is left that does not drain. When the whole fleet is stopped, its hosts go on serving until
+callers have heard: without carriers, each request of that time would be refused, although nothing has ended yet.
+*/
+function areAllDraining(state: HostState): boolean {
+	return state.members.values().every(member => !isRunningEntry(member) || member.draining);
+}
+
+function isCarrier(member: Member, isEachDraining: boolean): boolean {
+	return isRunningEntry(member) && (isEachDraining || !member.draining);
 }
 
 function countCarriers(state: HostState): number {
-	return state.members.values().filter(member => isCarrier(member)).toArray().length;
+	const isEachDraining = areAllDraining(state);
+	return state.members.values().filter(member => isCarrier(member, isEachDraining)).toArray().length;
 }
 
 function resizeAll(index: assignment.CarrierIndex, state: HostState, hosts: number): readonly core.ServiceName[] {
--- a/packages/wagtailroute-host/src/detecting.ts
+++ b/packages/wagtailroute-host/src/detecting.ts
@@ -14,7 +14,8 @@
 	STEPS_PER_SECOND,
 	SUMMARIES_PER_SECOND,
 } from './constants.ts';
-import {findPeerAddress, type HostContext} from './context.ts';
+import type {HostContext} from './context.ts';
+import {startDetectionMail} from './detection-mail.ts';
 import {startEjectionLeases} from './ejection-leases.ts';
 import {createGrants} from './grants.ts';
 import type {Verdicts} from './services.ts';
@@ -27,19 +28,13 @@
 	readonly teardown: utils.Teardown;
 };
 
-type SummaryEnvelope = {
-	readonly service: core.ServiceName;
-	readonly summary: detection.Summary;
-};
-
-const SUMMARY_METHOD = 'detection.summary';
 const EPOCH_RANGE = 2 ** 31;
 
 /**
-Starts the part. Its method: `detection.summary` between carriers.
+Starts the part.
 */
 export function startDetecting(context: HostContext, announcing: Announcing): Detecting {
-	const {settings, peer, store} = context;
+	const {settings, store} = context;
 	const watches = new Map<core.ServiceName, Watch>();
 	const listeners = new Set<(service: core.ServiceName) => void>();
 	const epoch = utils.pickIndex(context.random, EPOCH_RANGE);
@@ -63,15 +58,12 @@
 		},
 	});
 
-	const sendSummary = (service: core.ServiceName, summary: detection.Summary) => {
-		const carriers = store.read(state => state.carriers.get(service) ?? []);
-		for (const carrier of carriers) {
-			const address = carrier === settings.hostId ? undefined : findPeerAddress(context, carrier);
-			if (address !== undefined) {
-				peer.notify(address, SUMMARY_METHOD, {service, summary} satisfies SummaryEnvelope);
-			}
-		}
-	};
+	const mail = startDetectionMail(context, announcing, {
+		epoch,
+		onSummary(service, summary) {
+			getWatch(service)?.takeSummary(summary);
+		},
+	});
 
 	const getWatch = (service: core.ServiceName): Watch | undefined => {
 		const present = watches.get(service);
@@ -87,7 +79,7 @@
 			grants,
 			leases,
 			sendSummary(summary) {
-				sendSummary(service, summary);
+				mail.add(service, summary);
 			},
 			onChange() {
 				tellChanged(service);
@@ -100,9 +92,12 @@
 
 	const tick = () => {
 		const periods = getPeriods(watches.size);
+		const time = context.now();
 		for (const watch of watches.values()) {
-			watch.tick(periods);
+			watch.tick(time, periods);
 		}
+
+		mail.flush();
 	};
 
 	const dropUnneeded = () => {
@@ -145,9 +140,7 @@
 		},
 		teardown: utils.mergeTeardowns(
 			leases.teardown,
-			peer.registerMethod(SUMMARY_METHOD, ({service, summary}: SummaryEnvelope) => {
-				getWatch(service)?.takeSummary(summary);
-			}),
+			mail.teardown,
 			announcing.registerChangeListener(service => {
 				watches.get(service)?.refresh();
 			}),
@@ -172,11 +165,11 @@
 
 /**
 A host that carries many services does the regular work of each less often, so that what it spends in all stays the same;
-failures are told and weighed at once all the same.
+what stands out is told and weighed at once all the same.
 */
 function getPeriods(services: number): WatchPeriods {
 	return {
-		summary: Math.max(detection.SUMMARY_MILLISECONDS, services * MILLISECONDS_PER_SECOND / SUMMARIES_PER_SECOND),
-		step: Math.max(detection.TICK_MILLISECONDS, services * MILLISECONDS_PER_SECOND / STEPS_PER_SECOND),
+		summary: Math.max(detection.QUIET_SUMMARY_MILLISECONDS, services * MILLISECONDS_PER_SECOND / SUMMARIES_PER_SECOND),
+		step: Math.max(detection.QUIET_TICK_MILLISECONDS, services * MILLISECONDS_PER_SECOND / STEPS_PER_SECOND),
 	};
 }
--- a/packages/wagtailroute-host/src/grants.ts
+++ b/packages/wagtailroute-host/src/grants.ts
@@ -30,9 +30,13 @@
 };
 
 /**
-Creates the way to the grantor.
+Creates the way to the grantor. Tests give `propose` to stand for the records.
 */
-export function createGrants(context: HostContext, announcing: Announcing): Grants {
+export function createGrants(
+	context: HostContext,
+	announcing: Pick<Announcing, 'getUpstreams'>,
+	propose: typeof proposeCommand = proposeCommand,
+): Grants {
 	const createView = (service: core.ServiceName) => {
 		const entry = context.store.read(state => state.view.entries.get(service)?.entry);
 		if (entry === undefined) {
@@ -59,16 +63,16 @@
 			}
 
 			const payload = {...view, upstream, badness: finding.evidence};
-			const result = await propose(context, 'request-ejection', payload);
+			const result = await ask(context, propose, {name: 'request-ejection', payload});
 			return result === undefined || result.kind === 'not-held' ? 'unreachable' : readResult(result);
 		},
 		async endEjection(service, upstream, epoch) {
-			await propose(context, 'readmit', {service, upstream, epoch});
+			await ask(context, propose, {name: 'readmit', payload: {service, upstream, epoch}});
 		},
 		reportView(service) {
 			const view = createView(service);
 			if (view !== undefined) {
-				void propose(context, 'report-upstreams', view);
+				void ask(context, propose, {name: 'report-upstreams', payload: view});
 			}
 		},
 	};
@@ -78,12 +82,12 @@
 	return result.kind === 'granted' ? 'granted' : result.reason;
 }
 
-async function propose<Name extends records.CommandName>(
+async function ask<Name extends records.CommandName>(
 	context: HostContext,
-	name: Name,
-	payload: records.Commands[Name],
+	propose: typeof proposeCommand,
+	{name, payload}: {readonly name: Name; readonly payload: records.Commands[Name]},
 ): Promise<records.Results[Name] | undefined> {
-	const proposed = await proposeCommand(context, 'records', {name, stampedAt: 0, payload}, {
+	const proposed = await propose(context, 'records', {name, stampedAt: 0, payload}, {
 		timeoutMilliseconds: GRANT_MILLISECONDS,
 		isRepeatable: true,
 	});
--- /dev/null
+++ b/packages/wagtailroute-host/src/group-shapes.ts
@@ -0,0 +1,72 @@
+/**
+Shapes of the messages of a replicated group.
+
+A replica takes entries into its log as they come, and to its disk. Entries out of order or of another shape would stay there
+and stop the replica at each start.
+*/
+import type * as replication from 'wagtailroute-replication';
+import * as z from 'zod';
+import {COMMANDS, STATES} from './command-shapes.ts';
+import {count, name} from './message-shapes.ts';
+import type {GroupName} from './proposals.ts';
+
+const member = z.object({id: name, role: z.enum(['voter', 'learner'])});
+
+function createShapes(group: GroupName) {
+	const envelope = z.object({
+		group: z.literal(group), from: name, to: name, term: count,
+	});
+	const numbered = {index: count, term: count, bytes: count};
+	const entry = z.discriminatedUnion('kind', [
+		z.object({...numbered, kind: z.literal('command'), value: COMMANDS[group]}),
+		z.object({...numbered, kind: z.literal('members'), value: z.array(member)}),
+		z.object({...numbered, kind: z.literal('empty'), value: z.unknown()}),
+	]);
+	const question = envelope.extend({kind: z.enum(['pre-vote', 'vote']), lastIndex: count, lastTerm: count});
+	const answer = envelope.extend({kind: z.enum(['pre-vote-answer', 'vote-answer']), granted: z.boolean()});
+	const append = envelope.extend({
+		kind: z.literal('append'), previousIndex: count, previousTerm: count, entries: z.array(entry), commit: count, round: count,
+	}).refine(isInOrder);
+	const appendAnswer = envelope.extend({
+		kind: z.literal('append-answer'), accepted: z.boolean(), previousIndex: count, match: count, round: count,
+	});
+	const install = envelope.extend({
+		kind: z.literal('install'),
+		snapshot: z.object({...numbered, members: z.array(member), state: STATES[group].nullable()}),
+		round: count,
+	});
+	const announce = z.object({
+		kind: z.literal('announce'), group: z.literal(group), from: name, to: name.nullable(), isEmpty: z.boolean(),
+	});
+	return z.union([append, appendAnswer, question, answer, announce, install]);
+}
+
+type Numbered = {readonly index: number; readonly term: number};
+
+/**
+Entries follow on each other and on `previousIndex`, and none is of a later term than its sender's.
+*/
+function isInOrder({previousIndex, previousTerm, term, entries}: {
+	readonly previousIndex: number;
+	readonly previousTerm: number;
+	readonly term: number;
+	readonly entries: readonly Numbered[];
+}): boolean {
+	return entries.every((entry, at) => {
+		const before = at === 0 ? previousTerm : entries[at - 1]!.term;
+		return entry.index === previousIndex + at + 1 && entry.term >= before && entry.term <= term;
+	});
+}
+
+/**
+A message of any group.
+*/
+export const groupMessage = z.custom<replication.GroupMessage>(value => {
+	const group = z.object({group: z.enum(['catalogue', 'records'])}).safeParse(value);
+	return group.success && SHAPES[group.data.group].safeParse(value).success;
+});
+
+const SHAPES: Readonly<Record<GroupName, z.ZodType>> = {
+	catalogue: createShapes('catalogue'),
+	records: createShapes('records'),
+};
--- a/packages/wagtailroute-host/src/host.ts
+++ b/packages/wagtailroute-host/src/host.ts
@@ -16,6 +16,7 @@
 import {startAnnouncing} from './announcing.ts';
 import {startBurn} from './burn.ts';
 import {registerCarriers} from './carriers.ts';
+import {checkPeer} from './checked-peer.ts';
 import {claimKey} from './claims.ts';
 import {
 	DRAIN_LIMIT_MILLISECONDS,
@@ -140,15 +141,20 @@
 		isCut: fakes.isCut,
 		onRefused: createRefusalLog(logs('host')),
 	});
+	const metrics = createMetrics(settings.hostId, settings.statsd);
+	const checked = checkPeer(opened, ({method, from = 'unknown'}) => {
+		metrics.count('peer.malformed', {method});
+		logs('host').debug('Malformed message of another host refused.', {method, from});
+	});
 	return {
 		settings,
 		boot: crypto.randomBytes(8).toString('hex'),
-		peer: opened,
+		peer: checked,
 		store: core.createSnapshotStore(INITIAL_STATE),
 		commands: core.createCommandRegistry(),
 		routes: catalogue.createRouteIndex(),
 		log: logs,
-		metrics: createMetrics(settings.hostId, settings.statsd),
+		metrics,
 		now: () => performance.now(),
 		random: utils.createRandom(crypto.randomInt(2 ** 31)),
 		schedule(milliseconds, run) {
--- a/packages/wagtailroute-host/src/logs.ts
+++ b/packages/wagtailroute-host/src/logs.ts
@@ -39,6 +39,9 @@
 Creates the logs of a host.
 */
 export function createLogs(settings: {readonly logFormat: 'text' | 'json'; readonly logLevel: string}): (part: Part) => Log {
+	// Several hosts in one process share the stream.
+	process.stderr.off('error', dropLine);
+	process.stderr.on('error', dropLine);
 	const logger = winston.createLogger({
 		level: settings.logLevel,
 		format: FORMATS[settings.logFormat],
@@ -59,3 +62,11 @@
 		};
 	};
 }
+
+/**
+Drops a line that could not be written. On a full disk each write of a log fails; an error that nobody listens to ends the
+process, so that hosts which need no disk at all would end one after the other. Lines come again when there is room.
+*/
+function dropLine(): void {
+	// There is nowhere left to tell it.
+}
--- a/packages/wagtailroute-host/src/watches.ts
+++ b/packages/wagtailroute-host/src/watches.ts
@@ -29,10 +29,10 @@
 	*/
 	readonly refresh: () => void;
 	/**
-	Does what is due: a summary and a step of the machine when their periods are over, both earlier on failures; a report
-	while upstreams are ejected.
+	Does what is due: a summary and a step of the machine when their quiet periods are over, both earlier when something
+	stands out; a report while upstreams are ejected.
 	*/
-	readonly tick: (periods: WatchPeriods) => void;
+	readonly tick: (time: number, periods: WatchPeriods) => void;
 	readonly begin: (target: proxy.Target) => void;
 	readonly end: (report: proxy.AttemptReport) => void;
 	readonly getAdmission: (upstream: core.UpstreamId) => selection.Admission;
@@ -42,7 +42,7 @@
 };
 
 /**
-Milliseconds between the regular work of a watch.
+Milliseconds between the regular work of a watch in quiet times.
 */
 export type WatchPeriods = {
 	readonly summary: number;
@@ -101,10 +101,10 @@
 	const avoidedUntil = new Map<core.UpstreamId, number>();
 	const evidence = detection.createEvidence({host: settings.hostId, failureDomain: settings.failureDomain, epoch: plan.epoch});
 	const createdAt = now();
-	let summarizedAt = 0;
 	let reportedAt = 0;
 	let steppedAt = 0;
 	let hasFailures = false;
+	let isActive = false;
 
 	const requestEjection = async (upstream: core.UpstreamId, finding: detection.Finding) => {
 		log.info('Upstream looks sick.', {
@@ -204,38 +204,38 @@
 		machine.send({kind: 'summary', summary});
 	};
 
-	const summarize = () => {
-		summarizedAt = now();
-		const summary = evidence.takeSummary(now());
-		if (summary === undefined) {
+	const stepWhenDue = (time: number, quietMilliseconds: number) => {
+		if (time - steppedAt < (hasFailures || isActive ? detection.TICK_MILLISECONDS : quietMilliseconds)) {
 			return;
 		}
 
-		takeSummary(summary);
-		plan.sendSummary(summary);
+		steppedAt = time;
+		hasFailures = false;
+		machine.send({kind: 'tick'});
+		isActive = detection.getTickMilliseconds(machine.read()) === detection.TICK_MILLISECONDS;
 	};
 
 	refresh();
 	return {
 		send: machine.send,
 		refresh,
-		takeSummary,
-		tick({summary, step}) {
-			if (now() - summarizedAt >= summary || evidence.isUrgent(now())) {
-				summarize();
-			}
-
-			if (now() - steppedAt >= (hasFailures ? detection.TICK_MILLISECONDS : step)) {
-				steppedAt = now();
-				hasFailures = false;
-				machine.send({kind: 'tick'});
+		takeSummary(summary) {
+			evidence.hear(summary, now());
+			takeSummary(summary);
+		},
+		tick(time, periods) {
+			const summary = evidence.takeDue(time, periods.summary);
+			if (summary !== undefined) {
+				takeSummary(summary);
+				plan.sendSummary(summary);
 			}
 
-			if (!(leases.hasEjections(service) && now() - reportedAt >= VIEW_REPORT_MILLISECONDS)) {
+			stepWhenDue(time, periods.step);
+			if (!(leases.hasEjections(service) && time - reportedAt >= VIEW_REPORT_MILLISECONDS)) {
 				return;
 			}
 
-			reportedAt = now();
+			reportedAt = time;
 			grants.reportView(service);
 		},
 		begin(target) {
--- a/packages/wagtailroute-membership/src/table.ts
+++ b/packages/wagtailroute-membership/src/table.ts
@@ -145,6 +145,11 @@
 */
 export function findDifferences(table: MemberTable, hashes: string): readonly number[] {
 	const bytes = buffer.Buffer.from(hashes, 'base64');
+	// A digest of another length is none of this table's: reading past its end would throw, and end this host.
+	if (bytes.length !== BUCKETS * HASH_BYTES) {
+		return [...table.hashes.keys()];
+	}
+
 	const different: number[] = [];
 	for (const [index, hash] of table.hashes.entries()) {
 		if (bytes.readUIntLE(index * HASH_BYTES, HASH_BYTES) !== truncateHash(hash)) {
--- a/packages/wagtailroute-peer/src/channel.ts
+++ b/packages/wagtailroute-peer/src/channel.ts
@@ -153,7 +153,8 @@
 }
 
 function readAnswer(sender: Sender, value: unknown): results.Result<unknown, PeerFailure> {
-	if (!rpc.isJSONRPCResponse(value)) {
+	// A refused body is answered with an empty one, and the library reads members of whatever it is given.
+	if (typeof value !== 'object' || value === null || !rpc.isJSONRPCResponse(value)) {
 		return results.Err(createPeerFailure('peer-error', sender.address, 'the answer is not JSON-RPC'));
 	}
 
--- a/packages/wagtailroute-peer/src/datagrams.ts
+++ b/packages/wagtailroute-peer/src/datagrams.ts
@@ -78,9 +78,20 @@
 		return;
 	}
 
-	// An authentic tag comes only from a host of the fleet, so the payload is well-formed.
-	const notification: unknown = JSON.parse(payload.toString());
-	if (rpc.isJSONRPCRequest(notification)) {
+	const notification = parsePayload(payload);
+	if (typeof notification === 'object' && notification !== null && rpc.isJSONRPCRequest(notification)) {
 		handler(notification.method, notification.params);
 	}
 }
+
+/**
+An authentic tag comes only from a host of the fleet, but that host may be faulty: text that is not JSON would end this process
+from within the socket's event.
+*/
+function parsePayload(payload: buffer.Buffer): unknown {
+	try {
+		return JSON.parse(payload.toString());
+	} catch {
+		return undefined;
+	}
+}
--- a/packages/wagtailroute-peer/src/server.ts
+++ b/packages/wagtailroute-peer/src/server.ts
@@ -71,7 +71,7 @@
 	}
 
 	const from = String(request.headers[FROM_HEADER] ?? '');
-	const result = await methods.receive(call, {from});
+	const result = await receive(methods, call, from);
 	if (result === null) {
 		response.writeHead(204).end();
 		return;
@@ -80,9 +80,27 @@
 	response.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify(result));
 }
 
-function parseBody(text: string): rpc.JSONRPCRequest | undefined {
+/**
+Takes one call or a batch of them. A batch runs side by side, each call of it begun in order.
+*/
+async function receive(
+	methods: rpc.JSONRPCServer<Caller>,
+	call: rpc.JSONRPCRequest | rpc.JSONRPCRequest[],
+	from: core.HostId,
+): Promise<unknown> {
+	return Array.isArray(call) ? methods.receive(call, {from}) : methods.receive(call, {from});
+}
+
+/**
+Returns nothing for a body that is no call and no batch of calls. The library reads members of whatever it is given: a `null`
+from a faulty host would be a rejection that nobody handles, and end this process.
+*/
+function parseBody(text: string): rpc.JSONRPCRequest | rpc.JSONRPCRequest[] | undefined {
 	try {
-		return JSON.parse(text) as rpc.JSONRPCRequest;
+		const value: unknown = JSON.parse(text);
+		const calls: readonly unknown[] = Array.isArray(value) ? value : [value];
+		const isCall = calls.every(call => typeof call === 'object' && call !== null);
+		return isCall ? value as rpc.JSONRPCRequest | rpc.JSONRPCRequest[] : undefined;
 	} catch {
 		return undefined;
 	}
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -43,6 +43,7 @@
 */
 export async function openTrafficServer(address: core.Address, ports: TrafficPorts): Promise<TrafficServer> {
 	const connections = createConnections();
+	const inFlightOn = new WeakMap<net.Socket, number>();
 	let inFlight = 0;
 	const server = http.createServer({
 		maxHeaderSize: HEADER_BYTES,
@@ -51,14 +52,24 @@
 		keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
 		noDelay: true,
 	}, (message, response) => {
+		const {socket} = message;
 		inFlight++;
+		inFlightOn.set(socket, (inFlightOn.get(socket) ?? 0) + 1);
 		response.once('close', () => {
 			inFlight--;
+			inFlightOn.set(socket, (inFlightOn.get(socket) ?? 1) - 1);
 		});
 		serve(ports, connections, message, response);
 	});
 	server.maxConnections = MAXIMUM_CALLER_CONNECTIONS;
 	server.on('clientError', (error: ClientError, socket: net.Socket) => {
+		// Bytes that follow a whole request may be malformed while it is under way. A `not-run` written then would be read as its
+		// answer although it runs, and be sent again; a connection that is cut says what is known, nothing.
+		if ((inFlightOn.get(socket) ?? 0) > 0) {
+			socket.destroy();
+			return;
+		}
+
 		answerClientError(ports, error, socket);
 	});
 	await new Promise<void>((resolve, reject) => {
--- a/packages/wagtailroute-replication/src/__tests__/unit/store.test.ts
+++ b/packages/wagtailroute-replication/src/__tests__/unit/store.test.ts
@@ -126,3 +126,28 @@
 	await again.close();
 	await fs.rm(folder, {recursive: true});
 });
+
+const DAMAGES: ReadonlyArray<readonly [title: string, damage: (records: readonly Buffer[]) => readonly Buffer[]]> = [
+	['missing in the middle', ([first, , ...others]) => [first!, ...others]],
+	['there twice in a row', ([first, second, ...others]) => [first!, second!, second!, ...others]],
+	['repeated at the end', records => [...records, records[1]!]],
+	['swapped with the next', ([first, second, third, ...others]) => [first!, third!, second!, ...others]],
+	['joined with the next by a zero byte', records => records.map((record, at) => (
+		at === records.length - 2 ? Buffer.concat([record.subarray(0, -1), Buffer.from([0])]) : record
+	))],
+];
+
+for (const [title, damage] of DAMAGES) {
+	// Symptom: a member comes back with a state that never was; an entry that a quorum acknowledged is gone.
+	// Sequence: whole records of the file are lost, repeated or moved by the disk or by a copy; the host restarts.
+	// Cause: a record's checksum said nothing of its place among the others.
+	test(`a whole record ${title} is reported`, async t => {
+		const disk = fakeDisk.createFakeDisk();
+		await createStoreWith(disk, [1, 2, 3].map(sequence => createWrite(sequence, false)));
+		const file = disk.getFile();
+		const lines = file.content.toString().trimEnd().split('\n').map(line => Buffer.from(`${line}\n`));
+		file.content = Buffer.concat(damage(lines));
+		const loaded = await replication.createDurableStore('folder', disk).load();
+		t.is(loaded.isErr() && loaded.error.kind, 'corrupt');
+	});
+}
--- a/packages/wagtailroute-replication/src/durable-store.ts
+++ b/packages/wagtailroute-replication/src/durable-store.ts
@@ -19,6 +19,10 @@
 
 type OpenFile = {
 	file: disks.DiskFile | undefined;
+	/**
+	Checksum of the last record of the file.
+	*/
+	checksum: number;
 	state: replica.DurableState | undefined;
 	failure: stores.StoreFailure | undefined;
 };
@@ -27,7 +31,9 @@
 Creates a store in a folder of its own.
 */
 export function createDurableStore(folder: string, disk: disks.Disk = disks.createDisk()): stores.Store {
-	const open: OpenFile = {file: undefined, state: undefined, failure: undefined};
+	const open: OpenFile = {
+		file: undefined, checksum: 0, state: undefined, failure: undefined,
+	};
 	return {
 		load: async () => load(open, folder, disk),
 		create: async state => guard(open, async () => replaceFile(open, folder, disk, state)),
@@ -83,6 +89,7 @@
 		}
 
 		open.state = replay(read.values);
+		open.checksum = read.checksum;
 		open.file = await disk.open(file, false);
 		return results.Ok(open.state);
 	} catch (error) {
@@ -115,19 +122,23 @@
 		return;
 	}
 
-	await open.file!.append(records.formatRecord(writes));
+	const {bytes, checksum} = records.formatRecord(writes, open.checksum);
+	await open.file!.append(bytes);
 	await open.file!.sync();
+	open.checksum = checksum;
 	open.state = state;
 }
 
 async function replaceFile(open: OpenFile, folder: string, disk: disks.Disk, state: replica.DurableState): Promise<void> {
 	const name = path.join(folder, NEW_FILE_NAME);
 	const file = await disk.open(name, true);
-	await file.append(records.formatRecord(state));
+	const {bytes, checksum} = records.formatRecord(state, 0);
+	await file.append(bytes);
 	await file.sync();
 	await disk.rename(name, path.join(folder, FILE_NAME));
 	await disk.syncFolder(folder);
 	await open.file?.close();
 	open.file = file;
+	open.checksum = checksum;
 	open.state = state;
 }
--- a/packages/wagtailroute-replication/src/records.ts
+++ b/packages/wagtailroute-replication/src/records.ts
@@ -1,5 +1,7 @@
 /**
-Records of a log file: one a line, `checksum length json`, checksum (CRC-32) and length in hexadecimal.
+Records of a log file: one a line, `checksum length json`, checksum (CRC-32) and length in hexadecimal. The checksum runs on
+from that of the record before: without that, a record that is whole but missing, twice there or in the wrong place would be
+taken, and a member of a quorum would come back with a state that never was, its votes and acknowledged entries gone.
 
 JSON has no line breaks and no zero bytes, which is what tells a torn write from damage. A write that a crash tore lacks
 its end, or has zero bytes where blocks were not written; it was never acknowledged and is cut off. Anything else that
@@ -23,16 +25,28 @@
 	readonly values: readonly unknown[];
 	readonly length: number;
 	readonly isCorrupt: boolean;
+	/**
+	Checksum of the last whole record, from which that of the next one runs on.
+	*/
+	readonly checksum: number;
 };
 
+/**
+A record as bytes, with its checksum.
+*/
+export type FormattedRecord = {readonly bytes: Buffer; readonly checksum: number};
+
 /**
 Writes a record.
+
+@param previous Checksum of the record before it, 0 for the first one of a file.
 */
-export function formatRecord(value: unknown): Buffer {
+export function formatRecord(value: unknown, previous: number): FormattedRecord {
 	const json = Buffer.from(JSON.stringify(value));
-	const checksum = zlib.crc32(json).toString(HEX).padStart(CHECKSUM_DIGITS, '0');
+	const checksum = zlib.crc32(json, previous);
+	const digits = checksum.toString(HEX).padStart(CHECKSUM_DIGITS, '0');
 	const length = json.length.toString(HEX).padStart(LENGTH_DIGITS, '0');
-	return Buffer.concat([Buffer.from(`${checksum} ${length} `), json, Buffer.from('\n')]);
+	return {bytes: Buffer.concat([Buffer.from(`${digits} ${length} `), json, Buffer.from('\n')]), checksum};
 }
 
 /**
@@ -41,24 +55,31 @@
 export function parseRecords(file: Buffer): Records {
 	const values: unknown[] = [];
 	let offset = 0;
+	let checksum = 0;
 	while (offset < file.length) {
 		const end = file.indexOf(LINE_BREAK, offset);
 		const line = end === -1 ? undefined : file.subarray(offset, end);
-		if (line === undefined || !isWhole(line)) {
-			return {values, length: offset, isCorrupt: !isTorn(file.subarray(offset))};
+		if (line === undefined || !isWhole(line, checksum)) {
+			return {
+				values, length: offset, isCorrupt: !isTorn(file.subarray(offset)), checksum,
+			};
 		}
 
+		[checksum] = readHeader(line);
+
 		values.push(JSON.parse(line.subarray(HEADER_BYTES).toString()));
 		offset = end + 1;
 	}
 
-	return {values, length: offset, isCorrupt: false};
+	return {
+		values, length: offset, isCorrupt: false, checksum,
+	};
 }
 
-function isWhole(line: Buffer): boolean {
+function isWhole(line: Buffer, previous: number): boolean {
 	const json = line.subarray(HEADER_BYTES);
 	const [checksum, length] = readHeader(line);
-	return length === json.length && checksum === zlib.crc32(json);
+	return length === json.length && checksum === zlib.crc32(json, previous);
 }
 
 function readHeader(line: Buffer): readonly [checksum: number, length: number] {
@@ -80,14 +101,15 @@
 		return false;
 	}
 
-	if (rest.includes(0)) {
-		return true;
+	// Two records whose line break became a zero byte look like one line: the first of them was synced, as another followed.
+	const [, length] = readHeader(rest);
+	if (rest.length > HEADER_BYTES + length + 1) {
+		return false;
 	}
 
-	if (lineBreak !== -1) {
-		return false;
+	if (rest.includes(0)) {
+		return true;
 	}
 
-	const [, length] = readHeader(rest);
-	return rest.length < HEADER_BYTES || rest.length <= HEADER_BYTES + length;
+	return lineBreak === -1 ? rest.length < HEADER_BYTES || rest.length <= HEADER_BYTES + length : false;
 }
--- a/packages/wagtailroute-report/src/__tests__/unit/burn.test.ts
+++ b/packages/wagtailroute-report/src/__tests__/unit/burn.test.ts
@@ -5,7 +5,12 @@
 import * as fc from 'fast-check';
 import * as utils from 'wagtailroute-utils';
 import * as report from '../../index.ts';
-import {countLog, getBurnRates, type LogLine} from './naive.ts';
+import {
+	countLog,
+	getAlerts,
+	getBurnRates,
+	type LogLine,
+} from './naive.ts';
 
 const SEED = 20_261_202;
 const RUNS = 150;
@@ -114,6 +119,44 @@
 	t.log(`seed ${SEED}, ${RUNS} runs`);
 });
 
+// Bursts of like requests, so that windows hold more bad ones than the least number of an alert, or just about as many.
+const burstsArbitrary: fc.Arbitrary<readonly LogLine[]> = fc
+	.array(fc.record({gap: gapArbitrary, size: fc.integer({min: 1, max: 25}), result: resultArbitrary}), {minLength: 1, maxLength: 40})
+	.map(bursts => {
+		let at = 0;
+		return bursts.flatMap(({gap, size, result}) => {
+			at += gap;
+			return Array.from({length: size}, () => ({at, service: 'archive', result}));
+		});
+	});
+
+test('alerts are those of the definition, told from one log', t => {
+	/*
+	Symptom: a page for a few failures of a service with few requests, or none in an outage.
+	Sequence: bursts of requests with failures among them, at any times.
+	Cause: a burn rate made of too few requests says little; a least number asked of the wrong window or objective.
+	*/
+	const stood = new Map<string, number>();
+	fc.assert(fc.property(burstsArbitrary, fc.nat(10 * MINUTE), (log, rest) => {
+		const now = getEnd(log, rest);
+		const {services} = createBurnReport([createFilled(log).summarize(HOUR, now)]);
+		const count = (span: number) => {
+			const {width} = WINDOWS.find(window => window.span === span)!;
+			const start = ((Math.floor(now / width) + 1) * width) - span;
+			return countLog(log, 'archive', OBJECTIVE, {from: start - 1, until: now});
+		};
+
+		for (const {objective, alerts} of services[0]!.objectives) {
+			const names = alerts.map(({name}) => name);
+			t.deepEqual(names, getAlerts(count, objective, OBJECTIVE));
+			const key = [objective, ...names].join(' ');
+			stood.set(key, (stood.get(key) ?? 0) + 1);
+		}
+	}), {seed: SEED, numRuns: RUNS});
+	t.log(`seed ${SEED}, ${RUNS} runs`, Object.fromEntries(stood));
+	t.true(stood.size >= 6, 'The cases tell too little.');
+});
+
 test('a copy kept up bucket by bucket has all but the present five minutes', t => {
 	/*
 	Symptom: a dead host's requests are missing from the budget, or counted twice.
@@ -279,6 +322,50 @@
 	});
 }
 
+const FEW: ReadonlyArray<readonly [failures: number, alerts: readonly string[]]> = [
+	[1, []],
+	[9, []],
+	[10, ['fast-burn', 'slow-burn', 'budget-drain']],
+];
+
+for (const [failures, alerts] of FEW) {
+	test(`alerts: ${failures} failed of ${failures} requests in all`, t => {
+		/*
+		Symptom: somebody is paged at night for a single failure.
+		Sequence: a service that is hardly used fails a few times; the burn rate is the highest that there is.
+		Cause: the alerts looked at rates alone.
+		*/
+		const log = Array.from({length: failures}, (_, at) => ({at, service: 'archive', result: {...GOOD, status: 500}}));
+		const {services} = createBurnReport([createFilled(log).summarize(HOUR, failures)]);
+		t.deepEqual(services[0]!.objectives[0]!.alerts.map(alert => alert.name), alerts);
+	});
+}
+
+test('each point of a plot has its own buckets', t => {
+	/*
+	Symptom: the newest bar of a plot is twice as high as the others, though requests are even; it changes with the second.
+	Sequence: one request in each 10 s, and a report at any time.
+	Cause: the buckets of a point were found by the ages of their middles, rounded down.
+	*/
+	for (let offset = 0; offset < 10_000; offset += 1000) {
+		const log = Array.from({length: 60}, (_, index) => ({at: index * 10_000, service: 'archive', result: GOOD}));
+		const [service] = createFilled(log).summarize(5 * MINUTE, (59 * 10_000) + offset).services;
+		t.deepEqual(service!.series.map(counts => counts[0]), Array.from({length: 30}, () => 1));
+	}
+});
+
+// Minutes that a request is old, and how far from them the report may be.
+const AGES: ReadonlyArray<readonly [minutes: number, errorMinutes: number]> = [[0, 0.1], [3, 0.1], [59, 0.1], [70, 2.5], [300, 2.5], [1000, 30]];
+
+for (const [minutes, errorMinutes] of AGES) {
+	test(`counted for ${minutes} min is told within ${errorMinutes} min`, t => {
+		// The process has run for some time before the first request.
+		const log = [0, minutes].map(minute => ({at: (55 + minute) * MINUTE, service: 'archive', result: GOOD}));
+		const {services} = createBurnReport([createFilled(log).summarize(HOUR, (55 + minutes) * MINUTE)]);
+		t.true(Math.abs((services[0]!.countedDays * DAY) - (minutes * MINUTE)) <= errorMinutes * MINUTE);
+	});
+}
+
 test('a longer window keeps what was counted under a shorter one', t => {
 	const counters = createFilled([{at: 0, service: 'archive', result: GOOD}]);
 	counters.record('archive', GOOD, {...OBJECTIVE, windowDays: 28}, 6 * DAY);
--- a/packages/wagtailroute-report/src/__tests__/unit/naive.ts
+++ b/packages/wagtailroute-report/src/__tests__/unit/naive.ts
@@ -39,3 +39,33 @@
 		latency: answered === 0 ? 0 : get('slow') / answered / budget,
 	};
 }
+
+/**
+Returns the names of the alerts on an objective from the definition: of the whole budget, at least a share is burnt at the rates
+of the long and the short window alike, and at least ten requests of the short one are bad.
+*/
+export function getAlerts(count: (span: number) => report.Counts, name: 'availability' | 'latency', objective: report.Objective): readonly string[] {
+	const hour = 3_600_000;
+	const getBad = (counts: report.Counts) => {
+		const get = (verdict: report.Verdict) => counts[report.VERDICTS.indexOf(verdict)]!;
+		return name === 'latency' ? get('slow') : get('not-run') + get('unknown') + get('upstream-error');
+	};
+
+	const rules = [
+		{
+			name: 'fast-burn', long: hour, short: hour / 12, share: 0.02,
+		},
+		{
+			name: 'slow-burn', long: 6 * hour, short: hour / 2, share: 0.05,
+		},
+		{
+			name: 'budget-drain', long: 72 * hour, short: 6 * hour, share: 0.1,
+		},
+	];
+	const standing = rules.filter(({long, short, share}) => {
+		const threshold = share * objective.windowDays * 24 * hour / long;
+		const isBurning = [long, short].every(span => getBurnRates(count(span), objective)[name] >= threshold);
+		return isBurning && getBad(count(short)) >= 10;
+	});
+	return standing.map(rule => rule.name);
+}
--- a/packages/wagtailroute-report/src/constants.ts
+++ b/packages/wagtailroute-report/src/constants.ts
@@ -104,9 +104,19 @@
 */
 export type BurnWindow = keyof typeof BURN_WINDOWS;
 
+/**
+Least number of bad requests in the short window of an alert rule. Without it a service with few requests pages for each single
+failure: one failed of five burns at 200 for a target of 99.9%, and whoever is woken finds nothing. A burn rate made of 10
+failures is known to about a third (the square root of 10 is 3.2); every threshold is met or missed by more than that in an
+outage. A service with fewer failures is not forgotten: one request a minute that always fails makes 5 in 5 min and 30 in
+30 min, so that the slow burn pages; one request in ten minutes makes 36 in 6 h, so that the drain makes a ticket.
+*/
+export const MINIMUM_ALERT_FAILURES = 10;
+
 /**
 Rules of the alerts on several windows: an alert stands while the burn rate is at the rule's threshold over the long window,
-so that it matters, and over the short one, so that it ends soon after the cause. The threshold is the rate that spends
+so that it matters, and over the short one, so that it ends soon after the cause. The short one also has
+{@link MINIMUM_ALERT_FAILURES}. The threshold is the rate that spends
 `budgetShare` of the whole budget within the long window: 14.4, 6 and 1 for an objective over 30 days.
 */
 export const ALERT_RULES = [
--- a/packages/wagtailroute-report/src/index.ts
+++ b/packages/wagtailroute-report/src/index.ts
@@ -6,6 +6,7 @@
 export {type Copy, limitDays, type ServiceCopy} from './copies.ts';
 export {BURN_WINDOWS, MIDDLE_WIDTH_MILLISECONDS as COPY_MILLISECONDS} from './constants.ts';
 export {chooseHolders, type Holder} from './holders.ts';
+export {formatHtml} from './html.ts';
 export type {LatencySummary} from './latencies.ts';
 export {
 	type BurnReport,
--- a/packages/wagtailroute-report/src/report.ts
+++ b/packages/wagtailroute-report/src/report.ts
@@ -2,7 +2,12 @@
 The report on service-level burn: objectives, error budgets, burn rates and alerts, from the merged counts of the fleet.
 */
 import type * as core from 'wagtailroute-core';
-import {type Alert, type BurnRates, findAlerts} from './alerts.ts';
+import {
+	type Alert,
+	type BadCounts,
+	type BurnRates,
+	findAlerts,
+} from './alerts.ts';
 import * as constants from './constants.ts';
 import {type LatencySummary, summarizeLatencies} from './latencies.ts';
 import type {MergedService, Merging} from './summaries.ts';
@@ -171,8 +176,9 @@
 function createObjectiveReport(name: ObjectiveName, objective: Objective, merged: MergedService): ObjectiveReport {
 	const budget = 1 - objective.availability;
 	const {requests, bad, badShare} = judge(name, merged.budget);
-	const rates = Object.entries(merged.windows).map(([window, counts]) => [window, judge(name, counts).badShare / budget]);
-	const burnRates = Object.fromEntries(rates) as BurnRates;
+	const windows = Object.entries(merged.windows).map(([window, counts]) => [window, judge(name, counts)] as const);
+	const burnRates = Object.fromEntries(windows.map(([window, judged]) => [window, judged.badShare / budget])) as BurnRates;
+	const badCounts = Object.fromEntries(windows.map(([window, judged]) => [window, judged.bad])) as BadCounts;
 	return {
 		objective: name,
 		target: objective.availability,
@@ -181,7 +187,7 @@
 		attained: 1 - badShare,
 		budgetLeft: 1 - (badShare / budget),
 		burnRates,
-		alerts: findAlerts(burnRates, objective.windowDays),
+		alerts: findAlerts(burnRates, badCounts, objective.windowDays),
 	};
 }
 
--- a/packages/wagtailroute-report/src/service-counters.ts
+++ b/packages/wagtailroute-report/src/service-counters.ts
@@ -6,6 +6,7 @@
 import {createLatencies, encodeHistogram, type Latencies} from './latencies.ts';
 import {createRing, type Ring} from './ring.ts';
 import {createSeries, type ServiceSummary} from './summaries.ts';
+import {getTotal} from './verdicts.ts';
 
 /**
 Counts in buckets of three widths, and latencies.
@@ -81,7 +82,6 @@
 	const windows = Object.fromEntries(Object.entries(constants.BURN_WINDOWS).map(([name, span]) => [name, sum(span)]));
 	const budgetSpan = counters.windowDays * constants.DAY_MILLISECONDS;
 	const asked = findRing(counters, spanMilliseconds);
-	const [oldest] = counters.coarse.readRows(now);
 	return {
 		service,
 		windows: windows as ServiceSummary['windows'],
@@ -89,6 +89,17 @@
 		asked: asked.sum(spanMilliseconds, now),
 		series: createSeries(asked.readRows(now), asked.widthMilliseconds, spanMilliseconds),
 		latencies: encodeHistogram(counters.latencies.read(now)),
-		countedMilliseconds: Math.min(budgetSpan, oldest?.[0] ?? 0),
+		countedMilliseconds: Math.min(budgetSpan, getOldestAge(counters, now)),
 	};
 }
+
+/**
+Returns the age of the oldest count, in milliseconds, from the finest buckets that have all that the coarse ones have: those
+alone would say nothing of the first hour.
+*/
+function getOldestAge({fine, middle, coarse}: ServiceCounters, now: number): number {
+	const tables = [fine, middle, coarse].map(ring => ring.readRows(now));
+	const totals = tables.map(rows => getTotal(rows.map(([, ...counts]) => getTotal(counts))));
+	const whole = tables.find((_rows, index) => totals[index] === totals.at(-1));
+	return whole?.[0]?.[0] ?? 0;
+}
--- a/packages/wagtailroute-report/src/spans.ts
+++ b/packages/wagtailroute-report/src/spans.ts
@@ -41,9 +41,16 @@
 }
 
 /**
-Writes how long ago something was, in the largest unit that it has one of.
+Writes a length of time in the largest unit that it has one of.
 */
-export function formatAge(milliseconds: number): string {
+export function formatLength(milliseconds: number): string {
 	const unit = ['d', 'h', 'm'].find(name => milliseconds >= UNITS[name]!) ?? 's';
-	return milliseconds === 0 ? 'now' : `-${Number((milliseconds / UNITS[unit]!).toFixed(1))}${unit}`;
+	return `${Number((milliseconds / UNITS[unit]!).toFixed(1))}${unit}`;
+}
+
+/**
+Writes how long ago something was.
+*/
+export function formatAge(milliseconds: number): string {
+	return milliseconds === 0 ? 'now' : `-${formatLength(milliseconds)}`;
 }
--- a/packages/wagtailroute-report/src/summaries.ts
+++ b/packages/wagtailroute-report/src/summaries.ts
@@ -79,7 +79,8 @@
 	const bucketsPerPoint = Math.ceil(buckets / constants.SERIES_POINTS);
 	const points = Array.from({length: Math.ceil(buckets / bucketsPerPoint)}, createCounts);
 	for (const [age, ...counts] of rows) {
-		const back = Math.floor(age / widthMilliseconds / bucketsPerPoint);
+		// Ages are those of the middles: the bucket before the present one is between half a width and one and a half old.
+		const back = Math.floor(Math.round(age / widthMilliseconds) / bucketsPerPoint);
 		const point = points.at(-1 - back);
 		if (point !== undefined && back < points.length) {
 			addCounts(point, counts);
--- a/packages/wagtailroute-report/src/text.ts
+++ b/packages/wagtailroute-report/src/text.ts
@@ -1,9 +1,10 @@
 /**
 The report as text.
 */
+import * as constants from './constants.ts';
 import {formatLatency, formatPercent, formatRate} from './numbers.ts';
 import type {BurnReport, ObjectiveReport, ServiceReport} from './report.ts';
-import {formatSpan} from './spans.ts';
+import {formatLength, formatSpan} from './spans.ts';
 import type {Verdict} from './verdicts.ts';
 
 /**
@@ -48,7 +49,7 @@
 function formatService(service: ServiceReport): readonly string[] {
 	const {latencies} = service;
 	return [
-		`${service.service} (owner ${service.owner}), objective over ${service.windowDays} d, counted for ${service.countedDays.toFixed(2)} d`,
+		`${service.service} (owner ${service.owner}), ${describeSpan(service)}`,
 		`  ${'objective'.padEnd(28)}${['target', 'attained', 'budget left', 'burn 5m', '1h', '6h', '3d'].map(title => title.padStart(12)).join('')}  alerts`,
 		...service.objectives.map(objective => formatObjective(service, objective)),
 		`  requests: ${formatCounts(service)}`,
@@ -77,6 +78,13 @@
 	return `  ${title.padEnd(28)}${cells.map(cell => cell.padStart(12)).join('')}  ${formatAlerts(alerts)}`;
 }
 
+/**
+Says over what time the objectives hold, and how much of it has been counted.
+*/
+export function describeSpan({windowDays, countedDays}: ServiceReport): string {
+	return `objective over ${windowDays}d, counted for ${formatLength(countedDays * constants.DAY_MILLISECONDS)}`;
+}
+
 /**
 Names an objective.
 */
--- a/packages/wagtailroute-selection/src/__tests__/unit/selection.test.ts
+++ b/packages/wagtailroute-selection/src/__tests__/unit/selection.test.ts
@@ -193,3 +193,38 @@
 		...changes,
 	};
 }
+
+for (const {name, result, latencyMilliseconds, after, isChosen} of [
+	{
+		name: 'failed just now', result: 'failure', latencyMilliseconds: 2, after: 10, isChosen: false,
+	},
+	{
+		name: 'failed a while ago', result: 'failure', latencyMilliseconds: 2, after: 4000, isChosen: true,
+	},
+	{
+		name: 'was slow a while ago', result: 'success', latencyMilliseconds: 2000, after: 4000, isChosen: false,
+	},
+	{
+		name: 'was slow long ago', result: 'success', latencyMilliseconds: 2000, after: 60_000, isChosen: true,
+	},
+] as const) {
+	test(`among idle ones, one that ${name} is ${isChosen ? 'tried again' : 'left alone'}`, t => {
+		// Symptom: a healthy upstream stays without work after a single failure; a sick one is never ejected.
+		// Sequence: a request fails; the others are idle, so that any estimate above theirs loses every comparison.
+		// Cause: an estimate that changes only when a request ends.
+		const selector = selection.createSelector({localFailureDomain: 'a'});
+		selector.setUpstreams(['0', '1', '2', '3'].map(id => ({
+			id, failureDomain: 'a', slots: 4, state: 'serving', admission: 'in',
+		})));
+		for (const id of ['1', '2', '3']) {
+			selector.begin(id, 0);
+			selector.end(id, {now: 0, latencyMilliseconds: 20, result: 'success'});
+		}
+
+		selector.begin('0', 0);
+		selector.end('0', {now: 0, latencyMilliseconds, result});
+		const random = utils.createRandom(5);
+		const chosen = Array.from({length: 200}, () => selector.choose({now: after, random}));
+		t.is(chosen.includes('0'), isChosen);
+	});
+}
--- a/packages/wagtailroute-selection/src/constants.ts
+++ b/packages/wagtailroute-selection/src/constants.ts
@@ -17,6 +17,14 @@
 */
 export const LATENCY_DECAY_MILLISECONDS = 3000;
 
+/**
+Time constants, in milliseconds, of the decay of the estimate while no request ends: after a failure, and after a success.
+A slow server is tried less often than one that failed, since the request that tries it is slow, while a failure is sent
+again elsewhere.
+*/
+export const FAILURE_DECAY_MILLISECONDS = 500;
+export const IDLE_DECAY_MILLISECONDS = 15_000;
+
 /**
 Latency assumed for an upstream without a sample, in milliseconds. Low, so that a new upstream is tried.
 */
--- a/packages/wagtailroute-selection/src/upstreams.ts
+++ b/packages/wagtailroute-selection/src/upstreams.ts
@@ -45,6 +45,10 @@
 	outstanding: number;
 	latency: number;
 	latencyAt: number;
+	/**
+	Whether the last request that ended here failed.
+	*/
+	hasFailed: boolean;
 	shedsInRow: number;
 	/**
 	Slots that others held at the last shed, and when that was.
@@ -63,6 +67,7 @@
 		outstanding: 0,
 		latency: constants.INITIAL_LATENCY_MILLISECONDS,
 		latencyAt: 0,
+		hasFailed: false,
 		shedsInRow: 0,
 		foreign: 0,
 		shedAt: 0,
@@ -74,11 +79,19 @@
 more where this host has no free slot of its own; times how much slower than usual the upstream is.
 */
 export function getCost(entry: Entry, now: number, usualMilliseconds: number): number {
-	const slowness = Math.max(1, entry.latency / (usualMilliseconds * constants.SLOW_RATIO));
+	const slowness = Math.max(1, getEstimate(entry, now) / (usualMilliseconds * constants.SLOW_RATIO));
 	const borrowing = entry.outstanding < entry.ownedSlots ? 0 : constants.BORROWING_COST;
 	return (entry.outstanding + 1 + borrowing + getForeign(entry, now, usualMilliseconds)) * slowness;
 }
 
+// The estimate decays also while no request is sent. What goes wrong otherwise: where the others are idle, each host sends a
+// failing upstream one request and then none for ever. A healthy one that failed once stays without work, and of a sick one
+// the hosts see too little to eject it, so that each learns of it at its own cost.
+function getEstimate({latency, latencyAt, hasFailed}: Entry, now: number): number {
+	const decay = hasFailed ? constants.FAILURE_DECAY_MILLISECONDS : constants.IDLE_DECAY_MILLISECONDS;
+	return latency * Math.exp((latencyAt - now) / decay);
+}
+
 const FORGOTTEN_SLOTS = 0.2;
 
 // A shed shows that all slots were busy. This host knows its own part; the others' part is taken to end over time, more
@@ -121,11 +134,13 @@
 	success(entry, ending) {
 		entry.shedsInRow = 0;
 		entry.foreign = 0;
+		entry.hasFailed = false;
 		observeLatency(entry, ending.latencyMilliseconds, ending.now);
 	},
 	failure(entry, ending) {
 		const slow = Math.max(entry.latency, ending.usualMilliseconds * constants.SLOW_RATIO);
 		const penalised = Math.max(ending.latencyMilliseconds, slow * constants.FAILURE_PENALTY);
+		entry.hasFailed = true;
 		observeLatency(entry, penalised, ending.now);
 	},
 	shed(entry, ending) {
--- a/scripts/capacity/shares.ts
+++ b/scripts/capacity/shares.ts
@@ -2,8 +2,8 @@
 What the records' leader pays for one host's renewal of its shares: bytes of the command, and processor time of applying it,
 by the services in it; each limit is shared by six hosts.
 */
+import * as records from '../../packages/wagtailroute-records/src/index.ts';
 import {measureMicroseconds, type Row} from './slopes.ts';
-import * as records from 'wagtailroute-records';
 
 const SERVICES = [4, 8, 17, 34] as const;
 const CARRIERS = 6;
