--- a/packages/wagtailroute-experiments/src/draining.ts
+++ b/packages/wagtailroute-experiments/src/draining.ts
@@ -44,8 +44,12 @@
 const MIX = {
 	requests: [
 		{path: '/read', weight: 6},
-		{method: 'GET', path: '/long', answer: 'bytes', answerBytes: 1_048_576, weight: 1},
-		{method: 'POST', path: '/uploads', class: 'non-idempotent', bodyBytes: 262_144, weight: 1},
+		{
+			method: 'GET', path: '/long', answer: 'bytes', answerBytes: 1_048_576, weight: 1,
+		},
+		{
+			method: 'POST', path: '/uploads', class: 'non-idempotent', bodyBytes: 262_144, weight: 1,
+		},
 	],
 };
 
--- a/packages/wagtailroute-experiments/src/fault-schedule.ts
+++ b/packages/wagtailroute-experiments/src/fault-schedule.ts
@@ -14,6 +14,7 @@
 - `fill-control-disk`: each write fails until it is killed and started again.
 - `suspend-control`, `suspend-entry`: SIGSTOP, SIGCONT later.
 - `restart-entry`: SIGTERM and a new start.
+- `fill-entry-disk`: its log can't be written for a while.
 - `gray-upstream`: a backend server shows a fault for a while.
 - `crash-upstream`: a backend server ends without a word, and starts again.
 - `drain-upstream`: a backend server drains, and starts again.
@@ -26,6 +27,7 @@
 	| 'kill-entry'
 	| 'suspend-entry'
 	| 'restart-entry'
+	| 'fill-entry-disk'
 	| 'gray-upstream'
 	| 'crash-upstream'
 	| 'drain-upstream';
@@ -58,7 +60,7 @@
 
 const KINDS: Readonly<Record<Target, readonly FaultKind[]>> = {
 	control: ['kill-control', 'wipe-control', 'fill-control-disk', 'suspend-control'],
-	entry: ['kill-entry', 'suspend-entry', 'restart-entry'],
+	entry: ['kill-entry', 'suspend-entry', 'restart-entry', 'fill-entry-disk'],
 	upstream: ['gray-upstream', 'crash-upstream', 'drain-upstream'],
 };
 
--- a/packages/wagtailroute-host/src/__tests__/unit/fake-fleet.ts
+++ b/packages/wagtailroute-host/src/__tests__/unit/fake-fleet.ts
@@ -3,7 +3,6 @@
 */
 import * as crypto from 'node:crypto';
 import * as fs from 'node:fs/promises';
-import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as timers from 'node:timers/promises';
@@ -93,42 +92,12 @@
 }
 
 async function createPorts(): Promise<HostPorts> {
-	const [traffic, admin, peer] = await Promise.all([findFreePort(), findFreePort(), findFreePort()]);
+	const [traffic, admin, peer] = await Promise.all([standin.findFreePort(), standin.findFreePort(), standin.findFreePort()]);
 	return {
 		traffic: {ip: LOOPBACK, port: traffic}, admin: {ip: LOOPBACK, port: admin}, peer: {ip: LOOPBACK, port: peer},
 	};
 }
 
-/**
-Below the range from which the system gives ports to connections: one of those that is free now may be taken soon.
-*/
-const FIRST_PORT = 10_240;
-const LAST_PORT = 32_000;
-
-async function findFreePort(): Promise<number> {
-	for (;;) {
-		const port = crypto.randomInt(FIRST_PORT, LAST_PORT);
-		// eslint-disable-next-line no-await-in-loop -- Tries one after the other.
-		if (await isFree(port)) {
-			return port;
-		}
-	}
-}
-
-async function isFree(port: number): Promise<boolean> {
-	const server = net.createServer();
-	return new Promise(resolve => {
-		server.once('error', () => {
-			resolve(false);
-		});
-		server.listen(port, LOOPBACK, () => {
-			server.close(() => {
-				resolve(true);
-			});
-		});
-	});
-}
-
 async function startHost(t: ExecutionContext, {ports, index, isolated}: {
 	readonly ports: readonly HostPorts[];
 	readonly index: number;
--- a/packages/wagtailroute-host/src/context.ts
+++ b/packages/wagtailroute-host/src/context.ts
@@ -5,6 +5,7 @@
 import type * as catalogue from 'wagtailroute-catalogue';
 import type * as core from 'wagtailroute-core';
 import type * as peer from 'wagtailroute-peer';
+import type * as replication from 'wagtailroute-replication';
 import type * as utils from 'wagtailroute-utils';
 import type {Log, Part} from './logs.ts';
 import type {Metrics} from './metrics.ts';
@@ -90,6 +91,10 @@
 	*/
 	readonly repeat: (milliseconds: number, run: () => void) => utils.Teardown;
 	/**
+	Disk of the control role; the real one when absent. Tests give one that is slow, full or failing.
+	*/
+	readonly disk?: replication.Disk;
+	/**
 	Ends the process after a defect: it restarts in a known state, while going on could tell lies.
 	*/
 	readonly fail: (error: Error) => void;
--- a/packages/wagtailroute-host/src/control.ts
+++ b/packages/wagtailroute-host/src/control.ts
@@ -124,7 +124,7 @@
 	const opened = await replication.createGroup({
 		group: name,
 		host: hostId,
-		store: replication.createDurableStore(getFolder(context, name)),
+		store: replication.createDurableStore(getFolder(context, name), context.disk),
 		stateMachine,
 		send(to, message) {
 			const address = findPeerAddress(context, to);
--- a/packages/wagtailroute-host/src/dev.ts
+++ b/packages/wagtailroute-host/src/dev.ts
@@ -4,7 +4,6 @@
 */
 import * as crypto from 'node:crypto';
 import * as fs from 'node:fs/promises';
-import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as timers from 'node:timers/promises';
@@ -55,7 +54,7 @@
 }
 
 async function startHost(settings: DevSettings, folder: string, token: string): Promise<Host> {
-	const peerAddress = {ip: LOOPBACK, port: await findFreePort()};
+	const peerAddress = {ip: LOOPBACK, port: await standin.findFreePort()};
 	return runHost({
 		hostId: 'dev',
 		failureDomain: 'dev',
@@ -74,18 +73,6 @@
 	});
 }
 
-async function findFreePort(): Promise<number> {
-	const server = net.createServer();
-	await new Promise<void>(resolve => {
-		server.listen(0, LOOPBACK, resolve);
-	});
-	const {port} = server.address() as net.AddressInfo;
-	await new Promise(resolve => {
-		server.close(resolve);
-	});
-	return port;
-}
-
 async function createEntries(adminPort: number, token: string): Promise<void> {
 	for (const entry of SAMPLE_ENTRIES) {
 		// eslint-disable-next-line no-await-in-loop -- One change after the other.
--- a/packages/wagtailroute-host/src/host.ts
+++ b/packages/wagtailroute-host/src/host.ts
@@ -9,6 +9,7 @@
 import * as core from 'wagtailroute-core';
 import * as peer from 'wagtailroute-peer';
 import * as proxy from 'wagtailroute-proxy';
+import type * as replication from 'wagtailroute-replication';
 import * as utils from 'wagtailroute-utils';
 import {openAdminServer} from './admin.ts';
 import {createCatalogueRoutes} from './catalogue-routes.ts';
@@ -56,6 +57,10 @@
 	Drops what this host sends to an address.
 	*/
 	readonly isCut?: (to: core.Address) => boolean;
+	/**
+	Disk of the control role.
+	*/
+	readonly disk?: replication.Disk;
 	readonly onDefect?: (error: Error) => void;
 };
 
@@ -169,6 +174,7 @@
 				clearInterval(timer);
 			};
 		},
+		disk: fakes.disk,
 		fail(error) {
 			logs('host').error('Defect, the process ends.', {error: error.stack});
 			(fakes.onDefect ?? endProcess)(error);
--- a/packages/wagtailroute-peer/src/server.ts
+++ b/packages/wagtailroute-peer/src/server.ts
@@ -37,7 +37,12 @@
 		void answer(methods, request, response);
 	});
 	server.keepAliveTimeout = 0;
-	server.on('tlsClientError', onRefused);
+	server.on('tlsClientError', (error: NodeJS.ErrnoException) => {
+		// A peer that ends in the midst of a handshake is no stranger: only what the TLS library itself refused counts.
+		if (error.code?.startsWith('ERR_SSL') === true) {
+			onRefused();
+		}
+	});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(address.port, address.ip, () => {
--- a/packages/wagtailroute-proxy/src/answers.ts
+++ b/packages/wagtailroute-proxy/src/answers.ts
@@ -6,6 +6,7 @@
 import * as structuredHeaders from 'structured-headers';
 import * as retries from 'wagtailroute-retries';
 import {
+	LINGER_MILLISECONDS,
 	LONG_ADVICE_MILLISECONDS,
 	MILLISECONDS_PER_SECOND,
 	OUTCOME_HEADER,
@@ -69,8 +70,34 @@
 
 	const problem = createProblem(failure, random);
 	// Unless the request was read whole, what follows on the connection is the rest of its body.
-	response.writeHead(problem.status, {...problem.headers, ...!isReadWhole(response.req) && {connection: 'close'}});
-	response.end(problem.body);
+	if (isReadWhole(response.req)) {
+		response.writeHead(problem.status, problem.headers);
+		response.end(problem.body);
+		return;
+	}
+
+	response.writeHead(problem.status, {...problem.headers, connection: 'close'});
+	endAfterBody(response, problem.body);
+}
+
+/**
+Sends an answer to a request whose body is still coming, and reads the rest of it for a moment.
+
+What goes wrong without it: the connection is closed while the caller still sends, so the system resets it, and the caller
+loses the answer that its request was not run. It shows as ECONNRESET or EPIPE at callers of uploads that are refused.
+*/
+function endAfterBody(response: http.ServerResponse, body: string): void {
+	const {req: request} = response;
+	response.write(body);
+	const end = (): void => {
+		clearTimeout(timer);
+		response.end();
+	};
+
+	const timer = setTimeout(end, LINGER_MILLISECONDS);
+	request.once('end', end);
+	request.once('close', end);
+	request.resume();
 }
 
 /**
--- a/packages/wagtailroute-proxy/src/constants.ts
+++ b/packages/wagtailroute-proxy/src/constants.ts
@@ -116,3 +116,8 @@
 The caller's deadline in milliseconds from now.
 */
 export const TIMEOUT_HEADER = 'request-timeout-ms';
+
+/**
+Milliseconds for which the rest of a refused request's body is read, so that its caller gets the answer.
+*/
+export const LINGER_MILLISECONDS = 2000;
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -45,6 +45,7 @@
 	const connections = createConnections();
 	const inFlightOn = new WeakMap<net.Socket, number>();
 	let inFlight = 0;
+	let isClosing = false;
 	const server = http.createServer({
 		maxHeaderSize: HEADER_BYTES,
 		headersTimeout: HEADERS_MILLISECONDS,
@@ -58,6 +59,13 @@
 		response.once('close', () => {
 			inFlight--;
 			inFlightOn.set(socket, (inFlightOn.get(socket) ?? 1) - 1);
+			if (isClosing) {
+				// The answer may have begun before the drain and kept its connection: Node closes what is idle only once, at the
+				// close, so the host would wait for its caller's next request or the keep-alive time.
+				setImmediate(() => {
+					server.closeIdleConnections();
+				});
+			}
 		});
 		serve(ports, connections, message, response);
 	});
@@ -85,6 +93,7 @@
 		getInFlight: () => inFlight,
 		async drain() {
 			// Closes idle connections now and the others after their answer.
+			isClosing = true;
 			await new Promise<void>(resolve => {
 				server.close(() => {
 					resolve();
--- a/packages/wagtailroute-standin/src/index.ts
+++ b/packages/wagtailroute-standin/src/index.ts
@@ -15,6 +15,7 @@
 } from './behaviours.ts';
 export {type CountedEvent, type Counts} from './counters.ts';
 export {type OverSlots} from './slots.ts';
+export {findFreePort} from './ports.ts';
 export {digestGeneratedBytes, generateBytes} from './bytes.ts';
 export {
 	type AnnouncedState,
