--- a/packages/wagtailroute-host/src/catalogue-routes.ts
+++ b/packages/wagtailroute-host/src/catalogue-routes.ts
@@ -54,7 +54,7 @@
 			method: 'GET',
 			pattern: /^\/catalogue\/(?<name>[^\/]+)\/history$/v,
 			async handle({response, name}) {
-				proxy.answerJson(response, 200, {changes: await fetchHistory(context, name)});
+				proxy.answerJson(response, 200, {changes: await listChanges(context, name)});
 			},
 		},
 		{
@@ -65,6 +65,11 @@
 	];
 }
 
+async function listChanges(context: HostContext, name: string) {
+	const changes = await fetchHistory(context, name);
+	return changes.map(item => ({...item, takenAt: new Date(item.takenAt).toISOString()}));
+}
+
 function listEntries(context: HostContext) {
 	const entries = context.store.read(state => state.view.entries.values().toArray());
 	return entries
