--- a/packages/wagtailroute-experiments/src/gray.ts
+++ b/packages/wagtailroute-experiments/src/gray.ts
@@ -70,6 +70,10 @@
 	Requests that did not get a whole answer of the backend server with a status below 500.
 	*/
 	readonly harmed: number;
+	/**
+	Answers by status.
+	*/
+	readonly statuses: Readonly<Record<string, number>>;
 	readonly p50: number;
 	readonly p99: number;
 };
@@ -165,6 +169,7 @@
 		...watched,
 		sent,
 		harmed: sent - good,
+		statuses: record.statuses,
 		p50: record.latencies.p50,
 		p99: record.latencies.p99,
 	};
