Wait for the settlement before resends are compared

Ruled out: a second run (the test counts one run, before and after). Measured: three runs of the file pass; the final expectations are the same ones, reached after the settlement. Conclusion: the verdict no longer hangs on who is faster.

--- a/packages/wagtailroute-host/src/__tests__/unit/fleet.test.ts
+++ b/packages/wagtailroute-host/src/__tests__/unit/fleet.test.ts
@@ -33,7 +33,12 @@
 		t.true((status === 200 && outcome === 'ran') || (status === 409 && outcome === 'unknown'), `${status} ${String(outcome)}`);
 	}
 
+	// The answer is settled in the background: until then a resend is truthfully told that the request is running.
 	const first = racing.find(({status}) => status === 200);
+	await waitUntil(async () => {
+		const {status} = await fleet.send(0, request);
+		return status !== 409;
+	});
 	for (const host of [0, 1, 2]) {
 		// eslint-disable-next-line no-await-in-loop -- One resend after the other.
 		const resent = await fleet.send(host, request);
