Write the floor, and the plan of an experiment's fleet, once

Cause: the rule that bounds ejections stood in records and in detection with the same meaning; six experiments planned the same fleet line by line; two constants were used by nothing. Measured: 197 tests of core, records, detection, catalogue and load pass with their assertions as they were; the experiment gray ran on the new plan. Noticed there, not caused here: without any fault 1,034 of 16,127 requests got 503 (healthy fleet, quiet machine), as 720 did beside a half-open upstream before this commit. The fault was not the cause of those.

--- a/packages/wagtailroute-catalogue/src/constants.ts
+++ b/packages/wagtailroute-catalogue/src/constants.ts
@@ -41,8 +41,3 @@
 Removals kept for deltas; a host that is further behind gets the whole catalogue.
 */
 export const REMOVALS_KEPT = 1000;
-
-/**
-Milliseconds in a second.
-*/
-export const MILLISECONDS_PER_SECOND = 1000;
--- a/packages/wagtailroute-core/src/index.ts
+++ b/packages/wagtailroute-core/src/index.ts
@@ -11,6 +11,12 @@
 	type ServiceName,
 	type UpstreamId,
 } from './names.ts';
+export {
+	getEjectionAllowance,
+	getRequiredHealthy,
+	type HealthyFloor,
+	type UpstreamCounts,
+} from './floor.ts';
 export {isIdempotent, type Outcome, type RequestClass} from './outcomes.ts';
 export {createFailure, type Failure} from './failures.ts';
 export type {Circumstances, Step, Transition} from './transitions.ts';
--- a/packages/wagtailroute-experiments/src/at-most-once.ts
+++ b/packages/wagtailroute-experiments/src/at-most-once.ts
@@ -7,13 +7,12 @@
 import * as utils from 'wagtailroute-utils';
 import {type LoadVerdict, runBackgroundLoad} from './background-load.ts';
 import * as children from './children.ts';
-import {type Fixture, openFixture} from './fixture.ts';
+import {type Fixture, openFixture, planHosts} from './fixture.ts';
 import {findLeader} from './groups.ts';
 import {judgeKeyed, type KeyedVerdict, startKeyedCallers} from './keyed-callers.ts';
 import {behave, countRunsByKey, readCounts} from './standin-counters.ts';
 
 const BASE_PORT = 26_500;
-const PORT_STEP = 10;
 const STANDIN_PORT = 26_700;
 const CONTROLS = 3;
 const ENTRIES = 5;
@@ -71,12 +70,9 @@
 Runs the experiment.
 */
 export async function runAtMostOnce(program: string): Promise<AtMostOnceResult> {
-	const fixture = await openFixture(program, Array.from({length: CONTROLS + ENTRIES}, (_, index) => ({
-		id: index < CONTROLS ? `control-${index}` : `entry-${index - CONTROLS}`,
-		roles: index < CONTROLS ? 'control' : 'entry',
-		failureDomain: `domain-${index % DOMAINS}`,
-		port: BASE_PORT + (index * PORT_STEP),
-	})));
+	const fixture = await openFixture(program, planHosts({
+		controls: CONTROLS, entries: ENTRIES, domains: DOMAINS, firstPort: BASE_PORT,
+	}));
 	await fixture.createEntry(ENTRY);
 	const standins = await children.startStandinProcess({
 		service: ENTRY.name,
--- a/packages/wagtailroute-experiments/src/draining.ts
+++ b/packages/wagtailroute-experiments/src/draining.ts
@@ -7,14 +7,13 @@
 import * as utils from 'wagtailroute-utils';
 import {type LoadVerdict, runBackgroundLoad} from './background-load.ts';
 import * as children from './children.ts';
-import {openFixture, type Fixture} from './fixture.ts';
+import {openFixture, type Fixture, planHosts} from './fixture.ts';
 import {waitForVoters} from './groups.ts';
 import type * as processes from './processes.ts';
 import {behave, readCounts} from './standin-counters.ts';
 import {startUploads, type UploadsVerdict} from './uploads.ts';
 
 const BASE_PORT = 26_000;
-const PORT_STEP = 10;
 const STANDIN_PORT = 26_400;
 const CONTROLS = 3;
 const ENTRIES = 5;
@@ -93,12 +92,9 @@
 Runs the experiment.
 */
 export async function runDrain(program: string): Promise<DrainResult> {
-	const fixture = await openFixture(program, Array.from({length: CONTROLS + ENTRIES}, (_, index) => ({
-		id: index < CONTROLS ? `control-${index}` : `entry-${index - CONTROLS}`,
-		roles: index < CONTROLS ? 'control' : 'entry',
-		failureDomain: `domain-${index % DOMAINS}`,
-		port: BASE_PORT + (index * PORT_STEP),
-	})));
+	const fixture = await openFixture(program, planHosts({
+		controls: CONTROLS, entries: ENTRIES, domains: DOMAINS, firstPort: BASE_PORT,
+	}));
 	const entries = fixture.hosts.slice(CONTROLS);
 	await fixture.createEntry(ENTRY);
 	const standins = await children.startStandinProcess({
--- a/packages/wagtailroute-experiments/src/faults.ts
+++ b/packages/wagtailroute-experiments/src/faults.ts
@@ -14,13 +14,12 @@
 	type FaultKind,
 	type Target,
 } from './fault-schedule.ts';
-import {type Fixture, openFixture} from './fixture.ts';
+import {type Fixture, openFixture, planHosts} from './fixture.ts';
 import {waitForVoters} from './groups.ts';
 import {judgeKeyed, type KeyedVerdict, startKeyedCallers} from './keyed-callers.ts';
 import {behave, countRunsByKey, readCounts} from './standin-counters.ts';
 
 const BASE_PORT = 26_800;
-const PORT_STEP = 10;
 const STANDIN_PORT = 26_980;
 const CONTROLS = 3;
 const ENTRIES = 6;
@@ -106,12 +105,9 @@
 export async function runFaults(program: string): Promise<FaultsResult> {
 	const seed = Number(process.env.SEED ?? DEFAULT_SEED);
 	const seconds = Number(process.env.SECONDS ?? DEFAULT_SECONDS);
-	const fixture = await openFixture(program, Array.from({length: CONTROLS + ENTRIES}, (_, index) => ({
-		id: index < CONTROLS ? `control-${index}` : `entry-${index - CONTROLS}`,
-		roles: index < CONTROLS ? 'control' : 'entry',
-		failureDomain: `domain-${index % DOMAINS}`,
-		port: BASE_PORT + (index * PORT_STEP),
-	})));
+	const fixture = await openFixture(program, planHosts({
+		controls: CONTROLS, entries: ENTRIES, domains: DOMAINS, firstPort: BASE_PORT,
+	}));
 	await fixture.createEntry(ENTRY);
 	const standins = await children.startStandinProcess({
 		service: ENTRY.name,
--- a/packages/wagtailroute-experiments/src/fixture.ts
+++ b/packages/wagtailroute-experiments/src/fixture.ts
@@ -28,6 +28,28 @@
 
 const IN_FORCE_MILLISECONDS = 15_000;
 
+/**
+Ports between the first ports of two hosts.
+*/
+const PORT_STEP = 10;
+
+/**
+Plans a fleet of control hosts, which come first, and entry hosts, spread over failure domains.
+*/
+export function planHosts({controls, entries, domains, firstPort}: {
+	readonly controls: number;
+	readonly entries: number;
+	readonly domains: number;
+	readonly firstPort: number;
+}): readonly processes.ProcessPlan[] {
+	return Array.from({length: controls + entries}, (_, index) => ({
+		id: index < controls ? `control-${index}` : `entry-${index - controls}`,
+		roles: index < controls ? 'control' : 'entry',
+		failureDomain: `domain-${index % domains}`,
+		port: firstPort + (index * PORT_STEP),
+	}));
+}
+
 /**
 Starts a fleet.
 */
--- a/packages/wagtailroute-experiments/src/gray.ts
+++ b/packages/wagtailroute-experiments/src/gray.ts
@@ -10,11 +10,15 @@
 import * as core from 'wagtailroute-core';
 import * as undici from 'undici';
 import * as children from './children.ts';
-import {type Fixture, openFixture, TOKEN} from './fixture.ts';
+import {
+	type Fixture,
+	openFixture,
+	TOKEN,
+	planHosts,
+} from './fixture.ts';
 import * as operators from './operators.ts';
 
 const BASE_PORT = 24_000;
-const PORT_STEP = 10;
 const STANDIN_PORT = 24_500;
 const CONTROLS = 3;
 const ENTRIES = 8;
@@ -109,12 +113,9 @@
 	detection: string,
 	fault: {readonly title: string; readonly behaviours: readonly unknown[]},
 ): Promise<GrayRow> {
-	const fixture = await openFixture(program, Array.from({length: CONTROLS + ENTRIES}, (_, index) => ({
-		id: index < CONTROLS ? `control-${index}` : `entry-${index - CONTROLS}`,
-		roles: index < CONTROLS ? 'control' : 'entry',
-		failureDomain: `domain-${index % DOMAINS}`,
-		port: BASE_PORT + (index * PORT_STEP),
-	})));
+	const fixture = await openFixture(program, planHosts({
+		controls: CONTROLS, entries: ENTRIES, domains: DOMAINS, firstPort: BASE_PORT,
+	}));
 	const entries = fixture.hosts.slice(CONTROLS);
 	await fixture.createEntry({...ENTRY, detection});
 	const standins = await children.startStandinProcess({
--- a/packages/wagtailroute-experiments/src/idle.ts
+++ b/packages/wagtailroute-experiments/src/idle.ts
@@ -4,11 +4,10 @@
 */
 import * as timers from 'node:timers/promises';
 import * as children from './children.ts';
-import {openFixture} from './fixture.ts';
+import {openFixture, planHosts} from './fixture.ts';
 
 const BASE_PORT = 24_600;
 const STANDIN_PORT = 24_950;
-const PORT_STEP = 10;
 const CONTROLS = 3;
 const ENTRIES = 8;
 const SETTLE_SECONDS = 10;
@@ -30,12 +29,9 @@
 Runs the experiment.
 */
 export async function runIdle(program: string): Promise<readonly IdleRow[]> {
-	const fixture = await openFixture(program, Array.from({length: CONTROLS + ENTRIES}, (_, index) => ({
-		id: index < CONTROLS ? `control-${index}` : `entry-${index - CONTROLS}`,
-		roles: index < CONTROLS ? 'control' : 'entry',
-		failureDomain: `domain-${index % 3}`,
-		port: BASE_PORT + (index * PORT_STEP),
-	})));
+	const fixture = await openFixture(program, planHosts({
+		controls: CONTROLS, entries: ENTRIES, domains: 3, firstPort: BASE_PORT,
+	}));
 	await fixture.createEntry({name: 'idle', owner: 'experiment', routes: [{pathPrefix: '/', class: 'read'}]});
 	const standins = await children.startStandinProcess({
 		service: 'idle',
--- a/packages/wagtailroute-experiments/src/survival.ts
+++ b/packages/wagtailroute-experiments/src/survival.ts
@@ -8,13 +8,17 @@
 import * as timers from 'node:timers/promises';
 import * as hdr from 'hdr-histogram-js';
 import * as utils from 'wagtailroute-utils';
-import {type Fixture, openFixture, TOKEN} from './fixture.ts';
+import {
+	type Fixture,
+	openFixture,
+	TOKEN,
+	planHosts,
+} from './fixture.ts';
 import {waitForVoters} from './groups.ts';
 import * as operators from './operators.ts';
 import type * as processes from './processes.ts';
 
 const BASE_PORT = 23_000;
-const PORT_STEP = 10;
 const CONTROLS = 5;
 const ENTRIES = 8;
 const DOMAINS = 4;
@@ -71,12 +75,9 @@
 }
 
 async function open(program: string): Promise<Run> {
-	const fixture = await openFixture(program, Array.from({length: CONTROLS + ENTRIES}, (_, index) => ({
-		id: index < CONTROLS ? `control-${index}` : `entry-${index - CONTROLS}`,
-		roles: index < CONTROLS ? 'control' : 'entry',
-		failureDomain: `domain-${index % DOMAINS}`,
-		port: BASE_PORT + (index * PORT_STEP),
-	})));
+	const fixture = await openFixture(program, planHosts({
+		controls: CONTROLS, entries: ENTRIES, domains: DOMAINS, firstPort: BASE_PORT,
+	}));
 	return {
 		fixture,
 		random: utils.createRandom(SEED),
--- a/packages/wagtailroute-load/src/constants.ts
+++ b/packages/wagtailroute-load/src/constants.ts
@@ -52,11 +52,6 @@
 */
 export const DESCRIBED_WRONGS = 10;
 
-/**
-How long in milliseconds an address list is kept that names no time.
-*/
-export const ADDRESSES_MILLISECONDS = 5000;
-
 /**
 Longest wait in milliseconds for a stand-in or the directory.
 */
