--- a/packages/wagtailroute-cli/src/cli.ts
+++ b/packages/wagtailroute-cli/src/cli.ts
@@ -28,6 +28,7 @@
 const COMMANDS: ReadonlyArray<clipanion.CommandClass<shared.Surroundings>> = [
 	hosts.DevCommand,
 	hosts.RunCommand,
+	hosts.PlatformCommand,
 	queries.CatalogueListCommand,
 	queries.CatalogueShowCommand,
 	changes.CatalogueApplyCommand,
--- a/packages/wagtailroute-cli/src/flags.ts
+++ b/packages/wagtailroute-cli/src/flags.ts
@@ -28,6 +28,9 @@
 The flags by the key of their setting.
 */
 export const FLAGS = {
+	settingsFile: {
+		name: 'config', description: 'Settings file of the platform', accepted: 'a path', schema: schemas.path,
+	},
 	trafficPort: {
 		name: 'traffic-port', description: 'Port for callers and backend servers', accepted: PORT_ACCEPTED, schema: schemas.port.prefault('8080'),
 	},
--- a/packages/wagtailroute-cli/src/settings.ts
+++ b/packages/wagtailroute-cli/src/settings.ts
@@ -37,6 +37,14 @@
 */
 export type HostSettings = zod.output<typeof HOST_SETTINGS>;
 
+/**
+Settings of `platform`.
+*/
+export const PLATFORM_SETTINGS = zod.object({
+	settingsFile: flags.FLAGS.settingsFile.schema,
+	logLevel: flags.FLAGS.logLevel.schema,
+});
+
 /**
 Settings of `dev`.
 */
--- a/packages/wagtailroute-core/src/outcomes.ts
+++ b/packages/wagtailroute-core/src/outcomes.ts
@@ -10,13 +10,13 @@
 
 /**
 How the requests of a route may be treated. `read` has no effect on the backend server's state and may be hedged,
-`idempotent` may be sent again, `non-idempotent` runs at most once.
+`idempotent` may be sent again, `non-idempotent` runs at most once, `upload` too: its body is large and passed on as it comes.
 */
-export type RequestClass = 'read' | 'idempotent' | 'non-idempotent';
+export type RequestClass = 'read' | 'idempotent' | 'non-idempotent' | 'upload';
 
 /**
 Says whether running a request of this class twice does no harm.
 */
 export function isIdempotent(requestClass: RequestClass): boolean {
-	return requestClass !== 'non-idempotent';
+	return requestClass === 'read' || requestClass === 'idempotent';
 }
--- /dev/null
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
@@ -0,0 +1,300 @@
+/**
+Tests of the dispatcher: who gets a slot, who waits, who is refused, and what becomes of upstreams that fail.
+*/
+import test from 'ava';
+import * as fc from 'fast-check';
+import * as utils from 'wagtailroute-utils';
+import * as dispatch from '../../index.ts';
+
+const SERVICE = 'archive';
+const BUDGET = {ratio: 0.2, extra: 60, windowMilliseconds: 10_000};
+
+const createCandidate = (upstream: string, changes: Partial<dispatch.Candidate> = {}): dispatch.Candidate => ({
+	upstream,
+	address: {ip: '10.0.0.1', port: 80},
+	failureDomain: 'x',
+	slots: 2,
+	isDraining: false,
+	isSilent: false,
+	warmAt: 0,
+	...changes,
+});
+
+const createAsk = (id: string, changes: Partial<dispatch.Ask> = {}): dispatch.Ask => ({
+	id,
+	host: 'host',
+	failureDomain: 'x',
+	service: SERVICE,
+	route: 'route',
+	requestClass: 'non-idempotent',
+	priority: 1,
+	remainingMilliseconds: 2000,
+	objectiveMilliseconds: 1000,
+	excluded: [],
+	isResend: false,
+	...changes,
+});
+
+const createDispatcher = (candidates: readonly dispatch.Candidate[], budget = BUDGET): dispatch.Dispatcher => {
+	const dispatcher = dispatch.createDispatcher({budget, floor: 0.7, random: utils.createRandom(1)});
+	dispatcher.setCandidates(SERVICE, candidates, 0);
+	return dispatcher;
+};
+
+const getGrant = (effects: readonly dispatch.Effect[]) => effects.find(effect => effect.kind === 'grant');
+const getRefusal = (effects: readonly dispatch.Effect[]) => effects.find(effect => effect.kind === 'refuse');
+
+type ChoiceCase = {
+	readonly name: string;
+	readonly candidates: readonly dispatch.Candidate[];
+	readonly ask?: Partial<dispatch.Ask>;
+	readonly granted: string | undefined;
+};
+
+const CHOICES: readonly ChoiceCase[] = [
+	{name: 'the only upstream', candidates: [createCandidate('a')], granted: 'a'},
+	{name: 'the one of its own failure domain', candidates: [createCandidate('a', {failureDomain: 'y'}), createCandidate('b')], granted: 'b'},
+	{name: 'one that does not drain', candidates: [createCandidate('a', {isDraining: true}), createCandidate('b', {failureDomain: 'y'})], granted: 'b'},
+	{
+		name: 'one that has not had the request', candidates: [createCandidate('a'), createCandidate('b', {failureDomain: 'y'})], ask: {excluded: ['a']}, granted: 'b',
+	},
+	{name: 'a warm one before a cold one', candidates: [createCandidate('a', {warmAt: 5000}), createCandidate('b', {failureDomain: 'y'})], granted: 'b'},
+	{name: 'none when there is none', candidates: [], granted: undefined},
+];
+
+for (const {name, candidates, ask, granted} of CHOICES) {
+	test(`grants ${name}`, t => {
+		const effects = createDispatcher(candidates).ask(createAsk('1', ask), 0);
+		t.is(getGrant(effects)?.upstream, granted);
+		t.is(getRefusal(effects)?.reason, granted === undefined ? 'no-upstream' : undefined);
+	});
+}
+
+test('an ask waits for the next slot, and the more urgent one comes first', t => {
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 1})]);
+	dispatcher.ask(createAsk('1'), 0);
+	t.deepEqual(dispatcher.ask(createAsk('2'), 1), []);
+	t.deepEqual(dispatcher.ask(createAsk('3', {priority: 0}), 2), []);
+	const effects = dispatcher.end('1', {ending: 'success', milliseconds: 100}, 100);
+	t.deepEqual(effects.map(effect => effect.kind === 'grant' ? effect.ask.id : effect.kind), ['3']);
+});
+
+test('an ask that cannot be served in time is refused at once, with the time to come back', t => {
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 1})]);
+	dispatcher.ask(createAsk('1'), 0);
+	for (let ask = 2; ask < 9; ask++) {
+		dispatcher.ask(createAsk(String(ask)), 0);
+	}
+
+	const refusal = getRefusal(dispatcher.ask(createAsk('9'), 0));
+	t.is(refusal?.reason, 'no-slot-in-time');
+	t.true((refusal?.retryAfterMilliseconds ?? 0) >= 100 && (refusal?.retryAfterMilliseconds ?? 0) <= 2000 / 3);
+});
+
+test('an ask whose time runs out while it waits is refused before its deadline', t => {
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 1})]);
+	dispatcher.ask(createAsk('1', {remainingMilliseconds: 5000}), 0);
+	dispatcher.ask(createAsk('2'), 0);
+	t.deepEqual(dispatcher.tick(1000), []);
+	t.is(getRefusal(dispatcher.tick(1900))?.ask.id, '2');
+	t.is(dispatcher.getWaiting(), 0);
+});
+
+test('a withdrawn ask gets nothing', t => {
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 1})]);
+	dispatcher.ask(createAsk('1'), 0);
+	dispatcher.ask(createAsk('2'), 0);
+	dispatcher.cancel('2');
+	t.deepEqual(dispatcher.end('1', {ending: 'success', milliseconds: 10}, 10), []);
+});
+
+type EndingCase = {
+	readonly endings: readonly dispatch.Ending[];
+	readonly isSuspended: boolean;
+};
+
+const ENDINGS: readonly EndingCase[] = [
+	{endings: ['success'], isSuspended: false},
+	{endings: ['error'], isSuspended: true},
+	{endings: ['error', 'success'], isSuspended: false},
+	{endings: ['reset'], isSuspended: true},
+	{endings: ['reset', 'success', 'success'], isSuspended: true},
+	{endings: ['reset', 'success', 'success', 'success'], isSuspended: false},
+	{endings: ['refused'], isSuspended: true},
+	{endings: ['unreachable'], isSuspended: false},
+	{endings: ['unreachable', 'timeout'], isSuspended: true},
+	{endings: ['shed'], isSuspended: false},
+	{endings: ['cancelled'], isSuspended: false},
+];
+
+for (const {endings, isSuspended} of ENDINGS) {
+	test(`an upstream that ends requests by ${endings.join(', ')} is ${isSuspended ? '' : 'not '}suspended`, t => {
+		const dispatcher = createDispatcher([createCandidate('a', {slots: 100})]);
+		for (const index of endings.keys()) {
+			dispatcher.ask(createAsk(String(index), {host: `host-${index}`}), 0);
+		}
+
+		for (const [index, ending] of endings.entries()) {
+			dispatcher.end(String(index), {ending, milliseconds: 100}, 1);
+		}
+
+		t.is(dispatcher.report(SERVICE)[0]?.isSuspended, isSuspended);
+	});
+}
+
+const suspend = (dispatcher: dispatch.Dispatcher, id: string, now: number, excluded: readonly string[] = ['b']) => {
+	dispatcher.ask(createAsk(id, {excluded}), now);
+	return dispatcher.end(id, {ending: 'reset', milliseconds: 1}, now);
+};
+
+test('a suspended upstream gets one trial at a time, from requests that may be repeated', t => {
+	// Symptom: each return of a sick upstream costs several callers their request.
+	// Sequence: an upstream resets requests for seconds; it is taken back after a fixed time; all hosts send to it at once.
+	// Cause: the return was decided by a clock, not by one request that can be sent again.
+	const dispatcher = createDispatcher([createCandidate('a'), createCandidate('b', {failureDomain: 'y', slots: 50})]);
+	suspend(dispatcher, '1', 0);
+	t.is(getGrant(dispatcher.ask(createAsk('2'), 1000))?.upstream, 'b');
+	const trial = getGrant(dispatcher.ask(createAsk('3', {requestClass: 'read'}), 1000));
+	t.is(trial?.upstream, 'a');
+	t.true(trial?.isTrial);
+	t.is(getGrant(dispatcher.ask(createAsk('4', {requestClass: 'read'}), 1000))?.upstream, 'b');
+});
+
+test('a failed trial is followed by a longer wait, a successful one by the next trial at once', t => {
+	const dispatcher = createDispatcher([createCandidate('a'), createCandidate('b', {failureDomain: 'y', slots: 50})]);
+	suspend(dispatcher, '1', 0);
+	const tryAt = (id: string, now: number) => getGrant(dispatcher.ask(createAsk(id, {requestClass: 'read'}), now))?.upstream;
+	t.is(tryAt('2', 300), 'a');
+	dispatcher.end('2', {ending: 'reset', milliseconds: 1}, 301);
+	t.is(tryAt('3', 700), 'b');
+	t.is(tryAt('4', 901), 'a');
+	dispatcher.end('4', {ending: 'success', milliseconds: 100}, 1000);
+	t.is(tryAt('5', 1000), 'a');
+});
+
+test('without requests that may be repeated, one that may not is the trial after a long wait', t => {
+	const dispatcher = createDispatcher([createCandidate('a'), createCandidate('b', {failureDomain: 'y', slots: 50})]);
+	suspend(dispatcher, '1', 0);
+	t.is(getGrant(dispatcher.ask(createAsk('2'), 6000))?.upstream, 'b');
+	t.is(getGrant(dispatcher.ask(createAsk('3'), 6301))?.upstream, 'a');
+});
+
+test('below the floor, a suspended upstream is better than a refusal', t => {
+	// Symptom: a service refuses everything although its upstreams serve most requests.
+	// Sequence: one error on each upstream suspends them all.
+	// Cause: suspensions had no floor.
+	const dispatcher = createDispatcher([createCandidate('a'), createCandidate('b')]);
+	suspend(dispatcher, '1', 0, ['b']);
+	suspend(dispatcher, '2', 0, ['a']);
+	t.true(dispatcher.report(SERVICE).every(upstream => upstream.isSuspended));
+	t.truthy(getGrant(dispatcher.ask(createAsk('3'), 1)));
+});
+
+test('a silent upstream that failed is not tried again until it is heard', t => {
+	const dispatcher = createDispatcher([createCandidate('a'), createCandidate('b', {slots: 50})]);
+	suspend(dispatcher, '1', 0);
+	const suspended = dispatcher.report(SERVICE).find(upstream => upstream.isSuspended);
+	const silent = ['a', 'b'].map(name => createCandidate(name, {slots: 50, isSilent: name === suspended?.upstream}));
+	dispatcher.setCandidates(SERVICE, silent, 1);
+	t.not(getGrant(dispatcher.ask(createAsk('2', {requestClass: 'read'}), 5000))?.upstream, suspended?.upstream);
+});
+
+test('a host whose requests hang at an upstream sends elsewhere, other hosts go on', t => {
+	// Symptom: for seconds, a part of the requests of some hosts is not answered, others are.
+	// Sequence: the path between a host and an upstream is cut; the host's requests there hang until their deadline.
+	// Cause: nothing is lost and nothing fails; only the age of what is under way shows it.
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 50}), createCandidate('b', {failureDomain: 'y', slots: 50})]);
+	t.is(getGrant(dispatcher.ask(createAsk('1'), 0))?.upstream, 'a');
+	t.is(getGrant(dispatcher.ask(createAsk('2'), 1000))?.upstream, 'b');
+	t.is(getGrant(dispatcher.ask(createAsk('3', {host: 'other', excluded: ['b']}), 1000))?.upstream, 'a');
+});
+
+test('resends stay within the budget', t => {
+	// Symptom: an upstream that is slow gets several times the requests that callers sent.
+	// Sequence: requests fail and are sent again, those too.
+	// Cause: nobody counted resends over the fleet.
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 10_000})], {ratio: 0.2, extra: 0, windowMilliseconds: 10_000});
+	for (let ask = 0; ask < 100; ask++) {
+		dispatcher.ask(createAsk(`first-${ask}`), 0);
+	}
+
+	const granted = Array.from({length: 100}, (_, index) => dispatcher.ask(createAsk(`again-${index}`, {isResend: true}), 1))
+		.filter(effects => getGrant(effects) !== undefined).length;
+	t.true(granted > 0 && granted <= 20);
+	t.is(getRefusal(dispatcher.ask(createAsk('last', {isResend: true}), 2))?.reason, 'budget');
+	t.truthy(getRefusal(dispatcher.ask(createAsk('later', {isResend: true}), 20_000)));
+});
+
+test('a host that turns to another dispatcher brings the places it holds', t => {
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 1})]);
+	const place = {
+		id: '1', host: 'host', service: SERVICE, route: 'route', upstream: 'a', ageMilliseconds: 10, remainingMilliseconds: 1000,
+	};
+	dispatcher.hold('host', SERVICE, [place], 0);
+	t.is(getGrant(dispatcher.ask(createAsk('2'), 0)), undefined);
+	t.is(getGrant(dispatcher.end('1', {ending: 'success', milliseconds: 50}, 50))?.ask.id, '2');
+});
+
+test('the place of a host that is gone is free after its deadline', t => {
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 1})]);
+	dispatcher.ask(createAsk('1', {remainingMilliseconds: 500}), 0);
+	dispatcher.ask(createAsk('2', {host: 'other', remainingMilliseconds: 5000}), 0);
+	t.is(getGrant(dispatcher.tick(1001))?.ask.id, '2');
+});
+
+const action = fc.record({
+	kind: fc.constantFrom('ask', 'ask', 'ask', 'end', 'end', 'cancel', 'tick'),
+	pick: fc.nat({max: 1000}),
+	requestClass: fc.constantFrom('read' as const, 'non-idempotent' as const),
+	ending: fc.constantFrom<dispatch.Ending>('success', 'success', 'success', 'error', 'reset', 'timeout', 'shed'),
+	wait: fc.nat({max: 300}),
+});
+
+test('over any history no slot is given twice, and every ask is answered once', t => {
+	fc.assert(fc.property(fc.array(action, {maxLength: 200}), actions => {
+		const slots = 2;
+		const dispatcher = createDispatcher(['a', 'b', 'c'].map(name => createCandidate(name, {slots})));
+		const held = new Map<string, string>();
+		const open = new Set<string>();
+		const answered = new Set<string>();
+		let now = 0;
+		const take = (effects: readonly dispatch.Effect[]) => {
+			for (const effect of effects) {
+				if (effect.kind === 'believe') {
+					continue;
+				}
+
+				t.false(answered.has(effect.ask.id), 'answered twice');
+				answered.add(effect.ask.id);
+				open.delete(effect.ask.id);
+				if (effect.kind === 'grant') {
+					held.set(effect.ask.id, effect.upstream);
+				}
+			}
+
+			for (const name of ['a', 'b', 'c']) {
+				t.true(held.values().filter(upstream => upstream === name).toArray().length <= slots, 'a slot was given twice');
+			}
+		};
+
+		for (const [index, {kind, pick, requestClass, ending, wait}] of actions.entries()) {
+			now += wait;
+			if (kind === 'ask') {
+				open.add(String(index));
+				take(dispatcher.ask(createAsk(String(index), {requestClass, remainingMilliseconds: 100_000}), now));
+			} else if (kind === 'end' && held.size > 0) {
+				const id = held.keys().toArray()[pick % held.size]!;
+				held.delete(id);
+				take(dispatcher.end(id, {ending, milliseconds: 100}, now));
+			} else if (kind === 'cancel' && open.size > 0) {
+				const id = [...open][pick % open.size]!;
+				open.delete(id);
+				dispatcher.cancel(id);
+			} else {
+				take(dispatcher.tick(now));
+			}
+		}
+
+		t.is(dispatcher.getWaiting(), open.size);
+	}));
+});
--- /dev/null
+++ b/packages/wagtailroute-dispatch/src/asks.ts
@@ -0,0 +1,132 @@
+/**
+What is asked of a dispatcher, and what it answers.
+*/
+import type * as core from 'wagtailroute-core';
+
+/**
+Names one ask over the fleet.
+*/
+export type AskId = string;
+
+/**
+A host asks where to send a request.
+*/
+export type Ask = {
+	readonly id: AskId;
+	readonly host: core.HostId;
+	readonly failureDomain: core.FailureDomain;
+	readonly service: core.ServiceName;
+	/**
+	Name of the route: requests of one route take alike long.
+	*/
+	readonly route: string;
+	readonly requestClass: core.RequestClass;
+	/**
+	Rank, 0 is the highest.
+	*/
+	readonly priority: number;
+	/**
+	Milliseconds until the deadline.
+	*/
+	readonly remainingMilliseconds: number;
+	/**
+	Latency objective of the route in milliseconds.
+	*/
+	readonly objectiveMilliseconds: number;
+	/**
+	Upstreams that are not to be chosen: they had the request already.
+	*/
+	readonly excluded: readonly core.UpstreamId[];
+	/**
+	Another upstream had the request before.
+	*/
+	readonly isResend: boolean;
+};
+
+/**
+Why an ask was refused.
+*/
+export type RefusalReason = 'no-upstream' | 'no-slot-in-time' | 'budget';
+
+/**
+How a granted request ended, as evidence about its upstream. `refused`: no connection, nobody listens. `unreachable`: no
+connection in time. `reset`: the connection or the answer broke. `misdirected`: another instance has the address. `cancelled`:
+says nothing.
+*/
+export type Ending =
+	| 'success'
+	| 'error'
+	| 'reset'
+	| 'refused'
+	| 'unreachable'
+	| 'timeout'
+	| 'shed'
+	| 'misdirected'
+	| 'cancelled';
+
+/**
+What a dispatcher asks to be done.
+*/
+export type Effect =
+	| {
+		readonly kind: 'grant';
+		readonly ask: Ask;
+		readonly upstream: core.UpstreamId;
+		readonly address: core.Address;
+		readonly isTrial: boolean;
+	}
+	| {
+		readonly kind: 'refuse';
+		readonly ask: Ask;
+		readonly reason: RefusalReason;
+		readonly retryAfterMilliseconds: number;
+	}
+	/**
+	An upstream was suspended or readmitted.
+	*/
+	| {
+		readonly kind: 'believe';
+		readonly service: core.ServiceName;
+		readonly upstream: core.UpstreamId;
+		readonly doubt: number;
+		readonly isSuspended: boolean;
+		readonly cause: Ending;
+	};
+
+/**
+A place that a host holds at an upstream, told when it turns to another dispatcher.
+*/
+export type HeldPlace = {
+	readonly id: AskId;
+	readonly host: core.HostId;
+	readonly service: core.ServiceName;
+	readonly route: string;
+	readonly upstream: core.UpstreamId;
+	/**
+	Milliseconds since it was granted.
+	*/
+	readonly ageMilliseconds: number;
+	/**
+	Milliseconds until its deadline.
+	*/
+	readonly remainingMilliseconds: number;
+};
+
+/**
+An upstream as its heartbeats tell.
+*/
+export type Candidate = {
+	readonly upstream: core.UpstreamId;
+	readonly address: core.Address;
+	readonly failureDomain: core.FailureDomain;
+	readonly slots: number;
+	readonly isDraining: boolean;
+	/**
+	It was not heard for several heartbeats: no reason against it by itself, but none to try it again once it has failed.
+	*/
+	readonly isSilent: boolean;
+	/**
+	Monotonic time until which it is slow from its start.
+	*/
+	readonly warmAt: number;
+};
--- /dev/null
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -0,0 +1,118 @@
+/**
+The choice of an upstream for one ask.
+
+Requests that may be repeated go first to upstreams that have not proved themselves lately, and alone to those that are
+suspended; requests that must not run twice go to those proved last. So a bad spell is found by a request that can be sent
+again, wherever there are such requests.
+*/
+import * as core from 'wagtailroute-core';
+import type {Ask} from './asks.ts';
+import {
+	DOMAIN_COST,
+	OVERDUE_MOST,
+	PROOF_COST,
+	PROOF_MILLISECONDS,
+	SPREAD_COST,
+	UNREPEATABLE_TRIAL_MILLISECONDS,
+	UPLOAD_DOMAIN_COST,
+} from './constants.ts';
+import {
+	countOverdue,
+	getSlowness,
+	isPathBad,
+	isSuspended,
+	type Upstream,
+} from './upstreams.ts';
+
+/**
+A chosen upstream.
+*/
+export type Choice = {
+	readonly upstream: Upstream;
+	readonly isTrial: boolean;
+};
+
+/**
+What a choice may know.
+*/
+export type ChoiceCircumstances = {
+	readonly now: number;
+	/**
+	Uniform in [0, 1).
+	*/
+	readonly random: () => number;
+};
+
+/**
+Chooses an upstream with a free slot, or none.
+*/
+export function choose(upstreams: Iterable<Upstream>, ask: Ask, {now, random}: ChoiceCircumstances): Choice | undefined {
+	let best: Upstream | undefined;
+	let bestCost = Infinity;
+	let trial: Upstream | undefined;
+	for (const upstream of upstreams) {
+		if (!isOpen(upstream, ask, now)) {
+			continue;
+		}
+
+		if (isSuspended(upstream)) {
+			trial = isTrialDue(upstream, ask, now) && upstream.trialAt < (trial?.trialAt ?? Infinity) ? upstream : trial;
+			continue;
+		}
+
+		const cost = getCost(upstream, ask, now) + (random() * SPREAD_COST);
+		if (!(cost < bestCost)) {
+			continue;
+		}
+
+		best = upstream;
+		bestCost = cost;
+	}
+
+	return trial === undefined ? best && {upstream: best, isTrial: false} : {upstream: trial, isTrial: true};
+}
+
+/**
+Chooses the suspended upstream with the least against it: for a request that would else be refused, when so many are
+suspended that the service is below its floor.
+*/
+export function chooseReserve(upstreams: Iterable<Upstream>, ask: Ask, now: number): Choice | undefined {
+	let best: Upstream | undefined;
+	for (const upstream of upstreams) {
+		if (isSuspended(upstream) && isOpen(upstream, ask, now) && upstream.doubt < (best?.doubt ?? Infinity)) {
+			best = upstream;
+		}
+	}
+
+	return best && {upstream: best, isTrial: true};
+}
+
+/**
+Says whether an upstream could take the ask if nothing spoke against it but doubt.
+*/
+function isOpen(upstream: Upstream, ask: Ask, now: number): boolean {
+	const {candidate, places} = upstream;
+	return !candidate.isDraining
+		&& !upstream.isMisdirected
+		&& places.size < candidate.slots
+		&& upstream.closedUntil <= now
+		&& !ask.excluded.includes(candidate.upstream)
+		&& countOverdue(upstream, now) < OVERDUE_MOST
+		&& !isPathBad(upstream, ask.host, now);
+}
+
+function isTrialDue(upstream: Upstream, ask: Ask, now: number): boolean {
+	const extra = core.isIdempotent(ask.requestClass) ? 0 : UNREPEATABLE_TRIAL_MILLISECONDS;
+	return !ask.isResend && !upstream.candidate.isSilent && upstream.places.size === 0 && now >= upstream.trialAt + extra;
+}
+
+function getCost(upstream: Upstream, ask: Ask, now: number): number {
+	const {candidate, places} = upstream;
+	const load = (places.size + 1) / candidate.slots;
+	const unproven = Math.min(1, (now - upstream.provenAt) / PROOF_MILLISECONDS) * PROOF_COST;
+	const crossing = ask.requestClass === 'upload' ? UPLOAD_DOMAIN_COST : DOMAIN_COST;
+	return (getSlowness(upstream, now) * (1 + load))
+		+ (candidate.failureDomain === ask.failureDomain ? 0 : crossing)
+		+ (core.isIdempotent(ask.requestClass) && !ask.isResend ? -unproven : unproven)
+		+ countOverdue(upstream, now);
+}
--- /dev/null
+++ b/packages/wagtailroute-dispatch/src/constants.ts
@@ -0,0 +1,168 @@
+/**
+Weights, times and bounds of the dispatcher. Doubt is measured in natural log-odds that an upstream is in a bad spell.
+*/
+
+/**
+Doubt from which on an upstream gets no request that must not run twice: odds of 20 to 1 against an upstream that fails
+every 80th request when well.
+*/
+export const SUSPENDED_DOUBT = 3;
+
+/**
+Most doubt that is kept: an upstream that failed a hundred times must be able to prove itself by a few successes.
+*/
+export const MOST_DOUBT = 7.5;
+
+/**
+Doubt that a success takes away: ln(0.99 / 0.22), where a bad spell lets about every fifth request through.
+*/
+export const SUCCESS_DOUBT = 1.5;
+
+/**
+Doubt of an answer with an error status: ln(0.55 / 0.012), a bad spell against an upstream that is well.
+*/
+export const ERROR_DOUBT = 3.8;
+
+/**
+Doubt of a connection that was reset or an answer that was cut: upstreams that are well hardly ever do it.
+*/
+export const RESET_DOUBT = 6;
+
+/**
+Doubt of a refused connection: nobody listens.
+*/
+export const REFUSED_DOUBT = 7.5;
+
+/**
+Doubt of an upstream that cannot be reached by one host, or does not answer it in time: the path of this host may be at fault,
+a second host's word counts as proof.
+*/
+export const SILENCE_DOUBT = 2;
+
+/**
+Doubt of a shed request while this dispatcher counts a free slot.
+*/
+export const SHED_DOUBT = 2.5;
+
+/**
+Milliseconds for which a host sends nothing more to an upstream that left its request unanswered.
+*/
+export const PATH_MILLISECONDS = 3000;
+
+/**
+Milliseconds without a new request after an upstream has shed one: its queue needs a moment.
+*/
+export const SHED_MILLISECONDS = 150;
+
+/**
+Milliseconds before the first trial of a suspended upstream; doubled with each failed trial.
+*/
+export const TRIAL_LEAST_MILLISECONDS = 300;
+
+/**
+Longest wait in milliseconds before a trial.
+*/
+export const TRIAL_MOST_MILLISECONDS = 2400;
+
+/**
+Milliseconds that a trial waits in addition for a request that may be repeated, before one that may not is taken: bad spells
+of 5 to 10 s pass meanwhile, and each such trial may cost a caller its request.
+*/
+export const UNREPEATABLE_TRIAL_MILLISECONDS = 6000;
+
+/**
+A request that lasts longer than this many usual times counts against its upstream while it lasts.
+*/
+export const OVERDUE_RATIO = 3;
+
+/**
+Least age in milliseconds at which a request counts as overdue.
+*/
+export const OVERDUE_MILLISECONDS = 700;
+
+/**
+Overdue requests with which an upstream gets nothing more until they end.
+*/
+export const OVERDUE_MOST = 2;
+
+/**
+Share of a new measurement in an upstream's relative slowness.
+*/
+export const SLOWNESS_SHARE = 0.25;
+
+/**
+Bounds of relative slowness.
+*/
+export const SLOWNESS_LEAST = 0.4;
+export const SLOWNESS_MOST = 12;
+
+/**
+Milliseconds in which what is known of an upstream's slowness loses two thirds of its weight.
+*/
+export const SLOWNESS_MILLISECONDS = 6000;
+
+/**
+Relative slowness that a starting upstream is taken to have.
+*/
+export const COLD_SLOWNESS = 2;
+
+/**
+Share of a new measurement in the usual time of a route.
+*/
+export const USUAL_SHARE = 0.05;
+
+/**
+Usual time of a route that was not measured yet, as a part of its latency objective.
+*/
+export const USUAL_PART = 0.25;
+
+/**
+Cost of leaving the failure domain, as a part of a full upstream: about half a slot of four.
+*/
+export const DOMAIN_COST = 0.12;
+
+/**
+The same for an upload, whose bytes cross too.
+*/
+export const UPLOAD_DOMAIN_COST = 0.3;
+
+/**
+Cost for a request that must not run twice of an upstream that has not proved itself for {@link PROOF_MILLISECONDS}; a gain for
+one that may, so that these find out first.
+*/
+export const PROOF_COST = 0.25;
+
+/**
+Milliseconds in which a success loses its worth as proof.
+*/
+export const PROOF_MILLISECONDS = 1500;
+
+/**
+Spread of the costs, so that equal upstreams take turns.
+*/
+export const SPREAD_COST = 0.04;
+
+/**
+Part of a route's usual time that must be left to the deadline for a request to be sent at all.
+*/
+export const WORTHWHILE_PART = 0.9;
+
+/**
+Milliseconds that a resend of a refused request waits at least.
+*/
+export const RETRY_AFTER_LEAST_MILLISECONDS = 100;
+
+/**
+Part of the resend budget that is used, so that what other hosts send while they cannot reach this dispatcher fits in.
+*/
+export const BUDGET_PART = 0.7;
+
+/**
+Milliseconds of one slice of the budget's window.
+*/
+export const BUDGET_SLICE_MILLISECONDS = 500;
+
+/**
+Milliseconds that a place stays taken after its deadline when its host is not heard: its answer may be under way.
+*/
+export const ABANDONED_MILLISECONDS = 500;
--- /dev/null
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -0,0 +1,416 @@
+/**
+Gives out the slots of backend servers, one request at a time, for all hosts that ask.
+
+A host that carries a few requests a second can neither find the free slot among hundreds nor tell a sick upstream from a
+well one. Here all requests of a service come together: each gets a slot that is free, waits for the next one, or is
+refused at once when none can come in time; and what becomes of one request is known before the next one is placed.
+
+It holds no promise of its own: lost, it is replaced by another host's, which is told what is under way.
+*/
+import * as core from 'wagtailroute-core';
+import {
+	type Ask,
+	type AskId,
+	type Candidate,
+	type Effect,
+	type Ending,
+	type HeldPlace,
+	type RefusalReason,
+} from './asks.ts';
+import {type Budget, type BudgetSettings, createBudget} from './budget.ts';
+import {
+	choose,
+	chooseReserve,
+	type Choice,
+	type ChoiceCircumstances,
+} from './choosing.ts';
+import {
+	ABANDONED_MILLISECONDS,
+	RETRY_AFTER_LEAST_MILLISECONDS,
+	USUAL_PART,
+	USUAL_SHARE,
+	WORTHWHILE_PART,
+} from './constants.ts';
+import {
+	createHeldPlace,
+	createUpstream,
+	isSuspended,
+	type Place,
+	type Upstream,
+	weighEnding,
+	weighTime,
+} from './upstreams.ts';
+
+/**
+Settings of a dispatcher.
+*/
+export type DispatcherSettings = {
+	readonly budget: BudgetSettings;
+	/**
+	Part of a service's upstreams, 0 to 1, that stay in use whatever speaks against them.
+	*/
+	readonly floor: number;
+	/**
+	Uniform in [0, 1).
+	*/
+	readonly random: () => number;
+};
+
+/**
+What a dispatcher knows of an upstream, for reports.
+*/
+export type UpstreamReport = {
+	readonly upstream: core.UpstreamId;
+	readonly taken: number;
+	readonly slots: number;
+	readonly doubt: number;
+	readonly isSuspended: boolean;
+};
+
+/**
+A dispatcher. Every method takes the monotonic time in milliseconds and returns what is to be done, in order.
+*/
+export type Dispatcher = {
+	readonly ask: (ask: Ask, now: number) => readonly Effect[];
+	/**
+	Withdraws an ask that waits.
+	*/
+	readonly cancel: (id: AskId) => void;
+	/**
+	A granted request has ended.
+
+	@param milliseconds From the send to the answer's header section.
+	*/
+	readonly end: (id: AskId, outcome: {readonly ending: Ending; readonly milliseconds: number}, now: number) => readonly Effect[];
+	/**
+	A host tells the places that it holds of a service; what was counted for it before is forgotten.
+	*/
+	readonly hold: (host: core.HostId, service: core.ServiceName, held: readonly HeldPlace[], now: number) => void;
+	readonly setCandidates: (service: core.ServiceName, candidates: readonly Candidate[], now: number) => readonly Effect[];
+	/**
+	Takes another dispatcher's belief.
+	*/
+	readonly setDoubt: (service: core.ServiceName, upstream: core.UpstreamId, doubt: number) => void;
+	/**
+	Looks for asks that can no longer be served, trials that are due and places that were abandoned.
+	*/
+	readonly tick: (now: number) => readonly Effect[];
+	readonly getWaiting: () => number;
+	readonly report: (service: core.ServiceName) => readonly UpstreamReport[];
+	readonly getServices: () => readonly core.ServiceName[];
+};
+
+type Waiting = {
+	readonly ask: Ask;
+	readonly arrivedAt: number;
+	readonly deadlineAt: number;
+};
+
+type Service = {
+	readonly name: core.ServiceName;
+	readonly upstreams: Map<core.UpstreamId, Upstream>;
+	/**
+	By priority, then by arrival.
+	*/
+	readonly waiting: Waiting[];
+	/**
+	Usual milliseconds by route.
+	*/
+	readonly usual: Map<string, number>;
+	readonly budget: Budget;
+};
+
+/**
+Creates a dispatcher that knows no upstream.
+*/
+export function createDispatcher(settings: DispatcherSettings): Dispatcher {
+	return new SlotDispatcher(settings);
+}
+
+class SlotDispatcher implements Dispatcher {
+	readonly #settings: DispatcherSettings;
+	readonly #services = new Map<core.ServiceName, Service>();
+	readonly #places = new Map<AskId, Place>();
+	readonly #waiting = new Map<AskId, Service>();
+
+	constructor(settings: DispatcherSettings) {
+		this.#settings = settings;
+	}
+
+	ask(ask: Ask, now: number): readonly Effect[] {
+		const service = this.#getService(ask.service);
+		if (ask.isResend) {
+			if (!service.budget.takeResend(now)) {
+				return [refuse(ask, 'budget', RETRY_AFTER_LEAST_MILLISECONDS)];
+			}
+		} else {
+			service.budget.countRequest(now);
+		}
+
+		// Whoever waits with the same rank came first.
+		const isOvertaking = service.waiting.some(waiting => waiting.ask.priority <= ask.priority);
+		const choice = isOvertaking ? undefined : choose(service.upstreams.values(), ask, this.#getCircumstances(now));
+		return choice === undefined ? this.#waitOrRefuse(service, ask, now) : [this.#grant(service, ask, choice, now)];
+	}
+
+	cancel(id: AskId): void {
+		const service = this.#waiting.get(id);
+		if (service !== undefined) {
+			this.#removeWaiting(service, id);
+		}
+	}
+
+	end(id: AskId, {ending, milliseconds}: {readonly ending: Ending; readonly milliseconds: number}, now: number): readonly Effect[] {
+		const place = this.#places.get(id);
+		if (place === undefined) {
+			return [];
+		}
+
+		const service = this.#getService(place.service);
+		const upstream = service.upstreams.get(place.upstream);
+		this.#free(place);
+		const effects: Effect[] = [];
+		if (upstream !== undefined) {
+			const wasSuspended = isSuspended(upstream);
+			weighEnding(upstream, place, ending, now);
+			if (ending === 'success') {
+				weighTime(upstream, place, milliseconds, now);
+				this.#learnUsual(service, place.route, milliseconds);
+			}
+
+			if (isSuspended(upstream) !== wasSuspended) {
+				effects.push({
+					kind: 'believe',
+					service: service.name,
+					upstream: place.upstream,
+					doubt: upstream.doubt,
+					isSuspended: !wasSuspended,
+					cause: ending,
+				});
+			}
+		}
+
+		return [...effects, ...this.#serveWaiting(service, now)];
+	}
+
+	hold(host: core.HostId, service: core.ServiceName, held: readonly HeldPlace[], now: number): void {
+		for (const place of this.#places.values().filter(present => present.host === host && present.service === service)) {
+			this.#free(place);
+		}
+
+		const present = this.#getService(service);
+		for (const item of held) {
+			const upstream = present.upstreams.get(item.upstream);
+			const place = createHeldPlace(item, present.usual.get(item.route) ?? (item.ageMilliseconds + item.remainingMilliseconds), now);
+			this.#places.set(place.id, place);
+			upstream?.places.set(place.id, place);
+		}
+	}
+
+	setCandidates(name: core.ServiceName, candidates: readonly Candidate[], now: number): readonly Effect[] {
+		const service = this.#getService(name);
+		const named = new Set(candidates.map(candidate => candidate.upstream));
+		for (const [id, upstream] of service.upstreams) {
+			// Its places stay counted in the table of places, so that their ends are known when they come.
+			if (!named.has(id) && upstream.places.size === 0) {
+				service.upstreams.delete(id);
+			} else if (!named.has(id)) {
+				upstream.candidate = {...upstream.candidate, isDraining: true};
+			}
+		}
+
+		for (const candidate of candidates) {
+			const present = service.upstreams.get(candidate.upstream);
+			if (present === undefined) {
+				service.upstreams.set(candidate.upstream, createUpstream(candidate, now));
+			} else {
+				// A heartbeat that is newer than the answer of another instance says that the address is its own again.
+				present.isMisdirected &&= core.formatAddress(present.candidate.address) === core.formatAddress(candidate.address);
+				present.candidate = candidate;
+			}
+		}
+
+		return this.#serveWaiting(service, now);
+	}
+
+	setDoubt(service: core.ServiceName, upstream: core.UpstreamId, doubt: number): void {
+		const known = this.#services.get(service)?.upstreams.get(upstream);
+		if (known !== undefined) {
+			known.doubt = doubt;
+		}
+	}
+
+	tick(now: number): readonly Effect[] {
+		for (const place of this.#places.values().filter(present => present.deadlineAt + ABANDONED_MILLISECONDS < now)) {
+			this.#free(place);
+		}
+
+		return this.#services.values().flatMap(service => this.#serveWaiting(service, now)).toArray();
+	}
+
+	getWaiting(): number {
+		return this.#waiting.size;
+	}
+
+	report(service: core.ServiceName): readonly UpstreamReport[] {
+		const upstreams = this.#services.get(service)?.upstreams.values().toArray() ?? [];
+		return upstreams.map(upstream => ({
+			upstream: upstream.candidate.upstream,
+			taken: upstream.places.size,
+			slots: upstream.candidate.slots,
+			doubt: upstream.doubt,
+			isSuspended: isSuspended(upstream),
+		}));
+	}
+
+	getServices(): readonly core.ServiceName[] {
+		return this.#services.keys().toArray();
+	}
+
+	#getCircumstances(now: number): ChoiceCircumstances {
+		return {now, random: this.#settings.random};
+	}
+
+	#getService(name: core.ServiceName): Service {
+		const service = this.#services.get(name) ?? {
+			name,
+			upstreams: new Map(),
+			waiting: [],
+			usual: new Map(),
+			budget: createBudget(this.#settings.budget),
+		};
+		this.#services.set(name, service);
+		return service;
+	}
+
+	#grant(service: Service, ask: Ask, {upstream, isTrial}: Choice, now: number): Effect {
+		const place: Place = {
+			id: ask.id,
+			host: ask.host,
+			service: service.name,
+			upstream: upstream.candidate.upstream,
+			route: ask.route,
+			startedAt: now,
+			deadlineAt: now + ask.remainingMilliseconds,
+			usualMilliseconds: getUsual(service, ask),
+			isTrial,
+		};
+		this.#places.set(place.id, place);
+		upstream.places.set(place.id, place);
+		return {
+			kind: 'grant', ask, upstream: place.upstream, address: upstream.candidate.address, isTrial,
+		};
+	}
+
+	#free(place: Place): void {
+		this.#places.delete(place.id);
+		const upstreams = this.#services.get(place.service)?.upstreams;
+		const upstream = upstreams?.get(place.upstream);
+		upstream?.places.delete(place.id);
+	}
+
+	#learnUsual(service: Service, route: string, milliseconds: number): void {
+		const known = service.usual.get(route);
+		service.usual.set(route, known === undefined ? milliseconds : (known * (1 - USUAL_SHARE)) + (milliseconds * USUAL_SHARE));
+	}
+
+	#waitOrRefuse(service: Service, ask: Ask, now: number): readonly Effect[] {
+		const slots = countUsableSlots(service, ask);
+		const usual = getUsual(service, ask);
+		const ahead = service.waiting.filter(waiting => waiting.ask.priority <= ask.priority).length;
+		const wait = slots === 0 ? Infinity : (ahead + 1) * usual / slots;
+		if (wait + (usual * WORTHWHILE_PART) <= ask.remainingMilliseconds) {
+			this.#addWaiting(service, ask, now);
+			return [];
+		}
+
+		return this.#useReserveOrRefuse(service, ask, {now, wait, slots});
+	}
+
+	/**
+	Ejecting must never leave less than the floor: below it, what is suspended is better than a refusal.
+	*/
+	#useReserveOrRefuse(
+		service: Service,
+		ask: Ask,
+		{now, wait, slots}: {readonly now: number; readonly wait: number; readonly slots: number},
+	): readonly Effect[] {
+		const choice = isBelowFloor(service, this.#settings.floor) ? chooseReserve(service.upstreams.values(), ask, now) : undefined;
+		if (choice !== undefined) {
+			return [this.#grant(service, ask, choice, now)];
+		}
+
+		const advice = Number.isFinite(wait) ? wait : ask.remainingMilliseconds / 4;
+		const retryAfter = Math.max(RETRY_AFTER_LEAST_MILLISECONDS, Math.min(advice, ask.remainingMilliseconds / 3));
+		return [refuse(ask, slots === 0 ? 'no-upstream' : 'no-slot-in-time', retryAfter)];
+	}
+
+	#addWaiting(service: Service, ask: Ask, now: number): void {
+		const waiting: Waiting = {ask, arrivedAt: now, deadlineAt: now + ask.remainingMilliseconds};
+		const place = service.waiting.findIndex(present => present.ask.priority > ask.priority);
+		service.waiting.splice(place === -1 ? service.waiting.length : place, 0, waiting);
+		this.#waiting.set(ask.id, service);
+	}
+
+	#removeWaiting(service: Service, id: AskId): void {
+		this.#waiting.delete(id);
+		const place = service.waiting.findIndex(waiting => waiting.ask.id === id);
+		if (place !== -1) {
+			service.waiting.splice(place, 1);
+		}
+	}
+
+	#serveWaiting(service: Service, now: number): readonly Effect[] {
+		const effects: Effect[] = [];
+		for (const waiting of service.waiting) {
+			const remainingMilliseconds = waiting.deadlineAt - now;
+			const ask = {...waiting.ask, remainingMilliseconds};
+			const choice = choose(service.upstreams.values(), ask, this.#getCircumstances(now));
+			if (choice !== undefined) {
+				this.#removeWaiting(service, ask.id);
+				effects.push(this.#grant(service, ask, choice, now));
+			} else if (remainingMilliseconds < getUsual(service, ask) * WORTHWHILE_PART) {
+				this.#removeWaiting(service, ask.id);
+				effects.push(...this.#useReserveOrRefuse(service, ask, {now, wait: Infinity, slots: 1}));
+			}
+		}
+
+		return effects;
+	}
+}
+
+function getUsual(service: Service, ask: Ask): number {
+	return service.usual.get(ask.route) ?? (ask.objectiveMilliseconds * USUAL_PART);
+}
+
+function countUsableSlots(service: Service, ask: Ask): number {
+	let slots = 0;
+	for (const upstream of service.upstreams.values()) {
+		const isUsable = !upstream.candidate.isDraining
+			&& !upstream.isMisdirected
+			&& !isSuspended(upstream)
+			&& !ask.excluded.includes(upstream.candidate.upstream);
+		slots += isUsable ? upstream.candidate.slots : 0;
+	}
+
+	return slots;
+}
+
+function isBelowFloor(service: Service, floor: number): boolean {
+	let all = 0;
+	let suspended = 0;
+	for (const upstream of service.upstreams.values()) {
+		const counts = !upstream.candidate.isDraining && !upstream.isMisdirected;
+		all += counts ? 1 : 0;
+		suspended += counts && isSuspended(upstream) ? 1 : 0;
+	}
+
+	return all - suspended < Math.ceil(all * floor);
+}
+
+function refuse(ask: Ask, reason: RefusalReason, retryAfterMilliseconds: number): Effect {
+	return {
+		kind: 'refuse', ask, reason, retryAfterMilliseconds,
+	};
+}
+
--- /dev/null
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -0,0 +1,19 @@
+/**
+Slots of backend servers, given out one request at a time.
+*/
+export type {
+	Ask,
+	AskId,
+	Candidate,
+	Effect,
+	Ending,
+	HeldPlace,
+	RefusalReason,
+} from './asks.ts';
+export {
+	createDispatcher,
+	type Dispatcher,
+	type DispatcherSettings,
+	type UpstreamReport,
+} from './dispatcher.ts';
+export type {BudgetSettings} from './budget.ts';
--- /dev/null
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -0,0 +1,209 @@
+/**
+What a dispatcher knows of one upstream: its places taken, how slow it is, and how much speaks against it.
+*/
+import type * as core from 'wagtailroute-core';
+import type {Candidate, Ending, HeldPlace} from './asks.ts';
+import {
+	COLD_SLOWNESS,
+	ERROR_DOUBT,
+	MOST_DOUBT,
+	OVERDUE_MILLISECONDS,
+	OVERDUE_RATIO,
+	PATH_MILLISECONDS,
+	REFUSED_DOUBT,
+	RESET_DOUBT,
+	SHED_DOUBT,
+	SHED_MILLISECONDS,
+	SILENCE_DOUBT,
+	SLOWNESS_LEAST,
+	SLOWNESS_MILLISECONDS,
+	SLOWNESS_MOST,
+	SLOWNESS_SHARE,
+	SUCCESS_DOUBT,
+	SUSPENDED_DOUBT,
+	TRIAL_LEAST_MILLISECONDS,
+	TRIAL_MOST_MILLISECONDS,
+} from './constants.ts';
+
+/**
+A place that is taken.
+*/
+export type Place = {
+	readonly id: string;
+	readonly host: core.HostId;
+	readonly service: core.ServiceName;
+	readonly upstream: core.UpstreamId;
+	readonly route: string;
+	readonly startedAt: number;
+	readonly deadlineAt: number;
+	readonly usualMilliseconds: number;
+	readonly isTrial: boolean;
+};
+
+/**
+An upstream, changed in place by the functions of this module only.
+*/
+export type Upstream = {
+	candidate: Candidate;
+	readonly places: Map<string, Place>;
+	doubt: number;
+	slowness: number;
+	slownessAt: number;
+	provenAt: number;
+	/**
+	Nothing is sent before this time.
+	*/
+	closedUntil: number;
+	/**
+	Time of the next trial while suspended.
+	*/
+	trialAt: number;
+	failedTrials: number;
+	/**
+	Hosts whose path here is at fault, with the time until which they send nothing.
+	*/
+	readonly badPaths: Map<core.HostId, number>;
+	/**
+	Another instance answered at its address.
+	*/
+	isMisdirected: boolean;
+};
+
+/**
+Creates the record of an upstream that nothing speaks against.
+*/
+export function createUpstream(candidate: Candidate, now: number): Upstream {
+	return {
+		candidate,
+		places: new Map(),
+		doubt: 0,
+		slowness: candidate.warmAt > now ? COLD_SLOWNESS : 1,
+		slownessAt: now,
+		provenAt: -Infinity,
+		closedUntil: -Infinity,
+		trialAt: -Infinity,
+		failedTrials: 0,
+		badPaths: new Map(),
+		isMisdirected: false,
+	};
+}
+
+/**
+Says whether it gets trials only.
+*/
+export function isSuspended(upstream: Upstream): boolean {
+	return upstream.doubt >= SUSPENDED_DOUBT;
+}
+
+/**
+Returns how many times as long as usual its requests take. What was measured long ago counts for less.
+*/
+export function getSlowness(upstream: Upstream, now: number): number {
+	const weight = Math.exp((upstream.slownessAt - now) / SLOWNESS_MILLISECONDS);
+	const measured = 1 + ((upstream.slowness - 1) * weight);
+	return now < upstream.candidate.warmAt ? Math.max(COLD_SLOWNESS, measured) : measured;
+}
+
+/**
+Counts its requests that last far longer than usual.
+*/
+export function countOverdue(upstream: Upstream, now: number): number {
+	let count = 0;
+	for (const place of upstream.places.values()) {
+		count += now - place.startedAt > Math.max(OVERDUE_MILLISECONDS, OVERDUE_RATIO * place.usualMilliseconds) ? 1 : 0;
+	}
+
+	return count;
+}
+
+/**
+Says whether a request of this host hangs there, or lately hung.
+*/
+export function isPathBad(upstream: Upstream, host: core.HostId, now: number): boolean {
+	if ((upstream.badPaths.get(host) ?? -Infinity) > now) {
+		return true;
+	}
+
+	for (const place of upstream.places.values()) {
+		if (place.host === host && now - place.startedAt > Math.max(OVERDUE_MILLISECONDS, OVERDUE_RATIO * place.usualMilliseconds)) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
+/**
+What an ending does.
+*/
+type Consequence = {
+	readonly doubt: number;
+	/**
+	The path between the host and the upstream may be at fault.
+	*/
+	readonly isOfPath?: boolean;
+	readonly closedMilliseconds?: number;
+};
+
+const CONSEQUENCES: Readonly<Record<Ending, Consequence>> = {
+	success: {doubt: -SUCCESS_DOUBT},
+	error: {doubt: ERROR_DOUBT},
+	reset: {doubt: RESET_DOUBT},
+	refused: {doubt: REFUSED_DOUBT},
+	unreachable: {doubt: SILENCE_DOUBT, isOfPath: true},
+	timeout: {doubt: SILENCE_DOUBT, isOfPath: true},
+	shed: {doubt: SHED_DOUBT, closedMilliseconds: SHED_MILLISECONDS},
+	misdirected: {doubt: MOST_DOUBT},
+	cancelled: {doubt: 0},
+};
+
+/**
+Takes the ending of a request as evidence.
+*/
+export function weighEnding(upstream: Upstream, place: Place, ending: Ending, now: number): void {
+	const {doubt, isOfPath = false, closedMilliseconds = 0} = CONSEQUENCES[ending];
+	const wasSuspended = isSuspended(upstream);
+	upstream.doubt = Math.min(MOST_DOUBT, Math.max(0, upstream.doubt + doubt));
+	upstream.closedUntil = Math.max(upstream.closedUntil, now + closedMilliseconds);
+	upstream.isMisdirected ||= ending === 'misdirected';
+	if (isOfPath) {
+		upstream.badPaths.set(place.host, now + PATH_MILLISECONDS);
+	}
+
+	if (ending === 'success') {
+		upstream.provenAt = now;
+		upstream.badPaths.delete(place.host);
+		upstream.trialAt = now;
+		upstream.failedTrials = 0;
+	} else if (doubt > 0 && isSuspended(upstream)) {
+		upstream.failedTrials = wasSuspended && place.isTrial ? upstream.failedTrials + 1 : upstream.failedTrials;
+		const wait = Math.min(TRIAL_MOST_MILLISECONDS, TRIAL_LEAST_MILLISECONDS * (2 ** upstream.failedTrials));
+		upstream.trialAt = now + wait;
+	}
+}
+
+/**
+Takes the time of a request as a measurement of slowness.
+*/
+export function weighTime(upstream: Upstream, place: Place, milliseconds: number, now: number): void {
+	const relative = Math.min(SLOWNESS_MOST, Math.max(SLOWNESS_LEAST, milliseconds / place.usualMilliseconds));
+	upstream.slowness = (getSlowness(upstream, now) * (1 - SLOWNESS_SHARE)) + (relative * SLOWNESS_SHARE);
+	upstream.slownessAt = now;
+}
+
+/**
+Creates the place that a host says it holds.
+*/
+export function createHeldPlace(held: HeldPlace, usualMilliseconds: number, now: number): Place {
+	return {
+		id: held.id,
+		host: held.host,
+		service: held.service,
+		upstream: held.upstream,
+		route: held.route,
+		startedAt: now - held.ageMilliseconds,
+		deadlineAt: now + held.remainingMilliseconds,
+		usualMilliseconds,
+		isTrial: false,
+	};
+}
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -0,0 +1,351 @@
+/**
+How an entry host comes to an upstream for each attempt: it asks the service's dispatcher on a control host, and dispatches
+alone as long as none answers.
+
+Dispatching alone, a host sees only its own requests; it starts from the doubts that dispatchers told it. It costs slots that
+are taken by others' requests and shed, never a wrong answer.
+*/
+import type * as core from 'wagtailroute-core';
+import * as dispatch from 'wagtailroute-dispatch';
+import type * as link from 'wagtailroute-link';
+import type * as utils from 'wagtailroute-utils';
+import {
+	ASK_MILLISECONDS,
+	DISPATCH_TICK_MILLISECONDS,
+	SILENT_DISPATCHER_MILLISECONDS,
+	SLOW_DISPATCHER_MILLISECONDS,
+} from './constants.ts';
+import type {FleetContext} from './context.ts';
+import type {OpenControl} from './control-links.ts';
+import {orderDispatchers} from './dispatch-order.ts';
+import {toAnswer} from './dispatching.ts';
+import {
+	type AskAnswer,
+	type Belief,
+	type LateAnswer,
+	METHODS,
+} from './messages.ts';
+import type {EntrySettings} from './settings.ts';
+
+/**
+The final answer to an ask.
+*/
+export type FinalAnswer =
+	| (Extract<AskAnswer, {kind: 'grant'}> & {
+		/**
+		Names the place, for its end.
+		*/
+		readonly id: dispatch.AskId;
+	})
+	| Extract<AskAnswer, {kind: 'refuse'}>;
+
+/**
+A request that waits for its upstream.
+*/
+export type Asked = {
+	readonly answer: Promise<FinalAnswer>;
+	/**
+	Gives the request up; a place that comes all the same is given back.
+	*/
+	readonly cancel: () => void;
+};
+
+/**
+Asks for upstreams.
+*/
+export type Asking = {
+	readonly ask: (ask: dispatch.Ask) => Asked;
+	/**
+	A granted request has ended.
+	*/
+	readonly end: (id: dispatch.AskId, ending: dispatch.Ending, milliseconds: number) => void;
+	readonly hearAnswer: (late: LateAnswer) => void;
+	readonly hearBelief: (belief: Belief) => void;
+	/**
+	The instances of a service have changed.
+	*/
+	readonly refresh: (service: core.ServiceName) => void;
+	readonly loseControl: (control: OpenControl) => void;
+	readonly teardown: utils.Teardown;
+};
+
+/**
+What asking needs.
+*/
+export type AskingPlan = {
+	readonly settings: EntrySettings;
+	readonly getOpen: () => readonly OpenControl[];
+	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
+	readonly isRetired: (upstream: core.UpstreamId) => boolean;
+};
+
+type Pending = {
+	ask: dispatch.Ask;
+	askedAt: number;
+	readonly resolve: (answer: FinalAnswer) => void;
+	/**
+	The dispatcher that was asked; absent for this host's own.
+	*/
+	dispatcher?: OpenControl;
+};
+
+type Held = {
+	readonly ask: dispatch.Ask;
+	readonly upstream: core.UpstreamId;
+	readonly grantedAt: number;
+	readonly dispatcher?: OpenControl;
+};
+
+/**
+Starts asking.
+*/
+export function startAsking(context: FleetContext, plan: AskingPlan): Asking {
+	return new HostAsking(context, plan);
+}
+
+class HostAsking implements Asking {
+	readonly #context: FleetContext;
+	readonly #plan: AskingPlan;
+	readonly #local: dispatch.Dispatcher;
+	readonly #pending = new Map<dispatch.AskId, Pending>();
+	readonly #held = new Map<dispatch.AskId, Held>();
+	/**
+	The link that each service's last ask went over.
+	*/
+	readonly #lastLinks = new Map<core.ServiceName, link.Link>();
+	readonly #slowUntil = new Map<link.Link, number>();
+	readonly #localServices = new Set<core.ServiceName>();
+	#cancelTick: utils.Teardown | undefined;
+
+	constructor(context: FleetContext, plan: AskingPlan) {
+		this.#context = context;
+		this.#plan = plan;
+		this.#local = dispatch.createDispatcher({
+			// The budget is the whole fleet's: a host that dispatches alone takes no more than its own requests give it.
+			budget: {...plan.settings.budget, extra: 2},
+			floor: plan.settings.floor,
+			random: context.random,
+		});
+		context.metrics.registerGauge('requests_held', () => this.#held.size);
+	}
+
+	teardown(): void {
+		this.#cancelTick?.();
+	}
+
+	ask(ask: dispatch.Ask): Asked {
+		const {promise, resolve} = Promise.withResolvers<FinalAnswer>();
+		const pending: Pending = {ask, askedAt: this.#context.now(), resolve};
+		this.#pending.set(ask.id, pending);
+		void this.#start(pending);
+		return {
+			answer: promise,
+			cancel: () => {
+				this.#cancel(pending);
+			},
+		};
+	}
+
+	end(id: dispatch.AskId, ending: dispatch.Ending, milliseconds: number): void {
+		const held = this.#held.get(id);
+		if (held === undefined) {
+			return;
+		}
+
+		this.#held.delete(id);
+		this.#tellEnd(held, ending, milliseconds);
+	}
+
+	hearAnswer({id, answer}: LateAnswer): void {
+		const pending = this.#pending.get(id);
+		if (pending === undefined) {
+			return;
+		}
+
+		this.#settle(pending, answer);
+	}
+
+	hearBelief({service, upstream, doubt}: Belief): void {
+		this.#local.setDoubt(service, upstream, doubt);
+	}
+
+	refresh(service: core.ServiceName): void {
+		this.#localServices.add(service);
+		this.#carryOut(this.#local.setCandidates(service, this.#plan.listCandidates(service), this.#context.now()));
+	}
+
+	loseControl(control: OpenControl): void {
+		this.#slowUntil.delete(control.link);
+		for (const pending of this.#pending.values().filter(({dispatcher}) => dispatcher?.link === control.link)) {
+			this.#askLocal(pending, 'link-lost');
+		}
+	}
+
+	async #start(pending: Pending): Promise<void> {
+		const {ask} = pending;
+		const dispatcher = this.#findDispatcher(ask.service);
+		if (dispatcher === undefined) {
+			this.#askLocal(pending, 'no-dispatcher');
+			return;
+		}
+
+		pending.dispatcher = dispatcher;
+		this.#tellHeld(ask.service, dispatcher);
+		const answer = await dispatcher.link.call(METHODS.ask, ask, ASK_MILLISECONDS);
+		if (answer.isOk()) {
+			const first = answer.value as AskAnswer;
+			if (first.kind !== 'wait') {
+				this.#settle(pending, first);
+			}
+
+			return;
+		}
+
+		this.#slowUntil.set(dispatcher.link, this.#context.now() + SLOW_DISPATCHER_MILLISECONDS);
+		// Should it answer after all, the place is given back.
+		dispatcher.link.notify(METHODS.end, {id: ask.id, ending: 'cancelled', milliseconds: 0});
+		dispatcher.link.notify(METHODS.cancel, {id: ask.id});
+		this.#askLocal(pending, answer.error.kind);
+	}
+
+	#findDispatcher(service: core.ServiceName): OpenControl | undefined {
+		const now = this.#context.now();
+		const ordered = orderDispatchers(service, this.#plan.getOpen(), control => control.host.id);
+		return ordered.find(({link: open}) => open.getSilence() < SILENT_DISPATCHER_MILLISECONDS && (this.#slowUntil.get(open) ?? 0) < now);
+	}
+
+	/**
+	A dispatcher that this host turns to anew does not know what is under way from here.
+	*/
+	#tellHeld(service: core.ServiceName, dispatcher: OpenControl): void {
+		if (this.#lastLinks.get(service) === dispatcher.link) {
+			return;
+		}
+
+		this.#lastLinks.set(service, dispatcher.link);
+		const now = this.#context.now();
+		const places = this.#held.values()
+			.filter(held => held.ask.service === service)
+			.map(({ask, upstream, grantedAt}): dispatch.HeldPlace => ({
+				id: ask.id,
+				host: ask.host,
+				service,
+				route: ask.route,
+				upstream,
+				ageMilliseconds: now - grantedAt,
+				remainingMilliseconds: ask.remainingMilliseconds - (now - grantedAt),
+			}))
+			.toArray();
+		dispatcher.link.notify(METHODS.hold, {host: this.#plan.settings.hostId, holding: {service, places}});
+	}
+
+	#askLocal(pending: Pending, reason: string): void {
+		if (!this.#pending.has(pending.ask.id)) {
+			return;
+		}
+
+		pending.dispatcher = undefined;
+		const now = this.#context.now();
+		const {ask} = pending;
+		const remainingMilliseconds = ask.remainingMilliseconds - (now - pending.askedAt);
+		this.#context.metrics.count('asks_local', {reason});
+		this.#context.logs('dispatch').warn('Dispatched alone.', {id: ask.id, service: ask.service, reason});
+		if (!this.#localServices.has(ask.service)) {
+			this.refresh(ask.service);
+		}
+
+		this.#carryOut(this.#local.ask({...ask, remainingMilliseconds}, now));
+		this.#tickWhileWaiting();
+	}
+
+	/**
+	Looks after requests that wait here; an idle host does not wake for it.
+	*/
+	#tickWhileWaiting(): void {
+		if (this.#cancelTick !== undefined || this.#local.getWaiting() === 0) {
+			return;
+		}
+
+		this.#cancelTick = this.#context.schedule(DISPATCH_TICK_MILLISECONDS, () => {
+			this.#cancelTick = undefined;
+			this.#carryOut(this.#local.tick(this.#context.now()));
+			this.#tickWhileWaiting();
+		});
+	}
+
+	#carryOut(effects: readonly dispatch.Effect[]): void {
+		for (const effect of effects) {
+			const pending = effect.kind === 'believe' ? undefined : this.#pending.get(effect.ask.id);
+			if (pending !== undefined && effect.kind !== 'believe') {
+				this.#settle(pending, toAnswer(effect));
+			}
+		}
+	}
+
+	#settle(pending: Pending, answer: LateAnswer['answer']): void {
+		const {ask, dispatcher} = pending;
+		if (!this.#pending.delete(ask.id)) {
+			// Given up meanwhile, or granted twice.
+			if (answer.kind === 'grant') {
+				this.#tellEnd({
+					ask, upstream: answer.upstream, grantedAt: 0, dispatcher,
+				}, 'cancelled', 0);
+			}
+
+			return;
+		}
+
+		if (answer.kind === 'grant') {
+			const held: Held = {
+				ask, upstream: answer.upstream, grantedAt: this.#context.now(), dispatcher,
+			};
+			if (this.#plan.isRetired(answer.upstream)) {
+				// The dispatcher has not heard of the retirement yet; this host is bound by it.
+				this.#tellEnd(held, 'cancelled', 0);
+				this.#askAgain(pending, answer.upstream);
+				return;
+			}
+
+			this.#held.set(ask.id, held);
+		}
+
+		pending.resolve(answer.kind === 'grant' ? {...answer, id: ask.id} : answer);
+	}
+
+	#askAgain(pending: Pending, without: core.UpstreamId): void {
+		const now = this.#context.now();
+		const {ask} = pending;
+		pending.ask = {
+			...ask,
+			id: `${ask.id}+`,
+			excluded: [...ask.excluded, without],
+			remainingMilliseconds: ask.remainingMilliseconds - (now - pending.askedAt),
+		};
+		pending.askedAt = now;
+		this.#pending.set(pending.ask.id, pending);
+		void this.#start(pending);
+	}
+
+	#cancel(pending: Pending): void {
+		if (!this.#pending.delete(pending.ask.id)) {
+			return;
+		}
+
+		if (pending.dispatcher === undefined) {
+			this.#local.cancel(pending.ask.id);
+		} else {
+			pending.dispatcher.link.notify(METHODS.cancel, {id: pending.ask.id});
+			pending.dispatcher.link.notify(METHODS.end, {id: pending.ask.id, ending: 'cancelled', milliseconds: 0});
+		}
+
+		pending.resolve({kind: 'refuse', reason: 'no-slot-in-time', retryAfterMilliseconds: 0});
+	}
+
+	#tellEnd({ask, dispatcher}: Held, ending: dispatch.Ending, milliseconds: number): void {
+		if (dispatcher === undefined) {
+			this.#carryOut(this.#local.end(ask.id, {ending, milliseconds}, this.#context.now()));
+		} else {
+			dispatcher.link.notify(METHODS.end, {id: ask.id, ending, milliseconds: Math.round(milliseconds)});
+		}
+	}
+}
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -0,0 +1,138 @@
+/**
+Times and bounds of a fleet whose slots are dispatched.
+*/
+
+/**
+Milliseconds that the first message of a link may take; a control host that is busy with its start needs most.
+*/
+export const HELLO_MILLISECONDS = 1500;
+
+/**
+Milliseconds that a dispatcher may take to answer an ask at once, if only with "wait": a pause of its process for a used-up
+share of the processor lasts up to 100 ms, and a caller's objective is about a second.
+*/
+export const ASK_MILLISECONDS = 250;
+
+/**
+Milliseconds for which a dispatcher that did not answer in time is passed over.
+*/
+export const SLOW_DISPATCHER_MILLISECONDS = 1000;
+
+/**
+Milliseconds of silence after which a dispatcher is passed over without asking: a ping was missed.
+*/
+export const SILENT_DISPATCHER_MILLISECONDS = 2400;
+
+/**
+Milliseconds between two looks of a dispatcher for asks that can no longer be served and places that were abandoned.
+*/
+export const DISPATCH_TICK_MILLISECONDS = 100;
+
+/**
+Milliseconds for which heartbeats are collected before the other control hosts are told.
+*/
+export const RELAY_MILLISECONDS = 40;
+
+/**
+Milliseconds without a heartbeat after which an upstream counts as silent: three heartbeats were missed.
+*/
+export const SILENT_UPSTREAM_MILLISECONDS = 5000;
+
+/**
+Milliseconds between two looks for silent upstreams and hosts.
+*/
+export const HOUSEKEEPING_MILLISECONDS = 1000;
+
+/**
+Milliseconds for which a host waits for a control host of its own failure domain before it fetches a generation from another.
+*/
+export const NEAR_FETCH_MILLISECONDS = 25;
+
+/**
+Milliseconds that fetching a generation or the list of instances may take: 12 MB on a link of 50 Mbit/s.
+*/
+export const FETCH_MILLISECONDS = 2000;
+
+/**
+Milliseconds before a fetch that failed is tried again.
+*/
+export const FETCH_AGAIN_MILLISECONDS = 100;
+
+/**
+Milliseconds without a link after which a control host that no other one names is forgotten.
+*/
+export const FORGET_CONTROL_MILLISECONDS = 15_000;
+
+/**
+Milliseconds that one try to bring a command to the leader may take: operators turn to another host after a second.
+*/
+export const PROPOSE_MILLISECONDS = 700;
+
+/**
+Tries to bring a command to the leader, and the wait between them in milliseconds: together less than a second, so that the
+operator still hears an answer.
+*/
+export const PROPOSE_TRIES = 3;
+export const PROPOSE_AGAIN_MILLISECONDS = 60;
+
+/**
+Milliseconds between two steps of the leader towards the wanted members of the group.
+*/
+export const RECONCILE_MILLISECONDS = 300;
+
+/**
+Milliseconds after which a control host that is gone is replaced by another one that runs. Longer than a restart of a process.
+*/
+export const REPLACE_MILLISECONDS = 2500;
+
+/**
+Voters of the group at most: two may be lost at once.
+*/
+export const MOST_VOTERS = 5;
+
+/**
+Milliseconds before a group whose store failed is opened again: a full disk lasts for seconds.
+*/
+export const REOPEN_MILLISECONDS = 1000;
+
+/**
+Seconds for which callers keep the directory's answer. Short, so that they leave a host that stops while it still serves.
+*/
+export const ADDRESS_TTL_SECONDS = 2;
+
+/**
+Entry hosts of a failure domain that the directory names. Few, so that their connections to upstreams are reused.
+*/
+export const ADDRESSES_A_DOMAIN = 3;
+
+/**
+Milliseconds of silence after which the directory no longer names an entry host.
+*/
+export const SILENT_ENTRY_MILLISECONDS = 1600;
+
+/**
+Milliseconds that opening a connection to an upstream may take before another one is tried: a hundred times the way between
+failure domains of one region.
+*/
+export const UPSTREAM_CONNECT_MILLISECONDS = 300;
+
+/**
+Part of the time between SIGTERM and the end for which a stopping entry host takes new connections: callers keep its address
+for up to three times {@link ADDRESS_TTL_SECONDS}.
+*/
+export const ACCEPTING_PART = 0.6;
+
+/**
+Milliseconds before the end of the time to stop at which a stopping host gives up what is still under way.
+*/
+export const STOP_MARGIN_MILLISECONDS = 250;
+
+/**
+Usual time of a request whose route was not measured, as a part of its latency objective.
+*/
+export const USUAL_PART = 0.25;
+
+/**
+Milliseconds after its last ask for which a host is told what a dispatcher believes.
+*/
+export const ASKER_MILLISECONDS = 10_000;
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -0,0 +1,218 @@
+/**
+A control host: it takes heartbeats and operators' generations, keeps both with the other control hosts, dispatches services,
+and answers the directory.
+*/
+import * as core from 'wagtailroute-core';
+import type * as generations from 'wagtailroute-generations';
+import type * as instances from 'wagtailroute-instances';
+import * as link from 'wagtailroute-link';
+import * as results from 'ts-results-es';
+import * as utils from 'wagtailroute-utils';
+import {startControlLinks} from './control-links.ts';
+import {startDispatching} from './dispatching.ts';
+import {createEntryHosts, describeEntryHost} from './entry-hosts.ts';
+import type {FleetContext} from './context.ts';
+import {startControlGroup} from './group.ts';
+import {
+	type LeaderCalls,
+	type LeaderFailure,
+	proposeToLeader,
+	readFromLeader,
+} from './leader-calls.ts';
+import * as messages from './messages.ts';
+import {startRegistry} from './registry.ts';
+import type {ControlHost, ControlSettings} from './settings.ts';
+
+/**
+A running control host.
+*/
+export type Control = {
+	/**
+	Takes a heartbeat of an instance that serves.
+	*/
+	readonly takeHeartbeat: (heartbeat: instances.Heartbeat) => void;
+	/**
+	Resolves once the whole fleet is bound not to send new requests to the instance.
+	*/
+	readonly retire: (retirement: generations.Retirement) => Promise<results.Result<void, LeaderFailure>>;
+	/**
+	Resolves once the generation, or a newer one, is kept by a quorum. The result is the version in force.
+	*/
+	readonly putGeneration: (stored: generations.StoredGeneration) => Promise<results.Result<number, LeaderFailure>>;
+	/**
+	Reads the newest generation as it was sent; undefined before the first.
+	*/
+	readonly readGeneration: () => Promise<results.Result<string | undefined, LeaderFailure>>;
+	/**
+	Returns the addresses of entry hosts for a caller.
+	*/
+	readonly listAddresses: (failureDomain: core.FailureDomain) => readonly core.Address[];
+	readonly addSeeds: (seeds: readonly ControlHost[]) => void;
+	readonly close: () => Promise<void>;
+};
+
+/**
+Starts a control host.
+*/
+export async function startControl(context: FleetContext, settings: ControlSettings): Promise<Control> {
+	const log = context.logs('control');
+	const self: ControlHost = {id: settings.hostId, address: settings.linkAddress, failureDomain: settings.failureDomain};
+	const entries = createEntryHosts();
+	const methods = new Map<string, link.LinkMethod>();
+	const registry = startRegistry(context, {
+		tellControls(method, parameters) {
+			links.notifyAll(method, parameters);
+		},
+		onChanged(service) {
+			dispatching.refresh(service);
+		},
+	});
+	const dispatching = startDispatching(context, {
+		settings,
+		listCandidates: registry.listCandidates,
+		notify(host, method, parameters) {
+			entries.find(host)?.link.notify(method, parameters);
+		},
+	});
+	const listControls = () => [self, ...links.getOpen().map(open => open.host)];
+	const getVersion = () => group.getStored()?.generation.version ?? 0;
+
+	const tellControls = () => {
+		const controls = listControls();
+		entries.notifyAll(messages.METHODS.controls, controls);
+		links.notifyAll(messages.METHODS.controls, controls);
+	};
+
+	registerMethods(methods, {
+		[messages.METHODS.hello](hello: messages.Hello, from: link.Link) {
+			if (hello.entry !== undefined) {
+				const host = {
+					id: hello.id, failureDomain: hello.failureDomain, state: hello.entry, link: from,
+				};
+				entries.add(host);
+				log.info('Entry host joined.', describeEntryHost(host));
+			}
+
+			if (hello.control !== undefined) {
+				links.learn([hello.control]);
+			}
+
+			return {failureDomain: settings.failureDomain, controls: listControls(), version: getVersion()} satisfies messages.Welcome;
+		},
+		[messages.METHODS.state](state: messages.EntryState, from: link.Link) {
+			const host = entries.setState(from, state);
+			if (host !== undefined) {
+				log.info('Entry host changed.', describeEntryHost({...host, state}));
+			}
+		},
+		[messages.METHODS.controls](controls: readonly ControlHost[]) {
+			links.learn(controls);
+		},
+		[messages.METHODS.group](message: messages.GroupMessage) {
+			group.receive(message);
+		},
+		[messages.METHODS.propose]: async ({command}: {command: generations.GenerationCommand}) => group.propose(command),
+		[messages.METHODS.readGeneration]: async () => group.read(),
+		[messages.METHODS.fetchGeneration]: () => ({generation: group.getStored()?.generation ?? null}) satisfies messages.FetchedGeneration,
+		[messages.METHODS.heard]: registry.takeRelayed,
+		[messages.METHODS.followInstances](_parameters: unknown, from: link.Link) {
+			registry.follow(from);
+			return registry.describeAll();
+		},
+		[messages.METHODS.ask]: dispatching.ask,
+		[messages.METHODS.cancel]({id}: {id: string}) {
+			dispatching.cancel(id);
+		},
+		[messages.METHODS.end]: dispatching.end,
+		[messages.METHODS.hold]({host, holding}: {host: core.HostId; holding: messages.Holding}) {
+			dispatching.hold(host, holding);
+		},
+	});
+	const links = startControlLinks(context, {
+		seeds: settings.seeds,
+		self: settings.hostId,
+		createHello: () => ({id: settings.hostId, failureDomain: settings.failureDomain, control: self}),
+		methods,
+		onOpen: tellControls,
+		onLost: tellControls,
+	});
+	const group = startControlGroup(context, {
+		settings,
+		send(to, message) {
+			links.find(to)?.notify(messages.METHODS.group, message);
+		},
+		getRunning: () => links.getOpen().map(open => open.host),
+		getKnown: () => links.getOpen().map(open => open.host.id),
+		onGeneration(generation) {
+			log.info('Generation in force.', {version: generation.version, routes: generation.routes.length});
+			entries.notifyAll(messages.METHODS.generationVersion, {version: generation.version});
+		},
+		onRetired(retirements) {
+			for (const retirement of retirements) {
+				registry.retire(retirement);
+			}
+
+			entries.notifyAll(messages.METHODS.retired, {retirements});
+		},
+	});
+	// Opened last: the parts need each other, and a message may come as soon as there is a server.
+	const server = await link.openLinkServer({
+		address: settings.linkAddress,
+		methods,
+		now: context.now,
+		onClose(closed) {
+			registry.unfollow(closed);
+			const host = entries.remove(closed);
+			if (host !== undefined) {
+				log.info('Entry host left.', describeEntryHost(host));
+			}
+		},
+		onDefect(error) {
+			log.error('Message could not be handled.', {error: error.stack});
+		},
+	});
+	const calls: LeaderCalls = {self: settings.hostId, group, findLink: links.find};
+	context.metrics.registerGauge('entry_hosts', entries.count);
+	context.metrics.registerGauge('instances', registry.countInstances);
+	context.metrics.registerGauge('generation_version', getVersion);
+	log.info('Host started.', {address: core.formatAddress(settings.linkAddress), isFirstStart: settings.isFirstStart});
+	const teardown = utils.mergeTeardowns(registry.teardown, dispatching.teardown, links.close);
+	return {
+		takeHeartbeat(heartbeat) {
+			registry.take(heartbeat);
+		},
+		async retire(retirement) {
+			const known = group.getRetirement(retirement.upstream);
+			if (known === 'gone' || known === retirement.state) {
+				return results.Ok(undefined);
+			}
+
+			const proposed = await proposeToLeader(calls, {name: 'retire', retirement});
+			log.info('Retirement proposed.', {...retirement, isTaken: proposed.isOk()});
+			return proposed.map(() => undefined);
+		},
+		async putGeneration(stored) {
+			const proposed = await proposeToLeader(calls, {name: 'put', stored});
+			log.info('Generation proposed.', {version: stored.generation.version, isTaken: proposed.isOk(), leader: group.getLeader()});
+			return proposed;
+		},
+		async readGeneration() {
+			const read = await readFromLeader(calls);
+			return read.map(document => document ?? undefined);
+		},
+		listAddresses: entries.listAddresses,
+		addSeeds: links.addSeeds,
+		async close() {
+			teardown();
+			await group.close();
+			await server.close();
+			log.info('Host stopped.');
+		},
+	};
+}
+
+function registerMethods(methods: Map<string, link.LinkMethod>, table: Readonly<Record<string, link.LinkMethod>>): void {
+	for (const [name, method] of Object.entries(table)) {
+		methods.set(name, method);
+	}
+}
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -0,0 +1,186 @@
+/**
+The dispatcher of a control host, as entry hosts ask it over their links.
+*/
+import type * as core from 'wagtailroute-core';
+import * as dispatch from 'wagtailroute-dispatch';
+import type * as utils from 'wagtailroute-utils';
+import {ASKER_MILLISECONDS, DISPATCH_TICK_MILLISECONDS} from './constants.ts';
+import type {FleetContext} from './context.ts';
+import {
+	type AskAnswer,
+	type Belief,
+	type GrantEnd,
+	type Holding,
+	METHODS,
+} from './messages.ts';
+import type {FleetSettings} from './settings.ts';
+
+/**
+A dispatcher that answers other hosts.
+*/
+export type Dispatching = {
+	readonly ask: (ask: dispatch.Ask) => AskAnswer;
+	readonly cancel: (id: dispatch.AskId) => void;
+	readonly end: (end: GrantEnd) => void;
+	readonly hold: (host: core.HostId, holding: Holding) => void;
+	/**
+	Takes the instances of a service anew, if it was ever asked for.
+	*/
+	readonly refresh: (service: core.ServiceName) => void;
+	readonly teardown: utils.Teardown;
+};
+
+/**
+What the dispatcher asks of its host.
+*/
+export type DispatchingPlan = {
+	readonly settings: Pick<FleetSettings, 'budget' | 'floor'>;
+	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
+	/**
+	Sends to an entry host, if it has a link.
+	*/
+	readonly notify: (host: core.HostId, method: string, parameters: unknown) => void;
+};
+
+type Effects = {
+	readonly [Kind in dispatch.Effect['kind']]: (effect: Extract<dispatch.Effect, {kind: Kind}>) => void;
+};
+
+/**
+Starts the dispatcher.
+*/
+export function startDispatching(context: FleetContext, plan: DispatchingPlan): Dispatching {
+	const {now, random, metrics} = context;
+	const log = context.logs('dispatch');
+	const dispatcher = dispatch.createDispatcher({...plan.settings, random});
+	const known = new Set<core.ServiceName>();
+	const askers = new Map<core.ServiceName, Map<core.HostId, number>>();
+
+	/**
+	Hosts that send requests of the service: the others would only be woken.
+	*/
+	const listAskers = (service: core.ServiceName) => {
+		const hosts = askers.get(service) ?? new Map<core.HostId, number>();
+		for (const [host, askedAt] of hosts) {
+			if (now() - askedAt > ASKER_MILLISECONDS) {
+				hosts.delete(host);
+			}
+		}
+
+		return hosts.keys().toArray();
+	};
+
+	const tell = (effect: Extract<dispatch.Effect, {kind: 'grant' | 'refuse'}>) => {
+		plan.notify(effect.ask.host, METHODS.answer, {id: effect.ask.id, answer: toAnswer(effect)});
+	};
+
+	const effects: Effects = {
+		grant: tell,
+		refuse(effect) {
+			logRefusal(effect);
+			tell(effect);
+		},
+		believe({service, upstream, doubt, isSuspended, cause}) {
+			metrics.count('beliefs', {service, state: isSuspended ? 'suspended' : 'readmitted'});
+			log.info(isSuspended ? 'Upstream suspended.' : 'Upstream readmitted.', {
+				service, upstream, doubt, cause,
+			});
+			for (const host of listAskers(service)) {
+				plan.notify(host, METHODS.believe, {service, upstream, doubt} satisfies Belief);
+			}
+		},
+	};
+
+	const logRefusal = ({ask, reason, retryAfterMilliseconds}: Extract<dispatch.Effect, {kind: 'refuse'}>) => {
+		metrics.count('refusals', {service: ask.service, reason});
+		log.warn('Ask refused.', {
+			id: ask.id,
+			service: ask.service,
+			reason,
+			remainingMilliseconds: Math.round(ask.remainingMilliseconds),
+			retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
+			waiting: dispatcher.getWaiting(),
+			upstreams: dispatcher.report(ask.service).length,
+			suspended: dispatcher.report(ask.service).filter(upstream => upstream.isSuspended).length,
+		});
+	};
+
+	const noteAsker = ({service, host}: dispatch.Ask) => {
+		const hosts = askers.get(service) ?? new Map<core.HostId, number>();
+		askers.set(service, hosts);
+		hosts.set(host, now());
+	};
+
+	const carryOut = (list: readonly dispatch.Effect[]) => {
+		for (const effect of list) {
+			effects[effect.kind](effect as never);
+		}
+	};
+
+	const refresh = (service: core.ServiceName) => {
+		carryOut(dispatcher.setCandidates(service, plan.listCandidates(service), now()));
+	};
+
+	metrics.registerGauge('asks_waiting', () => dispatcher.getWaiting());
+	const teardown = context.repeat(DISPATCH_TICK_MILLISECONDS, () => {
+		carryOut(dispatcher.tick(now()));
+	});
+	return {
+		ask(ask) {
+			if (!known.has(ask.service)) {
+				known.add(ask.service);
+				refresh(ask.service);
+			}
+
+			noteAsker(ask);
+			const list = dispatcher.ask(ask, now());
+			const own = list.find(effect => effect.kind !== 'believe' && effect.ask.id === ask.id);
+			carryOut(list.filter(effect => effect !== own));
+			if (own === undefined || own.kind === 'believe') {
+				return {kind: 'wait'};
+			}
+
+			if (own.kind === 'refuse') {
+				logRefusal(own);
+			}
+
+			return toAnswer(own);
+		},
+		cancel(id) {
+			dispatcher.cancel(id);
+		},
+		end({id, ending, milliseconds}) {
+			metrics.count('ends', {ending});
+			carryOut(dispatcher.end(id, {ending, milliseconds}, now()));
+		},
+		hold(host, {service, places}) {
+			if (!known.has(service)) {
+				known.add(service);
+				refresh(service);
+			}
+
+			dispatcher.hold(host, service, places, now());
+		},
+		refresh(service) {
+			if (known.has(service)) {
+				refresh(service);
+			}
+		},
+		teardown,
+	};
+}
+
+/**
+Turns a decision into what the asking host is told.
+*/
+export function toAnswer(effect: Extract<dispatch.Effect, {kind: 'grant' | 'refuse'}>): Exclude<AskAnswer, {kind: 'wait'}> {
+	if (effect.kind === 'refuse') {
+		const {reason, retryAfterMilliseconds} = effect;
+		return {kind: 'refuse', reason, retryAfterMilliseconds};
+	}
+
+	const {upstream, address, isTrial} = effect;
+	return {
+		kind: 'grant', upstream, address, isTrial,
+	};
+}
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/entry-hosts.ts
@@ -0,0 +1,94 @@
+/**
+The entry hosts that have a link to this control host, and the answer of the directory.
+
+The directory names a few entry hosts of the caller's failure domain, the same few for all callers: their connections to
+upstreams are used again and again. The others are at hand for when one of these goes.
+*/
+import * as core from 'wagtailroute-core';
+import type * as link from 'wagtailroute-link';
+import {ADDRESSES_A_DOMAIN, SILENT_ENTRY_MILLISECONDS} from './constants.ts';
+import {orderDispatchers} from './dispatch-order.ts';
+import type {EntryState} from './messages.ts';
+
+/**
+An entry host as its first message and later ones described it.
+*/
+export type EntryHost = {
+	readonly id: core.HostId;
+	readonly failureDomain: core.FailureDomain;
+	readonly state: EntryState;
+	readonly link: link.Link;
+};
+
+/**
+The table of entry hosts that have a link here.
+*/
+export type EntryHosts = {
+	readonly add: (host: EntryHost) => void;
+	readonly setState: (of: link.Link, state: EntryState) => EntryHost | undefined;
+	readonly remove: (of: link.Link) => EntryHost | undefined;
+	readonly find: (id: core.HostId) => EntryHost | undefined;
+	readonly notifyAll: (method: string, parameters: unknown) => void;
+	readonly count: () => number;
+	/**
+	Returns the addresses for a caller; none when no entry host is known to serve.
+	*/
+	readonly listAddresses: (failureDomain: core.FailureDomain) => readonly core.Address[];
+};
+
+/**
+Creates an empty table.
+*/
+export function createEntryHosts(): EntryHosts {
+	const byLink = new Map<link.Link, EntryHost>();
+	const byId = new Map<core.HostId, EntryHost>();
+
+	const set = (host: EntryHost) => {
+		byLink.set(host.link, host);
+		byId.set(host.id, host);
+	};
+
+	return {
+		add: set,
+		setState(of, state) {
+			const present = byLink.get(of);
+			if (present !== undefined) {
+				set({...present, state});
+			}
+
+			return present;
+		},
+		remove(of) {
+			const present = byLink.get(of);
+			byLink.delete(of);
+			// The host may have opened another link already.
+			if (present !== undefined && byId.get(present.id)?.link === of) {
+				byId.delete(present.id);
+			}
+
+			return present;
+		},
+		find: id => byId.get(id),
+		notifyAll(method, parameters) {
+			for (const host of byId.values()) {
+				host.link.notify(method, parameters);
+			}
+		},
+		count: () => byId.size,
+		listAddresses(failureDomain) {
+			const serving = byId.values()
+				.filter(host => host.state.isReady && host.link.getSilence() < SILENT_ENTRY_MILLISECONDS)
+				.toArray();
+			const near = serving.filter(host => host.failureDomain === failureDomain);
+			const ordered = orderDispatchers('directory', near.length > 0 ? near : serving, host => host.id);
+			return ordered.slice(0, ADDRESSES_A_DOMAIN).map(host => host.state.trafficAddress);
+		},
+	};
+}
+
+/**
+Writes a host for the log.
+*/
+export function describeEntryHost({id, state}: EntryHost): Readonly<Record<string, unknown>> {
+	return {entry: id, address: core.formatAddress(state.trafficAddress), isReady: state.isReady};
+}
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/group.ts
@@ -0,0 +1,229 @@
+/**
+The replicated group of the control hosts, which keeps the generation and the retirements.
+
+A replica whose store failed stops for good, since nobody knows what its disk holds. It is opened anew from its disk after a
+moment: a full disk has room again after a while, and the other parts of the host go on meanwhile.
+*/
+import type * as core from 'wagtailroute-core';
+import * as generations from 'wagtailroute-generations';
+import * as replication from 'wagtailroute-replication';
+import type * as results from 'ts-results-es';
+import {
+	MOST_VOTERS,
+	RECONCILE_MILLISECONDS,
+	REOPEN_MILLISECONDS,
+	REPLACE_MILLISECONDS,
+} from './constants.ts';
+import type {FleetContext} from './context.ts';
+import type {GroupMessage, ProposalAnswer, ReadAnswer} from './messages.ts';
+import type {ControlHost, ControlSettings} from './settings.ts';
+
+/**
+The group on this host.
+*/
+export type ControlGroup = {
+	readonly receive: (message: GroupMessage) => void;
+	/**
+	Proposes on this host, if it leads.
+	*/
+	readonly propose: (command: generations.GenerationCommand) => Promise<ProposalAnswer>;
+	/**
+	Reads the newest generation on this host, if it leads.
+	*/
+	readonly read: () => Promise<ReadAnswer>;
+	readonly getLeader: () => core.HostId | null;
+	readonly getStored: () => generations.StoredGeneration | undefined;
+	readonly getRetirement: (upstream: core.UpstreamId) => generations.RetirementState | undefined;
+	readonly getStatus: () => replication.GroupStatus | undefined;
+	readonly close: () => Promise<void>;
+};
+
+/**
+What the group needs.
+*/
+export type ControlGroupPlan = {
+	readonly settings: ControlSettings;
+	readonly send: (to: core.HostId, message: GroupMessage) => void;
+	/**
+	The other control hosts that have a link.
+	*/
+	readonly getRunning: () => readonly ControlHost[];
+	/**
+	All control hosts that this one knows by name.
+	*/
+	readonly getKnown: () => readonly core.HostId[];
+	readonly onGeneration: (generation: generations.Generation) => void;
+	readonly onRetired: (retirements: readonly generations.Retirement[]) => void;
+};
+
+const GROUP = 'generations';
+
+/**
+Starts taking part in the group.
+*/
+export function startControlGroup(context: FleetContext, plan: ControlGroupPlan): ControlGroup {
+	const {settings} = plan;
+	const log = context.logs('group');
+	const goneSince = new Map<core.HostId, number>();
+	let replicated = generations.createReplicatedGenerations();
+	let group: replication.Group | undefined;
+	let isClosed = false;
+
+	const announce = () => {
+		const stored = replicated.getStored();
+		if (stored !== undefined) {
+			plan.onGeneration(stored.generation);
+		}
+	};
+
+	const createMachine = (): replication.StateMachine => {
+		replicated = generations.createReplicatedGenerations();
+		return {
+			apply(command) {
+				const before = replicated.getStored();
+				const answer = replicated.apply(command as generations.GenerationCommand);
+				if (replicated.getStored() !== before) {
+					announce();
+				}
+
+				const {name} = command as generations.GenerationCommand;
+				if (name === 'retire') {
+					plan.onRetired([(command as Extract<generations.GenerationCommand, {name: 'retire'}>).retirement]);
+				}
+
+				return answer;
+			},
+			takeSnapshot: () => replicated.takeSnapshot(),
+			restoreSnapshot(state) {
+				const snapshot = state as generations.GenerationSnapshot;
+				replicated.restoreSnapshot(snapshot);
+				announce();
+				plan.onRetired(snapshot.retirements);
+			},
+		};
+	};
+
+	const reopen = (reason: string) => {
+		log.error('Store failed, the replica is opened anew.', {reason});
+		const failed = group;
+		group = undefined;
+		context.schedule(REOPEN_MILLISECONDS, () => {
+			void (async () => {
+				await failed?.close();
+				await open();
+			})();
+		});
+	};
+
+	const open = async () => {
+		if (isClosed) {
+			return;
+		}
+
+		const opened = await replication.createGroup({
+			group: GROUP,
+			host: settings.hostId,
+			store: replication.createDurableStore(settings.dataFolder),
+			stateMachine: createMachine(),
+			send: plan.send,
+			clock: context.now,
+			random: context.random,
+			schedule: context.schedule,
+			// A host that comes with an empty disk later on joins; it must not found a second group.
+			...settings.isFirstStart && {first: {hosts: settings.seeds.map(seed => seed.id)}},
+			getSeeds: () => plan.getKnown(),
+			onStopped(failure) {
+				reopen(failure.message);
+			},
+		});
+		if (opened.isErr()) {
+			reopen(opened.error.message);
+			return;
+		}
+
+		group = opened.value;
+		log.info('Replica opened.', {member: group.getStatus().self, version: replicated.getStored()?.generation.version ?? 0});
+	};
+
+	const reconcile = async () => {
+		const status = group?.getStatus();
+		if (status?.role !== 'leader') {
+			return;
+		}
+
+		const running = [{host: settings.hostId, failureDomain: settings.failureDomain}, ...plan.getRunning()
+			.map(({id, failureDomain = ''}) => ({host: id, failureDomain}))];
+		noteGone(goneSince, status, {running: running.map(({host}) => host), now: context.now()});
+		const wanted = replication.chooseMembers({
+			members: status.members,
+			running,
+			isReplaceable: host => context.now() - (goneSince.get(host) ?? Infinity) > REPLACE_MILLISECONDS,
+			votersMost: MOST_VOTERS,
+		});
+		const changed = await group!.reconcile(wanted);
+		if (changed.isOk() && changed.value !== undefined) {
+			log.info('Members changed.', {change: changed.value, running: running.length});
+		}
+	};
+
+	void open();
+	const stopReconciling = context.repeat(RECONCILE_MILLISECONDS, () => {
+		void reconcile();
+	});
+	const toNotLeader = (leader: core.HostId | null) => ({kind: 'not-leader', leader} as const);
+	return {
+		receive(message) {
+			group?.receive(message);
+		},
+		async propose(command) {
+			if (group === undefined) {
+				return toNotLeader(null);
+			}
+
+			const proposed: results.Result<replication.Applied, replication.GroupFailure> = await group.propose(command);
+			if (proposed.isOk()) {
+				return {kind: 'applied', version: (proposed.value.value as generations.GenerationAnswer).version};
+			}
+
+			return proposed.error.kind === 'not-leader' ? toNotLeader(proposed.error.leader ?? null) : {kind: 'unknown'};
+		},
+		async read() {
+			if (group === undefined) {
+				return toNotLeader(null);
+			}
+
+			const barrier = await group.readBarrier();
+			return barrier.isOk()
+				? {kind: 'read', document: replicated.getStored()?.document ?? null}
+				: toNotLeader(barrier.error.leader ?? null);
+		},
+		getLeader: () => group?.getStatus().leader ?? null,
+		getStored: () => replicated.getStored(),
+		getRetirement: upstream => replicated.getRetirement(upstream),
+		getStatus: () => group?.getStatus(),
+		async close() {
+			isClosed = true;
+			stopReconciling();
+			await group?.close();
+		},
+	};
+}
+
+function noteGone(
+	goneSince: Map<core.HostId, number>,
+	status: replication.GroupStatus,
+	{running, now}: {readonly running: readonly core.HostId[]; readonly now: number},
+): void {
+	const members = status.members.map(member => replication.getMemberHost(member.id));
+	for (const host of goneSince.keys()) {
+		if (running.includes(host) || !members.includes(host)) {
+			goneSince.delete(host);
+		}
+	}
+
+	for (const host of members) {
+		if (!running.includes(host) && !goneSince.has(host)) {
+			goneSince.set(host, now);
+		}
+	}
+}
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -0,0 +1,167 @@
+/**
+The messages between the hosts of a fleet, by method. Each is a JSON-RPC call or notification over a link.
+*/
+import type * as core from 'wagtailroute-core';
+import type * as dispatch from 'wagtailroute-dispatch';
+import type * as generations from 'wagtailroute-generations';
+import type * as instances from 'wagtailroute-instances';
+import type * as replication from 'wagtailroute-replication';
+import type {ControlHost} from './settings.ts';
+
+/**
+Names of the methods.
+*/
+export const METHODS = {
+	hello: 'fleet.hello',
+	state: 'fleet.state',
+	controls: 'fleet.controls',
+	group: 'group.message',
+	propose: 'group.propose',
+	readGeneration: 'generation.read',
+	generationVersion: 'generation.version',
+	fetchGeneration: 'generation.fetch',
+	heard: 'instances.heard',
+	followInstances: 'instances.follow',
+	instancesChanged: 'instances.changed',
+	retired: 'instances.retired',
+	ask: 'dispatch.ask',
+	answer: 'dispatch.answer',
+	end: 'dispatch.end',
+	cancel: 'dispatch.cancel',
+	hold: 'dispatch.hold',
+	believe: 'dispatch.believe',
+} as const;
+
+/**
+What an entry host says of itself.
+*/
+export type EntryState = {
+	readonly trafficAddress: core.Address;
+	/**
+	It has a generation, and is not stopping.
+	*/
+	readonly isReady: boolean;
+};
+
+/**
+The first message of a link.
+*/
+export type Hello = {
+	readonly id: core.HostId;
+	readonly failureDomain: core.FailureDomain;
+	/**
+	Absent for a control host.
+	*/
+	readonly entry?: EntryState;
+	/**
+	Present for a control host.
+	*/
+	readonly control?: ControlHost;
+};
+
+/**
+The answer to it.
+*/
+export type Welcome = {
+	readonly failureDomain: core.FailureDomain;
+	/**
+	The control hosts that the answering one has links to, itself included.
+	*/
+	readonly controls: readonly ControlHost[];
+	/**
+	Version of its generation, 0 when it has none.
+	*/
+	readonly version: number;
+};
+
+/**
+A heartbeat on its way to the other control hosts.
+*/
+export type RelayedHeartbeat = instances.Heartbeat & {
+	/**
+	Milliseconds since it was heard.
+	*/
+	readonly ageMilliseconds: number;
+};
+
+/**
+Instances that are new or changed, and those that were forgotten.
+*/
+export type InstanceNews = {
+	readonly heard: readonly RelayedHeartbeat[];
+	readonly forgotten: readonly core.UpstreamId[];
+	readonly retirements: readonly generations.Retirement[];
+};
+
+/**
+The first answer to an ask. `wait`: the final one follows as a message.
+*/
+export type AskAnswer =
+	| {
+		readonly kind: 'grant';
+		readonly upstream: core.UpstreamId;
+		readonly address: core.Address;
+		readonly isTrial: boolean;
+	}
+	| {readonly kind: 'refuse'; readonly reason: dispatch.RefusalReason; readonly retryAfterMilliseconds: number}
+	| {readonly kind: 'wait'};
+
+/**
+The final answer to an ask that waited.
+*/
+export type LateAnswer = {
+	readonly id: dispatch.AskId;
+	readonly answer: Exclude<AskAnswer, {kind: 'wait'}>;
+};
+
+/**
+The end of a granted request.
+*/
+export type GrantEnd = {
+	readonly id: dispatch.AskId;
+	readonly ending: dispatch.Ending;
+	readonly milliseconds: number;
+};
+
+/**
+The places that a host holds of a service.
+*/
+export type Holding = {
+	readonly service: core.ServiceName;
+	readonly places: readonly dispatch.HeldPlace[];
+};
+
+/**
+What a dispatcher believes of an upstream.
+*/
+export type Belief = {
+	readonly service: core.ServiceName;
+	readonly upstream: core.UpstreamId;
+	readonly doubt: number;
+};
+
+/**
+A command on its way to the leader, and its answer. `unknown`: it may have been taken.
+*/
+export type ProposalAnswer =
+	| {readonly kind: 'applied'; readonly version: number}
+	| {readonly kind: 'not-leader'; readonly leader: core.HostId | null}
+	| {readonly kind: 'unknown'};
+
+/**
+The answer to a read of the newest generation.
+*/
+export type ReadAnswer =
+	| {readonly kind: 'read'; readonly document: string | null}
+	| {readonly kind: 'not-leader'; readonly leader: core.HostId | null};
+
+/**
+A message of the replicated group.
+*/
+export type GroupMessage = replication.GroupMessage;
+
+/**
+A generation as entry hosts get it; null before the first.
+*/
+export type FetchedGeneration = {readonly generation: generations.Generation | null};
+
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/registry.ts
@@ -0,0 +1,178 @@
+/**
+Instances of upstreams on a control host: from heartbeats that come here, and from those that came to other control hosts.
+
+Each heartbeat is told to all other control hosts, once. What was lost on the way is made good by the next heartbeat. Entry
+hosts that follow this host are told of changes only.
+*/
+import type * as core from 'wagtailroute-core';
+import type * as dispatch from 'wagtailroute-dispatch';
+import type * as generations from 'wagtailroute-generations';
+import * as instances from 'wagtailroute-instances';
+import type * as link from 'wagtailroute-link';
+import type * as utils from 'wagtailroute-utils';
+import {HOUSEKEEPING_MILLISECONDS, RELAY_MILLISECONDS, SILENT_UPSTREAM_MILLISECONDS} from './constants.ts';
+import type {FleetContext} from './context.ts';
+import {type InstanceNews, METHODS, type RelayedHeartbeat} from './messages.ts';
+
+/**
+The registry of a control host.
+*/
+export type Registry = {
+	/**
+	Takes a heartbeat from its sender.
+	*/
+	readonly take: (heartbeat: instances.Heartbeat) => instances.Reception;
+	/**
+	Takes heartbeats that another control host was sent.
+	*/
+	readonly takeRelayed: (heartbeats: readonly RelayedHeartbeat[]) => void;
+	readonly retire: (retirement: generations.Retirement) => void;
+	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
+	/**
+	Everything, as news to a host that knows nothing.
+	*/
+	readonly describeAll: () => InstanceNews;
+	readonly follow: (follower: link.Link) => void;
+	readonly unfollow: (follower: link.Link) => void;
+	readonly countInstances: () => number;
+	readonly teardown: utils.Teardown;
+};
+
+/**
+What the registry tells.
+*/
+export type RegistryPlan = {
+	readonly tellControls: (method: string, parameters: unknown) => void;
+	readonly onChanged: (service: core.ServiceName) => void;
+};
+
+/**
+Creates the registry.
+*/
+export function startRegistry(context: FleetContext, {tellControls, onChanged}: RegistryPlan): Registry {
+	const {now} = context;
+	const log = context.logs('instances');
+	const table = instances.createInstanceTable();
+	const followers = new Set<link.Link>();
+	const silent = new Set<core.UpstreamId>();
+	const retirements = new Map<core.UpstreamId, generations.RetirementState>();
+	let waiting: RelayedHeartbeat[] = [];
+
+	const tellFollowers = (news: InstanceNews) => {
+		for (const follower of followers) {
+			follower.notify(METHODS.instancesChanged, news);
+		}
+	};
+
+	const relay = () => {
+		const heartbeats = waiting;
+		waiting = [];
+		tellControls(METHODS.heard, heartbeats);
+	};
+
+	const receive = (heartbeat: instances.Heartbeat, heardAt: number) => {
+		const reception = table.take(heartbeat, heardAt);
+		const wasSilent = reception !== 'stale' && silent.delete(heartbeat.upstream);
+		if (reception === 'news') {
+			const {upstream, service, address, slots, sequence, failureDomain} = heartbeat;
+			log.info('Instance heard.', {
+				upstream, service, address: `${address.ip}:${address.port}`, slots, sequence, failureDomain,
+			});
+			tellFollowers({heard: [{...heartbeat, ageMilliseconds: now() - heardAt}], forgotten: [], retirements: []});
+		}
+
+		if (reception === 'news' || wasSilent) {
+			onChanged(heartbeat.service);
+		}
+
+		return reception;
+	};
+
+	/**
+	Silence alone takes no upstream out: it only ends the trials of one that failed as well.
+	*/
+	const lookForSilence = () => {
+		const forgotten = table.forgetSilent(now());
+		if (forgotten.length > 0) {
+			log.info('Instances forgotten.', {upstreams: forgotten});
+			tellFollowers({heard: [], forgotten, retirements: []});
+		}
+
+		const changed = new Set<core.ServiceName>();
+		for (const instance of table.listAll()) {
+			if (!(now() - instance.heardAt > SILENT_UPSTREAM_MILLISECONDS) || silent.has(instance.upstream)) {
+				continue;
+			}
+
+			silent.add(instance.upstream);
+			changed.add(instance.service);
+			log.warn('Instance silent.', {upstream: instance.upstream, service: instance.service, ageMilliseconds: Math.round(now() - instance.heardAt)});
+		}
+
+		for (const service of changed) {
+			onChanged(service);
+		}
+	};
+
+	const stopLooking = context.repeat(HOUSEKEEPING_MILLISECONDS, lookForSilence);
+	return {
+		take(heartbeat) {
+			const reception = receive(heartbeat, now());
+			if (reception !== 'stale') {
+				waiting.push({...heartbeat, ageMilliseconds: 0});
+				if (waiting.length === 1) {
+					context.schedule(RELAY_MILLISECONDS, relay);
+				}
+			}
+
+			return reception;
+		},
+		takeRelayed(heartbeats) {
+			for (const heartbeat of heartbeats) {
+				receive(heartbeat, now() - heartbeat.ageMilliseconds);
+			}
+		},
+		retire({upstream, state}) {
+			const service = table.get(upstream)?.service;
+			retirements.set(upstream, state);
+			const isNews = table.retire(upstream, state);
+			if (service === undefined || !isNews) {
+				return;
+			}
+
+			log.info('Instance retired.', {upstream, service, state});
+			onChanged(service);
+		},
+		listCandidates: service => table.list(service).map(instance => ({
+			upstream: instance.upstream,
+			address: instance.address,
+			failureDomain: instance.failureDomain,
+			slots: instance.slots,
+			isDraining: instance.state === 'draining',
+			isSilent: silent.has(instance.upstream),
+			warmAt: instance.warmAt,
+		})),
+		describeAll: () => ({
+			heard: table.listAll().map(instance => ({
+				upstream: instance.upstream,
+				service: instance.service,
+				address: instance.address,
+				failureDomain: instance.failureDomain,
+				slots: instance.slots,
+				sequence: instance.sequence,
+				warmupMilliseconds: Math.max(0, instance.warmAt - instance.heardAt),
+				ageMilliseconds: now() - instance.heardAt,
+			})),
+			forgotten: [],
+			retirements: retirements.entries().map(([upstream, state]) => ({upstream, state})).toArray(),
+		}),
+		follow(follower) {
+			followers.add(follower);
+		},
+		unfollow(follower) {
+			followers.delete(follower);
+		},
+		countInstances: () => table.listAll().length,
+		teardown: stopLooking,
+	};
+}
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/settings.ts
@@ -0,0 +1,60 @@
+/**
+Settings of the hosts of a fleet whose slots are dispatched.
+*/
+import type * as core from 'wagtailroute-core';
+import type * as dispatch from 'wagtailroute-dispatch';
+
+/**
+A control host as others know it.
+*/
+export type ControlHost = {
+	readonly id: core.HostId;
+	/**
+	Where it takes links.
+	*/
+	readonly address: core.Address;
+	/**
+	Absent for a seed that was not heard yet.
+	*/
+	readonly failureDomain?: core.FailureDomain;
+};
+
+/**
+What every host is started with.
+*/
+export type FleetSettings = {
+	readonly hostId: core.HostId;
+	readonly failureDomain: core.FailureDomain;
+	/**
+	Control hosts to begin with. The same list on all hosts at the first start of a fleet.
+	*/
+	readonly seeds: readonly ControlHost[];
+	readonly budget: dispatch.BudgetSettings;
+	/**
+	Part of a service's upstreams, 0 to 1, that stay in use whatever speaks against them.
+	*/
+	readonly floor: number;
+};
+
+/**
+What an entry host is started with.
+*/
+export type EntrySettings = FleetSettings & {
+	readonly trafficAddress: core.Address;
+	/**
+	Milliseconds from the signal to stop to the end.
+	*/
+	readonly stopMilliseconds: number;
+};
+
+/**
+What a control host is started with.
+*/
+export type ControlSettings = FleetSettings & {
+	readonly linkAddress: core.Address;
+	readonly dataFolder: string;
+	/**
+	The whole fleet starts for the first time, with empty disks.
+	*/
+	readonly isFirstStart: boolean;
+};
--- /dev/null
+++ b/packages/wagtailroute-generations/src/__tests__/unit/generations.test.ts
@@ -0,0 +1,149 @@
+/**
+Tests of generations: their checks, the look-up of routes, split routes and the replicated state.
+*/
+import test from 'ava';
+import * as fc from 'fast-check';
+import * as utils from 'wagtailroute-utils';
+import * as generations from '../../index.ts';
+
+const ROUTE: generations.GenerationRoute = {
+	name: 'r',
+	host: 'a.example',
+	pathPrefix: '/read/',
+	class: 'read',
+	timeoutMilliseconds: 2000,
+	objectiveMilliseconds: 1000,
+	priority: 1,
+	attempts: 2,
+	shares: [{service: 'archive', weight: 1}],
+};
+
+const GENERATION: generations.Generation = {
+	version: 1,
+	routes: [ROUTE],
+	services: [
+		{name: 'archive', healthPath: '/health', connectionsPerUpstream: 100},
+		{name: 'media', healthPath: '/health', connectionsPerUpstream: 100},
+	],
+	limits: {
+		headerBytes: 16_384, bodyBytes: 1_000_000, headerMilliseconds: 3000, idleMilliseconds: 15_000,
+	},
+};
+
+type CheckCase = {
+	readonly name: string;
+	readonly routes: ReadonlyArray<Partial<Record<keyof generations.GenerationRoute, unknown>>>;
+	readonly kind: generations.GenerationFailure['kind'];
+};
+
+const INVALID: readonly CheckCase[] = [
+	{name: 'a prefix without a slash', routes: [{pathPrefix: 'read/'}], kind: 'generation-malformed'},
+	{name: 'an empty host', routes: [{host: ''}], kind: 'generation-malformed'},
+	{name: 'a class that is unknown', routes: [{class: 'sometimes'}], kind: 'generation-malformed'},
+	{name: 'a route without a timeout', routes: [{timeoutMilliseconds: undefined}], kind: 'generation-malformed'},
+	{name: 'a route without shares', routes: [{shares: []}], kind: 'generation-malformed'},
+	{name: 'a service that is unknown', routes: [{shares: [{service: 'other', weight: 1}]}], kind: 'service-unknown'},
+	{name: 'weights that add up to 0', routes: [{shares: [{service: 'archive', weight: 0}]}], kind: 'weights-empty'},
+	{name: 'two routes at one place', routes: [{}, {host: 'A.example'}], kind: 'route-conflict'},
+];
+
+for (const {name, routes, kind} of INVALID) {
+	test(`refuses ${name}`, t => {
+		const value = {...GENERATION, routes: routes.map(route => ({...ROUTE, ...route}))};
+		t.is(generations.parseGeneration(value).unwrapErr().kind, kind);
+	});
+}
+
+test('takes a valid generation and passes over unknown fields', t => {
+	t.deepEqual(generations.parseGeneration({...GENERATION, extra: 1}).unwrap(), GENERATION);
+});
+
+const LOOK_UPS = [
+	{host: 'a.example', path: '/read/x', found: '/read/'},
+	{host: 'a.example', path: '/read/', found: '/read/'},
+	{host: 'a.example', path: '/read/deep/x', found: '/read/deep/'},
+	{host: 'a.example', path: '/read/deepest', found: '/read/'},
+	{host: 'a.example', path: '/part-of-it', found: '/part'},
+	{host: 'a.example', path: '/read', found: undefined},
+	{host: 'b.example', path: '/read/x', found: undefined},
+] as const;
+
+for (const {host, path, found} of LOOK_UPS) {
+	test(`finds ${String(found)} for ${host}${path}`, t => {
+		const routes = ['/read/', '/read/deep/', '/part'].map(pathPrefix => ({...ROUTE, pathPrefix}));
+		const find = generations.createRouteFinder({...GENERATION, routes});
+		t.is(find(host, path)?.pathPrefix, found);
+	});
+}
+
+test('finds what a walk through all routes finds', t => {
+	const segment = fc.constantFrom('a', 'b', 'ab');
+	const prefix = fc.array(segment, {maxLength: 3}).map(parts => `/${parts.map(part => `${part}/`).join('')}`);
+	fc.assert(fc.property(fc.uniqueArray(prefix, {maxLength: 8}), prefix, fc.option(segment, {nil: ''}), (prefixes, folder, last) => {
+		const path = folder + last;
+		const find = generations.createRouteFinder({...GENERATION, routes: prefixes.map(pathPrefix => ({...ROUTE, pathPrefix}))});
+		const [naive] = prefixes.filter(item => path.startsWith(item)).toSorted((left, right) => right.length - left.length);
+		t.is(find('a.example', path)?.pathPrefix, naive);
+	}));
+});
+
+test('splits requests by weight on each host, to within one request a share', t => {
+	const route = {...ROUTE, shares: [{service: 'archive', weight: 90}, {service: 'media', weight: 10}]};
+	fc.assert(fc.property(fc.integer(), fc.integer({min: 1, max: 500}), (seed, requests) => {
+		const choose = generations.createShareChooser(utils.createRandom(seed));
+		const media = Array.from({length: requests}, () => choose(route)).filter(service => service === 'media').length;
+		t.true(Math.abs(media - (requests / 10)) <= 1);
+	}));
+});
+
+test('never chooses a share of weight 0', t => {
+	const route = {...ROUTE, shares: [{service: 'archive', weight: 0}, {service: 'media', weight: 1}]};
+	const choose = generations.createShareChooser(() => 0);
+	t.deepEqual(new Set(Array.from({length: 20}, () => choose(route))), new Set(['media']));
+});
+
+const store = (version: number, document = `document ${version}`): generations.StoredGeneration => ({
+	generation: {...GENERATION, version}, document,
+});
+
+test('the highest version stays in force, and what was stored under it is not replaced', t => {
+	// Symptom: an operator reads back another document than the one that was acknowledged under its version.
+	// Sequence: version 5 is acknowledged; a late resend of version 4 and other content under 5 come after it.
+	// Cause: whatever came last was put in force.
+	const replicated = generations.createReplicatedGenerations();
+	replicated.apply({name: 'put', stored: store(5)});
+	t.deepEqual(replicated.apply({name: 'put', stored: store(4)}), {version: 5});
+	t.deepEqual(replicated.apply({name: 'put', stored: store(5, 'other')}), {version: 5});
+	t.is(replicated.getStored()?.document, 'document 5');
+});
+
+test('a retirement is final, whatever comes later, also through a snapshot', t => {
+	// Symptom: an upstream that was acknowledged as gone gets requests again after a restart of all control hosts.
+	// Sequence: it leaves; a late word of its draining arrives; the state is restored from a snapshot.
+	// Cause: the later word replaced the final one, or the snapshot lacked it.
+	const replicated = generations.createReplicatedGenerations();
+	replicated.apply({name: 'retire', retirement: {upstream: 'u', state: 'gone'}});
+	replicated.apply({name: 'retire', retirement: {upstream: 'u', state: 'draining'}});
+	const restored = generations.createReplicatedGenerations();
+	restored.restoreSnapshot(structuredClone(replicated.takeSnapshot()));
+	t.is(restored.getRetirement('u'), 'gone');
+});
+
+test('snapshots carry everything', t => {
+	const command = fc.oneof(
+		fc.nat({max: 20}).map((version): generations.GenerationCommand => ({name: 'put', stored: store(version)})),
+		fc.tuple(fc.constantFrom('a', 'b', 'c'), fc.constantFrom('draining' as const, 'gone' as const))
+			.map(([upstream, state]): generations.GenerationCommand => ({name: 'retire', retirement: {upstream, state}})),
+	);
+	fc.assert(fc.property(fc.array(command), fc.array(command), (before, after) => {
+		const whole = generations.createReplicatedGenerations();
+		for (const item of before) {
+			whole.apply(item);
+		}
+
+		const restored = generations.createReplicatedGenerations();
+		restored.restoreSnapshot(structuredClone(whole.takeSnapshot()));
+		t.deepEqual(after.map(item => restored.apply(item)), after.map(item => whole.apply(item)));
+		t.deepEqual(restored.takeSnapshot(), whole.takeSnapshot());
+	}));
+});
--- /dev/null
+++ b/packages/wagtailroute-generations/src/constants.ts
@@ -0,0 +1,8 @@
+/**
+Bounds of the replicated state.
+*/
+
+/**
+Retirements kept: at 37,000 restarts of upstreams a day about two hours' worth, far longer than a heartbeat can be held up.
+*/
+export const RETIREMENTS_KEPT = 4096;
--- /dev/null
+++ b/packages/wagtailroute-generations/src/index.ts
@@ -0,0 +1,24 @@
+/**
+A whole catalogue put in force as one generation: its checks, its routes, and the replicated state that keeps it.
+*/
+export {
+	type CallerLimits,
+	type Generation,
+	type GenerationFailure,
+	type GenerationRoute,
+	type GenerationService,
+	parseGeneration,
+	type Share,
+} from './generation.ts';
+export {createRouteFinder, type RouteFinder} from './route-finder.ts';
+export {createShareChooser, type ShareChooser} from './shares.ts';
+export {
+	createReplicatedGenerations,
+	type GenerationAnswer,
+	type GenerationCommand,
+	type GenerationSnapshot,
+	type ReplicatedGenerations,
+	type Retirement,
+	type RetirementState,
+	type StoredGeneration,
+} from './replicated.ts';
--- /dev/null
+++ b/packages/wagtailroute-generations/src/route-finder.ts
@@ -0,0 +1,78 @@
+/**
+Finds the route of a request in a generation: of the routes of its host, the one with the longest prefix that begins the
+path.
+
+A look-up costs one map access for each slash of the path, whatever the number of routes. Prefixes that do not end with a
+slash are rare and looked through one by one.
+*/
+import type {Generation, GenerationRoute} from './generation.ts';
+
+/**
+Finds routes.
+
+@param host Host name without its port, in lower case.
+@param path Path without its query.
+*/
+export type RouteFinder = (host: string, path: string) => GenerationRoute | undefined;
+
+type HostRoutes = {
+	readonly whole: Map<string, GenerationRoute>;
+	/**
+	Routes whose prefix ends within a segment.
+	*/
+	readonly partial: GenerationRoute[];
+};
+
+/**
+Creates the finder of a generation.
+*/
+export function createRouteFinder({routes}: Generation): RouteFinder {
+	const hosts = new Map<string, HostRoutes>();
+	for (const route of routes) {
+		addRoute(hosts, route);
+	}
+
+	return (host, path) => {
+		const found = hosts.get(host);
+		return found && getLonger(findWhole(found, path), findPartial(found, path));
+	};
+}
+
+function addRoute(hosts: Map<string, HostRoutes>, route: GenerationRoute): void {
+	const host = route.host.toLowerCase();
+	const present: HostRoutes = hosts.get(host) ?? {whole: new Map(), partial: []};
+	hosts.set(host, present);
+	if (route.pathPrefix.endsWith('/')) {
+		present.whole.set(route.pathPrefix, route);
+	} else {
+		present.partial.push(route);
+	}
+}
+
+function findWhole({whole}: HostRoutes, path: string): GenerationRoute | undefined {
+	for (let end = path.lastIndexOf('/'); end !== -1; end = end === 0 ? -1 : path.lastIndexOf('/', end - 1)) {
+		const route = whole.get(path.slice(0, end + 1));
+		if (route !== undefined) {
+			return route;
+		}
+	}
+
+	return undefined;
+}
+
+function findPartial({partial}: HostRoutes, path: string): GenerationRoute | undefined {
+	let longest: GenerationRoute | undefined;
+	for (const route of partial) {
+		longest = path.startsWith(route.pathPrefix) ? getLonger(longest, route) : longest;
+	}
+
+	return longest;
+}
+
+function getLonger(left: GenerationRoute | undefined, right: GenerationRoute | undefined): GenerationRoute | undefined {
+	if (left === undefined || right === undefined) {
+		return left ?? right;
+	}
+
+	return left.pathPrefix.length >= right.pathPrefix.length ? left : right;
+}
--- a/packages/wagtailroute-host/src/forwarding.ts
+++ b/packages/wagtailroute-host/src/forwarding.ts
@@ -16,19 +16,24 @@
 */
 export function createForwarding(context: HostContext, entry: catalogue.Entry): proxy.ServicePort {
 	const retry = createRetryPort(entry.limits.retryRatio, context.now, () => 0);
+	const chooseCarrier = ({excluded}: proxy.ChoiceRequest) => {
+		const carriers = getRunningCarriers(context, entry.name).filter(member => !excluded.has(member.id));
+		return carriers[utils.pickIndex(context.random, carriers.length)];
+	};
+
 	return {
-		entry,
+		limits: entry.limits,
 		isCarried: false,
 		admit() {
 			retry.countRequest();
 			return undefined;
 		},
 		release: () => undefined,
-		choose(excluded) {
-			const carriers = getRunningCarriers(context, entry.name).filter(member => !excluded.has(member.id));
-			const member = carriers[utils.pickIndex(context.random, carriers.length)];
+		choose(choice) {
+			const member = chooseCarrier(choice);
 			return member && {id: member.id, kind: 'host', address: member.trafficAddress};
 		},
+		hasAnother: choice => chooseCarrier(choice) !== undefined,
 		begin: () => undefined,
 		end: () => undefined,
 		retry,
--- a/packages/wagtailroute-host/src/host.ts
+++ b/packages/wagtailroute-host/src/host.ts
@@ -102,8 +102,8 @@
 	const traffic = await proxy.openTrafficServer(settings.trafficAddress, {
 		hostId: settings.hostId,
 		now: context.now,
-		findRoute: (host, method, path) => context.routes.match(host, method, path),
-		getService: services.getService,
+		dialect: proxy.OWN_DIALECT,
+		route: services.route,
 		claim: async request => claimKey(context, request),
 		guard: guarding.guard,
 		random: context.random,
--- a/packages/wagtailroute-host/src/services.ts
+++ b/packages/wagtailroute-host/src/services.ts
@@ -6,8 +6,8 @@
 */
 import type * as announcements from 'wagtailroute-announcements';
 import type * as catalogue from 'wagtailroute-catalogue';
-import type * as core from 'wagtailroute-core';
-import type * as proxy from 'wagtailroute-proxy';
+import * as core from 'wagtailroute-core';
+import * as proxy from 'wagtailroute-proxy';
 import * as selection from 'wagtailroute-selection';
 import * as utils from 'wagtailroute-utils';
 import {createAdmitter} from './admitting.ts';
@@ -21,7 +21,10 @@
 The services of a host.
 */
 export type Services = {
-	readonly getService: (name: core.ServiceName, isForwarded: boolean) => proxy.ServicePort | undefined;
+	/**
+	Finds the route of a request and what this host holds for its service.
+	*/
+	readonly route: (request: proxy.CallerRequest) => proxy.RoutedRequest | proxy.RequestFailure;
 	readonly teardown: utils.Teardown;
 };
 
@@ -81,20 +84,32 @@
 
 	const getForwarded = (entry: catalogue.Entry) => {
 		const present = forwarded.get(entry.name);
-		const port = present?.entry === entry ? present : createForwarding(context, entry);
+		const port = present?.limits === entry.limits ? present : createForwarding(context, entry);
 		forwarded.set(entry.name, port);
 		return port;
 	};
 
+	const getService = (name: core.ServiceName, isForwarded: boolean) => {
+		const entry = context.store.read(state => state.view.entries.get(name)?.entry);
+		if (entry === undefined) {
+			return undefined;
+		}
+
+		const carriers = context.store.read(state => state.carriers.get(name) ?? []);
+		return isForwarded || carriers.includes(context.settings.hostId) ? getCarried(entry) : getForwarded(entry);
+	};
+
 	return {
-		getService(name, isForwarded) {
-			const entry = context.store.read(state => state.view.entries.get(name)?.entry);
-			if (entry === undefined) {
-				return undefined;
+		route({host, method, path, isForwarded}) {
+			const match = context.routes.match(host, method, path);
+			if (match === undefined) {
+				return proxy.createRequestFailure('route-unknown', `No service has a route for ${method} ${host}${path}.`);
 			}
 
-			const carriers = context.store.read(state => state.carriers.get(name) ?? []);
-			return isForwarded || carriers.includes(context.settings.hostId) ? getCarried(entry) : getForwarded(entry);
+			const service = getService(match.service, isForwarded);
+			return service === undefined
+				? proxy.createRequestFailure('no-upstream', `No host that carries ${match.service} is known here.`)
+				: {match, service};
 		},
 		teardown: utils.mergeTeardowns(
 			announcing.registerChangeListener(name => {
@@ -152,26 +167,29 @@
 		admitter.setCapacity(known.reduce((sum, upstream) => sum + upstream.slots, 0), Math.max(1, carriers.length));
 	};
 
+	const chooseUpstream = ({excluded, requestClass}: proxy.ChoiceRequest) => selector.choose({
+		now: now(), random, excluded, trialAllowed: core.isIdempotent(requestClass),
+	});
+
 	refresh();
 	return {
 		entry,
 		refresh,
 		stop: admitter.stop,
 		port: {
-			entry,
+			limits: entry.limits,
 			isCarried: true,
 			admit(request) {
 				retry.countRequest();
 				return admitter.admit(request);
 			},
 			release: admitter.release,
-			choose(excluded, requestClass) {
-				const id = selector.choose({
-					now: now(), random, excluded, trialAllowed: requestClass !== 'non-idempotent',
-				});
+			choose(choice) {
+				const id = chooseUpstream(choice);
 				const upstream = id === undefined ? undefined : upstreams.get(id);
 				return upstream && {id: upstream.id, kind: 'upstream', address: {ip: upstream.ip, port: upstream.port}};
 			},
+			hasAnother: choice => chooseUpstream(choice) !== undefined,
 			begin(target) {
 				selector.begin(target.id, now());
 				verdicts.begin(entry.name, target);
@@ -206,6 +224,7 @@
 	success: 'success',
 	'server-error': 'failure',
 	shed: 'shed',
+	misdirected: 'shed',
 	'connect-error': 'failure',
 	reset: 'failure',
 	truncated: 'failure',
--- a/packages/wagtailroute-host/src/watches.ts
+++ b/packages/wagtailroute-host/src/watches.ts
@@ -72,6 +72,7 @@
 	success: 'success',
 	'server-error': 'status',
 	shed: 'shed',
+	misdirected: 'connect',
 	'connect-error': 'connect',
 	reset: 'reset',
 	truncated: 'truncated',
--- /dev/null
+++ b/packages/wagtailroute-instances/src/index.ts
@@ -0,0 +1,11 @@
+/**
+Instances of upstreams by their heartbeats.
+*/
+export {
+	createInstanceTable,
+	type Heartbeat,
+	type Instance,
+	type InstanceState,
+	type InstanceTable,
+	type Reception,
+} from './instances.ts';
--- /dev/null
+++ b/packages/wagtailroute-instances/src/instances.ts
@@ -0,0 +1,198 @@
+/**
+Which instances of upstreams there are, by their heartbeats.
+
+Each start of an upstream is an instance with a name of its own. Three things go wrong with heartbeats. One arrives late,
+after a newer one of the same instance: its sequence number is lower, so it is passed over. One arrives after its sender has
+ended and another instance runs at its address: the instance heard last holds the address, and the one that runs is heard
+again within a heartbeat. One arrives after its sender was acknowledged as leaving: a retirement is final.
+
+Silence alone ends no instance for long: its path to the control hosts may be cut while requests still reach it. Whether it
+serves is for whoever sends requests to find out.
+*/
+import * as core from 'wagtailroute-core';
+import {FORGET_MILLISECONDS} from './constants.ts';
+
+/**
+What an instance says of itself.
+*/
+export type Heartbeat = {
+	readonly upstream: core.UpstreamId;
+	readonly service: core.ServiceName;
+	readonly address: core.Address;
+	readonly failureDomain: core.FailureDomain;
+	readonly slots: number;
+	/**
+	Milliseconds for which it stays slow after its start.
+	*/
+	readonly warmupMilliseconds: number;
+	/**
+	Rises with each heartbeat of the instance.
+	*/
+	readonly sequence: number;
+};
+
+/**
+`serving`: takes requests. `draining`: finishes what it has.
+*/
+export type InstanceState = 'serving' | 'draining';
+
+/**
+An instance as this host knows it; times are monotonic milliseconds of this host.
+*/
+export type Instance = Omit<Heartbeat, 'warmupMilliseconds'> & {
+	readonly state: InstanceState;
+	readonly heardAt: number;
+	readonly warmAt: number;
+};
+
+/**
+What a heartbeat came to. `news`: the instance is new or something but its time has changed. `refreshed`: nothing but its
+time. `stale`: passed over.
+*/
+export type Reception = 'news' | 'refreshed' | 'stale';
+
+/**
+The table of instances.
+*/
+export type InstanceTable = {
+	readonly take: (heartbeat: Heartbeat, now: number) => Reception;
+	/**
+	Ends the work of an instance for good. Returns whether that is news.
+	*/
+	readonly retire: (upstream: core.UpstreamId, state: 'draining' | 'gone') => boolean;
+	readonly get: (upstream: core.UpstreamId) => Instance | undefined;
+	/**
+	Returns the instances of a service that hold their address.
+	*/
+	readonly list: (service: core.ServiceName) => readonly Instance[];
+	readonly listAll: () => readonly Instance[];
+	/**
+	Forgets instances that were silent for long; returns their names.
+	*/
+	readonly forgetSilent: (now: number) => readonly core.UpstreamId[];
+	/**
+	Forgets an instance that another host has forgotten.
+	*/
+	readonly forget: (upstream: core.UpstreamId) => void;
+};
+
+type Tables = {
+	readonly instances: Map<core.UpstreamId, Instance>;
+	readonly byService: Map<core.ServiceName, Map<core.UpstreamId, Instance>>;
+	/**
+	The instance heard last at an address.
+	*/
+	readonly holders: Map<string, core.UpstreamId>;
+	readonly retired: Map<core.UpstreamId, 'draining' | 'gone'>;
+};
+
+/**
+Creates an empty table.
+*/
+export function createInstanceTable(): InstanceTable {
+	const tables: Tables = {
+		instances: new Map(), byService: new Map(), holders: new Map(), retired: new Map(),
+	};
+	return {
+		take: (heartbeat, now) => take(tables, heartbeat, now),
+		retire: (upstream, state) => retire(tables, upstream, state),
+		get: upstream => tables.instances.get(upstream),
+		list: service => tables.byService.get(service)?.values().filter(instance => isHolder(tables, instance)).toArray() ?? [],
+		listAll: () => tables.instances.values().filter(instance => isHolder(tables, instance)).toArray(),
+		forgetSilent: now => forgetSilent(tables, now),
+		forget(upstream) {
+			const present = tables.instances.get(upstream);
+			if (present !== undefined) {
+				remove(tables, present);
+			}
+		},
+	};
+}
+
+function take(tables: Tables, heartbeat: Heartbeat, now: number): Reception {
+	const present = tables.instances.get(heartbeat.upstream);
+	const retired = tables.retired.get(heartbeat.upstream);
+	if (retired === 'gone' || (present !== undefined && heartbeat.sequence <= present.sequence)) {
+		return 'stale';
+	}
+
+	const {warmupMilliseconds, ...told} = heartbeat;
+	const instance: Instance = {
+		...told,
+		state: retired ?? 'serving',
+		heardAt: now,
+		warmAt: now + warmupMilliseconds,
+	};
+	const place = core.formatAddress(instance.address);
+	const isHolderNews = tables.holders.get(place) !== instance.upstream;
+	tables.holders.set(place, instance.upstream);
+	store(tables, instance);
+	return present === undefined || isHolderNews || isChanged(present, instance) ? 'news' : 'refreshed';
+}
+
+function isChanged(present: Instance, next: Instance): boolean {
+	return present.state !== next.state
+		|| present.service !== next.service
+		|| present.slots !== next.slots
+		|| core.formatAddress(present.address) !== core.formatAddress(next.address);
+}
+
+function retire(tables: Tables, upstream: core.UpstreamId, state: 'draining' | 'gone'): boolean {
+	const known = tables.retired.get(upstream);
+	if (known === 'gone' || known === state) {
+		return false;
+	}
+
+	tables.retired.set(upstream, state);
+	const present = tables.instances.get(upstream);
+	if (present === undefined) {
+		return true;
+	}
+
+	if (state === 'draining') {
+		store(tables, {...present, state});
+	} else {
+		remove(tables, present);
+	}
+
+	return true;
+}
+
+function store(tables: Tables, instance: Instance): void {
+	const present = tables.instances.get(instance.upstream);
+	if (present !== undefined && present.service !== instance.service) {
+		tables.byService.get(present.service)?.delete(present.upstream);
+	}
+
+	tables.instances.set(instance.upstream, instance);
+	const byId = tables.byService.get(instance.service) ?? new Map<core.UpstreamId, Instance>();
+	byId.set(instance.upstream, instance);
+	tables.byService.set(instance.service, byId);
+}
+
+function remove(tables: Tables, instance: Instance): void {
+	tables.instances.delete(instance.upstream);
+	const byId = tables.byService.get(instance.service);
+	byId?.delete(instance.upstream);
+	if (byId?.size === 0) {
+		tables.byService.delete(instance.service);
+	}
+
+	const place = core.formatAddress(instance.address);
+	if (tables.holders.get(place) === instance.upstream) {
+		tables.holders.delete(place);
+	}
+}
+
+function isHolder(tables: Tables, instance: Instance): boolean {
+	return tables.holders.get(core.formatAddress(instance.address)) === instance.upstream;
+}
+
+function forgetSilent(tables: Tables, now: number): readonly core.UpstreamId[] {
+	const silent = tables.instances.values().filter(instance => now - instance.heardAt > FORGET_MILLISECONDS).toArray();
+	for (const instance of silent) {
+		remove(tables, instance);
+	}
+
+	return silent.map(instance => instance.upstream);
+}
--- /dev/null
+++ b/packages/wagtailroute-link/src/__tests__/unit/link.test.ts
@@ -0,0 +1,166 @@
+/**
+Tests of links over loopback.
+*/
+import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import type * as core from 'wagtailroute-core';
+import * as link from '../../index.ts';
+
+const LOOPBACK = {ip: '127.0.0.1', port: 0};
+const now = () => performance.now();
+
+type Pair = {
+	readonly link: link.Link;
+	readonly received: unknown[];
+	readonly defects: Error[];
+	readonly server: link.LinkServer;
+};
+
+const METHODS: link.LinkMethods = new Map<string, link.LinkMethod>([
+	['echo', (parameters: unknown) => parameters],
+	['refuse', () => {
+		throw new Error('no');
+	}],
+	['never', async () => Promise.withResolvers().promise],
+	['call-back', async (_parameters: unknown, from: link.Link) => {
+		const answer = await from.call('echo', {from: 'server'}, 1000);
+		return answer.unwrap();
+	}],
+]);
+
+async function openPair(t: ExecutionContext): Promise<Pair> {
+	const received: unknown[] = [];
+	const defects: Error[] = [];
+	const onDefect = (error: Error) => {
+		defects.push(error);
+	};
+
+	const server = await link.openLinkServer({
+		address: LOOPBACK,
+		methods: new Map([...METHODS, ['note', (parameters: unknown) => {
+			received.push(parameters);
+		}]]),
+		now,
+		onClose: () => undefined,
+		onDefect,
+	});
+	const {promise, resolve} = Promise.withResolvers<link.Link>();
+	const dialer = link.startDialer({
+		address: server.address,
+		methods: METHODS,
+		now,
+		random: () => 0.5,
+		onOpen: resolve,
+		onClose: () => undefined,
+		onDefect,
+	});
+	t.teardown(async () => {
+		dialer.close();
+		await server.close();
+	});
+	return {
+		link: await promise, received, defects, server,
+	};
+}
+
+async function waitUntil(check: () => boolean): Promise<void> {
+	while (!check()) {
+		// eslint-disable-next-line no-await-in-loop -- Looks until it is so; the test runner has the limit.
+		await timers.setTimeout(5);
+	}
+}
+
+const CALLS = [
+	{method: 'echo', parameters: {text: 'line\nfeed'}, value: {text: 'line\nfeed'}},
+	{method: 'call-back', parameters: {}, value: {from: 'server'}},
+] as const;
+
+for (const {method, parameters, value} of CALLS) {
+	test(`the call ${method} is answered`, async t => {
+		const pair = await openPair(t);
+		const answer = await pair.link.call(method, parameters, 5000);
+		t.deepEqual(answer.unwrap(), value);
+	});
+}
+
+const FAILURES = [
+	{method: 'refuse', kind: 'call-refused', isPossiblyTaken: true},
+	{method: 'missing', kind: 'call-refused', isPossiblyTaken: true},
+	{method: 'never', kind: 'call-timeout', isPossiblyTaken: true},
+] as const;
+
+for (const {method, kind, isPossiblyTaken} of FAILURES) {
+	test(`the call ${method} fails as ${kind}`, async t => {
+		const pair = await openPair(t);
+		const answer = await pair.link.call(method, {}, 50);
+		const failure = answer.unwrapErr();
+		t.is(failure.kind, kind);
+		t.is(link.isPossiblyTaken(failure), isPossiblyTaken);
+	});
+}
+
+test('notifications arrive in order', async t => {
+	const pair = await openPair(t);
+	for (let count = 0; count < 100; count++) {
+		pair.link.notify('note', {count});
+	}
+
+	await waitUntil(() => pair.received.length === 100);
+	t.deepEqual(pair.received, Array.from({length: 100}, (_, count) => ({count})));
+});
+
+test('a call that waits ends as lost when the connection ends, the next one is not sent', async t => {
+	const pair = await openPair(t);
+	const waiting = pair.link.call('never', {}, 60_000);
+	await timers.setTimeout(20);
+	pair.link.close();
+	const lost = await waiting;
+	t.is(lost.unwrapErr().kind, 'call-lost');
+	const next = await pair.link.call('echo', {}, 1000);
+	t.is(next.unwrapErr().kind, 'link-closed');
+});
+
+const GARBAGE = ['null\n', '{\n', '[1]\n', '"text"\n'];
+
+for (const text of GARBAGE) {
+	test(`${JSON.stringify(text)} from a stranger ends its connection and nothing else`, async t => {
+		// Symptom: a control host ends, and with it all its dispatching.
+		// Sequence: something that is no message comes over a connection.
+		// Cause: the library reads members of whatever it is given; a rejection that nobody handles ends the process.
+		const pair = await openPair(t);
+		const stranger = net.connect({host: pair.server.address.ip, port: pair.server.address.port});
+		stranger.on('error', () => undefined);
+		stranger.write(text);
+		await waitUntil(() => pair.defects.length > 0);
+		stranger.destroy();
+		const answer = await pair.link.call('echo', {}, 5000);
+		t.true(answer.isOk());
+	});
+}
+
+test('a lost link is opened again', async t => {
+	let opened = 0;
+	const plan = {
+		address: LOOPBACK, methods: METHODS, now, onClose: () => undefined, onDefect: () => undefined,
+	};
+	const first = await link.openLinkServer(plan);
+	const {address} = first;
+	const dialer = link.startDialer({
+		...plan,
+		address,
+		random: () => 0,
+		onOpen() {
+			opened++;
+		},
+	});
+	await waitUntil(() => opened === 1);
+	await first.close();
+	const second = await link.openLinkServer({...plan, address});
+	t.teardown(async () => {
+		dialer.close();
+		await second.close();
+	});
+	await waitUntil(() => opened === 2);
+	t.true(dialer.getLink()?.isOpen());
+});
--- /dev/null
+++ b/packages/wagtailroute-link/src/dialer.ts
@@ -0,0 +1,105 @@
+/**
+Keeps a link to one address open: opens it again after it was lost, for as long as it is wanted.
+*/
+import * as net from 'node:net';
+import type * as core from 'wagtailroute-core';
+import {
+	CONNECT_MILLISECONDS,
+	RECONNECT_LEAST_MILLISECONDS,
+	RECONNECT_MOST_MILLISECONDS,
+} from './constants.ts';
+import {type Link, type LinkMethods, runLink} from './link.ts';
+
+/**
+What a dialer needs.
+*/
+export type DialerPlan = {
+	readonly address: core.Address;
+	readonly methods: LinkMethods;
+	readonly now: () => number;
+	/**
+	Uniform in [0, 1): spreads the attempts of many hosts that lost the same peer.
+	*/
+	readonly random: () => number;
+	readonly onOpen: (link: Link) => void;
+	readonly onClose: (link: Link) => void;
+	readonly onDefect: (error: Error) => void;
+};
+
+/**
+A link that is opened again and again.
+*/
+export type Dialer = {
+	/**
+	The open link, if there is one.
+	*/
+	readonly getLink: () => Link | undefined;
+	readonly close: () => void;
+};
+
+/**
+Starts dialing.
+*/
+export function startDialer(plan: DialerPlan): Dialer {
+	let link: Link | undefined;
+	let socket: net.Socket | undefined;
+	let timer: NodeJS.Timeout | undefined;
+	let isWanted = true;
+	let waitMilliseconds = RECONNECT_LEAST_MILLISECONDS;
+
+	const dialLater = () => {
+		if (!isWanted) {
+			return;
+		}
+
+		timer = setTimeout(dial, waitMilliseconds * (0.5 + plan.random()));
+		waitMilliseconds = Math.min(RECONNECT_MOST_MILLISECONDS, waitMilliseconds * 2);
+	};
+
+	const open = (connected: net.Socket) => {
+		waitMilliseconds = RECONNECT_LEAST_MILLISECONDS;
+		link = runLink({
+			...plan,
+			side: 'opened',
+			socket: connected,
+			onClose(closed) {
+				link = undefined;
+				plan.onClose(closed);
+				dialLater();
+			},
+		});
+		plan.onOpen(link);
+	};
+
+	const dial = () => {
+		const dialed = net.connect({host: plan.address.ip, port: plan.address.port});
+		socket = dialed;
+		// Towards a host without power the system would try for minutes.
+		const limit = setTimeout(() => {
+			dialed.destroy();
+		}, CONNECT_MILLISECONDS);
+		const onFailed = () => {
+			clearTimeout(limit);
+			dialLater();
+		};
+
+		dialed.on('error', () => undefined);
+		dialed.once('close', onFailed);
+		dialed.once('connect', () => {
+			clearTimeout(limit);
+			dialed.off('close', onFailed);
+			open(dialed);
+		});
+	};
+
+	dial();
+	return {
+		getLink: () => link,
+		close() {
+			isWanted = false;
+			clearTimeout(timer);
+			link?.close();
+			socket?.destroy();
+		},
+	};
+}
--- /dev/null
+++ b/packages/wagtailroute-link/src/link.ts
@@ -0,0 +1,242 @@
+/**
+One lasting connection between two hosts, over which both sides call and notify: JSON-RPC 2.0, one message a line.
+
+A link that is silent for too long is closed: connections can go silent for good without a reset, while new ones work, and
+a call on such a connection would only end with its own timeout.
+*/
+import type * as buffer from 'node:buffer';
+import type * as net from 'node:net';
+import * as rpc from 'json-rpc-2.0';
+import * as results from 'ts-results-es';
+import type * as utils from 'wagtailroute-utils';
+import {
+	ANSWERING_PING_MILLISECONDS,
+	ANSWERING_SILENT_MILLISECONDS,
+	MESSAGE_BYTES,
+	PING_MILLISECONDS,
+	SILENT_MILLISECONDS,
+	WAITING_BYTES,
+} from './constants.ts';
+import {createLinkFailure, type LinkFailure} from './failures.ts';
+import {createLineReader} from './lines.ts';
+import {registerWatch} from './watch.ts';
+
+/**
+One end of a connection.
+*/
+export type Link = {
+	readonly call: (method: string, parameters: unknown, timeoutMilliseconds: number) => Promise<results.Result<unknown, LinkFailure>>;
+	/**
+	Sends without an answer, in order; dropped once the link is closed.
+	*/
+	readonly notify: (method: string, parameters: unknown) => void;
+	/**
+	Milliseconds since the other side was last heard.
+	*/
+	readonly getSilence: () => number;
+	readonly isOpen: () => boolean;
+	readonly close: () => void;
+};
+
+/**
+Answers a method. The value must be JSON.
+*/
+export type LinkMethod = (parameters: never, link: Link) => unknown;
+
+/**
+Methods by name.
+*/
+export type LinkMethods = ReadonlyMap<string, LinkMethod>;
+
+/**
+What a link needs.
+*/
+export type LinkPlan = {
+	/**
+	Whether this side opened the connection or took it.
+	*/
+	readonly side: 'opened' | 'taken';
+	readonly socket: net.Socket;
+	readonly methods: LinkMethods;
+	/**
+	Monotonic time in milliseconds.
+	*/
+	readonly now: () => number;
+	readonly onClose: (link: Link) => void;
+	/**
+	Told of a message that could not be read and of a method that threw.
+	*/
+	readonly onDefect: (error: Error) => void;
+};
+
+const TIMES: Readonly<Record<LinkPlan['side'], {readonly ping: number; readonly silent: number}>> = {
+	opened: {ping: PING_MILLISECONDS, silent: ANSWERING_SILENT_MILLISECONDS},
+	taken: {ping: ANSWERING_PING_MILLISECONDS, silent: SILENT_MILLISECONDS},
+};
+
+/**
+Runs a link over a connection that is open.
+*/
+export function runLink(plan: LinkPlan): Link {
+	return new SocketLink(plan);
+}
+
+class SocketLink implements Link {
+	readonly #plan: LinkPlan;
+	readonly #ends: rpc.JSONRPCServerAndClient<Link>;
+	readonly #reader = createLineReader(MESSAGE_BYTES);
+	#lines: string[] = [];
+	#isOpen = true;
+	#heardAt: number;
+	#sentAt: number;
+	readonly #stopWatching: utils.Teardown;
+
+	constructor(plan: LinkPlan) {
+		this.#plan = plan;
+		this.#heardAt = plan.now();
+		this.#sentAt = plan.now();
+		const server = new rpc.JSONRPCServer<Link>({
+			errorListener(_message, error) {
+				plan.onDefect(error as Error);
+			},
+		});
+		for (const [name, method] of plan.methods) {
+			server.addMethod(name, method as unknown as rpc.SimpleJSONRPCMethod<Link>);
+		}
+
+		this.#ends = new rpc.JSONRPCServerAndClient(server, new rpc.JSONRPCClient(payload => {
+			this.#write(JSON.stringify(payload));
+		}));
+		plan.socket.setNoDelay(true);
+		plan.socket.on('data', (chunk: buffer.Buffer) => {
+			this.#receive(chunk);
+		});
+		plan.socket.on('error', () => undefined);
+		plan.socket.once('close', () => {
+			this.close();
+		});
+		this.#stopWatching = registerWatch(() => {
+			this.#watch();
+		});
+	}
+
+	async call(method: string, parameters: unknown, timeoutMilliseconds: number): Promise<results.Result<unknown, LinkFailure>> {
+		if (!this.#isOpen) {
+			return results.Err(createLinkFailure('link-closed', method, 'no connection'));
+		}
+
+		let isLate = false;
+		const caller = this.#ends.timeout(Math.max(1, Math.ceil(timeoutMilliseconds)));
+		const timer = setTimeout(() => {
+			isLate = true;
+		}, Math.max(0, timeoutMilliseconds - 1));
+		try {
+			return results.Ok(await caller.request(method, parameters as rpc.JSONRPCParams));
+		} catch (error) {
+			const {message} = error as Error;
+			const kind = this.#isOpen ? 'call-refused' : 'call-lost';
+			return results.Err(createLinkFailure(isLate ? 'call-timeout' : kind, method, message));
+		} finally {
+			clearTimeout(timer);
+		}
+	}
+
+	notify(method: string, parameters: unknown): void {
+		if (this.#isOpen) {
+			this.#write(JSON.stringify(rpc.createJSONRPCNotification(method, parameters as rpc.JSONRPCParams)));
+		}
+	}
+
+	getSilence(): number {
+		return this.#plan.now() - this.#heardAt;
+	}
+
+	isOpen(): boolean {
+		return this.#isOpen;
+	}
+
+	close(): void {
+		if (!this.#isOpen) {
+			return;
+		}
+
+		this.#isOpen = false;
+		this.#stopWatching();
+		this.#plan.socket.destroy();
+		this.#ends.rejectAllPendingRequests('the connection ended');
+		this.#plan.onClose(this);
+	}
+
+	#watch(): void {
+		const {ping, silent} = TIMES[this.#plan.side];
+		if (this.getSilence() > silent || this.#plan.socket.writableLength > WAITING_BYTES) {
+			this.close();
+			return;
+		}
+
+		if (this.#plan.now() - this.#sentAt >= ping) {
+			this.#write('');
+		}
+	}
+
+	/**
+	Collects the messages of one turn of the loop into one write: each write costs a system call and a packet.
+	*/
+	#write(line: string): void {
+		this.#lines.push(line);
+		if (this.#lines.length === 1) {
+			setImmediate(() => {
+				this.#flush();
+			});
+		}
+	}
+
+	#flush(): void {
+		const text = `${this.#lines.join('\n')}\n`;
+		this.#lines = [];
+		if (!this.#isOpen) {
+			return;
+		}
+
+		this.#sentAt = this.#plan.now();
+		this.#plan.socket.write(text);
+	}
+
+	#receive(chunk: buffer.Buffer): void {
+		this.#heardAt = this.#plan.now();
+		const lines = this.#reader.read(chunk);
+		if (lines === undefined) {
+			this.#plan.onDefect(new Error(`A message is longer than ${MESSAGE_BYTES} bytes.`));
+			this.close();
+			return;
+		}
+
+		for (const line of lines) {
+			if (line !== '') {
+				this.#take(line);
+			}
+		}
+	}
+
+	#take(line: string): void {
+		const payload = parseLine(line);
+		// The library reads members of whatever it is given: a bare `null` would be a rejection that nobody handles.
+		if (typeof payload !== 'object' || payload === null) {
+			this.#plan.onDefect(new Error('A message is no JSON-RPC.'));
+			this.close();
+			return;
+		}
+
+		this.#ends.receiveAndSend(payload, this).catch((error: unknown) => {
+			this.#plan.onDefect(error as Error);
+		});
+	}
+}
+
+function parseLine(line: string): unknown {
+	try {
+		return JSON.parse(line);
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/packages/wagtailroute-link/src/server.ts
@@ -0,0 +1,66 @@
+/**
+Takes the links that other hosts open.
+*/
+import * as net from 'node:net';
+import type * as core from 'wagtailroute-core';
+import {type Link, type LinkMethods, runLink} from './link.ts';
+
+/**
+What the server needs.
+*/
+export type LinkServerPlan = {
+	readonly address: core.Address;
+	readonly methods: LinkMethods;
+	readonly now: () => number;
+	readonly onClose: (link: Link) => void;
+	readonly onDefect: (error: Error) => void;
+};
+
+/**
+A server of links.
+*/
+export type LinkServer = {
+	readonly address: core.Address;
+	readonly close: () => Promise<void>;
+};
+
+/**
+Opens the server.
+*/
+export async function openLinkServer(plan: LinkServerPlan): Promise<LinkServer> {
+	const links = new Set<Link>();
+	const server = net.createServer(socket => {
+		const link = runLink({
+			...plan,
+			side: 'taken',
+			socket,
+			onClose(closed) {
+				links.delete(closed);
+				plan.onClose(closed);
+			},
+		});
+		links.add(link);
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(plan.address.port, plan.address.ip, () => {
+			server.off('error', reject);
+			resolve();
+		});
+	});
+	return {
+		address: {ip: plan.address.ip, port: (server.address() as net.AddressInfo).port},
+		async close() {
+			const closed = new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+			for (const link of links) {
+				link.close();
+			}
+
+			await closed;
+		},
+	};
+}
--- a/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
@@ -104,13 +104,14 @@
 	const trialEndings: proxy.TrialEnding[] = [];
 	const table = catalogue.createRouteTable([ENTRY]);
 	const service: proxy.ServicePort = {
-		entry: ENTRY,
+		limits: ENTRY.limits,
 		isCarried: setup.isForwarding !== true,
 		admit: setup.admit ?? (() => undefined),
 		release(release) {
 			releases.push(release);
 		},
-		choose: excluded => targets.find(target => !excluded.has(target.id)),
+		choose: ({excluded}) => targets.find(target => !excluded.has(target.id)),
+		hasAnother: ({excluded}) => targets.some(target => !excluded.has(target.id)),
 		begin: () => undefined,
 		end(report) {
 			reports.push(report);
@@ -120,8 +121,11 @@
 	const server = await proxy.openTrafficServer({ip: '127.0.0.1', port: 0}, {
 		hostId: 'host',
 		now: () => performance.now(),
-		findRoute: (host, method, path) => catalogue.matchRoute(table, host, method, path),
-		getService: () => service,
+		dialect: proxy.OWN_DIALECT,
+		route({host, method, path}) {
+			const match = catalogue.matchRoute(table, host, method, path);
+			return match === undefined ? proxy.createRequestFailure('route-unknown', 'unknown') : {match, service};
+		},
 		claim: async () => setup.claim ?? SERVICE_FAULT,
 		guard: {
 			getStanding: () => setup.standing ?? 'free',
--- a/packages/wagtailroute-proxy/src/answers.ts
+++ b/packages/wagtailroute-proxy/src/answers.ts
@@ -62,13 +62,13 @@
 Answers a failed request, or cuts the connection when a backend server's answer has begun already: an answer that ends
 early must never look whole.
 */
-export function answerFailure(response: http.ServerResponse, failure: RequestFailure, random: () => number): void {
+export function answerFailure(response: http.ServerResponse, createAnswer: () => Problem): void {
 	if (response.headersSent || response.destroyed) {
 		response.destroy();
 		return;
 	}
 
-	const problem = createProblem(failure, random);
+	const problem = createAnswer();
 	// Unless the request was read whole, what follows on the connection is the rest of its body.
 	if (isReadWhole(response.req)) {
 		response.writeHead(problem.status, problem.headers);
--- a/packages/wagtailroute-proxy/src/attempts.ts
+++ b/packages/wagtailroute-proxy/src/attempts.ts
@@ -8,6 +8,7 @@
 import type * as http from 'node:http';
 import type * as undici from 'undici';
 import {DISCARDED_ANSWER_BYTES, STORED_ANSWER_BYTES} from './constants.ts';
+import {FOREIGN_CODE} from './endings.ts';
 import {type HeaderFields} from './headers.ts';
 import type {StoredAnswer} from './ports.ts';
 
@@ -26,7 +27,7 @@
 	/**
 	The answer was not relayed, another attempt may follow.
 	*/
-	| {readonly kind: 'discarded'; readonly status: number; readonly isShed: boolean}
+	| {readonly kind: 'discarded'; readonly status: number; readonly isShed: boolean; readonly isMisdirected?: boolean}
 	| {readonly kind: 'relayed'; readonly status: number; readonly answer?: StoredAnswer}
 	/**
 	The answer was cut off after some of it was relayed.
@@ -35,9 +36,9 @@
 
 /**
 What is done with an answer: relayed to the caller, or discarded because the target shed the request or because it is to be
-repeated elsewhere.
+repeated elsewhere. `foreign`: it answers another request, so the connection is not fit for any.
 */
-export type Verdict = 'relay' | 'shed' | 'repeat';
+export type Verdict = 'relay' | 'shed' | 'misdirected' | 'repeat' | 'foreign';
 
 /**
 What an attempt is to do.
@@ -58,6 +59,10 @@
 	*/
 	readonly createHeaders: (headers: HeaderFields) => Record<string, string | string[]>;
 	/**
+	Says whether a connection of the pool is being reset at this moment.
+	*/
+	readonly isReset: () => boolean;
+	/**
 	Keep a copy of the answer.
 	*/
 	readonly isKept: boolean;
@@ -106,6 +111,7 @@
 	#verdict: Verdict = 'relay';
 	#status = 0;
 	#received = 0;
+	#isFramed = true;
 	#kept: buffer.Buffer[] | undefined;
 	#headers: Record<string, string | string[]> = {};
 	#resume: (() => void) | undefined;
@@ -147,8 +153,15 @@
 		}
 
 		this.#status = status;
+		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 		this.#plan.onAnswered();
 		this.#verdict = this.#plan.decide(status, headers);
+		if (this.#verdict === 'foreign') {
+			this.#fail(FOREIGN_CODE);
+			controller.abort(new Error(FOREIGN_CODE));
+			return;
+		}
+
 		if (this.#verdict !== 'relay') {
 			this.#phase = 'discarding';
 			return;
@@ -172,6 +185,12 @@
 	}
 
 	onResponseEnd(): void {
+		// An answer without a length ends with its connection; the HTTP client takes a reset for that end too.
+		if (!this.#isFramed && this.#plan.isReset()) {
+			this.#fail('ECONNRESET');
+			return;
+		}
+
 		if (this.#phase === 'discarding') {
 			this.#end(this.#createDiscarded());
 		} else if (this.#phase === 'relaying') {
@@ -207,7 +226,10 @@
 	}
 
 	#createDiscarded(): AttemptResult {
-		return {kind: 'discarded', status: this.#status, isShed: this.#verdict === 'shed'};
+		const isMisdirected = this.#verdict === 'misdirected';
+		return {
+			kind: 'discarded', status: this.#status, isShed: isMisdirected || this.#verdict === 'shed', isMisdirected,
+		};
 	}
 
 	#keep(chunk: buffer.Buffer): void {
--- a/packages/wagtailroute-proxy/src/connections.ts
+++ b/packages/wagtailroute-proxy/src/connections.ts
@@ -8,11 +8,22 @@
 import * as undici from 'undici';
 import {CONNECT_MILLISECONDS, UPSTREAM_KEEP_ALIVE_MILLISECONDS} from './constants.ts';
 
+/**
+The connections to one address.
+*/
+export type Pool = {
+	readonly dispatcher: undici.Pool;
+	/**
+	Says whether one of its connections is being reset at this moment.
+	*/
+	readonly isReset: () => boolean;
+};
+
 /**
 The pools of a host.
 */
 export type Connections = {
-	readonly getPool: (address: core.Address, limit: number) => undici.Pool;
+	readonly getPool: (address: core.Address, limit: number) => Pool;
 	/**
 	Lets the pools of all other addresses finish what they do and closes them.
 	*/
@@ -23,12 +34,12 @@
 /**
 Creates an empty set of pools.
 */
-export function createConnections(): Connections {
-	const pools = new Map<string, undici.Pool>();
+export function createConnections(connectMilliseconds: number = CONNECT_MILLISECONDS): Connections {
+	const pools = new Map<string, Pool>();
 	return {
 		getPool(address, limit) {
 			const name = core.formatAddress(address);
-			const pool = pools.get(name) ?? createPool(name, limit);
+			const pool = pools.get(name) ?? createPool(name, limit, connectMilliseconds);
 			pools.set(name, pool);
 			return pool;
 		},
@@ -39,24 +50,42 @@
 				}
 
 				pools.delete(name);
-				void pool.close();
+				void pool.dispatcher.close();
 			}
 		},
 		async close() {
-			await Promise.all(pools.values().map(async pool => pool.destroy()));
+			await Promise.all(pools.values().map(async pool => pool.dispatcher.destroy()));
 			pools.clear();
 		},
 	};
 }
 
-function createPool(name: string, limit: number): undici.Pool {
-	return new undici.Pool(`http://${name}`, {
+function createPool(name: string, limit: number, connectMilliseconds: number): Pool {
+	let resets = 0;
+	const connect = undici.buildConnector({timeout: connectMilliseconds});
+	const dispatcher = new undici.Pool(`http://${name}`, {
 		connections: limit,
 		pipelining: 1,
-		connectTimeout: CONNECT_MILLISECONDS,
+		connect(options, callback) {
+			connect(options, (...[error, socket]) => {
+				// Registered before the HTTP client's own listener, so that it is known while that one runs.
+				socket?.once('error', () => {
+					resets++;
+					setImmediate(() => {
+						resets--;
+					});
+				});
+				if (error === null) {
+					callback(null, socket);
+				} else {
+					callback(error, null);
+				}
+			});
+		},
 		keepAliveTimeout: UPSTREAM_KEEP_ALIVE_MILLISECONDS,
 		// The exchange has its own deadline for the whole request.
 		headersTimeout: 0,
 		bodyTimeout: 0,
 	});
+	return {dispatcher, isReset: () => resets > 0};
 }
--- a/packages/wagtailroute-proxy/src/endings.ts
+++ b/packages/wagtailroute-proxy/src/endings.ts
@@ -37,7 +37,7 @@
 */
 export function getEnding(result: AttemptResult): AttemptEnding {
 	if (result.kind === 'relayed' || result.kind === 'discarded') {
-		return isShedResult(result) ? 'shed' : getAnsweredEnding(result.status);
+		return isShedResult(result) ? getShedEnding(result) : getAnsweredEnding(result.status);
 	}
 
 	return isBodyCutOff(result) ? 'cancelled' : UNANSWERED_ENDINGS[result.kind];
@@ -57,6 +57,10 @@
 	return result.kind === 'lost' && BODY_CODES.has(result.code);
 }
 
+function getShedEnding(result: AttemptResult): AttemptEnding {
+	return result.kind === 'discarded' && result.isMisdirected === true ? 'misdirected' : 'shed';
+}
+
 /**
 Says whether the target declared that it did not run the request.
 */
@@ -71,6 +75,11 @@
 	['UND_ERR_CONNECT_TIMEOUT', 'connect-timeout'],
 ]);
 
+/**
+Code of an attempt whose connection brought the answer to another request.
+*/
+export const FOREIGN_CODE = 'HPE_FOREIGN_ANSWER';
+
 const MALFORMED_PATTERN = /^HPE_|^UND_ERR_(?:HEADERS_OVERFLOW|INVALID)/v;
 
 /**
@@ -124,6 +133,7 @@
 const RELEASE_ENDINGS: Readonly<Record<AttemptEnding, ReleaseEnding>> = {
 	success: 'completed',
 	shed: 'overloaded',
+	misdirected: 'failed',
 	timeout: 'overloaded',
 	// A deadline that the caller chose too short says nothing of load: callers could shrink the limit for all others.
 	impatience: 'failed',
--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -8,7 +8,6 @@
 import * as crypto from 'node:crypto';
 import type * as http from 'node:http';
 import * as core from 'wagtailroute-core';
-import type * as catalogue from 'wagtailroute-catalogue';
 import * as retries from 'wagtailroute-retries';
 import * as answers from './answers.ts';
 import * as bodies from './bodies.ts';
@@ -30,7 +29,7 @@
 	readonly message: http.IncomingMessage;
 	readonly response: http.ServerResponse;
 	readonly request: requests.CallerRequest;
-	readonly match: catalogue.RouteMatch;
+	readonly match: ports.Match;
 	readonly service: ports.ServicePort;
 };
 
@@ -58,7 +57,7 @@
 	constructor(context: ExchangeContext) {
 		this.#context = context;
 		this.#startedAt = context.ports.now();
-		const limit = context.service.entry.limits.timeoutMilliseconds;
+		const limit = context.service.limits.timeoutMilliseconds;
 		this.#deadlineAt = this.#startedAt + Math.min(limit, context.request.timeoutMilliseconds ?? limit);
 		this.#sending = new Sending(context, this.#givingUp, () => this.#getRemaining());
 	}
@@ -134,7 +133,7 @@
 	async #runRead(): Promise<Conclusion> {
 		const {message, request, service} = this.#context;
 		const body = request.hasBody
-			? await this.#givingUp.race(bodies.readBody(message, request, service.entry.limits.bodyBytes))
+			? await this.#givingUp.race(bodies.readBody(message, request, service.limits.bodyBytes))
 			: bodies.NO_BODY;
 		if (body === undefined) {
 			return this.#sending.describeGivenUp();
@@ -224,20 +223,23 @@
 	}
 
 	#finish(conclusion: Conclusion): void {
-		const {response, match, ports: {note, now, random}} = this.#context;
+		const {response, match, request, ports: {dialect, note, now, random}} = this.#context;
 		const told = conclusion === undefined ? undefined : retries.getRequestFailure(conclusion.kind);
 		if (conclusion !== undefined) {
-			answers.answerFailure(response, conclusion, random);
+			answers.answerFailure(response, () => dialect.createProblem(conclusion, random));
 		}
 
 		note({
+			requestId: request.id,
 			service: match.service,
+			attempts: this.#sending.getCount(),
+			upstream: this.#sending.lastUpstream,
 			outcome: told?.outcome ?? this.#storedOutcome ?? this.#sending.toldOutcome,
-			status: told?.status ?? response.statusCode,
+			status: response.headersSent ? response.statusCode : told?.status ?? response.statusCode,
 			milliseconds: now() - this.#startedAt,
 			failure: conclusion,
 			isCancelled: this.#givingUp.getReason() === 'cancelled',
-			isForwarded: this.#context.request.isForwarded,
+			isForwarded: request.isForwarded,
 		});
 	}
 }
--- a/packages/wagtailroute-proxy/src/headers.ts
+++ b/packages/wagtailroute-proxy/src/headers.ts
@@ -10,7 +10,10 @@
 	TIMEOUT_HEADER,
 } from './constants.ts';
 
-const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+/**
+Names of the headers that belong to one connection.
+*/
+export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
 	'connection',
 	'keep-alive',
 	'proxy-authenticate',
@@ -48,6 +51,10 @@
 	*/
 	readonly contentLength?: number;
 	/**
+	Name of the upstream's instance.
+	*/
+	readonly instance?: string;
+	/**
 	This host's name when it forwards to a carrier instead of sending to a backend server.
 	*/
 	readonly forwardedBy?: string;
@@ -111,6 +118,9 @@
 	return headers;
 }
 
-function getNamedByConnection(connection: string | undefined): ReadonlySet<string> | undefined {
+/**
+Returns the names that a Connection header lists besides the usual words.
+*/
+export function getNamedByConnection(connection: string | undefined): ReadonlySet<string> | undefined {
 	return connection === undefined || PLAIN_CONNECTIONS.has(connection) ? undefined : new Set(connection.split(',').map(name => name.trim().toLowerCase()));
 }
--- a/packages/wagtailroute-proxy/src/index.ts
+++ b/packages/wagtailroute-proxy/src/index.ts
@@ -14,13 +14,17 @@
 	AttemptEnding,
 	AttemptReport,
 	ClaimAnswer,
+	ChoiceRequest,
 	ClaimRequest,
 	Guard,
 	Loss,
+	Match,
 	Release,
 	ReleaseEnding,
+	RequestLimits,
 	RequestNote,
 	RetryPort,
+	RoutedRequest,
 	ServicePort,
 	Settlement,
 	StoredAnswer,
@@ -30,6 +34,12 @@
 	TrialEnding,
 	TrialRequest,
 	WaitingPlace,
+	WaitingTarget,
 } from './ports.ts';
+export {type AnswerKind, type Dialect, OWN_DIALECT} from './dialect.ts';
+export {
+	CONNECTION_HEADERS, getNamedByConnection, type HeaderFields, type Passage,
+} from './headers.ts';
+export type {CallerRequest} from './requests.ts';
 export {openTrafficServer, type TrafficServer} from './traffic.ts';
 export type {Connections} from './connections.ts';
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -2,9 +2,10 @@
 What the way of a request needs from the rest of a host. Each port is small, so that a test can stand in for it.
 */
 import type * as http from 'node:http';
-import type * as catalogue from 'wagtailroute-catalogue';
 import type * as core from 'wagtailroute-core';
-import type {RequestFailure} from './failures.ts';
+import type {Dialect} from './dialect.ts';
+import type {RequestFailure, RequestFailureKind} from './failures.ts';
+import type {CallerRequest} from './requests.ts';
 
 /**
 Where an attempt goes: a backend server, or a host that carries the service.
@@ -66,6 +67,7 @@
 	| 'success'
 	| 'server-error'
 	| 'shed'
+	| 'misdirected'
 	| 'connect-error'
 	| 'reset'
 	| 'truncated'
@@ -88,6 +90,10 @@
 	The upstream crashed with requests in flight of which one may be the cause: no evidence against the upstream.
 	*/
 	readonly hasCrashed: boolean;
+	/**
+	Absent when the caller got the answer.
+	*/
+	readonly failure?: RequestFailureKind;
 };
 
 /**
@@ -102,11 +108,74 @@
 	readonly requestClass: core.RequestClass;
 };
 
+/**
+Bounds of the requests of one route.
+*/
+export type RequestLimits = {
+	readonly timeoutMilliseconds: number;
+	readonly bodyBytes: number;
+	readonly connectionsPerUpstream: number;
+	/**
+	Most targets that one request is sent to; that of the retries package when absent.
+	*/
+	readonly attempts?: number;
+};
+
+/**
+Asks for the target of an attempt.
+*/
+export type ChoiceRequest = {
+	/**
+	Targets that had the request already.
+	*/
+	readonly excluded: ReadonlySet<string>;
+	readonly requestClass: core.RequestClass;
+	readonly requestId?: string;
+	/**
+	Milliseconds until the deadline.
+	*/
+	readonly remainingMilliseconds: number;
+	/**
+	A target got the request before, whether or not it ran it.
+	*/
+	readonly isResend: boolean;
+};
+
+/**
+A target that is waited for.
+*/
+export type WaitingTarget = {
+	readonly result: Promise<Target | RequestFailure>;
+	/**
+	Withdraws the request: a target that comes all the same is given back.
+	*/
+	readonly cancel: () => void;
+};
+
+/**
+Where a request belongs, as far as its way cares.
+*/
+export type Match = {
+	readonly service: core.ServiceName;
+	readonly route: {
+		readonly class: core.RequestClass;
+		readonly requireIdempotencyKey?: boolean;
+	};
+};
+
+/**
+A request's route, and what this host holds for its service.
+*/
+export type RoutedRequest = {
+	readonly match: Match;
+	readonly service: ServicePort;
+};
+
 /**
 What a host holds for one service in force.
 */
 export type ServicePort = {
-	readonly entry: catalogue.Entry;
+	readonly limits: RequestLimits;
 	/**
 	This host carries the service; otherwise its targets are hosts that do.
 	*/
@@ -117,9 +186,13 @@
 	readonly admit: (request: AdmissionRequest) => RequestFailure | WaitingPlace | undefined;
 	readonly release: (release: Release) => void;
 	/**
-	Chooses a target for the next attempt.
+	Chooses a target for the next attempt, at once or after a wait.
 	*/
-	readonly choose: (excluded: ReadonlySet<string>, requestClass: core.RequestClass) => Target | undefined;
+	readonly choose: (choice: ChoiceRequest) => Target | WaitingTarget | undefined;
+	/**
+	Says whether there is a target beside the excluded ones, as far as is known at once.
+	*/
+	readonly hasAnother: (choice: ChoiceRequest) => boolean;
 	readonly begin: (target: Target) => void;
 	readonly end: (report: AttemptReport) => void;
 	readonly retry: RetryPort;
@@ -229,11 +302,11 @@
 	Monotonic time in milliseconds.
 	*/
 	readonly now: () => number;
-	readonly findRoute: (host: string, method: string, path: string) => catalogue.RouteMatch | undefined;
+	readonly dialect: Dialect;
 	/**
-	Undefined when neither this host nor one it knows carries the service.
+	Finds the route of a request and its service.
 	*/
-	readonly getService: (name: core.ServiceName, isForwarded: boolean) => ServicePort | undefined;
+	readonly route: (request: CallerRequest) => RoutedRequest | RequestFailure;
 	readonly claim: (request: ClaimRequest) => Promise<ClaimAnswer>;
 	readonly guard: Guard;
 	/**
@@ -246,6 +319,10 @@
 	readonly answerReserved: (message: http.IncomingMessage, response: http.ServerResponse, path: string) => void;
 	readonly isDraining: () => boolean;
 	/**
+	Milliseconds that opening a connection to an upstream may take; the product's own bound when absent.
+	*/
+	readonly connectMilliseconds?: number;
+	/**
 	Told of each answer: the service, what was told, the status and the milliseconds it took.
 	*/
 	readonly note: (note: RequestNote) => void;
@@ -255,7 +332,13 @@
 One answered request, for reports.
 */
 export type RequestNote = {
+	readonly requestId?: string;
 	readonly service: core.ServiceName;
+	/**
+	Attempts made, and the target of the last one.
+	*/
+	readonly attempts: number;
+	readonly upstream?: core.UpstreamId;
 	readonly outcome: core.Outcome;
 	readonly status: number;
 	readonly milliseconds: number;
--- a/packages/wagtailroute-proxy/src/requests.ts
+++ b/packages/wagtailroute-proxy/src/requests.ts
@@ -21,6 +21,10 @@
 A checked request.
 */
 export type CallerRequest = {
+	/**
+	The caller's name for the request, for logs and to tell answers apart.
+	*/
+	readonly id?: string;
 	readonly method: string;
 	/**
 	Path with its query, as received.
--- a/packages/wagtailroute-proxy/src/sending.ts
+++ b/packages/wagtailroute-proxy/src/sending.ts
@@ -6,7 +6,6 @@
 */
 import type * as http from 'node:http';
 import * as timers from 'node:timers/promises';
-import type * as catalogue from 'wagtailroute-catalogue';
 import type * as core from 'wagtailroute-core';
 import * as retries from 'wagtailroute-retries';
 import * as attempts from './attempts.ts';
@@ -15,7 +14,7 @@
 import * as endings from './endings.ts';
 import * as failures from './failures.ts';
 import type {GivingUp} from './giving-up.ts';
-import * as headers from './headers.ts';
+import type * as headers from './headers.ts';
 import type * as ports from './ports.ts';
 import type * as requests from './requests.ts';
 
@@ -28,7 +27,7 @@
 	readonly message: http.IncomingMessage;
 	readonly response: http.ServerResponse;
 	readonly request: requests.CallerRequest;
-	readonly match: catalogue.RouteMatch;
+	readonly match: ports.Match;
 	readonly service: ports.ServicePort;
 };
 
@@ -59,6 +58,7 @@
 	toldOutcome: core.Outcome = 'not-run';
 	lastResult: attempts.AttemptResult | undefined;
 	lastEnding: ports.AttemptEnding | undefined;
+	lastUpstream: core.UpstreamId | undefined;
 	readonly #context: SendingContext;
 	readonly #givingUp: GivingUp;
 	readonly #getRemaining: () => number;
@@ -68,6 +68,10 @@
 	#count = 0;
 	#decision: retries.RetryDecision | undefined;
 	#isTrialBusy = false;
+	/**
+	A target got the request, whether or not it ran it.
+	*/
+	#hasArrived = false;
 
 	constructor(context: SendingContext, givingUp: GivingUp, getRemaining: () => number) {
 		this.#context = context;
@@ -83,12 +87,13 @@
 		this.#claim = claim;
 		let conclusion: Conclusion;
 		for (;;) {
-			const target = this.#givingUp.getReason() === undefined ? this.#choose() : undefined;
-			if (target === undefined) {
-				return this.describeGivenUp() ?? conclusion ?? this.#createNoUpstream();
+			// eslint-disable-next-line no-await-in-loop -- One attempt follows the other.
+			const target = this.#givingUp.getReason() === undefined ? await this.#choose() : undefined;
+			if (target === undefined || !('address' in target)) {
+				return this.describeGivenUp() ?? conclusion ?? target ?? this.#createNoUpstream();
 			}
 
-			// eslint-disable-next-line no-await-in-loop -- One attempt follows the other.
+			// eslint-disable-next-line no-await-in-loop -- See above.
 			const trial = await this.#requestTrial(target);
 			if (trial?.kind === 'busy') {
 				this.#isTrialBusy = true;
@@ -112,6 +117,13 @@
 		}
 	}
 
+	/**
+	Returns how many targets got the request.
+	*/
+	getCount(): number {
+		return this.#count;
+	}
+
 	/**
 	Describes why the request was given up, if it was.
 	*/
@@ -125,8 +137,30 @@
 		return failures.createRequestFailure(kind, message);
 	}
 
-	#choose(): ports.Target | undefined {
-		return this.#context.service.choose(this.#tried, this.#context.match.route.class);
+	async #choose(): Promise<ports.Target | failures.RequestFailure | undefined> {
+		const chosen = this.#context.service.choose(this.#createChoice(this.#hasArrived));
+		if (chosen === undefined || 'address' in chosen) {
+			return chosen;
+		}
+
+		// Whoever gave up waiting gives the target back.
+		this.#givingUp.setListener(() => {
+			chosen.cancel();
+		});
+		const result = await chosen.result;
+		this.#givingUp.setListener(() => undefined);
+		return result;
+	}
+
+	#createChoice(isResend: boolean): ports.ChoiceRequest {
+		const {match, request} = this.#context;
+		return {
+			excluded: this.#tried,
+			requestClass: match.route.class,
+			requestId: request.id,
+			remainingMilliseconds: this.#getRemaining(),
+			isResend,
+		};
 	}
 
 	#createNoUpstream(): failures.RequestFailure {
@@ -165,6 +199,7 @@
 			? await this.#send(target, trial !== undefined)
 			: {result: expired, hasCrashed: false};
 		this.lastResult = result;
+		this.#hasArrived ||= result.kind !== 'not-sent';
 		this.#noteSurvival(result, trial);
 		if (result.kind === 'relayed') {
 			return {};
@@ -213,6 +248,7 @@
 	): Promise<{readonly result: attempts.AttemptResult; readonly hasCrashed: boolean}> {
 		const {service, ports: {now}} = this.#context;
 		this.#tried.add(target.id);
+		this.lastUpstream = target.id;
 		this.#count++;
 		service.begin(target);
 		const startedAt = now();
@@ -230,19 +266,27 @@
 		const isLost = endings.isConnectionLost(result) && this.#givingUp.getReason() === undefined;
 		const hasCrashed = isLost && target.kind === 'upstream' && await this.#examineLoss(target, isOnTrial);
 		service.end({
-			target, ending: this.lastEnding, latencyMilliseconds, fingerprint: this.fingerprint, hasCrashed,
+			target,
+			ending: this.lastEnding,
+			latencyMilliseconds,
+			fingerprint: this.fingerprint,
+			hasCrashed,
+			failure: result.kind === 'relayed' ? undefined : endings.getFailureKind(result, hasCrashed),
 		});
 		return {result, hasCrashed};
 	}
 
 	#createPlan(target: ports.Target, onAnswered: () => void): attempts.AttemptPlan {
-		const {service, request, message, response, ports: {hostId}} = this.#context;
+		const {service, request, message, response, ports: {dialect, hostId}} = this.#context;
 		const body = this.#body!;
+		const pool = this.#context.connections.getPool(target.address, service.limits.connectionsPerUpstream);
 		return {
-			pool: this.#context.connections.getPool(target.address, service.entry.limits.connectionsPerUpstream),
+			pool: pool.dispatcher,
+			isReset: pool.isReset,
 			method: request.method,
 			target: request.target,
-			headers: headers.createRequestHeaders(message, {
+			headers: dialect.createRequestHeaders(message, {
+				instance: target.id,
 				remainingMilliseconds: this.#getRemaining(),
 				contentLength: body.rest === undefined ? undefined : request.contentLength,
 				forwardedBy: target.kind === 'host' ? hostId : undefined,
@@ -261,35 +305,40 @@
 	Decides on an answer when its header section is there: what is relayed can not be tried elsewhere any more.
 	*/
 	#decideAnswer(status: number, received: headers.HeaderFields, target: ports.Target): attempts.Verdict {
-		const isShed = endings.isShedAnswer(status, received);
-		if (!isShed && status < 500) {
-			return 'relay';
+		const {service, request, ports: {dialect}} = this.#context;
+		const kind = dialect.readAnswer(status, received, request);
+		if (kind === 'foreign' || (kind === 'answer' && status < 500)) {
+			return kind === 'foreign' ? 'foreign' : 'relay';
 		}
 
+		const isShed = kind === 'shed' || kind === 'misdirected';
 		const result: Unanswered = {kind: 'discarded', status, isShed};
-		const decision = this.#choose() === undefined ? undefined : this.#decideRetry(endings.getFailureKind(result, false), result);
+		const decision = service.hasAnother(this.#createChoice(true)) ? this.#decideRetry(endings.getFailureKind(result, false), result) : undefined;
 		if (decision?.kind === 'retry') {
 			this.#decision = decision;
-			return isShed ? 'shed' : 'repeat';
+			return isShed ? kind : 'repeat';
 		}
 
 		// A carrier says why it did not run the request, which is worth more to the caller than that it did not.
-		return isShed && target.kind === 'upstream' ? 'shed' : 'relay';
+		const isRelayed = kind === 'answer' || (isShed && target.kind === 'host');
+		return isRelayed ? 'relay' : (isShed ? kind : 'repeat');
 	}
 
 	/**
 	Decides whether the request is sent again, and pays for it.
 	*/
 	#decideRetry(failure: failures.RequestFailureKind, result: Unanswered): retries.RetryDecision {
-		const {service, request, match, ports: {random}} = this.#context;
+		const {service, request, match, ports: {dialect, random}} = this.#context;
 		const isExpired = this.#claim?.isSendable() === false;
 		const isOpen = result.kind !== 'truncated' && this.#givingUp.getReason() === undefined;
 		const decision = retries.decideRetry({
 			requestClass: match.route.class,
 			isKeyed: this.#claim !== undefined,
 			failure,
+			isShedPromise: dialect.isShedPromise,
 			sent: result.kind === 'not-sent' ? 'none' : 'some',
 			attempts: Math.max(1, this.#count),
+			attemptsMost: service.limits.attempts ?? retries.MAX_ATTEMPTS,
 			earlierOutcome: this.outcome,
 			remainingMilliseconds: this.#getRemaining(),
 			usualMilliseconds: service.retry.getUsualMilliseconds(),
@@ -307,7 +356,7 @@
 	#createHeaders(received: headers.HeaderFields, target: ports.Target): Record<string, string | string[]> {
 		const told = target.kind === 'host' ? endings.readOutcome(received) : 'ran';
 		this.toldOutcome = retries.mergeOutcomes(this.outcome, told);
-		return headers.createAnswerHeaders(received, this.toldOutcome);
+		return this.#context.ports.dialect.createAnswerHeaders(received, this.toldOutcome);
 	}
 
 	#getEnding(result: attempts.AttemptResult): ports.AttemptEnding {
@@ -321,7 +370,7 @@
 		}
 
 		const {request, service} = this.#context;
-		const isImpatient = (request.timeoutMilliseconds ?? Infinity) < service.entry.limits.timeoutMilliseconds;
+		const isImpatient = (request.timeoutMilliseconds ?? Infinity) < service.limits.timeoutMilliseconds;
 		return isImpatient ? 'impatience' : 'timeout';
 	}
 }
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -4,7 +4,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import type * as core from 'wagtailroute-core';
-import {answerFailure, createProblem} from './answers.ts';
+import {answerFailure} from './answers.ts';
 import {type Connections, createConnections} from './connections.ts';
 import {
 	HEADER_BYTES,
@@ -12,12 +12,10 @@
 	KEEP_ALIVE_MILLISECONDS,
 	MAXIMUM_CALLER_CONNECTIONS,
 	REQUEST_MILLISECONDS,
-	RESERVED_PREFIX,
 } from './constants.ts';
 import {serveExchange} from './exchange.ts';
 import {createRequestFailure, type RequestFailure} from './failures.ts';
 import type {TrafficPorts} from './ports.ts';
-import {parseRequest} from './requests.ts';
 
 /**
 The traffic server of a host.
@@ -42,7 +40,7 @@
 Opens the server.
 */
 export async function openTrafficServer(address: core.Address, ports: TrafficPorts): Promise<TrafficServer> {
-	const connections = createConnections();
+	const connections = createConnections(ports.connectMilliseconds);
 	const inFlightOn = new WeakMap<net.Socket, number>();
 	let inFlight = 0;
 	let isClosing = false;
@@ -115,7 +113,7 @@
 	response.on('error', () => undefined);
 	const failure = findRoute(ports, connections, message, response);
 	if (failure !== undefined) {
-		answerFailure(response, failure, ports.random);
+		answerFailure(response, () => ports.dialect.createProblem(failure, ports.random));
 	}
 }
 
@@ -125,13 +123,13 @@
 	message: http.IncomingMessage,
 	response: http.ServerResponse,
 ): RequestFailure | undefined {
-	const parsed = parseRequest(message);
+	const parsed = ports.dialect.parseRequest(message);
 	if (parsed.isErr()) {
 		return parsed.error;
 	}
 
 	const request = parsed.value;
-	if (request.path.startsWith(RESERVED_PREFIX)) {
+	if (ports.dialect.isReserved(request.path)) {
 		ports.answerReserved(message, response, request.path);
 		return undefined;
 	}
@@ -141,14 +139,9 @@
 		response.setHeader('connection', 'close');
 	}
 
-	const match = ports.findRoute(request.host, request.method, request.path);
-	if (match === undefined) {
-		return createRequestFailure('route-unknown', `No service has a route for ${request.method} ${request.host}${request.path}.`);
-	}
-
-	const service = ports.getService(match.service, request.isForwarded);
-	if (service === undefined) {
-		return createRequestFailure('no-upstream', `No host that carries ${match.service} is known here.`);
+	const routed = ports.route(request);
+	if ('kind' in routed) {
+		return routed;
 	}
 
 	void serveExchange({
@@ -157,8 +150,8 @@
 		message,
 		response,
 		request,
-		match,
-		service,
+		match: routed.match,
+		service: routed.service,
 	});
 	return undefined;
 }
@@ -168,7 +161,7 @@
 /**
 Answers what the parser refused: malformed requests, conflicting lengths, header sections that are too large or too slow.
 */
-function answerClientError({random}: TrafficPorts, error: ClientError, socket: net.Socket): void {
+function answerClientError({dialect, random}: TrafficPorts, error: ClientError, socket: net.Socket): void {
 	if (!socket.writable || error.code === 'ECONNRESET') {
 		socket.destroy();
 		return;
@@ -178,7 +171,7 @@
 	const failure = isTooLarge
 		? createRequestFailure('header-too-large', `The header section is larger than ${HEADER_BYTES} bytes.`)
 		: createRequestFailure('malformed-request', `The request was refused by the parser (${error.code ?? error.name}).`);
-	const problem = createProblem(failure, random);
+	const problem = dialect.createProblem(failure, random);
 	const fields = Object.entries(problem.headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
 	const reason = http.STATUS_CODES[problem.status] ?? '';
 	socket.end(`HTTP/1.1 ${problem.status} ${reason}\r\n${fields}connection: close\r\n\r\n${problem.body}`);
--- a/packages/wagtailroute-replication/src/index.ts
+++ b/packages/wagtailroute-replication/src/index.ts
@@ -56,3 +56,4 @@
 	type StateMachine,
 } from './group.ts';
 export {observeMembers} from './observation.ts';
+export {chooseMembers, type MemberChoice, type WantedMember} from './voters.ts';
--- a/packages/wagtailroute-retries/src/__tests__/unit/retries.test.ts
+++ b/packages/wagtailroute-retries/src/__tests__/unit/retries.test.ts
@@ -8,6 +8,7 @@
 
 const SEED = 51;
 const SEND: retries.FailedSend = {
+	attemptsMost: retries.MAX_ATTEMPTS,
 	requestClass: 'read',
 	isKeyed: false,
 	failure: 'upstream-lost',
--- a/packages/wagtailroute-retries/src/bench/amplification.bench.ts
+++ b/packages/wagtailroute-retries/src/bench/amplification.bench.ts
@@ -78,6 +78,7 @@
 			}
 
 			const decision = retries.decideRetry({
+				attemptsMost: retries.MAX_ATTEMPTS,
 				requestClass: 'read',
 				isKeyed: false,
 				failure: 'upstream-lost',
--- a/packages/wagtailroute-retries/src/decisions.ts
+++ b/packages/wagtailroute-retries/src/decisions.ts
@@ -4,7 +4,6 @@
 import type * as core from 'wagtailroute-core';
 import {
 	BASE_BACKOFF_MILLISECONDS,
-	MAX_ATTEMPTS,
 	MAX_BACKOFF_MILLISECONDS,
 	MAX_RETRY_AFTER_SECONDS,
 	MIN_RETRY_AFTER_SECONDS,
@@ -36,6 +35,14 @@
 	*/
 	readonly attempts: number;
 	/**
+	Sends of one request at most.
+	*/
+	readonly attemptsMost: number;
+	/**
+	Upstreams promise that a request they shed never runs.
+	*/
+	readonly isShedPromise?: boolean;
+	/**
 	Merged outcome of the sends before this one, `not-run` when there were none.
 	*/
 	readonly earlierOutcome: core.Outcome;
@@ -84,23 +91,27 @@
 	['not-retriable', ({failure}) => !getRequestFailure(failure).isRetriable],
 	['may-have-run', send => !IS_SAFE[send.requestClass](send)],
 	['cannot-send-again', ({canSendAgain}) => !canSendAgain],
-	['attempts-used', ({attempts}) => attempts >= MAX_ATTEMPTS],
+	['attempts-used', ({attempts, attemptsMost}) => attempts >= attemptsMost],
 	['tier-retries', ({isResendOfTier}) => isResendOfTier],
 	['deadline', ({remainingMilliseconds, usualMilliseconds}, delay) => remainingMilliseconds < delay + usualMilliseconds],
 	['budget', ({hasBudget}) => !hasBudget],
 ];
 
-// A non-idempotent request without a key is never sent a second time, even when the upstream says that it did not run it:
-// no record would stop it from running twice. With no byte sent the next send is the first.
+// A non-idempotent request without a key is not sent a second time when the upstream says that it did not run it, unless
+// upstreams promise that: no record would stop it from running twice. With no byte sent the next send is the first.
 const IS_SAFE: Readonly<Record<core.RequestClass, (send: FailedSend) => boolean>> = {
 	read: () => true,
 	idempotent: () => true,
-	'non-idempotent': ({failure, sent, isKeyed, earlierOutcome}) =>
-		earlierOutcome === 'not-run'
-		&& getSendOutcome(failure, sent) === 'not-run'
-		&& (isKeyed || sent === 'none'),
+	'non-idempotent': isSurelyNotRun,
+	upload: isSurelyNotRun,
 };
 
+function isSurelyNotRun({failure, sent, isKeyed, isShedPromise = false, earlierOutcome}: FailedSend): boolean {
+	return earlierOutcome === 'not-run'
+		&& getSendOutcome(failure, sent) === 'not-run'
+		&& (isKeyed || isShedPromise || sent === 'none');
+}
+
 /**
 Decides what follows a failed send.
 */
--- /dev/null
+++ b/packages/wagtailroute-telemetry/src/__tests__/unit/telemetry.test.ts
@@ -0,0 +1,97 @@
+/**
+Tests of logs and metrics.
+*/
+import * as stream from 'node:stream';
+import test from 'ava';
+import * as telemetry from '../../index.ts';
+
+type Lines = {
+	readonly logs: telemetry.Logs;
+	readonly read: () => ReadonlyArray<Readonly<Record<string, unknown>>>;
+	readonly pass: (milliseconds: number) => void;
+};
+
+function createLines(): Lines {
+	const texts: string[] = [];
+	let time = 0;
+	const output = new stream.Writable({
+		write(chunk: Uint8Array, _encoding, done) {
+			texts.push(String(chunk));
+			done();
+		},
+	});
+	return {
+		logs: telemetry.createLogs({
+			output, level: 'info', now: () => time, fields: {host: 'a'},
+		}),
+		read: () => texts.join('').split('\n').filter(text => text !== '').map(text => JSON.parse(text) as Readonly<Record<string, unknown>>),
+		pass(milliseconds) {
+			time += milliseconds;
+		},
+	};
+}
+
+test('a line is JSON with its part, level and fields', t => {
+	const lines = createLines();
+	lines.logs('entry').warn('Failed.', {request: 'r'});
+	const [line] = lines.read();
+	t.like(line, {
+		host: 'a', level: 'warn', message: 'entry: Failed.', request: 'r',
+	});
+	t.is(typeof line?.timestamp, 'string');
+});
+
+test('below the level nothing is written', t => {
+	const lines = createLines();
+	lines.logs('entry').debug('Detail.');
+	t.deepEqual(lines.read(), []);
+});
+
+test('a kind of line that comes too often is left out, counted and told; other kinds are not', t => {
+	// Symptom: a burst fills the log, the memory or the time of the process, and the failures in it are not found.
+	// Sequence: thousands of requests fail alike within a second.
+	// Cause: every request wrote its line.
+	const lines = createLines();
+	const log = lines.logs('request');
+	for (let count = 0; count < 1000; count++) {
+		log.info('Answered.');
+	}
+
+	log.warn('Failed.');
+	const before = lines.read();
+	t.true(before.length < 200);
+	t.is(before.at(-1)?.message, 'request: Failed.');
+	lines.pass(1000);
+	log.info('Answered.');
+	t.is(lines.read().at(-1)?.leftOut, 1000 - (before.length - 1));
+});
+
+test('an output that takes nothing loses lines, not the process', t => {
+	const output = new stream.Writable({
+		highWaterMark: 1,
+		write() {
+			// Never done: standard output is blocked.
+		},
+	});
+	let time = 0;
+	const logs = telemetry.createLogs({
+		output, level: 'info', now: () => time, fields: {},
+	});
+	for (let count = 0; count < 200_000; count++) {
+		time += 1000;
+		logs('request').info('Answered.', {text: 'x'.repeat(100)});
+	}
+
+	t.true(output.writableLength < 2_000_000);
+});
+
+test('metrics are told as text', async t => {
+	const metrics = telemetry.createMetrics();
+	metrics.count('requests', {outcome: 'ran'});
+	metrics.count('requests', {outcome: 'ran'});
+	metrics.observe('request', 120, {service: 'archive'});
+	metrics.registerGauge('waiting', () => 3);
+	const text = await metrics.getText();
+	const parts = ['wagtailroute_requests_total{outcome="ran"} 2', 'wagtailroute_request_milliseconds_bucket{le="200",service="archive"} 1', 'wagtailroute_waiting 3'];
+	t.deepEqual(parts.filter(part => !text.includes(part)), []);
+});
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,6 +1,6 @@
 /**
 Builds the one binary: bundles the program into one script, and puts it into a copy of the pinned Node as a single
-executable application. Written to `dist/wagtailroute`.
+executable application. Written to `dist/wagtailroute`, or into the folder that is named as the argument.
 */
 import * as childProcess from 'node:child_process';
 import * as files from 'node:fs/promises';
@@ -9,7 +9,8 @@
 import * as esbuild from 'esbuild';
 
 const ROOT = path.dirname(import.meta.dirname);
-const DIST = path.join(ROOT, 'dist');
+const folder = process.argv[2] ?? 'dist';
+const DIST = path.join(ROOT, folder);
 const SCRIPT = path.join(DIST, 'wagtailroute.cjs');
 const BLOB = path.join(DIST, 'wagtailroute.blob');
 const SEA_SETTINGS = path.join(DIST, 'sea.json');
@@ -28,7 +29,7 @@
 await createBlob();
 await createBinary();
 const {size} = await files.stat(BINARY);
-process.stdout.write(`dist/wagtailroute: ${(size / 1_000_000).toFixed(1)} MB\n`);
+process.stdout.write(`${folder}/wagtailroute: ${(size / 1_000_000).toFixed(1)} MB\n`);
 
 async function bundle(): Promise<void> {
 	await esbuild.build({
@@ -78,6 +79,6 @@
 	try {
 		childProcess.execFileSync('strip', [BINARY], {stdio: 'ignore'});
 	} catch {
-		process.stdout.write('dist/wagtailroute: not stripped, no tool for it\n');
+		process.stdout.write(`${folder}/wagtailroute: not stripped, no tool for it\n`);
 	}
 }
--- a/xo.config.js
+++ b/xo.config.js
@@ -3,10 +3,10 @@
 */
 const config = [
 	{
-		ignores: ['dist/**'],
+		ignores: ['dist/**', 'target/**'],
 	},
 	{
-		files: ['packages/*/package.json'],
+		files: ['packages/*/package.json', 'platform/package.json'],
 		rules: {
 			// Workspaces resolve each other by `exports`.
 			'package-json/no-nested-exports': 'off',
