--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -9,6 +9,8 @@
 import type {Ask} from './asks.ts';
 import {
 	DOMAIN_COST,
+	DOUBT_COST,
+	DOUBT_GAIN,
 	OVERDUE_MOST,
 	PROOF_COST,
 	PROOF_MILLISECONDS,
@@ -18,6 +20,7 @@
 } from './constants.ts';
 import {
 	countOverdue,
+	getDoubt,
 	getSlowness,
 	isPathBad,
 	isSuspended,
@@ -44,19 +47,13 @@
 };
 
 /**
-Chooses an upstream with a free slot, or none.
+Chooses an upstream with a free slot and nothing serious against it, or none.
 */
 export function choose(upstreams: Iterable<Upstream>, ask: Ask, {now, random}: ChoiceCircumstances): Choice | undefined {
 	let best: Upstream | undefined;
 	let bestCost = Infinity;
-	let trial: Upstream | undefined;
 	for (const upstream of upstreams) {
-		if (!isOpen(upstream, ask, now)) {
-			continue;
-		}
-
-		if (isSuspended(upstream)) {
-			trial = isTrialDue(upstream, ask, now) && upstream.trialAt < (trial?.trialAt ?? Infinity) ? upstream : trial;
+		if (isSuspended(upstream, now) || !isOpen(upstream, ask, now)) {
 			continue;
 		}
 
@@ -69,7 +66,20 @@
 		bestCost = cost;
 	}
 
-	return trial === undefined ? best && {upstream: best, isTrial: false} : {upstream: trial, isTrial: true};
+	return best && {upstream: best, isTrial: false};
+}
+
+/**
+Chooses a suspended upstream whose trial is due, or none: for an ask that would wait behind others.
+*/
+export function chooseTrial(upstreams: Iterable<Upstream>, ask: Ask, now: number): Choice | undefined {
+	let trial: Upstream | undefined;
+	for (const upstream of upstreams) {
+		const isDue = isSuspended(upstream, now) && isOpen(upstream, ask, now) && isTrialDue(upstream, ask, now);
+		trial = isDue && upstream.trialAt < (trial?.trialAt ?? Infinity) ? upstream : trial;
+	}
+
+	return trial && {upstream: trial, isTrial: true};
 }
 
 /**
@@ -78,10 +88,15 @@
 */
 export function chooseReserve(upstreams: Iterable<Upstream>, ask: Ask, now: number): Choice | undefined {
 	let best: Upstream | undefined;
+	let bestDoubt = Infinity;
 	for (const upstream of upstreams) {
-		if (isSuspended(upstream) && isOpen(upstream, ask, now) && upstream.doubt < (best?.doubt ?? Infinity)) {
-			best = upstream;
+		const doubt = getDoubt(upstream, now);
+		if (!(doubt < bestDoubt && isSuspended(upstream, now) && isOpen(upstream, ask, now))) {
+			continue;
 		}
+
+		best = upstream;
+		bestDoubt = doubt;
 	}
 
 	return best && {upstream: best, isTrial: true};
@@ -102,7 +117,8 @@
 }
 
 function isTrialDue(upstream: Upstream, ask: Ask, now: number): boolean {
-	const extra = core.isIdempotent(ask.requestClass) ? 0 : UNREPEATABLE_TRIAL_MILLISECONDS;
+	const isHopeful = upstream.provenAt > upstream.failedAt;
+	const extra = isHopeful || core.isIdempotent(ask.requestClass) ? 0 : UNREPEATABLE_TRIAL_MILLISECONDS;
 	return !ask.isResend && !upstream.candidate.isSilent && upstream.places.size === 0 && now >= upstream.trialAt + extra;
 }
 
@@ -110,9 +126,11 @@
 	const {candidate, places} = upstream;
 	const load = (places.size + 1) / candidate.slots;
 	const unproven = Math.min(1, (now - upstream.provenAt) / PROOF_MILLISECONDS) * PROOF_COST;
+	const doubt = getDoubt(upstream, now);
+	const isExplorer = core.isIdempotent(ask.requestClass) && !ask.isResend;
 	const crossing = ask.requestClass === 'upload' ? UPLOAD_DOMAIN_COST : DOMAIN_COST;
 	return (getSlowness(upstream, now) * (1 + load))
 		+ (candidate.failureDomain === ask.failureDomain ? 0 : crossing)
-		+ (core.isIdempotent(ask.requestClass) && !ask.isResend ? -unproven : unproven)
+		+ (isExplorer ? -unproven - (doubt * DOUBT_GAIN) : unproven + (doubt * DOUBT_COST))
 		+ countOverdue(upstream, now);
 }
--- a/packages/wagtailroute-dispatch/src/constants.ts
+++ b/packages/wagtailroute-dispatch/src/constants.ts
@@ -19,9 +19,43 @@
 export const SUCCESS_DOUBT = 1.5;
 
 /**
-Doubt of an answer with an error status: ln(0.55 / 0.012), a bad spell against an upstream that is well.
+Doubt of an answer with an error status: ln(0.55 / 0.012), a bad spell against an upstream that is well, less what one of a
+hundred upstreams in such a spell takes from it. One error alone must suspend nobody: upstreams that are well give one in a
+hundred answers.
 */
-export const ERROR_DOUBT = 3.8;
+export const ERROR_DOUBT = 2.6;
+
+/**
+Doubt that passes in a second without evidence: bad spells end by themselves within 10 to 20 s.
+*/
+export const FADING_DOUBT = 0.3;
+
+/**
+Cost of one unit of doubt for a request that must not run twice, as a part of a full upstream.
+*/
+export const DOUBT_COST = 0.25;
+
+/**
+Gain of one unit of doubt for a request that may be repeated: it finds out.
+*/
+export const DOUBT_GAIN = 0.1;
+
+/**
+Milliseconds by which a request of the next lower rank stands behind one that comes at the same time. Not more: under lasting
+overload the lowest rank would get nothing.
+*/
+export const RANK_MILLISECONDS = 150;
+
+/**
+Milliseconds by which a resend stands before requests that come at the same time: it has waited already.
+*/
+export const RESEND_MILLISECONDS = 1000;
+
+/**
+Usual times that must fit into the latency objective behind the wait for a slot. Under overload as many requests are served
+whatever the wait; with a short one they are served in time.
+*/
+export const OBJECTIVE_PART = 1.3;
 
 /**
 Doubt of a connection that was reset or an answer that was cut: upstreams that are well hardly ever do it.
@@ -162,6 +196,11 @@
 */
 export const BUDGET_SLICE_MILLISECONDS = 500;
 
+/**
+Milliseconds in a second.
+*/
+export const MILLISECONDS_PER_SECOND = 1000;
+
 /**
 Milliseconds that a place stays taken after its deadline when its host is not heard: its answer may be under way.
 */
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -21,11 +21,15 @@
 import {
 	choose,
 	chooseReserve,
+	chooseTrial,
 	type Choice,
 	type ChoiceCircumstances,
 } from './choosing.ts';
 import {
 	ABANDONED_MILLISECONDS,
+	OBJECTIVE_PART,
+	RANK_MILLISECONDS,
+	RESEND_MILLISECONDS,
 	RETRY_AFTER_LEAST_MILLISECONDS,
 	USUAL_PART,
 	USUAL_SHARE,
@@ -34,7 +38,9 @@
 import {
 	createHeldPlace,
 	createUpstream,
+	getDoubt,
 	isSuspended,
+	setDoubt,
 	type Place,
 	type Upstream,
 	weighEnding,
@@ -90,19 +96,22 @@
 	/**
 	Takes another dispatcher's belief.
 	*/
-	readonly setDoubt: (service: core.ServiceName, upstream: core.UpstreamId, doubt: number) => void;
+	readonly setDoubt: (service: core.ServiceName, upstream: core.UpstreamId, doubt: number, now: number) => void;
 	/**
 	Looks for asks that can no longer be served, trials that are due and places that were abandoned.
 	*/
 	readonly tick: (now: number) => readonly Effect[];
 	readonly getWaiting: () => number;
-	readonly report: (service: core.ServiceName) => readonly UpstreamReport[];
+	readonly report: (service: core.ServiceName, now: number) => readonly UpstreamReport[];
 	readonly getServices: () => readonly core.ServiceName[];
 };
 
 type Waiting = {
 	readonly ask: Ask;
-	readonly arrivedAt: number;
+	/**
+	Those with a lower one come first.
+	*/
+	readonly turn: number;
 	readonly deadlineAt: number;
 };
 
@@ -110,7 +119,7 @@
 	readonly name: core.ServiceName;
 	readonly upstreams: Map<core.UpstreamId, Upstream>;
 	/**
-	By priority, then by arrival.
+	By turn.
 	*/
 	readonly waiting: Waiting[];
 	/**
@@ -147,9 +156,8 @@
 			service.budget.countRequest(now);
 		}
 
-		// Whoever waits with the same rank came first.
-		const isOvertaking = service.waiting.some(waiting => waiting.ask.priority <= ask.priority);
-		const choice = isOvertaking ? undefined : choose(service.upstreams.values(), ask, this.#getCircumstances(now));
+		// A trial takes no slot from those who wait.
+		const choice = chooseTrial(service.upstreams.values(), ask, now) ?? this.#chooseInTurn(service, ask, now);
 		return choice === undefined ? this.#waitOrRefuse(service, ask, now) : [this.#grant(service, ask, choice, now)];
 	}
 
@@ -171,14 +179,14 @@
 		this.#free(place);
 		const effects: Effect[] = [];
 		if (upstream !== undefined) {
-			const wasSuspended = isSuspended(upstream);
+			const wasSuspended = isSuspended(upstream, now);
 			weighEnding(upstream, place, ending, now);
 			if (ending === 'success') {
 				weighTime(upstream, place, milliseconds, now);
 				this.#learnUsual(service, place.route, milliseconds);
 			}
 
-			if (isSuspended(upstream) !== wasSuspended) {
+			if (isSuspended(upstream, now) !== wasSuspended) {
 				effects.push({
 					kind: 'believe',
 					service: service.name,
@@ -233,10 +241,10 @@
 		return this.#serveWaiting(service, now);
 	}
 
-	setDoubt(service: core.ServiceName, upstream: core.UpstreamId, doubt: number): void {
+	setDoubt(service: core.ServiceName, upstream: core.UpstreamId, doubt: number, now: number): void {
 		const known = this.#services.get(service)?.upstreams.get(upstream);
 		if (known !== undefined) {
-			known.doubt = doubt;
+			setDoubt(known, doubt, now);
 		}
 	}
 
@@ -252,14 +260,14 @@
 		return this.#waiting.size;
 	}
 
-	report(service: core.ServiceName): readonly UpstreamReport[] {
+	report(service: core.ServiceName, now: number): readonly UpstreamReport[] {
 		const upstreams = this.#services.get(service)?.upstreams.values().toArray() ?? [];
 		return upstreams.map(upstream => ({
 			upstream: upstream.candidate.upstream,
 			taken: upstream.places.size,
 			slots: upstream.candidate.slots,
-			doubt: upstream.doubt,
-			isSuspended: isSuspended(upstream),
+			doubt: getDoubt(upstream, now),
+			isSuspended: isSuspended(upstream, now),
 		}));
 	}
 
@@ -267,6 +275,10 @@
 		return this.#services.keys().toArray();
 	}
 
+	#chooseInTurn(service: Service, ask: Ask, now: number): Choice | undefined {
+		return countAhead(service, getTurn(ask, now)) > 0 ? undefined : choose(service.upstreams.values(), ask, this.#getCircumstances(now));
+	}
+
 	#getCircumstances(now: number): ChoiceCircumstances {
 		return {now, random: this.#settings.random};
 	}
@@ -315,11 +327,12 @@
 	}
 
 	#waitOrRefuse(service: Service, ask: Ask, now: number): readonly Effect[] {
-		const slots = countUsableSlots(service, ask);
+		const slots = countUsableSlots(service, ask, now);
 		const usual = getUsual(service, ask);
-		const ahead = service.waiting.filter(waiting => waiting.ask.priority <= ask.priority).length;
+		const ahead = countAhead(service, getTurn(ask, now));
 		const wait = slots === 0 ? Infinity : (ahead + 1) * usual / slots;
-		if (wait + (usual * WORTHWHILE_PART) <= ask.remainingMilliseconds) {
+		const isInObjective = ask.isResend || wait + (usual * OBJECTIVE_PART) <= ask.objectiveMilliseconds;
+		if (isInObjective && wait + (usual * WORTHWHILE_PART) <= ask.remainingMilliseconds) {
 			this.#addWaiting(service, ask, now);
 			return [];
 		}
@@ -335,7 +348,7 @@
 		ask: Ask,
 		{now, wait, slots}: {readonly now: number; readonly wait: number; readonly slots: number},
 	): readonly Effect[] {
-		const choice = isBelowFloor(service, this.#settings.floor) ? chooseReserve(service.upstreams.values(), ask, now) : undefined;
+		const choice = isBelowFloor(service, this.#settings.floor, now) ? chooseReserve(service.upstreams.values(), ask, now) : undefined;
 		if (choice !== undefined) {
 			return [this.#grant(service, ask, choice, now)];
 		}
@@ -346,8 +359,8 @@
 	}
 
 	#addWaiting(service: Service, ask: Ask, now: number): void {
-		const waiting: Waiting = {ask, arrivedAt: now, deadlineAt: now + ask.remainingMilliseconds};
-		const place = service.waiting.findIndex(present => present.ask.priority > ask.priority);
+		const waiting: Waiting = {ask, turn: getTurn(ask, now), deadlineAt: now + ask.remainingMilliseconds};
+		const place = service.waiting.findIndex(present => present.turn > waiting.turn);
 		service.waiting.splice(place === -1 ? service.waiting.length : place, 0, waiting);
 		this.#waiting.set(ask.id, service);
 	}
@@ -365,7 +378,7 @@
 		for (const waiting of service.waiting) {
 			const remainingMilliseconds = waiting.deadlineAt - now;
 			const ask = {...waiting.ask, remainingMilliseconds};
-			const choice = choose(service.upstreams.values(), ask, this.#getCircumstances(now));
+			const choice = chooseTrial(service.upstreams.values(), ask, now) ?? choose(service.upstreams.values(), ask, this.#getCircumstances(now));
 			if (choice !== undefined) {
 				this.#removeWaiting(service, ask.id);
 				effects.push(this.#grant(service, ask, choice, now));
@@ -383,12 +396,23 @@
 	return service.usual.get(ask.route) ?? (ask.objectiveMilliseconds * USUAL_PART);
 }
 
-function countUsableSlots(service: Service, ask: Ask): number {
+/**
+The place of an ask among those that wait, as a time.
+*/
+function getTurn(ask: Ask, now: number): number {
+	return now + (ask.priority * RANK_MILLISECONDS) - (ask.isResend ? RESEND_MILLISECONDS : 0);
+}
+
+function countAhead({waiting}: Service, turn: number): number {
+	return waiting.filter(present => present.turn <= turn).length;
+}
+
+function countUsableSlots(service: Service, ask: Ask, now: number): number {
 	let slots = 0;
 	for (const upstream of service.upstreams.values()) {
 		const isUsable = !upstream.candidate.isDraining
 			&& !upstream.isMisdirected
-			&& !isSuspended(upstream)
+			&& !isSuspended(upstream, now)
 			&& !ask.excluded.includes(upstream.candidate.upstream);
 		slots += isUsable ? upstream.candidate.slots : 0;
 	}
@@ -396,13 +420,13 @@
 	return slots;
 }
 
-function isBelowFloor(service: Service, floor: number): boolean {
+function isBelowFloor(service: Service, floor: number, now: number): boolean {
 	let all = 0;
 	let suspended = 0;
 	for (const upstream of service.upstreams.values()) {
 		const counts = !upstream.candidate.isDraining && !upstream.isMisdirected;
 		all += counts ? 1 : 0;
-		suspended += counts && isSuspended(upstream) ? 1 : 0;
+		suspended += counts && isSuspended(upstream, now) ? 1 : 0;
 	}
 
 	return all - suspended < Math.ceil(all * floor);
--- a/packages/wagtailroute-dispatch/src/upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -6,6 +6,8 @@
 import {
 	COLD_SLOWNESS,
 	ERROR_DOUBT,
+	FADING_DOUBT,
+	MILLISECONDS_PER_SECOND,
 	MOST_DOUBT,
 	OVERDUE_MILLISECONDS,
 	OVERDUE_RATIO,
@@ -46,7 +48,12 @@
 export type Upstream = {
 	candidate: Candidate;
 	readonly places: Map<string, Place>;
+	/**
+	Read it by {@link getDoubt}: it fades.
+	*/
 	doubt: number;
+	doubtAt: number;
+	failedAt: number;
 	slowness: number;
 	slownessAt: number;
 	provenAt: number;
@@ -77,6 +84,8 @@
 		candidate,
 		places: new Map(),
 		doubt: 0,
+		doubtAt: now,
+		failedAt: -Infinity,
 		slowness: candidate.warmAt > now ? COLD_SLOWNESS : 1,
 		slownessAt: now,
 		provenAt: -Infinity,
@@ -88,11 +97,27 @@
 	};
 }
 
+/**
+Returns what speaks against it. Doubt fades unless the upstream is silent as well.
+*/
+export function getDoubt(upstream: Upstream, now: number): number {
+	const seconds = upstream.candidate.isSilent ? 0 : (now - upstream.doubtAt) / MILLISECONDS_PER_SECOND;
+	return Math.max(0, upstream.doubt - (seconds * FADING_DOUBT));
+}
+
+/**
+Sets what speaks against it.
+*/
+export function setDoubt(upstream: Upstream, doubt: number, now: number): void {
+	upstream.doubt = Math.min(MOST_DOUBT, Math.max(0, doubt));
+	upstream.doubtAt = now;
+}
+
 /**
 Says whether it gets trials only.
 */
-export function isSuspended(upstream: Upstream): boolean {
-	return upstream.doubt >= SUSPENDED_DOUBT;
+export function isSuspended(upstream: Upstream, now: number): boolean {
+	return getDoubt(upstream, now) >= SUSPENDED_DOUBT;
 }
 
 /**
@@ -162,8 +187,8 @@
 */
 export function weighEnding(upstream: Upstream, place: Place, ending: Ending, now: number): void {
 	const {doubt, isOfPath = false, closedMilliseconds = 0} = CONSEQUENCES[ending];
-	const wasSuspended = isSuspended(upstream);
-	upstream.doubt = Math.min(MOST_DOUBT, Math.max(0, upstream.doubt + doubt));
+	const wasSuspended = isSuspended(upstream, now);
+	setDoubt(upstream, getDoubt(upstream, now) + doubt, now);
 	upstream.closedUntil = Math.max(upstream.closedUntil, now + closedMilliseconds);
 	upstream.isMisdirected ||= ending === 'misdirected';
 	if (isOfPath) {
@@ -175,11 +200,16 @@
 		upstream.badPaths.delete(place.host);
 		upstream.trialAt = now;
 		upstream.failedTrials = 0;
-	} else if (doubt > 0 && isSuspended(upstream)) {
-		upstream.failedTrials = wasSuspended && place.isTrial ? upstream.failedTrials + 1 : upstream.failedTrials;
-		const wait = Math.min(TRIAL_MOST_MILLISECONDS, TRIAL_LEAST_MILLISECONDS * (2 ** upstream.failedTrials));
-		upstream.trialAt = now + wait;
+	} else if (doubt > 0) {
+		upstream.failedAt = now;
 	}
+
+	if (doubt <= 0 || !isSuspended(upstream, now)) {
+		return;
+	}
+
+	upstream.failedTrials = wasSuspended && place.isTrial ? upstream.failedTrials + 1 : upstream.failedTrials;
+	upstream.trialAt = now + Math.min(TRIAL_MOST_MILLISECONDS, TRIAL_LEAST_MILLISECONDS * (2 ** upstream.failedTrials));
 }
 
 /**
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -116,6 +116,12 @@
 	readonly #slowUntil = new Map<link.Link, number>();
 	readonly #localServices = new Set<core.ServiceName>();
 	#cancelTick: utils.Teardown | undefined;
+	/**
+	Handed on by itself, so it must not depend on how it is called.
+	*/
+	readonly teardown = (): void => {
+		this.#cancelTick?.();
+	};
 
 	constructor(context: FleetContext, plan: AskingPlan) {
 		this.#context = context;
@@ -129,10 +135,6 @@
 		context.metrics.registerGauge('requests_held', () => this.#held.size);
 	}
 
-	teardown(): void {
-		this.#cancelTick?.();
-	}
-
 	ask(ask: dispatch.Ask): Asked {
 		const {promise, resolve} = Promise.withResolvers<FinalAnswer>();
 		const pending: Pending = {ask, askedAt: this.#context.now(), resolve};
@@ -166,7 +168,7 @@
 	}
 
 	hearBelief({service, upstream, doubt}: Belief): void {
-		this.#local.setDoubt(service, upstream, doubt);
+		this.#local.setDoubt(service, upstream, doubt, this.#context.now());
 	}
 
 	refresh(service: core.ServiceName): void {
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -136,3 +136,8 @@
 Milliseconds after its last ask for which a host is told what a dispatcher believes.
 */
 export const ASKER_MILLISECONDS = 10_000;
+
+/**
+Milliseconds after a change of the instances before they are kept on disk: a start brings dozens of changes.
+*/
+export const SAVE_MILLISECONDS = 1000;
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -12,6 +12,7 @@
 import {startDispatching} from './dispatching.ts';
 import {createEntryHosts, describeEntryHost} from './entry-hosts.ts';
 import type {FleetContext} from './context.ts';
+import {createInstanceStore} from './instance-store.ts';
 import {startControlGroup} from './group.ts';
 import {
 	type LeaderCalls,
@@ -66,6 +67,7 @@
 		onChanged(service) {
 			dispatching.refresh(service);
 		},
+		store: createInstanceStore(settings.dataFolder, context.logs('instances')),
 	});
 	const dispatching = startDispatching(context, {
 		settings,
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -100,8 +100,8 @@
 			remainingMilliseconds: Math.round(ask.remainingMilliseconds),
 			retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
 			waiting: dispatcher.getWaiting(),
-			upstreams: dispatcher.report(ask.service).length,
-			suspended: dispatcher.report(ask.service).filter(upstream => upstream.isSuspended).length,
+			upstreams: dispatcher.report(ask.service, now()).length,
+			suspended: dispatcher.report(ask.service, now()).filter(upstream => upstream.isSuspended).length,
 		});
 	};
 
--- a/packages/wagtailroute-fleet/src/group.ts
+++ b/packages/wagtailroute-fleet/src/group.ts
@@ -4,6 +4,7 @@
 A replica whose store failed stops for good, since nobody knows what its disk holds. It is opened anew from its disk after a
 moment: a full disk has room again after a while, and the other parts of the host go on meanwhile.
 */
+import * as path from 'node:path';
 import type * as core from 'wagtailroute-core';
 import * as generations from 'wagtailroute-generations';
 import * as replication from 'wagtailroute-replication';
@@ -123,7 +124,7 @@
 		const opened = await replication.createGroup({
 			group: GROUP,
 			host: settings.hostId,
-			store: replication.createDurableStore(settings.dataFolder),
+			store: replication.createDurableStore(path.join(settings.dataFolder, GROUP)),
 			stateMachine: createMachine(),
 			send: plan.send,
 			clock: context.now,
--- a/packages/wagtailroute-fleet/src/registry.ts
+++ b/packages/wagtailroute-fleet/src/registry.ts
@@ -10,8 +10,14 @@
 import * as instances from 'wagtailroute-instances';
 import type * as link from 'wagtailroute-link';
 import type * as utils from 'wagtailroute-utils';
-import {HOUSEKEEPING_MILLISECONDS, RELAY_MILLISECONDS, SILENT_UPSTREAM_MILLISECONDS} from './constants.ts';
+import {
+	HOUSEKEEPING_MILLISECONDS,
+	RELAY_MILLISECONDS,
+	SAVE_MILLISECONDS,
+	SILENT_UPSTREAM_MILLISECONDS,
+} from './constants.ts';
 import type {FleetContext} from './context.ts';
+import type {InstanceStore} from './instance-store.ts';
 import {type InstanceNews, METHODS, type RelayedHeartbeat} from './messages.ts';
 
 /**
@@ -44,12 +50,13 @@
 export type RegistryPlan = {
 	readonly tellControls: (method: string, parameters: unknown) => void;
 	readonly onChanged: (service: core.ServiceName) => void;
+	readonly store: InstanceStore;
 };
 
 /**
 Creates the registry.
 */
-export function startRegistry(context: FleetContext, {tellControls, onChanged}: RegistryPlan): Registry {
+export function startRegistry(context: FleetContext, {tellControls, onChanged, store}: RegistryPlan): Registry {
 	const {now} = context;
 	const log = context.logs('instances');
 	const table = instances.createInstanceTable();
@@ -57,6 +64,7 @@
 	const silent = new Set<core.UpstreamId>();
 	const retirements = new Map<core.UpstreamId, generations.RetirementState>();
 	let waiting: RelayedHeartbeat[] = [];
+	let isSaving = false;
 
 	const tellFollowers = (news: InstanceNews) => {
 		for (const follower of followers) {
@@ -64,6 +72,29 @@
 		}
 	};
 
+	const list = () => table.listAll().map(instance => ({
+		upstream: instance.upstream,
+		service: instance.service,
+		address: instance.address,
+		failureDomain: instance.failureDomain,
+		slots: instance.slots,
+		sequence: instance.sequence,
+		warmupMilliseconds: Math.max(0, instance.warmAt - instance.heardAt),
+		ageMilliseconds: now() - instance.heardAt,
+	}));
+
+	const saveLater = () => {
+		if (isSaving) {
+			return;
+		}
+
+		isSaving = true;
+		context.schedule(SAVE_MILLISECONDS, () => {
+			isSaving = false;
+			void store.save(list());
+		});
+	};
+
 	const relay = () => {
 		const heartbeats = waiting;
 		waiting = [];
@@ -78,6 +109,7 @@
 			log.info('Instance heard.', {
 				upstream, service, address: `${address.ip}:${address.port}`, slots, sequence, failureDomain,
 			});
+			saveLater();
 			tellFollowers({heard: [{...heartbeat, ageMilliseconds: now() - heardAt}], forgotten: [], retirements: []});
 		}
 
@@ -114,6 +146,14 @@
 		}
 	};
 
+	const takeKept = async () => {
+		const kept = await store.load();
+		for (const heartbeat of kept) {
+			receive(heartbeat, now());
+		}
+	};
+
+	void takeKept();
 	const stopLooking = context.repeat(HOUSEKEEPING_MILLISECONDS, lookForSilence);
 	return {
 		take(heartbeat) {
@@ -153,16 +193,7 @@
 			warmAt: instance.warmAt,
 		})),
 		describeAll: () => ({
-			heard: table.listAll().map(instance => ({
-				upstream: instance.upstream,
-				service: instance.service,
-				address: instance.address,
-				failureDomain: instance.failureDomain,
-				slots: instance.slots,
-				sequence: instance.sequence,
-				warmupMilliseconds: Math.max(0, instance.warmAt - instance.heardAt),
-				ageMilliseconds: now() - instance.heardAt,
-			})),
+			heard: list(),
 			forgotten: [],
 			retirements: retirements.entries().map(([upstream, state]) => ({upstream, state})).toArray(),
 		}),
