--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -9,6 +9,7 @@
 import type {Ask} from './asks.ts';
 import {
 	DOMAIN_COST,
+	DOMAIN_TRIAL_MILLISECONDS,
 	DOUBT_COST,
 	DOUBT_GAIN,
 	OVERDUE_MOST,
@@ -74,9 +75,12 @@
 */
 export function chooseTrial(upstreams: Iterable<Upstream>, ask: Ask, now: number): Choice | undefined {
 	let trial: Upstream | undefined;
+	let trialAt = now;
 	for (const upstream of upstreams) {
-		const isDue = isSuspended(upstream, now) && isOpen(upstream, ask, now) && isTrialDue(upstream, ask, now);
-		trial = isDue && upstream.trialAt < (trial?.trialAt ?? Infinity) ? upstream : trial;
+		const at = getTrialTime(upstream, ask);
+		const isNext = at <= trialAt && isSuspended(upstream, now) && isOpen(upstream, ask, now) && isTriable(upstream, ask);
+		trial = isNext ? upstream : trial;
+		trialAt = isNext ? at : trialAt;
 	}
 
 	return trial && {upstream: trial, isTrial: true};
@@ -116,10 +120,17 @@
 		&& !isPathBad(upstream, ask.host, now);
 }
 
-function isTrialDue(upstream: Upstream, ask: Ask, now: number): boolean {
-	const isHopeful = upstream.provenAt > upstream.failedAt;
+/**
+One trial at a time, and none by a request that has failed already.
+*/
+function isTriable({candidate, places}: Upstream, ask: Ask): boolean {
+	return !ask.isResend && !candidate.isSilent && places.size === 0;
+}
+
+function getTrialTime({candidate, trialAt, provenAt, failedAt}: Upstream, ask: Ask): number {
+	const isHopeful = provenAt > failedAt;
 	const extra = isHopeful || core.isIdempotent(ask.requestClass) ? 0 : UNREPEATABLE_TRIAL_MILLISECONDS;
-	return !ask.isResend && !upstream.candidate.isSilent && upstream.places.size === 0 && now >= upstream.trialAt + extra;
+	return trialAt + extra + (candidate.failureDomain === ask.failureDomain ? 0 : DOMAIN_TRIAL_MILLISECONDS);
 }
 
 function getCost(upstream: Upstream, ask: Ask, now: number): number {
--- a/packages/wagtailroute-dispatch/src/constants.ts
+++ b/packages/wagtailroute-dispatch/src/constants.ts
@@ -151,14 +151,21 @@
 export const USUAL_PART = 0.25;
 
 /**
-Cost of leaving the failure domain, as a part of a full upstream: about half a slot of four.
+Cost of leaving the failure domain, as a part of a full upstream: more than a full one against an empty one, so that requests stay
+while there is a free slot of an upstream that is well and not half as fast as the others. Bytes between failure domains can cost
+as much as the request is worth.
 */
-export const DOMAIN_COST = 0.12;
+export const DOMAIN_COST = 1.2;
 
 /**
 The same for an upload, whose bytes cross too.
 */
-export const UPLOAD_DOMAIN_COST = 0.3;
+export const UPLOAD_DOMAIN_COST = 2.5;
+
+/**
+Milliseconds by which a trial that crosses failure domains stands behind one that does not.
+*/
+export const DOMAIN_TRIAL_MILLISECONDS = 1000;
 
 /**
 Cost for a request that must not run twice of an upstream that has not proved itself for {@link PROOF_MILLISECONDS}; a gain for
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/ask-wire.test.ts
@@ -0,0 +1,49 @@
+/**
+Tests of the short form of asks and answers: what is shortened comes back the same.
+*/
+import test from 'ava';
+import * as fc from 'fast-check';
+import type * as link from 'wagtailroute-link';
+import * as wire from '../../ask-wire.ts';
+import type {AskAnswer} from '../../messages.ts';
+
+const ROUTE: wire.AskedRoute = {
+	service: 'archive', route: 'r', requestClass: 'read', priority: 1, objectiveMilliseconds: 1000,
+};
+const FROM = {host: 'front:a', failureDomain: 'x'};
+
+test('an ask comes back the same', t => {
+	fc.assert(fc.property(fc.nat(), fc.nat({max: 100_000}), fc.array(fc.string()), fc.boolean(), (number, remainingMilliseconds, excluded, isResend) => {
+		const ask = {
+			...ROUTE, ...FROM, id: wire.createAskId(FROM.host, number), remainingMilliseconds, excluded, isResend,
+		};
+		t.deepEqual(wire.restoreAsk(structuredClone(wire.shortenAsk(ask, 7)), FROM, wire.getAskedRoute(ask)), ask);
+	}));
+});
+
+const ANSWERS: readonly AskAnswer[] = [
+	{
+		kind: 'grant', upstream: 'u', address: {ip: '10.0.0.1', port: 80}, isTrial: true,
+	},
+	{
+		kind: 'grant', upstream: 'u', address: {ip: '10.0.0.1', port: 80}, isTrial: false,
+	},
+	{kind: 'refuse', reason: 'budget', retryAfterMilliseconds: 100},
+	{kind: 'wait'},
+];
+
+for (const answer of ANSWERS) {
+	test(`the answer ${JSON.stringify(answer)} comes back the same`, t => {
+		t.deepEqual(wire.restoreAnswer(structuredClone(wire.shortenAnswer(answer))), answer);
+	});
+}
+
+test('a route is told once over a link, and again when it has changed', t => {
+	const numbers = wire.createRouteNumbers();
+	// Only its identity counts.
+	const [over, other] = [{}, {}] as [link.Link, link.Link];
+	t.deepEqual(numbers.number(over, ROUTE), {number: 0, isNew: true});
+	t.deepEqual(numbers.number(over, ROUTE), {number: 0, isNew: false});
+	t.deepEqual(numbers.number(over, {...ROUTE, objectiveMilliseconds: 500}), {number: 1, isNew: true});
+	t.deepEqual(numbers.number(other, ROUTE), {number: 0, isNew: true});
+});
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/ask-wire.ts
@@ -0,0 +1,160 @@
+/**
+The short form in which asks and their answers travel.
+
+Each request costs one ask, one answer and one end between failure domains, where bytes may be dear: spelled out they are 700
+bytes, in this form 150. What all requests of a route have in common is told once for each link; a host and its failure domain are
+known from the link's first message.
+*/
+import type * as core from 'wagtailroute-core';
+import type * as dispatch from 'wagtailroute-dispatch';
+import type * as link from 'wagtailroute-link';
+import * as utils from 'wagtailroute-utils';
+import type {AskAnswer} from './messages.ts';
+
+/**
+What all asks of a route have in common.
+*/
+export type AskedRoute = Pick<dispatch.Ask, 'service' | 'route' | 'requestClass' | 'priority' | 'objectiveMilliseconds'>;
+
+/**
+A route told to a dispatcher: its number on this link, and what it stands for.
+*/
+export type RouteTelling = readonly [number: number, route: AskedRoute];
+
+/**
+An ask: its number on the asking host, the number of its route, and the milliseconds until its deadline; for a resend the
+upstreams that had the request.
+*/
+export type ShortAsk = readonly [ask: number, route: number, remaining: number, excluded?: readonly core.UpstreamId[], isResend?: boolean];
+
+/**
+An answer: a granted upstream and its address, a refusal with the milliseconds until a resend makes sense, or "wait".
+*/
+export type ShortAnswer =
+	| readonly ['grant', core.UpstreamId, string, number]
+	| readonly ['refuse', dispatch.RefusalReason, number]
+	| readonly ['wait'];
+
+/**
+The end of a granted request.
+*/
+export type ShortEnd = readonly [ask: number, ending: dispatch.Ending, milliseconds: number];
+
+/**
+Returns the fleet's name of an ask.
+*/
+export function createAskId(host: core.HostId, ask: number): dispatch.AskId {
+	return `${host}:${ask}`;
+}
+
+/**
+Returns the number that an ask has on its host.
+*/
+export function getAskNumber(id: dispatch.AskId): number {
+	return Number(id.slice(id.lastIndexOf(':') + 1));
+}
+
+/**
+Numbers the routes that were told over a link.
+*/
+export type RouteNumbers = {
+	/**
+	Returns the number of a route, and whether the other side must be told it first.
+	*/
+	readonly number: (over: link.Link, route: AskedRoute) => {readonly number: number; readonly isNew: boolean};
+};
+
+/**
+Creates an empty table. A route that changed has a number of its own.
+*/
+export function createRouteNumbers(): RouteNumbers {
+	const told = new WeakMap<link.Link, Map<string, number>>();
+	return {
+		number(over, route) {
+			const numbers = told.get(over) ?? new Map<string, number>();
+			told.set(over, numbers);
+			const {service, requestClass, priority, objectiveMilliseconds} = route;
+			const key = `${service} ${route.route} ${requestClass} ${priority} ${objectiveMilliseconds}`;
+			const known = numbers.get(key);
+			if (known !== undefined) {
+				return {number: known, isNew: false};
+			}
+
+			const number = numbers.size;
+			numbers.set(key, number);
+			return {number, isNew: true};
+		},
+	};
+}
+
+/**
+Returns the part of an ask that all of its route have in common.
+*/
+export function getAskedRoute({service, route, requestClass, priority, objectiveMilliseconds}: dispatch.Ask): AskedRoute {
+	return {
+		service, route, requestClass, priority, objectiveMilliseconds,
+	};
+}
+
+/**
+Shortens an ask.
+*/
+export function shortenAsk(ask: dispatch.Ask, route: number): ShortAsk {
+	const remaining = Math.floor(ask.remainingMilliseconds);
+	return ask.isResend || ask.excluded.length > 0
+		? [getAskNumber(ask.id), route, remaining, ask.excluded, ask.isResend]
+		: [getAskNumber(ask.id), route, remaining];
+}
+
+/**
+Restores an ask.
+*/
+export function restoreAsk(
+	[ask, , remainingMilliseconds, excluded = [], isResend = false]: ShortAsk,
+	from: Pick<dispatch.Ask, 'host' | 'failureDomain'>,
+	route: AskedRoute,
+): dispatch.Ask {
+	return {
+		...route, ...from, id: createAskId(from.host, ask), remainingMilliseconds, excluded, isResend,
+	};
+}
+
+type Shorteners = {
+	readonly [Kind in AskAnswer['kind']]: (answer: Extract<AskAnswer, {kind: Kind}>) => ShortAnswer;
+};
+
+const SHORTENERS: Shorteners = {
+	grant: ({upstream, address, isTrial}) => ['grant', upstream, `${address.ip}:${address.port}`, Number(isTrial)],
+	refuse: ({reason, retryAfterMilliseconds}) => ['refuse', reason, Math.ceil(retryAfterMilliseconds)],
+	wait: () => ['wait'],
+};
+
+/**
+Shortens an answer.
+*/
+export function shortenAnswer(answer: AskAnswer): ShortAnswer {
+	return SHORTENERS[answer.kind](answer as never);
+}
+
+/**
+Restores an answer.
+*/
+export function restoreAnswer(answer: ShortAnswer): AskAnswer {
+	if (answer[0] === 'wait') {
+		return {kind: 'wait'};
+	}
+
+	if (answer[0] === 'refuse') {
+		return {kind: 'refuse', reason: answer[1], retryAfterMilliseconds: answer[2]};
+	}
+
+	const [, upstream, address, trial] = answer;
+	const separator = address.lastIndexOf(':');
+	utils.invariant(separator > 0, 'a dispatcher grants an address with a port');
+	return {
+		kind: 'grant',
+		upstream,
+		address: {ip: address.slice(0, separator), port: Number(address.slice(separator + 1))},
+		isTrial: trial === 1,
+	};
+}
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -15,6 +15,18 @@
 	SILENT_DISPATCHER_MILLISECONDS,
 	SLOW_DISPATCHER_MILLISECONDS,
 } from './constants.ts';
+import {
+	createAskId,
+	createRouteNumbers,
+	getAskedRoute,
+	getAskNumber,
+	restoreAnswer,
+	type RouteTelling,
+	type ShortAnswer,
+	type ShortAsk,
+	shortenAsk,
+	type ShortEnd,
+} from './ask-wire.ts';
 import type {FleetContext} from './context.ts';
 import type {OpenControl} from './control-links.ts';
 import {orderDispatchers} from './dispatch-order.ts';
@@ -22,7 +34,7 @@
 import {
 	type AskAnswer,
 	type Belief,
-	type LateAnswer,
+	type Holding,
 	METHODS,
 } from './messages.ts';
 import type {EntrySettings} from './settings.ts';
@@ -50,16 +62,21 @@
 	readonly cancel: () => void;
 };
 
+/**
+An ask before it has its name and its host.
+*/
+export type AskDraft = Omit<dispatch.Ask, 'id' | 'host' | 'failureDomain'>;
+
 /**
 Asks for upstreams.
 */
 export type Asking = {
-	readonly ask: (ask: dispatch.Ask) => Asked;
+	readonly ask: (ask: AskDraft) => Asked;
 	/**
 	A granted request has ended.
 	*/
 	readonly end: (id: dispatch.AskId, ending: dispatch.Ending, milliseconds: number) => void;
-	readonly hearAnswer: (late: LateAnswer) => void;
+	readonly hearAnswer: (ask: number, answer: ShortAnswer) => void;
 	readonly hearBelief: (belief: Belief) => void;
 	/**
 	The instances of a service have changed.
@@ -114,6 +131,8 @@
 	*/
 	readonly #lastLinks = new Map<core.ServiceName, link.Link>();
 	readonly #slowUntil = new Map<link.Link, number>();
+	readonly #routeNumbers = createRouteNumbers();
+	#count = 0;
 	readonly #localServices = new Set<core.ServiceName>();
 	#cancelTick: utils.Teardown | undefined;
 	/**
@@ -135,7 +154,11 @@
 		context.metrics.registerGauge('requests_held', () => this.#held.size);
 	}
 
-	ask(ask: dispatch.Ask): Asked {
+	ask(draft: AskDraft): Asked {
+		const {hostId, failureDomain} = this.#plan.settings;
+		const ask: dispatch.Ask = {
+			...draft, id: this.#createId(), host: hostId, failureDomain,
+		};
 		const {promise, resolve} = Promise.withResolvers<FinalAnswer>();
 		const pending: Pending = {ask, askedAt: this.#context.now(), resolve};
 		this.#pending.set(ask.id, pending);
@@ -158,13 +181,12 @@
 		this.#tellEnd(held, ending, milliseconds);
 	}
 
-	hearAnswer({id, answer}: LateAnswer): void {
-		const pending = this.#pending.get(id);
-		if (pending === undefined) {
-			return;
+	hearAnswer(ask: number, answer: ShortAnswer): void {
+		const pending = this.#pending.get(createAskId(this.#plan.settings.hostId, ask));
+		const restored = restoreAnswer(answer);
+		if (pending !== undefined && restored.kind !== 'wait') {
+			this.#settle(pending, restored);
 		}
-
-		this.#settle(pending, answer);
 	}
 
 	hearBelief({service, upstream, doubt}: Belief): void {
@@ -183,6 +205,21 @@
 		}
 	}
 
+	#createId(): dispatch.AskId {
+		this.#count++;
+		return createAskId(this.#plan.settings.hostId, this.#count);
+	}
+
+	#shorten(over: link.Link, ask: dispatch.Ask): ShortAsk {
+		const route = getAskedRoute(ask);
+		const {number, isNew} = this.#routeNumbers.number(over, route);
+		if (isNew) {
+			over.notify(METHODS.route, [number, route] satisfies RouteTelling);
+		}
+
+		return shortenAsk(ask, number);
+	}
+
 	async #start(pending: Pending): Promise<void> {
 		const {ask} = pending;
 		const dispatcher = this.#findDispatcher(ask.service);
@@ -193,9 +230,9 @@
 
 		pending.dispatcher = dispatcher;
 		this.#tellHeld(ask.service, dispatcher);
-		const answer = await dispatcher.link.call(METHODS.ask, ask, ASK_MILLISECONDS);
+		const answer = await dispatcher.link.call(METHODS.ask, this.#shorten(dispatcher.link, ask), ASK_MILLISECONDS);
 		if (answer.isOk()) {
-			const first = answer.value as AskAnswer;
+			const first = restoreAnswer(answer.value as ShortAnswer);
 			if (first.kind !== 'wait') {
 				this.#settle(pending, first);
 			}
@@ -205,8 +242,7 @@
 
 		this.#slowUntil.set(dispatcher.link, this.#context.now() + SLOW_DISPATCHER_MILLISECONDS);
 		// Should it answer after all, the place is given back.
-		dispatcher.link.notify(METHODS.end, {id: ask.id, ending: 'cancelled', milliseconds: 0});
-		dispatcher.link.notify(METHODS.cancel, {id: ask.id});
+		notifyGivenUp(dispatcher.link, ask);
 		this.#askLocal(pending, answer.error.kind);
 	}
 
@@ -238,7 +274,7 @@
 				remainingMilliseconds: ask.remainingMilliseconds - (now - grantedAt),
 			}))
 			.toArray();
-		dispatcher.link.notify(METHODS.hold, {host: this.#plan.settings.hostId, holding: {service, places}});
+		dispatcher.link.notify(METHODS.hold, {service, places} satisfies Holding);
 	}
 
 	#askLocal(pending: Pending, reason: string): void {
@@ -284,7 +320,7 @@
 		}
 	}
 
-	#settle(pending: Pending, answer: LateAnswer['answer']): void {
+	#settle(pending: Pending, answer: Exclude<AskAnswer, {kind: 'wait'}>): void {
 		const {ask, dispatcher} = pending;
 		if (!this.#pending.delete(ask.id)) {
 			// Given up meanwhile, or granted twice.
@@ -319,7 +355,7 @@
 		const {ask} = pending;
 		pending.ask = {
 			...ask,
-			id: `${ask.id}+`,
+			id: this.#createId(),
 			excluded: [...ask.excluded, without],
 			remainingMilliseconds: ask.remainingMilliseconds - (now - pending.askedAt),
 		};
@@ -336,8 +372,7 @@
 		if (pending.dispatcher === undefined) {
 			this.#local.cancel(pending.ask.id);
 		} else {
-			pending.dispatcher.link.notify(METHODS.cancel, {id: pending.ask.id});
-			pending.dispatcher.link.notify(METHODS.end, {id: pending.ask.id, ending: 'cancelled', milliseconds: 0});
+			notifyGivenUp(pending.dispatcher.link, pending.ask);
 		}
 
 		pending.resolve({kind: 'refuse', reason: 'no-slot-in-time', retryAfterMilliseconds: 0});
@@ -347,7 +382,15 @@
 		if (dispatcher === undefined) {
 			this.#carryOut(this.#local.end(ask.id, {ending, milliseconds}, this.#context.now()));
 		} else {
-			dispatcher.link.notify(METHODS.end, {id: ask.id, ending, milliseconds: Math.round(milliseconds)});
+			dispatcher.link.notify(METHODS.end, [getAskNumber(ask.id), ending, Math.round(milliseconds)] satisfies ShortEnd);
 		}
 	}
 }
+
+/**
+Tells a dispatcher that an ask is given up, wherever it is: waiting, or granted on its way back.
+*/
+function notifyGivenUp(over: link.Link, ask: dispatch.Ask): void {
+	over.notify(METHODS.cancel, [getAskNumber(ask.id)]);
+	over.notify(METHODS.end, [getAskNumber(ask.id), 'cancelled', 0] satisfies ShortEnd);
+}
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -19,9 +19,10 @@
 export const SLOW_DISPATCHER_MILLISECONDS = 1000;
 
 /**
-Milliseconds of silence after which a dispatcher is passed over without asking: a ping was missed.
+Milliseconds of silence after which a dispatcher is passed over without asking: two pings were missed. An ask
+that is not answered tells sooner.
 */
-export const SILENT_DISPATCHER_MILLISECONDS = 2400;
+export const SILENT_DISPATCHER_MILLISECONDS = 5500;
 
 /**
 Milliseconds between two looks of a dispatcher for asks that can no longer be served and places that were abandoned.
@@ -29,9 +30,9 @@
 export const DISPATCH_TICK_MILLISECONDS = 100;
 
 /**
-Milliseconds for which heartbeats are collected before the other control hosts are told.
+Milliseconds for which heartbeats that change nothing are collected before the other control hosts are told.
 */
-export const RELAY_MILLISECONDS = 40;
+export const RELAY_MILLISECONDS = 500;
 
 /**
 Milliseconds without a heartbeat after which an upstream counts as silent: three heartbeats were missed.
@@ -106,10 +107,25 @@
 export const ADDRESSES_A_DOMAIN = 3;
 
 /**
-Milliseconds of silence after which the directory no longer names an entry host.
+Milliseconds of silence after which the directory no longer names an entry host of its own failure domain: two pings were missed.
 */
 export const SILENT_ENTRY_MILLISECONDS = 1600;
 
+/**
+The same for an entry host of another failure domain, which pings less often.
+*/
+export const SILENT_FAR_ENTRY_MILLISECONDS = 4500;
+
+/**
+Milliseconds between the pings of a link within a failure domain.
+*/
+export const NEAR_PING_MILLISECONDS = 700;
+
+/**
+The same between failure domains, where bytes cost: callers look up an entry host at control hosts of their own failure domain.
+*/
+export const FAR_PING_MILLISECONDS = 2000;
+
 /**
 Milliseconds that opening a connection to an upstream may take before another one is tried: a hundred times the way between
 failure domains of one region.
--- a/packages/wagtailroute-fleet/src/control-links.ts
+++ b/packages/wagtailroute-fleet/src/control-links.ts
@@ -6,7 +6,13 @@
 */
 import * as core from 'wagtailroute-core';
 import * as link from 'wagtailroute-link';
-import {FORGET_CONTROL_MILLISECONDS, HELLO_MILLISECONDS, HOUSEKEEPING_MILLISECONDS} from './constants.ts';
+import {
+	FAR_PING_MILLISECONDS,
+	FORGET_CONTROL_MILLISECONDS,
+	HELLO_MILLISECONDS,
+	HOUSEKEEPING_MILLISECONDS,
+	NEAR_PING_MILLISECONDS,
+} from './constants.ts';
 import type {FleetContext} from './context.ts';
 import {type Hello, METHODS, type Welcome} from './messages.ts';
 import type {ControlHost} from './settings.ts';
@@ -28,6 +34,7 @@
 	This host's own name: it keeps no link to itself.
 	*/
 	readonly self: core.HostId;
+	readonly failureDomain: core.FailureDomain;
 	readonly createHello: () => Hello;
 	readonly methods: link.LinkMethods;
 	readonly onOpen: (control: OpenControl, welcome: Welcome) => void;
@@ -114,6 +121,8 @@
 				methods: plan.methods,
 				now,
 				random,
+				// A seed's failure domain is known from its first answer on.
+				pingMilliseconds: () => known.get(host.id)?.host.failureDomain === plan.failureDomain ? NEAR_PING_MILLISECONDS : FAR_PING_MILLISECONDS,
 				onOpen(opened) {
 					void greet(host.id, opened);
 				},
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -9,6 +9,7 @@
 import * as results from 'ts-results-es';
 import * as utils from 'wagtailroute-utils';
 import {startControlLinks} from './control-links.ts';
+import {createAskMethods} from './ask-methods.ts';
 import {startDispatching} from './dispatching.ts';
 import {createEntryHosts, describeEntryHost} from './entry-hosts.ts';
 import type {FleetContext} from './context.ts';
@@ -58,7 +59,7 @@
 export async function startControl(context: FleetContext, settings: ControlSettings): Promise<Control> {
 	const log = context.logs('control');
 	const self: ControlHost = {id: settings.hostId, address: settings.linkAddress, failureDomain: settings.failureDomain};
-	const entries = createEntryHosts();
+	const entries = createEntryHosts(settings.failureDomain);
 	const methods = new Map<string, link.LinkMethod>();
 	const registry = startRegistry(context, {
 		tellControls(method, parameters) {
@@ -117,25 +118,23 @@
 		[messages.METHODS.readGeneration]: async () => group.read(),
 		[messages.METHODS.fetchGeneration]: () => ({generation: group.getStored()?.generation ?? null}) satisfies messages.FetchedGeneration,
 		[messages.METHODS.heard]: registry.takeRelayed,
+		[messages.METHODS.listInstances]: () => registry.describeAll(),
 		[messages.METHODS.followInstances](_parameters: unknown, from: link.Link) {
 			registry.follow(from);
 			return registry.describeAll();
 		},
-		[messages.METHODS.ask]: dispatching.ask,
-		[messages.METHODS.cancel]({id}: {id: string}) {
-			dispatching.cancel(id);
-		},
-		[messages.METHODS.end]: dispatching.end,
-		[messages.METHODS.hold]({host, holding}: {host: core.HostId; holding: messages.Holding}) {
-			dispatching.hold(host, holding);
-		},
+		...createAskMethods(dispatching, entries.findByLink),
 	});
 	const links = startControlLinks(context, {
 		seeds: settings.seeds,
 		self: settings.hostId,
+		failureDomain: settings.failureDomain,
 		createHello: () => ({id: settings.hostId, failureDomain: settings.failureDomain, control: self}),
 		methods,
-		onOpen: tellControls,
+		onOpen({link: opened}) {
+			tellControls();
+			void registry.catchUp(opened);
+		},
 		onLost: tellControls,
 	});
 	const group = startControlGroup(context, {
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -5,6 +5,7 @@
 import * as dispatch from 'wagtailroute-dispatch';
 import type * as utils from 'wagtailroute-utils';
 import {ASKER_MILLISECONDS, DISPATCH_TICK_MILLISECONDS} from './constants.ts';
+import {getAskNumber, shortenAnswer} from './ask-wire.ts';
 import type {FleetContext} from './context.ts';
 import {
 	type AskAnswer,
@@ -71,7 +72,7 @@
 	};
 
 	const tell = (effect: Extract<dispatch.Effect, {kind: 'grant' | 'refuse'}>) => {
-		plan.notify(effect.ask.host, METHODS.answer, {id: effect.ask.id, answer: toAnswer(effect)});
+		plan.notify(effect.ask.host, METHODS.answer, [getAskNumber(effect.ask.id), shortenAnswer(toAnswer(effect))]);
 	};
 
 	const effects: Effects = {
--- a/packages/wagtailroute-fleet/src/entry-hosts.ts
+++ b/packages/wagtailroute-fleet/src/entry-hosts.ts
@@ -6,7 +6,7 @@
 */
 import * as core from 'wagtailroute-core';
 import type * as link from 'wagtailroute-link';
-import {ADDRESSES_A_DOMAIN, SILENT_ENTRY_MILLISECONDS} from './constants.ts';
+import {ADDRESSES_A_DOMAIN, SILENT_ENTRY_MILLISECONDS, SILENT_FAR_ENTRY_MILLISECONDS} from './constants.ts';
 import {orderDispatchers} from './dispatch-order.ts';
 import type {EntryState} from './messages.ts';
 
@@ -28,6 +28,7 @@
 	readonly setState: (of: link.Link, state: EntryState) => EntryHost | undefined;
 	readonly remove: (of: link.Link) => EntryHost | undefined;
 	readonly find: (id: core.HostId) => EntryHost | undefined;
+	readonly findByLink: (of: link.Link) => EntryHost | undefined;
 	readonly notifyAll: (method: string, parameters: unknown) => void;
 	readonly count: () => number;
 	/**
@@ -38,8 +39,10 @@
 
 /**
 Creates an empty table.
+
+@param own Failure domain of this control host.
 */
-export function createEntryHosts(): EntryHosts {
+export function createEntryHosts(own: core.FailureDomain): EntryHosts {
 	const byLink = new Map<link.Link, EntryHost>();
 	const byId = new Map<core.HostId, EntryHost>();
 
@@ -69,6 +72,7 @@
 			return present;
 		},
 		find: id => byId.get(id),
+		findByLink: of => byLink.get(of),
 		notifyAll(method, parameters) {
 			for (const host of byId.values()) {
 				host.link.notify(method, parameters);
@@ -77,7 +81,7 @@
 		count: () => byId.size,
 		listAddresses(failureDomain) {
 			const serving = byId.values()
-				.filter(host => host.state.isReady && host.link.getSilence() < SILENT_ENTRY_MILLISECONDS)
+				.filter(host => host.state.isReady && host.link.getSilence() < (host.failureDomain === own ? SILENT_ENTRY_MILLISECONDS : SILENT_FAR_ENTRY_MILLISECONDS))
 				.toArray();
 			const near = serving.filter(host => host.failureDomain === failureDomain);
 			const ordered = orderDispatchers('directory', near.length > 0 ? near : serving, host => host.id);
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -7,6 +7,7 @@
 import type * as link from 'wagtailroute-link';
 import * as proxy from 'wagtailroute-proxy';
 import * as utils from 'wagtailroute-utils';
+import type {ShortAnswer} from './ask-wire.ts';
 import {startAsking} from './asking.ts';
 import {
 	ACCEPTING_PART,
@@ -72,8 +73,8 @@
 		[messages.METHODS.retired]({retirements}: Pick<messages.InstanceNews, 'retirements'>) {
 			knowledge.hearRetirements(retirements);
 		},
-		[messages.METHODS.answer](late: messages.LateAnswer) {
-			asking.hearAnswer(late);
+		[messages.METHODS.answer]([ask, answer]: [number, ShortAnswer]) {
+			asking.hearAnswer(ask, answer);
 		},
 		[messages.METHODS.believe](belief: messages.Belief) {
 			asking.hearBelief(belief);
@@ -82,6 +83,7 @@
 	const links = startControlLinks(context, {
 		seeds: settings.seeds,
 		self: settings.hostId,
+		failureDomain: settings.failureDomain,
 		createHello: () => ({id: settings.hostId, failureDomain: settings.failureDomain, entry: getState()}),
 		methods,
 		onOpen(control, {version}) {
@@ -105,7 +107,7 @@
 		hostId: settings.hostId,
 		now: context.now,
 		dialect,
-		route: createRouter(context, {settings, knowledge, asking}),
+		route: createRouter(context, {knowledge, asking}),
 		claim: async () => ({kind: 'refused', failure: proxy.createRequestFailure('idempotency-records-unavailable', 'This fleet keeps no keys.')}),
 		guard: OPEN_GUARD,
 		random: context.random,
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -21,9 +21,11 @@
 	generationVersion: 'generation.version',
 	fetchGeneration: 'generation.fetch',
 	heard: 'instances.heard',
+	listInstances: 'instances.list',
 	followInstances: 'instances.follow',
 	instancesChanged: 'instances.changed',
 	retired: 'instances.retired',
+	route: 'dispatch.route',
 	ask: 'dispatch.ask',
 	answer: 'dispatch.answer',
 	end: 'dispatch.end',
@@ -84,6 +86,19 @@
 	readonly ageMilliseconds: number;
 };
 
+/**
+What a heartbeat that changes nothing says: its instance, its sequence number and the milliseconds since it was heard.
+*/
+export type RefreshedHeartbeat = readonly [upstream: core.UpstreamId, sequence: number, age: number];
+
+/**
+Heartbeats on their way to the other control hosts.
+*/
+export type HeartbeatBatch = {
+	readonly news: readonly RelayedHeartbeat[];
+	readonly refreshed: readonly RefreshedHeartbeat[];
+};
+
 /**
 Instances that are new or changed, and those that were forgotten.
 */
@@ -106,14 +121,6 @@
 	| {readonly kind: 'refuse'; readonly reason: dispatch.RefusalReason; readonly retryAfterMilliseconds: number}
 	| {readonly kind: 'wait'};
 
-/**
-The final answer to an ask that waited.
-*/
-export type LateAnswer = {
-	readonly id: dispatch.AskId;
-	readonly answer: Exclude<AskAnswer, {kind: 'wait'}>;
-};
-
 /**
 The end of a granted request.
 */
--- a/packages/wagtailroute-fleet/src/registry.ts
+++ b/packages/wagtailroute-fleet/src/registry.ts
@@ -11,6 +11,7 @@
 import type * as link from 'wagtailroute-link';
 import type * as utils from 'wagtailroute-utils';
 import {
+	FETCH_MILLISECONDS,
 	HOUSEKEEPING_MILLISECONDS,
 	RELAY_MILLISECONDS,
 	SAVE_MILLISECONDS,
@@ -18,7 +19,12 @@
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
 import type {InstanceStore} from './instance-store.ts';
-import {type InstanceNews, METHODS, type RelayedHeartbeat} from './messages.ts';
+import {
+	type HeartbeatBatch,
+	type InstanceNews,
+	METHODS,
+	type RelayedHeartbeat,
+} from './messages.ts';
 
 /**
 The registry of a control host.
@@ -31,7 +37,11 @@
 	/**
 	Takes heartbeats that another control host was sent.
 	*/
-	readonly takeRelayed: (heartbeats: readonly RelayedHeartbeat[]) => void;
+	readonly takeRelayed: (batch: HeartbeatBatch) => void;
+	/**
+	Takes what another control host knows: heartbeats were missed while there was no link to it.
+	*/
+	readonly catchUp: (from: link.Link) => Promise<void>;
 	readonly retire: (retirement: generations.Retirement) => void;
 	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
 	/**
@@ -53,6 +63,8 @@
 	readonly store: InstanceStore;
 };
 
+const NO_HEARTBEATS: HeartbeatBatch = {news: [], refreshed: []};
+
 /**
 Creates the registry.
 */
@@ -63,7 +75,8 @@
 	const followers = new Set<link.Link>();
 	const silent = new Set<core.UpstreamId>();
 	const retirements = new Map<core.UpstreamId, generations.RetirementState>();
-	let waiting: RelayedHeartbeat[] = [];
+	let unsent: HeartbeatBatch = NO_HEARTBEATS;
+	let isRelaying = false;
 	let isSaving = false;
 
 	const tellFollowers = (news: InstanceNews) => {
@@ -96,9 +109,30 @@
 	};
 
 	const relay = () => {
-		const heartbeats = waiting;
-		waiting = [];
-		tellControls(METHODS.heard, heartbeats);
+		tellControls(METHODS.heard, unsent);
+		unsent = NO_HEARTBEATS;
+	};
+
+	/**
+	News go at once, what changes nothing is collected: it is most of all heartbeats.
+	*/
+	const relayLater = (heartbeat: instances.Heartbeat, reception: instances.Reception) => {
+		if (reception === 'news') {
+			unsent = {...unsent, news: [...unsent.news, {...heartbeat, ageMilliseconds: 0}]};
+			relay();
+			return;
+		}
+
+		unsent = {...unsent, refreshed: [...unsent.refreshed, [heartbeat.upstream, heartbeat.sequence, 0]]};
+		if (isRelaying) {
+			return;
+		}
+
+		isRelaying = true;
+		context.schedule(RELAY_MILLISECONDS, () => {
+			isRelaying = false;
+			relay();
+		});
 	};
 
 	const receive = (heartbeat: instances.Heartbeat, heardAt: number) => {
@@ -159,17 +193,29 @@
 		take(heartbeat) {
 			const reception = receive(heartbeat, now());
 			if (reception !== 'stale') {
-				waiting.push({...heartbeat, ageMilliseconds: 0});
-				if (waiting.length === 1) {
-					context.schedule(RELAY_MILLISECONDS, relay);
-				}
+				relayLater(heartbeat, reception);
 			}
 
 			return reception;
 		},
-		takeRelayed(heartbeats) {
-			for (const heartbeat of heartbeats) {
-				receive(heartbeat, now() - heartbeat.ageMilliseconds);
+		takeRelayed(batch) {
+			for (const {ageMilliseconds, ...heartbeat} of batch.news) {
+				receive(heartbeat, now() - ageMilliseconds);
+			}
+
+			for (const [upstream, sequence, age] of batch.refreshed) {
+				// One that is unknown here comes with the list that is fetched when a link opens.
+				const known = table.get(upstream);
+				if (known !== undefined) {
+					receive({...known, sequence, warmupMilliseconds: Math.max(0, known.warmAt - now())}, now() - age);
+				}
+			}
+		},
+		async catchUp(from) {
+			const answer = await from.call(METHODS.listInstances, {}, FETCH_MILLISECONDS);
+			const {heard} = answer.isOk() ? answer.value as InstanceNews : {heard: []};
+			for (const {ageMilliseconds, ...heartbeat} of heard) {
+				receive(heartbeat, now() - ageMilliseconds);
 			}
 		},
 		retire({upstream, state}) {
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -4,11 +4,10 @@
 import type * as dispatch from 'wagtailroute-dispatch';
 import * as generations from 'wagtailroute-generations';
 import * as proxy from 'wagtailroute-proxy';
-import type {Asking} from './asking.ts';
+import type {AskDraft, Asking} from './asking.ts';
 import {USUAL_PART} from './constants.ts';
 import type {FleetContext} from './context.ts';
 import type {Knowledge} from './knowledge.ts';
-import type {EntrySettings} from './settings.ts';
 
 /**
 Finds the route of a request and what this host holds for it.
@@ -19,7 +18,6 @@
 What routing needs.
 */
 export type RoutingPlan = {
-	readonly settings: EntrySettings;
 	readonly knowledge: Knowledge;
 	readonly asking: Asking;
 };
@@ -36,11 +34,6 @@
 export function createRouter(context: FleetContext, plan: RoutingPlan): Router {
 	const {knowledge} = plan;
 	const chooseShare = generations.createShareChooser(context.random);
-	let asks = 0;
-	const createAskId = () => {
-		asks++;
-		return `${plan.settings.hostId}:${asks}`;
-	};
 
 	return ({host, path, method}) => {
 		const generation = knowledge.getGeneration();
@@ -57,22 +50,19 @@
 		const routeContext: RouteContext = {route, service, bodyBytes: generation.limits.bodyBytes};
 		return {
 			match: {service: service.name, route: {class: route.class}},
-			service: createPort(context, plan, {...routeContext, createAskId}),
+			service: createPort(context, plan, routeContext),
 		};
 	};
 }
 
 function createPort(
 	context: FleetContext,
-	{settings, knowledge, asking}: RoutingPlan,
-	{route, service, bodyBytes, createAskId}: RouteContext & {readonly createAskId: () => dispatch.AskId},
+	{knowledge, asking}: RoutingPlan,
+	{route, service, bodyBytes}: RouteContext,
 ): proxy.ServicePort {
 	const granted = new Map<proxy.Target, dispatch.AskId>();
 
-	const createAsk = (choice: proxy.ChoiceRequest): dispatch.Ask => ({
-		id: createAskId(),
-		host: settings.hostId,
-		failureDomain: settings.failureDomain,
+	const createAsk = (choice: proxy.ChoiceRequest): AskDraft => ({
 		service: service.name,
 		route: route.name,
 		requestClass: route.class,
@@ -94,8 +84,7 @@
 		admit: () => undefined,
 		release: () => undefined,
 		choose(choice) {
-			const ask = createAsk(choice);
-			const asked = asking.ask(ask);
+			const asked = asking.ask(createAsk(choice));
 			return {
 				cancel: asked.cancel,
 				result: (async () => {
--- a/packages/wagtailroute-link/src/__tests__/unit/link.test.ts
+++ b/packages/wagtailroute-link/src/__tests__/unit/link.test.ts
@@ -51,6 +51,7 @@
 		methods: METHODS,
 		now,
 		random: () => 0.5,
+		pingMilliseconds: () => 100,
 		onOpen: resolve,
 		onClose: () => undefined,
 		onDefect,
@@ -150,6 +151,7 @@
 		...plan,
 		address,
 		random: () => 0,
+		pingMilliseconds: () => 100,
 		onOpen() {
 			opened++;
 		},
--- a/packages/wagtailroute-link/src/constants.ts
+++ b/packages/wagtailroute-link/src/constants.ts
@@ -3,26 +3,16 @@
 */
 
 /**
-Milliseconds without a message after which the side that opened a link sends an empty one, so that the other hears that it runs:
-three fit into {@link SILENT_MILLISECONDS}, so that a single late one ends no link.
+Milliseconds without a message after which the side that took a link sends an empty one: whoever opened it notices silence by its
+unanswered calls first.
 */
-export const PING_MILLISECONDS = 700;
+export const ANSWERING_PING_MILLISECONDS = 2000;
 
 /**
-The same for the side that took the link: whoever opened it notices silence by its unanswered calls first.
+Milliseconds without a byte after which a link counts as lost. A connection can go silent for good without a reset: nothing else
+would show it. Three pings of either side fit in, and it is longer than any pause of a process that goes on.
 */
-export const ANSWERING_PING_MILLISECONDS = 1500;
-
-/**
-Milliseconds without a byte after which a link counts as lost for the side that took it. A connection can go silent without a
-reset: nothing else would show it. It is longer than a pause for collection of garbage or a used-up share of the processor.
-*/
-export const SILENT_MILLISECONDS = 2200;
-
-/**
-The same for the side that opened it.
-*/
-export const ANSWERING_SILENT_MILLISECONDS = 3500;
+export const SILENT_MILLISECONDS = 6500;
 
 /**
 Milliseconds between two looks at all links of a process.
--- a/packages/wagtailroute-link/src/dialer.ts
+++ b/packages/wagtailroute-link/src/dialer.ts
@@ -18,6 +18,10 @@
 	readonly methods: LinkMethods;
 	readonly now: () => number;
 	/**
+	Milliseconds without a message of this side after which it sends an empty one.
+	*/
+	readonly pingMilliseconds: () => number;
+	/**
 	Uniform in [0, 1): spreads the attempts of many hosts that lost the same peer.
 	*/
 	readonly random: () => number;
@@ -60,7 +64,6 @@
 		waitMilliseconds = RECONNECT_LEAST_MILLISECONDS;
 		link = runLink({
 			...plan,
-			side: 'opened',
 			socket: connected,
 			onClose(closed) {
 				link = undefined;
--- a/packages/wagtailroute-link/src/link.ts
+++ b/packages/wagtailroute-link/src/link.ts
@@ -10,10 +10,7 @@
 import * as results from 'ts-results-es';
 import type * as utils from 'wagtailroute-utils';
 import {
-	ANSWERING_PING_MILLISECONDS,
-	ANSWERING_SILENT_MILLISECONDS,
 	MESSAGE_BYTES,
-	PING_MILLISECONDS,
 	SILENT_MILLISECONDS,
 	WAITING_BYTES,
 } from './constants.ts';
@@ -53,9 +50,9 @@
 */
 export type LinkPlan = {
 	/**
-	Whether this side opened the connection or took it.
+	Milliseconds without a message of this side after which it sends an empty one, so that the other hears that it runs.
 	*/
-	readonly side: 'opened' | 'taken';
+	readonly pingMilliseconds: () => number;
 	readonly socket: net.Socket;
 	readonly methods: LinkMethods;
 	/**
@@ -69,11 +66,6 @@
 	readonly onDefect: (error: Error) => void;
 };
 
-const TIMES: Readonly<Record<LinkPlan['side'], {readonly ping: number; readonly silent: number}>> = {
-	opened: {ping: PING_MILLISECONDS, silent: ANSWERING_SILENT_MILLISECONDS},
-	taken: {ping: ANSWERING_PING_MILLISECONDS, silent: SILENT_MILLISECONDS},
-};
-
 /**
 Runs a link over a connection that is open.
 */
@@ -168,13 +160,12 @@
 	}
 
 	#watch(): void {
-		const {ping, silent} = TIMES[this.#plan.side];
-		if (this.getSilence() > silent || this.#plan.socket.writableLength > WAITING_BYTES) {
+		if (this.getSilence() > SILENT_MILLISECONDS || this.#plan.socket.writableLength > WAITING_BYTES) {
 			this.close();
 			return;
 		}
 
-		if (this.#plan.now() - this.#sentAt >= ping) {
+		if (this.#plan.now() - this.#sentAt >= this.#plan.pingMilliseconds()) {
 			this.#write('');
 		}
 	}
--- a/packages/wagtailroute-link/src/server.ts
+++ b/packages/wagtailroute-link/src/server.ts
@@ -3,6 +3,7 @@
 */
 import * as net from 'node:net';
 import type * as core from 'wagtailroute-core';
+import {ANSWERING_PING_MILLISECONDS} from './constants.ts';
 import {type Link, type LinkMethods, runLink} from './link.ts';
 
 /**
@@ -32,7 +33,7 @@
 	const server = net.createServer(socket => {
 		const link = runLink({
 			...plan,
-			side: 'taken',
+			pingMilliseconds: () => ANSWERING_PING_MILLISECONDS,
 			socket,
 			onClose(closed) {
 				links.delete(closed);
