--- /dev/null
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
@@ -0,0 +1,119 @@
+/**
+A context with a clock that tests move, and links whose other side is the test.
+*/
+import * as stream from 'node:stream';
+import * as results from 'ts-results-es';
+import type * as link from 'wagtailroute-link';
+import * as telemetry from 'wagtailroute-telemetry';
+import * as utils from 'wagtailroute-utils';
+import type {FleetContext} from '../../context.ts';
+
+type Timer = {
+	readonly at: number;
+	readonly run: () => void;
+};
+
+/**
+A context, and how its time passes.
+*/
+export type FakeContext = FleetContext & {
+	/**
+	Lets time pass and runs what was scheduled meanwhile, and what promises await.
+	*/
+	readonly pass: (milliseconds: number) => Promise<void>;
+};
+
+/**
+Creates a context at time 0.
+*/
+export function createFakeContext(): FakeContext {
+	let time = 0;
+	const timers = new Set<Timer>();
+	const schedule = (milliseconds: number, run: () => void) => {
+		const timer = {at: time + milliseconds, run};
+		timers.add(timer);
+		return () => {
+			timers.delete(timer);
+		};
+	};
+
+	const now = () => time;
+	return {
+		now,
+		random: utils.createRandom(1),
+		logs: telemetry.createLogs({
+			output: new stream.PassThrough().resume(), level: 'error', now, fields: {},
+		}),
+		metrics: telemetry.createMetrics(),
+		schedule,
+		repeat: schedule,
+		async pass(milliseconds) {
+			await settle();
+			const end = time + milliseconds;
+			for (;;) {
+				const next = timers.values().filter(timer => timer.at <= end).toArray().toSorted((left, right) => left.at - right.at)[0];
+				if (next === undefined) {
+					break;
+				}
+
+				timers.delete(next);
+				time = next.at;
+				next.run();
+				// eslint-disable-next-line no-await-in-loop -- What follows from one timer may set the next.
+				await settle();
+			}
+
+			time = end;
+			await settle();
+		},
+	};
+}
+
+const TURNS = 20;
+
+async function settle(): Promise<void> {
+	for (let turn = 0; turn < TURNS; turn++) {
+		// eslint-disable-next-line no-await-in-loop -- Each turn lets one step of a promise chain run.
+		await Promise.resolve();
+	}
+}
+
+/**
+A link whose other side is the test.
+*/
+export type FakeLink = link.Link & {
+	readonly notified: ReadonlyArray<readonly [method: string, parameters: unknown]>;
+	readonly called: ReadonlyArray<readonly [method: string, parameters: unknown]>;
+	silence: number;
+};
+
+/**
+Creates a link.
+
+@param answer Answers calls; undefined stands for no answer in time.
+*/
+export function createFakeLink(answer: (method: string, parameters: never) => unknown): FakeLink {
+	const notified: Array<readonly [string, unknown]> = [];
+	const called: Array<readonly [string, unknown]> = [];
+	let isOpen = true;
+	return {
+		notified,
+		called,
+		silence: 0,
+		async call(method, parameters) {
+			called.push([method, parameters]);
+			const value = answer(method, parameters as never);
+			return value === undefined ? results.Err({kind: 'call-timeout', message: 'late'} as const) : results.Ok(value);
+		},
+		notify(method, parameters) {
+			notified.push([method, parameters]);
+		},
+		getSilence() {
+			return this.silence;
+		},
+		isOpen: () => isOpen,
+		close() {
+			isOpen = false;
+		},
+	};
+}
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -249,7 +249,7 @@
 	#findDispatcher(service: core.ServiceName): OpenControl | undefined {
 		const now = this.#context.now();
 		const ordered = orderDispatchers(service, this.#plan.getOpen(), control => control.host.id);
-		return ordered.find(({link: open}) => open.getSilence() < SILENT_DISPATCHER_MILLISECONDS && (this.#slowUntil.get(open) ?? 0) < now);
+		return ordered.find(({link: open}) => open.getSilence() < SILENT_DISPATCHER_MILLISECONDS && (this.#slowUntil.get(open) ?? -Infinity) <= now);
 	}
 
 	/**
--- /dev/null
+++ b/packages/wagtailroute-replication/src/__tests__/unit/voters.test.ts
@@ -0,0 +1,72 @@
+/**
+Tests of the choice of members of a group.
+*/
+import test from 'ava';
+import * as replication from '../../index.ts';
+
+type Case = {
+	readonly name: string;
+	readonly voters: readonly string[];
+	readonly learners?: readonly string[];
+	readonly running: readonly string[];
+	readonly gone?: readonly string[];
+	readonly wanted: {readonly voters: readonly string[]; readonly learners?: readonly string[]};
+};
+
+const CASES: readonly Case[] = [
+	{
+		name: 'further hosts become voters up to the most', voters: ['a', 'b', 'c'], running: ['a', 'b', 'c', 'd', 'e', 'f'], wanted: {voters: ['a', 'b', 'c', 'd', 'e'], learners: ['f']},
+	},
+	{
+		name: 'a voter that is away for a moment keeps its place', voters: ['a', 'b', 'c', 'd', 'e'], running: ['a', 'b', 'c', 'd', 'f'], wanted: {voters: ['a', 'b', 'c', 'd', 'e'], learners: ['f']},
+	},
+	{
+		name: 'one that is gone is replaced by another that runs', voters: ['a', 'b', 'c', 'd', 'e'], running: ['a', 'b', 'c', 'd', 'f'], gone: ['e'], wanted: {voters: ['a', 'b', 'c', 'd', 'f']},
+	},
+	{
+		// Symptom: after a loss with no host to replace it, the next loss stops the group.
+		// Sequence: one of five voters is gone; it is removed; one more is lost, then a third.
+		// Cause: a smaller group bears fewer losses, and the removed one could have come back.
+		name: 'one that is gone stays while no other can take its place', voters: ['a', 'b', 'c', 'd', 'e'], running: ['a', 'b', 'c', 'd'], gone: ['e'], wanted: {voters: ['a', 'b', 'c', 'd', 'e']},
+	},
+	{
+		name: 'two that are gone are replaced as far as there are others',
+		voters: ['a', 'b', 'c', 'd', 'e'],
+		learners: ['f'],
+		running: ['a', 'b', 'c', 'f'],
+		gone: ['d', 'e'],
+		wanted: {voters: ['a', 'b', 'c', 'd', 'f']},
+	},
+	{
+		name: 'a learner that is gone is forgotten', voters: ['a', 'b', 'c'], learners: ['d'], running: ['a', 'b', 'c'], gone: ['d'], wanted: {voters: ['a', 'b', 'c']},
+	},
+];
+
+for (const {name, voters, learners = [], running, gone = [], wanted} of CASES) {
+	test(name, t => {
+		const chosen = replication.chooseMembers({
+			members: [
+				...voters.map(host => ({id: replication.createMemberId(host, '1'), role: 'voter'} as const)),
+				...learners.map(host => ({id: replication.createMemberId(host, '1'), role: 'learner'} as const)),
+			],
+			running: running.map(host => ({host, failureDomain: host})),
+			isReplaceable: host => gone.includes(host),
+			votersMost: 5,
+		});
+		const getHosts = (role: 'voter' | 'learner') => chosen.filter(item => item.role === role).map(({host}) => host).toSorted((left, right) => left.localeCompare(right));
+		t.deepEqual(getHosts('voter'), [...wanted.voters]);
+		t.deepEqual(getHosts('learner'), [...wanted.learners ?? []]);
+	});
+}
+
+test('new voters come from the failure domains with the fewest', t => {
+	const chosen = replication.chooseMembers({
+		members: [{id: 'a~1', role: 'voter'}, {id: 'b~1', role: 'voter'}],
+		running: [
+			{host: 'a', failureDomain: 'x'}, {host: 'b', failureDomain: 'x'}, {host: 'c', failureDomain: 'x'}, {host: 'd', failureDomain: 'y'},
+		],
+		isReplaceable: () => false,
+		votersMost: 3,
+	});
+	t.deepEqual(chosen.filter(item => item.role === 'voter').map(({host}) => host), ['a', 'b', 'd']);
+});
