--- a/packages/wagtailroute-fleet/src/knowledge.ts
+++ b/packages/wagtailroute-fleet/src/knowledge.ts
@@ -14,6 +14,7 @@
 	FETCH_MILLISECONDS,
 	NEAR_FETCH_MILLISECONDS,
 } from './constants.ts';
+import {toCandidate} from './candidates.ts';
 import type {FleetContext} from './context.ts';
 import type {OpenControl} from './control-links.ts';
 import {type FetchedGeneration, type InstanceNews, METHODS} from './messages.ts';
@@ -186,15 +187,8 @@
 		getGeneration: () => state.generation,
 		findRoute: (host, path) => state.findRoute(host, path),
 		findService: name => state.services.get(name),
-		listCandidates: service => table.list(service).map(instance => ({
-			upstream: instance.upstream,
-			address: instance.address,
-			failureDomain: instance.failureDomain,
-			slots: instance.slots,
-			isDraining: instance.state === 'draining',
-			isSilent: false,
-			warmAt: instance.warmAt,
-		})),
+		// Silence is told by control hosts only: what follows one of them hears of changes, not of heartbeats.
+		listCandidates: service => table.list(service).map(instance => toCandidate(instance, false)),
 		isRetired: upstream => retired.has(upstream),
 		hearVersion(control, version) {
 			if (version < state.wantedVersion || version <= getVersion()) {
--- a/packages/wagtailroute-fleet/src/registry.ts
+++ b/packages/wagtailroute-fleet/src/registry.ts
@@ -17,6 +17,7 @@
 	SAVE_MILLISECONDS,
 	SILENT_UPSTREAM_MILLISECONDS,
 } from './constants.ts';
+import {toCandidate} from './candidates.ts';
 import type {FleetContext} from './context.ts';
 import type {InstanceStore} from './instance-store.ts';
 import {
@@ -229,15 +230,7 @@
 			log.info('Instance retired.', {upstream, service, state});
 			onChanged(service);
 		},
-		listCandidates: service => table.list(service).map(instance => ({
-			upstream: instance.upstream,
-			address: instance.address,
-			failureDomain: instance.failureDomain,
-			slots: instance.slots,
-			isDraining: instance.state === 'draining',
-			isSilent: silent.has(instance.upstream),
-			warmAt: instance.warmAt,
-		})),
+		listCandidates: service => table.list(service).map(instance => toCandidate(instance, silent.has(instance.upstream))),
 		describeAll: () => ({
 			heard: list(),
 			forgotten: [],
--- a/packages/wagtailroute-host/src/admin.ts
+++ b/packages/wagtailroute-host/src/admin.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http';
 import * as core from 'wagtailroute-core';
 import * as proxy from 'wagtailroute-proxy';
+import * as utils from 'wagtailroute-utils';
 import type {AdminRequest, AdminRoute} from './admin-routes.ts';
 import type {HostContext} from './context.ts';
 import {answerProblem} from './problems.ts';
@@ -39,14 +40,7 @@
 			response.destroy();
 		});
 	});
-	await new Promise<void>((resolve, reject) => {
-		const {ip, port} = context.settings.adminAddress;
-		server.once('error', reject);
-		server.listen(port, ip, () => {
-			server.off('error', reject);
-			resolve();
-		});
-	});
+	await utils.listen(server, context.settings.adminAddress);
 	return {
 		close: async () => new Promise(resolve => {
 			server.close(() => {
--- a/packages/wagtailroute-link/src/server.ts
+++ b/packages/wagtailroute-link/src/server.ts
@@ -3,6 +3,7 @@
 */
 import * as net from 'node:net';
 import type * as core from 'wagtailroute-core';
+import * as utils from 'wagtailroute-utils';
 import {ANSWERING_PING_MILLISECONDS} from './constants.ts';
 import {type Link, type LinkMethods, runLink} from './link.ts';
 
@@ -42,15 +43,9 @@
 		});
 		links.add(link);
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(plan.address.port, plan.address.ip, () => {
-			server.off('error', reject);
-			resolve();
-		});
-	});
+	const address = await utils.listen(server, plan.address);
 	return {
-		address: {ip: plan.address.ip, port: (server.address() as net.AddressInfo).port},
+		address,
 		async close() {
 			const closed = new Promise<void>(resolve => {
 				server.close(() => {
--- a/packages/wagtailroute-peer/src/server.ts
+++ b/packages/wagtailroute-peer/src/server.ts
@@ -6,6 +6,7 @@
 import * as https from 'node:https';
 import type * as core from 'wagtailroute-core';
 import * as rpc from 'json-rpc-2.0';
+import * as utils from 'wagtailroute-utils';
 import {FROM_HEADER, MAXIMUM_BODY_BYTES, RPC_PATH} from './constants.ts';
 import {type FleetKeys, getServerTls} from './secret.ts';
 
@@ -43,23 +44,10 @@
 			onRefused();
 		}
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(address.port, address.ip, () => {
-			server.off('error', reject);
-			resolve();
-		});
-	});
+	await utils.listen(server, address);
 	return {
 		methods,
-		async close() {
-			await new Promise<void>(resolve => {
-				server.close(() => {
-					resolve();
-				});
-				server.closeAllConnections();
-			});
-		},
+		close: async () => utils.closeServer(server),
 	};
 }
 
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -4,6 +4,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import type * as core from 'wagtailroute-core';
+import * as utils from 'wagtailroute-utils';
 import {answerFailure} from './answers.ts';
 import {type Connections, createConnections} from './connections.ts';
 import {
@@ -78,16 +79,10 @@
 
 		answerClientError(ports, error, socket);
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(address.port, address.ip, () => {
-			server.off('error', reject);
-			resolve();
-		});
-	});
+	const listening = await utils.listen(server, address);
 	return {
 		connections,
-		address: {ip: address.ip, port: (server.address() as net.AddressInfo).port},
+		address: listening,
 		getInFlight: () => inFlight,
 		async drain() {
 			// Closes idle connections now and the others after their answer.
--- a/packages/wagtailroute-telemetry/src/metrics.ts
+++ b/packages/wagtailroute-telemetry/src/metrics.ts
@@ -4,6 +4,7 @@
 import * as http from 'node:http';
 import type * as core from 'wagtailroute-core';
 import * as prometheus from 'prom-client';
+import * as utils from 'wagtailroute-utils';
 import {LATENCY_BUCKETS} from './constants.ts';
 
 /**
@@ -69,20 +70,9 @@
 	const server = http.createServer((_request, response) => {
 		void answer(metrics, response);
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(address.port, address.ip, () => {
-			server.off('error', reject);
-			resolve();
-		});
-	});
+	await utils.listen(server, address);
 	return {
-		close: async () => new Promise<void>(resolve => {
-			server.close(() => {
-				resolve();
-			});
-			server.closeAllConnections();
-		}),
+		close: async () => utils.closeServer(server),
 	};
 }
 
--- a/packages/wagtailroute-utils/src/index.ts
+++ b/packages/wagtailroute-utils/src/index.ts
@@ -1,7 +1,8 @@
 /**
-Small helpers that every package may use: invariants, teardowns and seeded random numbers.
+Small helpers that every package may use: invariants, teardowns, seeded random numbers, listening.
 */
 export {BrokenInvariant, invariant} from './invariant.ts';
+export {closeServer, listen, type ListenAddress} from './listening.ts';
 export {mergeTeardowns, type Teardown} from './teardown.ts';
 export {
 	createRandom,
