--- a/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
@@ -112,6 +112,7 @@
 			return this.silence;
 		},
 		isOpen: () => isOpen,
+		getBytes: () => ({sent: 0, received: 0}),
 		close() {
 			isOpen = false;
 		},
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -157,3 +157,8 @@
 Milliseconds after a change of the instances before they are kept on disk: a start brings dozens of changes.
 */
 export const SAVE_MILLISECONDS = 1000;
+
+/**
+Milliseconds between two reports of the bytes over links, at the level debug.
+*/
+export const REPORT_MILLISECONDS = 10_000;
--- a/packages/wagtailroute-fleet/src/control-links.ts
+++ b/packages/wagtailroute-fleet/src/control-links.ts
@@ -12,6 +12,7 @@
 	HELLO_MILLISECONDS,
 	HOUSEKEEPING_MILLISECONDS,
 	NEAR_PING_MILLISECONDS,
+	REPORT_MILLISECONDS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
 import {type Hello, METHODS, type Welcome} from './messages.ts';
@@ -162,7 +163,14 @@
 
 	const getOpen = () => known.values().map(entry => entry.open).filter(open => open !== undefined).toArray();
 
+	const reportBytes = () => {
+		for (const {host, link: open} of getOpen()) {
+			log.debug('Link bytes.', {control: host.id, isNear: host.failureDomain === plan.failureDomain, ...open.getBytes()});
+		}
+	};
+
 	addSeeds(plan.seeds);
+	const stopReporting = context.repeat(REPORT_MILLISECONDS, reportBytes);
 	const stopForgetting = context.repeat(HOUSEKEEPING_MILLISECONDS, forget);
 	return {
 		getOpen,
@@ -176,6 +184,7 @@
 		},
 		close() {
 			stopForgetting();
+			stopReporting();
 			for (const entry of known.values()) {
 				entry.open = undefined;
 				entry.dialer.close();
--- a/packages/wagtailroute-link/src/link.ts
+++ b/packages/wagtailroute-link/src/link.ts
@@ -32,6 +32,10 @@
 	*/
 	readonly getSilence: () => number;
 	readonly isOpen: () => boolean;
+	/**
+	Bytes sent and received so far, without those of TCP and IP.
+	*/
+	readonly getBytes: () => {readonly sent: number; readonly received: number};
 	readonly close: () => void;
 };
 
@@ -143,6 +147,11 @@
 		return this.#plan.now() - this.#heardAt;
 	}
 
+	getBytes(): {readonly sent: number; readonly received: number} {
+		const {bytesWritten, bytesRead} = this.#plan.socket;
+		return {sent: bytesWritten, received: bytesRead};
+	}
+
 	isOpen(): boolean {
 		return this.#isOpen;
 	}
