--- a/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
@@ -224,6 +224,22 @@
 	t.is(getGrant(dispatcher.ask(createAsk('3', {host: 'other', excluded: ['b']}), 1000))?.upstream, 'a');
 });
 
+test('an upstream whose requests are all late gets no more, long before one of them ends', t => {
+	// Symptom: for a second, a third of all requests goes to upstreams that will answer none of them in time.
+	// Sequence: an upstream becomes ten times as slow; its requests hang; nothing ends, so nothing is learned.
+	// Cause: only ends counted, and each request alone was not late enough to say anything.
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 50}), createCandidate('b', {failureDomain: 'y', slots: 50})]);
+	for (let ask = 0; ask < 4; ask++) {
+		t.is(getGrant(dispatcher.ask(createAsk(`slow-${ask}`, {host: `host-${ask}`, excluded: ['b']}), 0))?.upstream, 'a');
+	}
+
+	t.is(getGrant(dispatcher.ask(createAsk('1', {excluded: ['b']}), 200))?.upstream, 'a');
+	t.is(getGrant(dispatcher.ask(createAsk('2'), 400))?.upstream, 'b');
+	dispatcher.end('slow-0', {ending: 'success', milliseconds: 400}, 400);
+	dispatcher.end('slow-1', {ending: 'success', milliseconds: 400}, 400);
+	t.is(getGrant(dispatcher.ask(createAsk('3', {excluded: ['b']}), 401))?.upstream, 'a');
+});
+
 test('resends stay within the budget', t => {
 	// Symptom: an upstream that is slow gets several times the requests that callers sent.
 	// Sequence: requests fail and are sent again, those too.
--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -12,7 +12,7 @@
 	DOMAIN_TRIAL_MILLISECONDS,
 	DOUBT_COST,
 	DOUBT_GAIN,
-	OVERDUE_MOST,
+	MOST_STRAIN,
 	PROOF_COST,
 	PROOF_MILLISECONDS,
 	SPREAD_COST,
@@ -20,9 +20,9 @@
 	UPLOAD_DOMAIN_COST,
 } from './constants.ts';
 import {
-	countOverdue,
 	getDoubt,
 	getSlowness,
+	getStrain,
 	isPathBad,
 	isSuspended,
 	type Upstream,
@@ -127,7 +127,7 @@
 		&& places.size < candidate.slots
 		&& upstream.closedUntil <= now
 		&& !ask.excluded.includes(candidate.upstream)
-		&& countOverdue(upstream, now) < OVERDUE_MOST
+		&& getStrain(upstream, now) < MOST_STRAIN
 		&& !isPathBad(upstream, ask.host, now);
 }
 
@@ -157,5 +157,5 @@
 	return (getSlowness(upstream, now) * (1 + load))
 		+ (candidate.failureDomain === ask.failureDomain ? 0 : crossing)
 		+ (isExplorer ? -unproven - (doubt * DOUBT_GAIN) : unproven + (doubt * DOUBT_COST))
-		+ countOverdue(upstream, now);
+		+ getStrain(upstream, now);
 }
--- a/packages/wagtailroute-dispatch/src/constants.ts
+++ b/packages/wagtailroute-dispatch/src/constants.ts
@@ -110,7 +110,7 @@
 export const REPEATABLE_MILLISECONDS = 3000;
 
 /**
-A request that lasts longer than this many usual times counts against its upstream while it lasts.
+A request that lasts longer than this many usual times counts against the path between its host and its upstream.
 */
 export const OVERDUE_RATIO = 2.2;
 
@@ -120,9 +120,10 @@
 export const OVERDUE_MILLISECONDS = 550;
 
 /**
-Overdue requests with which an upstream gets nothing more until they end.
+Usual times by which the requests under way at an upstream may be late together before it gets no more: two at 1.75 times, or four
+at 1.4 times the usual. Each counts for one at most, so that a single one that hangs closes nothing.
 */
-export const OVERDUE_MOST = 2;
+export const MOST_STRAIN = 1.5;
 
 /**
 Share of a new measurement in an upstream's relative slowness.
--- a/packages/wagtailroute-dispatch/src/upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -130,15 +130,26 @@
 }
 
 /**
-Counts its requests that last far longer than usual.
+Returns by how many usual times its requests under way are late, all together. One that lasts longer says little, several at
+once say that the upstream has become slow or hangs: long before any of them ends. One that is late while later ones were served
+says nothing of the upstream, its path may be at fault.
 */
-export function countOverdue(upstream: Upstream, now: number): number {
-	let count = 0;
+export function getStrain(upstream: Upstream, now: number): number {
+	let strain = 0;
 	for (const place of upstream.places.values()) {
-		count += now - place.startedAt > Math.max(OVERDUE_MILLISECONDS, OVERDUE_RATIO * place.usualMilliseconds) ? 1 : 0;
+		const isOvertaken = upstream.provenAt > place.startedAt + place.usualMilliseconds;
+		const late = ((now - place.startedAt) / place.usualMilliseconds) - 1;
+		strain += isOvertaken ? 0 : Math.min(1, Math.max(0, late));
 	}
 
-	return count;
+	return strain;
+}
+
+/**
+Says whether a request lasts so long that its path may be at fault.
+*/
+function isOverdue(place: Place, now: number): boolean {
+	return now - place.startedAt > Math.max(OVERDUE_MILLISECONDS, OVERDUE_RATIO * place.usualMilliseconds);
 }
 
 /**
@@ -150,7 +161,7 @@
 	}
 
 	for (const place of upstream.places.values()) {
-		if (place.host === host && now - place.startedAt > Math.max(OVERDUE_MILLISECONDS, OVERDUE_RATIO * place.usualMilliseconds)) {
+		if (place.host === host && isOverdue(place, now)) {
 			return true;
 		}
 	}
