--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -133,10 +133,10 @@
 export const UPSTREAM_CONNECT_MILLISECONDS = 300;
 
 /**
-Part of the time between SIGTERM and the end for which a stopping entry host takes new connections: callers keep its address
-for up to three times {@link ADDRESS_TTL_SECONDS}.
+Part of the time between SIGTERM and the end for which a stopping entry host takes new requests: callers keep its address for a
+while, and whatever is taken in must have its answer before the end, also if it lasts as long as the longest timeouts.
 */
-export const ACCEPTING_PART = 0.6;
+export const ACCEPTING_PART = 0.48;
 
 /**
 Milliseconds before the end of the time to stop at which a stopping host gives up what is still under way.
--- a/packages/wagtailroute-fleet/src/registry.ts
+++ b/packages/wagtailroute-fleet/src/registry.ts
@@ -105,7 +105,8 @@
 		isSaving = true;
 		context.schedule(SAVE_MILLISECONDS, () => {
 			isSaving = false;
-			void store.save(list());
+			// One that drains would come back as serving.
+			void store.save(list().filter(({upstream}) => !retirements.has(upstream)));
 		});
 	};
 
@@ -228,6 +229,7 @@
 			}
 
 			log.info('Instance retired.', {upstream, service, state});
+			saveLater();
 			onChanged(service);
 		},
 		listCandidates: service => table.list(service).map(instance => toCandidate(instance, silent.has(instance.upstream))),
