--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -141,7 +141,7 @@
 /**
 Milliseconds before the end of the time to stop at which a stopping host gives up what is still under way.
 */
-export const STOP_MARGIN_MILLISECONDS = 250;
+export const STOP_MARGIN_MILLISECONDS = 600;
 
 /**
 Usual time of a request whose route was not measured, as a part of its latency objective.
