Suspend less for sheds, split the resend budget by its parts, go on alone when most dispatchers are silent

Tried and reverted: no suspended upstream below the floor for requests that must not run twice while its doubt is above 5. A suspended upstream still serves more than a refusal.

--- a/packages/wagtailroute-dispatch/src/budget.ts
+++ b/packages/wagtailroute-dispatch/src/budget.ts
@@ -5,7 +5,7 @@
 What goes wrong without it: an upstream slows down, its requests are sent again, the others slow down under the added load,
 and resends multiply until nothing is served.
 */
-import {BUDGET_PART, BUDGET_SLICE_MILLISECONDS} from './constants.ts';
+import {BUDGET_EXTRA_PART, BUDGET_RATIO_PART, BUDGET_SLICE_MILLISECONDS} from './constants.ts';
 
 /**
 Bounds of the budget.
@@ -73,7 +73,7 @@
 				resends += present.resends;
 			}
 
-			if (resends + 1 > ((ratio * requests) + extra) * BUDGET_PART) {
+			if (resends + 1 > (ratio * requests * BUDGET_RATIO_PART) + (extra * BUDGET_EXTRA_PART)) {
 				return false;
 			}
 
--- a/packages/wagtailroute-dispatch/src/constants.ts
+++ b/packages/wagtailroute-dispatch/src/constants.ts
@@ -74,9 +74,10 @@
 export const SILENCE_DOUBT = 2;
 
 /**
-Doubt of a shed request while this dispatcher counts a free slot.
+Doubt of a shed request while this dispatcher counts a free slot. A shed costs a resend, not the request: less than what a success
+takes away, so that upstreams which all shed a part are used on.
 */
-export const SHED_DOUBT = 2.5;
+export const SHED_DOUBT = 1.2;
 
 /**
 Milliseconds for which a host sends nothing more to an upstream that left its request unanswered.
@@ -200,9 +201,14 @@
 export const RETRY_AFTER_LEAST_MILLISECONDS = 100;
 
 /**
-Part of the resend budget that is used, so that what other hosts send while they cannot reach this dispatcher fits in.
+Part of the resends for each request that is used, so that what other hosts send while they cannot reach this dispatcher fits in.
 */
-export const BUDGET_PART = 0.7;
+export const BUDGET_RATIO_PART = 0.92;
+
+/**
+Part of the fixed number of resends that is used: three dispatchers one after the other must not spend more than there is.
+*/
+export const BUDGET_EXTRA_PART = 0.3;
 
 /**
 Milliseconds of one slice of the budget's window.
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -248,8 +248,12 @@
 
 	#findDispatcher(service: core.ServiceName): OpenControl | undefined {
 		const now = this.#context.now();
-		const ordered = orderDispatchers(service, this.#plan.getOpen(), control => control.host.id);
-		return ordered.find(({link: open}) => open.getSilence() < SILENT_DISPATCHER_MILLISECONDS && (this.#slowUntil.get(open) ?? -Infinity) <= now);
+		const open = this.#plan.getOpen();
+		const answering = open.filter(control => (this.#slowUntil.get(control.link) ?? -Infinity) <= now);
+		// Most did not answer in time: the others will not either, and each request that tries loses a quarter of a second.
+		const candidates = answering.length * 2 < open.length ? [] : answering;
+		return orderDispatchers(service, candidates, control => control.host.id)
+			.find(control => control.link.getSilence() < SILENT_DISPATCHER_MILLISECONDS);
 	}
 
 	/**
