--- a/scripts/results.ts
+++ b/scripts/results.ts
@@ -60,7 +60,8 @@
 		const largest = day.prices.toSorted((left, right) => right[2] - left[2]).slice(0, PRICES_SHOWN);
 		const binding = largest.map(([name, , worth]) => `${name} ${worth.toFixed(3)}`).join(', ');
 		const broken = Object.keys(day.rules);
-		return `| ${day.name} | ${formatPart(day.G)} | ${formatPart(day.top)} | ${formatPart(day.served)} | ${formatPart(day.refused)} | ${formatPart(day.failed)} | ${broken.length === 0 ? 'none' : broken.join(', ')} | ${binding} |`;
+		const parts = [day.G, day.top, day.served, day.refused, day.failed].map(value => formatPart(value));
+		return `| ${[day.name, ...parts, broken.length === 0 ? 'none' : broken.join(', '), binding].join(' | ')} |`;
 	});
 	const isPassed = entry.days.every(day => day.gate !== false && Object.keys(day.rules).length === 0);
 	return [
