--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -17,26 +17,31 @@
 	type HeldPlace,
 	type RefusalReason,
 } from './asks.ts';
-import {type Budget, type BudgetSettings, createBudget} from './budget.ts';
+import {type BudgetSettings, createBudget} from './budget.ts';
 import {
 	choose,
 	chooseReserve,
 	chooseTrial,
 	type Choice,
 	type ChoiceCircumstances,
-	type TrialCircumstances,
 } from './choosing.ts';
 import {
 	ABANDONED_MILLISECONDS,
 	OBJECTIVE_PART,
-	RANK_MILLISECONDS,
-	REPEATABLE_MILLISECONDS,
-	RESEND_MILLISECONDS,
 	RETRY_AFTER_LEAST_MILLISECONDS,
-	USUAL_PART,
-	USUAL_SHARE,
 	WORTHWHILE_PART,
 } from './constants.ts';
+import {
+	countAhead,
+	countUsableSlots,
+	getTrialCircumstances,
+	getTurn,
+	getUsual,
+	isBelowFloor,
+	learnUsual,
+	type Service,
+	type Waiting,
+} from './services.ts';
 import {
 	createHeldPlace,
 	createUpstream,
@@ -108,33 +113,6 @@
 	readonly getServices: () => readonly core.ServiceName[];
 };
 
-type Waiting = {
-	readonly ask: Ask;
-	/**
-	Those with a lower one come first.
-	*/
-	readonly turn: number;
-	readonly deadlineAt: number;
-};
-
-type Service = {
-	readonly name: core.ServiceName;
-	readonly upstreams: Map<core.UpstreamId, Upstream>;
-	/**
-	By turn.
-	*/
-	readonly waiting: Waiting[];
-	/**
-	Usual milliseconds by route.
-	*/
-	readonly usual: Map<string, number>;
-	readonly budget: Budget;
-	/**
-	Time of the last request that may be repeated.
-	*/
-	repeatableAt: number;
-};
-
 /**
 Creates a dispatcher that knows no upstream.
 */
@@ -190,7 +168,7 @@
 			weighEnding(upstream, place, ending, now);
 			if (ending === 'success') {
 				weighTime(upstream, place, milliseconds, now);
-				this.#learnUsual(service, place.route, milliseconds);
+				learnUsual(service, place.route, milliseconds);
 			}
 
 			if (isSuspended(upstream, now) !== wasSuspended) {
@@ -329,11 +307,6 @@
 		upstream?.places.delete(place.id);
 	}
 
-	#learnUsual(service: Service, route: string, milliseconds: number): void {
-		const known = service.usual.get(route);
-		service.usual.set(route, known === undefined ? milliseconds : (known * (1 - USUAL_SHARE)) + (milliseconds * USUAL_SHARE));
-	}
-
 	#waitOrRefuse(service: Service, ask: Ask, now: number): readonly Effect[] {
 		const slots = countUsableSlots(service, ask, now);
 		const usual = getUsual(service, ask);
@@ -400,50 +373,6 @@
 	}
 }
 
-function getUsual(service: Service, ask: Ask): number {
-	return service.usual.get(ask.route) ?? (ask.objectiveMilliseconds * USUAL_PART);
-}
-
-function getTrialCircumstances({repeatableAt}: Service, now: number): TrialCircumstances {
-	return {now, hasRepeatable: now - repeatableAt < REPEATABLE_MILLISECONDS};
-}
-
-/**
-The place of an ask among those that wait, as a time.
-*/
-function getTurn(ask: Ask, now: number): number {
-	return now + (ask.priority * RANK_MILLISECONDS) - (ask.isResend ? RESEND_MILLISECONDS : 0);
-}
-
-function countAhead({waiting}: Service, turn: number): number {
-	return waiting.filter(present => present.turn <= turn).length;
-}
-
-function countUsableSlots(service: Service, ask: Ask, now: number): number {
-	let slots = 0;
-	for (const upstream of service.upstreams.values()) {
-		const isUsable = !upstream.candidate.isDraining
-			&& !upstream.isMisdirected
-			&& !isSuspended(upstream, now)
-			&& !ask.excluded.includes(upstream.candidate.upstream);
-		slots += isUsable ? upstream.candidate.slots : 0;
-	}
-
-	return slots;
-}
-
-function isBelowFloor(service: Service, floor: number, now: number): boolean {
-	let all = 0;
-	let suspended = 0;
-	for (const upstream of service.upstreams.values()) {
-		const counts = !upstream.candidate.isDraining && !upstream.isMisdirected;
-		all += counts ? 1 : 0;
-		suspended += counts && isSuspended(upstream, now) ? 1 : 0;
-	}
-
-	return all - suspended < Math.ceil(all * floor);
-}
-
 function refuse(ask: Ask, reason: RefusalReason, retryAfterMilliseconds: number): Effect {
 	return {
 		kind: 'refuse', ask, reason, retryAfterMilliseconds,
--- /dev/null
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -0,0 +1,115 @@
+/**
+What a dispatcher knows of one service: its upstreams, who waits, how long its requests take, and what follows from that.
+*/
+import type * as core from 'wagtailroute-core';
+import type {Ask} from './asks.ts';
+import type {Budget} from './budget.ts';
+import type {TrialCircumstances} from './choosing.ts';
+import {
+	RANK_MILLISECONDS,
+	REPEATABLE_MILLISECONDS,
+	RESEND_MILLISECONDS,
+	USUAL_PART,
+	USUAL_SHARE,
+} from './constants.ts';
+import {isSuspended, type Upstream} from './upstreams.ts';
+
+/**
+An ask that waits.
+*/
+export type Waiting = {
+	readonly ask: Ask;
+	/**
+	Those with a lower one come first.
+	*/
+	readonly turn: number;
+	readonly deadlineAt: number;
+};
+
+/**
+A service, changed in place by its dispatcher only.
+*/
+export type Service = {
+	readonly name: core.ServiceName;
+	readonly upstreams: Map<core.UpstreamId, Upstream>;
+	/**
+	By turn.
+	*/
+	readonly waiting: Waiting[];
+	/**
+	Usual milliseconds by route.
+	*/
+	readonly usual: Map<string, number>;
+	readonly budget: Budget;
+	/**
+	Time of the last request that may be repeated.
+	*/
+	repeatableAt: number;
+};
+
+/**
+Returns the usual milliseconds of requests of the ask's route.
+*/
+export function getUsual(service: Service, ask: Ask): number {
+	return service.usual.get(ask.route) ?? (ask.objectiveMilliseconds * USUAL_PART);
+}
+
+/**
+Takes a time as a measurement of what is usual on a route.
+*/
+export function learnUsual({usual}: Service, route: string, milliseconds: number): void {
+	const known = usual.get(route);
+	usual.set(route, known === undefined ? milliseconds : (known * (1 - USUAL_SHARE)) + (milliseconds * USUAL_SHARE));
+}
+
+/**
+Returns what the choice of a trial may know.
+*/
+export function getTrialCircumstances({repeatableAt}: Service, now: number): TrialCircumstances {
+	return {now, hasRepeatable: now - repeatableAt < REPEATABLE_MILLISECONDS};
+}
+
+/**
+The place of an ask among those that wait, as a time.
+*/
+export function getTurn(ask: Ask, now: number): number {
+	return now + (ask.priority * RANK_MILLISECONDS) - (ask.isResend ? RESEND_MILLISECONDS : 0);
+}
+
+/**
+Counts the asks that come before one with this turn.
+*/
+export function countAhead({waiting}: Service, turn: number): number {
+	return waiting.filter(present => present.turn <= turn).length;
+}
+
+/**
+Counts the slots, free or not, of the upstreams that could take the ask.
+*/
+export function countUsableSlots(service: Service, ask: Ask, now: number): number {
+	let slots = 0;
+	for (const upstream of service.upstreams.values()) {
+		const isUsable = !upstream.candidate.isDraining
+			&& !upstream.isMisdirected
+			&& !isSuspended(upstream, now)
+			&& !ask.excluded.includes(upstream.candidate.upstream);
+		slots += isUsable ? upstream.candidate.slots : 0;
+	}
+
+	return slots;
+}
+
+/**
+Says whether fewer upstreams than the floor's part are free of suspicion.
+*/
+export function isBelowFloor(service: Service, floor: number, now: number): boolean {
+	let all = 0;
+	let suspended = 0;
+	for (const upstream of service.upstreams.values()) {
+		const counts = !upstream.candidate.isDraining && !upstream.isMisdirected;
+		all += counts ? 1 : 0;
+		suspended += counts && isSuspended(upstream, now) ? 1 : 0;
+	}
+
+	return all - suspended < Math.ceil(all * floor);
+}
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/dispatcher-finder.test.ts
@@ -0,0 +1,75 @@
+/**
+Tests of which dispatcher is asked.
+*/
+import test from 'ava';
+import type {OpenControl} from '../../control-links.ts';
+import {createDispatcherFinder} from '../../dispatcher-finder.ts';
+import * as fixture from './fixture.ts';
+
+function createControls(count: number): readonly OpenControl[] {
+	return Array.from({length: count}, (_, index) => ({
+		host: {id: `c${index}`, address: {ip: '10.0.0.2', port: 1}}, link: fixture.createFakeLink(() => undefined),
+	}));
+}
+
+test('all hosts ask the same one, services spread', t => {
+	const context = fixture.createFakeContext();
+	const controls = createControls(5);
+	const services = Array.from({length: 50}, (_, index) => `service-${index}`);
+	const find = (order: readonly OpenControl[]) => services.map(service => createDispatcherFinder(context, () => order).find(service)?.host.id);
+	t.deepEqual(find(controls), find(controls.toReversed()));
+	t.is(new Set(find(controls)).size, 5);
+});
+
+type Case = {
+	readonly name: string;
+	/**
+	Dispatchers, from the first in the order, that did not answer in time.
+	*/
+	readonly slow: number;
+	readonly waitMilliseconds: number;
+	/**
+	Place in the order of the one that is asked.
+	*/
+	readonly asked: number | undefined;
+};
+
+const CASES: readonly Case[] = [
+	{
+		name: 'the first one', slow: 0, waitMilliseconds: 0, asked: 0,
+	},
+	{
+		name: 'the next one after the first did not answer', slow: 1, waitMilliseconds: 0, asked: 1,
+	},
+	{
+		// Symptom: for seconds after all control hosts lost power, each request waits a quarter of a second or more.
+		// Sequence: their links stay open and silent; each ask runs into its time limit at one after the other.
+		// Cause: the silence of most said nothing about the rest.
+		name: 'none when most did not answer', slow: 3, waitMilliseconds: 0, asked: undefined,
+	},
+	{
+		name: 'the first one again after a while', slow: 3, waitMilliseconds: 1000, asked: 0,
+	},
+];
+
+for (const {name, slow, waitMilliseconds, asked} of CASES) {
+	test(`asks ${name}`, async t => {
+		const context = fixture.createFakeContext();
+		const controls = createControls(5);
+		const finder = createDispatcherFinder(context, () => controls);
+		const order: Array<string | undefined> = [];
+		const left = [...controls];
+		while (left.length > 0) {
+			const first = createDispatcherFinder(context, () => left).find('archive')!;
+			order.push(first.host.id);
+			left.splice(left.indexOf(first), 1);
+		}
+
+		for (const id of order.slice(0, slow)) {
+			finder.noteSlow(controls.find(control => control.host.id === id)!);
+		}
+
+		await context.pass(waitMilliseconds);
+		t.is(finder.find('archive')?.host.id, asked === undefined ? undefined : order[asked]);
+	});
+}
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -9,12 +9,7 @@
 import * as dispatch from 'wagtailroute-dispatch';
 import type * as link from 'wagtailroute-link';
 import type * as utils from 'wagtailroute-utils';
-import {
-	ASK_MILLISECONDS,
-	DISPATCH_TICK_MILLISECONDS,
-	SILENT_DISPATCHER_MILLISECONDS,
-	SLOW_DISPATCHER_MILLISECONDS,
-} from './constants.ts';
+import {ASK_MILLISECONDS, DISPATCH_TICK_MILLISECONDS} from './constants.ts';
 import {
 	createAskId,
 	createRouteNumbers,
@@ -29,7 +24,7 @@
 } from './ask-wire.ts';
 import type {FleetContext} from './context.ts';
 import type {OpenControl} from './control-links.ts';
-import {orderDispatchers} from './dispatch-order.ts';
+import {createDispatcherFinder, type DispatcherFinder} from './dispatcher-finder.ts';
 import {toAnswer} from './dispatching.ts';
 import {
 	type AskAnswer,
@@ -130,7 +125,7 @@
 	The link that each service's last ask went over.
 	*/
 	readonly #lastLinks = new Map<core.ServiceName, link.Link>();
-	readonly #slowUntil = new Map<link.Link, number>();
+	readonly #finder: DispatcherFinder;
 	readonly #routeNumbers = createRouteNumbers();
 	#count = 0;
 	readonly #localServices = new Set<core.ServiceName>();
@@ -145,6 +140,7 @@
 	constructor(context: FleetContext, plan: AskingPlan) {
 		this.#context = context;
 		this.#plan = plan;
+		this.#finder = createDispatcherFinder(context, plan.getOpen);
 		this.#local = dispatch.createDispatcher({
 			// The budget is the whole fleet's: a host that dispatches alone takes no more than its own requests give it.
 			budget: {...plan.settings.budget, extra: 2},
@@ -199,7 +195,6 @@
 	}
 
 	loseControl(control: OpenControl): void {
-		this.#slowUntil.delete(control.link);
 		for (const pending of this.#pending.values().filter(({dispatcher}) => dispatcher?.link === control.link)) {
 			this.#askLocal(pending, 'link-lost');
 		}
@@ -222,7 +217,7 @@
 
 	async #start(pending: Pending): Promise<void> {
 		const {ask} = pending;
-		const dispatcher = this.#findDispatcher(ask.service);
+		const dispatcher = this.#finder.find(ask.service);
 		if (dispatcher === undefined) {
 			this.#askLocal(pending, 'no-dispatcher');
 			return;
@@ -240,22 +235,12 @@
 			return;
 		}
 
-		this.#slowUntil.set(dispatcher.link, this.#context.now() + SLOW_DISPATCHER_MILLISECONDS);
+		this.#finder.noteSlow(dispatcher);
 		// Should it answer after all, the place is given back.
 		notifyGivenUp(dispatcher.link, ask);
 		this.#askLocal(pending, answer.error.kind);
 	}
 
-	#findDispatcher(service: core.ServiceName): OpenControl | undefined {
-		const now = this.#context.now();
-		const open = this.#plan.getOpen();
-		const answering = open.filter(control => (this.#slowUntil.get(control.link) ?? -Infinity) <= now);
-		// Most did not answer in time: the others will not either, and each request that tries loses a quarter of a second.
-		const candidates = answering.length * 2 < open.length ? [] : answering;
-		return orderDispatchers(service, candidates, control => control.host.id)
-			.find(control => control.link.getSilence() < SILENT_DISPATCHER_MILLISECONDS);
-	}
-
 	/**
 	A dispatcher that this host turns to anew does not know what is under way from here.
 	*/
