Write timers, the usual time and the taking of relayed heartbeats once; drop what nobody calls

Read over once more: timers with a teardown stood in two contexts, the usual part of an objective in two packages, the loop over relayed heartbeats twice in one module, the first look at a service twice in another; a refusal reported its service's upstreams twice, at the moment of overload; a query of the dispatcher had no caller.

--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -110,7 +110,6 @@
 	readonly tick: (now: number) => readonly Effect[];
 	readonly getWaiting: () => number;
 	readonly report: (service: core.ServiceName, now: number) => readonly UpstreamReport[];
-	readonly getServices: () => readonly core.ServiceName[];
 };
 
 /**
@@ -256,10 +255,6 @@
 		}));
 	}
 
-	getServices(): readonly core.ServiceName[] {
-		return this.#services.keys().toArray();
-	}
-
 	#chooseInTurn(service: Service, ask: Ask, now: number): Choice | undefined {
 		return countAhead(service, getTurn(ask, now)) > 0 ? undefined : choose(service.upstreams.values(), ask, this.#getCircumstances(now));
 	}
--- a/packages/wagtailroute-dispatch/src/index.ts
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -17,3 +17,4 @@
 	type UpstreamReport,
 } from './dispatcher.ts';
 export type {BudgetSettings} from './budget.ts';
+export {USUAL_PART} from './constants.ts';
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -143,11 +143,6 @@
 */
 export const STOP_MARGIN_MILLISECONDS = 600;
 
-/**
-Usual time of a request whose route was not measured, as a part of its latency objective.
-*/
-export const USUAL_PART = 0.25;
-
 /**
 Milliseconds after its last ask for which a host is told what a dispatcher believes.
 */
--- a/packages/wagtailroute-fleet/src/context.ts
+++ b/packages/wagtailroute-fleet/src/context.ts
@@ -41,17 +41,7 @@
 			output: process.stdout, level, now, fields: {host: hostId},
 		}),
 		metrics: telemetry.createMetrics(),
-		schedule(milliseconds, run) {
-			const timer = setTimeout(run, milliseconds);
-			return () => {
-				clearTimeout(timer);
-			};
-		},
-		repeat(milliseconds, run) {
-			const timer = setInterval(run, milliseconds);
-			return () => {
-				clearInterval(timer);
-			};
-		},
+		schedule: utils.schedule,
+		repeat: utils.repeat,
 	};
 }
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -93,6 +93,7 @@
 	};
 
 	const logRefusal = ({ask, reason, retryAfterMilliseconds}: Extract<dispatch.Effect, {kind: 'refuse'}>) => {
+		const upstreams = dispatcher.report(ask.service, now());
 		metrics.count('refusals', {service: ask.service, reason});
 		log.warn('Ask refused.', {
 			id: ask.id,
@@ -101,8 +102,8 @@
 			remainingMilliseconds: Math.round(ask.remainingMilliseconds),
 			retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
 			waiting: dispatcher.getWaiting(),
-			upstreams: dispatcher.report(ask.service, now()).length,
-			suspended: dispatcher.report(ask.service, now()).filter(upstream => upstream.isSuspended).length,
+			upstreams: upstreams.length,
+			suspended: upstreams.filter(upstream => upstream.isSuspended).length,
 		});
 	};
 
@@ -122,16 +123,25 @@
 		carryOut(dispatcher.setCandidates(service, plan.listCandidates(service), now()));
 	};
 
+	/**
+	Takes the instances of a service that is asked for the first time.
+	*/
+	const learn = (service: core.ServiceName) => {
+		if (known.has(service)) {
+			return;
+		}
+
+		known.add(service);
+		refresh(service);
+	};
+
 	metrics.registerGauge('asks_waiting', () => dispatcher.getWaiting());
 	const teardown = context.repeat(DISPATCH_TICK_MILLISECONDS, () => {
 		carryOut(dispatcher.tick(now()));
 	});
 	return {
 		ask(ask) {
-			if (!known.has(ask.service)) {
-				known.add(ask.service);
-				refresh(ask.service);
-			}
+			learn(ask.service);
 
 			noteAsker(ask);
 			const list = dispatcher.ask(ask, now());
@@ -155,10 +165,7 @@
 			carryOut(dispatcher.end(id, {ending, milliseconds}, now()));
 		},
 		hold(host, {service, places}) {
-			if (!known.has(service)) {
-				known.add(service);
-				refresh(service);
-			}
+			learn(service);
 
 			dispatcher.hold(host, service, places, now());
 		},
--- a/packages/wagtailroute-fleet/src/registry.ts
+++ b/packages/wagtailroute-fleet/src/registry.ts
@@ -156,6 +156,12 @@
 		return reception;
 	};
 
+	const receiveRelayed = (heartbeats: readonly RelayedHeartbeat[]) => {
+		for (const {ageMilliseconds, ...heartbeat} of heartbeats) {
+			receive(heartbeat, now() - ageMilliseconds);
+		}
+	};
+
 	/**
 	Silence alone takes no upstream out: it only ends the trials of one that failed as well.
 	*/
@@ -201,9 +207,7 @@
 			return reception;
 		},
 		takeRelayed(batch) {
-			for (const {ageMilliseconds, ...heartbeat} of batch.news) {
-				receive(heartbeat, now() - ageMilliseconds);
-			}
+			receiveRelayed(batch.news);
 
 			for (const [upstream, sequence, age] of batch.refreshed) {
 				// One that is unknown here comes with the list that is fetched when a link opens.
@@ -215,10 +219,7 @@
 		},
 		async catchUp(from) {
 			const answer = await from.call(METHODS.listInstances, {}, FETCH_MILLISECONDS);
-			const {heard} = answer.isOk() ? answer.value as InstanceNews : {heard: []};
-			for (const {ageMilliseconds, ...heartbeat} of heard) {
-				receive(heartbeat, now() - ageMilliseconds);
-			}
+			receiveRelayed(answer.isOk() ? (answer.value as InstanceNews).heard : []);
 		},
 		retire({upstream, state}) {
 			const service = table.get(upstream)?.service;
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -1,11 +1,10 @@
 /**
 What an entry host holds for a request of a route: its limits, and the attempts that a dispatcher gives it places for.
 */
-import type * as dispatch from 'wagtailroute-dispatch';
+import * as dispatch from 'wagtailroute-dispatch';
 import * as generations from 'wagtailroute-generations';
 import * as proxy from 'wagtailroute-proxy';
 import type {AskDraft, Asking} from './asking.ts';
-import {USUAL_PART} from './constants.ts';
 import type {FleetContext} from './context.ts';
 import type {Knowledge} from './knowledge.ts';
 
@@ -112,7 +111,7 @@
 		retry: {
 			hasBudget: () => true,
 			spend: () => undefined,
-			getUsualMilliseconds: () => route.objectiveMilliseconds * USUAL_PART,
+			getUsualMilliseconds: () => route.objectiveMilliseconds * dispatch.USUAL_PART,
 		},
 	};
 }
--- a/packages/wagtailroute-host/src/host.ts
+++ b/packages/wagtailroute-host/src/host.ts
@@ -162,18 +162,8 @@
 		metrics,
 		now: () => performance.now(),
 		random: utils.createRandom(crypto.randomInt(2 ** 31)),
-		schedule(milliseconds, run) {
-			const timer = setTimeout(run, milliseconds);
-			return () => {
-				clearTimeout(timer);
-			};
-		},
-		repeat(milliseconds, run) {
-			const timer = setInterval(run, milliseconds);
-			return () => {
-				clearInterval(timer);
-			};
-		},
+		schedule: utils.schedule,
+		repeat: utils.repeat,
 		disk: fakes.disk,
 		fail(error) {
 			logs('host').error('Defect, the process ends.', {error: error.stack});
--- a/packages/wagtailroute-utils/src/index.ts
+++ b/packages/wagtailroute-utils/src/index.ts
@@ -4,6 +4,7 @@
 export {BrokenInvariant, invariant} from './invariant.ts';
 export {closeServer, listen, type ListenAddress} from './listening.ts';
 export {mergeTeardowns, type Teardown} from './teardown.ts';
+export {repeat, schedule} from './timers.ts';
 export {
 	createRandom,
 	pickIndex,
