Let callers with uploads enter where upstreams are well; name as many entry hosts as the load needs

So the directory names entry hosts of another failure domain while the caller's own has no usable upstream for its uploads. Control hosts hear what the dispatcher believes, which also is what the next dispatcher begins from.

So hosts report their load, and the directory widens until it is a quarter on each; it begins with all and narrows slowly.

--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -74,10 +74,12 @@
 */
 export type UpstreamReport = {
 	readonly upstream: core.UpstreamId;
+	readonly failureDomain: core.FailureDomain;
 	readonly taken: number;
 	readonly slots: number;
 	readonly doubt: number;
 	readonly isSuspended: boolean;
+	readonly isDraining: boolean;
 };
 
 /**
@@ -248,10 +250,12 @@
 		const upstreams = this.#services.get(service)?.upstreams.values().toArray() ?? [];
 		return upstreams.map(upstream => ({
 			upstream: upstream.candidate.upstream,
+			failureDomain: upstream.candidate.failureDomain,
 			taken: upstream.places.size,
 			slots: upstream.candidate.slots,
 			doubt: getDoubt(upstream, now),
 			isSuspended: isSuspended(upstream, now),
+			isDraining: upstream.candidate.isDraining,
 		}));
 	}
 
--- a/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
@@ -51,6 +51,7 @@
 			budget: {ratio: 0.2, extra: 10, windowMilliseconds: 10_000},
 			floor: 0.7,
 			trafficAddress: {ip: '10.0.0.3', port: 1},
+			linkBytesPerSecond: 1_000_000,
 			stopMilliseconds: 6000,
 		},
 		getOpen: () => [control],
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/directory-width.test.ts
@@ -0,0 +1,36 @@
+/**
+Tests of how many entry hosts the directory names.
+*/
+import test from 'ava';
+import {ADDRESSES_LEAST, ADDRESSES_MOST, NARROWING_MILLISECONDS} from '../../constants.ts';
+import {adaptWidth} from '../../directory-width.ts';
+
+const TWENTY = 20;
+const idle = (hosts: number) => Array.from({length: hosts}, () => 0);
+
+const CASES = [
+	{
+		name: 'all hosts when nothing is known yet', previous: undefined, loads: idle(TWENTY), now: 0, hosts: TWENTY,
+	},
+	{
+		name: 'half of them after a while without load', previous: {hosts: TWENTY, at: 0}, loads: idle(TWENTY), now: NARROWING_MILLISECONDS, hosts: 10,
+	},
+	{
+		name: 'the least in the end', previous: {hosts: TWENTY, at: 0}, loads: idle(TWENTY), now: NARROWING_MILLISECONDS * 10, hosts: ADDRESSES_LEAST,
+	},
+	{
+		// Symptom: on small hosts every answer takes more than a second, two thirds of the requests miss their deadline.
+		// Sequence: traffic starts; three hosts a failure domain carry all of it, the other seventeen idle.
+		// Cause: the directory named a fixed number of hosts whatever their load.
+		name: 'more at once when the few are loaded', previous: {hosts: 3, at: 0}, loads: [1, 1, 0.5, ...idle(17)], now: 100, hosts: 10,
+	},
+	{
+		name: 'no more than callers take', previous: {hosts: 3, at: 0}, loads: Array.from({length: 300}, () => 1), now: 100, hosts: ADDRESSES_MOST,
+	},
+];
+
+for (const {name, previous, loads, now, hosts} of CASES) {
+	test(`the directory names ${name}`, t => {
+		t.deepEqual(adaptWidth(previous, loads, now), {hosts, at: now});
+	});
+}
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -102,9 +102,45 @@
 export const ADDRESS_TTL_SECONDS = 2;
 
 /**
-Entry hosts of a failure domain that the directory names. Few, so that their connections to upstreams are reused.
+Entry hosts of a failure domain that the directory names at least: one may be frozen and another one stopping.
 */
-export const ADDRESSES_A_DOMAIN = 3;
+export const ADDRESSES_LEAST = 3;
+
+/**
+The same at most: what callers take from an answer.
+*/
+export const ADDRESSES_MOST = 64;
+
+/**
+Load of an entry host that is aimed at, as a part of its processor or link: with three times as much in a burst, and the hosts of a lost
+failure domain missing besides, nothing waits yet.
+*/
+export const TARGET_LOAD = 0.25;
+
+/**
+Milliseconds in which the number of entry hosts that the directory names shrinks to half, when less are needed.
+*/
+export const NARROWING_MILLISECONDS = 5000;
+
+/**
+Milliseconds between two measurements of an entry host's load.
+*/
+export const LOAD_MILLISECONDS = 1000;
+
+/**
+Share of a new measurement of load that is lower than the one before.
+*/
+export const LOAD_SHARE = 0.3;
+
+/**
+Change of load that the control hosts are told: a message costs as much as a request's.
+*/
+export const LOAD_STEP = 0.05;
+
+/**
+Milliseconds in a second.
+*/
+export const MILLISECONDS_PER_SECOND = 1000;
 
 /**
 Milliseconds of silence after which the directory no longer names an entry host of its own failure domain: two pings were missed.
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -11,6 +11,7 @@
 import {startControlLinks} from './control-links.ts';
 import {createAskMethods} from './ask-methods.ts';
 import {startDispatching} from './dispatching.ts';
+import {chooseEntryDomain, createUploadServiceFinder, type UploadServiceFinder} from './entry-domain.ts';
 import {createEntryHosts, describeEntryHost} from './entry-hosts.ts';
 import type {FleetContext} from './context.ts';
 import {createInstanceStore} from './instance-store.ts';
@@ -47,8 +48,10 @@
 	readonly readGeneration: () => Promise<results.Result<string | undefined, LeaderFailure>>;
 	/**
 	Returns the addresses of entry hosts for a caller.
+
+	@param host Host name that the caller is going to use.
 	*/
-	readonly listAddresses: (failureDomain: core.FailureDomain) => readonly core.Address[];
+	readonly listAddresses: (failureDomain: core.FailureDomain, host: string) => readonly core.Address[];
 	readonly addSeeds: (seeds: readonly ControlHost[]) => void;
 	readonly close: () => Promise<void>;
 };
@@ -59,7 +62,7 @@
 export async function startControl(context: FleetContext, settings: ControlSettings): Promise<Control> {
 	const log = context.logs('control');
 	const self: ControlHost = {id: settings.hostId, address: settings.linkAddress, failureDomain: settings.failureDomain};
-	const entries = createEntryHosts(settings.failureDomain);
+	const entries = createEntryHosts(settings.failureDomain, context.now);
 	const methods = new Map<string, link.LinkMethod>();
 	const registry = startRegistry(context, {
 		tellControls(method, parameters) {
@@ -76,7 +79,11 @@
 		notify(host, method, parameters) {
 			entries.find(host)?.link.notify(method, parameters);
 		},
+		tellControls(method, parameters) {
+			links.notifyAll(method, parameters);
+		},
 	});
+	let findUploadService: UploadServiceFinder = () => undefined;
 	const listControls = () => [self, ...links.getOpen().map(open => open.host)];
 	const getVersion = () => group.getStored()?.generation.version ?? 0;
 
@@ -103,9 +110,9 @@
 			return {failureDomain: settings.failureDomain, controls: listControls(), version: getVersion()} satisfies messages.Welcome;
 		},
 		[messages.METHODS.state](state: messages.EntryState, from: link.Link) {
-			const host = entries.setState(from, state);
-			if (host !== undefined) {
-				log.info('Entry host changed.', describeEntryHost({...host, state}));
+			const before = entries.setState(from, state);
+			if (before !== undefined && before.state.isReady !== state.isReady) {
+				log.info('Entry host changed.', describeEntryHost({...before, state}));
 			}
 		},
 		[messages.METHODS.controls](controls: readonly ControlHost[]) {
@@ -123,6 +130,7 @@
 			registry.follow(from);
 			return registry.describeAll();
 		},
+		[messages.METHODS.believe]: dispatching.hearBelief,
 		...createAskMethods(dispatching, entries.findByLink),
 	});
 	const links = startControlLinks(context, {
@@ -146,6 +154,7 @@
 		getKnown: () => links.getOpen().map(open => open.host.id),
 		onGeneration(generation) {
 			log.info('Generation in force.', {version: generation.version, routes: generation.routes.length});
+			findUploadService = createUploadServiceFinder(generation);
 			entries.notifyAll(messages.METHODS.generationVersion, {version: generation.version});
 		},
 		onRetired(retirements) {
@@ -201,7 +210,10 @@
 			const read = await readFromLeader(calls);
 			return read.map(document => document ?? undefined);
 		},
-		listAddresses: entries.listAddresses,
+		listAddresses(failureDomain, host) {
+			const service = findUploadService(host);
+			return entries.listAddresses(service === undefined ? failureDomain : chooseEntryDomain(failureDomain, dispatching.report(service)));
+		},
 		addSeeds: links.addSeeds,
 		async close() {
 			teardown();
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -25,6 +25,14 @@
 	readonly end: (end: GrantEnd) => void;
 	readonly hold: (host: core.HostId, holding: Holding) => void;
 	/**
+	Takes what the dispatcher on another control host believes.
+	*/
+	readonly hearBelief: (belief: Belief) => void;
+	/**
+	Returns what is known of a service's upstreams, by this dispatcher or by the one that told it.
+	*/
+	readonly report: (service: core.ServiceName) => readonly dispatch.UpstreamReport[];
+	/**
 	Takes the instances of a service anew, if it was ever asked for.
 	*/
 	readonly refresh: (service: core.ServiceName) => void;
@@ -41,6 +49,10 @@
 	Sends to an entry host, if it has a link.
 	*/
 	readonly notify: (host: core.HostId, method: string, parameters: unknown) => void;
+	/**
+	Sends to the other control hosts: the next dispatcher of the service is one of them, and each answers callers' look-ups.
+	*/
+	readonly tellControls: (method: string, parameters: unknown) => void;
 };
 
 type Effects = {
@@ -86,9 +98,12 @@
 			log.info(isSuspended ? 'Upstream suspended.' : 'Upstream readmitted.', {
 				service, upstream, doubt, cause,
 			});
+			const belief: Belief = {service, upstream, doubt};
 			for (const host of listAskers(service)) {
-				plan.notify(host, METHODS.believe, {service, upstream, doubt} satisfies Belief);
+				plan.notify(host, METHODS.believe, belief);
 			}
+
+			plan.tellControls(METHODS.believe, belief);
 		},
 	};
 
@@ -142,7 +157,6 @@
 	return {
 		ask(ask) {
 			learn(ask.service);
-
 			noteAsker(ask);
 			const list = dispatcher.ask(ask, now());
 			const own = list.find(effect => effect.kind !== 'believe' && effect.ask.id === ask.id);
@@ -166,9 +180,16 @@
 		},
 		hold(host, {service, places}) {
 			learn(service);
-
 			dispatcher.hold(host, service, places, now());
 		},
+		hearBelief({service, upstream, doubt}) {
+			learn(service);
+			dispatcher.setDoubt(service, upstream, doubt, now());
+		},
+		report(service) {
+			learn(service);
+			return dispatcher.report(service, now());
+		},
 		refresh(service) {
 			if (known.has(service)) {
 				refresh(service);
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/entry-domain.ts
@@ -0,0 +1,68 @@
+/**
+In which failure domain a caller had best enter.
+
+Its own, as a rule. But where every upstream of its own failure domain that takes its uploads is suspended, each upload would
+cross to another failure domain behind the entry host. The caller is as near to that failure domain as to its own: it enters
+there instead, and its large bodies go to an upstream next to its entry host.
+*/
+import type * as core from 'wagtailroute-core';
+import type * as dispatch from 'wagtailroute-dispatch';
+import type * as generations from 'wagtailroute-generations';
+
+/**
+Finds the service that takes most uploads for a host name; undefined for a host without such routes.
+
+@param host Host name in any case, without its port.
+*/
+export type UploadServiceFinder = (host: string) => core.ServiceName | undefined;
+
+/**
+Creates the finder of a generation.
+*/
+export function createUploadServiceFinder({routes}: generations.Generation): UploadServiceFinder {
+	const services = new Map<string, core.ServiceName>();
+	for (const route of routes) {
+		const host = route.host.toLowerCase();
+		if (route.class !== 'upload' || services.has(host)) {
+			continue;
+		}
+
+		const heaviest = route.shares.toSorted((left, right) => right.weight - left.weight)[0]!;
+		services.set(host, heaviest.service);
+	}
+
+	return host => services.get(host.toLowerCase());
+}
+
+/**
+Chooses where a caller enters.
+
+@param own The caller's failure domain.
+@param upstreams Those of the service that takes its uploads.
+*/
+export function chooseEntryDomain(own: core.FailureDomain, upstreams: readonly dispatch.UpstreamReport[]): core.FailureDomain {
+	const slots = countUsableSlots(upstreams);
+	if (slots.has(own)) {
+		return own;
+	}
+
+	let best = own;
+	let most = 0;
+	for (const [failureDomain, count] of slots) {
+		best = count > most ? failureDomain : best;
+		most = Math.max(most, count);
+	}
+
+	return best;
+}
+
+function countUsableSlots(upstreams: readonly dispatch.UpstreamReport[]): ReadonlyMap<core.FailureDomain, number> {
+	const slots = new Map<core.FailureDomain, number>();
+	for (const {failureDomain, isSuspended, isDraining, slots: count} of upstreams) {
+		if (!isSuspended && !isDraining) {
+			slots.set(failureDomain, (slots.get(failureDomain) ?? 0) + count);
+		}
+	}
+
+	return slots;
+}
--- a/packages/wagtailroute-fleet/src/entry-hosts.ts
+++ b/packages/wagtailroute-fleet/src/entry-hosts.ts
@@ -1,12 +1,13 @@
 /**
 The entry hosts that have a link to this control host, and the answer of the directory.
 
-The directory names a few entry hosts of the caller's failure domain, the same few for all callers: their connections to
-upstreams are used again and again. The others are at hand for when one of these goes.
+The directory names some entry hosts of the caller's failure domain, the same for all callers, as many as the load needs. The
+others are at hand for when one of these goes.
 */
 import * as core from 'wagtailroute-core';
 import type * as link from 'wagtailroute-link';
-import {ADDRESSES_A_DOMAIN, SILENT_ENTRY_MILLISECONDS, SILENT_FAR_ENTRY_MILLISECONDS} from './constants.ts';
+import {SILENT_ENTRY_MILLISECONDS, SILENT_FAR_ENTRY_MILLISECONDS} from './constants.ts';
+import {adaptWidth, type Width} from './directory-width.ts';
 import {orderDispatchers} from './dispatch-order.ts';
 import type {EntryState} from './messages.ts';
 
@@ -41,8 +42,10 @@
 Creates an empty table.
 
 @param own Failure domain of this control host.
+@param now Monotonic time in milliseconds.
 */
-export function createEntryHosts(own: core.FailureDomain): EntryHosts {
+export function createEntryHosts(own: core.FailureDomain, now: () => number): EntryHosts {
+	const widths = new Map<core.FailureDomain, Width>();
 	const byLink = new Map<link.Link, EntryHost>();
 	const byId = new Map<core.HostId, EntryHost>();
 
@@ -51,6 +54,11 @@
 		byId.set(host.id, host);
 	};
 
+	const isServing = (host: EntryHost) => {
+		const silence = host.failureDomain === own ? SILENT_ENTRY_MILLISECONDS : SILENT_FAR_ENTRY_MILLISECONDS;
+		return host.state.isReady && host.link.getSilence() < silence;
+	};
+
 	return {
 		add: set,
 		setState(of, state) {
@@ -80,12 +88,14 @@
 		},
 		count: () => byId.size,
 		listAddresses(failureDomain) {
-			const serving = byId.values()
-				.filter(host => host.state.isReady && host.link.getSilence() < (host.failureDomain === own ? SILENT_ENTRY_MILLISECONDS : SILENT_FAR_ENTRY_MILLISECONDS))
-				.toArray();
+			const serving = byId.values().filter(host => isServing(host)).toArray();
 			const near = serving.filter(host => host.failureDomain === failureDomain);
-			const ordered = orderDispatchers('directory', near.length > 0 ? near : serving, host => host.id);
-			return ordered.slice(0, ADDRESSES_A_DOMAIN).map(host => host.state.trafficAddress);
+			const chosen = near.length > 0 ? near : serving;
+			const width = adaptWidth(widths.get(failureDomain), chosen.map(host => host.state.load), now());
+			widths.set(failureDomain, width);
+			return orderDispatchers('directory', chosen, host => host.id)
+				.slice(0, Math.ceil(width.hosts))
+				.map(host => host.state.trafficAddress);
 		},
 	};
 }
@@ -94,5 +104,7 @@
 Writes a host for the log.
 */
 export function describeEntryHost({id, state}: EntryHost): Readonly<Record<string, unknown>> {
-	return {entry: id, address: core.formatAddress(state.trafficAddress), isReady: state.isReady};
+	return {
+		entry: id, address: core.formatAddress(state.trafficAddress), isReady: state.isReady, load: state.load,
+	};
 }
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -11,12 +11,14 @@
 import {startAsking} from './asking.ts';
 import {
 	ACCEPTING_PART,
+	LOAD_STEP,
 	STOP_MARGIN_MILLISECONDS,
 	UPSTREAM_CONNECT_MILLISECONDS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
 import {startControlLinks} from './control-links.ts';
 import {createKnowledge} from './knowledge.ts';
+import {startLoadMeter} from './load.ts';
 import * as messages from './messages.ts';
 import {createRouter} from './routing.ts';
 import type {ControlHost, EntrySettings} from './settings.ts';
@@ -42,6 +44,7 @@
 export async function startEntry(context: FleetContext, settings: EntrySettings, dialect: proxy.Dialect): Promise<Entry> {
 	const log = context.logs('entry');
 	let isStopping = false;
+	let getTrafficBytes = () => 0;
 	const knowledge = createKnowledge(context, {
 		failureDomain: settings.failureDomain,
 		getOpen: () => links.getOpen(),
@@ -53,11 +56,12 @@
 		},
 	});
 	const isReady = () => !isStopping && knowledge.getGeneration() !== undefined;
-	const getState = (): messages.EntryState => ({trafficAddress: settings.trafficAddress, isReady: isReady()});
+	const getState = (): messages.EntryState => ({trafficAddress: settings.trafficAddress, isReady: isReady(), load: meter.getLoad()});
 	let told: messages.EntryState | undefined;
 	const tellState = () => {
 		const state = getState();
-		if (state.isReady === told?.isReady) {
+		const isSame = state.isReady === told?.isReady && Math.abs(state.load - told.load) < LOAD_STEP;
+		if (isSame) {
 			return;
 		}
 
@@ -65,6 +69,13 @@
 		links.notifyAll(messages.METHODS.state, state);
 	};
 
+	const meter = startLoadMeter(context, {
+		getBusyMilliseconds: () => performance.eventLoopUtilization().active,
+		getBytes: () => getTrafficBytes(),
+		linkBytesPerSecond: settings.linkBytesPerSecond,
+		onMeasured: tellState,
+	});
+
 	const findControl = (from: link.Link) => links.getOpen().find(open => open.link === from);
 	const methods: link.LinkMethods = new Map<string, link.LinkMethod>(Object.entries({
 		[messages.METHODS.controls](controls: readonly ControlHost[]) {
@@ -125,10 +136,11 @@
 		connectMilliseconds: UPSTREAM_CONNECT_MILLISECONDS,
 		note: createNoting(context),
 	});
+	getTrafficBytes = traffic.getBytes;
 	context.metrics.registerGauge('requests_in_flight', traffic.getInFlight);
 	context.metrics.registerGauge('generation_version', () => knowledge.getGeneration()?.version ?? 0);
 	log.info('Host started.', {traffic: core.formatAddress(settings.trafficAddress), seeds: settings.seeds.map(seed => seed.id)});
-	const teardown = utils.mergeTeardowns(links.close, asking.teardown);
+	const teardown = utils.mergeTeardowns(links.close, asking.teardown, meter.teardown);
 	return {
 		isReady,
 		addSeeds: links.addSeeds,
@@ -165,6 +177,7 @@
 		const line = {
 			request: note.requestId,
 			service,
+			class: note.requestClass,
 			outcome,
 			status,
 			milliseconds: Math.round(milliseconds),
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/load.ts
@@ -0,0 +1,63 @@
+/**
+How loaded this host is: the busier of its loop and its link.
+*/
+import type * as utils from 'wagtailroute-utils';
+import {LOAD_MILLISECONDS, LOAD_SHARE, MILLISECONDS_PER_SECOND} from './constants.ts';
+import type {FleetContext} from './context.ts';
+
+/**
+Measures the load again and again.
+*/
+export type LoadMeter = {
+	/**
+	Returns the part of what the host can do that is in use, 0 and up.
+	*/
+	readonly getLoad: () => number;
+	readonly teardown: utils.Teardown;
+};
+
+/**
+What is measured.
+*/
+export type LoadMeterPlan = {
+	/**
+	Milliseconds so far in which the loop was at work.
+	*/
+	readonly getBusyMilliseconds: () => number;
+	/**
+	Bytes so far in each direction of the link.
+	*/
+	readonly getBytes: () => number;
+	/**
+	What the link carries in each direction.
+	*/
+	readonly linkBytesPerSecond: number;
+	readonly onMeasured: () => void;
+};
+
+/**
+Starts measuring.
+*/
+export function startLoadMeter(context: FleetContext, plan: LoadMeterPlan): LoadMeter {
+	const {now} = context;
+	const look = () => ({at: now(), busy: plan.getBusyMilliseconds(), bytes: plan.getBytes()});
+	let last = look();
+	let load = 0;
+	const measure = () => {
+		const next = look();
+		const milliseconds = Math.max(1, next.at - last.at);
+		const busy = (next.busy - last.busy) / milliseconds;
+		const sent = (next.bytes - last.bytes) * MILLISECONDS_PER_SECOND / milliseconds / plan.linkBytesPerSecond;
+		const present = Math.max(busy, sent);
+		// Growth counts at once: callers keep an answer for seconds.
+		load = present > load ? present : (load * (1 - LOAD_SHARE)) + (present * LOAD_SHARE);
+		last = next;
+		plan.onMeasured();
+	};
+
+	context.metrics.registerGauge('load', () => load);
+	return {
+		getLoad: () => load,
+		teardown: context.repeat(LOAD_MILLISECONDS, measure),
+	};
+}
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -43,6 +43,10 @@
 	It has a generation, and is not stopping.
 	*/
 	readonly isReady: boolean;
+	/**
+	Part of its processor or link that is in use, whichever is more, 0 and up.
+	*/
+	readonly load: number;
 };
 
 /**
--- a/packages/wagtailroute-fleet/src/settings.ts
+++ b/packages/wagtailroute-fleet/src/settings.ts
@@ -42,6 +42,10 @@
 export type EntrySettings = FleetSettings & {
 	readonly trafficAddress: core.Address;
 	/**
+	What the host's link carries in each direction.
+	*/
+	readonly linkBytesPerSecond: number;
+	/**
 	Milliseconds from the signal to stop to the end.
 	*/
 	readonly stopMilliseconds: number;
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -32,6 +32,10 @@
 	*/
 	readonly getInFlight: () => number;
 	/**
+	Bytes of ended requests and their answers so far, as callers' connections carried them.
+	*/
+	readonly getBytes: () => number;
+	/**
 	Takes no new connections, finishes every request in flight, then closes.
 	*/
 	readonly drain: () => Promise<void>;
@@ -43,7 +47,9 @@
 export async function openTrafficServer(address: core.Address, ports: TrafficPorts): Promise<TrafficServer> {
 	const connections = createConnections(ports.connectMilliseconds);
 	const inFlightOn = new WeakMap<net.Socket, number>();
+	const countedOn = new WeakMap<net.Socket, number>();
 	let inFlight = 0;
+	let bytes = 0;
 	let isClosing = false;
 	const server = http.createServer({
 		maxHeaderSize: HEADER_BYTES,
@@ -57,6 +63,9 @@
 		inFlightOn.set(socket, (inFlightOn.get(socket) ?? 0) + 1);
 		response.once('close', () => {
 			inFlight--;
+			const carried = socket.bytesRead + socket.bytesWritten;
+			bytes += carried - (countedOn.get(socket) ?? 0);
+			countedOn.set(socket, carried);
 			inFlightOn.set(socket, (inFlightOn.get(socket) ?? 1) - 1);
 			if (isClosing) {
 				// The answer may have begun before the drain and kept its connection: Node closes what is idle only once, at the
@@ -84,6 +93,7 @@
 		connections,
 		address: listening,
 		getInFlight: () => inFlight,
+		getBytes: () => bytes,
 		async drain() {
 			// Closes idle connections now and the others after their answer.
 			isClosing = true;
