Close connections to addresses that are gone, bound tables of ended instances, take catalogues beyond a megabyte

Each address that was ever used kept its pool of connections; tables of retirements grew for as long as a process ran; the engine refused commands beyond 1 MB, 46,000 routes with their document take 23 MB. Change: an entry host closes pools of addresses that no instance has, 5 s after a change; tables keep the newest 4,096; the bound on a command is a setting of its group. What ran once for several askers stood three times, now in utils (coalesce).

--- a/packages/wagtailroute-fleet/src/__tests__/unit/knowledge.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/knowledge.test.ts
@@ -92,3 +92,17 @@
 	t.true(knowledge.listCandidates('archive')[0]?.isDraining);
 	t.true(knowledge.isRetired('u'));
 });
+
+test('an address is known for as long as an instance has it', async t => {
+	// Symptom: the memory of an entry host grows for as long as it runs.
+	// Sequence: upstreams are replaced all day, each at an address of its own.
+	// Cause: the connections to addresses that were gone were kept; nobody told that they were.
+	const {context, knowledge} = setUp([1]);
+	knowledge.follow();
+	await context.pass(10);
+	t.deepEqual([...knowledge.listAddresses()], ['10.0.0.1:80']);
+	knowledge.hearRetirements([{upstream: 'u', state: 'draining'}]);
+	t.is(knowledge.listAddresses().size, 1);
+	knowledge.hearRetirements([{upstream: 'u', state: 'gone'}]);
+	t.is(knowledge.listAddresses().size, 0);
+});
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -91,6 +91,12 @@
 */
 export const MOST_VOTERS = 5;
 
+/**
+Largest command of the group in bytes of JSON: a catalogue of 46,000 routes with its document takes 23 MB, and a message between hosts 33 MB
+at most.
+*/
+export const GENERATION_BYTES = 29_360_128;
+
 /**
 Milliseconds before a group whose store failed is opened again: a full disk lasts for seconds.
 */
@@ -184,6 +190,11 @@
 */
 export const ASKER_MILLISECONDS = 10_000;
 
+/**
+Milliseconds after a change of the instances before connections to addresses that are gone are closed.
+*/
+export const RETAIN_MILLISECONDS = 5000;
+
 /**
 Milliseconds after a change of the instances before they are kept on disk: a start brings dozens of changes.
 */
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -12,6 +12,7 @@
 import {
 	ACCEPTING_PART,
 	LOAD_STEP,
+	RETAIN_MILLISECONDS,
 	STOP_MARGIN_MILLISECONDS,
 	UPSTREAM_CONNECT_MILLISECONDS,
 } from './constants.ts';
@@ -44,7 +45,8 @@
 export async function startEntry(context: FleetContext, settings: EntrySettings, dialect: proxy.Dialect): Promise<Entry> {
 	const log = context.logs('entry');
 	let isStopping = false;
-	let getTrafficBytes = () => 0;
+	// Opened below, when everything that it serves with is there.
+	const opened: {traffic?: proxy.TrafficServer} = {};
 	const knowledge = createKnowledge(context, {
 		failureDomain: settings.failureDomain,
 		getOpen: () => links.getOpen(),
@@ -53,8 +55,15 @@
 		},
 		onInstances(service) {
 			asking.refresh(service);
+			retainLater();
 		},
 	});
+	/**
+	Closes the connections to addresses that no instance has any more; otherwise each address that was ever used would keep its pool.
+	*/
+	const retainLater = utils.coalesce(context.schedule, RETAIN_MILLISECONDS, () => {
+		opened.traffic?.connections.retain(knowledge.listAddresses());
+	});
 	const isReady = () => !isStopping && knowledge.getGeneration() !== undefined;
 	const getState = (): messages.EntryState => ({trafficAddress: settings.trafficAddress, isReady: isReady(), load: meter.getLoad()});
 	let told: messages.EntryState | undefined;
@@ -71,7 +80,7 @@
 
 	const meter = startLoadMeter(context, {
 		getBusyMilliseconds: () => performance.eventLoopUtilization().active,
-		getBytes: () => getTrafficBytes(),
+		getBytes: () => opened.traffic?.getBytes() ?? 0,
 		linkBytesPerSecond: settings.linkBytesPerSecond,
 		onMeasured: tellState,
 	});
@@ -136,7 +145,7 @@
 		connectMilliseconds: UPSTREAM_CONNECT_MILLISECONDS,
 		note: createNoting(context),
 	});
-	getTrafficBytes = traffic.getBytes;
+	opened.traffic = traffic;
 	context.metrics.registerGauge('requests_in_flight', traffic.getInFlight);
 	context.metrics.registerGauge('generation_version', () => knowledge.getGeneration()?.version ?? 0);
 	log.info('Host started.', {traffic: core.formatAddress(settings.trafficAddress), seeds: settings.seeds.map(seed => seed.id)});
--- a/packages/wagtailroute-fleet/src/group.ts
+++ b/packages/wagtailroute-fleet/src/group.ts
@@ -10,6 +10,7 @@
 import * as replication from 'wagtailroute-replication';
 import type * as results from 'ts-results-es';
 import {
+	GENERATION_BYTES,
 	MOST_VOTERS,
 	RECONCILE_MILLISECONDS,
 	REOPEN_MILLISECONDS,
@@ -133,6 +134,7 @@
 			// A host that comes with an empty disk later on joins; it must not found a second group.
 			...settings.isFirstStart && {first: {hosts: settings.seeds.map(seed => seed.id)}},
 			getSeeds: () => plan.getKnown(),
+			settings: {commandBytesMost: GENERATION_BYTES},
 			onStopped(failure) {
 				reopen(failure.message);
 			},
--- a/packages/wagtailroute-fleet/src/knowledge.ts
+++ b/packages/wagtailroute-fleet/src/knowledge.ts
@@ -5,10 +5,11 @@
 A generation only ever moves forward. It is fetched from a control host of the own failure domain where there is one: each
 host fetches it once, and bytes between failure domains cost.
 */
-import type * as core from 'wagtailroute-core';
+import * as core from 'wagtailroute-core';
 import type * as dispatch from 'wagtailroute-dispatch';
 import * as generations from 'wagtailroute-generations';
 import * as instances from 'wagtailroute-instances';
+import * as utils from 'wagtailroute-utils';
 import {
 	FETCH_AGAIN_MILLISECONDS,
 	FETCH_MILLISECONDS,
@@ -29,6 +30,10 @@
 	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
 	readonly isRetired: (upstream: core.UpstreamId) => boolean;
 	/**
+	Returns the addresses of all instances that are known, as text.
+	*/
+	readonly listAddresses: () => ReadonlySet<string>;
+	/**
 	A control host told the version that it has.
 	*/
 	readonly hearVersion: (control: OpenControl, version: number) => void;
@@ -131,7 +136,7 @@
 	const hearRetirements = (retirements: readonly generations.Retirement[]) => {
 		for (const {upstream, state: retirement} of retirements) {
 			const service = table.get(upstream)?.service;
-			retired.set(upstream, retirement);
+			utils.setBounded(retired, upstream, retirement, generations.RETIREMENTS_KEPT);
 			const isNews = table.retire(upstream, retirement);
 			if (service === undefined || !isNews) {
 				continue;
@@ -190,6 +195,7 @@
 		// Silence is told by control hosts only: what follows one of them hears of changes, not of heartbeats.
 		listCandidates: service => table.list(service).map(instance => toCandidate(instance, false)),
 		isRetired: upstream => retired.has(upstream),
+		listAddresses: () => new Set(table.listAll().map(instance => core.formatAddress(instance.address))),
 		hearVersion(control, version) {
 			if (version < state.wantedVersion || version <= getVersion()) {
 				return;
--- a/packages/wagtailroute-fleet/src/registry.ts
+++ b/packages/wagtailroute-fleet/src/registry.ts
@@ -6,10 +6,10 @@
 */
 import type * as core from 'wagtailroute-core';
 import type * as dispatch from 'wagtailroute-dispatch';
-import type * as generations from 'wagtailroute-generations';
+import * as generations from 'wagtailroute-generations';
 import * as instances from 'wagtailroute-instances';
 import type * as link from 'wagtailroute-link';
-import type * as utils from 'wagtailroute-utils';
+import * as utils from 'wagtailroute-utils';
 import {
 	FETCH_MILLISECONDS,
 	HOUSEKEEPING_MILLISECONDS,
@@ -77,8 +77,6 @@
 	const silent = new Set<core.UpstreamId>();
 	const retirements = new Map<core.UpstreamId, generations.RetirementState>();
 	let unsent: HeartbeatBatch = NO_HEARTBEATS;
-	let isRelaying = false;
-	let isSaving = false;
 
 	const tellFollowers = (news: InstanceNews) => {
 		for (const follower of followers) {
@@ -97,24 +95,18 @@
 		ageMilliseconds: now() - instance.heardAt,
 	}));
 
-	const saveLater = () => {
-		if (isSaving) {
-			return;
-		}
-
-		isSaving = true;
-		context.schedule(SAVE_MILLISECONDS, () => {
-			isSaving = false;
-			// One that drains would come back as serving.
-			void store.save(list().filter(({upstream}) => !retirements.has(upstream)));
-		});
-	};
+	const saveLater = utils.coalesce(context.schedule, SAVE_MILLISECONDS, () => {
+		// One that drains would come back as serving.
+		void store.save(list().filter(({upstream}) => !retirements.has(upstream)));
+	});
 
 	const relay = () => {
 		tellControls(METHODS.heard, unsent);
 		unsent = NO_HEARTBEATS;
 	};
 
+	const relayCollected = utils.coalesce(context.schedule, RELAY_MILLISECONDS, relay);
+
 	/**
 	News go at once, what changes nothing is collected: it is most of all heartbeats.
 	*/
@@ -126,15 +118,7 @@
 		}
 
 		unsent = {...unsent, refreshed: [...unsent.refreshed, [heartbeat.upstream, heartbeat.sequence, 0]]};
-		if (isRelaying) {
-			return;
-		}
-
-		isRelaying = true;
-		context.schedule(RELAY_MILLISECONDS, () => {
-			isRelaying = false;
-			relay();
-		});
+		relayCollected();
 	};
 
 	const receive = (heartbeat: instances.Heartbeat, heardAt: number) => {
@@ -223,7 +207,7 @@
 		},
 		retire({upstream, state}) {
 			const service = table.get(upstream)?.service;
-			retirements.set(upstream, state);
+			utils.setBounded(retirements, upstream, state, generations.RETIREMENTS_KEPT);
 			const isNews = table.retire(upstream, state);
 			if (service === undefined || !isNews) {
 				return;
--- a/packages/wagtailroute-generations/src/index.ts
+++ b/packages/wagtailroute-generations/src/index.ts
@@ -10,6 +10,7 @@
 	parseGeneration,
 	type Share,
 } from './generation.ts';
+export {RETIREMENTS_KEPT} from './constants.ts';
 export {createRouteFinder, type RouteFinder} from './route-finder.ts';
 export {createShareChooser, type ShareChooser} from './shares.ts';
 export {
--- a/packages/wagtailroute-generations/src/replicated.ts
+++ b/packages/wagtailroute-generations/src/replicated.ts
@@ -10,6 +10,7 @@
 must not bring an upstream back that was acknowledged as leaving, also after a restart of all control hosts.
 */
 import type * as core from 'wagtailroute-core';
+import * as utils from 'wagtailroute-utils';
 import {RETIREMENTS_KEPT} from './constants.ts';
 import type {Generation} from './generation.ts';
 
@@ -108,11 +109,6 @@
 	},
 	retire(tables, {retirement: {upstream, state}}) {
 		const isGone = tables.retirements.get(upstream) === 'gone';
-		// Deleted first, so that it counts as the newest.
-		tables.retirements.delete(upstream);
-		tables.retirements.set(upstream, isGone ? 'gone' : state);
-		if (tables.retirements.size > RETIREMENTS_KEPT) {
-			tables.retirements.delete(tables.retirements.keys().next().value!);
-		}
+		utils.setBounded(tables.retirements, upstream, isGone ? 'gone' : state, RETIREMENTS_KEPT);
 	},
 };
--- a/packages/wagtailroute-instances/src/instances.ts
+++ b/packages/wagtailroute-instances/src/instances.ts
@@ -10,7 +10,8 @@
 serves is for whoever sends requests to find out.
 */
 import * as core from 'wagtailroute-core';
-import {FORGET_MILLISECONDS} from './constants.ts';
+import * as utils from 'wagtailroute-utils';
+import {FORGET_MILLISECONDS, RETIREMENTS_KEPT} from './constants.ts';
 
 /**
 What an instance says of itself.
@@ -143,7 +144,7 @@
 		return false;
 	}
 
-	tables.retired.set(upstream, state);
+	utils.setBounded(tables.retired, upstream, state, RETIREMENTS_KEPT);
 	const present = tables.instances.get(upstream);
 	if (present === undefined) {
 		return true;
--- a/packages/wagtailroute-replication/src/__tests__/unit/fake-hosts.ts
+++ b/packages/wagtailroute-replication/src/__tests__/unit/fake-hosts.ts
@@ -22,7 +22,12 @@
 	Links that lose everything, written `from>to`.
 	*/
 	readonly cuts: Set<string>;
-	readonly start: (host: string, store: replication.Store, first?: replication.FirstMembers) => Promise<FakeHost>;
+	readonly start: (
+		host: string,
+		store: replication.Store,
+		first?: replication.FirstMembers,
+		settings?: replication.GroupOptions['settings'],
+	) => Promise<FakeHost>;
 	/**
 	Ends a host at once.
 	*/
@@ -105,13 +110,14 @@
 	return {
 		hosts,
 		cuts,
-		async start(host, store, first) {
+		async start(host, store, first, settings) {
 			const values: unknown[] = [];
 			const created: results.Result<replication.Group, replication.StoreFailure> = await replication.createGroup({
 				group: 'g',
 				host,
 				store,
 				first,
+				settings,
 				stateMachine: {
 					apply(command) {
 						values.push(command);
--- a/packages/wagtailroute-replication/src/__tests__/unit/group.test.ts
+++ b/packages/wagtailroute-replication/src/__tests__/unit/group.test.ts
@@ -167,3 +167,16 @@
 	t.log(`bytes on disk after 100, 1,000 and 10,000 changes: ${sizes.join(', ')}`);
 	t.true(sizes[2]! < 4 * sizes[1]! && sizes[2]! < 400_000);
 });
+
+test('a command may be as large as the settings of its group say', async t => {
+	// Symptom: a catalogue of some thousand routes is never acknowledged, its operator hears 503 for ever.
+	// Sequence: the catalogue grows beyond a megabyte.
+	// Cause: the engine had one bound for the commands of all groups.
+	const world = fakeHosts.createFakeHosts(SEED);
+	await world.start('a', replication.createDurableStore('folder', fakeDisk.createFakeDisk()), {hosts: ['a']}, {commandBytesMost: 3_000_000});
+	await world.run(3000);
+	const answer = await world.settle(world.getLeader().group.propose('x'.repeat(2_000_000)));
+	t.true(answer.isOk());
+	const refused = await world.settle(world.getLeader().group.propose('x'.repeat(3_000_000)));
+	t.like(refused, {error: {reason: 'command-too-large'}});
+});
--- a/packages/wagtailroute-replication/src/constants.ts
+++ b/packages/wagtailroute-replication/src/constants.ts
@@ -50,7 +50,7 @@
 */
 export const PENDING_READS_MAX = 4096;
 /**
-Largest command in bytes of JSON.
+Largest command in bytes of JSON, unless a group's settings say otherwise.
 */
 export const COMMAND_BYTES_MAX = 1_048_576;
 /**
--- a/packages/wagtailroute-replication/src/engine.ts
+++ b/packages/wagtailroute-replication/src/engine.ts
@@ -31,6 +31,7 @@
 		electionTimeoutMaxMs: constants.ELECTION_TIMEOUT_MAX_MS,
 		compactionBytesMin: constants.COMPACTION_BYTES_MIN,
 		retainedEntries: constants.RETAINED_ENTRIES,
+		commandBytesMost: constants.COMMAND_BYTES_MAX,
 		...settings,
 	};
 }
--- a/packages/wagtailroute-replication/src/replica.ts
+++ b/packages/wagtailroute-replication/src/replica.ts
@@ -25,6 +25,10 @@
 	readonly electionTimeoutMaxMs: number;
 	readonly compactionBytesMin: number;
 	readonly retainedEntries: number;
+	/**
+	Largest command in bytes of JSON.
+	*/
+	readonly commandBytesMost: number;
 };
 
 /**
--- a/packages/wagtailroute-replication/src/requests.ts
+++ b/packages/wagtailroute-replication/src/requests.ts
@@ -52,7 +52,7 @@
 		return true;
 	}
 
-	const isTooLarge = proposal.bytes > constants.COMMAND_BYTES_MAX;
+	const isTooLarge = proposal.bytes > step.draft.settings.commandBytesMost;
 	if (isTooLarge) {
 		refuse(step, proposal.id, 'command-too-large');
 	}
--- a/packages/wagtailroute-utils/src/__tests__/unit/utils.test.ts
+++ b/packages/wagtailroute-utils/src/__tests__/unit/utils.test.ts
@@ -39,3 +39,21 @@
 	const items = [1, 2, 3, 4, 5, 6];
 	t.deepEqual(utils.shuffle(utils.createRandom(1), items).toSorted((left, right) => left - right), items);
 });
+
+test('what is asked for several times runs once, and again when it is asked for again', t => {
+	const due: Array<() => void> = [];
+	let runs = 0;
+	const ask = utils.coalesce((_milliseconds, run) => {
+		due.push(run);
+		return () => undefined;
+	}, 10, () => {
+		runs++;
+	});
+	ask();
+	ask();
+	t.is(due.length, 1);
+	due[0]!();
+	ask();
+	due[1]!();
+	t.is(runs, 2);
+});
--- a/packages/wagtailroute-utils/src/index.ts
+++ b/packages/wagtailroute-utils/src/index.ts
@@ -1,10 +1,11 @@
 /**
 Small helpers that every package may use: invariants, teardowns, seeded random numbers, listening.
 */
+export {setBounded} from './bounded.ts';
 export {BrokenInvariant, invariant} from './invariant.ts';
 export {closeServer, listen, type ListenAddress} from './listening.ts';
 export {mergeTeardowns, type Teardown} from './teardown.ts';
-export {repeat, schedule} from './timers.ts';
+export {coalesce, repeat, schedule} from './timers.ts';
 export {
 	createRandom,
 	pickIndex,
--- a/packages/wagtailroute-utils/src/timers.ts
+++ b/packages/wagtailroute-utils/src/timers.ts
@@ -22,3 +22,23 @@
 		clearInterval(timer);
 	};
 }
+
+/**
+Runs some time after it was first asked for, once for all that asked until then.
+
+@param later Runs once after a delay in milliseconds.
+*/
+export function coalesce(later: typeof schedule, milliseconds: number, run: () => void): () => void {
+	let isWaiting = false;
+	return () => {
+		if (isWaiting) {
+			return;
+		}
+
+		isWaiting = true;
+		later(milliseconds, () => {
+			isWaiting = false;
+			run();
+		});
+	};
+}
