Ask the next dispatcher when one does not answer; no trial on another's word

Ruled out: idle connections that upstreams forget (resets came in bursts after the host stood still, and from upstreams long suspended). Tests first for each.

--- a/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
@@ -329,3 +329,29 @@
 		t.is(dispatcher.getWaiting(), open.size);
 	}));
 });
+
+const BELIEVED = [
+	{
+		name: 'none at once', requestClass: 'non-idempotent', at: 1, granted: 'b',
+	},
+	{
+		name: 'none at once even by a request that may be repeated', requestClass: 'read', at: 1, granted: 'b',
+	},
+	{
+		name: 'none soon by a request that may not be repeated', requestClass: 'non-idempotent', at: 3000, granted: 'b',
+	},
+	{
+		name: 'one after a while by a request that may be repeated', requestClass: 'read', at: 3000, granted: 'a',
+	},
+] as const;
+
+for (const {name, requestClass, at, granted} of BELIEVED) {
+	test(`an upstream that another dispatcher suspended gets a trial: ${name}`, t => {
+		// Symptom: while a control host stands still, one request in seven is lost, forty at a single upstream.
+		// Sequence: eighty hosts dispatch alone; each has been told which upstreams are suspended, and each tries all of them.
+		// Cause: what was told set the doubt and left the time of the next trial at the beginning of time.
+		const dispatcher = createDispatcher([createCandidate('a'), createCandidate('b')]);
+		dispatcher.setDoubt(SERVICE, 'a', 7, 0);
+		t.is(getGrant(dispatcher.ask(createAsk('1', {requestClass}), at))?.upstream, granted);
+	});
+}
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -47,8 +47,8 @@
 	createUpstream,
 	getDoubt,
 	isSuspended,
-	setDoubt,
 	type Place,
+	takeBelief,
 	type Upstream,
 	weighEnding,
 	weighTime,
@@ -230,7 +230,7 @@
 	setDoubt(service: core.ServiceName, upstream: core.UpstreamId, doubt: number, now: number): void {
 		const known = this.#services.get(service)?.upstreams.get(upstream);
 		if (known !== undefined) {
-			setDoubt(known, doubt, now);
+			takeBelief(known, doubt, now);
 		}
 	}
 
--- a/packages/wagtailroute-dispatch/src/upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -113,6 +113,15 @@
 	upstream.doubtAt = now;
 }
 
+/**
+Takes another dispatcher's word of what speaks against it. That one goes on with trials, or has just done the last one: this one waits
+longest before its first. Without the wait, every host that dispatches alone would at once send a request there that may not be repeated.
+*/
+export function takeBelief(upstream: Upstream, doubt: number, now: number): void {
+	setDoubt(upstream, doubt, now);
+	upstream.trialAt = now + TRIAL_MOST_MILLISECONDS;
+}
+
 /**
 Says whether it gets trials only.
 */
--- a/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
@@ -5,6 +5,7 @@
 import type * as dispatch from 'wagtailroute-dispatch';
 import {type AskDraft, startAsking} from '../../asking.ts';
 import type {OpenControl} from '../../control-links.ts';
+import {orderDispatchers} from '../../dispatch-order.ts';
 import * as fixture from './fixture.ts';
 
 const DRAFT: AskDraft = {
@@ -38,7 +39,7 @@
 	readonly retired: Set<string>;
 };
 
-function setUp(answer: (method: string, parameters: never) => unknown): Setup {
+function setUp(answer: (method: string, parameters: never) => unknown, others: readonly OpenControl[] = []): Setup {
 	const context = fixture.createFakeContext();
 	const link = fixture.createFakeLink(answer);
 	const control: OpenControl = {host: {id: 'c', address: {ip: '10.0.0.2', port: 1}}, link};
@@ -54,7 +55,7 @@
 			linkBytesPerSecond: 1_000_000,
 			stopMilliseconds: 6000,
 		},
-		getOpen: () => [control],
+		getOpen: () => [control, ...others],
 		listCandidates: () => [CANDIDATE],
 		isRetired: upstream => retired.has(upstream),
 	});
@@ -86,13 +87,16 @@
 	// Sequence: the control host that dispatches the service is stopped with its connections open.
 	// Cause: an ask had no time limit of its own.
 	const {asking, link, context} = setUp(() => undefined);
-	t.like(await asking.ask(DRAFT).answer, {kind: 'grant', upstream: 'own'});
+	const first = await asking.ask(DRAFT).answer;
+	t.like(first, {kind: 'grant', upstream: 'own'});
 	t.deepEqual(link.notified.slice(-2), [['dispatch.cancel', [1]], ['dispatch.end', [1, 'cancelled', 0]]]);
 	const calls = link.called.length;
-	await asking.ask(DRAFT).answer;
+	const second = await asking.ask(DRAFT).answer;
 	t.is(link.called.length, calls);
-	asking.end('front:1', 'success', 100);
-	asking.end('front:2', 'success', 100);
+	for (const answer of [first, second]) {
+		asking.end(answer.kind === 'grant' ? answer.id : '', 'success', 100);
+	}
+
 	await context.pass(1500);
 	await asking.ask(DRAFT).answer;
 	t.is(link.called.length, calls + 1);
@@ -128,3 +132,44 @@
 	t.like(await asked.answer, {kind: 'refuse'});
 	t.deepEqual(link.notified.slice(-2), [['dispatch.cancel', [1]], ['dispatch.end', [1, 'cancelled', 0]]]);
 });
+
+const createOther = (id: string): OpenControl => ({
+	host: {id, address: {ip: '10.0.0.6', port: 1}},
+	link: fixture.createFakeLink(() => ['grant', id, '10.0.0.7:80', 0]),
+});
+
+test('without an answer in time the next dispatcher is asked', async t => {
+	// Symptom: while one control host stands still, requests are shed and lost though the others run.
+	// Sequence: an ask is not answered; its host dispatches alone, from what it knows itself.
+	// Cause: nobody asked the next dispatcher for that request.
+	const others = ['d', 'e'].map(id => createOther(id));
+	const setup = setUp(() => undefined, others);
+	const services = Array.from({length: 20}, (_, index) => `service-${index}`);
+	const granted: string[] = [];
+	for (const service of services) {
+		// eslint-disable-next-line no-await-in-loop -- One after the other, each finds out anew.
+		const answer = await setup.asking.ask({...DRAFT, service}).answer;
+		granted.push(answer.kind === 'grant' ? answer.upstream : answer.reason);
+	}
+
+	t.true(setup.link.called.length > 0);
+	t.deepEqual([...new Set(granted)].toSorted(), ['d', 'e']);
+});
+
+test('what waits at a dispatcher that has become silent is asked of the next one', async t => {
+	// Symptom: requests that waited for a slot when their dispatcher was stopped miss their deadlines.
+	// Sequence: the dispatcher says that they wait, and stands still; later asks find out.
+	// Cause: only asks without any answer were taken elsewhere.
+	let answers = 0;
+	const setup = setUp(() => {
+		answers++;
+		return answers === 1 ? ['wait'] : undefined;
+	}, ['d', 'e'].map(id => createOther(id)));
+	const service = Array.from({length: 50}, (_, index) => `service-${index}`)
+		.find(name => orderDispatchers(name, ['c', 'd', 'e'], id => id)[0] === 'c')!;
+	const waiting = setup.asking.ask({...DRAFT, service});
+	await setup.context.pass(1);
+	setup.link.silence = 1000;
+	await setup.asking.ask({...DRAFT, service}).answer;
+	t.like(await waiting.answer, {kind: 'grant'});
+});
--- a/packages/wagtailroute-fleet/src/__tests__/unit/dispatcher-finder.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/dispatcher-finder.test.ts
@@ -73,3 +73,22 @@
 		t.is(finder.find('archive')?.host.id, asked === undefined ? undefined : order[asked]);
 	});
 }
+
+test('one that did not answer is not asked again before it was heard', async t => {
+	// Symptom: for as long as a control host stands still, requests lose a quarter of a second, again every second.
+	// Sequence: its process is stopped; its links stay open and silent.
+	// Cause: it was passed over for a second whatever was heard of it.
+	const context = fixture.createFakeContext();
+	const link = fixture.createFakeLink(() => undefined);
+	const other = fixture.createFakeLink(() => undefined);
+	const controls = [link, other].map((of, index): OpenControl => ({host: {id: `c${index}`, address: {ip: '10.0.0.2', port: 1}}, link: of}));
+	const finder = createDispatcherFinder(context, () => controls);
+	const first = finder.find('archive')!;
+	finder.noteSlow(first);
+	const silent = first.link as fixture.FakeLink;
+	silent.silence = 3200;
+	await context.pass(3000);
+	t.not(finder.find('archive')?.host.id, first.host.id);
+	silent.silence = 100;
+	t.is(finder.find('archive')?.host.id, first.host.id);
+});
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -1,6 +1,6 @@
 /**
-How an entry host comes to an upstream for each attempt: it asks the service's dispatcher on a control host, and dispatches
-alone as long as none answers.
+How an entry host comes to an upstream for each attempt: it asks the service's dispatcher on a control host, the next one when that
+does not answer, and dispatches alone as long as none does.
 
 Dispatching alone, a host sees only its own requests; it starts from the doubts that dispatchers told it. It costs slots that
 are taken by others' requests and shed, never a wrong answer.
@@ -9,7 +9,7 @@
 import * as dispatch from 'wagtailroute-dispatch';
 import type * as link from 'wagtailroute-link';
 import type * as utils from 'wagtailroute-utils';
-import {ASK_MILLISECONDS, DISPATCH_TICK_MILLISECONDS} from './constants.ts';
+import {ASK_MILLISECONDS, DISPATCH_TICK_MILLISECONDS, MOST_UNANSWERED} from './constants.ts';
 import {
 	createAskId,
 	createRouteNumbers,
@@ -94,6 +94,14 @@
 type Pending = {
 	ask: dispatch.Ask;
 	askedAt: number;
+	/**
+	Dispatchers that did not answer.
+	*/
+	unanswered: number;
+	/**
+	The dispatcher has said that it waits for a slot.
+	*/
+	isWaiting?: boolean;
 	readonly resolve: (answer: FinalAnswer) => void;
 	/**
 	The dispatcher that was asked; absent for this host's own.
@@ -156,7 +164,9 @@
 			...draft, id: this.#createId(), host: hostId, failureDomain,
 		};
 		const {promise, resolve} = Promise.withResolvers<FinalAnswer>();
-		const pending: Pending = {ask, askedAt: this.#context.now(), resolve};
+		const pending: Pending = {
+			ask, askedAt: this.#context.now(), unanswered: 0, resolve,
+		};
 		this.#pending.set(ask.id, pending);
 		void this.#start(pending);
 		return {
@@ -217,9 +227,9 @@
 
 	async #start(pending: Pending): Promise<void> {
 		const {ask} = pending;
-		const dispatcher = this.#finder.find(ask.service);
+		const dispatcher = pending.unanswered < MOST_UNANSWERED ? this.#finder.find(ask.service) : undefined;
 		if (dispatcher === undefined) {
-			this.#askLocal(pending, 'no-dispatcher');
+			this.#askLocal(pending, pending.unanswered === 0 ? 'no-dispatcher' : 'no-answer');
 			return;
 		}
 
@@ -228,17 +238,42 @@
 		const answer = await dispatcher.link.call(METHODS.ask, this.#shorten(dispatcher.link, ask), ASK_MILLISECONDS);
 		if (answer.isOk()) {
 			const first = restoreAnswer(answer.value as ShortAnswer);
-			if (first.kind !== 'wait') {
+			const isCurrent = pending.ask === ask;
+			if (isCurrent && first.kind === 'wait') {
+				pending.isWaiting = true;
+			} else if (isCurrent && first.kind !== 'wait') {
 				this.#settle(pending, first);
 			}
 
 			return;
 		}
 
+		// Otherwise the ask was taken elsewhere already.
+		if (pending.ask === ask && pending.dispatcher === dispatcher) {
+			this.#leave(dispatcher, answer.error.kind);
+		}
+	}
+
+	/**
+	A dispatcher did not answer an ask in time. What was asked there meanwhile would run into the same limit, one after the other; what
+	waits there for a slot is left if nothing at all was heard: its dispatcher may stand still, and would call nobody.
+	*/
+	#leave(dispatcher: OpenControl, reason: string): void {
 		this.#finder.noteSlow(dispatcher);
-		// Should it answer after all, the place is given back.
-		notifyGivenUp(dispatcher.link, ask);
-		this.#askLocal(pending, answer.error.kind);
+		const isSilent = dispatcher.link.getSilence() >= ASK_MILLISECONDS;
+		const left = this.#pending.values()
+			.filter(pending => pending.dispatcher === dispatcher && (isSilent || !pending.isWaiting))
+			.toArray();
+		this.#context.logs('dispatch').warn('Dispatcher left.', {
+			dispatcher: dispatcher.host.id, reason, isSilent, asks: left.length,
+		});
+		for (const pending of left) {
+			// Should it answer after all, the place is given back.
+			notifyGivenUp(dispatcher.link, pending.ask);
+			this.#pending.delete(pending.ask.id);
+			pending.unanswered++;
+			this.#askAgain(pending);
+		}
 	}
 
 	/**
@@ -329,7 +364,7 @@
 			if (this.#plan.isRetired(answer.upstream)) {
 				// The dispatcher has not heard of the retirement yet; this host is bound by it.
 				this.#tellEnd(held, 'cancelled', 0);
-				this.#askAgain(pending, answer.upstream);
+				this.#askAgain(pending, [answer.upstream]);
 				return;
 			}
 
@@ -339,16 +374,17 @@
 		pending.resolve(answer.kind === 'grant' ? {...answer, id: ask.id} : answer);
 	}
 
-	#askAgain(pending: Pending, without: core.UpstreamId): void {
+	#askAgain(pending: Pending, without: readonly core.UpstreamId[] = []): void {
 		const now = this.#context.now();
 		const {ask} = pending;
 		pending.ask = {
 			...ask,
 			id: this.#createId(),
-			excluded: [...ask.excluded, without],
+			excluded: [...ask.excluded, ...without],
 			remainingMilliseconds: ask.remainingMilliseconds - (now - pending.askedAt),
 		};
 		pending.askedAt = now;
+		pending.isWaiting = false;
 		this.#pending.set(pending.ask.id, pending);
 		void this.#start(pending);
 	}
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -13,6 +13,11 @@
 */
 export const ASK_MILLISECONDS = 250;
 
+/**
+Dispatchers that may leave an ask unanswered before its host dispatches alone: two take half a second, half of a usual objective.
+*/
+export const MOST_UNANSWERED = 2;
+
 /**
 Milliseconds for which a dispatcher that did not answer in time is passed over.
 */
