Move reads whose answer is overdue to another upstream

Ruled out: resets (10), errors twice (11). Change: once an answer takes 2.5 usual times of its route, another place is asked for; only when there is a free one at once, the first attempt is given up. Requests that may not be repeated stay. The dispatcher hears of the hang at that moment, not at the deadline.

--- a/packages/wagtailroute-dispatch/src/index.ts
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -18,3 +18,4 @@
 } from './dispatcher.ts';
 export type {BudgetSettings} from './budget.ts';
 export {USUAL_PART} from './constants.ts';
+export {mixUsual} from './services.ts';
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -58,8 +58,14 @@
 Takes a time as a measurement of what is usual on a route.
 */
 export function learnUsual({usual}: Service, route: string, milliseconds: number): void {
-	const known = usual.get(route);
-	usual.set(route, known === undefined ? milliseconds : (known * (1 - USUAL_SHARE)) + (milliseconds * USUAL_SHARE));
+	usual.set(route, mixUsual(usual.get(route), milliseconds));
+}
+
+/**
+Returns what is usual after one more measurement.
+*/
+export function mixUsual(known: number | undefined, milliseconds: number): number {
+	return known === undefined ? milliseconds : (known * (1 - USUAL_SHARE)) + (milliseconds * USUAL_SHARE);
 }
 
 /**
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -1,12 +1,14 @@
 /**
 What an entry host holds for a request of a route: its limits, and the attempts that a dispatcher gives it places for.
 */
-import * as dispatch from 'wagtailroute-dispatch';
+import type * as dispatch from 'wagtailroute-dispatch';
 import * as generations from 'wagtailroute-generations';
 import * as proxy from 'wagtailroute-proxy';
 import type {AskDraft, Asking} from './asking.ts';
+import {PATIENCE_MILLISECONDS, PATIENCE_RATIO} from './constants.ts';
 import type {FleetContext} from './context.ts';
 import type {Knowledge} from './knowledge.ts';
+import {createUsualTimes, type UsualTimes} from './usual-times.ts';
 
 /**
 Finds the route of a request and what this host holds for it.
@@ -33,6 +35,7 @@
 export function createRouter(context: FleetContext, plan: RoutingPlan): Router {
 	const {knowledge} = plan;
 	const chooseShare = generations.createShareChooser(context.random);
+	const usualTimes = createUsualTimes();
 
 	return ({host, path, method}) => {
 		const generation = knowledge.getGeneration();
@@ -49,7 +52,7 @@
 		const routeContext: RouteContext = {route, service, bodyBytes: generation.limits.bodyBytes};
 		return {
 			match: {service: service.name, route: {class: route.class}},
-			service: createPort(context, plan, routeContext),
+			service: createPort(context, plan, {...routeContext, usualTimes}),
 		};
 	};
 }
@@ -57,7 +60,9 @@
 function createPort(
 	context: FleetContext,
 	{knowledge, asking}: RoutingPlan,
-	{route, service, bodyBytes}: RouteContext,
+	{
+		route, service, bodyBytes, usualTimes,
+	}: RouteContext & {readonly usualTimes: UsualTimes},
 ): proxy.ServicePort {
 	const granted = new Map<proxy.Target, dispatch.AskId>();
 
@@ -102,6 +107,10 @@
 		hasAnother: ({excluded}) => knowledge.listCandidates(service.name).some(candidate => !excluded.has(candidate.upstream) && !candidate.isDraining),
 		begin: () => undefined,
 		end({target, ending, latencyMilliseconds, failure}) {
+			if (ending === 'success') {
+				usualTimes.learn(route, latencyMilliseconds);
+			}
+
 			const id = granted.get(target);
 			if (id !== undefined) {
 				asking.end(id, getEnding(ending, failure), latencyMilliseconds);
@@ -111,7 +120,8 @@
 		retry: {
 			hasBudget: () => true,
 			spend: () => undefined,
-			getUsualMilliseconds: () => route.objectiveMilliseconds * dispatch.USUAL_PART,
+			getUsualMilliseconds: () => usualTimes.get(route),
+			getPatienceMilliseconds: () => Math.max(PATIENCE_MILLISECONDS, usualTimes.get(route) * PATIENCE_RATIO),
 		},
 	};
 }
--- a/packages/wagtailroute-proxy/src/__tests__/unit/waiting.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/waiting.test.ts
@@ -112,3 +112,33 @@
 		t.deepEqual(fixture.trialEndings, [ending]);
 	});
 }
+
+const SLOW = {kind: 'slow', delayMilliseconds: 600} as const;
+const HANGING = {kind: 'slow', delayMilliseconds: 60_000} as const;
+
+const OVERDUE = [
+	{
+		// Symptom: reads end with their deadline while other upstreams idle, a hundred in a day with a hanging upstream.
+		// Sequence: an upstream hangs, its connections stay open; a read is sent there.
+		// Cause: an attempt lasted until it failed or the deadline passed.
+		title: 'moves to another upstream', method: 'GET', faults: [[HANGING], []], status: 200, endings: ['timeout', 'success'],
+	},
+	{
+		title: 'stays where there is no other, and is answered late', method: 'GET', faults: [[SLOW]], status: 200, endings: ['success'],
+	},
+	{
+		title: 'stays when it may not be repeated', method: 'POST', faults: [[SLOW], []], status: 200, endings: ['success'],
+	},
+	{
+		title: 'moves on from upstream to upstream', method: 'GET', faults: [[HANGING], [HANGING], []], status: 200, endings: ['timeout', 'timeout', 'success'],
+	},
+] as const;
+
+for (const {title, method, faults, status, endings} of OVERDUE) {
+	test(`a request whose answer is overdue ${title}`, async t => {
+		const fixture = await openFixture(t, {faults, patience: 100});
+		const answer = await send(fixture, method === 'POST' ? '/write' : '/x', {method, body: method === 'POST' ? 'x' : undefined});
+		t.is(answer.status, status);
+		t.deepEqual(fixture.reports.map(report => report.ending), [...endings]);
+	});
+}
--- a/packages/wagtailroute-proxy/src/constants.ts
+++ b/packages/wagtailroute-proxy/src/constants.ts
@@ -67,6 +67,12 @@
 */
 export const CONNECT_MILLISECONDS = 1000;
 
+/**
+Milliseconds that a request whose answer is overdue waits for another place: a free one is granted in less. Waiting longer it would take
+the slot of a request that was not sent yet.
+*/
+export const MOVE_MILLISECONDS = 100;
+
 /**
 Milliseconds after which an unused connection to an upstream is closed: shorter than common servers' own limit, so that a request rarely meets a connection that the server is closing.
 */
--- a/packages/wagtailroute-proxy/src/endings.ts
+++ b/packages/wagtailroute-proxy/src/endings.ts
@@ -7,6 +7,7 @@
 import {OUTCOME_HEADER} from './constants.ts';
 import type {RequestFailureKind} from './failures.ts';
 import type {HeaderFields} from './headers.ts';
+import {MOVED_CODE} from './overdue.ts';
 import type {AttemptEnding, ReleaseEnding, Settlement} from './ports.ts';
 
 const SHED_STATUS = 503;
@@ -40,6 +41,10 @@
 		return isShedResult(result) ? getShedEnding(result) : getAnsweredEnding(result.status);
 	}
 
+	if (result.kind !== 'truncated' && result.code === MOVED_CODE) {
+		return 'timeout';
+	}
+
 	return isBodyCutOff(result) ? 'cancelled' : UNANSWERED_ENDINGS[result.kind];
 }
 
@@ -113,7 +118,7 @@
 Says whether the target may have died of the request: its connection was lost after the send, by nobody's will.
 */
 export function isConnectionLost(result: AttemptResult): boolean {
-	return (result.kind === 'lost' || result.kind === 'truncated') && !BODY_CODES.has(result.code);
+	return (result.kind === 'lost' || result.kind === 'truncated') && !BODY_CODES.has(result.code) && result.code !== MOVED_CODE;
 }
 
 const MESSAGES: Readonly<Record<Exclude<AttemptResult['kind'], 'relayed'>, (target: string) => string>> = {
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -55,6 +55,10 @@
 	Milliseconds that an answer usually takes, 0 when it is not known.
 	*/
 	readonly getUsualMilliseconds: () => number;
+	/**
+	Milliseconds after which the answer to a request that may be repeated is overdue, so that it moves to another target. Absent: never.
+	*/
+	readonly getPatienceMilliseconds?: () => number;
 };
 
 /**
--- a/packages/wagtailroute-proxy/src/sending.ts
+++ b/packages/wagtailroute-proxy/src/sending.ts
@@ -6,7 +6,7 @@
 */
 import type * as http from 'node:http';
 import * as timers from 'node:timers/promises';
-import type * as core from 'wagtailroute-core';
+import * as core from 'wagtailroute-core';
 import * as retries from 'wagtailroute-retries';
 import * as attempts from './attempts.ts';
 import * as bodies from './bodies.ts';
@@ -15,6 +15,7 @@
 import * as failures from './failures.ts';
 import type {GivingUp} from './giving-up.ts';
 import type * as headers from './headers.ts';
+import {MOVED_CODE, type OverdueWatch, watchOverdue} from './overdue.ts';
 import type * as ports from './ports.ts';
 import type * as requests from './requests.ts';
 
@@ -69,6 +70,10 @@
 	#decision: retries.RetryDecision | undefined;
 	#isTrialBusy = false;
 	/**
+	The target that takes the request from one that left it unanswered.
+	*/
+	#next: ports.Target | undefined;
+	/**
 	A target got the request, whether or not it ran it.
 	*/
 	#hasArrived = false;
@@ -138,6 +143,12 @@
 	}
 
 	async #choose(): Promise<ports.Target | failures.RequestFailure | undefined> {
+		const next = this.#next;
+		this.#next = undefined;
+		if (next !== undefined) {
+			return next;
+		}
+
 		const chosen = this.#context.service.choose(this.#createChoice(this.#hasArrived));
 		if (chosen === undefined || 'address' in chosen) {
 			return chosen;
@@ -206,7 +217,9 @@
 		}
 
 		const kind = endings.getFailureKind(result, hasCrashed);
-		this.#decision ??= this.#decideRetry(kind, result);
+		this.#decision ??= this.#next === undefined
+			? this.#decideRetry(kind, result)
+			: {kind: 'retry', delayMilliseconds: 0, outcome: retries.mergeOutcomes(this.outcome, 'unknown')};
 		this.outcome = this.#decision.outcome;
 		return {
 			conclusion: this.describeGivenUp() ?? failures.createRequestFailure(kind, endings.describeResult(result, target.id)),
@@ -253,13 +266,20 @@
 		service.begin(target);
 		const startedAt = now();
 		let answeredAt: number | undefined;
+		const listener: {onAnswered?: () => void} = {};
 		const attempt = attempts.startAttempt(this.#createPlan(target, () => {
 			answeredAt = now();
+			listener.onAnswered?.();
 		}));
+		const watch = this.#watchOverdue(attempt);
+		listener.onAnswered = () => watch?.end();
 		this.#givingUp.setListener(reason => {
+			watch?.end();
 			attempt.abort(reason);
 		});
 		const result = await attempt.result;
+		watch?.end();
+		this.#next = watch?.getNext();
 		this.#givingUp.setListener(() => undefined);
 		const latencyMilliseconds = (answeredAt ?? now()) - startedAt;
 		this.lastEnding = this.#getEnding(result);
@@ -276,6 +296,30 @@
 		return {result, hasCrashed};
 	}
 
+	/**
+	Watches an attempt that may be moved: it may be repeated, another attempt is allowed, and its time suffices.
+	*/
+	#watchOverdue(attempt: attempts.Attempt): OverdueWatch | undefined {
+		const {service: {retry, limits, choose, end}, match} = this.#context;
+		const patienceMilliseconds = retry.getPatienceMilliseconds?.() ?? Infinity;
+		const isMovable = core.isIdempotent(match.route.class)
+			&& this.#count < (limits.attempts ?? retries.MAX_ATTEMPTS)
+			&& bodies.isReplayable(this.#body!)
+			&& patienceMilliseconds + retry.getUsualMilliseconds() < this.#getRemaining();
+		return isMovable
+			? watchOverdue({
+				attempt,
+				patienceMilliseconds,
+				choose: () => choose(this.#createChoice(true)),
+				giveBack(target) {
+					end({
+						target, ending: 'cancelled', latencyMilliseconds: 0, fingerprint: '', hasCrashed: false,
+					});
+				},
+			})
+			: undefined;
+	}
+
 	#createPlan(target: ports.Target, onAnswered: () => void): attempts.AttemptPlan {
 		const {service, request, message, response, ports: {dialect, hostId}} = this.#context;
 		const body = this.#body!;
