--- a/packages/wagtailroute-dispatch/src/asks.ts
+++ b/packages/wagtailroute-dispatch/src/asks.ts
@@ -50,7 +50,7 @@
 
 /**
 How a granted request ended, as evidence about its upstream. `refused`: no connection, nobody listens. `unreachable`: no
-connection in time. `reset`: the connection or the answer broke. `misdirected`: another instance has the address. `cancelled`:
+connection in time. `overdue`: it took so long that the request moved elsewhere. `reset`: the connection or the answer broke. `misdirected`: another instance has the address. `cancelled`:
 says nothing.
 */
 export type Ending =
@@ -60,6 +60,7 @@
 	| 'refused'
 	| 'unreachable'
 	| 'timeout'
+	| 'overdue'
 	| 'shed'
 	| 'misdirected'
 	| 'cancelled';
--- a/packages/wagtailroute-dispatch/src/constants.ts
+++ b/packages/wagtailroute-dispatch/src/constants.ts
@@ -74,6 +74,12 @@
 */
 export const SILENCE_DOUBT = 2;
 
+/**
+Doubt of a request that was moved because its answer was overdue. One in a hundred is on an upstream that is well, more under load: half of
+what a success takes away, so that it takes four in a row to suspend.
+*/
+export const OVERDUE_DOUBT = 0.75;
+
 /**
 Doubt of a shed request while this dispatcher counts a free slot. A shed costs a resend, not the request: less than what a success
 takes away, so that upstreams which all shed a part are used on.
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -192,14 +192,14 @@
 
 /**
 Usual times of its route after which a request that may be repeated is asked another place for: with work times that spread by half, one in
-seventy takes longer on an upstream that is well.
+a hundred takes longer on an upstream that is well.
 */
-export const PATIENCE_RATIO = 2.5;
+export const PATIENCE_RATIO = 3;
 
 /**
 The same in milliseconds at least: a pause of a process lasts up to 100 ms.
 */
-export const PATIENCE_MILLISECONDS = 400;
+export const PATIENCE_MILLISECONDS = 600;
 
 /**
 Routes whose usual time a host keeps: those it carries of 46,000.
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -143,6 +143,7 @@
 	reset: 'reset',
 	truncated: 'reset',
 	timeout: 'timeout',
+	overdue: 'overdue',
 	impatience: 'timeout',
 	cancelled: 'cancelled',
 };
--- a/packages/wagtailroute-host/src/services.ts
+++ b/packages/wagtailroute-host/src/services.ts
@@ -229,6 +229,7 @@
 	reset: 'failure',
 	truncated: 'failure',
 	timeout: 'failure',
+	overdue: 'failure',
 	impatience: 'cancelled',
 	cancelled: 'cancelled',
 };
--- a/packages/wagtailroute-host/src/watches.ts
+++ b/packages/wagtailroute-host/src/watches.ts
@@ -77,6 +77,7 @@
 	reset: 'reset',
 	truncated: 'truncated',
 	timeout: 'timeout',
+	overdue: 'timeout',
 	impatience: 'cancelled',
 	cancelled: 'cancelled',
 };
--- a/packages/wagtailroute-proxy/src/endings.ts
+++ b/packages/wagtailroute-proxy/src/endings.ts
@@ -42,7 +42,7 @@
 	}
 
 	if (result.kind !== 'truncated' && result.code === MOVED_CODE) {
-		return 'timeout';
+		return 'overdue';
 	}
 
 	return isBodyCutOff(result) ? 'cancelled' : UNANSWERED_ENDINGS[result.kind];
@@ -140,6 +140,7 @@
 	shed: 'overloaded',
 	misdirected: 'failed',
 	timeout: 'overloaded',
+	overdue: 'overloaded',
 	// A deadline that the caller chose too short says nothing of load: callers could shrink the limit for all others.
 	impatience: 'failed',
 	'server-error': 'failed',
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -64,7 +64,7 @@
 /**
 How an attempt ended, as evidence about the target.
 
-`timeout` is a deadline of the service's own making, `impatience` one that the caller chose shorter: that says nothing about
+`overdue`: the answer took so long that the request moved. `timeout` is a deadline of the service's own making, `impatience` one that the caller chose shorter: that says nothing about
 the target.
 */
 export type AttemptEnding =
@@ -76,6 +76,7 @@
 	| 'reset'
 	| 'truncated'
 	| 'timeout'
+	| 'overdue'
 	| 'impatience'
 	| 'cancelled';
 
