--- /dev/null
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/held-places.test.ts
@@ -0,0 +1,47 @@
+/**
+Tests of the places that a host holds.
+*/
+import test from 'ava';
+import type * as dispatch from 'wagtailroute-dispatch';
+import {createHeldPlaces} from '../../held-places.ts';
+import * as fixture from './fixture.ts';
+
+const ASK: dispatch.Ask = {
+	id: 'h:1',
+	host: 'h',
+	failureDomain: 'x',
+	service: 'archive',
+	route: 'r',
+	requestClass: 'read',
+	priority: 1,
+	remainingMilliseconds: 2000,
+	objectiveMilliseconds: 1000,
+	excluded: [],
+	isResend: false,
+};
+
+test('a dispatcher is told what is held of its service, once for as long as it stays the same', t => {
+	// Symptom: upstreams shed requests right after a control host was lost.
+	// Sequence: another one dispatches from now on; it counts every slot as free, the requests under way are not its own.
+	// Cause: nobody told it of them.
+	const first = fixture.createFakeLink(() => undefined);
+	const second = fixture.createFakeLink(() => undefined);
+	const host = {id: 'c', address: {ip: '10.0.0.2', port: 1}};
+	const places = createHeldPlaces(() => 500);
+	places.add({ask: ASK, upstream: 'u', grantedAt: 100});
+	places.add({ask: {...ASK, id: 'h:2', service: 'media'}, upstream: 'v', grantedAt: 100});
+	for (const link of [first, first, second]) {
+		places.tell('archive', {host, link});
+	}
+
+	const held = {
+		id: 'h:1', host: 'h', service: 'archive', route: 'r', upstream: 'u', ageMilliseconds: 400, remainingMilliseconds: 1600,
+	};
+	t.deepEqual([first.notified, second.notified], [
+		[['dispatch.hold', {service: 'archive', places: [held]}]],
+		[['dispatch.hold', {service: 'archive', places: [held]}]],
+	]);
+	t.is(places.take('h:1')?.upstream, 'u');
+	t.is(places.take('h:1'), undefined);
+	t.is(places.count(), 1);
+});
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -29,9 +29,9 @@
 import {
 	type AskAnswer,
 	type Belief,
-	type Holding,
 	METHODS,
 } from './messages.ts';
+import {createHeldPlaces, type Held, type HeldPlaces} from './held-places.ts';
 import type {EntrySettings} from './settings.ts';
 
 /**
@@ -109,13 +109,6 @@
 	dispatcher?: OpenControl;
 };
 
-type Held = {
-	readonly ask: dispatch.Ask;
-	readonly upstream: core.UpstreamId;
-	readonly grantedAt: number;
-	readonly dispatcher?: OpenControl;
-};
-
 /**
 Starts asking.
 */
@@ -128,11 +121,7 @@
 	readonly #plan: AskingPlan;
 	readonly #local: dispatch.Dispatcher;
 	readonly #pending = new Map<dispatch.AskId, Pending>();
-	readonly #held = new Map<dispatch.AskId, Held>();
-	/**
-	The link that each service's last ask went over.
-	*/
-	readonly #lastLinks = new Map<core.ServiceName, link.Link>();
+	readonly #held: HeldPlaces;
 	readonly #finder: DispatcherFinder;
 	readonly #routeNumbers = createRouteNumbers();
 	#count = 0;
@@ -148,6 +137,7 @@
 	constructor(context: FleetContext, plan: AskingPlan) {
 		this.#context = context;
 		this.#plan = plan;
+		this.#held = createHeldPlaces(context.now);
 		this.#finder = createDispatcherFinder(context, plan.getOpen);
 		this.#local = dispatch.createDispatcher({
 			// The budget is the whole fleet's: a host that dispatches alone takes no more than its own requests give it.
@@ -155,7 +145,7 @@
 			floor: plan.settings.floor,
 			random: context.random,
 		});
-		context.metrics.registerGauge('requests_held', () => this.#held.size);
+		context.metrics.registerGauge('requests_held', this.#held.count);
 	}
 
 	ask(draft: AskDraft): Asked {
@@ -178,13 +168,10 @@
 	}
 
 	end(id: dispatch.AskId, ending: dispatch.Ending, milliseconds: number): void {
-		const held = this.#held.get(id);
-		if (held === undefined) {
-			return;
+		const held = this.#held.take(id);
+		if (held !== undefined) {
+			this.#tellEnd(held, ending, milliseconds);
 		}
-
-		this.#held.delete(id);
-		this.#tellEnd(held, ending, milliseconds);
 	}
 
 	hearAnswer(ask: number, answer: ShortAnswer): void {
@@ -234,7 +221,7 @@
 		}
 
 		pending.dispatcher = dispatcher;
-		this.#tellHeld(ask.service, dispatcher);
+		this.#held.tell(ask.service, dispatcher);
 		const answer = await dispatcher.link.call(METHODS.ask, this.#shorten(dispatcher.link, ask), ASK_MILLISECONDS);
 		if (answer.isOk()) {
 			const first = restoreAnswer(answer.value as ShortAnswer);
@@ -276,31 +263,6 @@
 		}
 	}
 
-	/**
-	A dispatcher that this host turns to anew does not know what is under way from here.
-	*/
-	#tellHeld(service: core.ServiceName, dispatcher: OpenControl): void {
-		if (this.#lastLinks.get(service) === dispatcher.link) {
-			return;
-		}
-
-		this.#lastLinks.set(service, dispatcher.link);
-		const now = this.#context.now();
-		const places = this.#held.values()
-			.filter(held => held.ask.service === service)
-			.map(({ask, upstream, grantedAt}): dispatch.HeldPlace => ({
-				id: ask.id,
-				host: ask.host,
-				service,
-				route: ask.route,
-				upstream,
-				ageMilliseconds: now - grantedAt,
-				remainingMilliseconds: ask.remainingMilliseconds - (now - grantedAt),
-			}))
-			.toArray();
-		dispatcher.link.notify(METHODS.hold, {service, places} satisfies Holding);
-	}
-
 	#askLocal(pending: Pending, reason: string): void {
 		if (!this.#pending.has(pending.ask.id)) {
 			return;
@@ -368,7 +330,7 @@
 				return;
 			}
 
-			this.#held.set(ask.id, held);
+			this.#held.add(held);
 		}
 
 		pending.resolve(answer.kind === 'grant' ? {...answer, id: ask.id} : answer);
