Move an overdue read only to a slot that nobody waits for; tell load in larger steps

Change: the ask says that it is a move; it is granted at once or refused, and refused while anybody waits. Load was told to all control hosts at each change of 0.05: with eleven of them nearly every second; now 0.13.

--- a/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
@@ -32,6 +32,7 @@
 	objectiveMilliseconds: 1000,
 	excluded: [],
 	isResend: false,
+	isMove: false,
 	...changes,
 });
 
@@ -384,3 +385,18 @@
 	t.is(getGrant(dispatcher.ask(createAsk('3', {failureDomain: 'y'}), 5))?.upstream, 'b', 'nobody stands behind it who is at home elsewhere');
 	t.is(getGrant(dispatcher.end('1', {ending: 'success', milliseconds: 10}, 10))?.upstream, 'a');
 });
+
+test('a request that is under way elsewhere moves only to a slot that nobody waits for', t => {
+	// Symptom: on a busy day more requests are refused, and fewer reads served, than without moves.
+	// Sequence: upstreams are slow under load; reads become overdue, are given up and sent again before those who wait.
+	// Cause: a move was queued as a resend is, ahead of all others.
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 1}), createCandidate('b', {slots: 1})]);
+	const move = {
+		requestClass: 'read', isResend: true, isMove: true, excluded: ['a'],
+	} as const;
+	dispatcher.ask(createAsk('1', {excluded: ['b']}), 0);
+	t.is(getGrant(dispatcher.ask(createAsk('2', move), 0))?.upstream, 'b');
+	dispatcher.ask(createAsk('3'), 0);
+	t.is(getRefusal(dispatcher.ask(createAsk('4', move), 0))?.reason, 'no-slot-in-time');
+	t.is(getGrant(dispatcher.end('2', {ending: 'success', milliseconds: 10}, 10))?.ask.id, '3');
+});
--- a/packages/wagtailroute-dispatch/src/asks.ts
+++ b/packages/wagtailroute-dispatch/src/asks.ts
@@ -41,6 +41,10 @@
 	Another upstream had the request before.
 	*/
 	readonly isResend: boolean;
+	/**
+	The request is under way at another upstream, whose answer is overdue: it moves only to a slot that nobody waits for.
+	*/
+	readonly isMove: boolean;
 };
 
 /**
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -135,6 +135,11 @@
 
 	ask(ask: Ask, now: number): readonly Effect[] {
 		const service = this.#getService(ask.service);
+		// Under load the move would take a slot from who was sent nowhere yet, and throw away what was worked so far.
+		if (ask.isMove && service.waiting.length > 0) {
+			return [refuse(ask, 'no-slot-in-time', RETRY_AFTER_LEAST_MILLISECONDS)];
+		}
+
 		if (ask.isResend) {
 			if (!service.budget.takeResend(now)) {
 				return [refuse(ask, 'budget', RETRY_AFTER_LEAST_MILLISECONDS)];
@@ -305,7 +310,7 @@
 		const usual = getUsual(service, ask);
 		// Itself included.
 		const wait = slots === 0 ? Infinity : countUntil(service, turn) * usual / slots;
-		const isInObjective = ask.isResend || wait + (usual * OBJECTIVE_PART) <= ask.objectiveMilliseconds;
+		const isInObjective = (ask.isResend && !ask.isMove) || wait + (usual * OBJECTIVE_PART) <= ask.objectiveMilliseconds;
 		if (isInObjective && wait + (usual * WORTHWHILE_PART) <= ask.remainingMilliseconds) {
 			return [];
 		}
--- a/packages/wagtailroute-fleet/src/__tests__/unit/ask-wire.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/ask-wire.test.ts
@@ -12,10 +12,15 @@
 };
 const FROM = {host: 'front:a', failureDomain: 'x'};
 
+/**
+A move is a resend as well.
+*/
+const SENDS = [{isResend: false, isMove: false}, {isResend: true, isMove: false}, {isResend: true, isMove: true}] as const;
+
 test('an ask comes back the same', t => {
-	fc.assert(fc.property(fc.nat(), fc.nat({max: 100_000}), fc.array(fc.string()), fc.boolean(), (number, remainingMilliseconds, excluded, isResend) => {
+	fc.assert(fc.property(fc.nat(), fc.nat({max: 100_000}), fc.array(fc.string()), fc.constantFrom(...SENDS), (number, remainingMilliseconds, excluded, send) => {
 		const ask = {
-			...ROUTE, ...FROM, id: wire.createAskId(FROM.host, number), remainingMilliseconds, excluded, isResend,
+			...ROUTE, ...FROM, id: wire.createAskId(FROM.host, number), remainingMilliseconds, excluded, ...send,
 		};
 		t.deepEqual(wire.restoreAsk(structuredClone(wire.shortenAsk(ask, 7)), FROM, wire.getAskedRoute(ask)), ask);
 	}));
--- a/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
@@ -17,6 +17,7 @@
 	objectiveMilliseconds: 1000,
 	excluded: [],
 	isResend: false,
+	isMove: false,
 };
 
 const CANDIDATE: dispatch.Candidate = {
@@ -121,7 +122,7 @@
 	});
 	retired.add('u');
 	t.like(await asking.ask(DRAFT).answer, {kind: 'grant', upstream: 'v', id: 'front:2'});
-	t.deepEqual(link.called.at(-1)?.[1], [2, 0, 2000, ['u'], false]);
+	t.deepEqual(link.called.at(-1)?.[1], [2, 0, 2000, ['u'], false, false]);
 	t.true(link.notified.some(([method, parameters]) => method === 'dispatch.end' && JSON.stringify(parameters) === '[1,"cancelled",0]'));
 });
 
--- a/packages/wagtailroute-fleet/src/__tests__/unit/held-places.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/held-places.test.ts
@@ -18,6 +18,7 @@
 	objectiveMilliseconds: 1000,
 	excluded: [],
 	isResend: false,
+	isMove: false,
 };
 
 test('a dispatcher is told what is held of its service, once for as long as it stays the same', t => {
--- a/packages/wagtailroute-fleet/src/ask-wire.ts
+++ b/packages/wagtailroute-fleet/src/ask-wire.ts
@@ -25,7 +25,7 @@
 An ask: its number on the asking host, the number of its route, and the milliseconds until its deadline; for a resend the
 upstreams that had the request.
 */
-export type ShortAsk = readonly [ask: number, route: number, remaining: number, excluded?: readonly core.UpstreamId[], isResend?: boolean];
+export type ShortAsk = readonly [ask: number, route: number, remaining: number, excluded?: readonly core.UpstreamId[], isResend?: boolean, isMove?: boolean];
 
 /**
 An answer: a granted upstream and its address, a refusal with the milliseconds until a resend makes sense, or "wait".
@@ -102,7 +102,7 @@
 export function shortenAsk(ask: dispatch.Ask, route: number): ShortAsk {
 	const remaining = Math.floor(ask.remainingMilliseconds);
 	return ask.isResend || ask.excluded.length > 0
-		? [getAskNumber(ask.id), route, remaining, ask.excluded, ask.isResend]
+		? [getAskNumber(ask.id), route, remaining, ask.excluded, ask.isResend, ask.isMove]
 		: [getAskNumber(ask.id), route, remaining];
 }
 
@@ -110,12 +110,12 @@
 Restores an ask.
 */
 export function restoreAsk(
-	[ask, , remainingMilliseconds, excluded = [], isResend = false]: ShortAsk,
+	[ask, , remainingMilliseconds, excluded = [], isResend = false, isMove = false]: ShortAsk,
 	from: Pick<dispatch.Ask, 'host' | 'failureDomain'>,
 	route: AskedRoute,
 ): dispatch.Ask {
 	return {
-		...route, ...from, id: createAskId(from.host, ask), remainingMilliseconds, excluded, isResend,
+		...route, ...from, id: createAskId(from.host, ask), remainingMilliseconds, excluded, isResend, isMove,
 	};
 }
 
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -144,9 +144,9 @@
 export const LOAD_SHARE = 0.3;
 
 /**
-Change of load that the control hosts are told: a message costs as much as a request's.
+Change of load that the control hosts are told, a third of what is aimed at: a message to each costs as much as a request's.
 */
-export const LOAD_STEP = 0.05;
+export const LOAD_STEP = 0.13;
 
 /**
 Milliseconds in a second.
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -75,6 +75,7 @@
 		objectiveMilliseconds: route.objectiveMilliseconds,
 		excluded: [...choice.excluded],
 		isResend: choice.isResend,
+		isMove: choice.isMove,
 	});
 
 	return {
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -144,6 +144,10 @@
 	A target got the request before, whether or not it ran it.
 	*/
 	readonly isResend: boolean;
+	/**
+	Another target has the request and leaves it unanswered; it stays there unless there is a place at once.
+	*/
+	readonly isMove: boolean;
 };
 
 /**
--- a/packages/wagtailroute-proxy/src/sending.ts
+++ b/packages/wagtailroute-proxy/src/sending.ts
@@ -171,6 +171,7 @@
 			requestId: request.id,
 			remainingMilliseconds: this.#getRemaining(),
 			isResend,
+			isMove: false,
 		};
 	}
 
@@ -310,7 +311,7 @@
 			? watchOverdue({
 				attempt,
 				patienceMilliseconds,
-				choose: () => choose(this.#createChoice(true)),
+				choose: () => choose({...this.#createChoice(true), isMove: true}),
 				giveBack(target) {
 					end({
 						target, ending: 'cancelled', latencyMilliseconds: 0, fingerprint: '', hasCrashed: false,
