Give the targets of a request a module of their own; give back one that is not used

Cause, found by reading: a target that was granted to a move was forgotten when the caller left before the second attempt: its slot stayed taken until its deadline, its place in the host's table for good.

--- /dev/null
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/targets.test.ts
@@ -0,0 +1,43 @@
+/**
+Tests of the targets of a request that moves.
+*/
+import test from 'ava';
+import {createGivingUp} from '../../giving-up.ts';
+import type * as ports from '../../ports.ts';
+import {Targets, type TargetsContext} from '../../targets.ts';
+
+const NEXT: ports.Target = {id: 'next', kind: 'upstream', address: {ip: '127.0.0.1', port: 1}};
+const WATCH = {end: () => undefined, getNext: () => NEXT};
+
+function createTargets(): {readonly targets: Targets; readonly reports: ports.AttemptReport[]} {
+	const reports: ports.AttemptReport[] = [];
+	// Only what is asked for here.
+	const service = {
+		choose: () => undefined,
+		end(report: ports.AttemptReport) {
+			reports.push(report);
+		},
+	} as unknown as ports.ServicePort;
+	const context = {service, match: {service: 's', route: {class: 'read'}}, request: {id: 'r'}} as unknown as TargetsContext;
+	return {targets: new Targets(context, createGivingUp(), () => 1000), reports};
+}
+
+test('a request that moves goes to the target that was granted, once', async t => {
+	const {targets, reports} = createTargets();
+	t.true(targets.keepNext(WATCH));
+	t.is(await targets.choose(true), NEXT);
+	t.is(await targets.choose(true), undefined);
+	targets.abandon();
+	t.deepEqual(reports, []);
+});
+
+test('a granted target is given back when the request is not sent any more', t => {
+	// Symptom: a slot stays taken until its deadline and the table of places grows.
+	// Sequence: a read moves; its caller leaves before the second attempt begins.
+	// Cause: the target that had been granted was forgotten.
+	const {targets, reports} = createTargets();
+	targets.keepNext(WATCH);
+	targets.abandon();
+	targets.abandon();
+	t.deepEqual(reports.map(({target, ending}) => [target.id, ending]), [['next', 'cancelled']]);
+});
--- a/packages/wagtailroute-proxy/src/sending.ts
+++ b/packages/wagtailroute-proxy/src/sending.ts
@@ -6,7 +6,7 @@
 */
 import type * as http from 'node:http';
 import * as timers from 'node:timers/promises';
-import * as core from 'wagtailroute-core';
+import type * as core from 'wagtailroute-core';
 import * as retries from 'wagtailroute-retries';
 import * as attempts from './attempts.ts';
 import * as bodies from './bodies.ts';
@@ -15,9 +15,9 @@
 import * as failures from './failures.ts';
 import type {GivingUp} from './giving-up.ts';
 import type * as headers from './headers.ts';
-import {MOVED_CODE, type OverdueWatch, watchOverdue} from './overdue.ts';
 import type * as ports from './ports.ts';
 import type * as requests from './requests.ts';
+import {Targets} from './targets.ts';
 
 /**
 What the attempts of a request need.
@@ -63,16 +63,13 @@
 	readonly #context: SendingContext;
 	readonly #givingUp: GivingUp;
 	readonly #getRemaining: () => number;
-	readonly #tried = new Set<string>();
+	readonly #targets: Targets;
 	#claim: GrantedClaim | undefined;
 	#body: bodies.Body | undefined;
 	#count = 0;
 	#decision: retries.RetryDecision | undefined;
 	#isTrialBusy = false;
-	/**
-	The target that takes the request from one that left it unanswered.
-	*/
-	#next: ports.Target | undefined;
+	#isMoving = false;
 	/**
 	A target got the request, whether or not it ran it.
 	*/
@@ -82,6 +79,7 @@
 		this.#context = context;
 		this.#givingUp = givingUp;
 		this.#getRemaining = getRemaining;
+		this.#targets = new Targets(context, givingUp, getRemaining);
 	}
 
 	/**
@@ -93,8 +91,9 @@
 		let conclusion: Conclusion;
 		for (;;) {
 			// eslint-disable-next-line no-await-in-loop -- One attempt follows the other.
-			const target = this.#givingUp.getReason() === undefined ? await this.#choose() : undefined;
+			const target = this.#givingUp.getReason() === undefined ? await this.#targets.choose(this.#hasArrived) : undefined;
 			if (target === undefined || !('address' in target)) {
+				this.#targets.abandon();
 				return this.describeGivenUp() ?? conclusion ?? target ?? this.#createNoUpstream();
 			}
 
@@ -102,7 +101,7 @@
 			const trial = await this.#requestTrial(target);
 			if (trial?.kind === 'busy') {
 				this.#isTrialBusy = true;
-				this.#tried.add(target.id);
+				this.#targets.exclude(target);
 				continue;
 			}
 
@@ -142,39 +141,6 @@
 		return failures.createRequestFailure(kind, message);
 	}
 
-	async #choose(): Promise<ports.Target | failures.RequestFailure | undefined> {
-		const next = this.#next;
-		this.#next = undefined;
-		if (next !== undefined) {
-			return next;
-		}
-
-		const chosen = this.#context.service.choose(this.#createChoice(this.#hasArrived));
-		if (chosen === undefined || 'address' in chosen) {
-			return chosen;
-		}
-
-		// Whoever gave up waiting gives the target back.
-		this.#givingUp.setListener(() => {
-			chosen.cancel();
-		});
-		const result = await chosen.result;
-		this.#givingUp.setListener(() => undefined);
-		return result;
-	}
-
-	#createChoice(isResend: boolean): ports.ChoiceRequest {
-		const {match, request} = this.#context;
-		return {
-			excluded: this.#tried,
-			requestClass: match.route.class,
-			requestId: request.id,
-			remainingMilliseconds: this.#getRemaining(),
-			isResend,
-			isMove: false,
-		};
-	}
-
 	#createNoUpstream(): failures.RequestFailure {
 		return this.#isTrialBusy
 			? failures.createRequestFailure('trial-busy', 'Other requests that may crash backend servers are on trial at all of them.')
@@ -218,9 +184,9 @@
 		}
 
 		const kind = endings.getFailureKind(result, hasCrashed);
-		this.#decision ??= this.#next === undefined
-			? this.#decideRetry(kind, result)
-			: {kind: 'retry', delayMilliseconds: 0, outcome: retries.mergeOutcomes(this.outcome, 'unknown')};
+		this.#decision ??= this.#isMoving
+			? {kind: 'retry', delayMilliseconds: 0, outcome: retries.mergeOutcomes(this.outcome, 'unknown')}
+			: this.#decideRetry(kind, result);
 		this.outcome = this.#decision.outcome;
 		return {
 			conclusion: this.describeGivenUp() ?? failures.createRequestFailure(kind, endings.describeResult(result, target.id)),
@@ -261,7 +227,7 @@
 		isOnTrial: boolean,
 	): Promise<{readonly result: attempts.AttemptResult; readonly hasCrashed: boolean}> {
 		const {service, ports: {now}} = this.#context;
-		this.#tried.add(target.id);
+		this.#targets.exclude(target);
 		this.lastUpstream = target.id;
 		this.#count++;
 		service.begin(target);
@@ -272,7 +238,7 @@
 			answeredAt = now();
 			listener.onAnswered?.();
 		}));
-		const watch = this.#watchOverdue(attempt);
+		const watch = this.#targets.watch(attempt, {count: this.#count, isReplayable: bodies.isReplayable(this.#body!)});
 		listener.onAnswered = () => watch?.end();
 		this.#givingUp.setListener(reason => {
 			watch?.end();
@@ -280,7 +246,7 @@
 		});
 		const result = await attempt.result;
 		watch?.end();
-		this.#next = watch?.getNext();
+		this.#isMoving = this.#targets.keepNext(watch);
 		this.#givingUp.setListener(() => undefined);
 		const latencyMilliseconds = (answeredAt ?? now()) - startedAt;
 		this.lastEnding = this.#getEnding(result);
@@ -297,30 +263,6 @@
 		return {result, hasCrashed};
 	}
 
-	/**
-	Watches an attempt that may be moved: it may be repeated, another attempt is allowed, and its time suffices.
-	*/
-	#watchOverdue(attempt: attempts.Attempt): OverdueWatch | undefined {
-		const {service: {retry, limits, choose, end}, match} = this.#context;
-		const patienceMilliseconds = retry.getPatienceMilliseconds?.() ?? Infinity;
-		const isMovable = core.isIdempotent(match.route.class)
-			&& this.#count < (limits.attempts ?? retries.MAX_ATTEMPTS)
-			&& bodies.isReplayable(this.#body!)
-			&& patienceMilliseconds + retry.getUsualMilliseconds() < this.#getRemaining();
-		return isMovable
-			? watchOverdue({
-				attempt,
-				patienceMilliseconds,
-				choose: () => choose({...this.#createChoice(true), isMove: true}),
-				giveBack(target) {
-					end({
-						target, ending: 'cancelled', latencyMilliseconds: 0, fingerprint: '', hasCrashed: false,
-					});
-				},
-			})
-			: undefined;
-	}
-
 	#createPlan(target: ports.Target, onAnswered: () => void): attempts.AttemptPlan {
 		const {service, request, message, response, ports: {dialect, hostId}} = this.#context;
 		const body = this.#body!;
@@ -358,7 +300,7 @@
 
 		const isShed = kind === 'shed' || kind === 'misdirected';
 		const result: Unanswered = {kind: 'discarded', status, isShed};
-		const decision = service.hasAnother(this.#createChoice(true)) ? this.#decideRetry(endings.getFailureKind(result, false), result) : undefined;
+		const decision = service.hasAnother(this.#targets.createChoice(true)) ? this.#decideRetry(endings.getFailureKind(result, false), result) : undefined;
 		if (decision?.kind === 'retry') {
 			this.#decision = decision;
 			return isShed ? kind : 'repeat';
