Bound what a dispatcher looks at for each event; serve all who wait when slots come free together

Change: nobody is looked at while no slot is free and no trial due; else the first 64; late ones are refused by the tick; places in the queue are found by halves.

--- a/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
@@ -400,3 +400,16 @@
 	t.is(getRefusal(dispatcher.ask(createAsk('4', move), 0))?.reason, 'no-slot-in-time');
 	t.is(getGrant(dispatcher.end('2', {ending: 'success', milliseconds: 10}, 10))?.ask.id, '3');
 });
+
+test('all who wait are served when slots come free together', t => {
+	// Symptom: a slot stays free for up to 50 ms while somebody waits for it.
+	// Sequence: an upstream with several slots joins; two wait.
+	// Cause: those who wait were gone through while the first was taken out of the list, so the next one was passed over.
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 1})]);
+	for (const id of ['1', '2', '3']) {
+		dispatcher.ask(createAsk(id), 0);
+	}
+
+	const effects = dispatcher.setCandidates(SERVICE, [createCandidate('a', {slots: 1}), createCandidate('b', {slots: 2})], 1);
+	t.deepEqual(effects.map(effect => effect.kind === 'grant' ? effect.ask.id : effect.kind), ['2', '3']);
+});
--- a/packages/wagtailroute-dispatch/src/constants.ts
+++ b/packages/wagtailroute-dispatch/src/constants.ts
@@ -230,6 +230,12 @@
 */
 export const BUDGET_SLICE_MILLISECONDS = 500;
 
+/**
+Asks that are looked at when a slot comes free, by turn. Those who have waited longest take a slot anywhere; with all looked at, 300 upstreams under
+overload cost a millisecond for each event.
+*/
+export const LOOKED_AT_MOST = 64;
+
 /**
 Milliseconds in a second.
 */
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -26,6 +26,7 @@
 } from './choosing.ts';
 import {
 	ABANDONED_MILLISECONDS,
+	LOOKED_AT_MOST,
 	OBJECTIVE_PART,
 	RETRY_AFTER_LEAST_MILLISECONDS,
 	WORTHWHILE_PART,
@@ -38,6 +39,7 @@
 	getUsual,
 	hasFreeSlot,
 	isBelowFloor,
+	isTooLate,
 	learnUsual,
 	listDueTrials,
 	listFree,
@@ -246,7 +248,7 @@
 			this.#free(place);
 		}
 
-		return this.#services.values().flatMap(service => this.#serveWaiting(service, now)).toArray();
+		return this.#services.values().flatMap(service => [...this.#serveWaiting(service, now), ...this.#refuseLate(service, now)]).toArray();
 	}
 
 	getWaiting(): number {
@@ -341,8 +343,7 @@
 		const waiting: Waiting = {
 			ask, turn: getTurn(ask, now), askedAt: now, deadlineAt: now + ask.remainingMilliseconds,
 		};
-		const place = service.waiting.findIndex(present => present.turn > waiting.turn);
-		service.waiting.splice(place === -1 ? service.waiting.length : place, 0, waiting);
+		service.waiting.splice(countUntil(service, waiting.turn), 0, waiting);
 		this.#waiting.set(ask.id, service);
 		return waiting;
 	}
@@ -356,32 +357,49 @@
 	}
 
 	/**
-	Grants what can be granted, by turn, and refuses what can no longer be served in time. A trial takes no slot from those who wait, so it comes
-	first. Under overload no slot is free, and most looks at a waiting ask come to nothing: so the upstreams with a free slot are listed once.
+	Grants what can be granted, by turn. A trial takes no slot from those who wait, so it comes first. Under overload no slot is free, and hundreds
+	wait: so the upstreams with a free slot are listed once, and only the first of those who wait are looked at.
 	*/
 	#serveWaiting(service: Service, now: number): readonly Effect[] {
 		const effects: Effect[] = [];
 		let free = listFree(service, now);
 		let dueTrials = listDueTrials(service, now);
-		for (const waiting of service.waiting) {
+		for (const waiting of service.waiting.slice(0, LOOKED_AT_MOST)) {
+			if (free.length === 0 && dueTrials.length === 0) {
+				break;
+			}
+
 			const ask = {...waiting.ask, remainingMilliseconds: waiting.deadlineAt - now};
-			const choice = chooseTrial(dueTrials, ask, getTrialCircumstances(service, now))
-				?? choose(free, ask, {
-					now, random: this.#settings.random, waitedMilliseconds: now - waiting.askedAt, known: service.upstreams,
-				});
-			if (choice !== undefined) {
-				this.#removeWaiting(service, ask.id);
-				effects.push(this.#grant(service, ask, choice, now));
-				free = free.filter(upstream => hasFreeSlot(upstream));
-				dueTrials = dueTrials.filter(upstream => hasFreeSlot(upstream));
-			} else if (ask.remainingMilliseconds < getUsual(service, ask) * WORTHWHILE_PART) {
-				this.#removeWaiting(service, ask.id);
-				effects.push(...this.#useReserveOrRefuse(service, ask, {now, wait: Infinity, slots: 1}));
+			const choice = isTooLate(service, waiting, now)
+				? undefined
+				: chooseTrial(dueTrials, ask, getTrialCircumstances(service, now))
+					?? choose(free, ask, {
+						now, random: this.#settings.random, waitedMilliseconds: now - waiting.askedAt, known: service.upstreams,
+					});
+			if (choice === undefined) {
+				continue;
 			}
+
+			this.#removeWaiting(service, ask.id);
+			effects.push(this.#grant(service, ask, choice, now));
+			free = free.filter(upstream => hasFreeSlot(upstream));
+			dueTrials = dueTrials.filter(upstream => hasFreeSlot(upstream));
 		}
 
 		return effects;
 	}
+
+	/**
+	Refuses what can no longer be answered in time.
+	*/
+	#refuseLate(service: Service, now: number): readonly Effect[] {
+		const late = service.waiting.filter(waiting => isTooLate(service, waiting, now));
+		return late.flatMap(({ask, deadlineAt}) => {
+			this.#removeWaiting(service, ask.id);
+			const remaining = {...ask, remainingMilliseconds: deadlineAt - now};
+			return this.#useReserveOrRefuse(service, remaining, {now, wait: Infinity, slots: 1});
+		});
+	}
 }
 
 function refuse(ask: Ask, reason: RefusalReason, retryAfterMilliseconds: number): Effect {
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -11,6 +11,7 @@
 	RESEND_MILLISECONDS,
 	USUAL_PART,
 	USUAL_SHARE,
+	WORTHWHILE_PART,
 } from './constants.ts';
 import {isSuspended, type Upstream} from './upstreams.ts';
 
@@ -84,10 +85,24 @@
 }
 
 /**
-Counts the asks up to one with this turn, itself included.
+Counts the asks up to one with this turn, itself included: they are kept by turn, so half of them are ruled out at each look.
 */
 export function countUntil({waiting}: Service, turn: number): number {
-	return waiting.filter(present => present.turn <= turn).length;
+	let from = 0;
+	let to = waiting.length;
+	while (from < to) {
+		const middle = Math.floor((from + to) / 2);
+		[from, to] = waiting[middle]!.turn <= turn ? [middle + 1, to] : [from, middle];
+	}
+
+	return from;
+}
+
+/**
+Says whether an ask that waits could not be answered before its deadline any more.
+*/
+export function isTooLate(service: Service, {ask, deadlineAt}: Waiting, now: number): boolean {
+	return deadlineAt - now < getUsual(service, ask) * WORTHWHILE_PART;
 }
 
 /**
