--- a/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
@@ -401,6 +401,26 @@
 	t.is(getGrant(dispatcher.end('2', {ending: 'success', milliseconds: 10}, 10))?.ask.id, '3');
 });
 
+test('a move that is refused leaves the budget as it was', t => {
+	// Symptom: resends are refused for their budget though hardly any were sent.
+	// Sequence: slots are taken; each overdue read asks for a move, and is refused.
+	// Cause: the budget was paid before there was a place.
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 1}), createCandidate('b', {slots: 1})], {ratio: 0, extra: 10, windowMilliseconds: 10_000});
+	dispatcher.ask(createAsk('1', {excluded: ['b']}), 0);
+	dispatcher.ask(createAsk('2', {excluded: ['a']}), 0);
+	for (let move = 0; move < 20; move++) {
+		dispatcher.ask(createAsk(`m${move}`, {isResend: true, isMove: true, excluded: ['a']}), 0);
+	}
+
+	dispatcher.end('2', {ending: 'success', milliseconds: 10}, 10);
+	t.is(getGrant(dispatcher.ask(createAsk('3', {isResend: true, excluded: ['a']}), 10))?.upstream, 'b');
+});
+
+test('an ask with little time left is tried where a slot is free', t => {
+	const dispatcher = createDispatcher([createCandidate('a')]);
+	t.is(getGrant(dispatcher.ask(createAsk('1', {remainingMilliseconds: 50}), 0))?.upstream, 'a');
+});
+
 test('all who wait are served when slots come free together', t => {
 	// Symptom: a slot stays free for up to 50 ms while somebody waits for it.
 	// Sequence: an upstream with several slots joins; two wait.
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -23,6 +23,7 @@
 	chooseReserve,
 	chooseTrial,
 	type Choice,
+	type ChoiceCircumstances,
 } from './choosing.ts';
 import {
 	ABANDONED_MILLISECONDS,
@@ -137,9 +138,8 @@
 
 	ask(ask: Ask, now: number): readonly Effect[] {
 		const service = this.#getService(ask.service);
-		// Under load the move would take a slot from who was sent nowhere yet, and throw away what was worked so far.
-		if (ask.isMove && service.waiting.length > 0) {
-			return [refuse(ask, 'no-slot-in-time', RETRY_AFTER_LEAST_MILLISECONDS)];
+		if (ask.isMove) {
+			return [this.#moveOrRefuse(service, ask, now)];
 		}
 
 		if (ask.isResend) {
@@ -268,6 +268,27 @@
 		}));
 	}
 
+	/**
+	Under load a move would take a slot from who was sent nowhere yet, and throw away what was worked so far: it never waits, and costs
+	the budget nothing when it is refused.
+	*/
+	#moveOrRefuse(service: Service, ask: Ask, now: number): Effect {
+		const choice = service.waiting.length > 0 ? undefined : choose(listFree(service, now), ask, this.#getCircumstances(service, now, now));
+		if (choice === undefined) {
+			return refuse(ask, 'no-slot-in-time', RETRY_AFTER_LEAST_MILLISECONDS);
+		}
+
+		return service.budget.takeResend(now)
+			? this.#grant(service, ask, choice, now)
+			: refuse(ask, 'budget', RETRY_AFTER_LEAST_MILLISECONDS);
+	}
+
+	#getCircumstances({upstreams}: Service, now: number, askedAt: number): ChoiceCircumstances {
+		return {
+			now, random: this.#settings.random, waitedMilliseconds: now - askedAt, known: upstreams,
+		};
+	}
+
 	#getService(name: core.ServiceName): Service {
 		const service: Service = this.#services.get(name) ?? {
 			name,
@@ -312,7 +333,7 @@
 		const usual = getUsual(service, ask);
 		// Itself included.
 		const wait = slots === 0 ? Infinity : countUntil(service, turn) * usual / slots;
-		const isInObjective = (ask.isResend && !ask.isMove) || wait + (usual * OBJECTIVE_PART) <= ask.objectiveMilliseconds;
+		const isInObjective = ask.isResend || wait + (usual * OBJECTIVE_PART) <= ask.objectiveMilliseconds;
 		if (isInObjective && wait + (usual * WORTHWHILE_PART) <= ask.remainingMilliseconds) {
 			return [];
 		}
@@ -370,12 +391,8 @@
 			}
 
 			const ask = {...waiting.ask, remainingMilliseconds: waiting.deadlineAt - now};
-			const choice = isTooLate(service, waiting, now)
-				? undefined
-				: chooseTrial(dueTrials, ask, getTrialCircumstances(service, now))
-					?? choose(free, ask, {
-						now, random: this.#settings.random, waitedMilliseconds: now - waiting.askedAt, known: service.upstreams,
-					});
+			const choice = chooseTrial(dueTrials, ask, getTrialCircumstances(service, now))
+				?? choose(free, ask, this.#getCircumstances(service, now, waiting.askedAt));
 			if (choice === undefined) {
 				continue;
 			}
