--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -24,7 +24,9 @@
 	getDoubt,
 	getSlowness,
 	getStrain,
+	hasFreeSlot,
 	isPathBad,
+	isServing,
 	isSuspended,
 	type Upstream,
 } from './upstreams.ts';
@@ -57,14 +59,16 @@
 };
 
 /**
-Chooses an upstream with a free slot and nothing serious against it, or none.
+Chooses an upstream with nothing serious against it, or none.
+
+@param upstreams Those with a free slot that are not suspended.
 */
 export function choose(upstreams: Iterable<Upstream>, ask: Ask, circumstances: ChoiceCircumstances): Choice | undefined {
 	const {now, random} = circumstances;
 	let best: Upstream | undefined;
 	let bestCost = Infinity;
 	for (const upstream of upstreams) {
-		if (isSuspended(upstream, now) || !isOpen(upstream, ask, now)) {
+		if (!isOpen(upstream, ask, now)) {
 			continue;
 		}
 
@@ -106,13 +110,15 @@
 
 /**
 Chooses a suspended upstream whose trial is due, or none: for an ask that would wait behind others.
+
+@param upstreams Suspended ones.
 */
 export function chooseTrial(upstreams: Iterable<Upstream>, ask: Ask, {now, hasRepeatable}: TrialCircumstances): Choice | undefined {
 	let trial: Upstream | undefined;
 	let trialAt = now;
 	for (const upstream of upstreams) {
 		const at = getTrialTime(upstream, ask, hasRepeatable);
-		const isNext = at <= trialAt && isSuspended(upstream, now) && isOpen(upstream, ask, now) && isTriable(upstream, ask);
+		const isNext = at <= trialAt && isOpen(upstream, ask, now) && isTriable(upstream, ask);
 		trial = isNext ? upstream : trial;
 		trialAt = isNext ? at : trialAt;
 	}
@@ -144,7 +150,7 @@
 Says whether an upstream could take the ask now if nothing spoke against it but doubt.
 */
 function isOpen(upstream: Upstream, ask: Ask, now: number): boolean {
-	return upstream.places.size < upstream.candidate.slots
+	return hasFreeSlot(upstream)
 		&& upstream.closedUntil <= now
 		&& isSuitable(upstream, ask, now);
 }
@@ -154,8 +160,7 @@
 */
 function isSuitable(upstream: Upstream, ask: Ask, now: number): boolean {
 	const {candidate} = upstream;
-	return !candidate.isDraining
-		&& !upstream.isMisdirected
+	return isServing(upstream)
 		&& candidate.slots > 0
 		&& !ask.excluded.includes(candidate.upstream)
 		&& getStrain(upstream, now) < MOST_STRAIN
--- a/packages/wagtailroute-dispatch/src/index.ts
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -17,5 +17,4 @@
 	type UpstreamReport,
 } from './dispatcher.ts';
 export type {BudgetSettings} from './budget.ts';
-export {USUAL_PART} from './constants.ts';
-export {mixUsual} from './services.ts';
+export {guessUsual, mixUsual} from './services.ts';
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -13,7 +13,12 @@
 	USUAL_SHARE,
 	WORTHWHILE_PART,
 } from './constants.ts';
-import {isSuspended, type Upstream} from './upstreams.ts';
+import {
+	hasFreeSlot,
+	isServing,
+	isSuspended,
+	type Upstream,
+} from './upstreams.ts';
 
 /**
 An ask that waits.
@@ -53,7 +58,14 @@
 Returns the usual milliseconds of requests of the ask's route.
 */
 export function getUsual(service: Service, ask: Ask): number {
-	return service.usual.get(ask.route) ?? (ask.objectiveMilliseconds * USUAL_PART);
+	return guessUsual(service.usual.get(ask.route), ask.objectiveMilliseconds);
+}
+
+/**
+Returns the usual milliseconds of a route: a part of its latency objective while it was not measured.
+*/
+export function guessUsual(known: number | undefined, objectiveMilliseconds: number): number {
+	return known ?? (objectiveMilliseconds * USUAL_PART);
 }
 
 /**
@@ -105,18 +117,11 @@
 	return deadlineAt - now < getUsual(service, ask) * WORTHWHILE_PART;
 }
 
-/**
-Says whether a request more fits in.
-*/
-export function hasFreeSlot({places, candidate}: Upstream): boolean {
-	return places.size < candidate.slots;
-}
-
 /**
 Lists the upstreams that could take a request as far as this is the same for all.
 */
 export function listFree({upstreams}: Service, now: number): readonly Upstream[] {
-	return upstreams.values().filter(upstream => hasFreeSlot(upstream) && !upstream.candidate.isDraining && !isSuspended(upstream, now)).toArray();
+	return upstreams.values().filter(upstream => hasFreeSlot(upstream) && isServing(upstream) && !isSuspended(upstream, now)).toArray();
 }
 
 /**
@@ -132,8 +137,7 @@
 export function countUsableSlots(service: Service, ask: Ask, now: number): number {
 	let slots = 0;
 	for (const upstream of service.upstreams.values()) {
-		const isUsable = !upstream.candidate.isDraining
-			&& !upstream.isMisdirected
+		const isUsable = isServing(upstream)
 			&& !isSuspended(upstream, now)
 			&& !ask.excluded.includes(upstream.candidate.upstream);
 		slots += isUsable ? upstream.candidate.slots : 0;
@@ -149,7 +153,7 @@
 	let all = 0;
 	let suspended = 0;
 	for (const upstream of service.upstreams.values()) {
-		const counts = !upstream.candidate.isDraining && !upstream.isMisdirected;
+		const counts = isServing(upstream);
 		all += counts ? 1 : 0;
 		suspended += counts && isSuspended(upstream, now) ? 1 : 0;
 	}
--- a/packages/wagtailroute-dispatch/src/upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -123,6 +123,20 @@
 	upstream.trialAt = now + TRIAL_MOST_MILLISECONDS;
 }
 
+/**
+Says whether a request more fits in.
+*/
+export function hasFreeSlot({places, candidate}: Upstream): boolean {
+	return places.size < candidate.slots;
+}
+
+/**
+Says whether it serves at all: it does not leave, and its address is its own.
+*/
+export function isServing({candidate, isMisdirected}: Upstream): boolean {
+	return !candidate.isDraining && !isMisdirected;
+}
+
 /**
 Says whether it gets trials only.
 */
--- a/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
@@ -3,23 +3,11 @@
 */
 import test from 'ava';
 import type * as dispatch from 'wagtailroute-dispatch';
-import {type AskDraft, startAsking} from '../../asking.ts';
+import {startAsking} from '../../asking.ts';
 import type {OpenControl} from '../../control-links.ts';
 import {orderDispatchers} from '../../dispatch-order.ts';
 import * as fixture from './fixture.ts';
 
-const DRAFT: AskDraft = {
-	service: 'archive',
-	route: 'r',
-	requestClass: 'non-idempotent',
-	priority: 1,
-	remainingMilliseconds: 2000,
-	objectiveMilliseconds: 1000,
-	excluded: [],
-	isResend: false,
-	isMove: false,
-};
-
 const CANDIDATE: dispatch.Candidate = {
 	upstream: 'own',
 	address: {ip: '10.0.0.9', port: 80},
@@ -67,8 +55,8 @@
 
 test('the dispatcher is told the route once, asked for each request and told each end', async t => {
 	const {asking, link} = setUp(() => GRANT);
-	const first = await asking.ask(DRAFT).answer;
-	await asking.ask(DRAFT).answer;
+	const first = await asking.ask(fixture.ASK_DRAFT).answer;
+	await asking.ask(fixture.ASK_DRAFT).answer;
 	t.like(first, {kind: 'grant', upstream: 'u', id: 'front:1'});
 	asking.end('front:1', 'success', 120);
 	t.deepEqual(link.called.map(([, parameters]) => parameters), [[1, 0, 2000], [2, 0, 2000]]);
@@ -78,7 +66,7 @@
 
 test('an ask that waits is answered later', async t => {
 	const {asking} = setUp(() => ['wait']);
-	const asked = asking.ask(DRAFT);
+	const asked = asking.ask(fixture.ASK_DRAFT);
 	asking.hearAnswer(1, ['refuse', 'no-slot-in-time', 300]);
 	t.deepEqual(await asked.answer, {kind: 'refuse', reason: 'no-slot-in-time', retryAfterMilliseconds: 300});
 });
@@ -88,24 +76,24 @@
 	// Sequence: the control host that dispatches the service is stopped with its connections open.
 	// Cause: an ask had no time limit of its own.
 	const {asking, link, context} = setUp(() => undefined);
-	const first = await asking.ask(DRAFT).answer;
+	const first = await asking.ask(fixture.ASK_DRAFT).answer;
 	t.like(first, {kind: 'grant', upstream: 'own'});
 	t.deepEqual(link.notified.slice(-2), [['dispatch.cancel', [1]], ['dispatch.end', [1, 'cancelled', 0]]]);
 	const calls = link.called.length;
-	const second = await asking.ask(DRAFT).answer;
+	const second = await asking.ask(fixture.ASK_DRAFT).answer;
 	t.is(link.called.length, calls);
 	for (const answer of [first, second]) {
 		asking.end(answer.kind === 'grant' ? answer.id : '', 'success', 100);
 	}
 
 	await context.pass(1500);
-	await asking.ask(DRAFT).answer;
+	await asking.ask(fixture.ASK_DRAFT).answer;
 	t.is(link.called.length, calls + 1);
 });
 
 test('what waits at a dispatcher whose link is lost is dispatched alone', async t => {
 	const {asking, control, context} = setUp(() => ['wait']);
-	const asked = asking.ask(DRAFT);
+	const asked = asking.ask(fixture.ASK_DRAFT);
 	await context.pass(1);
 	asking.loseControl(control);
 	t.like(await asked.answer, {kind: 'grant', upstream: 'own'});
@@ -121,14 +109,14 @@
 		return asks === 1 ? GRANT : ['grant', 'v', '10.0.0.5:80', 0];
 	});
 	retired.add('u');
-	t.like(await asking.ask(DRAFT).answer, {kind: 'grant', upstream: 'v', id: 'front:2'});
+	t.like(await asking.ask(fixture.ASK_DRAFT).answer, {kind: 'grant', upstream: 'v', id: 'front:2'});
 	t.deepEqual(link.called.at(-1)?.[1], [2, 0, 2000, ['u'], false, false]);
 	t.true(link.notified.some(([method, parameters]) => method === 'dispatch.end' && JSON.stringify(parameters) === '[1,"cancelled",0]'));
 });
 
 test('a request that is given up gives its place back, whenever it comes', async t => {
 	const {asking, link} = setUp(() => ['wait']);
-	const asked = asking.ask(DRAFT);
+	const asked = asking.ask(fixture.ASK_DRAFT);
 	asked.cancel();
 	t.like(await asked.answer, {kind: 'refuse'});
 	t.deepEqual(link.notified.slice(-2), [['dispatch.cancel', [1]], ['dispatch.end', [1, 'cancelled', 0]]]);
@@ -149,7 +137,7 @@
 	const granted: string[] = [];
 	for (const service of services) {
 		// eslint-disable-next-line no-await-in-loop -- One after the other, each finds out anew.
-		const answer = await setup.asking.ask({...DRAFT, service}).answer;
+		const answer = await setup.asking.ask({...fixture.ASK_DRAFT, service}).answer;
 		granted.push(answer.kind === 'grant' ? answer.upstream : answer.reason);
 	}
 
@@ -168,9 +156,9 @@
 	}, ['d', 'e'].map(id => createOther(id)));
 	const service = Array.from({length: 50}, (_, index) => `service-${index}`)
 		.find(name => orderDispatchers(name, ['c', 'd', 'e'], id => id)[0] === 'c')!;
-	const waiting = setup.asking.ask({...DRAFT, service});
+	const waiting = setup.asking.ask({...fixture.ASK_DRAFT, service});
 	await setup.context.pass(1);
 	setup.link.silence = 1000;
-	await setup.asking.ask({...DRAFT, service}).answer;
+	await setup.asking.ask({...fixture.ASK_DRAFT, service}).answer;
 	t.like(await waiting.answer, {kind: 'grant'});
 });
--- a/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
@@ -6,8 +6,24 @@
 import type * as link from 'wagtailroute-link';
 import * as telemetry from 'wagtailroute-telemetry';
 import * as utils from 'wagtailroute-utils';
+import type {AskDraft} from '../../asking.ts';
 import type {FleetContext} from '../../context.ts';
 
+/**
+What a request asks for.
+*/
+export const ASK_DRAFT: AskDraft = {
+	service: 'archive',
+	route: 'r',
+	requestClass: 'non-idempotent',
+	priority: 1,
+	remainingMilliseconds: 2000,
+	objectiveMilliseconds: 1000,
+	excluded: [],
+	isResend: false,
+	isMove: false,
+};
+
 type Timer = {
 	readonly at: number;
 	readonly run: () => void;
--- a/packages/wagtailroute-fleet/src/__tests__/unit/held-places.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/held-places.test.ts
@@ -7,18 +7,7 @@
 import * as fixture from './fixture.ts';
 
 const ASK: dispatch.Ask = {
-	id: 'h:1',
-	host: 'h',
-	failureDomain: 'x',
-	service: 'archive',
-	route: 'r',
-	requestClass: 'read',
-	priority: 1,
-	remainingMilliseconds: 2000,
-	objectiveMilliseconds: 1000,
-	excluded: [],
-	isResend: false,
-	isMove: false,
+	...fixture.ASK_DRAFT, id: 'h:1', host: 'h', failureDomain: 'x',
 };
 
 test('a dispatcher is told what is held of its service, once for as long as it stays the same', t => {
--- a/packages/wagtailroute-fleet/src/entry-domain.ts
+++ b/packages/wagtailroute-fleet/src/entry-domain.ts
@@ -10,7 +10,7 @@
 import type * as generations from 'wagtailroute-generations';
 
 /**
-Finds the service that takes most uploads for a host name; undefined for a host without such routes.
+Finds the service that takes the uploads of a host name, by its first such route and the heaviest share of it; undefined for a host without.
 
 @param host Host name in any case, without its port.
 */
--- a/packages/wagtailroute-fleet/src/entry-hosts.ts
+++ b/packages/wagtailroute-fleet/src/entry-hosts.ts
@@ -26,6 +26,9 @@
 */
 export type EntryHosts = {
 	readonly add: (host: EntryHost) => void;
+	/**
+	Returns the host as it was before.
+	*/
 	readonly setState: (of: link.Link, state: EntryState) => EntryHost | undefined;
 	readonly remove: (of: link.Link) => EntryHost | undefined;
 	readonly find: (id: core.HostId) => EntryHost | undefined;
--- a/packages/wagtailroute-fleet/src/usual-times.ts
+++ b/packages/wagtailroute-fleet/src/usual-times.ts
@@ -23,7 +23,7 @@
 export function createUsualTimes(): UsualTimes {
 	const usual = new Map<string, number>();
 	return {
-		get: route => usual.get(route.name) ?? (route.objectiveMilliseconds * dispatch.USUAL_PART),
+		get: route => dispatch.guessUsual(usual.get(route.name), route.objectiveMilliseconds),
 		learn(route, milliseconds) {
 			utils.setBounded(usual, route.name, dispatch.mixUsual(usual.get(route.name), milliseconds), ROUTES_MEASURED);
 		},
