Tell the starts of a backend server apart, under one name

Cause: a backend server may start again under its name. Its sequence starts anew, so its heartbeats were passed over as late ones for as long as it ran, and a retirement of the process before bound the next one: it got no request.

Ruled out: a field beside the name in each table and message, since each place that forgets it is a fault.

--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -35,6 +35,10 @@
 	*/
 	readonly takeHeartbeat: (heartbeat: instances.Heartbeat) => void;
 	/**
+	Returns the newest start of a server that is known, in Unix milliseconds; 0 when it is unknown or told none.
+	*/
+	readonly findStart: (server: string) => number;
+	/**
 	Resolves once the whole fleet is bound not to send new requests to the instance.
 	*/
 	readonly retire: (retirement: generations.Retirement) => Promise<results.Result<void, LeaderFailure>>;
@@ -191,6 +195,7 @@
 		takeHeartbeat(heartbeat) {
 			registry.take(heartbeat);
 		},
+		findStart: registry.findStart,
 		async retire(retirement) {
 			const known = group.getRetirement(retirement.upstream);
 			if (known === 'gone' || known === retirement.state) {
--- a/packages/wagtailroute-fleet/src/registry.ts
+++ b/packages/wagtailroute-fleet/src/registry.ts
@@ -52,6 +52,10 @@
 	readonly follow: (follower: link.Link) => void;
 	readonly unfollow: (follower: link.Link) => void;
 	readonly countInstances: () => number;
+	/**
+	Returns the newest start of a server that is known, in Unix milliseconds; 0 when it is unknown or told none.
+	*/
+	readonly findStart: (server: string) => number;
 	readonly teardown: utils.Teardown;
 };
 
@@ -230,6 +234,10 @@
 			followers.delete(follower);
 		},
 		countInstances: () => table.listAll().length,
+		findStart(server) {
+			const newest = table.findNewest(server);
+			return newest === undefined ? 0 : instances.getLifetime(newest.upstream).startedAt;
+		},
 		teardown: stopLooking,
 	};
 }
--- a/packages/wagtailroute-instances/src/__tests__/unit/instances.test.ts
+++ b/packages/wagtailroute-instances/src/__tests__/unit/instances.test.ts
@@ -18,7 +18,7 @@
 
 type Step =
 	| {readonly take: Partial<instances.Heartbeat>; readonly comes: instances.Reception}
-	| {readonly retire: 'draining' | 'gone'};
+	| {readonly retire: 'draining' | 'gone'; readonly of?: string};
 
 type Case = {
 	readonly name: string;
@@ -83,10 +83,69 @@
 	},
 ];
 
-for (const {name, steps, listed} of CASES) {
+const FIRST_START = instances.nameInstance({server: 's', startedAt: 1_764_720_000_000});
+const SECOND_START = instances.nameInstance({server: 's', startedAt: 1_764_720_060_000});
+
+const RESTART_CASES: readonly Case[] = [
+	{
+		// Symptom: a backend server that crashed and came back gets no request for as long as it runs.
+		// Sequence: it is heard up to sequence 40; it starts again under its name; its heartbeats begin with sequence 1.
+		// Cause: they were taken for late ones of the process before.
+		name: 'a server that started again is heard from its first heartbeat on',
+		steps: [{take: {upstream: FIRST_START, sequence: 40}, comes: 'news'}, {take: {upstream: SECOND_START}, comes: 'news'}],
+		listed: {[SECOND_START]: 'serving'},
+	},
+	{
+		// Symptom: a backend server that was replaced in place gets no request.
+		// Sequence: the first process drains and leaves, both acknowledged; the next one starts under its name.
+		// Cause: the retirement named the server, not the process that left.
+		name: 'a retirement binds the start that it named, not the next one',
+		steps: [
+			{take: {upstream: FIRST_START}, comes: 'news'},
+			{retire: 'gone', of: FIRST_START},
+			{take: {upstream: SECOND_START}, comes: 'news'},
+		],
+		listed: {[SECOND_START]: 'serving'},
+	},
+	{
+		// Symptom: a server that drains gets requests, under the start that has ended.
+		// Sequence: it starts again elsewhere and is acknowledged as draining; a heartbeat of the process before arrives late.
+		// Cause: the earlier start counted as an instance of its own.
+		name: 'a late heartbeat of an earlier start is passed over',
+		steps: [
+			{take: {upstream: SECOND_START}, comes: 'news'},
+			{retire: 'draining', of: SECOND_START},
+			{take: {upstream: FIRST_START, sequence: 41, address: {ip: '10.0.0.2', port: 80}}, comes: 'stale'},
+		],
+		listed: {[SECOND_START]: 'draining'},
+	},
+	{
+		name: 'nor does it come back when the newer start has gone',
+		steps: [
+			{take: {upstream: SECOND_START}, comes: 'news'},
+			{retire: 'gone', of: SECOND_START},
+			{take: {upstream: FIRST_START, sequence: 41}, comes: 'stale'},
+		],
+		listed: {},
+	},
+	{
+		// Symptom: for more than a second, requests to an address are all refused as misdirected.
+		// Sequence: a server crashed, another started at its address; a heartbeat of the first that a cut had held up arrives.
+		// Cause: whoever was heard last had the address.
+		name: 'a late heartbeat takes no address from an instance that started later',
+		steps: [
+			{take: {upstream: FIRST_START}, comes: 'news'},
+			{take: {upstream: instances.nameInstance({server: 'other', startedAt: 1_764_720_030_000})}, comes: 'news'},
+			{take: {upstream: FIRST_START, sequence: 2}, comes: 'refreshed'},
+		],
+		listed: {[instances.nameInstance({server: 'other', startedAt: 1_764_720_030_000})]: 'serving'},
+	},
+];
+
+for (const {name, steps, listed} of [...CASES, ...RESTART_CASES]) {
 	test(name, t => {
 		const table = instances.createInstanceTable();
-		const receptions = steps.map(step => 'retire' in step ? table.retire('a', step.retire) : table.take(createHeartbeat(step.take), 0));
+		const receptions = steps.map(step => 'retire' in step ? table.retire(step.of ?? 'a', step.retire) : table.take(createHeartbeat(step.take), 0));
 		t.deepEqual(receptions, steps.map(step => 'retire' in step ? true : step.comes));
 
 		t.deepEqual(Object.fromEntries(table.list('archive').map(({upstream, state}) => [upstream, state])), listed);
@@ -109,6 +168,35 @@
 	t.deepEqual(table.listAll(), []);
 });
 
+test('an address comes back to the instance that is heard when the later one is silent', t => {
+	const table = instances.createInstanceTable();
+	table.take(createHeartbeat({upstream: SECOND_START}), 0);
+	table.take(createHeartbeat({upstream: 'other'}), 5000);
+	t.deepEqual(table.list('archive').map(({upstream}) => upstream), [SECOND_START]);
+	table.take(createHeartbeat({upstream: 'other', sequence: 2}), 5001);
+	t.deepEqual(table.list('archive').map(({upstream}) => upstream), ['other']);
+});
+
+test('the name of an instance tells its server and its start', t => {
+	fc.assert(fc.property(fc.string({minLength: 1}), fc.maxSafeNat(), (server, startedAt) => {
+		t.deepEqual(instances.getLifetime(instances.nameInstance({server, startedAt})), {server, startedAt});
+	}));
+	t.deepEqual(instances.getLifetime('i-7f3a'), {server: 'i-7f3a', startedAt: 0});
+});
+
+test('of the heartbeats of all starts of a server, in any order, the newest start and its last word stay', t => {
+	const heartbeats = [FIRST_START, SECOND_START].flatMap((upstream, start) =>
+		Array.from({length: 4}, (_, index) => createHeartbeat({upstream, sequence: index + 1, slots: (start * 10) + index + 1})));
+	fc.assert(fc.property(fc.shuffledSubarray(heartbeats, {minLength: 1}), order => {
+		const table = instances.createInstanceTable();
+		for (const heartbeat of order) {
+			table.take(heartbeat, 0);
+		}
+
+		t.deepEqual(table.list('archive').map(({slots}) => slots), [Math.max(...order.map(({slots}) => slots))]);
+	}));
+});
+
 test('heartbeats in any order leave the state that their sequence numbers give', t => {
 	const heartbeats = Array.from({length: 6}, (_, index) => createHeartbeat({sequence: index + 1, slots: index + 1}));
 	fc.assert(fc.property(fc.shuffledSubarray(heartbeats, {minLength: 1}), order => {
--- a/packages/wagtailroute-instances/src/constants.ts
+++ b/packages/wagtailroute-instances/src/constants.ts
@@ -13,3 +13,14 @@
 that one can be held up.
 */
 export const RETIREMENTS_KEPT = 4096;
+
+/**
+Milliseconds without a heartbeat after which an instance gives its address up to one that started before it: three heartbeats were missed.
+Until then the other's word was held up on its way, or its clock is behind.
+*/
+export const HOLDER_MILLISECONDS = 5000;
+
+/**
+Servers whose newest start is remembered: twice as many as the largest fleet has upstreams.
+*/
+export const SERVERS_KEPT = 280_000;
--- a/packages/wagtailroute-instances/src/index.ts
+++ b/packages/wagtailroute-instances/src/index.ts
@@ -9,3 +9,4 @@
 	type InstanceTable,
 	type Reception,
 } from './instances.ts';
+export {getLifetime, type Lifetime, nameInstance} from './lifetimes.ts';
--- a/packages/wagtailroute-instances/src/instances.ts
+++ b/packages/wagtailroute-instances/src/instances.ts
@@ -1,17 +1,24 @@
 /**
 Which instances of upstreams there are, by their heartbeats.
 
-Each start of an upstream is an instance with a name of its own. Three things go wrong with heartbeats. One arrives late,
+Each start of an upstream is an instance with a name of its own. Four things go wrong with heartbeats. One arrives late,
 after a newer one of the same instance: its sequence number is lower, so it is passed over. One arrives after its sender has
-ended and another instance runs at its address: the instance heard last holds the address, and the one that runs is heard
-again within a heartbeat. One arrives after its sender was acknowledged as leaving: a retirement is final.
+ended and another instance runs at its address: the instance that started last holds the address. One arrives after its server has
+started again: what is older than the newest start of a server is passed over. One arrives after its sender was acknowledged as
+leaving: a retirement is final.
 
 Silence alone ends no instance for long: its path to the control hosts may be cut while requests still reach it. Whether it
 serves is for whoever sends requests to find out.
 */
 import * as core from 'wagtailroute-core';
 import * as utils from 'wagtailroute-utils';
-import {FORGET_MILLISECONDS, RETIREMENTS_KEPT} from './constants.ts';
+import {
+	FORGET_MILLISECONDS,
+	HOLDER_MILLISECONDS,
+	RETIREMENTS_KEPT,
+	SERVERS_KEPT,
+} from './constants.ts';
+import {getLifetime} from './lifetimes.ts';
 
 /**
 What an instance says of itself.
@@ -63,6 +70,10 @@
 	readonly retire: (upstream: core.UpstreamId, state: 'draining' | 'gone') => boolean;
 	readonly get: (upstream: core.UpstreamId) => Instance | undefined;
 	/**
+	Returns the instance of a server's newest known start.
+	*/
+	readonly findNewest: (server: string) => Instance | undefined;
+	/**
 	Returns the instances of a service that hold their address.
 	*/
 	readonly list: (service: core.ServiceName) => readonly Instance[];
@@ -81,7 +92,11 @@
 	readonly instances: Map<core.UpstreamId, Instance>;
 	readonly byService: Map<core.ServiceName, Map<core.UpstreamId, Instance>>;
 	/**
-	The instance heard last at an address.
+	The instance of the newest start of each server, also of those that ended: a heartbeat of an earlier start may still be on its way.
+	*/
+	readonly newest: Map<string, core.UpstreamId>;
+	/**
+	The instance at an address.
 	*/
 	readonly holders: Map<string, core.UpstreamId>;
 	readonly retired: Map<core.UpstreamId, 'draining' | 'gone'>;
@@ -92,12 +107,13 @@
 */
 export function createInstanceTable(): InstanceTable {
 	const tables: Tables = {
-		instances: new Map(), byService: new Map(), holders: new Map(), retired: new Map(),
+		instances: new Map(), byService: new Map(), newest: new Map(), holders: new Map(), retired: new Map(),
 	};
 	return {
 		take: (heartbeat, now) => take(tables, heartbeat, now),
 		retire: (upstream, state) => retire(tables, upstream, state),
 		get: upstream => tables.instances.get(upstream),
+		findNewest: server => tables.instances.get(tables.newest.get(server) ?? ''),
 		list: service => tables.byService.get(service)?.values().filter(instance => isHolder(tables, instance)).toArray() ?? [],
 		listAll: () => tables.instances.values().filter(instance => isHolder(tables, instance)).toArray(),
 		forgetSilent: now => forgetSilent(tables, now),
@@ -113,10 +129,11 @@
 function take(tables: Tables, heartbeat: Heartbeat, now: number): Reception {
 	const present = tables.instances.get(heartbeat.upstream);
 	const retired = tables.retired.get(heartbeat.upstream);
-	if (retired === 'gone' || (present !== undefined && heartbeat.sequence <= present.sequence)) {
+	if (retired === 'gone' || (present !== undefined && heartbeat.sequence <= present.sequence) || isOutlived(tables, heartbeat.upstream)) {
 		return 'stale';
 	}
 
+	endEarlier(tables, heartbeat.upstream);
 	const {warmupMilliseconds, ...told} = heartbeat;
 	const instance: Instance = {
 		...told,
@@ -125,12 +142,48 @@
 		warmAt: now + warmupMilliseconds,
 	};
 	const place = core.formatAddress(instance.address);
-	const isHolderNews = tables.holders.get(place) !== instance.upstream;
-	tables.holders.set(place, instance.upstream);
+	const isHolderNews = tables.holders.get(place) !== instance.upstream && mayHold(tables, instance, place);
+	if (isHolderNews) {
+		tables.holders.set(place, instance.upstream);
+	}
+
 	store(tables, instance);
 	return present === undefined || isHolderNews || isChanged(present, instance) ? 'news' : 'refreshed';
 }
 
+/**
+Says whether the server of an instance has started again since.
+*/
+function isOutlived({newest}: Tables, upstream: core.UpstreamId): boolean {
+	const {server, startedAt} = getLifetime(upstream);
+	const known = newest.get(server);
+	return known !== undefined && getLifetime(known).startedAt > startedAt;
+}
+
+/**
+A server that has started again is not what it was: the instance of its start before is no more.
+*/
+function endEarlier(tables: Tables, upstream: core.UpstreamId): void {
+	const {server} = getLifetime(upstream);
+	const earlier = tables.newest.get(server);
+	const ended = earlier === undefined || earlier === upstream ? undefined : tables.instances.get(earlier);
+	if (ended !== undefined) {
+		remove(tables, ended);
+	}
+
+	utils.setBounded(tables.newest, server, upstream, SERVERS_KEPT);
+}
+
+/**
+Says whether an instance takes an address over from the one that has it.
+*/
+function mayHold({holders, instances}: Tables, {upstream, heardAt}: Instance, place: string): boolean {
+	const holder = instances.get(holders.get(place) ?? '');
+	return holder === undefined
+		|| getLifetime(upstream).startedAt >= getLifetime(holder.upstream).startedAt
+		|| heardAt - holder.heardAt > HOLDER_MILLISECONDS;
+}
+
 function isChanged(present: Instance, next: Instance): boolean {
 	return present.state !== next.state
 		|| present.service !== next.service
