--- a/packages/wagtailroute-dispatch/src/budget.ts
+++ b/packages/wagtailroute-dispatch/src/budget.ts
@@ -5,7 +5,8 @@
 What goes wrong without it: an upstream slows down, its requests are sent again, the others slow down under the added load,
 and resends multiply until nothing is served.
 */
-import {BUDGET_EXTRA_PART, BUDGET_RATIO_PART, BUDGET_SLICE_MILLISECONDS} from './constants.ts';
+import {BUDGET_SLICE_MILLISECONDS} from './constants.ts';
+import type {Policy} from './policy.ts';
 
 /**
 Bounds of the budget.
@@ -42,7 +43,7 @@
 /**
 Creates a full budget.
 */
-export function createBudget({ratio, extra, windowMilliseconds}: BudgetSettings): Budget {
+export function createBudget({ratio, extra, windowMilliseconds}: BudgetSettings, policy: Policy): Budget {
 	const slices: Slice[] = [];
 
 	const getSlice = (now: number) => {
@@ -73,7 +74,7 @@
 				resends += present.resends;
 			}
 
-			if (resends + 1 > (ratio * requests * BUDGET_RATIO_PART) + (extra * BUDGET_EXTRA_PART)) {
+			if (resends + 1 > (ratio * requests * policy.budgetRatioPart) + (extra * policy.budgetExtraPart)) {
 				return false;
 			}
 
--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -7,19 +7,7 @@
 */
 import * as core from 'wagtailroute-core';
 import type {Ask} from './asks.ts';
-import {
-	DOMAIN_COST,
-	DOMAIN_TRIAL_MILLISECONDS,
-	DOMAIN_WAITS,
-	DOUBT_COST,
-	DOUBT_GAIN,
-	MOST_STRAIN,
-	PROOF_COST,
-	PROOF_MILLISECONDS,
-	SPREAD_COST,
-	UNREPEATABLE_TRIAL_MILLISECONDS,
-	UPLOAD_DOMAIN_COST,
-} from './constants.ts';
+import type {Policy} from './policy.ts';
 import {
 	getDoubt,
 	getSlowness,
@@ -56,8 +44,16 @@
 	All upstreams of the service, free or not.
 	*/
 	readonly known: ReadonlyMap<core.UpstreamId, Upstream>;
+	readonly policy: Policy;
 };
 
+const DOMAIN_WAITS = {
+	read: 'domainWaitMilliseconds',
+	idempotent: 'domainWaitMilliseconds',
+	'non-idempotent': 'unrepeatableDomainWaitMilliseconds',
+	upload: 'uploadDomainWaitMilliseconds',
+} as const satisfies Record<core.RequestClass, keyof Policy>;
+
 /**
 Chooses an upstream with nothing serious against it, or none.
 
@@ -72,7 +68,7 @@
 			continue;
 		}
 
-		const cost = getCost(upstream, ask, now) + (random() * SPREAD_COST);
+		const cost = getCost(upstream, ask, now) + (random() * upstream.policy.spreadCost);
 		if (!(cost < bestCost)) {
 			continue;
 		}
@@ -89,9 +85,9 @@
 Says whether an ask waits for a slot of its own failure domain. Under load a slot comes free there within milliseconds; taking the first
 one anywhere, nearly half of all requests would cross, and each leaves its slot at home to another that crosses.
 */
-function waitsForHome(ask: Ask, {now, waitedMilliseconds, known}: ChoiceCircumstances): boolean {
+function waitsForHome(ask: Ask, {now, waitedMilliseconds, known, policy}: ChoiceCircumstances): boolean {
 	return !ask.isResend
-		&& waitedMilliseconds < DOMAIN_WAITS[ask.requestClass]
+		&& waitedMilliseconds < policy[DOMAIN_WAITS[ask.requestClass]]
 		&& known.values().some(upstream => upstream.candidate.failureDomain === ask.failureDomain
 			&& !isSuspended(upstream, now)
 			&& isSuitable(upstream, ask, now));
@@ -163,7 +159,7 @@
 	return isServing(upstream)
 		&& candidate.slots > 0
 		&& !ask.excluded.includes(candidate.upstream)
-		&& getStrain(upstream, now) < MOST_STRAIN
+		&& getStrain(upstream, now) < upstream.policy.mostStrain
 		&& !isPathBad(upstream, ask.host, now);
 }
 
@@ -177,21 +173,21 @@
 /**
 One success is no proof yet: where requests that may be repeated come at all, further trials are left to them.
 */
-function getTrialTime({candidate, trialAt, provenAt, failedAt}: Upstream, ask: Ask, hasRepeatable: boolean): number {
+function getTrialTime({candidate, trialAt, provenAt, failedAt, policy}: Upstream, ask: Ask, hasRepeatable: boolean): number {
 	const isHopeful = provenAt > failedAt && !hasRepeatable;
-	const extra = isHopeful || core.isIdempotent(ask.requestClass) ? 0 : UNREPEATABLE_TRIAL_MILLISECONDS;
-	return trialAt + extra + (candidate.failureDomain === ask.failureDomain ? 0 : DOMAIN_TRIAL_MILLISECONDS);
+	const extra = isHopeful || core.isIdempotent(ask.requestClass) ? 0 : policy.unrepeatableTrialMilliseconds;
+	return trialAt + extra + (candidate.failureDomain === ask.failureDomain ? 0 : policy.domainTrialMilliseconds);
 }
 
 function getCost(upstream: Upstream, ask: Ask, now: number): number {
-	const {candidate, places} = upstream;
+	const {candidate, places, policy} = upstream;
 	const load = (places.size + 1) / candidate.slots;
-	const unproven = Math.min(1, (now - upstream.provenAt) / PROOF_MILLISECONDS) * PROOF_COST;
+	const unproven = Math.min(1, (now - upstream.provenAt) / policy.proofMilliseconds) * policy.proofCost;
 	const doubt = getDoubt(upstream, now);
 	const isExplorer = core.isIdempotent(ask.requestClass) && !ask.isResend;
-	const crossing = ask.requestClass === 'upload' ? UPLOAD_DOMAIN_COST : DOMAIN_COST;
+	const crossing = ask.requestClass === 'upload' ? policy.uploadDomainCost : policy.domainCost;
 	return (getSlowness(upstream, now) * (1 + load))
 		+ (candidate.failureDomain === ask.failureDomain ? 0 : crossing)
-		+ (isExplorer ? -unproven - (doubt * DOUBT_GAIN) : unproven + (doubt * DOUBT_COST))
+		+ (isExplorer ? -unproven - (doubt * policy.doubtGain) : unproven + (doubt * policy.doubtCost))
 		+ getStrain(upstream, now);
 }
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -28,10 +28,8 @@
 import {
 	ABANDONED_MILLISECONDS,
 	LOOKED_AT_MOST,
-	OBJECTIVE_PART,
-	RETRY_AFTER_LEAST_MILLISECONDS,
-	WORTHWHILE_PART,
 } from './constants.ts';
+import {DEFAULT_POLICY, type Policy} from './policy.ts';
 import {
 	countUntil,
 	countUsableSlots,
@@ -72,6 +70,10 @@
 	Uniform in [0, 1).
 	*/
 	readonly random: () => number;
+	/**
+	The default policy when absent.
+	*/
+	readonly policy?: Policy;
 };
 
 /**
@@ -116,6 +118,14 @@
 	*/
 	readonly tick: (now: number) => readonly Effect[];
 	readonly getWaiting: () => number;
+	/**
+	Says whether a request waits or holds a place.
+	*/
+	readonly isBusy: () => boolean;
+	/**
+	Says whether it knows any upstream of a service.
+	*/
+	readonly knows: (service: core.ServiceName) => boolean;
 	readonly report: (service: core.ServiceName, now: number) => readonly UpstreamReport[];
 };
 
@@ -144,7 +154,7 @@
 
 		if (ask.isResend) {
 			if (!service.budget.takeResend(now)) {
-				return [refuse(ask, 'budget', RETRY_AFTER_LEAST_MILLISECONDS)];
+				return [refuse(ask, 'budget', service.policy.retryAfterLeastMilliseconds)];
 			}
 		} else {
 			service.budget.countRequest(now);
@@ -225,7 +235,7 @@
 		for (const candidate of candidates) {
 			const present = service.upstreams.get(candidate.upstream);
 			if (present === undefined) {
-				service.upstreams.set(candidate.upstream, createUpstream(candidate, now));
+				service.upstreams.set(candidate.upstream, createUpstream(candidate, service.policy, now));
 			} else {
 				// A heartbeat that is newer than the answer of another instance says that the address is its own again.
 				present.isMisdirected &&= core.formatAddress(present.candidate.address) === core.formatAddress(candidate.address);
@@ -255,6 +265,14 @@
 		return this.#waiting.size;
 	}
 
+	isBusy(): boolean {
+		return this.#waiting.size > 0 || this.#places.size > 0;
+	}
+
+	knows(service: core.ServiceName): boolean {
+		return (this.#services.get(service)?.upstreams.size ?? 0) > 0;
+	}
+
 	report(service: core.ServiceName, now: number): readonly UpstreamReport[] {
 		const upstreams = this.#services.get(service)?.upstreams.values().toArray() ?? [];
 		return upstreams.map(upstream => ({
@@ -275,17 +293,17 @@
 	#moveOrRefuse(service: Service, ask: Ask, now: number): Effect {
 		const choice = service.waiting.length > 0 ? undefined : choose(listFree(service, now), ask, this.#getCircumstances(service, now, now));
 		if (choice === undefined) {
-			return refuse(ask, 'no-slot-in-time', RETRY_AFTER_LEAST_MILLISECONDS);
+			return refuse(ask, 'no-slot-in-time', service.policy.retryAfterLeastMilliseconds);
 		}
 
 		return service.budget.takeResend(now)
 			? this.#grant(service, ask, choice, now)
-			: refuse(ask, 'budget', RETRY_AFTER_LEAST_MILLISECONDS);
+			: refuse(ask, 'budget', service.policy.retryAfterLeastMilliseconds);
 	}
 
-	#getCircumstances({upstreams}: Service, now: number, askedAt: number): ChoiceCircumstances {
+	#getCircumstances({upstreams, policy}: Service, now: number, askedAt: number): ChoiceCircumstances {
 		return {
-			now, random: this.#settings.random, waitedMilliseconds: now - askedAt, known: upstreams,
+			now, random: this.#settings.random, waitedMilliseconds: now - askedAt, known: upstreams, policy,
 		};
 	}
 
@@ -295,7 +313,8 @@
 			upstreams: new Map(),
 			waiting: [],
 			usual: new Map(),
-			budget: createBudget(this.#settings.budget),
+			policy: this.#settings.policy ?? DEFAULT_POLICY,
+			budget: createBudget(this.#settings.budget, this.#settings.policy ?? DEFAULT_POLICY),
 			repeatableAt: -Infinity,
 		};
 		this.#services.set(name, service);
@@ -333,8 +352,8 @@
 		const usual = getUsual(service, ask);
 		// Itself included.
 		const wait = slots === 0 ? Infinity : countUntil(service, turn) * usual / slots;
-		const isInObjective = ask.isResend || wait + (usual * OBJECTIVE_PART) <= ask.objectiveMilliseconds;
-		if (isInObjective && wait + (usual * WORTHWHILE_PART) <= ask.remainingMilliseconds) {
+		const isInObjective = ask.isResend || wait + (usual * service.policy.objectivePart) <= ask.objectiveMilliseconds;
+		if (isInObjective && wait + (usual * service.policy.worthwhilePart) <= ask.remainingMilliseconds) {
 			return [];
 		}
 
@@ -356,13 +375,13 @@
 		}
 
 		const advice = Number.isFinite(wait) ? wait : ask.remainingMilliseconds / 4;
-		const retryAfter = Math.max(RETRY_AFTER_LEAST_MILLISECONDS, Math.min(advice, ask.remainingMilliseconds / 3));
+		const retryAfter = Math.max(service.policy.retryAfterLeastMilliseconds, Math.min(advice, ask.remainingMilliseconds / 3));
 		return [refuse(ask, slots === 0 ? 'no-upstream' : 'no-slot-in-time', retryAfter)];
 	}
 
 	#addWaiting(service: Service, ask: Ask, now: number): Waiting {
 		const waiting: Waiting = {
-			ask, turn: getTurn(ask, now), askedAt: now, deadlineAt: now + ask.remainingMilliseconds,
+			ask, turn: getTurn(service, ask, now), askedAt: now, deadlineAt: now + ask.remainingMilliseconds,
 		};
 		service.waiting.splice(countUntil(service, waiting.turn), 0, waiting);
 		this.#waiting.set(ask.id, service);
--- a/packages/wagtailroute-dispatch/src/index.ts
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -18,3 +18,4 @@
 } from './dispatcher.ts';
 export type {BudgetSettings} from './budget.ts';
 export {guessUsual, mixUsual} from './services.ts';
+export {DEFAULT_POLICY, type Policy} from './policy.ts';
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -5,14 +5,7 @@
 import type {Ask} from './asks.ts';
 import type {Budget} from './budget.ts';
 import type {TrialCircumstances} from './choosing.ts';
-import {
-	RANK_MILLISECONDS,
-	REPEATABLE_MILLISECONDS,
-	RESEND_MILLISECONDS,
-	USUAL_PART,
-	USUAL_SHARE,
-	WORTHWHILE_PART,
-} from './constants.ts';
+import {DEFAULT_POLICY, type Policy} from './policy.ts';
 import {
 	hasFreeSlot,
 	isServing,
@@ -38,6 +31,7 @@
 */
 export type Service = {
 	readonly name: core.ServiceName;
+	readonly policy: Policy;
 	readonly upstreams: Map<core.UpstreamId, Upstream>;
 	/**
 	By turn.
@@ -65,7 +59,7 @@
 Returns the usual milliseconds of a route: a part of its latency objective while it was not measured.
 */
 export function guessUsual(known: number | undefined, objectiveMilliseconds: number): number {
-	return known ?? (objectiveMilliseconds * USUAL_PART);
+	return known ?? (objectiveMilliseconds * DEFAULT_POLICY.usualPart);
 }
 
 /**
@@ -79,21 +73,21 @@
 Returns what is usual after one more measurement.
 */
 export function mixUsual(known: number | undefined, milliseconds: number): number {
-	return known === undefined ? milliseconds : (known * (1 - USUAL_SHARE)) + (milliseconds * USUAL_SHARE);
+	return known === undefined ? milliseconds : (known * (1 - DEFAULT_POLICY.usualShare)) + (milliseconds * DEFAULT_POLICY.usualShare);
 }
 
 /**
 Returns what the choice of a trial may know.
 */
-export function getTrialCircumstances({repeatableAt}: Service, now: number): TrialCircumstances {
-	return {now, hasRepeatable: now - repeatableAt < REPEATABLE_MILLISECONDS};
+export function getTrialCircumstances({repeatableAt, policy}: Service, now: number): TrialCircumstances {
+	return {now, hasRepeatable: now - repeatableAt < policy.repeatableMilliseconds};
 }
 
 /**
 The place of an ask among those that wait, as a time.
 */
-export function getTurn(ask: Ask, now: number): number {
-	return now + (ask.priority * RANK_MILLISECONDS) - (ask.isResend ? RESEND_MILLISECONDS : 0);
+export function getTurn({policy}: Service, ask: Ask, now: number): number {
+	return now + (ask.priority * policy.rankMilliseconds) - (ask.isResend ? policy.resendMilliseconds : 0);
 }
 
 /**
@@ -114,7 +108,7 @@
 Says whether an ask that waits could not be answered before its deadline any more.
 */
 export function isTooLate(service: Service, {ask, deadlineAt}: Waiting, now: number): boolean {
-	return deadlineAt - now < getUsual(service, ask) * WORTHWHILE_PART;
+	return deadlineAt - now < getUsual(service, ask) * service.policy.worthwhilePart;
 }
 
 /**
--- a/packages/wagtailroute-dispatch/src/upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -4,29 +4,11 @@
 import type * as core from 'wagtailroute-core';
 import type {Candidate, Ending, HeldPlace} from './asks.ts';
 import {
-	COLD_SLOWNESS,
-	ERROR_DOUBT,
-	FADING_DOUBT,
 	MILLISECONDS_PER_SECOND,
-	MOST_DOUBT,
-	OVERDUE_DOUBT,
-	OVERDUE_MILLISECONDS,
-	OVERDUE_RATIO,
-	PATH_MILLISECONDS,
-	REFUSED_DOUBT,
-	RESET_DOUBT,
-	SHED_DOUBT,
-	SHED_MILLISECONDS,
-	SILENCE_DOUBT,
 	SLOWNESS_LEAST,
-	SLOWNESS_MILLISECONDS,
 	SLOWNESS_MOST,
-	SLOWNESS_SHARE,
-	SUCCESS_DOUBT,
-	SUSPENDED_DOUBT,
-	TRIAL_LEAST_MILLISECONDS,
-	TRIAL_MOST_MILLISECONDS,
 } from './constants.ts';
+import type {Policy} from './policy.ts';
 
 /**
 A place that is taken.
@@ -47,6 +29,7 @@
 An upstream, changed in place by the functions of this module only.
 */
 export type Upstream = {
+	readonly policy: Policy;
 	candidate: Candidate;
 	readonly places: Map<string, Place>;
 	/**
@@ -80,14 +63,15 @@
 /**
 Creates the record of an upstream that nothing speaks against.
 */
-export function createUpstream(candidate: Candidate, now: number): Upstream {
+export function createUpstream(candidate: Candidate, policy: Policy, now: number): Upstream {
 	return {
+		policy,
 		candidate,
 		places: new Map(),
 		doubt: 0,
 		doubtAt: now,
 		failedAt: -Infinity,
-		slowness: candidate.warmAt > now ? COLD_SLOWNESS : 1,
+		slowness: candidate.warmAt > now ? policy.coldSlowness : 1,
 		slownessAt: now,
 		provenAt: -Infinity,
 		closedUntil: -Infinity,
@@ -103,14 +87,14 @@
 */
 export function getDoubt(upstream: Upstream, now: number): number {
 	const seconds = upstream.candidate.isSilent ? 0 : (now - upstream.doubtAt) / MILLISECONDS_PER_SECOND;
-	return Math.max(0, upstream.doubt - (seconds * FADING_DOUBT));
+	return Math.max(0, upstream.doubt - (seconds * upstream.policy.fadingDoubt));
 }
 
 /**
 Sets what speaks against it.
 */
 export function setDoubt(upstream: Upstream, doubt: number, now: number): void {
-	upstream.doubt = Math.min(MOST_DOUBT, Math.max(0, doubt));
+	upstream.doubt = Math.min(upstream.policy.mostDoubt, Math.max(0, doubt));
 	upstream.doubtAt = now;
 }
 
@@ -120,7 +104,7 @@
 */
 export function takeBelief(upstream: Upstream, doubt: number, now: number): void {
 	setDoubt(upstream, doubt, now);
-	upstream.trialAt = now + TRIAL_MOST_MILLISECONDS;
+	upstream.trialAt = now + upstream.policy.trialMostMilliseconds;
 }
 
 /**
@@ -141,16 +125,16 @@
 Says whether it gets trials only.
 */
 export function isSuspended(upstream: Upstream, now: number): boolean {
-	return getDoubt(upstream, now) >= SUSPENDED_DOUBT;
+	return getDoubt(upstream, now) >= upstream.policy.suspendedDoubt;
 }
 
 /**
 Returns how many times as long as usual its requests take. What was measured long ago counts for less.
 */
 export function getSlowness(upstream: Upstream, now: number): number {
-	const weight = Math.exp((upstream.slownessAt - now) / SLOWNESS_MILLISECONDS);
+	const weight = Math.exp((upstream.slownessAt - now) / upstream.policy.slownessMilliseconds);
 	const measured = 1 + ((upstream.slowness - 1) * weight);
-	return now < upstream.candidate.warmAt ? Math.max(COLD_SLOWNESS, measured) : measured;
+	return now < upstream.candidate.warmAt ? Math.max(upstream.policy.coldSlowness, measured) : measured;
 }
 
 /**
@@ -172,8 +156,8 @@
 /**
 Says whether a request lasts so long that its path may be at fault.
 */
-function isOverdue(place: Place, now: number): boolean {
-	return now - place.startedAt > Math.max(OVERDUE_MILLISECONDS, OVERDUE_RATIO * place.usualMilliseconds);
+function isOverdue({policy}: Upstream, place: Place, now: number): boolean {
+	return now - place.startedAt > Math.max(policy.overdueMilliseconds, policy.overdueRatio * place.usualMilliseconds);
 }
 
 /**
@@ -185,7 +169,7 @@
 	}
 
 	for (const place of upstream.places.values()) {
-		if (place.host === host && isOverdue(place, now)) {
+		if (place.host === host && isOverdue(upstream, place, now)) {
 			return true;
 		}
 	}
@@ -205,30 +189,30 @@
 	readonly closedMilliseconds?: number;
 };
 
-const CONSEQUENCES: Readonly<Record<Ending, Consequence>> = {
-	success: {doubt: -SUCCESS_DOUBT},
-	error: {doubt: ERROR_DOUBT},
-	reset: {doubt: RESET_DOUBT},
-	refused: {doubt: REFUSED_DOUBT},
-	unreachable: {doubt: SILENCE_DOUBT, isOfPath: true},
-	timeout: {doubt: SILENCE_DOUBT, isOfPath: true},
-	overdue: {doubt: OVERDUE_DOUBT},
-	shed: {doubt: SHED_DOUBT, closedMilliseconds: SHED_MILLISECONDS},
-	misdirected: {doubt: MOST_DOUBT},
-	cancelled: {doubt: 0},
+const CONSEQUENCES: Readonly<Record<Ending, (policy: Policy) => Consequence>> = {
+	success: policy => ({doubt: -policy.successDoubt}),
+	error: policy => ({doubt: policy.errorDoubt}),
+	reset: policy => ({doubt: policy.resetDoubt}),
+	refused: policy => ({doubt: policy.refusedDoubt}),
+	unreachable: policy => ({doubt: policy.silenceDoubt, isOfPath: true}),
+	timeout: policy => ({doubt: policy.silenceDoubt, isOfPath: true}),
+	overdue: policy => ({doubt: policy.overdueDoubt}),
+	shed: policy => ({doubt: policy.shedDoubt, closedMilliseconds: policy.shedMilliseconds}),
+	misdirected: policy => ({doubt: policy.mostDoubt}),
+	cancelled: () => ({doubt: 0}),
 };
 
 /**
 Takes the ending of a request as evidence.
 */
 export function weighEnding(upstream: Upstream, place: Place, ending: Ending, now: number): void {
-	const {doubt, isOfPath = false, closedMilliseconds = 0} = CONSEQUENCES[ending];
+	const {doubt, isOfPath = false, closedMilliseconds = 0} = CONSEQUENCES[ending](upstream.policy);
 	const wasSuspended = isSuspended(upstream, now);
 	setDoubt(upstream, getDoubt(upstream, now) + doubt, now);
 	upstream.closedUntil = Math.max(upstream.closedUntil, now + closedMilliseconds);
 	upstream.isMisdirected ||= ending === 'misdirected';
 	if (isOfPath) {
-		upstream.badPaths.set(place.host, now + PATH_MILLISECONDS);
+		upstream.badPaths.set(place.host, now + upstream.policy.pathMilliseconds);
 	}
 
 	if (ending === 'success') {
@@ -245,7 +229,7 @@
 	}
 
 	upstream.failedTrials = wasSuspended && place.isTrial ? upstream.failedTrials + 1 : upstream.failedTrials;
-	upstream.trialAt = now + Math.min(TRIAL_MOST_MILLISECONDS, TRIAL_LEAST_MILLISECONDS * (2 ** upstream.failedTrials));
+	upstream.trialAt = now + Math.min(upstream.policy.trialMostMilliseconds, upstream.policy.trialLeastMilliseconds * (2 ** upstream.failedTrials));
 }
 
 /**
@@ -253,7 +237,7 @@
 */
 export function weighTime(upstream: Upstream, place: Place, milliseconds: number, now: number): void {
 	const relative = Math.min(SLOWNESS_MOST, Math.max(SLOWNESS_LEAST, milliseconds / place.usualMilliseconds));
-	upstream.slowness = (getSlowness(upstream, now) * (1 - SLOWNESS_SHARE)) + (relative * SLOWNESS_SHARE);
+	upstream.slowness = (getSlowness(upstream, now) * (1 - upstream.policy.slownessShare)) + (relative * upstream.policy.slownessShare);
 	upstream.slownessAt = now;
 }
 
--- a/packages/wagtailroute-fleet/src/__tests__/unit/directory-width.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/directory-width.test.ts
@@ -29,6 +29,15 @@
 		// Cause: the directory named a fixed number of hosts whatever their load.
 		name: 'more at once when the few are loaded', previous: {hosts: 3, at: 0}, loads: [1, 1, 1, 1, ...idle(16)], now: 100, hosts: 4 / TARGET_LOAD,
 	},
+	{
+		// Symptom: in the first seconds after a restart of everything, three hosts a failure domain carry all callers.
+		// Sequence: a caller looks up before any entry host has joined; the others join within half a second.
+		// Cause: no loads at all were taken for no load.
+		name: 'all that may join while none has', previous: undefined, loads: [], now: 0, hosts: ADDRESSES_MOST,
+	},
+	{
+		name: 'as many as before when all have left', previous: {hosts: 7, at: 5}, loads: [], now: 5, hosts: 7,
+	},
 	{
 		name: 'no more than callers take', previous: {hosts: 3, at: 0}, loads: Array.from({length: 300}, () => 1), now: 100, hosts: ADDRESSES_MOST,
 	},
--- a/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
@@ -53,6 +53,21 @@
 		};
 	};
 
+	const repeat = (milliseconds: number, run: () => void) => {
+		let cancel: () => void;
+		const next = () => {
+			cancel = schedule(milliseconds, () => {
+				next();
+				run();
+			});
+		};
+
+		next();
+		return () => {
+			cancel();
+		};
+	};
+
 	const now = () => time;
 	return {
 		now,
@@ -62,7 +77,7 @@
 		}),
 		metrics: telemetry.createMetrics(),
 		schedule,
-		repeat: schedule,
+		repeat,
 		async pass(milliseconds) {
 			await settle();
 			const end = time + milliseconds;
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/standby-choice.test.ts
@@ -0,0 +1,61 @@
+/**
+Tests of which entry hosts dispatch while no control host does.
+*/
+import test from 'ava';
+import {createAskers} from '../../askers.ts';
+import {STANDBYS_MOST} from '../../constants.ts';
+import type {EntryHost} from '../../entry-hosts.ts';
+import {chooseStandbys} from '../../standby-choice.ts';
+import * as fixture from './fixture.ts';
+
+const createHost = (failureDomain: string, index: number): EntryHost => {
+	const address = {ip: `10.0.0.${index}`, port: 80};
+	return {
+		id: `${failureDomain}${index}`,
+		failureDomain,
+		state: {
+			trafficAddress: address, linkAddress: address, isReady: true, load: 0,
+		},
+		link: fixture.createFakeLink(() => undefined),
+	};
+};
+
+const createHosts = (domains: Readonly<Record<string, number>>) =>
+	Object.entries(domains).flatMap(([domain, count]) => Array.from({length: count}, (_, index) => createHost(domain, index)));
+
+type Case = {
+	readonly name: string;
+	readonly domains: Readonly<Record<string, number>>;
+	readonly counts: Readonly<Record<string, number>>;
+};
+
+const CASES: readonly Case[] = [
+	{name: 'as many of each failure domain', domains: {a: 10, b: 10, c: 10}, counts: {a: 2, b: 2, c: 2}},
+	{name: 'those that there are', domains: {a: 1, b: 2}, counts: {a: 1, b: 2}},
+	{name: 'more of one where others have few', domains: {a: 10, b: 1}, counts: {a: STANDBYS_MOST - 1, b: 1}},
+	{name: 'none where there are none', domains: {}, counts: {}},
+];
+
+for (const {name, domains, counts} of CASES) {
+	test(`the standbys are ${name}`, t => {
+		const chosen = chooseStandbys(createHosts(domains));
+		const counted = Object.fromEntries(Object.keys(domains).map(domain => [domain, chosen.filter(host => host.failureDomain === domain).length]));
+		t.deepEqual(counted, counts);
+	});
+}
+
+test('the standbys are the same in whatever order hosts joined', t => {
+	const hosts = createHosts({a: 5, b: 5});
+	t.deepEqual(chooseStandbys(hosts.toReversed()), chooseStandbys(hosts));
+});
+
+test('an asking host that opened another link is found by the new one', t => {
+	const askers = createAskers();
+	const [old, next] = [fixture.createFakeLink(() => undefined), fixture.createFakeLink(() => undefined)];
+	askers.add({id: 'front', failureDomain: 'a'}, old);
+	askers.add({id: 'front', failureDomain: 'a'}, next);
+	askers.remove(old);
+	t.is(askers.find('front'), next);
+	t.is(askers.findByLink(old), undefined);
+	t.is(askers.count(), 1);
+});
--- a/packages/wagtailroute-fleet/src/ask-wire.ts
+++ b/packages/wagtailroute-fleet/src/ask-wire.ts
@@ -28,12 +28,13 @@
 export type ShortAsk = readonly [ask: number, route: number, remaining: number, excluded?: readonly core.UpstreamId[], isResend?: boolean, isMove?: boolean];
 
 /**
-An answer: a granted upstream and its address, a refusal with the milliseconds until a resend makes sense, or "wait".
+An answer: a granted upstream and its address, a refusal with the milliseconds until a resend makes sense, "wait", or "elsewhere".
 */
 export type ShortAnswer =
 	| readonly ['grant', core.UpstreamId, string, number]
 	| readonly ['refuse', dispatch.RefusalReason, number]
-	| readonly ['wait'];
+	| readonly ['wait']
+	| readonly ['elsewhere'];
 
 /**
 The end of a granted request.
@@ -127,6 +128,7 @@
 	grant: ({upstream, address, isTrial}) => ['grant', upstream, `${address.ip}:${address.port}`, Number(isTrial)],
 	refuse: ({reason, retryAfterMilliseconds}) => ['refuse', reason, Math.ceil(retryAfterMilliseconds)],
 	wait: () => ['wait'],
+	elsewhere: () => ['elsewhere'],
 };
 
 /**
@@ -140,8 +142,8 @@
 Restores an answer.
 */
 export function restoreAnswer(answer: ShortAnswer): AskAnswer {
-	if (answer[0] === 'wait') {
-		return {kind: 'wait'};
+	if (answer[0] === 'wait' || answer[0] === 'elsewhere') {
+		return {kind: answer[0]};
 	}
 
 	if (answer[0] === 'refuse') {
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -1,15 +1,19 @@
 /**
 How an entry host comes to an upstream for each attempt: it asks the service's dispatcher on a control host, the next one when that
-does not answer, and dispatches alone as long as none does.
+does not answer, one on an entry host as long as no control host does, and the one that it has itself when nobody else answers.
 
-Dispatching alone, a host sees only its own requests; it starts from the doubts that dispatchers told it. It costs slots that
+Asking only itself, a host sees only its own requests; it starts from the doubts that dispatchers told it. It costs slots that
 are taken by others' requests and shed, never a wrong answer.
 */
 import type * as core from 'wagtailroute-core';
-import * as dispatch from 'wagtailroute-dispatch';
+import type * as dispatch from 'wagtailroute-dispatch';
 import type * as link from 'wagtailroute-link';
-import type * as utils from 'wagtailroute-utils';
-import {ASK_MILLISECONDS, DISPATCH_TICK_MILLISECONDS, MOST_UNANSWERED} from './constants.ts';
+import {
+	ASK_MILLISECONDS,
+	MOST_UNANSWERED,
+	PROBE_MILLISECONDS,
+	UNKNOWN_SERVICE_MILLISECONDS,
+} from './constants.ts';
 import {
 	createAskId,
 	createRouteNumbers,
@@ -25,14 +29,11 @@
 import type {FleetContext} from './context.ts';
 import type {OpenControl} from './control-links.ts';
 import {createDispatcherFinder, type DispatcherFinder} from './dispatcher-finder.ts';
-import {toAnswer} from './dispatching.ts';
-import {
-	type AskAnswer,
-	type Belief,
-	METHODS,
-} from './messages.ts';
+import type {Dispatching} from './dispatching.ts';
+import {type AskAnswer, type DecidedAnswer, METHODS} from './messages.ts';
 import {createHeldPlaces, type Held, type HeldPlaces} from './held-places.ts';
 import type {EntrySettings} from './settings.ts';
+import type {Standbys} from './standbys.ts';
 
 /**
 The final answer to an ask.
@@ -72,22 +73,23 @@
 	*/
 	readonly end: (id: dispatch.AskId, ending: dispatch.Ending, milliseconds: number) => void;
 	readonly hearAnswer: (ask: number, answer: ShortAnswer) => void;
-	readonly hearBelief: (belief: Belief) => void;
 	/**
-	The instances of a service have changed.
+	The link to a dispatcher is lost.
 	*/
-	readonly refresh: (service: core.ServiceName) => void;
-	readonly loseControl: (control: OpenControl) => void;
-	readonly teardown: utils.Teardown;
+	readonly loseDispatcher: (dispatcher: OpenControl) => void;
 };
 
 /**
 What asking needs.
 */
 export type AskingPlan = {
-	readonly settings: EntrySettings;
-	readonly getOpen: () => readonly OpenControl[];
-	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
+	readonly settings: Pick<EntrySettings, 'hostId' | 'failureDomain'>;
+	readonly getControls: () => readonly OpenControl[];
+	readonly standbys: Pick<Standbys, 'getOpen' | 'open' | 'waitForOne' | 'isSelfNamed'>;
+	/**
+	The dispatcher of this host. What it decides later comes to `hearAnswer`.
+	*/
+	readonly own: Pick<Dispatching, 'ask' | 'cancel' | 'end'>;
 	readonly isRetired: (upstream: core.UpstreamId) => boolean;
 };
 
@@ -110,40 +112,31 @@
 };
 
 /**
-Starts asking.
+Creates the asking of a host.
 */
-export function startAsking(context: FleetContext, plan: AskingPlan): Asking {
+export function createAsking(context: FleetContext, plan: AskingPlan): Asking {
 	return new HostAsking(context, plan);
 }
 
 class HostAsking implements Asking {
 	readonly #context: FleetContext;
 	readonly #plan: AskingPlan;
-	readonly #local: dispatch.Dispatcher;
 	readonly #pending = new Map<dispatch.AskId, Pending>();
 	readonly #held: HeldPlaces;
 	readonly #finder: DispatcherFinder;
 	readonly #routeNumbers = createRouteNumbers();
 	#count = 0;
-	readonly #localServices = new Set<core.ServiceName>();
-	#cancelTick: utils.Teardown | undefined;
-	/**
-	Handed on by itself, so it must not depend on how it is called.
-	*/
-	readonly teardown = (): void => {
-		this.#cancelTick?.();
-	};
+	#isProbing = false;
 
 	constructor(context: FleetContext, plan: AskingPlan) {
 		this.#context = context;
 		this.#plan = plan;
 		this.#held = createHeldPlaces(context.now);
-		this.#finder = createDispatcherFinder(context, plan.getOpen);
-		this.#local = dispatch.createDispatcher({
-			// The budget is the whole fleet's: a host that dispatches alone takes no more than its own requests give it.
-			budget: {...plan.settings.budget, extra: 2},
-			floor: plan.settings.floor,
-			random: context.random,
+		this.#finder = createDispatcherFinder(context, {
+			self: plan.settings.hostId,
+			getControls: plan.getControls,
+			getStandbys: plan.standbys.getOpen,
+			isStandby: plan.standbys.isSelfNamed,
 		});
 		context.metrics.registerGauge('requests_held', this.#held.count);
 	}
@@ -177,24 +170,15 @@
 	hearAnswer(ask: number, answer: ShortAnswer): void {
 		const pending = this.#pending.get(createAskId(this.#plan.settings.hostId, ask));
 		const restored = restoreAnswer(answer);
-		if (pending !== undefined && restored.kind !== 'wait') {
+		if (pending !== undefined && (restored.kind === 'grant' || restored.kind === 'refuse')) {
 			this.#settle(pending, restored);
 		}
 	}
 
-	hearBelief({service, upstream, doubt}: Belief): void {
-		this.#local.setDoubt(service, upstream, doubt, this.#context.now());
-	}
-
-	refresh(service: core.ServiceName): void {
-		this.#localServices.add(service);
-		this.#carryOut(this.#local.setCandidates(service, this.#plan.listCandidates(service), this.#context.now()));
-	}
-
-	loseControl(control: OpenControl): void {
-		for (const pending of this.#pending.values().filter(({dispatcher}) => dispatcher?.link === control.link)) {
-			this.#askLocal(pending, 'link-lost');
-		}
+	loseDispatcher(lost: OpenControl): void {
+		this.#plan.standbys.open();
+		const left = this.#pending.values().filter(({dispatcher}) => dispatcher?.link === lost.link).toArray();
+		this.#askElsewhere(left);
 	}
 
 	#createId(): dispatch.AskId {
@@ -214,33 +198,62 @@
 
 	async #start(pending: Pending): Promise<void> {
 		const {ask} = pending;
-		const dispatcher = pending.unanswered < MOST_UNANSWERED ? this.#finder.find(ask.service) : undefined;
+		const dispatcher = pending.unanswered < MOST_UNANSWERED
+			? this.#finder.find(ask.service) ?? await this.#waitForStandby(ask.service)
+			: undefined;
+		// Given up while the first standby was reached.
+		if (pending.ask !== ask || !this.#pending.has(ask.id)) {
+			return;
+		}
+
 		if (dispatcher === undefined) {
-			this.#askLocal(pending, pending.unanswered === 0 ? 'no-dispatcher' : 'no-answer');
+			this.#askOwn(pending);
 			return;
 		}
 
 		pending.dispatcher = dispatcher;
 		this.#held.tell(ask.service, dispatcher);
 		const answer = await dispatcher.link.call(METHODS.ask, this.#shorten(dispatcher.link, ask), ASK_MILLISECONDS);
-		if (answer.isOk()) {
-			const first = restoreAnswer(answer.value as ShortAnswer);
-			const isCurrent = pending.ask === ask;
-			if (isCurrent && first.kind === 'wait') {
-				pending.isWaiting = true;
-			} else if (isCurrent && first.kind !== 'wait') {
-				this.#settle(pending, first);
-			}
-
+		// Otherwise the ask was taken elsewhere already.
+		if (pending.ask !== ask || pending.dispatcher !== dispatcher) {
 			return;
 		}
 
-		// Otherwise the ask was taken elsewhere already.
-		if (pending.ask === ask && pending.dispatcher === dispatcher) {
+		if (answer.isOk()) {
+			this.#take(pending, restoreAnswer(answer.value as ShortAnswer));
+		} else {
 			this.#leave(dispatcher, answer.error.kind);
 		}
 	}
 
+	/**
+	Right after the loss of the control hosts no standby is linked yet: it takes some milliseconds, which is less than a wrong choice costs.
+	*/
+	async #waitForStandby(service: core.ServiceName): Promise<OpenControl | undefined> {
+		const {standbys} = this.#plan;
+		if (standbys.isSelfNamed()) {
+			return undefined;
+		}
+
+		standbys.open();
+		await standbys.waitForOne();
+		return this.#finder.find(service);
+	}
+
+	/**
+	Takes the first answer to an ask.
+	*/
+	#take(pending: Pending, answer: AskAnswer): void {
+		if (answer.kind === 'wait') {
+			pending.isWaiting = true;
+		} else if (answer.kind === 'elsewhere') {
+			this.#finder.noteSlow(pending.dispatcher!);
+			this.#askElsewhere([pending]);
+		} else {
+			this.#settle(pending, answer);
+		}
+	}
+
 	/**
 	A dispatcher did not answer an ask in time. What was asked there meanwhile would run into the same limit, one after the other; what
 	waits there for a slot is left if nothing at all was heard: its dispatcher may stand still, and would call nobody.
@@ -254,59 +267,55 @@
 		this.#context.logs('dispatch').warn('Dispatcher left.', {
 			dispatcher: dispatcher.host.id, reason, isSilent, asks: left.length,
 		});
+		this.#context.metrics.count('dispatchers_left', {reason});
+		this.#plan.standbys.open();
+		void this.#probe();
 		for (const pending of left) {
 			// Should it answer after all, the place is given back.
 			notifyGivenUp(dispatcher.link, pending.ask);
-			this.#pending.delete(pending.ask.id);
-			pending.unanswered++;
-			this.#askAgain(pending);
-		}
-	}
-
-	#askLocal(pending: Pending, reason: string): void {
-		if (!this.#pending.has(pending.ask.id)) {
-			return;
-		}
-
-		pending.dispatcher = undefined;
-		const now = this.#context.now();
-		const {ask} = pending;
-		const remainingMilliseconds = ask.remainingMilliseconds - (now - pending.askedAt);
-		this.#context.metrics.count('asks_local', {reason});
-		this.#context.logs('dispatch').warn('Dispatched alone.', {id: ask.id, service: ask.service, reason});
-		if (!this.#localServices.has(ask.service)) {
-			this.refresh(ask.service);
 		}
 
-		this.#carryOut(this.#local.ask({...ask, remainingMilliseconds}, now));
-		this.#tickWhileWaiting();
+		this.#askElsewhere(left);
 	}
 
 	/**
-	Looks after requests that wait here; an idle host does not wake for it.
+	Finds out at once which control hosts answer. One by one, asks would run into the time limit at each of five that lost power together.
 	*/
-	#tickWhileWaiting(): void {
-		if (this.#cancelTick !== undefined || this.#local.getWaiting() === 0) {
+	async #probe(): Promise<void> {
+		if (this.#isProbing) {
 			return;
 		}
 
-		this.#cancelTick = this.#context.schedule(DISPATCH_TICK_MILLISECONDS, () => {
-			this.#cancelTick = undefined;
-			this.#carryOut(this.#local.tick(this.#context.now()));
-			this.#tickWhileWaiting();
-		});
+		this.#isProbing = true;
+		await Promise.all(this.#finder.listAnswering().map(async control => {
+			const answer = await control.link.call(METHODS.probe, {}, PROBE_MILLISECONDS);
+			if (answer.isErr() && answer.error.kind === 'call-timeout') {
+				this.#leave(control, 'probe');
+			}
+		}));
+		this.#isProbing = false;
 	}
 
-	#carryOut(effects: readonly dispatch.Effect[]): void {
-		for (const effect of effects) {
-			const pending = effect.kind === 'believe' ? undefined : this.#pending.get(effect.ask.id);
-			if (pending !== undefined && effect.kind !== 'believe') {
-				this.#settle(pending, toAnswer(effect));
-			}
+	#askElsewhere(left: readonly Pending[]): void {
+		for (const pending of left) {
+			this.#pending.delete(pending.ask.id);
+			pending.unanswered++;
+			this.#askAgain(pending);
 		}
 	}
 
-	#settle(pending: Pending, answer: Exclude<AskAnswer, {kind: 'wait'}>): void {
+	#askOwn(pending: Pending): void {
+		pending.dispatcher = undefined;
+		const {ask} = pending;
+		const reason = pending.unanswered === 0 ? 'no-dispatcher' : 'no-answer';
+		const remainingMilliseconds = ask.remainingMilliseconds - (this.#context.now() - pending.askedAt);
+		this.#context.metrics.count('asks_own', {reason});
+		this.#context.logs('dispatch').warn('Own dispatcher asked.', {id: ask.id, service: ask.service, reason});
+		const answer = this.#plan.own.ask({...ask, remainingMilliseconds});
+		this.#take(pending, answer.kind === 'elsewhere' ? NOBODY : answer);
+	}
+
+	#settle(pending: Pending, answer: DecidedAnswer): void {
 		const {ask, dispatcher} = pending;
 		if (!this.#pending.delete(ask.id)) {
 			// Given up meanwhile, or granted twice.
@@ -357,7 +366,7 @@
 		}
 
 		if (pending.dispatcher === undefined) {
-			this.#local.cancel(pending.ask.id);
+			this.#plan.own.cancel(pending.ask.id);
 		} else {
 			notifyGivenUp(pending.dispatcher.link, pending.ask);
 		}
@@ -367,13 +376,18 @@
 
 	#tellEnd({ask, dispatcher}: Held, ending: dispatch.Ending, milliseconds: number): void {
 		if (dispatcher === undefined) {
-			this.#carryOut(this.#local.end(ask.id, {ending, milliseconds}, this.#context.now()));
+			this.#plan.own.end({id: ask.id, ending, milliseconds});
 		} else {
 			dispatcher.link.notify(METHODS.end, [getAskNumber(ask.id), ending, Math.round(milliseconds)] satisfies ShortEnd);
 		}
 	}
 }
 
+/**
+The answer when not even this host knows an upstream of the service.
+*/
+const NOBODY: DecidedAnswer = {kind: 'refuse', reason: 'no-upstream', retryAfterMilliseconds: UNKNOWN_SERVICE_MILLISECONDS};
+
 /**
 Tells a dispatcher that an ask is given up, wherever it is: waiting, or granted on its way back.
 */
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -14,9 +14,53 @@
 export const ASK_MILLISECONDS = 250;
 
 /**
-Dispatchers that may leave an ask unanswered before its host dispatches alone: two take half a second, half of a usual objective.
+Dispatchers that may leave an ask unanswered before its host dispatches alone: with the second one the other control hosts are probed, so
+the third is one that answers, or an entry host.
 */
-export const MOST_UNANSWERED = 2;
+export const MOST_UNANSWERED = 3;
+
+/**
+Milliseconds after which a request is to come back when no upstream of its service is known at all: heartbeats come every second or two.
+*/
+export const UNKNOWN_SERVICE_MILLISECONDS = 500;
+
+/**
+Milliseconds that a control host may take to answer a probe, after another one has left an ask unanswered: like an ask's, less what was lost
+already.
+*/
+export const PROBE_MILLISECONDS = 150;
+
+/**
+Entry hosts that all hosts know as dispatchers for when no control host answers: two of each of three failure domains, so that some are
+left when hosts are lost with the control hosts, and few enough that each dispatches several services.
+*/
+export const STANDBYS_MOST = 6;
+
+/**
+Standbys of a service that are told what its dispatcher believes: the first, and the next for when that one is lost too.
+*/
+export const STANDBYS_TOLD = 2;
+
+/**
+Milliseconds for which changes of the entry hosts are collected before the standbys are told anew.
+*/
+export const STANDBYS_MILLISECONDS = 300;
+
+/**
+Milliseconds after the last need for which links to standbys stay open: longer than control hosts take to be back in order.
+*/
+export const STANDBY_IDLE_MILLISECONDS = 20_000;
+
+/**
+Milliseconds that a request waits for the first link to a standby: twice what opening one takes within a region.
+*/
+export const STANDBY_OPEN_MILLISECONDS = 60;
+
+/**
+Resends that an entry host may give out beyond a part of the requests. The budget is the whole fleet's, and any number of hosts may dispatch at
+once: each takes next to nothing beyond what the requests that it is asked for give it.
+*/
+export const STANDBY_EXTRA_RESENDS = 2;
 
 /**
 Milliseconds for which a dispatcher that did not answer in time is passed over.
@@ -59,6 +103,17 @@
 */
 export const FETCH_MILLISECONDS = 2000;
 
+/**
+Milliseconds that a request waits on a host that has no generation yet. After a restart of everything it is there within 0.8 s; a caller that
+waits in vain still has most of its time.
+*/
+export const FIRST_GENERATION_MILLISECONDS = 1000;
+
+/**
+Milliseconds after which a request is to come back to a fleet that has no generation: what went wrong takes longer than a usual start.
+*/
+export const NO_GENERATION_MILLISECONDS = 700;
+
 /**
 Milliseconds before a fetch that failed is tried again.
 */
@@ -122,6 +177,12 @@
 */
 export const ADDRESSES_MOST = 64;
 
+/**
+Milliseconds between two looks whether what the directory answers has changed. Entry hosts are told at once then: callers keep an answer for
+two seconds, so a tenth more is little.
+*/
+export const DIRECTORY_MILLISECONDS = 200;
+
 /**
 Load of an entry host that is aimed at, as a part of its processor or link: with twice as much in a burst nothing waits yet. Lower, and more
 hosts share the same requests: each runs colder code and opens more connections, which cost a third more processor time.
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -10,8 +10,10 @@
 import * as utils from 'wagtailroute-utils';
 import {startControlLinks} from './control-links.ts';
 import {createAskMethods} from './ask-methods.ts';
+import {STANDBYS_MILLISECONDS, STANDBYS_TOLD} from './constants.ts';
+import {orderDispatchers} from './dispatch-order.ts';
+import {startDirectory} from './directory.ts';
 import {startDispatching} from './dispatching.ts';
-import {chooseEntryDomain, createUploadServiceFinder, type UploadServiceFinder} from './entry-domain.ts';
 import {createEntryHosts, describeEntryHost} from './entry-hosts.ts';
 import type {FleetContext} from './context.ts';
 import {createInstanceStore} from './instance-store.ts';
@@ -24,7 +26,8 @@
 } from './leader-calls.ts';
 import * as messages from './messages.ts';
 import {startRegistry} from './registry.ts';
-import type {ControlHost, ControlSettings} from './settings.ts';
+import type {ControlHost, ControlSettings, StandbyHost} from './settings.ts';
+import {chooseStandbys} from './standby-choice.ts';
 
 /**
 A running control host.
@@ -55,7 +58,7 @@
 
 	@param host Host name that the caller is going to use.
 	*/
-	readonly listAddresses: (failureDomain: core.FailureDomain, host: string) => readonly core.Address[];
+	readonly listAddresses: (failureDomain: core.FailureDomain, host: string) => readonly string[];
 	readonly addSeeds: (seeds: readonly ControlHost[]) => void;
 	readonly close: () => Promise<void>;
 };
@@ -80,6 +83,7 @@
 	const dispatching = startDispatching(context, {
 		settings,
 		listCandidates: registry.listCandidates,
+		listStandbys: service => orderDispatchers(service, standbys, host => host.id).slice(0, STANDBYS_TOLD).map(host => host.id),
 		notify(host, method, parameters) {
 			entries.find(host)?.link.notify(method, parameters);
 		},
@@ -87,7 +91,21 @@
 			links.notifyAll(method, parameters);
 		},
 	});
-	let findUploadService: UploadServiceFinder = () => undefined;
+	const directory = startDirectory(context, {
+		failureDomain: settings.failureDomain,
+		entries,
+		report: service => dispatching.report(service),
+	});
+	let standbys: readonly StandbyHost[] = [];
+	const tellStandbys = utils.coalesce(context.schedule, STANDBYS_MILLISECONDS, () => {
+		const chosen = chooseStandbys(entries.listReady());
+		if (chosen.map(({id}) => id).join(' ') === standbys.map(({id}) => id).join(' ')) {
+			return;
+		}
+
+		standbys = chosen;
+		entries.notifyAll(messages.METHODS.standbys, standbys);
+	});
 	const listControls = () => [self, ...links.getOpen().map(open => open.host)];
 	const getVersion = () => group.getStored()?.generation.version ?? 0;
 
@@ -104,6 +122,7 @@
 					id: hello.id, failureDomain: hello.failureDomain, state: hello.entry, link: from,
 				};
 				entries.add(host);
+				tellStandbys();
 				log.info('Entry host joined.', describeEntryHost(host));
 			}
 
@@ -111,13 +130,18 @@
 				links.learn([hello.control]);
 			}
 
-			return {failureDomain: settings.failureDomain, controls: listControls(), version: getVersion()} satisfies messages.Welcome;
+			return {
+				failureDomain: settings.failureDomain, controls: listControls(), standbys, directory: directory.getTable(), version: getVersion(),
+			} satisfies messages.Welcome;
 		},
 		[messages.METHODS.state](state: messages.EntryState, from: link.Link) {
 			const before = entries.setState(from, state);
-			if (before !== undefined && before.state.isReady !== state.isReady) {
-				log.info('Entry host changed.', describeEntryHost({...before, state}));
+			if (before === undefined || before.state.isReady === state.isReady) {
+				return;
 			}
+
+			log.info('Entry host changed.', describeEntryHost({...before, state}));
+			tellStandbys();
 		},
 		[messages.METHODS.controls](controls: readonly ControlHost[]) {
 			links.learn(controls);
@@ -135,6 +159,8 @@
 			return registry.describeAll();
 		},
 		[messages.METHODS.believe]: dispatching.hearBelief,
+		[messages.METHODS.beliefs]: dispatching.hearBeliefs,
+		[messages.METHODS.probe]: () => ({}),
 		...createAskMethods(dispatching, entries.findByLink),
 	});
 	const links = startControlLinks(context, {
@@ -145,6 +171,7 @@
 		methods,
 		onOpen({link: opened}) {
 			tellControls();
+			opened.notify(messages.METHODS.beliefs, dispatching.listBeliefs());
 			void registry.catchUp(opened);
 		},
 		onLost: tellControls,
@@ -158,7 +185,7 @@
 		getKnown: () => links.getOpen().map(open => open.host.id),
 		onGeneration(generation) {
 			log.info('Generation in force.', {version: generation.version, routes: generation.routes.length});
-			findUploadService = createUploadServiceFinder(generation);
+			directory.setGeneration(generation);
 			entries.notifyAll(messages.METHODS.generationVersion, {version: generation.version});
 		},
 		onRetired(retirements) {
@@ -177,9 +204,12 @@
 		onClose(closed) {
 			registry.unfollow(closed);
 			const host = entries.remove(closed);
-			if (host !== undefined) {
-				log.info('Entry host left.', describeEntryHost(host));
+			if (host === undefined) {
+				return;
 			}
+
+			log.info('Entry host left.', describeEntryHost(host));
+			tellStandbys();
 		},
 		onDefect(error) {
 			log.error('Message could not be handled.', {error: error.stack});
@@ -190,7 +220,7 @@
 	context.metrics.registerGauge('instances', registry.countInstances);
 	context.metrics.registerGauge('generation_version', getVersion);
 	log.info('Host started.', {address: core.formatAddress(settings.linkAddress), isFirstStart: settings.isFirstStart});
-	const teardown = utils.mergeTeardowns(registry.teardown, dispatching.teardown, links.close);
+	const teardown = utils.mergeTeardowns(registry.teardown, dispatching.teardown, directory.teardown, links.close);
 	return {
 		takeHeartbeat(heartbeat) {
 			registry.take(heartbeat);
@@ -215,10 +245,7 @@
 			const read = await readFromLeader(calls);
 			return read.map(document => document ?? undefined);
 		},
-		listAddresses(failureDomain, host) {
-			const service = findUploadService(host);
-			return entries.listAddresses(service === undefined ? failureDomain : chooseEntryDomain(failureDomain, dispatching.report(service)));
-		},
+		listAddresses: directory.listAddresses,
 		addSeeds: links.addSeeds,
 		async close() {
 			teardown();
--- a/packages/wagtailroute-fleet/src/directory-width.ts
+++ b/packages/wagtailroute-fleet/src/directory-width.ts
@@ -28,6 +28,11 @@
 @param loads Part of what each host can do that is in use, 0 and up.
 */
 export function adaptWidth(previous: Width | undefined, loads: readonly number[], now: number): Width {
+	if (loads.length === 0) {
+		// A look-up that comes before any entry host has joined says nothing of the load to come.
+		return previous ?? {hosts: ADDRESSES_MOST, at: now};
+	}
+
 	const total = loads.reduce((sum, load) => sum + load, 0);
 	const needed = Math.max(ADDRESSES_LEAST, total / TARGET_LOAD);
 	const kept = previous === undefined ? loads.length : previous.hosts * (2 ** ((previous.at - now) / NARROWING_MILLISECONDS));
--- a/packages/wagtailroute-fleet/src/dispatcher-finder.ts
+++ b/packages/wagtailroute-fleet/src/dispatcher-finder.ts
@@ -1,5 +1,6 @@
 /**
-Which dispatcher a host asks: the first in the order of the service that answered its last ask in time.
+Which dispatcher a host asks: of the control hosts the first in the order of the service that answered its last ask in time; while most of
+them do not answer, the first of the standbys, which are entry hosts; else itself.
 
 One that did not answer is passed over until it was heard again. A host that stands still is silent on all its links for
 seconds; asked again every second, it would cost some requests of each host a quarter of a second each time.
@@ -16,19 +17,36 @@
 */
 export type DispatcherFinder = {
 	/**
-	Returns the dispatcher to ask for a service; none when the host had better dispatch alone.
+	Returns the dispatcher to ask for a service; none when it is this host itself.
 	*/
 	readonly find: (service: core.ServiceName) => OpenControl | undefined;
 	/**
 	A dispatcher did not answer in time: it is passed over for a while.
 	*/
 	readonly noteSlow: (dispatcher: OpenControl) => void;
+	/**
+	Returns the control hosts that nothing is known against.
+	*/
+	readonly listAnswering: () => readonly OpenControl[];
+};
+
+/**
+Whom a finder chooses from.
+*/
+export type FinderPlan = {
+	readonly self: core.HostId;
+	readonly getControls: () => readonly OpenControl[];
+	readonly getStandbys: () => readonly OpenControl[];
+	/**
+	This host is told to all as a standby.
+	*/
+	readonly isStandby: () => boolean;
 };
 
 /**
 Creates a finder that knows nothing against any dispatcher.
 */
-export function createDispatcherFinder({now}: Pick<FleetContext, 'now'>, getOpen: () => readonly OpenControl[]): DispatcherFinder {
+export function createDispatcherFinder({now}: Pick<FleetContext, 'now'>, plan: FinderPlan): DispatcherFinder {
 	const slowSince = new WeakMap<link.Link, number>();
 	const isAnswering = ({link}: OpenControl) => {
 		const since = slowSince.get(link) ?? -Infinity;
@@ -36,17 +54,27 @@
 		return now() - since >= SLOW_DISPATCHER_MILLISECONDS && heardAt > since;
 	};
 
+	const findControl = (service: core.ServiceName) => {
+		const open = plan.getControls();
+		const answering = open.filter(control => isAnswering(control));
+		// Most did not answer in time: the others will not either, and each request that tries loses a quarter of a second.
+		const candidates = answering.length * 2 < open.length ? [] : answering;
+		return orderDispatchers(service, candidates, control => control.host.id)
+			.find(control => control.link.getSilence() < SILENT_DISPATCHER_MILLISECONDS);
+	};
+
+	const findStandby = (service: core.ServiceName) => {
+		const standbys = plan.getStandbys().filter(standby => isAnswering(standby));
+		const ids = [...standbys.map(standby => standby.host.id), ...plan.isStandby() ? [plan.self] : []];
+		const first = orderDispatchers(service, ids, id => id)[0];
+		return standbys.find(standby => standby.host.id === first);
+	};
+
 	return {
-		find(service) {
-			const open = getOpen();
-			const answering = open.filter(control => isAnswering(control));
-			// Most did not answer in time: the others will not either, and each request that tries loses a quarter of a second.
-			const candidates = answering.length * 2 < open.length ? [] : answering;
-			return orderDispatchers(service, candidates, control => control.host.id)
-				.find(control => control.link.getSilence() < SILENT_DISPATCHER_MILLISECONDS);
-		},
+		find: service => findControl(service) ?? findStandby(service),
 		noteSlow(dispatcher) {
 			slowSince.set(dispatcher.link, now());
 		},
+		listAnswering: () => plan.getControls().filter(control => isAnswering(control)),
 	};
 }
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -1,5 +1,6 @@
 /**
-The dispatcher of a control host, as entry hosts ask it over their links.
+The dispatcher of a host, as entry hosts ask it over their links. Every host has one: control hosts dispatch as long as they answer, entry
+hosts when none does.
 */
 import type * as core from 'wagtailroute-core';
 import * as dispatch from 'wagtailroute-dispatch';
@@ -10,6 +11,7 @@
 import {
 	type AskAnswer,
 	type Belief,
+	type DecidedAnswer,
 	type GrantEnd,
 	type Holding,
 	METHODS,
@@ -29,6 +31,14 @@
 	*/
 	readonly hearBelief: (belief: Belief) => void;
 	/**
+	Takes all that another host believed: what it holds against an upstream counts if it is more than this one does.
+	*/
+	readonly hearBeliefs: (beliefs: readonly Belief[]) => void;
+	/**
+	Returns all that this dispatcher holds against upstreams.
+	*/
+	readonly listBeliefs: () => readonly Belief[];
+	/**
 	Returns what is known of a service's upstreams, by this dispatcher or by the one that told it.
 	*/
 	readonly report: (service: core.ServiceName) => readonly dispatch.UpstreamReport[];
@@ -43,9 +53,13 @@
 What the dispatcher asks of its host.
 */
 export type DispatchingPlan = {
-	readonly settings: Pick<FleetSettings, 'budget' | 'floor'>;
+	readonly settings: Pick<FleetSettings, 'budget' | 'floor' | 'policy'>;
 	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
 	/**
+	Returns the entry hosts that are told what this dispatcher believes although they send no requests of the service: they are next.
+	*/
+	readonly listStandbys: (service: core.ServiceName) => readonly core.HostId[];
+	/**
 	Sends to an entry host, if it has a link.
 	*/
 	readonly notify: (host: core.HostId, method: string, parameters: unknown) => void;
@@ -99,7 +113,7 @@
 				service, upstream, doubt, cause,
 			});
 			const belief: Belief = {service, upstream, doubt};
-			for (const host of listAskers(service)) {
+			for (const host of new Set([...listAskers(service), ...plan.listStandbys(service)])) {
 				plan.notify(host, METHODS.believe, belief);
 			}
 
@@ -150,17 +164,41 @@
 		refresh(service);
 	};
 
+	let cancelTick: utils.Teardown | undefined;
+
+	/**
+	Looks after requests that wait or are under way; a host that dispatches nothing does not wake for it.
+	*/
+	const tickWhileBusy = () => {
+		if (cancelTick !== undefined || !dispatcher.isBusy()) {
+			return;
+		}
+
+		cancelTick = context.schedule(DISPATCH_TICK_MILLISECONDS, () => {
+			cancelTick = undefined;
+			carryOut(dispatcher.tick(now()));
+			tickWhileBusy();
+		});
+	};
+
+	const listBeliefs = () => known.values().flatMap(service => dispatcher.report(service, now())
+		.filter(({doubt}) => doubt > 0)
+		.map(({upstream, doubt}): Belief => ({service, upstream, doubt}))).toArray();
+
 	metrics.registerGauge('asks_waiting', () => dispatcher.getWaiting());
-	const teardown = context.repeat(DISPATCH_TICK_MILLISECONDS, () => {
-		carryOut(dispatcher.tick(now()));
-	});
 	return {
 		ask(ask) {
 			learn(ask.service);
 			noteAsker(ask);
+			if (!dispatcher.knows(ask.service)) {
+				log.warn('Ask sent elsewhere.', {id: ask.id, service: ask.service});
+				return {kind: 'elsewhere'};
+			}
+
 			const list = dispatcher.ask(ask, now());
 			const own = list.find(effect => effect.kind !== 'believe' && effect.ask.id === ask.id);
 			carryOut(list.filter(effect => effect !== own));
+			tickWhileBusy();
 			if (own === undefined || own.kind === 'believe') {
 				return {kind: 'wait'};
 			}
@@ -181,11 +219,22 @@
 		hold(host, {service, places}) {
 			learn(service);
 			dispatcher.hold(host, service, places, now());
+			tickWhileBusy();
 		},
 		hearBelief({service, upstream, doubt}) {
 			learn(service);
 			dispatcher.setDoubt(service, upstream, doubt, now());
 		},
+		hearBeliefs(beliefs) {
+			for (const {service, upstream, doubt} of beliefs) {
+				learn(service);
+				const present = dispatcher.report(service, now()).find(report => report.upstream === upstream);
+				if (present !== undefined && doubt > present.doubt) {
+					dispatcher.setDoubt(service, upstream, doubt, now());
+				}
+			}
+		},
+		listBeliefs,
 		report(service) {
 			learn(service);
 			return dispatcher.report(service, now());
@@ -195,14 +244,16 @@
 				refresh(service);
 			}
 		},
-		teardown,
+		teardown() {
+			cancelTick?.();
+		},
 	};
 }
 
 /**
 Turns a decision into what the asking host is told.
 */
-export function toAnswer(effect: Extract<dispatch.Effect, {kind: 'grant' | 'refuse'}>): Exclude<AskAnswer, {kind: 'wait'}> {
+export function toAnswer(effect: Extract<dispatch.Effect, {kind: 'grant' | 'refuse'}>): DecidedAnswer {
 	if (effect.kind === 'refuse') {
 		const {reason, retryAfterMilliseconds} = effect;
 		return {kind: 'refuse', reason, retryAfterMilliseconds};
--- a/packages/wagtailroute-fleet/src/entry-domain.ts
+++ b/packages/wagtailroute-fleet/src/entry-domain.ts
@@ -10,16 +10,10 @@
 import type * as generations from 'wagtailroute-generations';
 
 /**
-Finds the service that takes the uploads of a host name, by its first such route and the heaviest share of it; undefined for a host without.
-
-@param host Host name in any case, without its port.
-*/
-export type UploadServiceFinder = (host: string) => core.ServiceName | undefined;
-
-/**
-Creates the finder of a generation.
+Returns the service that takes the uploads of each host name, by its first such route and the heaviest share of it. Names are in lower case; a
+host without uploads is left out.
 */
-export function createUploadServiceFinder({routes}: generations.Generation): UploadServiceFinder {
+export function listUploadServices({routes}: generations.Generation): ReadonlyMap<string, core.ServiceName> {
 	const services = new Map<string, core.ServiceName>();
 	for (const route of routes) {
 		const host = route.host.toLowerCase();
@@ -31,7 +25,7 @@
 		services.set(host, heaviest.service);
 	}
 
-	return host => services.get(host.toLowerCase());
+	return services;
 }
 
 /**
--- a/packages/wagtailroute-fleet/src/entry-hosts.ts
+++ b/packages/wagtailroute-fleet/src/entry-hosts.ts
@@ -36,6 +36,10 @@
 	readonly notifyAll: (method: string, parameters: unknown) => void;
 	readonly count: () => number;
 	/**
+	Returns those that serve, as far as is known.
+	*/
+	readonly listReady: () => readonly EntryHost[];
+	/**
 	Returns the addresses for a caller; none when no entry host is known to serve.
 	*/
 	readonly listAddresses: (failureDomain: core.FailureDomain) => readonly core.Address[];
@@ -90,6 +94,7 @@
 			}
 		},
 		count: () => byId.size,
+		listReady: () => byId.values().filter(host => isServing(host)).toArray(),
 		listAddresses(failureDomain) {
 			const serving = byId.values().filter(host => isServing(host)).toArray();
 			const near = serving.filter(host => host.failureDomain === failureDomain);
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -4,25 +4,32 @@
 */
 import * as timers from 'node:timers/promises';
 import * as core from 'wagtailroute-core';
-import type * as link from 'wagtailroute-link';
+import * as link from 'wagtailroute-link';
 import * as proxy from 'wagtailroute-proxy';
 import * as utils from 'wagtailroute-utils';
 import type {ShortAnswer} from './ask-wire.ts';
-import {startAsking} from './asking.ts';
+import {createAskMethods} from './ask-methods.ts';
+import {createAskers} from './askers.ts';
+import {createAsking} from './asking.ts';
 import {
 	ACCEPTING_PART,
+	FIRST_GENERATION_MILLISECONDS,
 	LOAD_STEP,
 	RETAIN_MILLISECONDS,
+	STANDBY_EXTRA_RESENDS,
 	STOP_MARGIN_MILLISECONDS,
 	UPSTREAM_CONNECT_MILLISECONDS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
 import {startControlLinks} from './control-links.ts';
+import {type DirectoryTable, EMPTY_TABLE, lookUp} from './directory-table.ts';
+import {startDispatching} from './dispatching.ts';
 import {createKnowledge} from './knowledge.ts';
 import {startLoadMeter} from './load.ts';
 import * as messages from './messages.ts';
 import {createRouter} from './routing.ts';
-import type {ControlHost, EntrySettings} from './settings.ts';
+import type {ControlHost, EntrySettings, StandbyHost} from './settings.ts';
+import {createStandbys} from './standbys.ts';
 
 /**
 A running entry host.
@@ -32,6 +39,12 @@
 	It has a generation, and is not stopping.
 	*/
 	readonly isReady: () => boolean;
+	/**
+	Returns the addresses of entry hosts for a caller, as text; its own when it knows of no other, none when it does not serve.
+
+	@param host Host name that the caller is going to use.
+	*/
+	readonly listAddresses: (failureDomain: core.FailureDomain, host: string) => readonly string[];
 	readonly addSeeds: (seeds: readonly ControlHost[]) => void;
 	/**
 	Leaves the directory, serves until callers have heard of it, finishes what is under way and ends.
@@ -45,6 +58,7 @@
 export async function startEntry(context: FleetContext, settings: EntrySettings, dialect: proxy.Dialect): Promise<Entry> {
 	const log = context.logs('entry');
 	let isStopping = false;
+	const first = Promise.withResolvers<void>();
 	// Opened below, when everything that it serves with is there.
 	const opened: {traffic?: proxy.TrafficServer} = {};
 	const knowledge = createKnowledge(context, {
@@ -52,9 +66,10 @@
 		getOpen: () => links.getOpen(),
 		onGeneration() {
 			tellState();
+			first.resolve();
 		},
 		onInstances(service) {
-			asking.refresh(service);
+			own.refresh(service);
 			retainLater();
 		},
 	});
@@ -65,7 +80,9 @@
 		opened.traffic?.connections.retain(knowledge.listAddresses());
 	});
 	const isReady = () => !isStopping && knowledge.getGeneration() !== undefined;
-	const getState = (): messages.EntryState => ({trafficAddress: settings.trafficAddress, isReady: isReady(), load: meter.getLoad()});
+	const getState = (): messages.EntryState => ({
+		trafficAddress: settings.trafficAddress, linkAddress: settings.linkAddress, isReady: isReady(), load: meter.getLoad(),
+	});
 	let told: messages.EntryState | undefined;
 	const tellState = () => {
 		const state = getState();
@@ -86,6 +103,31 @@
 	});
 
 	const findControl = (from: link.Link) => links.getOpen().find(open => open.link === from);
+	let directory = EMPTY_TABLE;
+	const learnDirectory = (table: DirectoryTable) => {
+		// An empty one comes from a control host that has just started.
+		directory = Object.keys(table.addresses).length > 0 ? table : directory;
+	};
+
+	const askers = createAskers();
+	const own = startDispatching(context, {
+		settings: {...settings, budget: {...settings.budget, extra: STANDBY_EXTRA_RESENDS}},
+		listCandidates: knowledge.listCandidates,
+		listStandbys: () => [],
+		notify(host, method, parameters) {
+			if (host !== settings.hostId) {
+				askers.find(host)?.notify(method, parameters);
+			} else if (method === messages.METHODS.answer) {
+				asking.hearAnswer(...parameters as [number, ShortAnswer]);
+			}
+		},
+		tellControls(method, parameters) {
+			// What one host alone holds against an upstream may be its own path's fault.
+			if (askers.count() > 0) {
+				links.notifyAll(method, parameters);
+			}
+		},
+	});
 	const methods: link.LinkMethods = new Map<string, link.LinkMethod>(Object.entries({
 		[messages.METHODS.controls](controls: readonly ControlHost[]) {
 			links.learn(controls);
@@ -103,38 +145,80 @@
 		[messages.METHODS.answer]([ask, answer]: [number, ShortAnswer]) {
 			asking.hearAnswer(ask, answer);
 		},
-		[messages.METHODS.believe](belief: messages.Belief) {
-			asking.hearBelief(belief);
+		[messages.METHODS.believe]: own.hearBelief,
+		[messages.METHODS.standbys](hosts: readonly StandbyHost[]) {
+			standbys.learn(hosts);
+		},
+		[messages.METHODS.directory]: learnDirectory,
+		...createAskMethods(own, askers.findByLink),
+		[messages.METHODS.hello]({id, failureDomain}: messages.Hello, from: link.Link) {
+			askers.add({id, failureDomain}, from);
+			return {
+				failureDomain: settings.failureDomain, controls: [], standbys: [], directory: EMPTY_TABLE, version: 0,
+			} satisfies messages.Welcome;
 		},
 	}));
+	const createHello = (): messages.Hello => ({id: settings.hostId, failureDomain: settings.failureDomain, entry: getState()});
 	const links = startControlLinks(context, {
 		seeds: settings.seeds,
 		self: settings.hostId,
 		failureDomain: settings.failureDomain,
-		createHello: () => ({id: settings.hostId, failureDomain: settings.failureDomain, entry: getState()}),
+		createHello,
 		methods,
-		onOpen(control, {version}) {
+		onOpen(control, {version, standbys: toldStandbys, directory: toldDirectory}) {
+			standbys.learn(toldStandbys);
+			learnDirectory(toldDirectory);
 			// What changed between the greeting and its answer is told again.
 			control.link.notify(messages.METHODS.state, getState());
+			if (askers.count() > 0) {
+				// The control host was away, and this host dispatched for others meanwhile.
+				control.link.notify(messages.METHODS.beliefs, own.listBeliefs());
+			}
+
 			knowledge.hearVersion(control, version);
 			knowledge.follow();
 		},
 		onLost(control) {
 			knowledge.loseControl(control);
-			asking.loseControl(control);
+			asking.loseDispatcher(control);
 		},
 	});
-	const asking = startAsking(context, {
+	const standbys = createStandbys(context, {
+		self: settings.hostId,
+		createHello,
+		methods,
+		onLost(standby) {
+			asking.loseDispatcher(standby);
+		},
+	});
+	const asking = createAsking(context, {
 		settings,
-		getOpen: links.getOpen,
-		listCandidates: knowledge.listCandidates,
+		getControls: links.getOpen,
+		standbys,
+		own,
 		isRetired: knowledge.isRetired,
 	});
+	const linkServer = await link.openLinkServer({
+		address: settings.linkAddress,
+		methods,
+		now: context.now,
+		onClose(closed) {
+			askers.remove(closed);
+		},
+		onDefect(error) {
+			log.error('Message could not be handled.', {error: error.stack});
+		},
+	});
 	const traffic = await proxy.openTrafficServer(settings.trafficAddress, {
 		hostId: settings.hostId,
 		now: context.now,
 		dialect,
 		route: createRouter(context, {knowledge, asking}),
+		// Right after a start the generation is some tenths of a second away. Refused, a caller would use up its few attempts meanwhile, or come
+		// back long after it is there; served late is better.
+		awaitRoutes: async () => knowledge.getGeneration() === undefined
+			? Promise.race([first.promise, timers.setTimeout(FIRST_GENERATION_MILLISECONDS, undefined, {ref: false})])
+			: undefined,
 		claim: async () => ({kind: 'refused', failure: proxy.createRequestFailure('idempotency-records-unavailable', 'This fleet keeps no keys.')}),
 		guard: OPEN_GUARD,
 		random: context.random,
@@ -149,9 +233,14 @@
 	context.metrics.registerGauge('requests_in_flight', traffic.getInFlight);
 	context.metrics.registerGauge('generation_version', () => knowledge.getGeneration()?.version ?? 0);
 	log.info('Host started.', {traffic: core.formatAddress(settings.trafficAddress), seeds: settings.seeds.map(seed => seed.id)});
-	const teardown = utils.mergeTeardowns(links.close, asking.teardown, meter.teardown);
+	const teardown = utils.mergeTeardowns(links.close, standbys.teardown, own.teardown, meter.teardown);
 	return {
 		isReady,
+		listAddresses(failureDomain, host) {
+			const self = core.formatAddress(settings.trafficAddress);
+			const others = lookUp(directory, failureDomain, host).filter(address => address !== self || isReady());
+			return others.length > 0 || !isReady() ? others : [self];
+		},
 		addSeeds: links.addSeeds,
 		async stop() {
 			isStopping = true;
@@ -162,6 +251,7 @@
 			await Promise.race([traffic.drain(), timers.setTimeout(limit)]);
 			log.info('Host stopped.', {inFlight: traffic.getInFlight()});
 			teardown();
+			await linkServer.close();
 		},
 	};
 }
--- a/packages/wagtailroute-fleet/src/index.ts
+++ b/packages/wagtailroute-fleet/src/index.ts
@@ -4,6 +4,15 @@
 export {createContext, type FleetContext} from './context.ts';
 export {type Control, startControl} from './control.ts';
 export {ADDRESS_TTL_SECONDS} from './constants.ts';
+export {createAskers} from './askers.ts';
+export {createAskMethods} from './ask-methods.ts';
+export type {ShortAnswer} from './ask-wire.ts';
+export {type Asking, createAsking} from './asking.ts';
+export type {OpenControl} from './control-links.ts';
+export {orderDispatchers} from './dispatch-order.ts';
+export {type Dispatching, startDispatching} from './dispatching.ts';
+export {type Belief, METHODS} from './messages.ts';
+export {createRouter, type Router} from './routing.ts';
 export {type Entry, startEntry} from './entry.ts';
 export type {LeaderFailure} from './leader-calls.ts';
 export type {
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -6,7 +6,8 @@
 import type * as generations from 'wagtailroute-generations';
 import type * as instances from 'wagtailroute-instances';
 import type * as replication from 'wagtailroute-replication';
-import type {ControlHost} from './settings.ts';
+import type {DirectoryTable} from './directory-table.ts';
+import type {ControlHost, StandbyHost} from './settings.ts';
 
 /**
 Names of the methods.
@@ -32,6 +33,10 @@
 	cancel: 'dispatch.cancel',
 	hold: 'dispatch.hold',
 	believe: 'dispatch.believe',
+	beliefs: 'dispatch.beliefs',
+	standbys: 'dispatch.standbys',
+	directory: 'fleet.directory',
+	probe: 'dispatch.probe',
 } as const;
 
 /**
@@ -39,6 +44,7 @@
 */
 export type EntryState = {
 	readonly trafficAddress: core.Address;
+	readonly linkAddress: core.Address;
 	/**
 	It has a generation, and is not stopping.
 	*/
@@ -74,6 +80,8 @@
 	The control hosts that the answering one has links to, itself included.
 	*/
 	readonly controls: readonly ControlHost[];
+	readonly standbys: readonly StandbyHost[];
+	readonly directory: DirectoryTable;
 	/**
 	Version of its generation, 0 when it has none.
 	*/
@@ -113,7 +121,8 @@
 };
 
 /**
-The first answer to an ask. `wait`: the final one follows as a message.
+The first answer to an ask. `wait`: the final one follows as a message. `elsewhere`: this host knows no upstream of the service, since it
+has just started; others may.
 */
 export type AskAnswer =
 	| {
@@ -123,7 +132,13 @@
 		readonly isTrial: boolean;
 	}
 	| {readonly kind: 'refuse'; readonly reason: dispatch.RefusalReason; readonly retryAfterMilliseconds: number}
-	| {readonly kind: 'wait'};
+	| {readonly kind: 'wait'}
+	| {readonly kind: 'elsewhere'};
+
+/**
+An answer that ends an ask.
+*/
+export type DecidedAnswer = Extract<AskAnswer, {kind: 'grant' | 'refuse'}>;
 
 /**
 The end of a granted request.
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -5,7 +5,7 @@
 import * as generations from 'wagtailroute-generations';
 import * as proxy from 'wagtailroute-proxy';
 import type {AskDraft, Asking} from './asking.ts';
-import {PATIENCE_MILLISECONDS, PATIENCE_RATIO} from './constants.ts';
+import {NO_GENERATION_MILLISECONDS, PATIENCE_MILLISECONDS, PATIENCE_RATIO} from './constants.ts';
 import type {FleetContext} from './context.ts';
 import type {Knowledge} from './knowledge.ts';
 import {createUsualTimes, type UsualTimes} from './usual-times.ts';
@@ -19,7 +19,7 @@
 What routing needs.
 */
 export type RoutingPlan = {
-	readonly knowledge: Knowledge;
+	readonly knowledge: Pick<Knowledge, 'getGeneration' | 'findRoute' | 'findService' | 'listCandidates'>;
 	readonly asking: Asking;
 };
 
@@ -40,7 +40,7 @@
 	return ({host, path, method}) => {
 		const generation = knowledge.getGeneration();
 		if (generation === undefined) {
-			return proxy.createRequestFailure('no-upstream', 'This host has no catalogue yet.');
+			return proxy.createRequestFailure('no-upstream', 'This host has no catalogue yet.', NO_GENERATION_MILLISECONDS);
 		}
 
 		const route = knowledge.findRoute(host, path);
--- a/packages/wagtailroute-fleet/src/settings.ts
+++ b/packages/wagtailroute-fleet/src/settings.ts
@@ -19,6 +19,11 @@
 	readonly failureDomain?: core.FailureDomain;
 };
 
+/**
+An entry host that dispatches while no control host does.
+*/
+export type StandbyHost = Required<ControlHost>;
+
 /**
 What every host is started with.
 */
@@ -34,6 +39,10 @@
 	Part of a service's upstreams, 0 to 1, that stay in use whatever speaks against them.
 	*/
 	readonly floor: number;
+	/**
+	How dispatchers decide; the default policy when absent.
+	*/
+	readonly policy?: dispatch.Policy;
 };
 
 /**
@@ -42,6 +51,10 @@
 export type EntrySettings = FleetSettings & {
 	readonly trafficAddress: core.Address;
 	/**
+	Where it takes links of other hosts, when it dispatches for them.
+	*/
+	readonly linkAddress: core.Address;
+	/**
 	What the host's link carries in each direction.
 	*/
 	readonly linkBytesPerSecond: number;
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/standby-choice.ts
@@ -0,0 +1,24 @@
+/**
+Which entry hosts dispatch while no control host does: the same few for all hosts, in all failure domains.
+*/
+import {STANDBYS_MOST} from './constants.ts';
+import {orderDispatchers} from './dispatch-order.ts';
+import type {EntryHost} from './entry-hosts.ts';
+import type {StandbyHost} from './settings.ts';
+
+/**
+Chooses the standbys: the first of each failure domain, then the second of each, and so on. The order of the names does not change with
+the load, so the choice changes only when one of these hosts comes or goes.
+*/
+export function chooseStandbys(entries: readonly EntryHost[]): readonly StandbyHost[] {
+	const ordered = orderDispatchers('standby', entries, ({id}) => id);
+	const byDomain = Map.groupBy(ordered, ({failureDomain}) => failureDomain);
+	return ordered
+		.toSorted((left, right) => getRank(byDomain, left) - getRank(byDomain, right))
+		.slice(0, STANDBYS_MOST)
+		.map(({id, failureDomain, state}) => ({id, failureDomain, address: state.linkAddress}));
+}
+
+function getRank(byDomain: ReadonlyMap<string, readonly EntryHost[]>, host: EntryHost): number {
+	return byDomain.get(host.failureDomain)!.indexOf(host);
+}
--- a/packages/wagtailroute-link/src/constants.ts
+++ b/packages/wagtailroute-link/src/constants.ts
@@ -34,6 +34,17 @@
 */
 export const RECONNECT_MOST_MILLISECONDS = 800;
 
+/**
+Milliseconds after a loss, or after the start, for which a link is tried again at short intervals: a process is back within a second or two,
+and after a restart of everything each request waits for the first link.
+*/
+export const RECONNECT_SOON_MILLISECONDS = 3000;
+
+/**
+Longest wait in milliseconds meanwhile. A try at a port where nobody listens costs 0.1 ms.
+*/
+export const RECONNECT_SOON_MOST_MILLISECONDS = 100;
+
 /**
 Longest message in bytes: a catalogue of 46,000 routes of 250 bytes fits twice.
 */
--- a/packages/wagtailroute-link/src/dialer.ts
+++ b/packages/wagtailroute-link/src/dialer.ts
@@ -7,6 +7,8 @@
 	CONNECT_MILLISECONDS,
 	RECONNECT_LEAST_MILLISECONDS,
 	RECONNECT_MOST_MILLISECONDS,
+	RECONNECT_SOON_MILLISECONDS,
+	RECONNECT_SOON_MOST_MILLISECONDS,
 } from './constants.ts';
 import {type Link, type LinkMethods, runLink} from './link.ts';
 
@@ -50,6 +52,7 @@
 	let timer: NodeJS.Timeout | undefined;
 	let isWanted = true;
 	let waitMilliseconds = RECONNECT_LEAST_MILLISECONDS;
+	let lostAt = plan.now();
 
 	const dialLater = () => {
 		if (!isWanted) {
@@ -57,7 +60,7 @@
 		}
 
 		timer = setTimeout(dial, waitMilliseconds * (0.5 + plan.random()));
-		waitMilliseconds = Math.min(RECONNECT_MOST_MILLISECONDS, waitMilliseconds * 2);
+		waitMilliseconds = getNextWait(waitMilliseconds, plan.now() - lostAt);
 	};
 
 	const open = (connected: net.Socket) => {
@@ -67,6 +70,7 @@
 			socket: connected,
 			onClose(closed) {
 				link = undefined;
+				lostAt = plan.now();
 				plan.onClose(closed);
 				dialLater();
 			},
@@ -106,3 +110,14 @@
 		},
 	};
 }
+
+/**
+Returns the milliseconds to wait before the next try.
+
+@param waited Those before this one.
+@param away Milliseconds since the link was lost, or since the start.
+*/
+export function getNextWait(waited: number, away: number): number {
+	const most = away < RECONNECT_SOON_MILLISECONDS ? RECONNECT_SOON_MOST_MILLISECONDS : RECONNECT_MOST_MILLISECONDS;
+	return Math.min(most, waited * 2);
+}
--- a/packages/wagtailroute-proxy/src/__tests__/unit/waiting.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/waiting.test.ts
@@ -142,3 +142,31 @@
 		t.deepEqual(fixture.reports.map(report => report.ending), [...endings]);
 	});
 }
+
+test('a request that comes before there are routes is served once they are there', async t => {
+	// Symptom: after a restart of everything, callers are refused three times within half a second and give up, though the host serves from then on.
+	// Sequence: the host listens before it has fetched its routes; callers come back to the address that they had.
+	// Cause: whatever came before the routes was refused.
+	const {promise, resolve} = Promise.withResolvers<void>();
+	let asked = 0;
+	const fixture = await openFixture(t, {
+		faults: [[]],
+		async awaitRoutes() {
+			asked++;
+			return promise;
+		},
+	});
+	const sent = send(fixture, '/x');
+	await waitUntil(() => asked === 1);
+	t.is(fixture.standins[0]?.counters().runs, 0);
+	resolve();
+	const answer = await sent;
+	t.is(answer.status, 200);
+});
+
+test('the time for which routes were waited for is the caller\'s', async t => {
+	const fixture = await openFixture(t, {faults: [[]], awaitRoutes: async () => timers.setTimeout(50)});
+	const answer = await send(fixture, '/x', {headers: {'request-timeout-ms': '30'}});
+	t.is(answer.outcome, 'not-run');
+	t.is(fixture.standins[0]?.counters().runs, 0);
+});
--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -29,6 +29,10 @@
 	readonly message: http.IncomingMessage;
 	readonly response: http.ServerResponse;
 	readonly request: requests.CallerRequest;
+	/**
+	Monotonic milliseconds when its header section was there: its caller's time runs from then on.
+	*/
+	readonly arrivedAt: number;
 	readonly match: ports.Match;
 	readonly service: ports.ServicePort;
 };
@@ -56,7 +60,7 @@
 
 	constructor(context: ExchangeContext) {
 		this.#context = context;
-		this.#startedAt = context.ports.now();
+		this.#startedAt = context.arrivedAt;
 		const limit = context.service.limits.timeoutMilliseconds;
 		this.#deadlineAt = this.#startedAt + Math.min(limit, context.request.timeoutMilliseconds ?? limit);
 		this.#sending = new Sending(context, this.#givingUp, () => this.#getRemaining());
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -316,6 +316,10 @@
 	Finds the route of a request and its service.
 	*/
 	readonly route: (request: CallerRequest) => RoutedRequest | RequestFailure;
+	/**
+	Resolves, after a bounded time, when routes are there to choose from; undefined when they are. Absent: they always are.
+	*/
+	readonly awaitRoutes?: () => Promise<void> | undefined;
 	readonly claim: (request: ClaimRequest) => Promise<ClaimAnswer>;
 	readonly guard: Guard;
 	/**
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -116,18 +116,32 @@
 	// Without a listener an error on a caller's connection would end the process; 'close' tells all there is to know.
 	message.on('error', () => undefined);
 	response.on('error', () => undefined);
-	const failure = findRoute(ports, connections, message, response);
-	if (failure !== undefined) {
-		answerFailure(response, () => ports.dialect.createProblem(failure, ports.random));
+	const arrivedAt = ports.now();
+	const serveRouted = () => {
+		const failure = response.destroyed ? undefined : findRoute(ports, connections, {message, response, arrivedAt});
+		if (failure !== undefined) {
+			answerFailure(response, () => ports.dialect.createProblem(failure, ports.random));
+		}
+	};
+
+	const waiting = ports.awaitRoutes?.();
+	if (waiting === undefined) {
+		serveRouted();
+	} else {
+		void (async () => {
+			await waiting;
+			serveRouted();
+		})();
 	}
 }
 
-function findRoute(
-	ports: TrafficPorts,
-	connections: Connections,
-	message: http.IncomingMessage,
-	response: http.ServerResponse,
-): RequestFailure | undefined {
+type Arrival = {
+	readonly message: http.IncomingMessage;
+	readonly response: http.ServerResponse;
+	readonly arrivedAt: number;
+};
+
+function findRoute(ports: TrafficPorts, connections: Connections, {message, response, arrivedAt}: Arrival): RequestFailure | undefined {
 	const parsed = ports.dialect.parseRequest(message);
 	if (parsed.isErr()) {
 		return parsed.error;
@@ -155,6 +169,7 @@
 		message,
 		response,
 		request,
+		arrivedAt,
 		match: routed.match,
 		service: routed.service,
 	});
