--- /dev/null
+++ b/packages/wagtailroute-lab/src/backend.ts
@@ -0,0 +1,252 @@
+/**
+A backend server in virtual time: its slots, its queue, and the bad spells in which it harms requests although it looks well.
+*/
+import * as utils from 'wagtailroute-utils';
+import type * as core from 'wagtailroute-core';
+import type {Clock} from './clock.ts';
+import {drawExponential, type Luck} from './draws.ts';
+import type {ScenarioRoute, ScenarioService, ScenarioSpell} from './scenario.ts';
+
+/**
+What comes of a request at an upstream. `hang` is no outcome: nothing ever comes.
+*/
+export type BackendOutcome = 'success' | 'error' | 'reset' | 'shed' | 'refused';
+
+/**
+A bad spell of one upstream.
+*/
+export type Spell = {
+	readonly kind: ScenarioSpell['kind'];
+	readonly from: number;
+	readonly until: number;
+	readonly failing: number;
+	readonly times: number;
+	/**
+	Harms only requests from here.
+	*/
+	readonly failureDomain?: string;
+	/**
+	Requests that it harmed, and how many of these may not be sent again.
+	*/
+	harmed: number;
+	harmedUnrepeatable: number;
+	/**
+	When the last request was sent into it.
+	*/
+	lastSentAt: number;
+};
+
+/**
+A request on its way to an upstream.
+*/
+export type BackendRequest = {
+	readonly route: ScenarioRoute;
+	readonly failureDomain: string;
+	readonly luck: Luck;
+	readonly end: (outcome: BackendOutcome) => void;
+};
+
+/**
+An upstream.
+*/
+export type Backend = {
+	readonly id: core.UpstreamId;
+	readonly service: string;
+	readonly failureDomain: string;
+	readonly slots: number;
+	readonly spells: readonly Spell[];
+	/**
+	`draining`: serves, but must get nothing new. `gone`: refuses.
+	*/
+	state: 'serving' | 'draining' | 'gone';
+	/**
+	Takes a request; the result gives it up and frees its slot.
+	*/
+	readonly take: (request: BackendRequest) => utils.Teardown;
+	readonly getSpell: (failureDomain: string) => Spell | undefined;
+	readonly getBusy: () => number;
+};
+
+/**
+What an upstream is made from.
+*/
+export type BackendPlan = {
+	readonly clock: Clock;
+	readonly id: core.UpstreamId;
+	readonly service: ScenarioService;
+	readonly failureDomain: string;
+	readonly spells: readonly Spell[];
+	/**
+	Until when it works at half speed.
+	*/
+	readonly warmAt: number;
+};
+
+type Work = {
+	readonly request: BackendRequest;
+	cancel: utils.Teardown;
+};
+
+/**
+Milliseconds in which an upstream resets or sheds.
+*/
+const AT_ONCE = 1;
+const COLD_TIMES = 2;
+const MILLISECONDS = 1000;
+const ERROR_PART = 0.8;
+
+/**
+Creates an upstream.
+*/
+export function createBackend({clock, id, service, failureDomain, spells, warmAt}: BackendPlan): Backend {
+	const running = new Set<Work>();
+	const queue: Work[] = [];
+
+	const getSpell = (from: string) => {
+		const now = clock.now();
+		return spells.find(spell => spell.from <= now && now < spell.until && (spell.failureDomain ?? from) === from);
+	};
+
+	const leave = (work: Work) => {
+		work.cancel();
+		const isRunning = running.delete(work);
+		const place = queue.indexOf(work);
+		if (place !== -1) {
+			queue.splice(place, 1);
+		}
+
+		if (isRunning && queue.length > 0) {
+			run(queue.shift()!);
+		}
+	};
+
+	const endAfter = (work: Work, milliseconds: number, outcome: BackendOutcome) => {
+		work.cancel = clock.schedule(milliseconds, () => {
+			leave(work);
+			work.request.end(outcome);
+		});
+	};
+
+	const run = (work: Work) => {
+		running.add(work);
+		const {route, failureDomain: from, luck} = work.request;
+		const spell = getSpell(from);
+		const isHarmed = spell !== undefined && luck.harm < spell.failing;
+		const milliseconds = luck.workMilliseconds * (clock.now() < warmAt ? COLD_TIMES : 1);
+		if (isHarmed) {
+			HARMS[spell.kind]({
+				work, milliseconds, spell, endAfter,
+			});
+			return;
+		}
+
+		endAfter(work, milliseconds, luck.error < route.errorShare ? 'error' : 'success');
+	};
+
+	const noteSent = (spell: Spell | undefined, {route}: BackendRequest) => {
+		if (spell === undefined) {
+			return;
+		}
+
+		spell.lastSentAt = clock.now();
+		spell.harmed++;
+		spell.harmedUnrepeatable += route.requestClass === 'read' || route.requestClass === 'idempotent' ? 0 : 1;
+	};
+
+	const backend: Backend = {
+		id,
+		service: service.name,
+		failureDomain,
+		slots: service.slots,
+		spells,
+		state: 'serving',
+		take(request) {
+			const work: Work = {request, cancel: () => undefined};
+			noteSent(getSpell(request.failureDomain), request);
+			if (backend.state === 'gone' || (running.size >= service.slots && queue.length >= service.queue)) {
+				endAfter(work, AT_ONCE, backend.state === 'gone' ? 'refused' : 'shed');
+			} else if (running.size < service.slots) {
+				run(work);
+			} else {
+				queue.push(work);
+			}
+
+			return () => {
+				leave(work);
+			};
+		},
+		getSpell,
+		getBusy: () => running.size + queue.length,
+	};
+	return backend;
+}
+
+type Harm = (harmed: {
+	readonly work: Work;
+	readonly milliseconds: number;
+	readonly spell: Spell;
+	readonly endAfter: (work: Work, milliseconds: number, outcome: BackendOutcome) => void;
+}) => void;
+
+const HARMS: Readonly<Record<Spell['kind'], Harm>> = {
+	hang: () => undefined,
+	reset({work, endAfter}) {
+		endAfter(work, AT_ONCE, 'reset');
+	},
+	error({work, milliseconds, endAfter}) {
+		endAfter(work, milliseconds * ERROR_PART, 'error');
+	},
+	shed({work, endAfter}) {
+		endAfter(work, AT_ONCE, 'shed');
+	},
+	slow({work, milliseconds, spell, endAfter}) {
+		endAfter(work, milliseconds * spell.times, 'success');
+	},
+};
+
+/**
+Draws the bad spells of one upstream over a day, in order of time.
+*/
+export function drawSpells(
+	kinds: readonly ScenarioSpell[],
+	{service, seconds, failureDomains, random}: {
+		readonly service: string;
+		readonly seconds: number;
+		readonly failureDomains: readonly string[];
+		readonly random: utils.Random;
+	},
+): readonly Spell[] {
+	const spells = kinds
+		.filter(kind => (kind.service ?? service) === service)
+		.flatMap(kind => drawKind(kind, {seconds, failureDomains, random}));
+	return spells.toSorted((left, right) => left.from - right.from);
+}
+
+function drawKind(
+	kind: ScenarioSpell,
+	{seconds, failureDomains, random}: {readonly seconds: number; readonly failureDomains: readonly string[]; readonly random: utils.Random},
+): readonly Spell[] {
+	const every = kind.everySeconds * MILLISECONDS;
+	const mean = kind.lengthSeconds * MILLISECONDS;
+	const spells: Spell[] = [];
+	for (let from = -random() * every; from < seconds * MILLISECONDS; from += every) {
+		const at = from + (random() * every / 2);
+		// Half of its length is the same for all, so that none is over before anybody could see it.
+		const length = (mean / 2) + drawExponential(random, mean / 2);
+		if (random() < kind.share) {
+			spells.push({
+				kind: kind.kind,
+				from: at,
+				until: at + Math.min(every, length),
+				failing: kind.failing,
+				times: kind.times,
+				...kind.isOneDomain && {failureDomain: failureDomains[utils.pickIndex(random, failureDomains.length)]!},
+				harmed: 0,
+				harmedUnrepeatable: 0,
+				lastSentAt: -Infinity,
+			});
+		}
+	}
+
+	return spells;
+}
--- /dev/null
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -0,0 +1,420 @@
+/**
+The hosts of a fleet in virtual time: the real asking, routing and dispatching over virtual links.
+*/
+import type * as core from 'wagtailroute-core';
+import type * as dispatch from 'wagtailroute-dispatch';
+import * as fleet from 'wagtailroute-fleet';
+import type * as generations from 'wagtailroute-generations';
+import type * as link from 'wagtailroute-link';
+import type * as utils from 'wagtailroute-utils';
+import type {Arrival} from './arrivals.ts';
+import type {Clock} from './clock.ts';
+import {createContext} from './context.ts';
+import {createLinkPair, type Endpoint} from './links.ts';
+import type {Scenario} from './scenario.ts';
+import type {Variant} from './variants.ts';
+
+/**
+An entry host as callers and the day see it.
+*/
+export type EntryHost = {
+	readonly id: core.HostId;
+	readonly failureDomain: core.FailureDomain;
+	readonly route: fleet.Router;
+	/**
+	Resolves when the process ends.
+	*/
+	readonly ended: Promise<'left'>;
+};
+
+/**
+Serves requests, and is befallen by faults.
+*/
+export type Fleet = {
+	/**
+	Returns the entry host that a caller connects to; undefined while it does not run.
+	*/
+	readonly find: (arrival: Arrival) => EntryHost | undefined;
+	/**
+	The upstreams of a service have changed.
+	*/
+	readonly refresh: (service: core.ServiceName) => void;
+	/**
+	Control hosts lose power, all or the one that dispatches most.
+	*/
+	readonly darken: (which: 'first' | 'all', milliseconds: number) => void;
+	readonly freeze: (milliseconds: number) => void;
+	/**
+	All processes end and start again.
+	*/
+	readonly restart: (milliseconds: number) => void;
+};
+
+/**
+What the fleet is made from.
+*/
+export type FleetPlan = {
+	readonly clock: Clock;
+	readonly random: utils.Random;
+	readonly scenario: Scenario;
+	readonly variant: Variant;
+	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
+	readonly onSuspended: (upstream: core.UpstreamId) => void;
+};
+
+type Control = {
+	readonly id: core.HostId;
+	readonly endpoint: Endpoint;
+	readonly askers: ReturnType<typeof fleet.createAskers>;
+	readonly dispatching: fleet.Dispatching;
+};
+
+type Entry = EntryHost & {
+	readonly endpoint: Endpoint;
+	readonly askers: ReturnType<typeof fleet.createAskers>;
+	readonly own: fleet.Dispatching;
+	readonly asking: fleet.Asking;
+	readonly controls: fleet.OpenControl[];
+	readonly standbys: fleet.OpenControl[];
+	readonly end: () => void;
+};
+
+/**
+Entry hosts of a failure domain that callers are told of, as the directory does with little load.
+*/
+const ENTRY_WIDTH = 3;
+const ADDRESS: core.Address = {ip: '127.0.0.1', port: 1};
+const STANDBYS = 6;
+
+/**
+Milliseconds that a new process takes to serve after the others can be reached, and that a new link takes.
+*/
+const START_MILLISECONDS = 500;
+const DIAL_MILLISECONDS = 10;
+
+/**
+Starts the hosts.
+*/
+export function createFleet(plan: FleetPlan): Fleet {
+	return new VirtualFleet(plan);
+}
+
+class VirtualFleet implements Fleet {
+	readonly #plan: FleetPlan;
+	readonly #generation: generations.Generation;
+	#controls: Control[] = [];
+	#entries: Entry[] = [];
+
+	constructor(plan: FleetPlan) {
+		this.#plan = plan;
+		this.#generation = createGeneration(plan.scenario);
+		this.#start();
+	}
+
+	find({failureDomain, entry}: Arrival): EntryHost | undefined {
+		const near = this.#entries.filter(host => host.failureDomain === failureDomain && host.endpoint.state === 'up');
+		return near[Math.floor(entry * Math.min(ENTRY_WIDTH, near.length))];
+	}
+
+	refresh(service: core.ServiceName): void {
+		for (const {dispatching} of this.#controls) {
+			dispatching.refresh(service);
+		}
+
+		for (const {own} of this.#entries) {
+			own.refresh(service);
+		}
+	}
+
+	darken(which: 'first' | 'all', milliseconds: number): void {
+		const chosen = which === 'all' ? [...this.#controls] : [this.#findFirst()];
+		for (const control of chosen) {
+			control.endpoint.state = 'away';
+		}
+
+		this.#plan.clock.schedule(milliseconds + START_MILLISECONDS, () => {
+			for (const control of chosen) {
+				this.#replaceControl(control);
+			}
+		});
+	}
+
+	freeze(milliseconds: number): void {
+		const {endpoint} = this.#findFirst();
+		const {clock} = this.#plan;
+		endpoint.state = 'frozen';
+		endpoint.frozenUntil = clock.now() + milliseconds;
+		clock.schedule(milliseconds, () => {
+			endpoint.state = 'up';
+		});
+	}
+
+	restart(milliseconds: number): void {
+		const kept = this.#plan.variant.isForgetful ? [] : this.#controls[0]!.dispatching.listBeliefs();
+		for (const entry of this.#entries) {
+			entry.end();
+		}
+
+		this.#entries = [];
+		this.#controls = [];
+		this.#plan.clock.schedule(milliseconds + START_MILLISECONDS, () => {
+			this.#start();
+			for (const {dispatching} of this.#controls) {
+				dispatching.hearBeliefs(kept);
+			}
+		});
+	}
+
+	#start(): void {
+		const {scenario} = this.#plan;
+		this.#controls = Array.from({length: scenario.controlHosts}, (_, index) => this.#createControl(index));
+		this.#entries = scenario.failureDomains.flatMap(failureDomain =>
+			Array.from({length: Math.min(scenario.entryHostsPerDomain, ENTRY_WIDTH)}, (_, index) => this.#createEntry(failureDomain, index)));
+		for (const entry of this.#entries) {
+			for (const control of this.#controls) {
+				this.#connect(entry, control);
+			}
+		}
+	}
+
+	/**
+	Returns the control host that dispatches the service with the most requests.
+	*/
+	#findFirst(): Control {
+		const [busiest] = this.#plan.scenario.routes.toSorted((left, right) => right.perSecond - left.perSecond);
+		return fleet.orderDispatchers(busiest!.services[0]!, this.#controls, ({id}) => id)[0]!;
+	}
+
+	#replaceControl(lost: Control): void {
+		const index = this.#controls.indexOf(lost);
+		if (index === -1) {
+			return;
+		}
+
+		const control = this.#createControl(index);
+		this.#controls[index] = control;
+		const neighbour = this.#controls.find(({endpoint, id}) => endpoint.state === 'up' && id !== control.id);
+		control.dispatching.hearBeliefs(neighbour?.dispatching.listBeliefs() ?? []);
+		for (const entry of this.#entries) {
+			const place = entry.controls.findIndex(({host}) => host.id === control.id);
+			const [old] = entry.controls.splice(place, place === -1 ? 0 : 1);
+			if (old !== undefined) {
+				old.link.close();
+				entry.asking.loseDispatcher(old);
+			}
+
+			this.#connect(entry, control);
+			if (entry.askers.count() > 0) {
+				control.dispatching.hearBeliefs(entry.own.listBeliefs());
+			}
+		}
+	}
+
+	#getWay(left: core.FailureDomain, right: core.FailureDomain): number {
+		const {nearMilliseconds, farMilliseconds} = this.#plan.scenario;
+		return left === right ? nearMilliseconds : farMilliseconds;
+	}
+
+	#connect(entry: Entry, control: Control): void {
+		const way = this.#getWay(entry.failureDomain, control.endpoint.failureDomain);
+		const [near, far] = createLinkPair(this.#plan.clock, [entry.endpoint, control.endpoint], way);
+		control.askers.add({id: entry.id, failureDomain: entry.failureDomain}, far);
+		entry.controls.push({host: {id: control.id, address: ADDRESS, failureDomain: control.endpoint.failureDomain}, link: near});
+	}
+
+	#createControl(index: number): Control {
+		const {scenario} = this.#plan;
+		const failureDomain = scenario.failureDomains[index % scenario.failureDomains.length]!;
+		const methods = new Map<string, link.LinkMethod>();
+		const endpoint: Endpoint = {
+			failureDomain, methods, state: 'up', frozenUntil: 0,
+		};
+		const id = `control-${index}`;
+		const askers = fleet.createAskers();
+		const dispatching = this.#startDispatching({
+			askers,
+			extra: scenario.budget.extra,
+			listStandbys: service => fleet.orderDispatchers(service, this.#listStandbys(), host => host).slice(0, 2),
+			tellControls: belief => {
+				this.#tellControls(id, belief);
+			},
+			getState: () => endpoint.state,
+		});
+		register(methods, {
+			...fleet.createAskMethods(dispatching, askers.findByLink),
+			[fleet.METHODS.probe]: () => ({}),
+		});
+		return {
+			id, endpoint, askers, dispatching,
+		};
+	}
+
+	#listStandbys(): readonly core.HostId[] {
+		return this.#plan.variant.hasStandbys ? this.#entries.slice(0, STANDBYS).map(({id}) => id) : [];
+	}
+
+	#tellControls(from: core.HostId, belief: fleet.Belief): void {
+		const {clock, scenario} = this.#plan;
+		clock.schedule(scenario.farMilliseconds, () => {
+			for (const {id, endpoint, dispatching} of this.#controls) {
+				if (id !== from && endpoint.state === 'up') {
+					dispatching.hearBelief(belief);
+				}
+			}
+		});
+	}
+
+	#startDispatching({askers, extra, listStandbys, tellControls, getState, onAnswer}: {
+		readonly askers: ReturnType<typeof fleet.createAskers>;
+		readonly extra: number;
+		readonly listStandbys: (service: core.ServiceName) => readonly core.HostId[];
+		readonly tellControls: (belief: fleet.Belief) => void;
+		readonly getState: () => Endpoint['state'];
+		/**
+		Takes what is for this host itself.
+		*/
+		readonly onAnswer?: (parameters: [number, fleet.ShortAnswer]) => void;
+	}): fleet.Dispatching {
+		const {clock, random, scenario, variant, listCandidates, onSuspended} = this.#plan;
+		return fleet.startDispatching(createContext(clock, random, onSuspended), {
+			settings: {budget: {...scenario.budget, extra}, floor: scenario.floor, policy: variant.policy},
+			listCandidates,
+			listStandbys,
+			notify(host, method, parameters) {
+				const over = askers.find(host);
+				if (over === undefined && method === fleet.METHODS.answer) {
+					onAnswer?.(parameters as [number, fleet.ShortAnswer]);
+				} else if (getState() === 'up') {
+					over?.notify(method, parameters);
+				}
+			},
+			tellControls(_method, parameters) {
+				tellControls(parameters as fleet.Belief);
+			},
+		});
+	}
+
+	#createEntry(failureDomain: core.FailureDomain, index: number): Entry {
+		const {clock, random, listCandidates} = this.#plan;
+		const id = `entry-${failureDomain}-${index}`;
+		const methods = new Map<string, link.LinkMethod>();
+		const endpoint: Endpoint = {
+			failureDomain, methods, state: 'up', frozenUntil: 0,
+		};
+		const askers = fleet.createAskers();
+		const controls: fleet.OpenControl[] = [];
+		const standbys: fleet.OpenControl[] = [];
+		const own = this.#startDispatching({
+			askers,
+			extra: 2,
+			listStandbys: () => [],
+			tellControls: belief => {
+				if (askers.count() > 0) {
+					this.#tellControls(id, belief);
+				}
+			},
+			getState: () => endpoint.state,
+			onAnswer([ask, answer]) {
+				asking.hearAnswer(ask, answer);
+			},
+		});
+		const context = createContext(clock, random, () => undefined);
+		const asking = fleet.createAsking(context, {
+			settings: {hostId: id, failureDomain},
+			getControls: () => controls.filter(({link: over}) => over.isOpen()),
+			standbys: {
+				getOpen: () => standbys,
+				open: () => {
+					this.#openStandbys(entry);
+				},
+				waitForOne: async () => new Promise<void>(resolve => {
+					clock.schedule(DIAL_MILLISECONDS, resolve);
+				}),
+				isSelfNamed: () => this.#listStandbys().includes(id),
+			},
+			own,
+			isRetired: () => false,
+		});
+		register(methods, {
+			[fleet.METHODS.answer]([ask, answer]: [number, fleet.ShortAnswer]) {
+				asking.hearAnswer(ask, answer);
+			},
+			[fleet.METHODS.believe]: own.hearBelief,
+			...fleet.createAskMethods(own, askers.findByLink),
+		});
+		const {promise, resolve} = Promise.withResolvers<'left'>();
+		const entry: Entry = {
+			id,
+			failureDomain,
+			endpoint,
+			askers,
+			own,
+			asking,
+			controls,
+			standbys,
+			ended: promise,
+			end() {
+				endpoint.state = 'away';
+				resolve('left');
+			},
+			route: fleet.createRouter(context, {
+				knowledge: {
+					getGeneration: () => this.#generation,
+					findRoute: (_host, path) => this.#generation.routes.find(({name}) => `/${name}` === path),
+					findService: name => this.#generation.services.find(service => service.name === name),
+					listCandidates,
+				},
+				asking,
+			}),
+		};
+		return entry;
+	}
+
+	#openStandbys(entry: Entry): void {
+		if (entry.standbys.length > 0) {
+			return;
+		}
+
+		this.#plan.clock.schedule(DIAL_MILLISECONDS, () => {
+			const wanted = new Set(this.#listStandbys());
+			const missing = this.#entries.filter(({id}) =>
+				id !== entry.id && wanted.has(id) && entry.standbys.every(({host}) => host.id !== id));
+			for (const other of missing) {
+				const way = this.#getWay(entry.failureDomain, other.failureDomain);
+				const [near, far] = createLinkPair(this.#plan.clock, [entry.endpoint, other.endpoint], way);
+				other.askers.add({id: entry.id, failureDomain: entry.failureDomain}, far);
+				entry.standbys.push({host: {id: other.id, address: ADDRESS, failureDomain: other.failureDomain}, link: near});
+			}
+		});
+	}
+}
+
+function register(methods: Map<string, link.LinkMethod>, table: Readonly<Record<string, link.LinkMethod>>): void {
+	for (const [name, method] of Object.entries(table)) {
+		methods.set(name, method);
+	}
+}
+
+/**
+The catalogue of a scenario. A route that has several services is one route for each: the arrival says which.
+*/
+function createGeneration({routes, services}: Scenario): generations.Generation {
+	return {
+		version: 1,
+		routes: routes.flatMap(route => route.services.map(service => ({
+			name: `${route.name}/${service}`,
+			host: 'lab',
+			pathPrefix: `/${route.name}/${service}/`,
+			class: route.requestClass,
+			timeoutMilliseconds: route.timeoutMilliseconds,
+			objectiveMilliseconds: route.objectiveMilliseconds,
+			priority: route.priority,
+			attempts: route.attempts,
+			shares: [{service, weight: 1}],
+		}))),
+		services: services.map(({name}) => ({name, connectionsPerUpstream: 100, healthPath: '/'})),
+		limits: {
+			headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1,
+		},
+	};
+}
--- /dev/null
+++ b/packages/wagtailroute-lab/src/links.ts
@@ -0,0 +1,134 @@
+/**
+Links between hosts in virtual time. What is sent arrives after the way between the hosts, or never when the other one is away.
+*/
+import * as results from 'ts-results-es';
+import type * as link from 'wagtailroute-link';
+import type {Clock} from './clock.ts';
+
+/**
+A host as links see it.
+*/
+export type Endpoint = {
+	readonly failureDomain: string;
+	readonly methods: link.LinkMethods;
+	/**
+	`away`: nothing arrives. `frozen`: what arrives waits.
+	*/
+	state: 'up' | 'away' | 'frozen';
+	frozenUntil: number;
+};
+
+/**
+Creates the two ends of a link, the first one's first.
+
+@param way Milliseconds from one to the other.
+*/
+export function createLinkPair(clock: Clock, ends: readonly [Endpoint, Endpoint], way: number): readonly [link.Link, link.Link] {
+	const first = new VirtualLink(clock, ends[0], way);
+	const second = new VirtualLink(clock, ends[1], way);
+	first.peer = second;
+	second.peer = first;
+	return [first, second];
+}
+
+class VirtualLink implements link.Link {
+	peer: VirtualLink | undefined;
+	readonly #clock: Clock;
+	readonly #end: Endpoint;
+	readonly #way: number;
+	#isOpen = true;
+	#heardAt: number;
+
+	constructor(clock: Clock, end: Endpoint, way: number) {
+		this.#clock = clock;
+		this.#end = end;
+		this.#way = way;
+		this.#heardAt = clock.now();
+	}
+
+	async call(method: string, parameters: unknown, timeoutMilliseconds: number): Promise<results.Result<unknown, link.LinkFailure>> {
+		const {promise, resolve} = Promise.withResolvers<results.Result<unknown, link.LinkFailure>>();
+		const fail = (kind: link.LinkFailure['kind']) => {
+			resolve(results.Err({kind, message: method}));
+		};
+
+		if (!this.#isOpen) {
+			fail('link-closed');
+			return promise;
+		}
+
+		const cancel = this.#clock.schedule(timeoutMilliseconds, () => {
+			fail('call-timeout');
+		});
+		this.#deliver(() => {
+			void this.peer!.#answer(method, parameters, value => {
+				cancel();
+				resolve(results.Ok(value));
+			});
+		});
+		return promise;
+	}
+
+	notify(method: string, parameters: unknown): void {
+		if (this.#isOpen) {
+			this.#deliver(() => {
+				this.peer!.#handle(method, parameters);
+			});
+		}
+	}
+
+	getSilence(): number {
+		// A host that runs pings; one that is away or stands still does not.
+		return this.peer!.#end.state === 'up' ? 0 : this.#clock.now() - this.#heardAt;
+	}
+
+	isOpen(): boolean {
+		return this.#isOpen;
+	}
+
+	getBytes(): {readonly sent: number; readonly received: number} {
+		return {sent: 0, received: 0};
+	}
+
+	close(): void {
+		this.#isOpen = false;
+		this.peer!.#isOpen = false;
+	}
+
+	async #answer(method: string, parameters: unknown, reply: (value: unknown) => void): Promise<void> {
+		const value = await this.#handle(method, parameters);
+		this.#deliver(() => {
+			reply(value);
+		});
+	}
+
+	#handle(method: string, parameters: unknown): unknown {
+		return this.#end.methods.get(method)?.(parameters as never, this);
+	}
+
+	/**
+	Runs at the other side when this side's message has arrived there.
+	*/
+	#deliver(run: () => void): void {
+		const peer = this.peer!;
+		this.#clock.schedule(this.#way, () => {
+			peer.#receive(run);
+		});
+	}
+
+	#receive(run: () => void): void {
+		if (!this.#isOpen || this.#end.state === 'away') {
+			return;
+		}
+
+		if (this.#end.state === 'frozen') {
+			this.#clock.schedule(this.#end.frozenUntil - this.#clock.now(), () => {
+				this.#receive(run);
+			});
+			return;
+		}
+
+		this.#heardAt = this.#clock.now();
+		run();
+	}
+}
--- /dev/null
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -0,0 +1,178 @@
+/**
+What became of a day's requests, and the figures that policies are compared by.
+*/
+import * as histograms from 'hdr-histogram-js';
+import type {Scenario, ScenarioRoute} from './scenario.ts';
+
+/**
+Why a request was not served.
+*/
+export type Cause = 'refused' | 'hung' | 'reset' | 'error' | 'no-connection' | 'left';
+
+/**
+What became of a request.
+*/
+export type Fate =
+	| {readonly kind: 'served'; readonly milliseconds: number}
+	| {readonly kind: 'unserved'; readonly cause: Cause};
+
+/**
+Figures of one day. Shares are of all requests.
+*/
+export type Figures = {
+	/**
+	What the days are judged by: the weighted parts of the goal, 0 to 1.
+	*/
+	readonly value: number;
+	readonly served: number;
+	readonly inTime: number;
+	readonly late: number;
+	readonly refused: number;
+	readonly hung: number;
+	readonly reset: number;
+	readonly error: number;
+	readonly noConnection: number;
+	/**
+	Part of the worth that was earned in the worst two seconds, and of the worst route.
+	*/
+	readonly worstSeconds: number;
+	readonly worstRoute: number;
+	readonly earned: number;
+	readonly medianMilliseconds: number;
+	readonly p99Milliseconds: number;
+	/**
+	Requests sent into a bad spell, and those of them that may not be sent again.
+	*/
+	readonly harmedBySpell: number;
+	readonly unrepeatableBySpell: number;
+	/**
+	Milliseconds from the start of a spell to the last request that is sent into it, of those that any was sent into.
+	*/
+	readonly spellMilliseconds: number;
+	/**
+	Suspensions of upstreams in no spell, and resends, for each 1,000 requests.
+	*/
+	readonly falseSuspensions: number;
+	readonly resends: number;
+	/**
+	Microseconds of processor time of the whole model for each request.
+	*/
+	readonly microseconds: number;
+};
+
+/**
+Counts a day's requests.
+*/
+export type Tally = {
+	/**
+	@param askedAt When the caller first asked.
+	*/
+	readonly note: (route: ScenarioRoute, askedAt: number, fate: Fate) => void;
+	readonly noteResend: () => void;
+	readonly noteFalseSuspension: () => void;
+	readonly finish: (spells: ReadonlyArray<{
+		readonly from: number;
+		readonly harmed: number;
+		readonly harmedUnrepeatable: number;
+		readonly lastSentAt: number;
+	}>, cpuMicroseconds: number) => Figures;
+};
+
+type Sum = {
+	owed: number;
+	earned: number;
+};
+
+const WINDOW_MILLISECONDS = 2000;
+const WORST_WINDOWS = 2;
+const CAUSES: readonly Cause[] = ['refused', 'hung', 'reset', 'error', 'no-connection', 'left'];
+
+/**
+Starts counting.
+*/
+export function createTally(scenario: Scenario): Tally {
+	const windows = new Map<number, Sum>();
+	const routes = new Map<string, Sum>();
+	const causes = new Map<Cause, number>(CAUSES.map(cause => [cause, 0]));
+	const latencies = histograms.build({lowestDiscernibleValue: 1, highestTrackableValue: 60_000, numberOfSignificantValueDigits: 3});
+	const total: Sum = {owed: 0, earned: 0};
+	let count = 0;
+	let inTime = 0;
+	let late = 0;
+	let resends = 0;
+	let falseSuspensions = 0;
+
+	const add = (sums: Map<number | string, Sum>, key: number | string, owed: number, earned: number) => {
+		const sum = sums.get(key) ?? {owed: 0, earned: 0};
+		sum.owed += owed;
+		sum.earned += earned;
+		sums.set(key, sum);
+	};
+
+	const getEarned = (route: ScenarioRoute, fate: Fate) => {
+		if (fate.kind === 'unserved') {
+			return 0;
+		}
+
+		return fate.milliseconds <= route.objectiveMilliseconds ? route.worth : route.lateWorth;
+	};
+
+	return {
+		note(route, askedAt, fate) {
+			const earned = getEarned(route, fate);
+			count++;
+			total.owed += route.worth;
+			total.earned += earned;
+			add(windows, Math.floor(askedAt / WINDOW_MILLISECONDS), route.worth, earned);
+			add(routes, route.name, route.worth, earned);
+			if (fate.kind === 'unserved') {
+				causes.set(fate.cause, causes.get(fate.cause)! + 1);
+				return;
+			}
+
+			latencies.recordValue(Math.max(1, fate.milliseconds));
+			inTime += fate.milliseconds <= route.objectiveMilliseconds ? 1 : 0;
+			late += fate.milliseconds <= route.objectiveMilliseconds ? 0 : 1;
+		},
+		noteResend() {
+			resends++;
+		},
+		noteFalseSuspension() {
+			falseSuspensions++;
+		},
+		finish(spells, cpuMicroseconds) {
+			const shares = windows.values().map(({owed, earned}) => earned / owed).toArray().toSorted((left, right) => left - right);
+			const worst = shares.slice(0, WORST_WINDOWS);
+			const worstSeconds = worst.reduce((sum, share) => sum + share, 0) / Math.max(1, worst.length);
+			const worstRoute = Math.min(...routes.values().map(({owed, earned}) => earned / owed));
+			const unserved = Math.max(1e-6, 1 - ((inTime + late) / count));
+			const {goal} = scenario;
+			const nines = Math.min(1, Math.log(unserved) / Math.log(goal.ninesBest));
+			const earned = total.earned / total.owed;
+			const hit = spells.filter(({harmed}) => harmed > 0);
+			const sum = (pick: (spell: (typeof hit)[number]) => number) => hit.reduce((before, spell) => before + pick(spell), 0) / Math.max(1, hit.length);
+			return {
+				value: (goal.earned * earned) + (goal.worstSeconds * worstSeconds) + (goal.worstRoute * worstRoute) + (goal.nines * nines),
+				served: (inTime + late) / count,
+				inTime: inTime / count,
+				late: late / count,
+				refused: causes.get('refused')! / count,
+				hung: causes.get('hung')! / count,
+				reset: causes.get('reset')! / count,
+				error: causes.get('error')! / count,
+				noConnection: (causes.get('no-connection')! + causes.get('left')!) / count,
+				worstSeconds,
+				worstRoute,
+				earned,
+				medianMilliseconds: latencies.getValueAtPercentile(50),
+				p99Milliseconds: latencies.getValueAtPercentile(99),
+				harmedBySpell: sum(({harmed}) => harmed),
+				unrepeatableBySpell: sum(({harmedUnrepeatable}) => harmedUnrepeatable),
+				spellMilliseconds: sum(({from, lastSentAt}) => lastSentAt - Math.max(0, from)),
+				falseSuspensions: falseSuspensions * 1000 / count,
+				resends: resends * 1000 / count,
+				microseconds: cpuMicroseconds / count,
+			};
+		},
+	};
+}
