Keep what is held against upstreams on the disk of control hosts, and take it up by its age

Change: a small document, written without waiting for the disk 0.2 s after a change, replaced as a whole; read at the start before the first ask, faded by its age. The store of instances uses the same kept file.

--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -47,6 +47,7 @@
 import {
 	createHeldPlace,
 	createUpstream,
+	fadeDoubt,
 	getDoubt,
 	hasFreeSlot,
 	isSuspended,
@@ -114,6 +115,15 @@
 	*/
 	readonly setDoubt: (service: core.ServiceName, upstream: core.UpstreamId, doubt: number, now: number) => void;
 	/**
+	Takes what another dispatcher held against an upstream some milliseconds ago, if more is left of it than what this one holds.
+	*/
+	readonly raiseDoubt: (
+		service: core.ServiceName,
+		upstream: core.UpstreamId,
+		told: {readonly doubt: number; readonly ageMilliseconds: number},
+		now: number,
+	) => void;
+	/**
 	Looks for asks that can no longer be served, trials that are due and places that were abandoned.
 	*/
 	readonly tick: (now: number) => readonly Effect[];
@@ -253,6 +263,19 @@
 		}
 	}
 
+	raiseDoubt(
+		service: core.ServiceName,
+		upstream: core.UpstreamId,
+		{doubt, ageMilliseconds}: {readonly doubt: number; readonly ageMilliseconds: number},
+		now: number,
+	): void {
+		const known = this.#services.get(service)?.upstreams.get(upstream);
+		const left = known === undefined ? 0 : fadeDoubt(known.policy, doubt, ageMilliseconds);
+		if (known !== undefined && left > getDoubt(known, now)) {
+			takeBelief(known, left, now);
+		}
+	}
+
 	tick(now: number): readonly Effect[] {
 		for (const place of this.#places.values().filter(present => present.deadlineAt + ABANDONED_MILLISECONDS < now)) {
 			this.#free(place);
--- a/packages/wagtailroute-dispatch/src/upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -86,8 +86,14 @@
 Returns what speaks against it. Doubt fades unless the upstream is silent as well.
 */
 export function getDoubt(upstream: Upstream, now: number): number {
-	const seconds = upstream.candidate.isSilent ? 0 : (now - upstream.doubtAt) / MILLISECONDS_PER_SECOND;
-	return Math.max(0, upstream.doubt - (seconds * upstream.policy.fadingDoubt));
+	return upstream.candidate.isSilent ? upstream.doubt : fadeDoubt(upstream.policy, upstream.doubt, now - upstream.doubtAt);
+}
+
+/**
+Returns what is left of doubt after a while.
+*/
+export function fadeDoubt({fadingDoubt}: Policy, doubt: number, milliseconds: number): number {
+	return Math.max(0, doubt - (milliseconds / MILLISECONDS_PER_SECOND * fadingDoubt));
 }
 
 /**
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/belief-store.test.ts
@@ -0,0 +1,70 @@
+/**
+Tests of what is held against upstreams over a restart.
+*/
+import * as files from 'node:fs/promises';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import test from 'ava';
+import {createBeliefStore} from '../../belief-store.ts';
+import {BELIEFS_KEPT_MILLISECONDS} from '../../constants.ts';
+import {startDispatching} from '../../dispatching.ts';
+import * as fixture from './fixture.ts';
+
+const BELIEFS = [{service: 'archive', upstream: 'u', doubt: 6}];
+const SAVED_AT = 1_764_720_000_000;
+
+const AGES = [
+	{
+		name: 'at once', later: 1500, beliefs: BELIEFS, age: 1500,
+	},
+	{
+		name: 'after the time of day has jumped back', later: -60_000, beliefs: BELIEFS, age: 0,
+	},
+	{
+		name: 'not when they are of no use any more', later: BELIEFS_KEPT_MILLISECONDS + 1, beliefs: [], age: 0,
+	},
+];
+
+for (const {name, later, beliefs, age} of AGES) {
+	test(`beliefs are taken up after a restart: ${name}`, async t => {
+		const folder = await files.mkdtemp(path.join(os.tmpdir(), 'beliefs-'));
+		const log = fixture.createFakeContext().logs('beliefs');
+		await createBeliefStore(folder, log, {getTimeOfDay: () => SAVED_AT}).load();
+		await createBeliefStore(folder, log, {getTimeOfDay: () => SAVED_AT}).save(BELIEFS);
+		t.deepEqual(await createBeliefStore(folder, log, {getTimeOfDay: () => SAVED_AT + later}).load(), {beliefs, ageMilliseconds: age});
+		await files.rm(folder, {recursive: true});
+	});
+}
+
+const DAMAGED = ['', '{"savedAt": 1, "bel', 'null', '{"savedAt": "now", "beliefs": []}', '{"savedAt": 1, "beliefs": [{"service": 1}]}'];
+
+for (const text of DAMAGED) {
+	test(`a file that holds ${JSON.stringify(text)} is passed over`, async t => {
+		const folder = await files.mkdtemp(path.join(os.tmpdir(), 'beliefs-'));
+		await files.writeFile(path.join(folder, 'beliefs.json'), text);
+		const loaded = await createBeliefStore(folder, fixture.createFakeContext().logs('beliefs'), {getTimeOfDay: () => SAVED_AT}).load();
+		t.deepEqual(loaded.beliefs, []);
+		await files.rm(folder, {recursive: true});
+	});
+}
+
+test('a dispatcher that is told what another one held sends nothing there that may not be repeated', t => {
+	// Symptom: right after a restart of everything, requests that must not run twice are lost on upstreams that were suspended before.
+	// Sequence: all processes are killed; a bad spell goes on; the new dispatcher knows of no failure.
+	// Cause: suspensions lived in the memory of the dispatcher alone.
+	const context = fixture.createFakeContext();
+	const dispatching = startDispatching(context, {
+		settings: {budget: {ratio: 0.2, extra: 2, windowMilliseconds: 10_000}, floor: 0},
+		listCandidates: () => ['u', 'v'].map(upstream => ({
+			upstream, address: {ip: '10.0.0.1', port: 80}, failureDomain: 'x', slots: 1, isDraining: false, isSilent: false, warmAt: 0,
+		})),
+		listStandbys: () => [],
+		notify: () => undefined,
+		tellControls: () => undefined,
+	});
+	dispatching.hearBeliefs([...BELIEFS, {service: 'archive', upstream: 'v', doubt: 3.2}], 1500);
+	t.deepEqual(dispatching.report('archive').map(({upstream, isSuspended}) => [upstream, isSuspended]), [['u', true], ['v', false]]);
+	t.like(dispatching.ask({
+		...fixture.ASK_DRAFT, id: 'front:1', host: 'front', failureDomain: 'x',
+	}), {kind: 'grant', upstream: 'v'});
+});
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -282,6 +282,16 @@
 */
 export const SAVE_MILLISECONDS = 1000;
 
+/**
+Milliseconds after a change of what is held against upstreams before it is kept on disk.
+*/
+export const BELIEVE_MILLISECONDS = 200;
+
+/**
+Milliseconds after which what was kept is of no use: doubt has faded by then.
+*/
+export const BELIEFS_KEPT_MILLISECONDS = 20_000;
+
 /**
 Milliseconds between two reports of the bytes over links, at the level debug.
 */
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -10,7 +10,8 @@
 import * as utils from 'wagtailroute-utils';
 import {startControlLinks} from './control-links.ts';
 import {createAskMethods} from './ask-methods.ts';
-import {STANDBYS_MILLISECONDS, STANDBYS_TOLD} from './constants.ts';
+import {createBeliefStore} from './belief-store.ts';
+import {BELIEVE_MILLISECONDS, STANDBYS_MILLISECONDS, STANDBYS_TOLD} from './constants.ts';
 import {orderDispatchers} from './dispatch-order.ts';
 import {startDirectory} from './directory.ts';
 import {startDispatching} from './dispatching.ts';
@@ -89,8 +90,13 @@
 		},
 		tellControls(method, parameters) {
 			links.notifyAll(method, parameters);
+			keepBeliefs();
 		},
 	});
+	const beliefStore = createBeliefStore(settings.dataFolder, context.logs('beliefs'), {getTimeOfDay: Date.now});
+	const keepBeliefs = utils.coalesce(context.schedule, BELIEVE_MILLISECONDS, () => {
+		void beliefStore.save(dispatching.listBeliefs());
+	});
 	const directory = startDirectory(context, {
 		failureDomain: settings.failureDomain,
 		entries,
@@ -158,8 +164,13 @@
 			registry.follow(from);
 			return registry.describeAll();
 		},
-		[messages.METHODS.believe]: dispatching.hearBelief,
-		[messages.METHODS.beliefs]: dispatching.hearBeliefs,
+		[messages.METHODS.believe](belief: messages.Belief) {
+			dispatching.hearBelief(belief);
+			keepBeliefs();
+		},
+		[messages.METHODS.beliefs](beliefs: readonly messages.Belief[]) {
+			dispatching.hearBeliefs(beliefs);
+		},
 		[messages.METHODS.probe]: () => ({}),
 		...createAskMethods(dispatching, entries.findByLink),
 	});
@@ -196,6 +207,10 @@
 			entries.notifyAll(messages.METHODS.retired, {retirements});
 		},
 	});
+	await registry.loaded;
+	const kept = await beliefStore.load();
+	dispatching.hearBeliefs(kept.beliefs, kept.ageMilliseconds);
+	log.info('Beliefs taken up.', {beliefs: kept.beliefs.length, ageMilliseconds: Math.round(kept.ageMilliseconds)});
 	// Opened last: the parts need each other, and a message may come as soon as there is a server.
 	const server = await link.openLinkServer({
 		address: settings.linkAddress,
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -31,9 +31,9 @@
 	*/
 	readonly hearBelief: (belief: Belief) => void;
 	/**
-	Takes all that another host believed: what it holds against an upstream counts if it is more than this one does.
+	Takes all that a host believed some milliseconds ago: what it held against an upstream counts if it is more than this one does.
 	*/
-	readonly hearBeliefs: (beliefs: readonly Belief[]) => void;
+	readonly hearBeliefs: (beliefs: readonly Belief[], ageMilliseconds?: number) => void;
 	/**
 	Returns all that this dispatcher holds against upstreams.
 	*/
@@ -225,13 +225,10 @@
 			learn(service);
 			dispatcher.setDoubt(service, upstream, doubt, now());
 		},
-		hearBeliefs(beliefs) {
+		hearBeliefs(beliefs, ageMilliseconds = 0) {
 			for (const {service, upstream, doubt} of beliefs) {
 				learn(service);
-				const present = dispatcher.report(service, now()).find(report => report.upstream === upstream);
-				if (present !== undefined && doubt > present.doubt) {
-					dispatcher.setDoubt(service, upstream, doubt, now());
-				}
+				dispatcher.raiseDoubt(service, upstream, {doubt, ageMilliseconds}, now());
 			}
 		},
 		listBeliefs,
--- a/packages/wagtailroute-fleet/src/instance-store.ts
+++ b/packages/wagtailroute-fleet/src/instance-store.ts
@@ -5,13 +5,11 @@
 heartbeats come, so that every request of these seconds is refused. What is read may be out of date: requests name the
 instance that they are for, and an upstream that is another one refuses them.
 */
-import * as buffer from 'node:buffer';
-import * as path from 'node:path';
 import type * as instances from 'wagtailroute-instances';
-import * as replication from 'wagtailroute-replication';
-import * as results from 'ts-results-es';
+import type * as replication from 'wagtailroute-replication';
 import * as zod from 'zod';
 import type * as telemetry from 'wagtailroute-telemetry';
+import {createKeptFile} from './kept-file.ts';
 
 const heartbeatsSchema = zod.array(zod.object({
 	upstream: zod.string(),
@@ -32,44 +30,20 @@
 	*/
 	readonly load: () => Promise<readonly instances.Heartbeat[]>;
 	/**
-	Keeps a list in place of the one before. A failure is told to the log and changes nothing: the list is kept for speed only.
+	Keeps a list in place of the one before.
 	*/
 	readonly save: (heartbeats: readonly instances.Heartbeat[]) => Promise<void>;
 };
 
-const FILE_NAME = 'instances.json';
-const NEW_FILE_NAME = 'instances.json.new';
-
 /**
 Creates the store in a folder.
 */
-export function createInstanceStore(folder: string, log: telemetry.Log, disk: replication.Disk = replication.createDisk()): InstanceStore {
-	const file = path.join(folder, FILE_NAME);
-	const newFile = path.join(folder, NEW_FILE_NAME);
+export function createInstanceStore(folder: string, log: telemetry.Log, disk?: replication.Disk): InstanceStore {
+	const kept = createKeptFile<readonly instances.Heartbeat[]>({
+		folder, name: 'instances.json', schema: heartbeatsSchema, isSynced: true, log, disk,
+	});
 	return {
-		async load() {
-			const read = await results.Result.wrapAsync(async () => {
-				await disk.createFolder(folder);
-				const bytes = await disk.read(file);
-				return bytes === undefined ? [] : heartbeatsSchema.parse(JSON.parse(bytes.toString()));
-			});
-			if (read.isErr()) {
-				log.warn('Kept instances could not be read.', {reason: String(read.error)});
-			}
-
-			return read.unwrapOr([]);
-		},
-		async save(heartbeats) {
-			const saved = await results.Result.wrapAsync(async () => {
-				const opened = await disk.open(newFile, true);
-				await opened.append(buffer.Buffer.from(JSON.stringify(heartbeats)));
-				await opened.sync();
-				await opened.close();
-				await disk.rename(newFile, file);
-			});
-			if (saved.isErr()) {
-				log.warn('Instances could not be kept.', {reason: String(saved.error)});
-			}
-		},
+		load: async () => await kept.load() ?? [],
+		save: kept.save,
 	};
 }
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/kept-file.ts
@@ -0,0 +1,80 @@
+/**
+A document that a control host keeps on its disk for speed only: it may be lost, or out of date.
+
+It is replaced as a whole, so that a stop in the midst of a write leaves the one before. What cannot be read is passed over with a line in
+the log.
+*/
+import * as buffer from 'node:buffer';
+import * as path from 'node:path';
+import * as replication from 'wagtailroute-replication';
+import * as results from 'ts-results-es';
+import type * as zod from 'zod';
+import type * as telemetry from 'wagtailroute-telemetry';
+
+/**
+Keeps a document.
+*/
+export type KeptFile<Document> = {
+	/**
+	Returns what was kept; undefined when there is nothing or it cannot be read.
+	*/
+	readonly load: () => Promise<Document | undefined>;
+	/**
+	Keeps a document in place of the one before. A failure is told to the log and changes nothing.
+	*/
+	readonly save: (document: Document) => Promise<void>;
+};
+
+/**
+What a kept file is made from.
+*/
+export type KeptFilePlan<Document> = {
+	readonly folder: string;
+	readonly name: string;
+	readonly schema: zod.ZodType<Document>;
+	/**
+	Waits until the disk has it: without, a loss of power may take it, and nobody waits for a slow disk.
+	*/
+	readonly isSynced: boolean;
+	readonly log: telemetry.Log;
+	readonly disk?: replication.Disk;
+};
+
+/**
+Creates the file, with nothing kept.
+*/
+export function createKeptFile<Document>(
+	{folder, name, schema, isSynced, log, disk = replication.createDisk()}: KeptFilePlan<Document>,
+): KeptFile<Document> {
+	const file = path.join(folder, name);
+	const newFile = `${file}.new`;
+	return {
+		async load() {
+			const read = await results.Result.wrapAsync(async () => {
+				await disk.createFolder(folder);
+				const bytes = await disk.read(file);
+				return bytes === undefined ? undefined : schema.parse(JSON.parse(bytes.toString()));
+			});
+			if (read.isErr()) {
+				log.warn('Kept file could not be read.', {file: name, reason: String(read.error)});
+			}
+
+			return read.unwrapOr(undefined);
+		},
+		async save(document) {
+			const saved = await results.Result.wrapAsync(async () => {
+				const opened = await disk.open(newFile, true);
+				await opened.append(buffer.Buffer.from(JSON.stringify(document)));
+				if (isSynced) {
+					await opened.sync();
+				}
+
+				await opened.close();
+				await disk.rename(newFile, file);
+			});
+			if (saved.isErr()) {
+				log.warn('File could not be kept.', {file: name, reason: String(saved.error)});
+			}
+		},
+	};
+}
--- a/packages/wagtailroute-fleet/src/registry.ts
+++ b/packages/wagtailroute-fleet/src/registry.ts
@@ -53,6 +53,10 @@
 	readonly unfollow: (follower: link.Link) => void;
 	readonly countInstances: () => number;
 	/**
+	Resolves once what was kept on disk is known.
+	*/
+	readonly loaded: Promise<void>;
+	/**
 	Returns the newest start of a server that is known, in Unix milliseconds; 0 when it is unknown or told none.
 	*/
 	readonly findStart: (server: string) => number;
@@ -183,7 +187,7 @@
 		}
 	};
 
-	void takeKept();
+	const loaded = takeKept();
 	const stopLooking = context.repeat(HOUSEKEEPING_MILLISECONDS, lookForSilence);
 	return {
 		take(heartbeat) {
@@ -234,6 +238,7 @@
 			followers.delete(follower);
 		},
 		countInstances: () => table.listAll().length,
+		loaded,
 		findStart(server) {
 			const newest = table.findNewest(server);
 			return newest === undefined ? 0 : instances.getLifetime(newest.upstream).startedAt;
