Begin to serve once linked to all control hosts; sync what is kept; end a request whose time was used up before it was sent

Cause: after a restart of everything, entry hosts are linked to the control hosts one after the other over half a second, and meanwhile ask whichever they have: five dispatchers give each slot out five times, and the crowd queues at the upstreams for a second (log: 43 of 54 answers over 0.8 s, a third of the usual throughput). A loss of power took the unsynced document of beliefs: 0 were taken up.

--- a/packages/wagtailroute-fleet/src/belief-store.ts
+++ b/packages/wagtailroute-fleet/src/belief-store.ts
@@ -42,7 +42,7 @@
 	{getTimeOfDay, disk}: {readonly getTimeOfDay: () => number; readonly disk?: replication.Disk},
 ): BeliefStore {
 	const kept = createKeptFile<zod.output<typeof documentSchema>>({
-		folder, name: 'beliefs.json', schema: documentSchema, isSynced: false, log, disk,
+		folder, name: 'beliefs.json', schema: documentSchema, log, disk,
 	});
 	return {
 		async load() {
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -109,6 +109,11 @@
 */
 export const FIRST_GENERATION_MILLISECONDS = 1000;
 
+/**
+Milliseconds after the first generation for which a host that has just started waits for its links to the other control hosts: three tries.
+*/
+export const LINKING_MILLISECONDS = 250;
+
 /**
 Milliseconds after which a request is to come back to a fleet that has no generation: what went wrong takes longer than a usual start.
 */
--- a/packages/wagtailroute-fleet/src/control-links.ts
+++ b/packages/wagtailroute-fleet/src/control-links.ts
@@ -47,6 +47,10 @@
 */
 export type ControlLinks = {
 	readonly getOpen: () => readonly OpenControl[];
+	/**
+	Says whether there is a link to every control host that is known.
+	*/
+	readonly isComplete: () => boolean;
 	readonly find: (id: core.HostId) => link.Link | undefined;
 	/**
 	Takes note of control hosts that another host named.
@@ -174,6 +178,7 @@
 	const stopForgetting = context.repeat(HOUSEKEEPING_MILLISECONDS, forget);
 	return {
 		getOpen,
+		isComplete: () => known.size > 0 && known.values().every(entry => entry.open !== undefined),
 		find: id => known.get(id)?.open?.link,
 		learn,
 		addSeeds,
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -14,6 +14,7 @@
 import {
 	ACCEPTING_PART,
 	FIRST_GENERATION_MILLISECONDS,
+	LINKING_MILLISECONDS,
 	LOAD_STEP,
 	RETAIN_MILLISECONDS,
 	STANDBY_EXTRA_RESENDS,
@@ -61,12 +62,29 @@
 	const first = Promise.withResolvers<void>();
 	// Opened below, when everything that it serves with is there.
 	const opened: {traffic?: proxy.TrafficServer} = {};
+	let hasBegun = false;
+	const begin = () => {
+		hasBegun = true;
+		first.resolve();
+	};
+
+	/**
+	All hosts ask the same dispatcher of a service once each is linked to all control hosts. Before that, five dispatchers that know nothing of
+	each other give each slot out five times: the crowd that comes back after a restart then queues at the upstreams for a second.
+	*/
+	const beginWhenLinked = () => {
+		if (knowledge.getGeneration() !== undefined && links.isComplete()) {
+			begin();
+		}
+	};
+
 	const knowledge = createKnowledge(context, {
 		failureDomain: settings.failureDomain,
 		getOpen: () => links.getOpen(),
 		onGeneration() {
 			tellState();
-			first.resolve();
+			beginWhenLinked();
+			context.schedule(LINKING_MILLISECONDS, begin);
 		},
 		onInstances(service) {
 			own.refresh(service);
@@ -177,6 +195,7 @@
 
 			knowledge.hearVersion(control, version);
 			knowledge.follow();
+			beginWhenLinked();
 		},
 		onLost(control) {
 			knowledge.loseControl(control);
@@ -216,9 +235,10 @@
 		route: createRouter(context, {knowledge, asking}),
 		// Right after a start the generation is some tenths of a second away. Refused, a caller would use up its few attempts meanwhile, or come
 		// back long after it is there; served late is better.
-		awaitRoutes: async () => knowledge.getGeneration() === undefined
-			? Promise.race([first.promise, timers.setTimeout(FIRST_GENERATION_MILLISECONDS, undefined, {ref: false})])
-			: undefined,
+		routes: {
+			areKnown: () => hasBegun,
+			wait: async () => Promise.race([first.promise, timers.setTimeout(FIRST_GENERATION_MILLISECONDS, undefined, {ref: false})]),
+		},
 		claim: async () => ({kind: 'refused', failure: proxy.createRequestFailure('idempotency-records-unavailable', 'This fleet keeps no keys.')}),
 		guard: OPEN_GUARD,
 		random: context.random,
--- a/packages/wagtailroute-fleet/src/instance-store.ts
+++ b/packages/wagtailroute-fleet/src/instance-store.ts
@@ -40,7 +40,7 @@
 */
 export function createInstanceStore(folder: string, log: telemetry.Log, disk?: replication.Disk): InstanceStore {
 	const kept = createKeptFile<readonly instances.Heartbeat[]>({
-		folder, name: 'instances.json', schema: heartbeatsSchema, isSynced: true, log, disk,
+		folder, name: 'instances.json', schema: heartbeatsSchema, log, disk,
 	});
 	return {
 		load: async () => await kept.load() ?? [],
--- a/packages/wagtailroute-fleet/src/kept-file.ts
+++ b/packages/wagtailroute-fleet/src/kept-file.ts
@@ -1,8 +1,8 @@
 /**
 A document that a control host keeps on its disk for speed only: it may be lost, or out of date.
 
-It is replaced as a whole, so that a stop in the midst of a write leaves the one before. What cannot be read is passed over with a line in
-the log.
+It is replaced as a whole, so that a stop in the midst of a write leaves the one before. While a write is under way no other begins, only the
+last document follows: a slow disk delays what is kept, never a request. What cannot be read is passed over with a line in the log.
 */
 import * as buffer from 'node:buffer';
 import * as path from 'node:path';
@@ -32,10 +32,6 @@
 	readonly folder: string;
 	readonly name: string;
 	readonly schema: zod.ZodType<Document>;
-	/**
-	Waits until the disk has it: without, a loss of power may take it, and nobody waits for a slow disk.
-	*/
-	readonly isSynced: boolean;
 	readonly log: telemetry.Log;
 	readonly disk?: replication.Disk;
 };
@@ -44,10 +40,28 @@
 Creates the file, with nothing kept.
 */
 export function createKeptFile<Document>(
-	{folder, name, schema, isSynced, log, disk = replication.createDisk()}: KeptFilePlan<Document>,
+	{folder, name, schema, log, disk = replication.createDisk()}: KeptFilePlan<Document>,
 ): KeptFile<Document> {
 	const file = path.join(folder, name);
 	const newFile = `${file}.new`;
+	let isSaving = false;
+	let next: Document | undefined;
+
+	const write = async (document: Document) => {
+		const saved = await results.Result.wrapAsync(async () => {
+			const opened = await disk.open(newFile, true);
+			await opened.append(buffer.Buffer.from(JSON.stringify(document)));
+			await opened.sync();
+			await opened.close();
+			await disk.rename(newFile, file);
+			// A name that was changed is kept over a loss of power once its folder is.
+			await disk.syncFolder(folder);
+		});
+		if (saved.isErr()) {
+			log.warn('File could not be kept.', {file: name, reason: String(saved.error)});
+		}
+	};
+
 	return {
 		async load() {
 			const read = await results.Result.wrapAsync(async () => {
@@ -62,19 +76,20 @@
 			return read.unwrapOr(undefined);
 		},
 		async save(document) {
-			const saved = await results.Result.wrapAsync(async () => {
-				const opened = await disk.open(newFile, true);
-				await opened.append(buffer.Buffer.from(JSON.stringify(document)));
-				if (isSynced) {
-					await opened.sync();
-				}
+			next = document;
+			if (isSaving) {
+				return;
+			}
 
-				await opened.close();
-				await disk.rename(newFile, file);
-			});
-			if (saved.isErr()) {
-				log.warn('File could not be kept.', {file: name, reason: String(saved.error)});
+			isSaving = true;
+			while (next !== undefined) {
+				const last = next;
+				next = undefined;
+				// eslint-disable-next-line no-await-in-loop -- One write at a time.
+				await write(last);
 			}
+
+			isSaving = false;
 		},
 	};
 }
--- a/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
@@ -44,7 +44,7 @@
 	readonly isForwarding?: boolean;
 	readonly admit?: proxy.ServicePort['admit'];
 	readonly hasCrashed?: boolean;
-	readonly awaitRoutes?: proxy.TrafficPorts['awaitRoutes'];
+	readonly routes?: proxy.TrafficPorts['routes'];
 };
 
 /**
@@ -136,7 +136,7 @@
 			const match = catalogue.matchRoute(table, host, method, path);
 			return match === undefined ? proxy.createRequestFailure('route-unknown', 'unknown') : {match, service};
 		},
-		awaitRoutes: setup.awaitRoutes,
+		routes: setup.routes,
 		claim: async () => setup.claim ?? SERVICE_FAULT,
 		guard: {
 			getStanding: () => setup.standing ?? 'free',
--- a/packages/wagtailroute-proxy/src/__tests__/unit/waiting.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/waiting.test.ts
@@ -151,9 +151,12 @@
 	let asked = 0;
 	const fixture = await openFixture(t, {
 		faults: [[]],
-		async awaitRoutes() {
-			asked++;
-			return promise;
+		routes: {
+			areKnown: () => false,
+			async wait() {
+				asked++;
+				return promise;
+			},
 		},
 	});
 	const sent = send(fixture, '/x');
@@ -165,7 +168,7 @@
 });
 
 test('the time for which routes were waited for is the caller\'s', async t => {
-	const fixture = await openFixture(t, {faults: [[]], awaitRoutes: async () => timers.setTimeout(50)});
+	const fixture = await openFixture(t, {faults: [[]], routes: {areKnown: () => false, wait: async () => timers.setTimeout(50)}});
 	const answer = await send(fixture, '/x', {headers: {'request-timeout-ms': '30'}});
 	t.is(answer.outcome, 'not-run');
 	t.is(fixture.standins[0]?.counters().runs, 0);
--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -68,6 +68,11 @@
 
 	async serve(): Promise<void> {
 		const {response} = this.#context;
+		if (this.#getRemaining() === 0) {
+			// Its time was used up before its way began: a timer would only say so after it was sent.
+			this.#givingUp.giveUp('deadline');
+		}
+
 		const timer = setTimeout(() => {
 			this.#givingUp.giveUp('deadline');
 		}, this.#getRemaining());
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -302,6 +302,17 @@
 	readonly noteSurvived: (service: core.ServiceName, fingerprint: string) => void;
 };
 
+/**
+Whether there are routes to choose from: not right after a start.
+*/
+export type RoutesPort = {
+	readonly areKnown: () => boolean;
+	/**
+	Resolves when they are known, or after a bounded time.
+	*/
+	readonly wait: () => Promise<void>;
+};
+
 /**
 Everything the way of a request asks of the host.
 */
@@ -317,9 +328,9 @@
 	*/
 	readonly route: (request: CallerRequest) => RoutedRequest | RequestFailure;
 	/**
-	Resolves, after a bounded time, when routes are there to choose from; undefined when they are. Absent: they always are.
+	Absent: routes are always known.
 	*/
-	readonly awaitRoutes?: () => Promise<void> | undefined;
+	readonly routes?: RoutesPort;
 	readonly claim: (request: ClaimRequest) => Promise<ClaimAnswer>;
 	readonly guard: Guard;
 	/**
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -124,15 +124,15 @@
 		}
 	};
 
-	const waiting = ports.awaitRoutes?.();
-	if (waiting === undefined) {
+	if (ports.routes?.areKnown() ?? true) {
 		serveRouted();
-	} else {
-		void (async () => {
-			await waiting;
-			serveRouted();
-		})();
+		return;
 	}
+
+	void (async () => {
+		await ports.routes!.wait();
+		serveRouted();
+	})();
 }
 
 type Arrival = {
