--- a/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
@@ -54,21 +54,6 @@
 		};
 	};
 
-	const repeat = (milliseconds: number, run: () => void) => {
-		let cancel: () => void;
-		const next = () => {
-			cancel = schedule(milliseconds, () => {
-				next();
-				run();
-			});
-		};
-
-		next();
-		return () => {
-			cancel();
-		};
-	};
-
 	const now = () => time;
 	return {
 		now,
@@ -78,7 +63,7 @@
 		}),
 		metrics: telemetry.createMetrics(),
 		schedule,
-		repeat,
+		repeat: utils.createRepeat(schedule),
 		async pass(milliseconds) {
 			await settle();
 			const end = time + milliseconds;
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -11,10 +11,9 @@
 import {createAskMethods} from './ask-methods.ts';
 import {createAskers} from './askers.ts';
 import {createAsking} from './asking.ts';
+import {createBeginning} from './beginning.ts';
 import {
 	ACCEPTING_PART,
-	FIRST_GENERATION_MILLISECONDS,
-	LINKING_MILLISECONDS,
 	LOAD_STEP,
 	RETAIN_MILLISECONDS,
 	STANDBY_EXTRA_RESENDS,
@@ -59,32 +58,14 @@
 export async function startEntry(context: FleetContext, settings: EntrySettings, dialect: proxy.Dialect): Promise<Entry> {
 	const log = context.logs('entry');
 	let isStopping = false;
-	const first = Promise.withResolvers<void>();
 	// Opened below, when everything that it serves with is there.
 	const opened: {traffic?: proxy.TrafficServer} = {};
-	let hasBegun = false;
-	const begin = () => {
-		hasBegun = true;
-		first.resolve();
-	};
-
-	/**
-	All hosts ask the same dispatcher of a service once each is linked to all control hosts. Before that, five dispatchers that know nothing of
-	each other give each slot out five times: the crowd that comes back after a restart then queues at the upstreams for a second.
-	*/
-	const beginWhenLinked = () => {
-		if (knowledge.getGeneration() !== undefined && links.isComplete()) {
-			begin();
-		}
-	};
-
 	const knowledge = createKnowledge(context, {
 		failureDomain: settings.failureDomain,
 		getOpen: () => links.getOpen(),
 		onGeneration() {
 			tellState();
-			beginWhenLinked();
-			context.schedule(LINKING_MILLISECONDS, begin);
+			beginning.look();
 		},
 		onInstances(service) {
 			own.refresh(service);
@@ -97,6 +78,10 @@
 	const retainLater = utils.coalesce(context.schedule, RETAIN_MILLISECONDS, () => {
 		opened.traffic?.connections.retain(knowledge.listAddresses());
 	});
+	const beginning = createBeginning(context, {
+		hasGeneration: () => knowledge.getGeneration() !== undefined,
+		isLinked: () => links.isComplete(),
+	});
 	const isReady = () => !isStopping && knowledge.getGeneration() !== undefined;
 	const getState = (): messages.EntryState => ({
 		trafficAddress: settings.trafficAddress, linkAddress: settings.linkAddress, isReady: isReady(), load: meter.getLoad(),
@@ -195,7 +180,7 @@
 
 			knowledge.hearVersion(control, version);
 			knowledge.follow();
-			beginWhenLinked();
+			beginning.look();
 		},
 		onLost(control) {
 			knowledge.loseControl(control);
@@ -233,12 +218,7 @@
 		now: context.now,
 		dialect,
 		route: createRouter(context, {knowledge, asking}),
-		// Right after a start the generation is some tenths of a second away. Refused, a caller would use up its few attempts meanwhile, or come
-		// back long after it is there; served late is better.
-		routes: {
-			areKnown: () => hasBegun,
-			wait: async () => Promise.race([first.promise, timers.setTimeout(FIRST_GENERATION_MILLISECONDS, undefined, {ref: false})]),
-		},
+		routes: beginning,
 		claim: async () => ({kind: 'refused', failure: proxy.createRequestFailure('idempotency-records-unavailable', 'This fleet keeps no keys.')}),
 		guard: OPEN_GUARD,
 		random: context.random,
--- a/packages/wagtailroute-lab/src/clock.ts
+++ b/packages/wagtailroute-lab/src/clock.ts
@@ -2,7 +2,7 @@
 Virtual time: what is scheduled runs in order, and what promises await runs to its end before the next.
 */
 import Queue from 'tinyqueue';
-import type * as utils from 'wagtailroute-utils';
+import * as utils from 'wagtailroute-utils';
 
 /**
 A clock that only moves when nothing is left to do.
@@ -49,20 +49,7 @@
 	return {
 		now: () => time,
 		schedule,
-		repeat(milliseconds, run) {
-			let cancel: utils.Teardown = () => undefined;
-			const next = () => {
-				cancel = schedule(milliseconds, () => {
-					next();
-					run();
-				});
-			};
-
-			next();
-			return () => {
-				cancel();
-			};
-		},
+		repeat: utils.createRepeat(schedule),
 		async runUntil(at) {
 			for (let next = timers.peek(); next !== undefined && next.at <= at; next = timers.peek()) {
 				timers.pop();
--- a/packages/wagtailroute-lab/src/day.ts
+++ b/packages/wagtailroute-lab/src/day.ts
@@ -248,7 +248,9 @@
 			return createOracle(this.#backends, arrival);
 		}
 
-		const routed = route({host: 'lab', path: `/${arrival.route.name}/${arrival.service}`, method: 'GET', timeoutMilliseconds: remaining} as proxy.CallerRequest);
+		const routed = route({
+			host: 'lab', path: `/${arrival.route.name}/${arrival.service}`, method: 'GET', timeoutMilliseconds: remaining,
+		} as proxy.CallerRequest);
 		utils.invariant('service' in routed, 'a scenario has a route for each of its requests');
 		return routed.service;
 	}
--- a/packages/wagtailroute-lab/src/scenario.ts
+++ b/packages/wagtailroute-lab/src/scenario.ts
@@ -172,7 +172,12 @@
 */
 export async function loadScenario(name: string): Promise<results.Result<Scenario, ScenarioFailure>> {
 	const known = await listScenarios();
-	return known.includes(name) ? parseScenario(await files.readFile(path.join(FOLDER, `${name}.yaml`), 'utf8')) : results.Err(core.createFailure('scenario-unknown', `scenario: ${name} is not one of ${known.join(', ')}`));
+	if (known.includes(name)) {
+		const text = await files.readFile(path.join(FOLDER, `${name}.yaml`), 'utf8');
+		return parseScenario(text);
+	}
+
+	return results.Err(core.createFailure('scenario-unknown', `scenario: ${name} is not one of ${known.join(', ')}`));
 }
 
 /**
--- a/packages/wagtailroute-proxy/src/index.ts
+++ b/packages/wagtailroute-proxy/src/index.ts
@@ -29,6 +29,7 @@
 	Settlement,
 	StoredAnswer,
 	Target,
+	RoutesPort,
 	TrafficPorts,
 	TrialAnswer,
 	TrialEnding,
--- a/packages/wagtailroute-utils/src/index.ts
+++ b/packages/wagtailroute-utils/src/index.ts
@@ -5,7 +5,10 @@
 export {BrokenInvariant, invariant} from './invariant.ts';
 export {closeServer, listen, type ListenAddress} from './listening.ts';
 export {mergeTeardowns, type Teardown} from './teardown.ts';
-export {coalesce, repeat, schedule} from './timers.ts';
+export {
+	coalesce,
+	createRepeat, repeat, schedule,
+} from './timers.ts';
 export {
 	createRandom,
 	pickIndex,
--- a/packages/wagtailroute-utils/src/timers.ts
+++ b/packages/wagtailroute-utils/src/timers.ts
@@ -42,3 +42,25 @@
 		});
 	};
 }
+
+/**
+Makes a repeating timer of one that runs once, for clocks that are not the system's.
+
+@param later Runs once after a delay in milliseconds.
+*/
+export function createRepeat(later: typeof schedule): typeof repeat {
+	return (milliseconds, run) => {
+		let cancel: Teardown = () => undefined;
+		const next = () => {
+			cancel = later(milliseconds, () => {
+				next();
+				run();
+			});
+		};
+
+		next();
+		return () => {
+			cancel();
+		};
+	};
+}
