--- a/packages/wagtailroute-dispatch/src/policy.ts
+++ b/packages/wagtailroute-dispatch/src/policy.ts
@@ -32,7 +32,7 @@
 	fadingDoubt: 0.3,
 	/**
 	Cost of one unit of doubt, as a part of a full upstream: what has just failed is left alone where there are others, beyond what the
-	risk says. Without it, resets take 0.11 requests more for each spell (laboratory, archive, 30 paired days).
+	risk says. Without it, 0.11 requests more are sent into each spell of resets (laboratory, archive, 30 paired days).
 	*/
 	doubtCost: 0.25,
 	/**
@@ -186,7 +186,7 @@
 	survivalSteepness: 3.5,
 	/**
 	Cost of a certain bad spell, as a part of a full upstream. In the laboratory (gateway, 40 paired days) it takes 0.38 of 2.8 requests
-	that must not run twice lost for each spell, and raises the served share by 0.0036; from 8 to 40 it makes little difference, and reads
+	that must not run twice sent into each spell, and raises the served share by 0.0036; from 8 to 40 it makes little difference, and reads
 	gain by it too.
 	*/
 	riskCost: 20,
--- a/packages/wagtailroute-lab/src/backend.ts
+++ b/packages/wagtailroute-lab/src/backend.ts
@@ -26,10 +26,10 @@
 	*/
 	readonly failureDomain?: string;
 	/**
-	Requests that it harmed, and how many of these may not be sent again.
+	Requests that were sent into it, and how many of these may not be sent again.
 	*/
-	harmed: number;
-	harmedUnrepeatable: number;
+	sent: number;
+	sentUnrepeatable: number;
 	/**
 	When the last request was sent into it.
 	*/
@@ -149,8 +149,8 @@
 		}
 
 		spell.lastSentAt = clock.now();
-		spell.harmed++;
-		spell.harmedUnrepeatable += route.requestClass === 'read' || route.requestClass === 'idempotent' ? 0 : 1;
+		spell.sent++;
+		spell.sentUnrepeatable += route.requestClass === 'read' || route.requestClass === 'idempotent' ? 0 : 1;
 	};
 
 	const backend: Backend = {
@@ -241,8 +241,8 @@
 				failing: kind.failing,
 				times: kind.times,
 				...kind.isOneDomain && {failureDomain: failureDomains[utils.pickIndex(random, failureDomains.length)]!},
-				harmed: 0,
-				harmedUnrepeatable: 0,
+				sent: 0,
+				sentUnrepeatable: 0,
 				lastSentAt: -Infinity,
 			});
 		}
--- a/packages/wagtailroute-lab/src/commands.ts
+++ b/packages/wagtailroute-lab/src/commands.ts
@@ -79,7 +79,7 @@
 	}
 }
 
-const SHOWN: ReadonlyArray<keyof Figures> = ['value', 'served', 'earned', 'worstSeconds', 'worstRoute', 'unrepeatableBySpell', 'falseSuspensions'];
+const SHOWN: ReadonlyArray<keyof Figures> = ['value', 'served', 'earned', 'worstSeconds', 'worstRoute', 'unrepeatableIntoSpell', 'falseSuspensions'];
 
 /**
 Writes the differences of many variants from the first, a line each.
--- a/packages/wagtailroute-lab/src/day.ts
+++ b/packages/wagtailroute-lab/src/day.ts
@@ -267,7 +267,6 @@
 const FAULTS: Readonly<Record<ScenarioFault['kind'], (field: Field, fault: ScenarioFault) => void>> = {
 	// Drawn with the arrivals.
 	burst: () => undefined,
-	abuse: () => undefined,
 	'control-away'(field, {forSeconds}) {
 		field.darken('first', forSeconds * MILLISECONDS);
 	},
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -11,6 +11,7 @@
 import type {Clock} from './clock.ts';
 import {createContext} from './context.ts';
 import {createLinkPair, type Endpoint} from './links.ts';
+import {createGeneration} from './generation.ts';
 import type {Scenario} from './scenario.ts';
 import type {Variant} from './variants.ts';
 
@@ -394,27 +395,3 @@
 		methods.set(name, method);
 	}
 }
-
-/**
-The catalogue of a scenario. A route that has several services is one route for each: the arrival says which.
-*/
-function createGeneration({routes, services}: Scenario): generations.Generation {
-	return {
-		version: 1,
-		routes: routes.flatMap(route => route.services.map(service => ({
-			name: `${route.name}/${service}`,
-			host: 'lab',
-			pathPrefix: `/${route.name}/${service}/`,
-			class: route.requestClass,
-			timeoutMilliseconds: route.timeoutMilliseconds,
-			objectiveMilliseconds: route.objectiveMilliseconds,
-			priority: route.priority,
-			attempts: route.attempts,
-			shares: [{service, weight: 1}],
-		}))),
-		services: services.map(({name}) => ({name, connectionsPerUpstream: 100, healthPath: '/'})),
-		limits: {
-			headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1,
-		},
-	};
-}
--- a/packages/wagtailroute-lab/src/page.ts
+++ b/packages/wagtailroute-lab/src/page.ts
@@ -17,7 +17,7 @@
 
 const WIDTH = 900;
 const HEIGHT = 320;
-const PLOTTED = ['value', 'served', 'worstSeconds', 'unrepeatableBySpell'] as const satisfies ReadonlyArray<keyof Figures>;
+const PLOTTED = ['value', 'served', 'worstSeconds', 'unrepeatableIntoSpell'] as const satisfies ReadonlyArray<keyof Figures>;
 
 /**
 Writes the page.
--- a/packages/wagtailroute-lab/src/scenario.ts
+++ b/packages/wagtailroute-lab/src/scenario.ts
@@ -86,7 +86,7 @@
 });
 
 const faultSchema = zod.strictObject({
-	kind: zod.enum(['burst', 'control-away', 'control-frozen', 'controls-away', 'restart', 'paths', 'scale-in', 'release', 'abuse']),
+	kind: zod.enum(['burst', 'control-away', 'control-frozen', 'controls-away', 'restart', 'paths', 'scale-in', 'release']),
 	atSeconds: seconds,
 	forSeconds: seconds.default(0),
 	/**
@@ -94,7 +94,7 @@
 	*/
 	share: share.default(1),
 	/**
-	How many times the usual, for bursts and abuse.
+	How many times the usual traffic, for a burst.
 	*/
 	times: positive.default(1),
 });
--- a/packages/wagtailroute-lab/src/tally.ts
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -43,8 +43,8 @@
 	/**
 	Requests sent into a bad spell, and those of them that may not be sent again.
 	*/
-	readonly harmedBySpell: number;
-	readonly unrepeatableBySpell: number;
+	readonly sentIntoSpell: number;
+	readonly unrepeatableIntoSpell: number;
 	/**
 	Milliseconds from the start of a spell to the last request that is sent into it, of those that any was sent into.
 	*/
@@ -72,8 +72,8 @@
 	readonly noteFalseSuspension: () => void;
 	readonly finish: (spells: ReadonlyArray<{
 		readonly from: number;
-		readonly harmed: number;
-		readonly harmedUnrepeatable: number;
+		readonly sent: number;
+		readonly sentUnrepeatable: number;
 		readonly lastSentAt: number;
 	}>, cpuMicroseconds: number) => Figures;
 };
@@ -149,7 +149,7 @@
 			const {goal} = scenario;
 			const nines = Math.min(1, Math.log(unserved) / Math.log(goal.ninesBest));
 			const earned = total.earned / total.owed;
-			const hit = spells.filter(({harmed}) => harmed > 0);
+			const hit = spells.filter(({sent}) => sent > 0);
 			const sum = (pick: (spell: (typeof hit)[number]) => number) => hit.reduce((before, spell) => before + pick(spell), 0) / Math.max(1, hit.length);
 			return {
 				value: (goal.earned * earned) + (goal.worstSeconds * worstSeconds) + (goal.worstRoute * worstRoute) + (goal.nines * nines),
@@ -166,8 +166,8 @@
 				earned,
 				medianMilliseconds: latencies.getValueAtPercentile(50),
 				p99Milliseconds: latencies.getValueAtPercentile(99),
-				harmedBySpell: sum(({harmed}) => harmed),
-				unrepeatableBySpell: sum(({harmedUnrepeatable}) => harmedUnrepeatable),
+				sentIntoSpell: sum(({sent}) => sent),
+				unrepeatableIntoSpell: sum(({sentUnrepeatable}) => sentUnrepeatable),
 				spellMilliseconds: sum(({from, lastSentAt}) => lastSentAt - Math.max(0, from)),
 				falseSuspensions: falseSuspensions * 1000 / count,
 				resends: resends * 1000 / count,
