--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -280,6 +280,7 @@
 			outcome,
 			status,
 			milliseconds: Math.round(milliseconds),
+			waited: Math.round(note.choosingMilliseconds),
 			attempts: note.attempts,
 			upstream: note.upstream,
 			...failure !== undefined && {failure: failure.kind, detail: failure.message},
--- a/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
@@ -45,6 +45,10 @@
 	readonly admit?: proxy.ServicePort['admit'];
 	readonly hasCrashed?: boolean;
 	readonly routes?: proxy.TrafficPorts['routes'];
+	/**
+	Resolves before a target is given.
+	*/
+	readonly beforeTarget?: Promise<void>;
 };
 
 /**
@@ -96,6 +100,11 @@
 	return [...absent, ...present];
 }
 
+async function giveAfter(before: Promise<void>, target: proxy.Target): Promise<proxy.Target> {
+	await before;
+	return target;
+}
+
 /**
 A host's traffic server whose other parts are stand-ins: targets are tried in order.
 */
@@ -115,7 +124,12 @@
 		release(release) {
 			releases.push(release);
 		},
-		choose: ({excluded}) => targets.find(target => !excluded.has(target.id)),
+		choose({excluded}) {
+			const target = targets.find(present => !excluded.has(present.id));
+			return target === undefined || setup.beforeTarget === undefined
+				? target
+				: {result: giveAfter(setup.beforeTarget, target), cancel: () => undefined};
+		},
 		hasAnother: ({excluded}) => targets.some(target => !excluded.has(target.id)),
 		begin: () => undefined,
 		end(report) {
--- a/packages/wagtailroute-proxy/src/__tests__/unit/waiting.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/waiting.test.ts
@@ -173,3 +173,15 @@
 	t.is(answer.outcome, 'not-run');
 	t.is(fixture.standins[0]?.counters().runs, 0);
 });
+
+test('a request tells for how long it was waited for its target', async t => {
+	const {promise, resolve} = Promise.withResolvers<void>();
+	const fixture = await openFixture(t, {faults: [[]], beforeTarget: promise});
+	const sent = send(fixture, '/x');
+	await timers.setImmediate();
+	resolve();
+	await sent;
+	await waitUntil(() => fixture.notes.length > 0);
+	const {choosingMilliseconds, milliseconds} = fixture.notes[0]!;
+	t.true(choosingMilliseconds > 0 && choosingMilliseconds <= milliseconds);
+});
--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -247,6 +247,7 @@
 			requestClass: match.route.class,
 			attempts: this.#sending.getCount(),
 			upstream: this.#sending.lastUpstream,
+			choosingMilliseconds: this.#sending.choosingMilliseconds,
 			outcome: told?.outcome ?? this.#storedOutcome ?? this.#sending.toldOutcome,
 			status: response.headersSent ? response.statusCode : told?.status ?? response.statusCode,
 			milliseconds: now() - this.#startedAt,
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -368,6 +368,10 @@
 	*/
 	readonly attempts: number;
 	readonly upstream?: core.UpstreamId;
+	/**
+	Milliseconds for which it was waited for targets.
+	*/
+	readonly choosingMilliseconds: number;
 	readonly outcome: core.Outcome;
 	readonly status: number;
 	readonly milliseconds: number;
--- a/packages/wagtailroute-proxy/src/sending.ts
+++ b/packages/wagtailroute-proxy/src/sending.ts
@@ -60,6 +60,10 @@
 	lastResult: attempts.AttemptResult | undefined;
 	lastEnding: ports.AttemptEnding | undefined;
 	lastUpstream: core.UpstreamId | undefined;
+	/**
+	Milliseconds for which it was waited for targets, over all attempts.
+	*/
+	choosingMilliseconds = 0;
 	readonly #context: SendingContext;
 	readonly #givingUp: GivingUp;
 	readonly #getRemaining: () => number;
@@ -91,7 +95,7 @@
 		let conclusion: Conclusion;
 		for (;;) {
 			// eslint-disable-next-line no-await-in-loop -- One attempt follows the other.
-			const target = this.#givingUp.getReason() === undefined ? await this.#targets.choose(this.#hasArrived) : undefined;
+			const target = this.#givingUp.getReason() === undefined ? await this.#choose() : undefined;
 			if (target === undefined || !('address' in target)) {
 				this.#targets.abandon();
 				return this.describeGivenUp() ?? conclusion ?? target ?? this.#createNoUpstream();
@@ -121,6 +125,14 @@
 		}
 	}
 
+	async #choose(): Promise<ports.Target | failures.RequestFailure | undefined> {
+		const {now} = this.#context.ports;
+		const askedAt = now();
+		const target = await this.#targets.choose(this.#hasArrived);
+		this.choosingMilliseconds += now() - askedAt;
+		return target;
+	}
+
 	/**
 	Returns how many targets got the request.
 	*/
