Sheds alone suspend no upstream; name two weights without the platform's words

Each shed counted against its upstream until all were out. Change: sheds bring doubt to 2.5 at most, below suspension; they still cost in the choice.

--- a/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
@@ -135,6 +135,8 @@
 	{endings: ['error', 'error'], isSuspended: true},
 	{endings: ['error', 'success', 'error'], isSuspended: true},
 	{endings: ['error', 'success', 'success', 'error'], isSuspended: false},
+	{endings: ['shed', 'shed', 'shed', 'shed', 'shed', 'shed'], isSuspended: false},
+	{endings: ['reset', 'shed'], isSuspended: true},
 	{endings: ['reset'], isSuspended: true},
 	{endings: ['reset', 'success', 'success'], isSuspended: true},
 	{endings: ['reset', 'success', 'success', 'success'], isSuspended: false},
@@ -165,6 +167,21 @@
 	return dispatcher.end(id, {ending: 'reset', milliseconds: 1}, now);
 };
 
+test('a service whose upstreams all shed half of their requests keeps them all in use', t => {
+	// Symptom: while all upstreams of a service shed half of what they get, for eight seconds, four of five are suspended; a fourth of the requests is
+	// refused although slots are free.
+	// Sequence: each shed counts against its upstream; half of the requests are shed, so doubt wanders up to suspension everywhere.
+	// Cause: what costs a resend was weighed like what costs a request, once it came often.
+	const dispatcher = createDispatcher(['a', 'b', 'c', 'd'].map(id => createCandidate(id, {slots: 50})));
+	for (let ask = 0; ask < 200; ask++) {
+		const at = ask * 200;
+		t.truthy(getGrant(dispatcher.ask(createAsk(`${ask}`), at)));
+		dispatcher.end(`${ask}`, {ending: ask % 5 < 3 ? 'shed' : 'success', milliseconds: 20}, at + 20);
+	}
+
+	t.true(dispatcher.report(SERVICE, 40_000).every(({isSuspended}) => !isSuspended));
+});
+
 test('a suspended upstream gets one trial at a time, from requests that may be repeated', t => {
 	// Symptom: each return of a sick upstream costs several callers their request.
 	// Sequence: an upstream resets requests for seconds; it is taken back after a fixed time; all hosts send to it at once.
--- a/packages/wagtailroute-dispatch/src/budget.ts
+++ b/packages/wagtailroute-dispatch/src/budget.ts
@@ -74,7 +74,7 @@
 				resends += present.resends;
 			}
 
-			if (resends + 1 > (ratio * requests * policy.budgetRatioPart) + (extra * policy.budgetExtraPart)) {
+			if (resends + 1 > (ratio * requests * policy.resendRatioPart) + (extra * policy.fixedResendsPart)) {
 				return false;
 			}
 
--- a/packages/wagtailroute-dispatch/src/policy.ts
+++ b/packages/wagtailroute-dispatch/src/policy.ts
@@ -79,6 +79,11 @@
 	*/
 	shedDoubt: 1.2,
 	/**
+	Doubt up to which sheds alone can bring an upstream: below suspension. What was shed has not run, so trying costs little; but when all upstreams of
+	a service shed half of what they get, suspending them all leaves next to nothing of it.
+	*/
+	mostShedDoubt: 2.5,
+	/**
 	Milliseconds for which a host sends nothing more to an upstream that left its request unanswered.
 	*/
 	pathMilliseconds: 3000,
@@ -167,11 +172,11 @@
 	/**
 	Part of the resends for each request that is used, so that what other hosts send while they cannot reach this dispatcher fits in.
 	*/
-	budgetRatioPart: 0.92,
+	resendRatioPart: 0.92,
 	/**
 	Part of the fixed number of resends that is used: three dispatchers one after the other must not spend more than there is.
 	*/
-	budgetExtraPart: 0.3,
+	fixedResendsPart: 0.3,
 	/**
 	Bad spells of an upstream in a second, as far as nothing is known: one in half a minute.
 	*/
--- a/packages/wagtailroute-dispatch/src/upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -201,6 +201,10 @@
 type Consequence = {
 	readonly doubt: number;
 	/**
+	It brings doubt no higher than this.
+	*/
+	readonly most?: number;
+	/**
 	The path between the host and the upstream may be at fault.
 	*/
 	readonly isOfPath?: boolean;
@@ -215,7 +219,7 @@
 	unreachable: policy => ({doubt: policy.silenceDoubt, isOfPath: true}),
 	timeout: policy => ({doubt: policy.silenceDoubt, isOfPath: true}),
 	overdue: policy => ({doubt: policy.overdueDoubt}),
-	shed: policy => ({doubt: policy.shedDoubt, closedMilliseconds: policy.shedMilliseconds}),
+	shed: policy => ({doubt: policy.shedDoubt, most: policy.mostShedDoubt, closedMilliseconds: policy.shedMilliseconds}),
 	misdirected: policy => ({doubt: policy.mostDoubt}),
 	cancelled: () => ({doubt: 0}),
 };
@@ -224,9 +228,11 @@
 Takes the ending of a request as evidence.
 */
 export function weighEnding(upstream: Upstream, place: Place, ending: Ending, now: number): void {
-	const {doubt, isOfPath = false, closedMilliseconds = 0} = CONSEQUENCES[ending](upstream.policy);
+	const {doubt, most = Infinity, isOfPath = false, closedMilliseconds = 0} = CONSEQUENCES[ending](upstream.policy);
 	const wasSuspended = isSuspended(upstream, now);
-	setDoubt(upstream, getDoubt(upstream, now) + doubt, now);
+	const before = getDoubt(upstream, now);
+	const after = Math.min(most, before + doubt);
+	setDoubt(upstream, doubt > 0 ? Math.max(before, after) : after, now);
 	upstream.closedUntil = Math.max(upstream.closedUntil, now + closedMilliseconds);
 	upstream.isMisdirected ||= ending === 'misdirected';
 	if (isOfPath) {
