--- a/packages/wagtailroute-dispatch/src/policy.ts
+++ b/packages/wagtailroute-dispatch/src/policy.ts
@@ -45,11 +45,11 @@
 	*/
 	resendMilliseconds: 1000,
 	/**
-	Milliseconds by which a request that can not be answered within its objective any more stands behind others that can: longer than
-	most deadlines, so that it takes what is left over. After a restart of everything it raises the share that is answered in time from a
-	fourth to a half in the second two seconds; else it makes no difference.
+	Milliseconds by which a request that can not be answered within its objective any more stands behind others that can: enough that a crowd
+	that comes back does not make all who come later late, and not so much that it is only served when nobody else is left. Measured after a
+	restart of everything, processor time charged, one run each: the second two seconds earn 0.51 and 0.45 of their worth in place of 0.32 and 0.24.
 	*/
-	lateMilliseconds: 3000,
+	lateMilliseconds: 1000,
 	/**
 	Usual times that must fit into the latency objective behind the wait for a slot. Under overload as many requests are served
 	whatever the wait; with a short one they are served in time.
