--- a/packages/wagtailroute-fleet/src/__tests__/unit/directory.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/directory.test.ts
@@ -37,17 +37,7 @@
 
 const GENERATION: generations.Generation = {
 	version: 1,
-	routes: [{
-		name: 'r',
-		host: 'scans.example',
-		pathPrefix: '/a/',
-		class: 'upload',
-		timeoutMilliseconds: 1000,
-		objectiveMilliseconds: 500,
-		priority: 1,
-		attempts: 2,
-		shares: [{service: 'media', weight: 1}],
-	}],
+	routes: [fixture.UPLOAD_ROUTE],
 	services: [],
 	limits: {
 		headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1,
--- a/packages/wagtailroute-fleet/src/__tests__/unit/entry-domain.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/entry-domain.test.ts
@@ -3,8 +3,8 @@
 */
 import test from 'ava';
 import type * as dispatch from 'wagtailroute-dispatch';
-import type * as generations from 'wagtailroute-generations';
 import {chooseEntryDomain, listUploadServices} from '../../entry-domain.ts';
+import * as fixture from './fixture.ts';
 
 function createReport(failureDomain: string, changes: Partial<dispatch.UpstreamReport> = {}): dispatch.UpstreamReport {
 	return {
@@ -34,17 +34,7 @@
 	});
 }
 
-const ROUTE: generations.GenerationRoute = {
-	name: 'r',
-	host: 'Scans.example',
-	pathPrefix: '/a/',
-	class: 'upload',
-	timeoutMilliseconds: 1000,
-	objectiveMilliseconds: 500,
-	priority: 1,
-	attempts: 2,
-	shares: [{service: 'archive', weight: 10}, {service: 'media', weight: 90}],
-};
+const ROUTE = fixture.UPLOAD_ROUTE;
 
 const FINDS = [
 	{
--- a/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
@@ -3,6 +3,7 @@
 */
 import * as stream from 'node:stream';
 import * as results from 'ts-results-es';
+import type * as generations from 'wagtailroute-generations';
 import type * as link from 'wagtailroute-link';
 import * as telemetry from 'wagtailroute-telemetry';
 import * as utils from 'wagtailroute-utils';
@@ -25,6 +26,21 @@
 	waitedMilliseconds: 0,
 };
 
+/**
+A route of uploads, whose heaviest share goes to the second service.
+*/
+export const UPLOAD_ROUTE: generations.GenerationRoute = {
+	name: 'r',
+	host: 'Scans.example',
+	pathPrefix: '/a/',
+	class: 'upload',
+	timeoutMilliseconds: 1000,
+	objectiveMilliseconds: 500,
+	priority: 1,
+	attempts: 2,
+	shares: [{service: 'archive', weight: 10}, {service: 'media', weight: 90}],
+};
+
 type Timer = {
 	readonly at: number;
 	readonly run: () => void;
--- a/packages/wagtailroute-fleet/src/index.ts
+++ b/packages/wagtailroute-fleet/src/index.ts
@@ -3,7 +3,14 @@
 */
 export {createContext, type FleetContext} from './context.ts';
 export {type Control, startControl} from './control.ts';
-export {ADDRESS_TTL_SECONDS} from './constants.ts';
+export {
+	ADDRESS_TTL_SECONDS,
+	ADDRESSES_LEAST,
+	STANDBY_EXTRA_RESENDS,
+	STANDBYS_MOST,
+	STANDBYS_TOLD,
+	UPSTREAM_CONNECT_MILLISECONDS,
+} from './constants.ts';
 export {createAskers} from './askers.ts';
 export {createAskMethods} from './ask-methods.ts';
 export type {ShortAnswer} from './ask-wire.ts';
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -80,12 +80,7 @@
 	readonly end: () => void;
 };
 
-/**
-Entry hosts of a failure domain that callers are told of, as the directory does with little load.
-*/
-const ENTRY_WIDTH = 3;
 const ADDRESS: core.Address = {ip: '127.0.0.1', port: 1};
-const STANDBYS = 6;
 
 /**
 Milliseconds that a new process takes to serve after the others can be reached, and that a new link takes.
@@ -114,7 +109,7 @@
 
 	find({failureDomain, entry}: Arrival): EntryHost | undefined {
 		const near = this.#entries.filter(host => host.failureDomain === failureDomain && host.endpoint.state === 'up');
-		return near[Math.floor(entry * Math.min(ENTRY_WIDTH, near.length))];
+		return near[Math.floor(entry * Math.min(fleet.ADDRESSES_LEAST, near.length))];
 	}
 
 	refresh(service: core.ServiceName): void {
@@ -170,7 +165,7 @@
 		const {scenario} = this.#plan;
 		this.#controls = Array.from({length: scenario.controlHosts}, (_, index) => this.#createControl(index));
 		this.#entries = scenario.failureDomains.flatMap(failureDomain =>
-			Array.from({length: Math.min(scenario.entryHostsPerDomain, ENTRY_WIDTH)}, (_, index) => this.#createEntry(failureDomain, index)));
+			Array.from({length: Math.min(scenario.entryHostsPerDomain, fleet.ADDRESSES_LEAST)}, (_, index) => this.#createEntry(failureDomain, index)));
 		for (const entry of this.#entries) {
 			for (const control of this.#controls) {
 				this.#connect(entry, control);
@@ -235,7 +230,7 @@
 		const dispatching = this.#startDispatching({
 			askers,
 			extra: scenario.budget.extra,
-			listStandbys: service => fleet.orderDispatchers(service, this.#listStandbys(), host => host).slice(0, 2),
+			listStandbys: service => fleet.orderDispatchers(service, this.#listStandbys(), host => host).slice(0, fleet.STANDBYS_TOLD),
 			tellControls: belief => {
 				this.#tellControls(id, belief);
 			},
@@ -251,7 +246,7 @@
 	}
 
 	#listStandbys(): readonly core.HostId[] {
-		return this.#plan.variant.hasStandbys ? this.#entries.slice(0, STANDBYS).map(({id}) => id) : [];
+		return this.#plan.variant.hasStandbys ? this.#entries.slice(0, fleet.STANDBYS_MOST).map(({id}) => id) : [];
 	}
 
 	#tellControls(from: core.HostId, belief: fleet.Belief): void {
@@ -307,7 +302,7 @@
 		const standbys: fleet.OpenControl[] = [];
 		const own = this.#startDispatching({
 			askers,
-			extra: 2,
+			extra: fleet.STANDBY_EXTRA_RESENDS,
 			listStandbys: () => [],
 			tellControls: belief => {
 				if (askers.count() > 0) {
--- a/packages/wagtailroute-lab/src/sending.ts
+++ b/packages/wagtailroute-lab/src/sending.ts
@@ -5,6 +5,7 @@
 It stands for the proxy, whose own way of a request is bound to sockets and timers.
 */
 import * as core from 'wagtailroute-core';
+import * as fleet from 'wagtailroute-fleet';
 import * as proxy from 'wagtailroute-proxy';
 import * as retries from 'wagtailroute-retries';
 import type * as utils from 'wagtailroute-utils';
@@ -41,15 +42,6 @@
 
 type AttemptEnd = BackendOutcome | 'deadline' | 'unreachable' | 'moved' | 'left';
 
-/**
-Milliseconds in which a connection that can not be opened is given up.
-*/
-const CONNECT_MILLISECONDS = 300;
-
-/**
-Milliseconds after which a place that a move asked for is not waited for any more.
-*/
-const MOVE_MILLISECONDS = 100;
 const RETRY_AFTER_MILLISECONDS = 300;
 
 const ENDINGS: Readonly<Record<AttemptEnd, proxy.AttemptEnding>> = {
@@ -201,7 +193,7 @@
 		} else if (isPathBad(backend)) {
 			// Half of the requests have a connection already, on which nothing comes back.
 			if (luck.harm < 0.5) {
-				clock.schedule(CONNECT_MILLISECONDS, () => {
+				clock.schedule(fleet.UPSTREAM_CONNECT_MILLISECONDS, () => {
 					resolve('unreachable');
 				});
 			}
@@ -264,7 +256,7 @@
 			}
 
 			cancelAsk = chosen.cancel;
-			const cancelWait = clock.schedule(MOVE_MILLISECONDS, chosen.cancel);
+			const cancelWait = clock.schedule(proxy.MOVE_MILLISECONDS, chosen.cancel);
 			const target = await chosen.result;
 			cancelWait();
 			if (!('address' in target)) {
--- a/packages/wagtailroute-lab/src/tally.ts
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -102,7 +102,7 @@
 	let resends = 0;
 	let falseSuspensions = 0;
 
-	const add = (sums: Map<number | string, Sum>, key: number | string, owed: number, earned: number) => {
+	const add = <Key>(sums: Map<Key, Sum>, key: Key, {owed, earned}: Sum) => {
 		const sum = sums.get(key) ?? {owed: 0, earned: 0};
 		sum.owed += owed;
 		sum.earned += earned;
@@ -123,8 +123,8 @@
 			count++;
 			total.owed += route.worth;
 			total.earned += earned;
-			add(windows, Math.floor(askedAt / WINDOW_MILLISECONDS), route.worth, earned);
-			add(routes, route.name, route.worth, earned);
+			add(windows, Math.floor(askedAt / WINDOW_MILLISECONDS), {owed: route.worth, earned});
+			add(routes, route.name, {owed: route.worth, earned});
 			if (fate.kind === 'unserved') {
 				causes.set(fate.cause, causes.get(fate.cause)! + 1);
 				return;
--- a/packages/wagtailroute-proxy/src/index.ts
+++ b/packages/wagtailroute-proxy/src/index.ts
@@ -44,3 +44,4 @@
 export type {CallerRequest} from './requests.ts';
 export {openTrafficServer, type TrafficServer} from './traffic.ts';
 export type {Connections} from './connections.ts';
+export {MOVE_MILLISECONDS} from './constants.ts';
