--- a/packages/wagtailroute-cli/src/cli.ts
+++ b/packages/wagtailroute-cli/src/cli.ts
@@ -1,34 +1,17 @@
 /**
-The command line as a function of its words and its surroundings.
+The command line with all commands.
 */
-import type * as stream from 'node:stream';
-import * as clipanion from 'clipanion';
-import * as core from 'wagtailroute-core';
-import * as results from 'ts-results-es';
-import packageFile from '../package.json' with {type: 'json'};
-import * as checking from './arguments.ts';
 import * as changes from './commands/changes.ts';
-import type * as shared from './commands/command.ts';
 import * as hosts from './commands/hosts.ts';
 import * as load from './commands/load.ts';
+import * as platform from './commands/platform.ts';
 import * as queries from './commands/queries.ts';
-import * as failures from './failures.ts';
-import * as settings from './settings.ts';
+import * as commandLine from './command-line.ts';
 
-/**
-What the command line reads and writes.
-*/
-export type CliSurroundings = {
-	readonly environment: settings.Environment;
-	readonly stdin: stream.Readable;
-	readonly stdout: stream.Writable;
-	readonly stderr: stream.Writable;
-};
-
-const COMMANDS: ReadonlyArray<clipanion.CommandClass<shared.Surroundings>> = [
+const COMMANDS: commandLine.Commands = [
 	hosts.DevCommand,
 	hosts.RunCommand,
-	hosts.PlatformCommand,
+	platform.PlatformCommand,
 	queries.CatalogueListCommand,
 	queries.CatalogueShowCommand,
 	changes.CatalogueApplyCommand,
@@ -40,64 +23,9 @@
 	load.LoadCommand,
 ];
 
-const BINARY_NAME = 'wagtailroute';
-
 /**
 Runs the command that the words name and returns its exit code.
 */
-export async function runCli(words: readonly string[], surroundings: CliSurroundings): Promise<number> {
-	const cli = createCli();
-	const context: shared.Surroundings = {
-		...clipanion.Cli.defaultContext,
-		...surroundings,
-		env: {...surroundings.environment},
-		colorDepth: 1,
-	};
-	const command = settings.checkEnvironment(surroundings.environment)
-		.andThen(() => checking.checkArguments(words, getDefinitions(cli)))
-		.andThen(() => parseCommand(cli, words, context));
-	if (command.isErr()) {
-		surroundings.stderr.write(`${BINARY_NAME}: ${failures.toLine(command.error.message)}\n`);
-		return failures.getExitCode(command.error);
-	}
-
-	return cli.run(command.value, context);
-}
-
-function createCli(): clipanion.Cli<shared.Surroundings> {
-	const cli = new clipanion.Cli<shared.Surroundings>({
-		binaryName: BINARY_NAME,
-		binaryLabel: 'wagtailroute, a proxy fleet for backend servers',
-		binaryVersion: packageFile.version,
-		enableColors: false,
-	});
-	for (const command of [...COMMANDS, clipanion.Builtins.HelpCommand, clipanion.Builtins.VersionCommand]) {
-		cli.register(command);
-	}
-
-	return cli;
-}
-
-function getDefinitions(cli: clipanion.Cli<shared.Surroundings>): readonly checking.CommandDefinition[] {
-	return cli.definitions().map(({path, usage, options}) => ({
-		path: path.split(' ').slice(1),
-		usage,
-		flags: options.map(({definition}) => definition.split(' ', 1)[0]!),
-	}));
-}
-
-function parseCommand(
-	cli: clipanion.Cli<shared.Surroundings>,
-	words: readonly string[],
-	context: shared.Surroundings,
-): results.Result<clipanion.Command<shared.Surroundings>, failures.CommandFailure> {
-	try {
-		return results.Ok(cli.process([...words], context));
-	} catch (error) {
-		const definition = checking.findDefinition(words, getDefinitions(cli));
-		const accepted = definition?.usage ?? `${BINARY_NAME} --help`;
-		const [reason] = (error as Error).message.split('\n', 1);
-		const message = `arguments: ${reason} accepted: ${accepted}`;
-		return results.Err(core.createFailure('bad-setting', failures.toLine(message)));
-	}
+export async function runCli(words: readonly string[], surroundings: commandLine.CliSurroundings): Promise<number> {
+	return commandLine.runCommand(COMMANDS, words, surroundings);
 }
--- a/packages/wagtailroute-cli/src/index.ts
+++ b/packages/wagtailroute-cli/src/index.ts
@@ -1,7 +1,8 @@
 /**
 The command line: flags and environment variables to settings, and the commands of operators.
 */
-export {type CliSurroundings, runCli} from './cli.ts';
+export {runCli} from './cli.ts';
+export {type CliSurroundings} from './command-line.ts';
 export {
 	type Environment,
 	HOST_SETTINGS,
--- a/packages/wagtailroute-lab/src/context.ts
+++ b/packages/wagtailroute-lab/src/context.ts
@@ -13,6 +13,7 @@
 	count: NOTHING,
 	observe: NOTHING,
 	registerGauge: NOTHING,
+	label: () => NO_METRICS,
 	getText: async () => '',
 };
 
--- a/packages/wagtailroute-telemetry/src/__tests__/unit/telemetry.test.ts
+++ b/packages/wagtailroute-telemetry/src/__tests__/unit/telemetry.test.ts
@@ -95,3 +95,26 @@
 	const parts = ['wagtailroute_requests_total{outcome="ran"} 2', 'wagtailroute_request_milliseconds_bucket{le="200",service="archive"} 1', 'wagtailroute_waiting 3'];
 	t.deepEqual(parts.filter(part => !text.includes(part)), []);
 });
+
+/**
+Symptom: a process with both roles ended at its start. Sequence: the dispatcher of each role registered its gauge of waiting asks.
+Cause: a name could be registered once in a process.
+*/
+test('two parts of a process register a gauge of the same name', async t => {
+	const metrics = telemetry.createMetrics();
+	metrics.label({role: 'control'}).registerGauge('waiting', () => 3);
+	metrics.label({role: 'entry'}).registerGauge('waiting', () => 4);
+	const text = await metrics.getText();
+	t.regex(text, /^wagtailroute_waiting\{role="control"\} 3$/mv);
+	t.regex(text, /^wagtailroute_waiting\{role="entry"\} 4$/mv);
+});
+
+test('labels of a part stand on its counters and histograms', async t => {
+	const metrics = telemetry.createMetrics();
+	const entry = metrics.label({role: 'entry'});
+	entry.count('requests', {outcome: 'ran'});
+	entry.observe('request', 120);
+	const text = await metrics.getText();
+	t.regex(text, /^wagtailroute_requests_total\{.*role="entry".*\} 1$/mv);
+	t.regex(text, /^wagtailroute_request_milliseconds_count\{role="entry"\} 1$/mv);
+});
--- a/packages/wagtailroute-telemetry/src/metrics.ts
+++ b/packages/wagtailroute-telemetry/src/metrics.ts
@@ -22,47 +22,88 @@
 	Registers a value that is read when the metrics are fetched.
 	*/
 	readonly registerGauge: (name: string, read: () => number) => void;
+	/**
+	Returns the same metrics for a part of the process: each measurement has these labels besides its own.
+	*/
+	readonly label: (labels: Labels) => Metrics;
 	readonly getText: () => Promise<string>;
 };
 
 const PREFIX = 'wagtailroute_';
 
+type Reader = {
+	readonly labels: Labels;
+	readonly read: () => number;
+};
+
+type Registered = {
+	readonly registry: prometheus.Registry;
+	readonly counters: Map<string, prometheus.Counter>;
+	readonly histograms: Map<string, prometheus.Histogram>;
+	/**
+	The readers of each gauge: the parts of a process may have one each.
+	*/
+	readonly readers: Map<string, Reader[]>;
+};
+
 /**
 Creates the metrics of a process.
 */
 export function createMetrics(): Metrics {
-	const registry = new prometheus.Registry();
-	const counters = new Map<string, prometheus.Counter>();
-	const histograms = new Map<string, prometheus.Histogram>();
+	return createLabelled({
+		registry: new prometheus.Registry(), counters: new Map(), histograms: new Map(), readers: new Map(),
+	}, {});
+}
+
+function createLabelled(registered: Registered, common: Labels): Metrics {
+	const {registry, counters, histograms} = registered;
 	return {
 		count(name, labels = {}) {
+			const all = {...common, ...labels};
 			const counter = counters.get(name) ?? new prometheus.Counter({
-				name: `${PREFIX}${name}_total`, help: name, labelNames: Object.keys(labels), registers: [registry],
+				name: `${PREFIX}${name}_total`, help: name, labelNames: Object.keys(all), registers: [registry],
 			});
 			counters.set(name, counter);
-			counter.inc(labels);
+			counter.inc(all);
 		},
 		observe(name, milliseconds, labels = {}) {
+			const all = {...common, ...labels};
 			const histogram = histograms.get(name) ?? new prometheus.Histogram({
-				name: `${PREFIX}${name}_milliseconds`, help: name, labelNames: Object.keys(labels), buckets: LATENCY_BUCKETS, registers: [registry],
+				name: `${PREFIX}${name}_milliseconds`, help: name, labelNames: Object.keys(all), buckets: LATENCY_BUCKETS, registers: [registry],
 			});
 			histograms.set(name, histogram);
-			histogram.observe(labels, milliseconds);
+			histogram.observe(all, milliseconds);
 		},
 		registerGauge(name, read) {
-			const gauge: prometheus.Gauge = new prometheus.Gauge({
-				name: `${PREFIX}${name}`,
-				help: name,
-				registers: [registry],
-				collect() {
-					gauge.set(read());
-				},
-			});
+			registerReader(registered, name, {labels: common, read});
 		},
+		label: labels => createLabelled(registered, {...common, ...labels}),
 		getText: async () => registry.metrics(),
 	};
 }
 
+function registerReader({registry, readers}: Registered, name: string, reader: Reader): void {
+	const known = readers.get(name);
+	if (known !== undefined) {
+		known.push(reader);
+		return;
+	}
+
+	const all = [reader];
+	readers.set(name, all);
+	const gauge: prometheus.Gauge = new prometheus.Gauge({
+		name: `${PREFIX}${name}`,
+		help: name,
+		labelNames: Object.keys(reader.labels),
+		registers: [registry],
+		collect() {
+			for (const {labels, read} of all) {
+				gauge.set(labels, read());
+			}
+		},
+	});
+}
+
 /**
 Serves the metrics on an address. Returns how to stop.
 */
