--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -1,5 +1,5 @@
 /**
-Runs the benches: every `packages/*\/src/bench/*.bench.ts`, or those whose path contains one of the arguments. Prints their
+Runs the benches: every `src/bench/*.bench.ts` of a package, or those whose path contains one of the arguments. Prints their
 tables, keeps the results with the machine's facts in `docs/data/`, and fails when a bound is broken. Bounds are ratios
 within one run, so they hold on any machine.
 */
@@ -22,7 +22,7 @@
 
 const ROOT = path.dirname(import.meta.dirname);
 const DATA_FOLDER = path.join(ROOT, 'docs', 'data');
-const PATTERN = 'packages/*/src/bench/*.bench.ts';
+const PATTERN = '{packages/*,platform}/src/bench/*.bench.ts';
 
 const wanted = process.argv.slice(2);
 const found = await Array.fromAsync(fs.glob(PATTERN, {cwd: ROOT}));
