Let who has missed the objective already wait for a late answer

Ruled out: refusals for want of an upstream (none), the floor (below it suspended ones are used, and are full).

--- a/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
@@ -107,6 +107,30 @@
 	t.true((refusal?.retryAfterMilliseconds ?? 0) >= 100 && (refusal?.retryAfterMilliseconds ?? 0) <= 2000 / 3);
 });
 
+/**
+Symptom: for three seconds after a restart of everything, a tenth of the requests is refused, many of them twice, although upstreams have
+room for all within that time. Sequence: callers who could not connect come back together; each has missed its objective; a
+queue stands before the slots; whoever would wait for longer than an objective is sent away and comes back later still. Cause: an
+objective that was missed already was held against waiting.
+*/
+const WAITS = [
+	{name: 'who has just come is refused where the objective can not be met', ask: {remainingMilliseconds: 4000}, isRefused: true},
+	{name: 'who has missed the objective already waits for a late answer', ask: {waitedMilliseconds: 2000, remainingMilliseconds: 4000}, isRefused: false},
+	{name: 'who can not be answered before the deadline is refused', ask: {waitedMilliseconds: 2000, remainingMilliseconds: 900}, isRefused: true},
+] as const;
+
+for (const {name, ask, isRefused} of WAITS) {
+	test(name, t => {
+		const dispatcher = createDispatcher([createCandidate('a', {slots: 1})]);
+		// One under way and two that wait, of a quarter of the objective each.
+		for (let count = 0; count < 3; count++) {
+			dispatcher.ask(createAsk(`before-${count}`), 0);
+		}
+
+		t.is(getRefusal(dispatcher.ask(createAsk('last', ask), 0)) !== undefined, isRefused);
+	});
+}
+
 test('an ask whose time runs out while it waits is refused before its deadline', t => {
 	const dispatcher = createDispatcher([createCandidate('a', {slots: 1})]);
 	dispatcher.ask(createAsk('1', {remainingMilliseconds: 5000}), 0);
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -37,6 +37,7 @@
 	getTurn,
 	getUsual,
 	isBelowFloor,
+	isObjectiveMissed,
 	isTooLate,
 	learnUsual,
 	listDueTrials,
@@ -376,7 +377,9 @@
 		const usual = getUsual(service, ask);
 		// Itself included.
 		const wait = slots === 0 ? Infinity : countUntil(service, turn) * usual / slots;
-		const isInObjective = ask.isResend || wait + (usual * service.policy.objectivePart) <= ask.objectiveMilliseconds;
+		const {missedPart, objectivePart} = service.policy;
+		const counted = isObjectiveMissed(service, ask) ? missedPart : 1;
+		const isInObjective = ask.isResend || (wait + (usual * objectivePart)) * counted <= ask.objectiveMilliseconds;
 		if (isInObjective && wait + (usual * service.policy.worthwhilePart) <= ask.remainingMilliseconds) {
 			return [];
 		}
--- a/packages/wagtailroute-dispatch/src/policy.ts
+++ b/packages/wagtailroute-dispatch/src/policy.ts
@@ -56,6 +56,13 @@
 	*/
 	objectivePart: 1.3,
 	/**
+	Part of this rule that holds for a request whose objective is missed already: with 1 it is refused like others, with 0 only its deadline
+	counts. A late answer is worth more to its caller than a refusal, and it stands behind those who can be in time. In the laboratory
+	(crowded, 30 paired days) half of the refused requests are served, 0.0006 of all; it makes no difference that can be told elsewhere.
+	In four paired whole days that end with a restart of everything before small services, 0.0115 refused become 0.0075 in the mean.
+	*/
+	missedPart: 0,
+	/**
 	Doubt of a connection that was reset or an answer that was cut: upstreams that are well hardly ever do it.
 	*/
 	resetDoubt: 6,
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -83,14 +83,20 @@
 	return {now, hasRepeatable: now - repeatableAt < policy.repeatableMilliseconds};
 }
 
+/**
+Says whether the caller has waited for so long that even an upstream that is free now can not answer within the objective.
+*/
+export function isObjectiveMissed(service: Service, ask: Ask): boolean {
+	return ask.waitedMilliseconds + getUsual(service, ask) > ask.objectiveMilliseconds;
+}
+
 /**
 The place of an ask among those that wait, as a time. Who can be answered within the objective comes before who can not any more: otherwise a
 crowd that comes back after an outage makes all who come later late as well.
 */
 export function getTurn(service: Service, ask: Ask, now: number): number {
 	const {policy} = service;
-	const isLate = ask.waitedMilliseconds + getUsual(service, ask) > ask.objectiveMilliseconds;
-	return now + (isLate ? policy.lateMilliseconds : 0) + (ask.priority * policy.rankMilliseconds) - (ask.isResend ? policy.resendMilliseconds : 0);
+	return now + (isObjectiveMissed(service, ask) ? policy.lateMilliseconds : 0) + (ask.priority * policy.rankMilliseconds) - (ask.isResend ? policy.resendMilliseconds : 0);
 }
 
 /**
--- a/packages/wagtailroute-lab/src/variants.ts
+++ b/packages/wagtailroute-lab/src/variants.ts
@@ -57,6 +57,7 @@
 	},
 	ranks: {policy: {rankMilliseconds: 0}},
 	objective: {policy: {objectivePart: -1e9}},
+	missed: {policy: {missedPart: 1}},
 	'reads-first': {policy: {unrepeatableTrialMilliseconds: 0}},
 	slowness: {policy: {slownessShare: 0}},
 	fading: {policy: {fadingDoubt: 0}},
