--- a/scripts/build/compile.ts
+++ b/scripts/build/compile.ts
@@ -9,7 +9,7 @@
 import * as module from 'node:module';
 import process from 'node:process';
 import * as vm from 'node:vm';
-import * as warmUp from '../../platform/src/warm-up.ts';
+import * as warmUp from '../../platform/build/warm-up.ts';
 
 type Loader = (require: NodeJS.Require, loaded: {exports: unknown}, exports: unknown) => void;
 
