--- a/scripts/build/scripts.ts
+++ b/scripts/build/scripts.ts
@@ -6,6 +6,9 @@
 
 /**
 Flags of the engine that every process of the binary runs with. Compiled code fits only the flags that it was compiled with.
+
+A young generation of 1 MB takes 1.3 MB of 22.7 MB private memory from an entry host at rest;
+a played day of 53 processes used 66.0 s of processor time in place of 70.0 s (one run each).
 */
 export const ENGINE_FLAGS: readonly string[] = ['--max-semi-space-size=1'];
 
