--- a/packages/wagtailroute-admission/src/rate-limit.ts
+++ b/packages/wagtailroute-admission/src/rate-limit.ts
@@ -1,5 +1,5 @@
 /**
-Token bucket for `ratePerSecond`.
+Token bucket for a rate of requests.
 */
 import {BURST_SECONDS} from './constants.ts';
 
@@ -7,9 +7,18 @@
 A rate limit. Times are in ms of a monotonic clock.
 */
 export type RateLimit = {
-	readonly setRate: (ratePerSecond: number | undefined, now: number) => void;
+	/**
+	@param capacity Tokens that the bucket holds; a tenth of a second's worth when absent.
+	*/
+	readonly setRate: (ratePerSecond: number | undefined, now: number, capacity?: number) => void;
 	readonly hasToken: (now: number) => boolean;
-	readonly takeToken: (now: number) => void;
+	/**
+	Takes tokens whether or not they are there: what is owed is worked off at the rate.
+
+	@param tokens 1 when absent; a negative number gives back.
+	*/
+	readonly takeToken: (now: number, tokens?: number) => void;
+	readonly getTokens: (now: number) => number;
 	/**
 	Time until so many requests may have started, in ms.
 	*/
@@ -21,33 +30,49 @@
 const TOKEN_TOLERANCE = 1e-9;
 
 /**
-Creates a rate limit with a full bucket; no rate means no limit.
+The bucket that a rate limit begins with.
+*/
+export type Bucket = {
+	readonly capacity: number;
+	readonly tokens: number;
+};
+
+/**
+Creates a rate limit; no rate means no limit.
+
+@param bucket A full one of a tenth of a second's worth when absent.
 */
-export function createRateLimit(ratePerSecond: number | undefined, now: number): RateLimit {
+export function createRateLimit(ratePerSecond: number | undefined, now: number, bucket?: Bucket): RateLimit {
 	let rate = ratePerSecond;
-	let tokens = getCapacity(rate);
+	let limit = bucket?.capacity ?? getCapacity(rate);
+	let tokens = bucket?.tokens ?? limit;
 	let filledAt = now;
 	const fill = (time: number) => {
 		if (rate !== undefined && time > filledAt) {
-			tokens = Math.min(getCapacity(rate), tokens + ((time - filledAt) * rate / MILLISECONDS_PER_SECOND));
+			tokens = Math.min(limit, tokens + ((time - filledAt) * rate / MILLISECONDS_PER_SECOND));
 		}
 
 		filledAt = Math.max(filledAt, time);
 	};
 
 	return {
-		setRate(next, time) {
+		setRate(next, time, capacity) {
 			fill(time);
 			rate = next;
-			tokens = Math.min(tokens, getCapacity(rate));
+			limit = capacity ?? getCapacity(rate);
+			tokens = Math.min(tokens, limit);
 		},
 		hasToken(time) {
 			fill(time);
 			return rate === undefined || tokens >= 1 - TOKEN_TOLERANCE;
 		},
-		takeToken(time) {
+		takeToken(time, taken = 1) {
+			fill(time);
+			tokens = Math.min(limit, tokens - taken);
+		},
+		getTokens(time) {
 			fill(time);
-			tokens -= 1;
+			return tokens;
 		},
 		getDelay(requests, time) {
 			fill(time);
--- /dev/null
+++ b/packages/wagtailroute-allotments/src/__tests__/unit/allotments.test.ts
@@ -0,0 +1,259 @@
+/**
+Tests of allotments at one dispatcher, and of several that tell each other.
+*/
+import test from 'ava';
+import * as fc from 'fast-check';
+import * as utils from 'wagtailroute-utils';
+import * as allotments from '../../index.ts';
+import {
+	createLedger,
+	type History,
+	type LedgerFactory,
+	play,
+} from './history.ts';
+
+const PARISH = {organisation: 'parish', ratePerSecond: 10, burst: 10};
+
+function create(changes: Partial<allotments.AllotmentSettings> = {}): allotments.Allotments {
+	const ledger = allotments.createAllotments({
+		slack: 20, getPart: () => 1, isTold: true, random: () => 0.5, ...changes,
+	}, 0);
+	ledger.setAllotments([PARISH], 0);
+	return ledger;
+}
+
+/**
+Returns how many of some requests that come at once are admitted.
+*/
+function countAdmitted(ledger: allotments.Allotments, requests: number, {at, service = 'archive', organisation = 'parish'}: {
+	readonly at: number;
+	readonly service?: string;
+	readonly organisation?: string;
+}): number {
+	let admitted = 0;
+	for (let request = 0; request < requests; request++) {
+		admitted += ledger.admit(organisation, service, at).kind === 'admitted' ? 1 : 0;
+	}
+
+	return admitted;
+}
+
+test('an organisation that was quiet may send its burst and half of the slack at once, then its rate', t => {
+	const ledger = create();
+	t.is(countAdmitted(ledger, 100, {at: 10_000}), 20);
+	t.is(countAdmitted(ledger, 100, {at: 11_000}), 10);
+});
+
+test('a refusal tells when the next token comes, and what was used', t => {
+	const ledger = create();
+	countAdmitted(ledger, 20, {at: 10_000});
+	t.deepEqual(ledger.admit('parish', 'archive', 10_000), {
+		kind: 'refused', retryAfterMilliseconds: 100, ratePerSecond: 10, used: 20, ageMilliseconds: undefined,
+	});
+	t.is(ledger.admit('parish', 'archive', 10_100).kind, 'admitted');
+});
+
+const UNBOUND = [
+	{name: 'an organisation that is unknown', organisation: 'other'},
+	{name: 'an organisation without a rate', organisation: 'friends'},
+] as const;
+
+for (const {name, organisation} of UNBOUND) {
+	test(`nothing bounds ${name}, and the others are told nothing of it`, t => {
+		const ledger = create();
+		ledger.setAllotments([PARISH, {organisation: 'friends', ratePerSecond: 0, burst: 0}], 0);
+		t.is(countAdmitted(ledger, 1000, {at: 10_000, organisation}), 1000);
+		t.is(ledger.takeNews(10_000), undefined);
+	});
+}
+
+test('an account begins nearly empty', t => {
+	// Symptom: an organisation gets its burst twice within a second. Sequence: it has used its burst, all dispatchers start again, it sends on.
+	// Cause: a full account stands for "nothing was used", which a dispatcher that has just started cannot know.
+	t.is(countAdmitted(create(), 100, {at: 0}), 10);
+});
+
+test('a request that was granted no place gives its token back', t => {
+	const ledger = create();
+	countAdmitted(ledger, 20, {at: 10_000});
+	ledger.giveBack('parish', 'archive', 10_000);
+	t.is(countAdmitted(ledger, 5, {at: 10_000}), 1);
+});
+
+test('what other dispatchers admitted is taken from the account', t => {
+	const ledger = create();
+	ledger.hearUse({services: ['media'], uses: [['media', 'parish', 15]]}, 10_000);
+	t.is(countAdmitted(ledger, 100, {at: 10_000}), 5);
+});
+
+test('what was admitted is told once, and a service without use is named', t => {
+	const ledger = create();
+	countAdmitted(ledger, 3, {at: 10_000});
+	t.deepEqual(ledger.takeNews(10_100), {services: ['archive'], uses: [['archive', 'parish', 3]]});
+	t.deepEqual(ledger.takeNews(10_200), {services: ['archive'], uses: []});
+	t.is(ledger.takeNews(12_000), undefined);
+});
+
+test('a flood is told at once', t => {
+	const ledger = create();
+	const urgent = Array.from({length: 8}, () => ledger.admit('parish', 'archive', 10_000)).map(admission => admission.kind === 'admitted' && admission.isUrgent);
+	t.deepEqual(urgent, [false, false, false, false, false, true, true, true]);
+});
+
+test('a dispatcher that misses the news of a service leaves that service its part', t => {
+	// Symptom: an organisation gets twice its rate. Sequence: the dispatchers of its two services are cut off from each other, the organisation
+	// floods both. Cause: each one gives out the whole rate, since it hears of no other use.
+	const ledger = create();
+	for (let at = 10_000; at < 15_000; at += 200) {
+		t.is(countAdmitted(ledger, 1, {at}), 1);
+		ledger.hearUse({services: ['media'], uses: [['media', 'parish', 1]]}, at);
+	}
+
+	countAdmitted(ledger, 100, {at: 16_000});
+	t.is(countAdmitted(ledger, 100, {at: 18_000}), 10, 'half of the rate');
+	ledger.hearUse({services: ['media'], uses: []}, 18_000);
+	t.is(countAdmitted(ledger, 100, {at: 18_000}), 0);
+	t.is(countAdmitted(ledger, 100, {at: 18_400}), 4, 'heard again, the whole rate');
+});
+
+test('whoever is asked for a service sets nothing aside for the one that dispatched it before', t => {
+	// Symptom: requests are refused although their organisation is within its allotment. Sequence: the dispatcher of a service is lost, the next one
+	// is asked. Cause: it takes the lost one for one that is cut off and still gives out its part.
+	const ledger = create();
+	for (let at = 10_000; at < 15_000; at += 200) {
+		ledger.hearUse({services: ['archive'], uses: [['archive', 'parish', 1]]}, at);
+	}
+
+	let admitted = 0;
+	for (let at = 16_000; at < 20_000; at += 160) {
+		admitted += countAdmitted(ledger, 1, {at});
+	}
+
+	t.is(admitted, 25);
+});
+
+test('a lower limit binds at once', t => {
+	const ledger = create();
+	countAdmitted(ledger, 1, {at: 10_000});
+	ledger.setAllotments([{...PARISH, ratePerSecond: 2, burst: 2}], 10_000);
+	t.is(countAdmitted(ledger, 100, {at: 10_000}), 12, 'the lower burst and half of the slack');
+	t.is(countAdmitted(ledger, 100, {at: 11_000}), 2);
+});
+
+test('many hosts that dispatch alone give out no more than the rate and the slack together', t => {
+	const hosts = 116;
+	const random = utils.createRandom(1);
+	const ledgers = Array.from({length: hosts}, () => create({getPart: () => 1 / hosts, isTold: false, random}));
+	let admitted = 0;
+	for (let at = 0; at < 5000; at += 10) {
+		for (const ledger of ledgers) {
+			admitted += countAdmitted(ledger, 1, {at});
+		}
+	}
+
+	// 5 s of the rate, and half of the slack.
+	t.true(admitted >= 40 && admitted <= 60, String(admitted));
+});
+
+test('a host that dispatched long ago begins anew', t => {
+	const ledger = create({isTold: false});
+	countAdmitted(ledger, 1, {at: 0});
+	t.is(countAdmitted(ledger, 100, {at: 60_000}), 10);
+});
+
+const RATES = [1, 5, 16, 60, 150] as const;
+const DISPATCHERS = [1, 2, 3, 5, 12, 24] as const;
+
+const histories: fc.Arbitrary<History> = fc.record({
+	seed: fc.integer({min: 1, max: 1_000_000}),
+	dispatchers: fc.constantFrom(...DISPATCHERS),
+	ratePerSecond: fc.constantFrom(...RATES),
+	flood: fc.constantFrom(1 / 1.6, 1.5, 4.7),
+});
+
+test('the sum over all dispatchers stays within the allotment through kills, freezes, halves, restarts and moves', t => {
+	fc.assert(fc.property(histories, history => {
+		const {excess} = play(history);
+		t.true(excess <= 0, JSON.stringify({...history, excess}));
+	}), {seed: 20_261_203, numRuns: 150});
+});
+
+test('an organisation within its allotment is hardly ever refused', t => {
+	let sent = 0;
+	let refused = 0;
+	for (const dispatchers of DISPATCHERS) {
+		for (let seed = 1; seed <= 20; seed++) {
+			const outcome = play({
+				seed, dispatchers, ratePerSecond: 16, flood: 1 / 1.6,
+			});
+			sent += outcome.sent;
+			refused += outcome.refused;
+		}
+	}
+
+	t.true(refused <= sent * 0.01, `${refused} of ${sent}`);
+});
+
+type Defect = {
+	readonly name: string;
+	readonly create: LedgerFactory;
+};
+
+/**
+Ledgers with a fault each, which the histories must find.
+*/
+const DEFECTS: readonly Defect[] = [
+	{
+		name: 'hears nothing of the others',
+		create: (now, random) => ({...wrap(createLedger(now, random)), hearUse: () => undefined}),
+	},
+	{
+		name: 'begins with a full account',
+		create(now, random) {
+			const ledger = createLedger(now - 60_000, random);
+			return wrap(ledger);
+		},
+	},
+	{
+		name: 'gives back the tokens of one request in four that ran',
+		create(now, random) {
+			const ledger = createLedger(now, random);
+			return {
+				...wrap(ledger),
+				admit(organisation, service, at) {
+					const admission = ledger.admit(organisation, service, at);
+					if (admission.kind === 'admitted' && random() < 0.25) {
+						ledger.giveBack(organisation, service, at);
+					}
+
+					return admission;
+				},
+			};
+		},
+	},
+];
+
+function wrap(ledger: allotments.Allotments): allotments.Allotments {
+	return {
+		setAllotments(items, now) {
+			ledger.setAllotments(items, now);
+		},
+		admit: (organisation, service, now) => ledger.admit(organisation, service, now),
+		giveBack(organisation, service, now) {
+			ledger.giveBack(organisation, service, now);
+		},
+		hearUse(news, now) {
+			ledger.hearUse(news, now);
+		},
+		takeNews: now => ledger.takeNews(now),
+		report: (now, most) => ledger.report(now, most),
+	};
+}
+
+for (const {name, create: createDefective} of DEFECTS) {
+	test(`a ledger that ${name} is found`, t => {
+		const found = fc.check(fc.property(histories, history => play(history, createDefective).excess <= 0), {seed: 1, numRuns: 150});
+		t.true(found.failed);
+		t.log(`after ${found.numRuns} histories`);
+	});
+}
--- /dev/null
+++ b/packages/wagtailroute-allotments/src/allotments.ts
@@ -0,0 +1,346 @@
+/**
+The allotments of organisations at one dispatcher. Each service has its dispatcher, so an organisation that calls several services is
+admitted by several; each tells the others what it admitted, and takes what it is told from its own account.
+
+What can go wrong, and what it costs:
+
+- Two dispatchers admit the same tokens before they hear of each other. They owe them afterwards, so an organisation that floods gets more than its
+  rate by what is admitted in one interval of telling, once.
+- Dispatchers are cut off from each other while entry hosts reach both. Told nothing, each would give out the whole rate. So whoever misses news of
+  a service gives out only the part that its other services used before; the parts of both sides add up to the whole.
+- A dispatcher is lost. Its successor was told what it admitted, and speaks for its service from the first ask on, so nothing stays set aside.
+- Everything starts anew, or a dispatcher that was told nothing takes over. What was admitted before is unknown, so accounts begin nearly empty.
+- Many hosts dispatch, each for a few others. Each gives out no more than the part of the entry hosts that ask it.
+*/
+import type * as core from 'wagtailroute-core';
+import {
+	Account,
+	type Allotment,
+	type Extent,
+	getCapacity,
+} from './account.ts';
+import {
+	ACTIVE_MILLISECONDS,
+	FORGET_MILLISECONDS,
+	FRESH_MILLISECONDS,
+	MILLISECONDS_PER_SECOND,
+	SILENT_MILLISECONDS,
+	SLACK_PART,
+	UNTOLD_MOST,
+	UNTOLD_SECONDS,
+} from './constants.ts';
+
+/**
+Requests that were admitted for a service on behalf of an organisation.
+*/
+export type Use = readonly [service: core.ServiceName, organisation: core.Organisation, requests: number];
+
+/**
+What a dispatcher tells the others. A service without use is named all the same: its dispatcher can be heard.
+*/
+export type UseNews = {
+	readonly services: readonly core.ServiceName[];
+	readonly uses: readonly Use[];
+};
+
+/**
+Whether a request is within its organisation's allotment.
+*/
+export type Admission =
+	| {
+		readonly kind: 'admitted';
+		/**
+		The organisation has an allotment, of which the others are told.
+		*/
+		readonly isBound: boolean;
+		/**
+		So much was admitted since the last telling that the others are to be told at once.
+		*/
+		readonly isUrgent: boolean;
+	}
+	| {
+		readonly kind: 'refused';
+		/**
+		Milliseconds until the next request may be admitted.
+		*/
+		readonly retryAfterMilliseconds: number;
+		readonly ratePerSecond: number;
+		/**
+		Requests used lately, over the fleet, as far as is known here.
+		*/
+		readonly used: number;
+		/**
+		Milliseconds since another dispatcher told its use; absent when none ever did.
+		*/
+		readonly ageMilliseconds?: number;
+	};
+
+/**
+Allotments at one dispatcher. Times are in milliseconds of a monotonic clock.
+*/
+export type Allotments = {
+	/**
+	Takes the allotments in force; organisations that are not named have none, so that nothing bounds them.
+	*/
+	readonly setAllotments: (allotments: readonly Allotment[], now: number) => void;
+	/**
+	Admits a request, or says why not.
+	*/
+	readonly admit: (organisation: core.Organisation, service: core.ServiceName, now: number) => Admission;
+	/**
+	Gives back what was taken for a request that was sent nowhere and never will be.
+	*/
+	readonly giveBack: (organisation: core.Organisation, service: core.ServiceName, now: number) => void;
+	readonly hearUse: (news: UseNews, now: number) => void;
+	/**
+	Returns what was not told yet, undefined when this dispatcher speaks for no service.
+	*/
+	readonly takeNews: (now: number) => UseNews | undefined;
+	/**
+	Returns the organisations that used most of their allotments lately, fullest use first.
+	*/
+	readonly report: (now: number, most: number) => readonly AllotmentReport[];
+};
+
+/**
+An organisation's use of its allotment.
+*/
+export type AllotmentReport = Allotment & {
+	readonly used: number;
+	readonly tokens: number;
+};
+
+/**
+Settings of allotments.
+*/
+export type AllotmentSettings = {
+	/**
+	Requests beyond rate and burst that may pass in a window.
+	*/
+	readonly slack: number;
+	/**
+	Returns the part of the fleet's requests that this dispatcher is asked for, 0 to 1.
+	*/
+	readonly getPart: (now: number) => number;
+	/**
+	This dispatcher hears of all use even while it is not asked.
+	*/
+	readonly isTold: boolean;
+	/**
+	Uniform in [0, 1).
+	*/
+	readonly random: () => number;
+};
+
+const ADMITTED: Admission = {kind: 'admitted', isBound: false, isUrgent: false};
+
+/**
+Creates allotments of a dispatcher that knows none.
+*/
+export function createAllotments(settings: AllotmentSettings, now: number): Allotments {
+	return new DispatcherAllotments(settings, now);
+}
+
+class DispatcherAllotments implements Allotments {
+	readonly #settings: AllotmentSettings;
+	#allotments: ReadonlyMap<core.Organisation, Allotment> = new Map();
+	readonly #accounts = new Map<core.Organisation, Account>();
+	/**
+	When each service was last asked for here.
+	*/
+	readonly #askedAt = new Map<core.ServiceName, number>();
+	/**
+	When another dispatcher last told of each service.
+	*/
+	readonly #heardAt = new Map<core.ServiceName, number>();
+	/**
+	Accounts with use that the others may not know of yet.
+	*/
+	readonly #unsettled = new Set<Account>();
+	readonly #untold = new Map<core.ServiceName, Map<core.Organisation, number>>();
+	/**
+	Since when this dispatcher has heard of all use.
+	*/
+	#knowsSince: number;
+	#lastAskedAt: number;
+	#lastHeardAt: number | undefined;
+
+	constructor(settings: AllotmentSettings, now: number) {
+		this.#settings = settings;
+		this.#knowsSince = now;
+		this.#lastAskedAt = now;
+	}
+
+	setAllotments(allotments: readonly Allotment[], now: number): void {
+		this.#allotments = new Map(allotments.filter(({ratePerSecond}) => ratePerSecond > 0).map(allotment => [allotment.organisation, allotment]));
+		for (const [organisation, account] of this.#accounts) {
+			const allotment = this.#allotments.get(organisation);
+			if (allotment === undefined) {
+				this.#accounts.delete(organisation);
+			} else {
+				account.setBounds(allotment, this.#getExtent(account, now), now);
+			}
+		}
+	}
+
+	admit(organisation: core.Organisation, service: core.ServiceName, now: number): Admission {
+		const allotment = this.#allotments.get(organisation);
+		if (allotment === undefined) {
+			return ADMITTED;
+		}
+
+		this.#noteAsked(service, now);
+		const account = this.#getAccount(allotment, now);
+		account.setBounds(allotment, this.#getExtent(account, now), now);
+		if (account.hasToken(now)) {
+			account.use(service, 1, now);
+			this.#unsettled.add(account);
+			const untold = this.#noteUntold(service, organisation, 1);
+			return {kind: 'admitted', isBound: true, isUrgent: untold >= UNTOLD_MOST + (allotment.ratePerSecond * UNTOLD_SECONDS)};
+		}
+
+		return {
+			kind: 'refused',
+			retryAfterMilliseconds: account.getDelay(now),
+			ratePerSecond: allotment.ratePerSecond,
+			used: account.getUse(now),
+			ageMilliseconds: this.#lastHeardAt === undefined ? undefined : now - this.#lastHeardAt,
+		};
+	}
+
+	giveBack(organisation: core.Organisation, service: core.ServiceName, now: number): void {
+		const account = this.#accounts.get(organisation);
+		if (account === undefined) {
+			return;
+		}
+
+		account.use(service, -1, now);
+		this.#noteUntold(service, organisation, -1);
+	}
+
+	hearUse({services, uses}: UseNews, now: number): void {
+		this.#lastHeardAt = now;
+		for (const service of services) {
+			this.#heardAt.set(service, now);
+		}
+
+		if (this.#isWhole(now)) {
+			this.#settle();
+		}
+
+		for (const [service, organisation, requests] of uses) {
+			const allotment = this.#allotments.get(organisation);
+			if (allotment !== undefined) {
+				this.#getAccount(allotment, now).hearUse(service, requests, now);
+			}
+		}
+	}
+
+	takeNews(now: number): UseNews | undefined {
+		const services = this.#askedAt.entries().filter(([, askedAt]) => now - askedAt < ACTIVE_MILLISECONDS).map(([service]) => service).toArray();
+		const uses = this.#untold.entries()
+			.flatMap(([service, organisations]) => organisations.entries().map(([organisation, requests]): Use => [service, organisation, requests]))
+			.filter(use => use[2] !== 0)
+			.toArray();
+		this.#untold.clear();
+		return services.length === 0 && uses.length === 0 ? undefined : {services, uses};
+	}
+
+	report(now: number, most: number): readonly AllotmentReport[] {
+		return this.#accounts.values()
+			.map(account => ({...account.allotment, used: account.getUse(now), tokens: account.getTokens(now)}))
+			.toArray()
+			.toSorted((left, right) => (right.used / right.ratePerSecond) - (left.used / left.ratePerSecond))
+			.slice(0, most);
+	}
+
+	/**
+	Others may have dispatched while this host was not asked and not told: what it holds is worth nothing then.
+	*/
+	#noteAsked(service: core.ServiceName, now: number): void {
+		if (!this.#settings.isTold && now - this.#lastAskedAt > ACTIVE_MILLISECONDS) {
+			this.#accounts.clear();
+			this.#knowsSince = now;
+		}
+
+		this.#lastAskedAt = now;
+		this.#askedAt.set(service, now);
+	}
+
+	#noteUntold(service: core.ServiceName, organisation: core.Organisation, requests: number): number {
+		const uses = this.#untold.get(service) ?? new Map<core.Organisation, number>();
+		this.#untold.set(service, uses);
+		const untold = (uses.get(organisation) ?? 0) + requests;
+		uses.set(organisation, untold);
+		return untold;
+	}
+
+	/**
+	An account that nothing was taken from has filled since this dispatcher began to hear of all use.
+	*/
+	#getAccount(allotment: Allotment, now: number): Account {
+		const known = this.#accounts.get(allotment.organisation);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const extent = this.#getFullExtent(now);
+		const filled = this.#drawStart(extent) + ((now - this.#knowsSince) * allotment.ratePerSecond * extent.part / MILLISECONDS_PER_SECOND);
+		const account = new Account(allotment, extent, Math.min(getCapacity(allotment, extent), filled), now);
+		this.#accounts.set(allotment.organisation, account);
+		return account;
+	}
+
+	/**
+	Tokens of an account that begins. A host's part of them may be less than one: then some hosts begin with one, and each of the others somewhere on the
+	way to its first, so that all together give out the rate from the beginning on.
+	*/
+	#drawStart({part, extra}: Extent): number {
+		const start = extra * part;
+		const {random} = this.#settings;
+		return start >= 1 ? start : Number(random() < start) + random();
+	}
+
+	#getFullExtent(now: number): Extent {
+		return {part: this.#settings.getPart(now), extra: this.#settings.slack * SLACK_PART};
+	}
+
+	#getExtent(account: Account, now: number): Extent {
+		const full = this.#getFullExtent(now);
+		const silent = this.#listSilent(now, SILENT_MILLISECONDS);
+		return silent.size === 0 ? full : {...full, part: full.part * (1 - account.getPart(silent))};
+	}
+
+	#settle(): void {
+		for (const account of this.#unsettled) {
+			account.settle();
+		}
+
+		this.#unsettled.clear();
+	}
+
+	/**
+	Says whether the use of all services is heard.
+	*/
+	#isWhole(now: number): boolean {
+		return this.#listSilent(now, FRESH_MILLISECONDS).size === 0;
+	}
+
+	/**
+	Lists the services whose dispatcher was heard before, is not heard now, and is not this one.
+	*/
+	#listSilent(now: number, longest: number): ReadonlySet<core.ServiceName> {
+		const silent = new Set<core.ServiceName>();
+		for (const [service, heardAt] of this.#heardAt) {
+			const isOwn = now - (this.#askedAt.get(service) ?? -Infinity) < ACTIVE_MILLISECONDS;
+			const silence = now - heardAt;
+			if (silence > FORGET_MILLISECONDS) {
+				this.#heardAt.delete(service);
+			} else if (!isOwn && silence > longest) {
+				silent.add(service);
+			}
+		}
+
+		return silent;
+	}
+}
--- /dev/null
+++ b/packages/wagtailroute-allotments/src/constants.ts
@@ -0,0 +1,52 @@
+/**
+Times and bounds of allotments.
+*/
+
+/**
+Milliseconds for which use is collected before the other dispatchers are told. What they admit meanwhile may be too much by this much of the rate.
+*/
+export const TELL_MILLISECONDS = 200;
+
+/**
+Requests of one organisation, and seconds' worth of its rate, that are told at once when they were admitted since the last telling. A dispatcher that is
+lost takes with it what it did not tell.
+*/
+export const UNTOLD_MOST = 4;
+export const UNTOLD_SECONDS = 0.2;
+
+/**
+Milliseconds without news of a service after which the dispatcher that told it counts as cut off: two tellings were missed.
+*/
+export const SILENT_MILLISECONDS = 500;
+
+/**
+Milliseconds without news of a service after which it is no longer learned who uses how much of an allotment. Both sides of a cut must remember the
+same, or the parts that they give out add up to more than the whole.
+*/
+export const FRESH_MILLISECONDS = 300;
+
+/**
+Milliseconds without an ask after which a dispatcher no longer speaks for a service.
+*/
+export const ACTIVE_MILLISECONDS = 1000;
+
+/**
+Milliseconds of silence after which a service is forgotten: its dispatcher is gone for good, or it has no traffic.
+*/
+export const FORGET_MILLISECONDS = 30_000;
+
+/**
+Milliseconds in which the memory of who used how much of an allotment fades to a third.
+*/
+export const USE_MEMORY_MILLISECONDS = 5000;
+
+/**
+Part of the slack that a full account holds beyond its burst, and with which an account begins that knows nothing of earlier use. The rest is
+left for what dispatchers admit before they hear of each other.
+*/
+export const SLACK_PART = 0.5;
+
+/**
+Milliseconds in a second.
+*/
+export const MILLISECONDS_PER_SECOND = 1000;
--- /dev/null
+++ b/packages/wagtailroute-allotments/src/index.ts
@@ -0,0 +1,14 @@
+/**
+Allotments of organisations over all dispatchers of a fleet.
+*/
+export type {Allotment} from './account.ts';
+export {
+	type Admission,
+	type AllotmentReport,
+	type Allotments,
+	type AllotmentSettings,
+	createAllotments,
+	type Use,
+	type UseNews,
+} from './allotments.ts';
+export {TELL_MILLISECONDS} from './constants.ts';
--- a/packages/wagtailroute-dispatch/src/asks.ts
+++ b/packages/wagtailroute-dispatch/src/asks.ts
@@ -17,6 +17,10 @@
 	readonly failureDomain: core.FailureDomain;
 	readonly service: core.ServiceName;
 	/**
+	Who calls; absent where the catalogue has no organisations, or the route needs no key.
+	*/
+	readonly organisation?: core.Organisation;
+	/**
 	Name of the route: requests of one route take alike long.
 	*/
 	readonly route: string;
@@ -52,9 +56,9 @@
 };
 
 /**
-Why an ask was refused.
+Why an ask was refused. `allotment`: its organisation has used what it may.
 */
-export type RefusalReason = 'no-upstream' | 'no-slot-in-time' | 'budget';
+export type RefusalReason = 'no-upstream' | 'no-slot-in-time' | 'budget' | 'allotment';
 
 /**
 How a granted request ended, as evidence about its upstream. `refused`: no connection, nobody listens. `unreachable`: no
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -97,9 +97,9 @@
 export type Dispatcher = {
 	readonly ask: (ask: Ask, now: number) => readonly Effect[];
 	/**
-	Withdraws an ask that waits.
+	Withdraws an ask and returns it, if it waits.
 	*/
-	readonly cancel: (id: AskId) => void;
+	readonly cancel: (id: AskId) => Ask | undefined;
 	/**
 	A granted request has ended.
 
@@ -177,11 +177,9 @@
 		return this.#waiting.has(ask.id) ? [...effects, ...this.#waitOrRefuse(service, waiting, now)] : effects;
 	}
 
-	cancel(id: AskId): void {
+	cancel(id: AskId): Ask | undefined {
 		const service = this.#waiting.get(id);
-		if (service !== undefined) {
-			this.#removeWaiting(service, id);
-		}
+		return service && this.#removeWaiting(service, id);
 	}
 
 	end(id: AskId, {ending, milliseconds}: {readonly ending: Ending; readonly milliseconds: number}, now: number): readonly Effect[] {
@@ -421,12 +419,10 @@
 		return waiting;
 	}
 
-	#removeWaiting(service: Service, id: AskId): void {
+	#removeWaiting(service: Service, id: AskId): Ask | undefined {
 		this.#waiting.delete(id);
 		const place = service.waiting.findIndex(waiting => waiting.ask.id === id);
-		if (place !== -1) {
-			service.waiting.splice(place, 1);
-		}
+		return place === -1 ? undefined : service.waiting.splice(place, 1)[0]!.ask;
 	}
 
 	/**
--- a/packages/wagtailroute-fleet/src/__tests__/unit/ask-wire.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/ask-wire.test.ts
@@ -31,6 +31,20 @@
 	}));
 });
 
+test('the organisation of an ask comes back from its number', t => {
+	const numbers = wire.createOrganisationNumbers();
+	const [over] = [{}] as [link.Link];
+	t.deepEqual(numbers.number(over, 'parish'), {number: 0, isNew: true});
+	t.deepEqual(numbers.number(over, 'parish'), {number: 0, isNew: false});
+	t.deepEqual(numbers.number(over, 'other'), {number: 1, isNew: true});
+	const ask = {
+		...ROUTE, ...FROM, organisation: 'other', id: wire.createAskId(FROM.host, 5), remainingMilliseconds: 90, excluded: [], ...SENDS[0],
+	};
+	const short = wire.shortenAsk(ask, [7, 1]);
+	t.deepEqual(short, [5, [7, 1], 90]);
+	t.deepEqual(wire.restoreAsk(short, {...FROM, organisation: 'other'}, wire.getAskedRoute(ask)), ask);
+});
+
 const ANSWERS: readonly AskAnswer[] = [
 	{
 		kind: 'grant', upstream: 'u', address: {ip: '10.0.0.1', port: 80}, isTrial: true,
@@ -39,6 +53,7 @@
 		kind: 'grant', upstream: 'u', address: {ip: '10.0.0.1', port: 80}, isTrial: false,
 	},
 	{kind: 'refuse', reason: 'budget', retryAfterMilliseconds: 100},
+	{kind: 'refuse', reason: 'allotment', retryAfterMilliseconds: 40},
 	{kind: 'wait'},
 ];
 
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/allotting.ts
@@ -0,0 +1,191 @@
+/**
+The allotments of organisations at the dispatcher of a host: what is admitted, what the other dispatchers are told of it, and what is logged.
+*/
+import * as allotments from 'wagtailroute-allotments';
+import type * as core from 'wagtailroute-core';
+import type * as dispatch from 'wagtailroute-dispatch';
+import type * as generations from 'wagtailroute-generations';
+import * as utils from 'wagtailroute-utils';
+import {
+	ALLOTMENT_ASKER_MILLISECONDS,
+	ORGANISATION_LABELS_MOST,
+	REFUSALS_TOLD_MILLISECONDS,
+	UNKNOWN_ENTRY_HOSTS,
+} from './constants.ts';
+import type {FleetContext} from './context.ts';
+import {type DecidedAnswer, METHODS} from './messages.ts';
+
+/**
+Allotments at a dispatcher.
+*/
+export type Allotting = {
+	readonly setOrganisations: (organisations: readonly generations.GenerationOrganisation[] | undefined) => void;
+	/**
+	Takes an ask from its organisation's allotment; a refusal when there is nothing left.
+	*/
+	readonly admit: (ask: dispatch.Ask) => DecidedAnswer | undefined;
+	/**
+	Gives back what was taken for an ask that was granted no place.
+	*/
+	readonly giveBack: (ask: dispatch.Ask) => void;
+	readonly hearUse: (news: allotments.UseNews) => void;
+};
+
+/**
+What allotting needs.
+*/
+export type AllottingPlan = {
+	/**
+	Requests that may pass in a window beyond an allotment.
+	*/
+	readonly slack: number;
+	/**
+	This dispatcher hears of all use. Any other gives out only the part of the entry hosts that ask it.
+	*/
+	readonly isTold: boolean;
+	/**
+	Returns how many entry hosts serve callers, 0 when it is not known.
+	*/
+	readonly countEntryHosts: () => number;
+	/**
+	Sends to the other control hosts.
+	*/
+	readonly tellControls: (method: string, parameters: unknown) => void;
+};
+
+/**
+Starts the allotments of a dispatcher.
+*/
+export function startAllotting(context: FleetContext, plan: AllottingPlan): Allotting {
+	const {now} = context;
+	const askers = createRecentAskers();
+	const getPart = (time: number) => {
+		const hosts = plan.countEntryHosts();
+		return Math.min(1, Math.max(1, askers.count(time)) / (hosts === 0 ? UNKNOWN_ENTRY_HOSTS : hosts));
+	};
+
+	const ledger = allotments.createAllotments({
+		slack: plan.slack,
+		isTold: plan.isTold,
+		random: context.random,
+		getPart: time => plan.isTold ? 1 : getPart(time),
+	}, now());
+	const noteRefusal = createRefusalLog(context);
+
+	const tell = () => {
+		const news = ledger.takeNews(now());
+		if (news === undefined) {
+			return;
+		}
+
+		plan.tellControls(METHODS.use, news);
+		// Goes on until nothing was asked for a while: whoever misses it takes this host for cut off.
+		tellLater();
+	};
+
+	const tellLater = utils.coalesce(context.schedule, allotments.TELL_MILLISECONDS, tell);
+
+	return {
+		setOrganisations(organisations = []) {
+			ledger.setAllotments(organisations.map(({name, ratePerSecond, burst}) => ({organisation: name, ratePerSecond, burst})), now());
+		},
+		admit(ask) {
+			if (ask.organisation === undefined) {
+				return undefined;
+			}
+
+			askers.note(ask.host, now());
+			const admission = ledger.admit(ask.organisation, ask.service, now());
+			if (admission.kind === 'admitted') {
+				if (admission.isUrgent) {
+					tell();
+				} else if (admission.isBound) {
+					tellLater();
+				}
+
+				return undefined;
+			}
+
+			noteRefusal(ask, admission);
+			return {kind: 'refuse', reason: 'allotment', retryAfterMilliseconds: admission.retryAfterMilliseconds};
+		},
+		giveBack({organisation, service}) {
+			if (organisation !== undefined) {
+				ledger.giveBack(organisation, service, now());
+			}
+		},
+		hearUse(news) {
+			ledger.hearUse(news, now());
+		},
+	};
+}
+
+type RecentAskers = {
+	readonly note: (host: core.HostId, now: number) => void;
+	readonly count: (now: number) => number;
+};
+
+/**
+Counts the hosts that asked lately.
+*/
+function createRecentAskers(): RecentAskers {
+	const askedAt = new Map<core.HostId, number>();
+	return {
+		note(host, now) {
+			// The one that asked last comes last.
+			askedAt.delete(host);
+			askedAt.set(host, now);
+		},
+		count(now) {
+			for (const [host, time] of askedAt) {
+				if (now - time <= ALLOTMENT_ASKER_MILLISECONDS) {
+					break;
+				}
+
+				askedAt.delete(host);
+			}
+
+			return askedAt.size;
+		},
+	};
+}
+
+type Refused = Extract<allotments.Admission, {kind: 'refused'}>;
+
+/**
+An organisation that floods is refused hundreds of times a second: each refusal is counted, one in a while is logged and tells how many there were.
+*/
+function createRefusalLog(context: FleetContext): (ask: dispatch.Ask, refused: Refused) => void {
+	const log = context.logs('allotment');
+	const labels = new Set<string>();
+	const quiet = new Map<core.Organisation, {readonly loggedAt: number; refusals: number}>();
+
+	const getLabel = (organisation: string) => {
+		if (labels.size < ORGANISATION_LABELS_MOST) {
+			labels.add(organisation);
+		}
+
+		return labels.has(organisation) ? organisation : 'other';
+	};
+
+	return ({id, service, organisation = ''}, {ratePerSecond, used, ageMilliseconds, retryAfterMilliseconds}) => {
+		context.metrics.count('allotment_refusals', {organisation: getLabel(organisation)});
+		const before = quiet.get(organisation);
+		if (before !== undefined && context.now() - before.loggedAt < REFUSALS_TOLD_MILLISECONDS) {
+			before.refusals++;
+			return;
+		}
+
+		utils.setBounded(quiet, organisation, {loggedAt: context.now(), refusals: 0}, ORGANISATION_LABELS_MOST);
+		log.warn('Organisation over its allotment.', {
+			id,
+			service,
+			organisation,
+			ratePerSecond,
+			used: Math.round(used),
+			heardMillisecondsAgo: ageMilliseconds === undefined ? undefined : Math.round(ageMilliseconds),
+			retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
+			refusedBefore: before?.refusals ?? 0,
+		});
+	};
+}
--- a/packages/wagtailroute-fleet/src/ask-methods.ts
+++ b/packages/wagtailroute-fleet/src/ask-methods.ts
@@ -1,5 +1,5 @@
 /**
-The asks that come over the links of a dispatcher: each link's routes, and the host at its other end.
+The asks that come over the links of a dispatcher: each link's routes and organisations, and the host at its other end.
 */
 import type * as core from 'wagtailroute-core';
 import type * as dispatch from 'wagtailroute-dispatch';
@@ -7,6 +7,7 @@
 import {
 	type AskedRoute,
 	createAskId,
+	type OrganisationTelling,
 	restoreAsk,
 	type RouteTelling,
 	type ShortAnswer,
@@ -26,14 +27,15 @@
 };
 
 /**
-Creates the methods by which hosts ask. A host that was not greeted, or a route that was not told, is a defect of the asking
+Creates the methods by which hosts ask. A host that was not greeted, or a route or an organisation that was not told, is a defect of the asking
 host: the call fails, and the host dispatches alone.
 */
 export function createAskMethods(
 	dispatching: Dispatching,
 	findAsker: (from: link.Link) => Asker | undefined,
 ): Readonly<Record<string, link.LinkMethod>> {
-	const routes = new WeakMap<link.Link, Map<number, AskedRoute>>();
+	const routes = createLinkTable<AskedRoute>();
+	const organisations = createLinkTable<core.Organisation>();
 
 	const getAsker = (from: link.Link) => {
 		const asker = findAsker(from);
@@ -46,19 +48,23 @@
 
 	const restore = (ask: ShortAsk, from: link.Link): dispatch.Ask => {
 		const {id, failureDomain} = getAsker(from);
-		const route = routes.get(from)?.get(ask[1]);
-		if (route === undefined) {
-			throw new UnknownRoute();
+		const [, origin] = ask;
+		const [routeNumber, organisationNumber] = typeof origin === 'number' ? [origin, undefined] : origin;
+		const route = routes.get(from, routeNumber);
+		const organisation = organisationNumber === undefined ? undefined : organisations.get(from, organisationNumber);
+		if (route === undefined || (organisation === undefined && organisationNumber !== undefined)) {
+			throw new UnknownOrigin();
 		}
 
-		return restoreAsk(ask, {host: id, failureDomain}, route);
+		return restoreAsk(ask, {host: id, failureDomain, ...organisation !== undefined && {organisation}}, route);
 	};
 
 	return {
 		[METHODS.route]([number, route]: RouteTelling, from: link.Link) {
-			const told = routes.get(from) ?? new Map<number, AskedRoute>();
-			routes.set(from, told);
-			told.set(number, route);
+			routes.set(from, number, route);
+		},
+		[METHODS.organisation]([number, organisation]: OrganisationTelling, from: link.Link) {
+			organisations.set(from, number, organisation);
 		},
 		[METHODS.ask]: (ask: ShortAsk, from: link.Link): ShortAnswer => shortenAnswer(dispatching.ask(restore(ask, from))),
 		[METHODS.cancel]([ask]: readonly [number], from: link.Link) {
@@ -81,8 +87,28 @@
 }
 
 /**
-The route was not told over this link.
+The route or the organisation was not told over this link.
+*/
+class UnknownOrigin extends Error {
+	override readonly name = 'UnknownOrigin';
+}
+
+/**
+What was told over each link, by number.
 */
-class UnknownRoute extends Error {
-	override readonly name = 'UnknownRoute';
+type LinkTable<Item> = {
+	readonly get: (from: link.Link, number: number) => Item | undefined;
+	readonly set: (from: link.Link, number: number, item: Item) => void;
+};
+
+function createLinkTable<Item>(): LinkTable<Item> {
+	const told = new WeakMap<link.Link, Map<number, Item>>();
+	return {
+		get: (from, number) => told.get(from)?.get(number),
+		set(from, number, item) {
+			const items = told.get(from) ?? new Map<number, Item>();
+			told.set(from, items);
+			items.set(number, item);
+		},
+	};
 }
--- a/packages/wagtailroute-fleet/src/ask-wire.ts
+++ b/packages/wagtailroute-fleet/src/ask-wire.ts
@@ -22,10 +22,20 @@
 export type RouteTelling = readonly [number: number, route: AskedRoute];
 
 /**
-An ask: its number on the asking host, the number of its route, and the milliseconds until its deadline; for a resend the
+An organisation told to a dispatcher: its number on this link, and its name.
+*/
+export type OrganisationTelling = readonly [number: number, organisation: core.Organisation];
+
+/**
+The numbers of a route and, where the catalogue has organisations, of the caller's.
+*/
+export type AskOrigin = number | readonly [route: number, organisation: number];
+
+/**
+An ask: its number on the asking host, where it comes from, and the milliseconds until its deadline; for a resend the
 upstreams that had the request; for a caller that has waited, for how many milliseconds.
 */
-export type ShortAsk = readonly [ask: number, route: number, remaining: number, excluded?: readonly core.UpstreamId[], isResend?: boolean, isMove?: boolean, waited?: number];
+export type ShortAsk = readonly [ask: number, origin: AskOrigin, remaining: number, excluded?: readonly core.UpstreamId[], isResend?: boolean, isMove?: boolean, waited?: number];
 
 /**
 An answer: a granted upstream and its address, a refusal with the milliseconds until a resend makes sense, "wait", or "elsewhere".
@@ -56,26 +66,37 @@
 }
 
 /**
-Numbers the routes that were told over a link.
+Numbers what is told once over each link.
 */
-export type RouteNumbers = {
+export type LinkNumbers<Item> = {
 	/**
-	Returns the number of a route, and whether the other side must be told it first.
+	Returns the number of an item, and whether the other side must be told it first.
 	*/
-	readonly number: (over: link.Link, route: AskedRoute) => {readonly number: number; readonly isNew: boolean};
+	readonly number: (over: link.Link, item: Item) => {readonly number: number; readonly isNew: boolean};
 };
 
 /**
-Creates an empty table. A route that changed has a number of its own.
+Creates an empty table of routes. A route that changed has a number of its own.
 */
-export function createRouteNumbers(): RouteNumbers {
+export function createRouteNumbers(): LinkNumbers<AskedRoute> {
+	return createLinkNumbers(({service, route, requestClass, priority, objectiveMilliseconds}) =>
+		`${service} ${route} ${requestClass} ${priority} ${objectiveMilliseconds}`);
+}
+
+/**
+Creates an empty table of organisations.
+*/
+export function createOrganisationNumbers(): LinkNumbers<core.Organisation> {
+	return createLinkNumbers(organisation => organisation);
+}
+
+function createLinkNumbers<Item>(getKey: (item: Item) => string): LinkNumbers<Item> {
 	const told = new WeakMap<link.Link, Map<string, number>>();
 	return {
-		number(over, route) {
+		number(over, item) {
 			const numbers = told.get(over) ?? new Map<string, number>();
 			told.set(over, numbers);
-			const {service, requestClass, priority, objectiveMilliseconds} = route;
-			const key = `${service} ${route.route} ${requestClass} ${priority} ${objectiveMilliseconds}`;
+			const key = getKey(item);
 			const known = numbers.get(key);
 			if (known !== undefined) {
 				return {number: known, isNew: false};
@@ -100,12 +121,12 @@
 /**
 Shortens an ask.
 */
-export function shortenAsk(ask: dispatch.Ask, route: number): ShortAsk {
+export function shortenAsk(ask: dispatch.Ask, origin: AskOrigin): ShortAsk {
 	const remaining = Math.floor(ask.remainingMilliseconds);
 	const waited = Math.floor(ask.waitedMilliseconds);
 	return ask.isResend || ask.excluded.length > 0 || waited > 0
-		? [getAskNumber(ask.id), route, remaining, ask.excluded, ask.isResend, ask.isMove, waited]
-		: [getAskNumber(ask.id), route, remaining];
+		? [getAskNumber(ask.id), origin, remaining, ask.excluded, ask.isResend, ask.isMove, waited]
+		: [getAskNumber(ask.id), origin, remaining];
 }
 
 /**
@@ -113,7 +134,7 @@
 */
 export function restoreAsk(
 	[ask, , remainingMilliseconds, excluded = [], isResend = false, isMove = false, waitedMilliseconds = 0]: ShortAsk,
-	from: Pick<dispatch.Ask, 'host' | 'failureDomain'>,
+	from: Pick<dispatch.Ask, 'host' | 'failureDomain' | 'organisation'>,
 	route: AskedRoute,
 ): dispatch.Ask {
 	return {
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -15,10 +15,13 @@
 	UNKNOWN_SERVICE_MILLISECONDS,
 } from './constants.ts';
 import {
+	type AskOrigin,
 	createAskId,
+	createOrganisationNumbers,
 	createRouteNumbers,
 	getAskedRoute,
 	getAskNumber,
+	type OrganisationTelling,
 	restoreAnswer,
 	type RouteTelling,
 	type ShortAnswer,
@@ -125,6 +128,7 @@
 	readonly #held: HeldPlaces;
 	readonly #finder: DispatcherFinder;
 	readonly #routeNumbers = createRouteNumbers();
+	readonly #organisationNumbers = createOrganisationNumbers();
 	#count = 0;
 	#isProbing = false;
 
@@ -187,13 +191,26 @@
 	}
 
 	#shorten(over: link.Link, ask: dispatch.Ask): ShortAsk {
+		return shortenAsk(ask, this.#tellOrigin(over, ask));
+	}
+
+	#tellOrigin(over: link.Link, ask: dispatch.Ask): AskOrigin {
 		const route = getAskedRoute(ask);
 		const {number, isNew} = this.#routeNumbers.number(over, route);
 		if (isNew) {
 			over.notify(METHODS.route, [number, route] satisfies RouteTelling);
 		}
 
-		return shortenAsk(ask, number);
+		return ask.organisation === undefined ? number : [number, this.#tellOrganisation(over, ask.organisation)];
+	}
+
+	#tellOrganisation(over: link.Link, organisation: core.Organisation): number {
+		const {number, isNew} = this.#organisationNumbers.number(over, organisation);
+		if (isNew) {
+			over.notify(METHODS.organisation, [number, organisation] satisfies OrganisationTelling);
+		}
+
+		return number;
 	}
 
 	async #start(pending: Pending): Promise<void> {
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -314,3 +314,24 @@
 Milliseconds between two reports of the bytes over links, at the level debug.
 */
 export const REPORT_MILLISECONDS = 10_000;
+
+/**
+Milliseconds after its last ask for which an entry host counts among those that ask a dispatcher.
+*/
+export const ALLOTMENT_ASKER_MILLISECONDS = 1000;
+
+/**
+Entry hosts that a fleet is taken to have while a host was not told how many there are: one that dispatches alone may give out one part in so
+many of an allotment.
+*/
+export const UNKNOWN_ENTRY_HOSTS = 100;
+
+/**
+Organisations that have a label of their own in metrics, and whose refusals are collected between two log lines; the others count together.
+*/
+export const ORGANISATION_LABELS_MOST = 20;
+
+/**
+Milliseconds between two log lines about refusals of one organisation.
+*/
+export const REFUSALS_TOLD_MILLISECONDS = 1000;
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -8,6 +8,7 @@
 import * as link from 'wagtailroute-link';
 import * as results from 'ts-results-es';
 import * as utils from 'wagtailroute-utils';
+import {startAllotting} from './allotting.ts';
 import {startControlLinks} from './control-links.ts';
 import {createAskMethods} from './ask-methods.ts';
 import {createBeliefStore} from './belief-store.ts';
@@ -86,8 +87,17 @@
 		},
 		store: createInstanceStore(settings.dataFolder, context.logs('instances')),
 	});
+	const allotting = startAllotting(context, {
+		slack: settings.allotmentSlack ?? 0,
+		isTold: true,
+		countEntryHosts: () => entries.count(),
+		tellControls(method, parameters) {
+			links.notifyAll(method, parameters);
+		},
+	});
 	const dispatching = startDispatching(context, {
 		settings,
+		allotting,
 		listCandidates: registry.listCandidates,
 		listStandbys: service => orderDispatchers(service, standbys, host => host.id).slice(0, STANDBYS_TOLD).map(host => host.id),
 		notify(host, method, parameters) {
@@ -176,6 +186,7 @@
 		[messages.METHODS.beliefs](beliefs: readonly messages.Belief[]) {
 			dispatching.hearBeliefs(beliefs);
 		},
+		[messages.METHODS.use]: allotting.hearUse,
 		[messages.METHODS.probe]: () => ({}),
 		...createAskMethods(dispatching, entries.findByLink),
 	});
@@ -202,6 +213,7 @@
 		onGeneration(generation) {
 			log.info('Generation in force.', {version: generation.version, routes: generation.routes.length});
 			directory.setGeneration(generation);
+			allotting.setOrganisations(generation.organisations);
 			entries.notifyAll(messages.METHODS.generationVersion, {version: generation.version});
 		},
 		onRetired(retirements) {
--- a/packages/wagtailroute-fleet/src/directory-table.ts
+++ b/packages/wagtailroute-fleet/src/directory-table.ts
@@ -42,3 +42,10 @@
 	const near = addresses[detour?.to ?? failureDomain] ?? [];
 	return near.length > 0 ? near : Object.values(addresses).flat();
 }
+
+/**
+Counts the entry hosts that callers are told of.
+*/
+export function countAddresses({addresses}: DirectoryTable): number {
+	return Object.values(addresses).reduce((sum, {length}) => sum + length, 0);
+}
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -7,6 +7,7 @@
 import * as utils from 'wagtailroute-utils';
 import {ASKER_MILLISECONDS, BELIEF_NEWS_MILLISECONDS, DISPATCH_TICK_MILLISECONDS} from './constants.ts';
 import {getAskNumber, shortenAnswer} from './ask-wire.ts';
+import type {Allotting} from './allotting.ts';
 import type {FleetContext} from './context.ts';
 import {
 	type AskAnswer,
@@ -58,6 +59,10 @@
 */
 export type DispatchingPlan = {
 	readonly settings: Pick<FleetSettings, 'budget' | 'floor' | 'policy'>;
+	/**
+	Absent: nothing bounds what an organisation sends.
+	*/
+	readonly allotting?: Pick<Allotting, 'admit' | 'giveBack'>;
 	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
 	/**
 	Returns the entry hosts that are told what this dispatcher believes although they send no requests of the service: they are next.
@@ -124,6 +129,7 @@
 	const effects: Effects = {
 		grant: tell,
 		refuse(effect) {
+			giveBack(effect.ask);
 			logRefusal(effect);
 			tell(effect);
 		},
@@ -160,6 +166,15 @@
 		});
 	};
 
+	/**
+	What an ask took from its organisation's allotment comes back when it is granted nothing. A resend took nothing.
+	*/
+	const giveBack = (ask: dispatch.Ask) => {
+		if (!ask.isResend && !ask.isMove) {
+			plan.allotting?.giveBack(ask);
+		}
+	};
+
 	const noteAsker = ({service, host}: dispatch.Ask) => {
 		const hosts = askers.get(service) ?? new Map<core.HostId, number>();
 		askers.set(service, hosts);
@@ -224,6 +239,12 @@
 				return {kind: 'elsewhere'};
 			}
 
+			const isFirst = !ask.isResend && !ask.isMove;
+			const overdrawn = isFirst ? plan.allotting?.admit(ask) : undefined;
+			if (overdrawn !== undefined) {
+				return overdrawn;
+			}
+
 			const list = dispatcher.ask(ask, now());
 			const own = list.find(effect => effect.kind !== 'believe' && effect.ask.id === ask.id);
 			carryOut(list.filter(effect => effect !== own));
@@ -233,13 +254,17 @@
 			}
 
 			if (own.kind === 'refuse') {
+				giveBack(ask);
 				logRefusal(own);
 			}
 
 			return toAnswer(own);
 		},
 		cancel(id) {
-			dispatcher.cancel(id);
+			const withdrawn = dispatcher.cancel(id);
+			if (withdrawn !== undefined) {
+				giveBack(withdrawn);
+			}
 		},
 		end({id, ending, milliseconds}) {
 			metrics.count('ends', {ending});
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -9,6 +9,7 @@
 import * as utils from 'wagtailroute-utils';
 import type {ShortAnswer} from './ask-wire.ts';
 import {createAskMethods} from './ask-methods.ts';
+import {startAllotting} from './allotting.ts';
 import {createAskers} from './askers.ts';
 import {createAsking} from './asking.ts';
 import {createBeginning} from './beginning.ts';
@@ -22,7 +23,12 @@
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
 import {startControlLinks} from './control-links.ts';
-import {type DirectoryTable, EMPTY_TABLE, lookUp} from './directory-table.ts';
+import {
+	countAddresses,
+	type DirectoryTable,
+	EMPTY_TABLE,
+	lookUp,
+} from './directory-table.ts';
 import {startDispatching} from './dispatching.ts';
 import {createKnowledge} from './knowledge.ts';
 import {startLoadMeter} from './load.ts';
@@ -63,7 +69,8 @@
 	const knowledge = createKnowledge(context, {
 		failureDomain: settings.failureDomain,
 		getOpen: () => links.getOpen(),
-		onGeneration() {
+		onGeneration({organisations}) {
+			allotting.setOrganisations(organisations);
 			tellState();
 			beginning.look();
 		},
@@ -112,9 +119,18 @@
 		directory = Object.keys(table.addresses).length > 0 ? table : directory;
 	};
 
+	const allotting = startAllotting(context, {
+		slack: settings.allotmentSlack ?? 0,
+		isTold: false,
+		countEntryHosts: () => countAddresses(directory),
+		tellControls(method, parameters) {
+			links.notifyAll(method, parameters);
+		},
+	});
 	const askers = createAskers();
 	const own = startDispatching(context, {
 		settings: {...settings, budget: {...settings.budget, extra: STANDBY_EXTRA_RESENDS}},
+		allotting,
 		listCandidates: knowledge.listCandidates,
 		listStandbys: () => [],
 		notify(host, method, parameters) {
@@ -278,6 +294,7 @@
 			request: note.requestId,
 			service,
 			class: note.requestClass,
+			organisation: note.organisation,
 			outcome,
 			status,
 			milliseconds: Math.round(milliseconds),
--- a/packages/wagtailroute-fleet/src/knowledge.ts
+++ b/packages/wagtailroute-fleet/src/knowledge.ts
@@ -26,6 +26,7 @@
 export type Knowledge = {
 	readonly getGeneration: () => generations.Generation | undefined;
 	readonly findRoute: generations.RouteFinder;
+	readonly findOrganisation: generations.KeyFinder;
 	readonly findService: (name: core.ServiceName) => generations.GenerationService | undefined;
 	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
 	readonly isRetired: (upstream: core.UpstreamId) => boolean;
@@ -59,6 +60,7 @@
 type State = {
 	generation: generations.Generation | undefined;
 	findRoute: generations.RouteFinder;
+	findOrganisation: generations.KeyFinder;
 	services: ReadonlyMap<core.ServiceName, generations.GenerationService>;
 	/**
 	Highest version heard, by the control hosts that told it.
@@ -80,6 +82,7 @@
 	const state: State = {
 		generation: undefined,
 		findRoute: () => undefined,
+		findOrganisation: () => undefined,
 		services: new Map(),
 		wantedVersion: 0,
 		holders: new Set(),
@@ -99,6 +102,7 @@
 
 		state.generation = generation;
 		state.findRoute = generations.createRouteFinder(generation);
+		state.findOrganisation = generations.createKeyFinder(generation);
 		state.services = new Map(generation.services.map(service => [service.name, service]));
 		log.info('Generation in force.', {version: generation.version, routes: generation.routes.length});
 		plan.onGeneration(generation);
@@ -191,6 +195,7 @@
 	return {
 		getGeneration: () => state.generation,
 		findRoute: (host, path) => state.findRoute(host, path),
+		findOrganisation: key => state.findOrganisation(key),
 		findService: name => state.services.get(name),
 		// Silence is told by control hosts only: what follows one of them hears of changes, not of heartbeats.
 		listCandidates: service => table.list(service).map(instance => toCandidate(instance, false)),
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -1,6 +1,7 @@
 /**
 What an entry host holds for a request of a route: its limits, and the attempts that a dispatcher gives it places for.
 */
+import type * as core from 'wagtailroute-core';
 import type * as dispatch from 'wagtailroute-dispatch';
 import * as generations from 'wagtailroute-generations';
 import * as proxy from 'wagtailroute-proxy';
@@ -20,7 +21,7 @@
 What routing needs.
 */
 export type RoutingPlan = {
-	readonly knowledge: Pick<Knowledge, 'getGeneration' | 'findRoute' | 'findService' | 'listCandidates'>;
+	readonly knowledge: Pick<Knowledge, 'getGeneration' | 'findRoute' | 'findOrganisation' | 'findService' | 'listCandidates'>;
 	readonly asking: Asking;
 };
 
@@ -32,6 +33,21 @@
 	Milliseconds that the caller waited before this host heard of it.
 	*/
 	readonly waitedMilliseconds: number;
+	readonly caller: Caller;
+};
+
+/**
+Who calls, where the catalogue has organisations.
+*/
+type Caller = {
+	/**
+	Empty on a route that needs no key.
+	*/
+	readonly organisation?: core.Organisation;
+	/**
+	Rank of the request, 0 is the highest.
+	*/
+	readonly priority: number;
 };
 
 /**
@@ -43,7 +59,7 @@
 	const usualTimes = createUsualTimes();
 	const callerTimes = createCallerTimes();
 
-	return ({host, path, method, timeoutMilliseconds}) => {
+	return ({host, path, method, timeoutMilliseconds, key}) => {
 		const generation = knowledge.getGeneration();
 		if (generation === undefined) {
 			return proxy.createRequestFailure('no-upstream', 'This host has no catalogue yet.', NO_GENERATION_MILLISECONDS);
@@ -54,22 +70,46 @@
 			return proxy.createRequestFailure('route-unknown', `No service has a route for ${method} ${host}${path}.`);
 		}
 
+		const caller = identifyCaller(plan, {generation, route, key});
+		if ('kind' in caller) {
+			return caller;
+		}
+
 		const service = knowledge.findService(chooseShare(route))!;
 		const routeContext: RouteContext = {
-			route, service, bodyBytes: generation.limits.bodyBytes, waitedMilliseconds: callerTimes.guessWaited(route, timeoutMilliseconds),
+			route, service, bodyBytes: generation.limits.bodyBytes, waitedMilliseconds: callerTimes.guessWaited(route, timeoutMilliseconds), caller,
 		};
 		return {
 			match: {service: service.name, route: {class: route.class}},
+			organisation: caller.organisation,
 			service: createPort(context, plan, {...routeContext, usualTimes}),
 		};
 	};
 }
 
+const UNKNOWN_KEY = proxy.createRequestFailure('key-unknown', 'No organisation holds the key of the request.');
+
+/**
+Finds who calls by the key that was sent. A key that is unknown here is refused before anything else is done for the request: it may have been taken away
+from its organisation.
+*/
+function identifyCaller(
+	{knowledge}: RoutingPlan,
+	{generation, route, key}: {readonly generation: generations.Generation; readonly route: generations.GenerationRoute; readonly key?: string},
+): Caller | proxy.RequestFailure {
+	if (generation.organisations === undefined) {
+		return {priority: route.priority};
+	}
+
+	const organisation = key === undefined ? undefined : knowledge.findOrganisation(key);
+	return organisation === undefined && route.isPublic !== true ? UNKNOWN_KEY : {organisation: organisation?.name ?? '', priority: organisation?.priority ?? route.priority};
+}
+
 function createPort(
 	context: FleetContext,
 	{knowledge, asking}: RoutingPlan,
 	{
-		route, service, bodyBytes, usualTimes, waitedMilliseconds,
+		route, service, bodyBytes, usualTimes, waitedMilliseconds, caller: {organisation, priority},
 	}: RouteContext & {readonly usualTimes: UsualTimes},
 ): proxy.ServicePort {
 	const granted = new Map<proxy.Target, dispatch.AskId>();
@@ -78,7 +118,9 @@
 		service: service.name,
 		route: route.name,
 		requestClass: route.class,
-		priority: route.priority,
+		priority,
+		// Nobody's allotment counts for a request without an organisation.
+		...organisation !== undefined && organisation !== '' && {organisation},
 		remainingMilliseconds: choice.remainingMilliseconds,
 		objectiveMilliseconds: route.objectiveMilliseconds,
 		excluded: [...choice.excluded],
@@ -141,6 +183,7 @@
 const REFUSALS: Readonly<Record<dispatch.RefusalReason, Refusal>> = {
 	'no-upstream': retryAfter => proxy.createRequestFailure('no-upstream', 'No backend server of the service can take the request.', retryAfter),
 	'no-slot-in-time': retryAfter => proxy.createRequestFailure('queue-timeout', 'No slot comes free in time.', retryAfter),
+	allotment: retryAfter => proxy.createRequestFailure('rate-limited', 'The organisation has used its allotment.', retryAfter),
 	budget: retryAfter => proxy.createRequestFailure('limit-reached', 'The budget of resends is used up.', retryAfter),
 };
 
--- a/packages/wagtailroute-fleet/src/settings.ts
+++ b/packages/wagtailroute-fleet/src/settings.ts
@@ -40,6 +40,10 @@
 	*/
 	readonly floor: number;
 	/**
+	Requests of an organisation that may pass in a window beyond its allotment; 0 when absent.
+	*/
+	readonly allotmentSlack?: number;
+	/**
 	How dispatchers decide; the default policy when absent.
 	*/
 	readonly policy?: dispatch.Policy;
--- a/packages/wagtailroute-generations/src/__tests__/unit/generations.test.ts
+++ b/packages/wagtailroute-generations/src/__tests__/unit/generations.test.ts
@@ -54,6 +54,69 @@
 	});
 }
 
+const ORGANISATION: generations.GenerationOrganisation = {
+	name: 'parish', keys: ['k1', 'k2'], ratePerSecond: 10, burst: 5,
+};
+
+type OrganisationCase = {
+	readonly name: string;
+	readonly organisations: ReadonlyArray<Partial<Record<keyof generations.GenerationOrganisation, unknown>>>;
+	readonly kind: generations.GenerationFailure['kind'];
+};
+
+const INVALID_ORGANISATIONS: readonly OrganisationCase[] = [
+	{name: 'a key held by two', organisations: [{}, {name: 'other', keys: ['k2']}], kind: 'key-conflict'},
+	{name: 'a name twice', organisations: [{}, {keys: ['k3']}], kind: 'organisation-conflict'},
+	{name: 'an empty name', organisations: [{name: ''}], kind: 'generation-malformed'},
+	{name: 'an empty key', organisations: [{keys: ['']}], kind: 'generation-malformed'},
+	{name: 'keys that are no list', organisations: [{keys: 'k1'}], kind: 'generation-malformed'},
+	{name: 'a rate below 0', organisations: [{ratePerSecond: -1}], kind: 'generation-malformed'},
+	{name: 'a burst below 0', organisations: [{burst: -0.5}], kind: 'generation-malformed'},
+	{name: 'a rate that is no number', organisations: [{ratePerSecond: NaN}], kind: 'generation-malformed'},
+	{name: 'a rank that is no whole number', organisations: [{priority: 1.5}], kind: 'generation-malformed'},
+];
+
+for (const {name, organisations, kind} of INVALID_ORGANISATIONS) {
+	test(`refuses ${name}, and tells no key`, t => {
+		const value = {...GENERATION, organisations: organisations.map(organisation => ({...ORGANISATION, ...organisation}))};
+		const failure = generations.parseGeneration(value).unwrapErr();
+		t.is(failure.kind, kind);
+		t.notRegex(failure.message, /k[123]/v);
+	});
+}
+
+const KEYS = [
+	{key: 'k1', found: 'parish'},
+	{key: 'k2', found: 'parish'},
+	{key: 'K1', found: undefined},
+	{key: 'k', found: undefined},
+	{key: 'k11', found: undefined},
+	{key: '', found: undefined},
+	{key: 'other', found: 'archive friends'},
+	{key: '__proto__', found: undefined},
+] as const;
+
+for (const {key, found} of KEYS) {
+	test(`the key '${key}' belongs to ${String(found)}`, t => {
+		const find = generations.createKeyFinder({organisations: [ORGANISATION, {...ORGANISATION, name: 'archive friends', keys: ['other']}]});
+		t.is(find(key)?.name, found);
+	});
+}
+
+test('a generation without organisations holds no key', t => {
+	t.is(generations.createKeyFinder({})('k1'), undefined);
+});
+
+test('a snapshot of the version before organisations is taken up', t => {
+	// Symptom: after an upgrade the control hosts have no catalogue. Sequence: the old version keeps a generation without organisations, the new
+	// one starts from its disk. Cause: a field that only the new version writes is needed to read.
+	const replicated = generations.createReplicatedGenerations();
+	replicated.restoreSnapshot({stored: {generation: GENERATION, document: '{}'}, retirements: []});
+	t.deepEqual(generations.parseGeneration(replicated.getStored()?.generation).unwrap(), GENERATION);
+	replicated.apply({name: 'put', stored: {generation: {...GENERATION, version: 2, organisations: [ORGANISATION]}, document: '{}'}});
+	t.deepEqual(replicated.getStored()?.generation.organisations, [ORGANISATION]);
+});
+
 test('takes a valid generation and passes over unknown fields', t => {
 	t.deepEqual(generations.parseGeneration({...GENERATION, extra: 1}).unwrap(), GENERATION);
 });
--- a/packages/wagtailroute-generations/src/generation.ts
+++ b/packages/wagtailroute-generations/src/generation.ts
@@ -38,6 +38,27 @@
 	*/
 	attempts: zod.int().min(1),
 	shares: zod.array(shareSchema).min(1),
+	/**
+	Whoever calls needs no key, also where the generation has organisations.
+	*/
+	isPublic: zod.boolean().optional(),
+});
+
+const organisationSchema = zod.object({
+	name: zod.string().min(1),
+	keys: zod.array(zod.string().min(1)),
+	/**
+	Rank of its requests, which goes before that of their route; absent: that of the route.
+	*/
+	priority: zod.int().optional(),
+	/**
+	Requests a second over the whole fleet, 0 for no limit.
+	*/
+	ratePerSecond: zod.number().nonnegative(),
+	/**
+	Requests beyond the rate that may come at once.
+	*/
+	burst: zod.number().nonnegative(),
 });
 
 const serviceSchema = zod.object({
@@ -57,6 +78,10 @@
 	version: zod.int().nonnegative(),
 	routes: zod.array(routeSchema),
 	services: zod.array(serviceSchema),
+	/**
+	Absent: requests need no key.
+	*/
+	organisations: zod.array(organisationSchema).optional(),
 	limits: callerLimitsSchema,
 });
 
@@ -75,6 +100,11 @@
 */
 export type GenerationService = zod.output<typeof serviceSchema>;
 
+/**
+An organisation whose members call, by the keys that they send.
+*/
+export type GenerationOrganisation = zod.output<typeof organisationSchema>;
+
 /**
 What a caller may send, and how long it may take or stay idle.
 */
@@ -88,7 +118,7 @@
 /**
 Why a generation was refused. Nothing was changed.
 */
-export type GenerationFailure = core.Failure<'generation-malformed' | 'service-unknown' | 'route-conflict' | 'weights-empty'>;
+export type GenerationFailure = core.Failure<'generation-malformed' | 'service-unknown' | 'route-conflict' | 'weights-empty' | 'organisation-conflict' | 'key-conflict'>;
 
 /**
 Checks a value that claims to be a generation.
@@ -100,7 +130,7 @@
 		return results.Err(core.createFailure('generation-malformed', `${issue.path.join('.')}: ${issue.message}`));
 	}
 
-	const failure = findUnknownService(parsed.data) ?? findEmptyWeights(parsed.data) ?? findConflict(parsed.data);
+	const failure = findUnknownService(parsed.data) ?? findEmptyWeights(parsed.data) ?? findConflict(parsed.data) ?? findSharedKey(parsed.data);
 	return failure === undefined ? results.Ok(parsed.data) : results.Err(failure);
 }
 
@@ -134,3 +164,28 @@
 
 	return undefined;
 }
+
+/**
+A key that two organisations hold would let one act as the other. The failure does not tell the key.
+*/
+function findSharedKey({organisations = []}: Generation): GenerationFailure | undefined {
+	const names = new Set<string>();
+	const holders = new Map<string, string>();
+	for (const {name, keys} of organisations) {
+		if (names.has(name)) {
+			return core.createFailure('organisation-conflict', `Two organisations have the name ${name}.`);
+		}
+
+		names.add(name);
+		for (const key of keys) {
+			const holder = holders.get(key) ?? name;
+			if (holder !== name) {
+				return core.createFailure('key-conflict', `The organisations ${holder} and ${name} share a key.`);
+			}
+
+			holders.set(key, name);
+		}
+	}
+
+	return undefined;
+}
--- a/packages/wagtailroute-generations/src/index.ts
+++ b/packages/wagtailroute-generations/src/index.ts
@@ -5,12 +5,14 @@
 	type CallerLimits,
 	type Generation,
 	type GenerationFailure,
+	type GenerationOrganisation,
 	type GenerationRoute,
 	type GenerationService,
 	parseGeneration,
 	type Share,
 } from './generation.ts';
 export {RETIREMENTS_KEPT} from './constants.ts';
+export {createKeyFinder, type KeyFinder} from './key-finder.ts';
 export {createRouteFinder, type RouteFinder} from './route-finder.ts';
 export {createShareChooser, type ShareChooser} from './shares.ts';
 export {
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -358,6 +358,7 @@
 				knowledge: {
 					getGeneration: () => this.#generation,
 					findRoute: (_host, path) => this.#generation.routes.find(({name}) => `/${name}` === path),
+					findOrganisation: () => undefined,
 					findService: name => this.#generation.services.find(service => service.name === name),
 					listCandidates,
 				},
--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -35,6 +35,10 @@
 	readonly arrivedAt: number;
 	readonly match: ports.Match;
 	readonly service: ports.ServicePort;
+	/**
+	See `RoutedRequest`.
+	*/
+	readonly organisation?: core.Organisation;
 };
 
 /**
@@ -235,7 +239,7 @@
 	}
 
 	#finish(conclusion: Conclusion): void {
-		const {response, match, request, ports: {dialect, note, now, random}} = this.#context;
+		const {response, match, request, organisation, ports: {dialect, note, now, random}} = this.#context;
 		const told = conclusion === undefined ? undefined : retries.getRequestFailure(conclusion.kind);
 		if (conclusion !== undefined) {
 			answers.answerFailure(response, () => dialect.createProblem(conclusion, random));
@@ -245,6 +249,7 @@
 			requestId: request.id,
 			service: match.service,
 			requestClass: match.route.class,
+			organisation,
 			attempts: this.#sending.getCount(),
 			upstream: this.#sending.lastUpstream,
 			choosingMilliseconds: this.#sending.choosingMilliseconds,
--- a/packages/wagtailroute-proxy/src/headers.ts
+++ b/packages/wagtailroute-proxy/src/headers.ts
@@ -55,6 +55,10 @@
 	*/
 	readonly instance?: string;
 	/**
+	Organisation of the caller as the catalogue tells it, empty on a route that needs no key; absent where the catalogue has no organisations.
+	*/
+	readonly organisation?: string;
+	/**
 	This host's name when it forwards to a carrier instead of sending to a backend server.
 	*/
 	readonly forwardedBy?: string;
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -182,6 +182,10 @@
 export type RoutedRequest = {
 	readonly match: Match;
 	readonly service: ServicePort;
+	/**
+	Organisation of the caller as the catalogue tells it, empty on a route that needs no key; absent where the catalogue has no organisations.
+	*/
+	readonly organisation?: core.Organisation;
 };
 
 /**
@@ -363,6 +367,7 @@
 	readonly requestId?: string;
 	readonly service: core.ServiceName;
 	readonly requestClass: core.RequestClass;
+	readonly organisation?: core.Organisation;
 	/**
 	Attempts made, and the target of the last one.
 	*/
--- a/packages/wagtailroute-proxy/src/requests.ts
+++ b/packages/wagtailroute-proxy/src/requests.ts
@@ -38,7 +38,14 @@
 	Host name without its port, in lower case.
 	*/
 	readonly host: string;
+	/**
+	Empty where it follows from the key.
+	*/
 	readonly organisation: core.Organisation;
+	/**
+	The secret by which the caller proves its organisation. It goes to no log and no backend server.
+	*/
+	readonly key?: string;
 	readonly idempotencyKey?: string;
 	/**
 	The caller's own deadline in milliseconds from arrival.
--- a/packages/wagtailroute-proxy/src/sending.ts
+++ b/packages/wagtailroute-proxy/src/sending.ts
@@ -30,6 +30,10 @@
 	readonly request: requests.CallerRequest;
 	readonly match: ports.Match;
 	readonly service: ports.ServicePort;
+	/**
+	See `RoutedRequest`.
+	*/
+	readonly organisation?: core.Organisation;
 };
 
 /**
@@ -276,7 +280,7 @@
 	}
 
 	#createPlan(target: ports.Target, onAnswered: () => void): attempts.AttemptPlan {
-		const {service, request, message, response, ports: {dialect, hostId}} = this.#context;
+		const {service, request, organisation, message, response, ports: {dialect, hostId}} = this.#context;
 		const body = this.#body!;
 		const pool = this.#context.connections.getPool(target.address, service.limits.connectionsPerUpstream);
 		return {
@@ -288,6 +292,7 @@
 				instance: target.id,
 				remainingMilliseconds: this.#getRemaining(),
 				contentLength: body.rest === undefined ? undefined : request.contentLength,
+				organisation,
 				forwardedBy: target.kind === 'host' ? hostId : undefined,
 				retry: this.#count > 1 ? String(this.#count - 1) : request.tierRetry,
 			}),
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -172,6 +172,7 @@
 		arrivedAt,
 		match: routed.match,
 		service: routed.service,
+		organisation: routed.organisation,
 	});
 	return undefined;
 }
--- a/packages/wagtailroute-retries/src/request-failures.ts
+++ b/packages/wagtailroute-retries/src/request-failures.ts
@@ -84,6 +84,7 @@
 	'malformed-request': refuse('receiving', [400, 'http_request_error'], 'The request is malformed'),
 	'header-too-large': refuse('receiving', [431, 'http_request_error'], 'The header section is too large'),
 	'route-unknown': refuse('receiving', [404, 'destination_not_found'], 'No service has this route'),
+	'key-unknown': refuse('receiving', [401, 'http_request_denied'], 'No organisation holds the key'),
 	'body-too-large': refuse('receiving', [413, 'http_request_error'], 'The body is larger than the limit'),
 	'body-cut-by-caller': refuse('receiving', [400, 'http_request_error'], 'The body ended early'),
 	'idempotency-key-missing': refuse('receiving', [400, 'http_request_error'], 'This route requires an Idempotency-Key'),
