Take news of use as of when they were told

Ruled out: the organisation that floods (begins at 11.6 s, and is one of 85).

News carry the clock of their sender; the difference of the clocks is the shortest way that a message ever took. What two dispatchers may owe each other is bounded.

--- a/packages/wagtailroute-allotments/src/account.ts
+++ b/packages/wagtailroute-allotments/src/account.ts
@@ -4,7 +4,7 @@
 */
 import * as admission from 'wagtailroute-admission';
 import type * as core from 'wagtailroute-core';
-import {USE_MEMORY_MILLISECONDS} from './constants.ts';
+import {UNTOLD_MOST, UNTOLD_SECONDS, USE_MEMORY_MILLISECONDS} from './constants.ts';
 
 /**
 Requests that an organisation may send, over the whole fleet.
@@ -84,10 +84,12 @@
 	}
 
 	/**
-	Takes what another dispatcher tells that it admitted.
+	Takes what another dispatcher tells that it admitted. What is owed is bounded by what both can have admitted before they heard of each other: news that
+	were held up come together, and each dispatcher has kept to the allotment by itself.
 	*/
-	hearUse(service: core.ServiceName, requests: number, now: number): void {
-		this.#take(requests, now);
+	hearUse(service: core.ServiceName, requests: number, at: number): void {
+		const most = (getRate(this.#allotment, this.#extent) * UNTOLD_SECONDS * 2) + UNTOLD_MOST;
+		this.#take(Math.min(requests, this.#bucket.getTokens(at) + most), at);
 		add(this.#uses, service, requests);
 	}
 
@@ -136,8 +138,8 @@
 	}
 
 	#fade(now: number): void {
-		const factor = Math.exp((this.#fadedAt - now) / USE_MEMORY_MILLISECONDS);
-		this.#fadedAt = now;
+		const factor = Math.exp(Math.min(0, this.#fadedAt - now) / USE_MEMORY_MILLISECONDS);
+		this.#fadedAt = Math.max(this.#fadedAt, now);
 		this.#used *= factor;
 		for (const [service, use] of this.#uses) {
 			this.#uses.set(service, use * factor);
--- a/packages/wagtailroute-allotments/src/allotments.ts
+++ b/packages/wagtailroute-allotments/src/allotments.ts
@@ -25,6 +25,7 @@
 	FRESH_MILLISECONDS,
 	MILLISECONDS_PER_SECOND,
 	SILENT_MILLISECONDS,
+	SILENT_PART,
 	SLACK_PART,
 	UNTOLD_MOST,
 	UNTOLD_SECONDS,
@@ -39,6 +40,10 @@
 What a dispatcher tells the others. A service without use is named all the same: its dispatcher can be heard.
 */
 export type UseNews = {
+	/**
+	Clock of the dispatcher that tells it.
+	*/
+	readonly at: number;
 	readonly services: readonly core.ServiceName[];
 	readonly uses: readonly Use[];
 };
@@ -91,7 +96,10 @@
 	Gives back what was taken for a request that was sent nowhere and never will be.
 	*/
 	readonly giveBack: (organisation: core.Organisation, service: core.ServiceName, now: number) => void;
-	readonly hearUse: (news: UseNews, now: number) => void;
+	/**
+	@param at When it was told, by this dispatcher's clock. A host that stood still hears of seconds at once: taken as of now, they would use up all accounts.
+	*/
+	readonly hearUse: (news: UseNews, time: {readonly at: number; readonly now: number}) => void;
 	/**
 	Returns what was not told yet, undefined when this dispatcher speaks for no service.
 	*/
@@ -218,7 +226,7 @@
 		this.#noteUntold(service, organisation, -1);
 	}
 
-	hearUse({services, uses}: UseNews, now: number): void {
+	hearUse({services, uses}: UseNews, {at, now}: {readonly at: number; readonly now: number}): void {
 		this.#lastHeardAt = now;
 		for (const service of services) {
 			this.#heardAt.set(service, now);
@@ -231,7 +239,7 @@
 		for (const [service, organisation, requests] of uses) {
 			const allotment = this.#allotments.get(organisation);
 			if (allotment !== undefined) {
-				this.#getAccount(allotment, now).hearUse(service, requests, now);
+				this.#getAccount(allotment, now).hearUse(service, requests, at);
 			}
 		}
 	}
@@ -243,7 +251,7 @@
 			.filter(use => use[2] !== 0)
 			.toArray();
 		this.#untold.clear();
-		return services.length === 0 && uses.length === 0 ? undefined : {services, uses};
+		return services.length === 0 && uses.length === 0 ? undefined : {at: now, services, uses};
 	}
 
 	report(now: number, most: number): readonly AllotmentReport[] {
@@ -308,7 +316,7 @@
 	#getExtent(account: Account, now: number): Extent {
 		const full = this.#getFullExtent(now);
 		const silent = this.#listSilent(now, SILENT_MILLISECONDS);
-		return silent.size === 0 ? full : {...full, part: full.part * (1 - account.getPart(silent))};
+		return silent.size === 0 ? full : {...full, part: full.part * (1 - account.getPart(silent)) * SILENT_PART};
 	}
 
 	#settle(): void {
--- a/packages/wagtailroute-allotments/src/constants.ts
+++ b/packages/wagtailroute-allotments/src/constants.ts
@@ -19,6 +19,11 @@
 */
 export const SILENT_MILLISECONDS = 500;
 
+/**
+Part of what is left to a dispatcher that misses the news of a service: both sides of a cut gave out the whole rate until they noticed it.
+*/
+export const SILENT_PART = 0.9;
+
 /**
 Milliseconds without news of a service after which it is no longer learned who uses how much of an allotment. Both sides of a cut must remember the
 same, or the parts that they give out add up to more than the whole.
--- a/packages/wagtailroute-allotments/src/index.ts
+++ b/packages/wagtailroute-allotments/src/index.ts
@@ -11,4 +11,5 @@
 	type Use,
 	type UseNews,
 } from './allotments.ts';
+export {createSenderClocks, type SenderClocks} from './sender-clocks.ts';
 export {TELL_MILLISECONDS} from './constants.ts';
--- a/packages/wagtailroute-fleet/src/allotting.ts
+++ b/packages/wagtailroute-fleet/src/allotting.ts
@@ -5,6 +5,7 @@
 import type * as core from 'wagtailroute-core';
 import type * as dispatch from 'wagtailroute-dispatch';
 import type * as generations from 'wagtailroute-generations';
+import type * as link from 'wagtailroute-link';
 import * as utils from 'wagtailroute-utils';
 import {
 	ALLOTMENT_ASKER_MILLISECONDS,
@@ -28,7 +29,7 @@
 	Gives back what was taken for an ask that was granted no place.
 	*/
 	readonly giveBack: (ask: dispatch.Ask) => void;
-	readonly hearUse: (news: allotments.UseNews) => void;
+	readonly hearUse: (news: allotments.UseNews, from: link.Link) => void;
 };
 
 /**
@@ -70,6 +71,7 @@
 		random: context.random,
 		getPart: time => plan.isTold ? 1 : getPart(time),
 	}, now());
+	const clocks = allotments.createSenderClocks();
 	const noteRefusal = createRefusalLog(context);
 
 	const tell = () => {
@@ -114,8 +116,8 @@
 				ledger.giveBack(organisation, service, now());
 			}
 		},
-		hearUse(news) {
-			ledger.hearUse(news, now());
+		hearUse(news, from) {
+			ledger.hearUse(news, {at: clocks.convert(from, news.at, now()), now: now()});
 		},
 	};
 }
