Pace large bodies on slow links

Cause: on links of 2.73 Mbit/s an upload of 60 to 360 KB holds a host's link for 0.2 to 1 s in each direction, and asks, their answers and all other requests of that host wait behind it. Ruled out: the control hosts (their answers were under way).

Large bodies are read and sent on in pieces of 8 KiB at 0.7 of the link; links of 100 Mbit/s and more are left as they are.

--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -247,6 +247,7 @@
 		note: createNoting(context),
 	});
 	opened.traffic = traffic;
+		paces: proxy.createPaces(settings.linkBytesPerSecond, context.now),
 	context.metrics.registerGauge('requests_in_flight', traffic.getInFlight);
 	context.metrics.registerGauge('generation_version', () => knowledge.getGeneration()?.version ?? 0);
 	log.info('Host started.', {traffic: core.formatAddress(settings.trafficAddress), seeds: settings.seeds.map(seed => seed.id)});
--- /dev/null
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/pace.test.ts
@@ -0,0 +1,61 @@
+/**
+Tests of the pace of large bodies on slow links.
+
+Symptom: requests of a host are late, and it leaves dispatchers that are well. Sequence: a caller uploads a large body; its bytes fill the host's link for
+a second; an ask and its answer wait behind them for longer than a dispatcher may take. Cause: a body passes as fast as the link takes it.
+*/
+import * as buffer from 'node:buffer';
+import test from 'ava';
+import * as bodies from '../../bodies.ts';
+import * as proxy from '../../index.ts';
+
+test('what passes at once takes no more of the link than its part', t => {
+	let now = 0;
+	const pace = proxy.createPace(100_000, () => now);
+	let passed = 0;
+	while (now < 10_000) {
+		passed += 8192;
+		const wait = pace.pass(8192);
+		now += wait === 0 ? 1 : wait;
+	}
+
+	t.true(passed <= 1_000_000 + (2 * 8192), String(passed));
+	t.true(passed >= 950_000, String(passed));
+});
+
+test('a small body waits for nothing, and a pause is not saved up', t => {
+	let now = 0;
+	const pace = proxy.createPace(100_000, () => now);
+	t.is(pace.pass(4096), 0);
+	now = 60_000;
+	t.is(pace.pass(8192), 0);
+	t.true(pace.pass(8192) > 0);
+});
+
+const LINKS = [
+	{name: 'a link of 2.73 Mbit/s', bytesPerSecond: 341_250, isPaced: true},
+	{name: 'a link of 1,000 Mbit/s', bytesPerSecond: 125_000_000, isPaced: false},
+] as const;
+
+for (const {name, bytesPerSecond, isPaced} of LINKS) {
+	test(`${name} ${isPaced ? 'is' : 'is not'} paced`, t => {
+		t.is(proxy.createPaces(bytesPerSecond, () => 0) !== undefined, isPaced);
+	});
+}
+
+test('a paced body comes through whole, in pieces, and its length is told', async t => {
+	const prefix = buffer.Buffer.alloc(50_000, 'x');
+	const passed: number[] = [];
+	const pace = {
+		pass(bytes: number) {
+			passed.push(bytes);
+			return 0;
+		},
+	};
+	const body = {prefix, limitBytes: 100_000};
+	const pieces = await Array.fromAsync(bodies.getSendable(body, pace) as AsyncIterable<buffer.Buffer>);
+	t.true(buffer.Buffer.concat(pieces).equals(prefix));
+	t.deepEqual(passed, [8192, 8192, 8192, 8192, 8192, 8192, 848]);
+	t.is(bodies.getTold(body, {} as never), 50_000);
+	t.true(bodies.getSendable({prefix: prefix.subarray(0, 8192), limitBytes: 100_000}, pace) instanceof Uint8Array);
+});
--- a/packages/wagtailroute-proxy/src/bodies.ts
+++ b/packages/wagtailroute-proxy/src/bodies.ts
@@ -4,9 +4,11 @@
 */
 import * as buffer from 'node:buffer';
 import type * as http from 'node:http';
+import * as timers from 'node:timers/promises';
 import * as results from 'ts-results-es';
-import {REPLAYABLE_BODY_BYTES} from './constants.ts';
+import {PACED_PIECE_BYTES, REPLAYABLE_BODY_BYTES} from './constants.ts';
 import {createRequestFailure, type RequestFailure} from './failures.ts';
+import {NO_PACE, type Pace} from './pace.ts';
 import type {CallerRequest} from './requests.ts';
 
 /**
@@ -48,6 +50,7 @@
 	message: http.IncomingMessage,
 	request: CallerRequest,
 	limitBytes: number,
+	pace: Pace = NO_PACE,
 ): Promise<results.Result<Body, RequestFailure>> {
 	if (!request.hasBody) {
 		return NO_BODY;
@@ -71,6 +74,8 @@
 
 			chunks.push(part.value);
 			size += part.value.length;
+			// eslint-disable-next-line no-await-in-loop -- See above.
+			await waitFor(pace, part.value.length);
 		}
 	} catch {
 		return results.Err(createRequestFailure('body-cut-by-caller', 'The body ended early.'));
@@ -95,17 +100,48 @@
 /**
 Returns the body as the HTTP client takes it.
 */
-export function getSendable(body: Body): buffer.Buffer | AsyncIterable<buffer.Buffer> | undefined {
+export function getSendable(body: Body, pace: Pace = NO_PACE): buffer.Buffer | AsyncIterable<buffer.Buffer> | undefined {
 	if (body.rest !== undefined) {
-		return streamBody(body, body.rest);
+		return streamBody(body, body.rest, pace);
+	}
+
+	if (pace !== NO_PACE && body.prefix.length > PACED_PIECE_BYTES) {
+		return sendInPieces(body.prefix, pace);
 	}
 
 	return body.prefix.length === 0 ? undefined : body.prefix;
 }
 
-async function * streamBody(body: Body, rest: AsyncIterator<buffer.Buffer>): AsyncIterable<buffer.Buffer> {
+/**
+Returns the length that the backend server is told; undefined when the HTTP client finds it itself, or nobody knows it.
+*/
+export function getTold(body: Body, request: CallerRequest): number | undefined {
+	if (body.rest !== undefined) {
+		return request.contentLength;
+	}
+
+	return body.prefix.length > PACED_PIECE_BYTES ? body.prefix.length : undefined;
+}
+
+async function waitFor(pace: Pace, bytes: number): Promise<void> {
+	const milliseconds = pace.pass(bytes);
+	if (milliseconds >= 1) {
+		await timers.setTimeout(milliseconds);
+	}
+}
+
+async function * sendInPieces(bytes: buffer.Buffer, pace: Pace): AsyncIterable<buffer.Buffer> {
+	for (let start = 0; start < bytes.length; start += PACED_PIECE_BYTES) {
+		const piece = bytes.subarray(start, start + PACED_PIECE_BYTES);
+		yield piece;
+		// eslint-disable-next-line no-await-in-loop -- One piece after the other.
+		await waitFor(pace, piece.length);
+	}
+}
+
+async function * streamBody(body: Body, rest: AsyncIterator<buffer.Buffer>, pace: Pace): AsyncIterable<buffer.Buffer> {
 	let size = body.prefix.length;
-	yield body.prefix;
+	yield * sendInPieces(body.prefix, pace);
 	for (;;) {
 		// eslint-disable-next-line no-await-in-loop -- The parts of a body come one after the other.
 		const part = await rest.next();
@@ -119,6 +155,6 @@
 			throw new BodyError(`The body is larger than ${body.limitBytes} bytes.`);
 		}
 
-		yield part.value;
+		yield * sendInPieces(part.value, pace);
 	}
 }
--- a/packages/wagtailroute-proxy/src/constants.ts
+++ b/packages/wagtailroute-proxy/src/constants.ts
@@ -127,3 +127,23 @@
 Milliseconds for which the rest of a refused request's body is read, so that its caller gets the answer.
 */
 export const LINGER_MILLISECONDS = 2000;
+
+/**
+Bytes of a large body that pass without a wait.
+*/
+export const PACED_AT_ONCE_BYTES = 8192;
+
+/**
+Bytes of a large body that are passed on in one piece.
+*/
+export const PACED_PIECE_BYTES = 8192;
+
+/**
+Part of a link that large bodies may take together in one direction.
+*/
+export const PACED_PART = 0.7;
+
+/**
+Bytes a second from which on a link needs no pace: 64 KiB take 5 ms.
+*/
+export const FAST_LINK_BYTES_PER_SECOND = 12_500_000;
--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -147,9 +147,9 @@
 	}
 
 	async #runRead(): Promise<Conclusion> {
-		const {message, request, service} = this.#context;
+		const {message, request, service, ports} = this.#context;
 		const body = request.hasBody
-			? await this.#givingUp.race(bodies.readBody(message, request, service.limits.bodyBytes))
+			? await this.#givingUp.race(bodies.readBody(message, request, service.limits.bodyBytes, ports.paces?.receiving))
 			: bodies.NO_BODY;
 		if (body === undefined) {
 			return this.#sending.describeGivenUp();
--- a/packages/wagtailroute-proxy/src/index.ts
+++ b/packages/wagtailroute-proxy/src/index.ts
@@ -45,3 +45,9 @@
 export {openTrafficServer, type TrafficServer} from './traffic.ts';
 export type {Connections} from './connections.ts';
 export {MOVE_MILLISECONDS} from './constants.ts';
+export {
+	createPace,
+	createPaces,
+	type Pace,
+	type Paces,
+} from './pace.ts';
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -4,6 +4,7 @@
 import type * as http from 'node:http';
 import type * as core from 'wagtailroute-core';
 import type {Dialect} from './dialect.ts';
+import type {Paces} from './pace.ts';
 import type {RequestFailure, RequestFailureKind} from './failures.ts';
 import type {CallerRequest} from './requests.ts';
 
@@ -351,6 +352,10 @@
 	readonly answerReserved: (message: http.IncomingMessage, response: http.ServerResponse, path: string) => void;
 	readonly isDraining: () => boolean;
 	/**
+	Absent: bodies pass as fast as they come.
+	*/
+	readonly paces?: Paces;
+	/**
 	Milliseconds that opening a connection to an upstream may take; the product's own bound when absent.
 	*/
 	readonly connectMilliseconds?: number;
--- a/packages/wagtailroute-proxy/src/sending.ts
+++ b/packages/wagtailroute-proxy/src/sending.ts
@@ -280,7 +280,7 @@
 	}
 
 	#createPlan(target: ports.Target, onAnswered: () => void): attempts.AttemptPlan {
-		const {service, request, organisation, message, response, ports: {dialect, hostId}} = this.#context;
+		const {service, request, organisation, message, response, ports: {dialect, hostId, paces}} = this.#context;
 		const body = this.#body!;
 		const pool = this.#context.connections.getPool(target.address, service.limits.connectionsPerUpstream);
 		return {
@@ -291,12 +291,12 @@
 			headers: dialect.createRequestHeaders(message, {
 				instance: target.id,
 				remainingMilliseconds: this.#getRemaining(),
-				contentLength: body.rest === undefined ? undefined : request.contentLength,
+				contentLength: bodies.getTold(body, request),
 				organisation,
 				forwardedBy: target.kind === 'host' ? hostId : undefined,
 				retry: this.#count > 1 ? String(this.#count - 1) : request.tierRetry,
 			}),
-			body: bodies.getSendable(body),
+			body: bodies.getSendable(body, paces?.sending),
 			response,
 			decide: (status, received) => this.#decideAnswer(status, received, target),
 			createHeaders: received => this.#createHeaders(received, target),
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -12,6 +12,7 @@
 	HEADERS_MILLISECONDS,
 	KEEP_ALIVE_MILLISECONDS,
 	MAXIMUM_CALLER_CONNECTIONS,
+	PACED_PIECE_BYTES,
 	REQUEST_MILLISECONDS,
 } from './constants.ts';
 import {serveExchange} from './exchange.ts';
@@ -36,6 +37,10 @@
 	*/
 	readonly getBytes: () => number;
 	/**
+	Bytes of large bodies of the requests under way, as far as they are declared.
+	*/
+	readonly getLargeBytes: () => number;
+	/**
 	Takes no new connections, finishes every request in flight, then closes.
 	*/
 	readonly drain: () => Promise<void>;
@@ -50,6 +55,7 @@
 	const countedOn = new WeakMap<net.Socket, number>();
 	let inFlight = 0;
 	let bytes = 0;
+	let largeBytes = 0;
 	let isClosing = false;
 	const server = http.createServer({
 		maxHeaderSize: HEADER_BYTES,
@@ -57,12 +63,17 @@
 		requestTimeout: REQUEST_MILLISECONDS,
 		keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
 		noDelay: true,
+		...ports.paces !== undefined && {highWaterMark: PACED_PIECE_BYTES},
 	}, (message, response) => {
 		const {socket} = message;
+		const declared = Number(message.headers['content-length'] ?? 0);
+		const large = declared > PACED_PIECE_BYTES ? declared : 0;
+		largeBytes += large;
 		inFlight++;
 		inFlightOn.set(socket, (inFlightOn.get(socket) ?? 0) + 1);
 		response.once('close', () => {
 			inFlight--;
+			largeBytes -= large;
 			const carried = socket.bytesRead + socket.bytesWritten;
 			bytes += carried - (countedOn.get(socket) ?? 0);
 			countedOn.set(socket, carried);
@@ -94,6 +105,7 @@
 		address: listening,
 		getInFlight: () => inFlight,
 		getBytes: () => bytes,
+		getLargeBytes: () => largeBytes,
 		async drain() {
 			// Closes idle connections now and the others after their answer.
 			isClosing = true;
