Give control hosts the time that large bodies take on a host's own link

Cause: an ask that waits behind this host's own uploads counts against its dispatcher after 0.25 s, then all others are probed behind the same bytes and left.

The limits of asks and probes grow by the time that the large bodies under way take on this host's link, a second at most. Where none is under way nothing changes, so a dead control host is noticed by the others as before.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
@@ -28,6 +28,10 @@
 	readonly link: fixture.FakeLink;
 	readonly control: OpenControl;
 	readonly retired: Set<string>;
+	/**
+	How long large bodies hold the host's own link.
+	*/
+	readonly delay: {milliseconds: number};
 };
 
 function setUp(
@@ -39,6 +43,7 @@
 	const link = fixture.createFakeLink(answer);
 	const control: OpenControl = {host: {id: 'c', address: {ip: '10.0.0.2', port: 1}}, link};
 	const retired = new Set<string>();
+	const delay = {milliseconds: 0};
 	const controls = [control, ...others];
 	const own = startDispatching(context, {
 		settings: {budget: {ratio: 0.2, extra: 2, windowMilliseconds: 10_000}, floor: 0.7},
@@ -60,9 +65,10 @@
 		},
 		own,
 		isRetired: upstream => retired.has(upstream),
+		getLinkDelay: () => delay.milliseconds,
 	});
 	return {
-		context, asking, link, control, retired,
+		context, asking, link, control, retired, delay,
 	};
 }
 
@@ -77,6 +83,17 @@
 	t.deepEqual(link.notified.at(-1)?.[1], [1, 'success', 120]);
 });
 
+test('a host gives its dispatcher the time that large bodies take on its own link', async t => {
+	// Symptom: a host dispatches alone although all control hosts are well, 185 times in half a minute over the fleet. Sequence: a caller uploads 360 KB to it;
+	// an ask waits behind them; the host takes the dispatcher for silent, probes the others behind the same bytes, and leaves them all. Cause: the same
+	// limit for an answer whatever the host's own link carries.
+	const {asking, link, delay} = setUp(() => GRANT);
+	await asking.ask(fixture.ASK_DRAFT).answer;
+	delay.milliseconds = 400;
+	await asking.ask(fixture.ASK_DRAFT).answer;
+	t.deepEqual(link.limits, [250, 650]);
+});
+
 test('an ask that waits is answered later', async t => {
 	const {asking} = setUp(() => ['wait']);
 	const asked = asking.ask(fixture.ASK_DRAFT);
--- a/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
@@ -117,6 +117,10 @@
 export type FakeLink = link.Link & {
 	readonly notified: ReadonlyArray<readonly [method: string, parameters: unknown]>;
 	readonly called: ReadonlyArray<readonly [method: string, parameters: unknown]>;
+	/**
+	Milliseconds that each call might take.
+	*/
+	readonly limits: readonly number[];
 	silence: number;
 };
 
@@ -128,13 +132,16 @@
 export function createFakeLink(answer: (method: string, parameters: never) => unknown): FakeLink {
 	const notified: Array<readonly [string, unknown]> = [];
 	const called: Array<readonly [string, unknown]> = [];
+	const limits: number[] = [];
 	let isOpen = true;
 	return {
 		notified,
 		called,
+		limits,
 		silence: 0,
-		async call(method, parameters) {
+		async call(method, parameters, limit) {
 			called.push([method, parameters]);
+			limits.push(limit);
 			const value = answer(method, parameters as never);
 			return value === undefined ? results.Err({kind: 'call-timeout', message: 'late'} as const) : results.Ok(value);
 		},
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -94,6 +94,10 @@
 	*/
 	readonly own: Pick<Dispatching, 'ask' | 'cancel' | 'end'>;
 	readonly isRetired: (upstream: core.UpstreamId) => boolean;
+	/**
+	Returns the milliseconds for which messages may wait behind large bodies on this host's own link.
+	*/
+	readonly getLinkDelay: () => number;
 };
 
 type Pending = {
@@ -230,7 +234,7 @@
 
 		pending.dispatcher = dispatcher;
 		this.#held.tell(ask.service, dispatcher);
-		const answer = await dispatcher.link.call(METHODS.ask, this.#shorten(dispatcher.link, ask), ASK_MILLISECONDS);
+		const answer = await dispatcher.link.call(METHODS.ask, this.#shorten(dispatcher.link, ask), ASK_MILLISECONDS + this.#plan.getLinkDelay());
 		// Otherwise the ask was taken elsewhere already.
 		if (pending.ask !== ask || pending.dispatcher !== dispatcher) {
 			return;
@@ -305,7 +309,7 @@
 
 		this.#isProbing = true;
 		await Promise.all(this.#finder.listAnswering().map(async control => {
-			const answer = await control.link.call(METHODS.probe, {}, PROBE_MILLISECONDS);
+			const answer = await control.link.call(METHODS.probe, {}, PROBE_MILLISECONDS + this.#plan.getLinkDelay());
 			if (answer.isErr() && answer.error.kind === 'call-timeout') {
 				this.#leave(control, 'probe');
 			}
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -13,6 +13,12 @@
 */
 export const ASK_MILLISECONDS = 250;
 
+/**
+Milliseconds more that a host waits for others at most while large bodies fill its own link. Who does not wait for its own bytes takes every control host
+for lost, dispatches alone, and sees neither free slots nor what others have learned.
+*/
+export const MOST_LINK_DELAY_MILLISECONDS = 1000;
+
 /**
 Dispatchers that may leave an ask unanswered before its host dispatches alone: with the second one the other control hosts are probed, so
 the third is one that answers, or an entry host.
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -16,6 +16,8 @@
 import {
 	ACCEPTING_PART,
 	LOAD_STEP,
+	MILLISECONDS_PER_SECOND,
+	MOST_LINK_DELAY_MILLISECONDS,
 	RETAIN_MILLISECONDS,
 	STANDBY_EXTRA_RESENDS,
 	STOP_MARGIN_MILLISECONDS,
@@ -218,6 +220,7 @@
 		standbys,
 		own,
 		isRetired: knowledge.isRetired,
+		getLinkDelay: () => Math.min(MOST_LINK_DELAY_MILLISECONDS, (opened.traffic?.getLargeBytes() ?? 0) * MILLISECONDS_PER_SECOND / settings.linkBytesPerSecond),
 	});
 	const linkServer = await link.openLinkServer({
 		address: settings.linkAddress,
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -330,6 +330,7 @@
 			},
 			own,
 			isRetired: () => false,
+			getLinkDelay: () => 0,
 		});
 		register(methods, {
 			[fleet.METHODS.answer]([ask, answer]: [number, fleet.ShortAnswer]) {
