Count each request once: for allotments, for the budget of resends

An ask that was asked before says so, and earns nothing. A place that comes to a host that has turned elsewhere ends as 'unused', and gives its token back.

An account counts a window too, so that who sends more all the while gets its rate and most of its burst in each.

--- a/packages/wagtailroute-allotments/src/account.ts
+++ b/packages/wagtailroute-allotments/src/account.ts
@@ -1,10 +1,20 @@
 /**
-What one dispatcher knows of one organisation's allotment: a bucket of tokens that its own admissions and those told by other dispatchers
-are taken from, and which service used how much lately.
+What one dispatcher knows of one organisation's allotment: a bucket of tokens and a window that its own admissions and those told by other dispatchers
+are counted in, and which service used how much lately.
+
+In a window an organisation may send its rate and its burst, and one that sends more all the while gets so much in every window: the bucket fills a little faster than
+the rate, and the window bounds the sum.
 */
 import * as admission from 'wagtailroute-admission';
 import type * as core from 'wagtailroute-core';
-import {UNTOLD_MOST, UNTOLD_SECONDS, USE_MEMORY_MILLISECONDS} from './constants.ts';
+import {
+	MILLISECONDS_PER_SECOND,
+	RETURNING_BURST_PART,
+	UNTOLD_MOST,
+	UNTOLD_SECONDS,
+	USE_MEMORY_MILLISECONDS,
+} from './constants.ts';
+import {createUseWindow, type UseWindow} from './use-window.ts';
 
 /**
 Requests that an organisation may send, over the whole fleet.
@@ -27,9 +37,18 @@
 	*/
 	readonly part: number;
 	/**
+	Part of the burst that may come at once, 0 to 1.
+	*/
+	readonly burstPart: number;
+	/**
 	Tokens beyond the burst.
 	*/
 	readonly extra: number;
+	/**
+	All use in the last window is known here, so that the burst may be had again in each.
+	*/
+	readonly isWhole: boolean;
+	readonly windowMilliseconds: number;
 };
 
 /**
@@ -45,7 +64,7 @@
 	Requests that were admitted here since the others were last heard.
 	*/
 	readonly #unsettled = new Map<core.ServiceName, number>();
-	#used = 0;
+	readonly #window: UseWindow;
 	#fadedAt: number;
 	#allotment: Allotment;
 	#extent: Extent;
@@ -54,6 +73,7 @@
 		this.#allotment = allotment;
 		this.#extent = extent;
 		this.#fadedAt = now;
+		this.#window = createUseWindow(extent.windowMilliseconds);
 		this.#bucket = admission.createRateLimit(getRate(allotment, extent), now, {capacity: getCapacity(allotment, extent), tokens});
 	}
 
@@ -62,7 +82,7 @@
 	}
 
 	setBounds(allotment: Allotment, extent: Extent, now: number): void {
-		if (isSameAllotment(allotment, this.#allotment) && extent.part === this.#extent.part && extent.extra === this.#extent.extra) {
+		if (isSameAllotment(allotment, this.#allotment) && isSameExtent(extent, this.#extent)) {
 			return;
 		}
 
@@ -72,7 +92,7 @@
 	}
 
 	hasToken(now: number): boolean {
-		return this.#bucket.hasToken(now);
+		return this.#bucket.hasToken(now) && !this.#isWindowFull(now);
 	}
 
 	/**
@@ -89,7 +109,9 @@
 	*/
 	hearUse(service: core.ServiceName, requests: number, at: number): void {
 		const most = (getRate(this.#allotment, this.#extent) * UNTOLD_SECONDS * 2) + UNTOLD_MOST;
-		this.#take(Math.min(requests, this.#bucket.getTokens(at) + most), at);
+		this.#bucket.takeToken(at, Math.min(requests, this.#bucket.getTokens(at) + most));
+		this.#window.add(requests, at);
+		this.#fade(at);
 		add(this.#uses, service, requests);
 	}
 
@@ -105,11 +127,10 @@
 	}
 
 	/**
-	Returns the requests used lately, weighed by how long ago.
+	Returns the requests used in the last window.
 	*/
 	getUse(now: number): number {
-		this.#fade(now);
-		return this.#used;
+		return this.#window.count(now);
 	}
 
 	/**
@@ -128,19 +149,22 @@
 	Returns the milliseconds until one more request may be admitted.
 	*/
 	getDelay(now: number): number {
-		return this.#bucket.getDelay(1, now);
+		return Math.max(this.#bucket.getDelay(1, now), this.#isWindowFull(now) ? this.#window.getDelay(now) : 0);
+	}
+
+	#isWindowFull(now: number): boolean {
+		return this.#extent.isWhole && this.#window.count(now) + 1 > getMost(this.#allotment, this.#extent);
 	}
 
 	#take(requests: number, now: number): void {
 		this.#bucket.takeToken(now, requests);
+		this.#window.add(requests, now);
 		this.#fade(now);
-		this.#used = Math.max(0, this.#used + requests);
 	}
 
 	#fade(now: number): void {
 		const factor = Math.exp(Math.min(0, this.#fadedAt - now) / USE_MEMORY_MILLISECONDS);
 		this.#fadedAt = Math.max(this.#fadedAt, now);
-		this.#used *= factor;
 		for (const [service, use] of this.#uses) {
 			this.#uses.set(service, use * factor);
 		}
@@ -155,15 +179,28 @@
 	return left.ratePerSecond === right.ratePerSecond && left.burst === right.burst;
 }
 
-function getRate({ratePerSecond}: Allotment, {part}: Extent): number {
-	return ratePerSecond * part;
+function isSameExtent(left: Extent, right: Extent): boolean {
+	return left.part === right.part && left.burstPart === right.burstPart && left.extra === right.extra && left.isWhole === right.isWhole;
+}
+
+function getRate(allotment: Allotment, extent: Extent): number {
+	const {ratePerSecond, burst} = allotment;
+	const {part, isWhole, windowMilliseconds} = extent;
+	return isWhole ? ratePerSecond + (burst * RETURNING_BURST_PART * MILLISECONDS_PER_SECOND / windowMilliseconds) : ratePerSecond * part;
+}
+
+/**
+Returns the requests of a whole window.
+*/
+function getMost({ratePerSecond, burst}: Allotment, {extra, windowMilliseconds}: Extent): number {
+	return (ratePerSecond * windowMilliseconds / MILLISECONDS_PER_SECOND) + burst + extra;
 }
 
 /**
 Returns the tokens that a full account holds; one at least, otherwise nothing could ever be admitted.
 */
-export function getCapacity({burst}: Allotment, {part, extra}: Extent): number {
-	return Math.max(1, (burst + extra) * part);
+export function getCapacity({burst}: Allotment, {part, burstPart, extra}: Extent): number {
+	return Math.max(1, ((burst * burstPart) + extra) * part);
 }
 
 function sum(values: Iterable<number>): number {
--- a/packages/wagtailroute-allotments/src/allotments.ts
+++ b/packages/wagtailroute-allotments/src/allotments.ts
@@ -24,6 +24,7 @@
 	FORGET_MILLISECONDS,
 	FRESH_MILLISECONDS,
 	MILLISECONDS_PER_SECOND,
+	SILENT_BURST_PART,
 	SILENT_MILLISECONDS,
 	SILENT_PART,
 	SLACK_PART,
@@ -71,7 +72,7 @@
 		readonly retryAfterMilliseconds: number;
 		readonly ratePerSecond: number;
 		/**
-		Requests used lately, over the fleet, as far as is known here.
+		Requests used in the last window, over the fleet, as far as is known here.
 		*/
 		readonly used: number;
 		/**
@@ -126,6 +127,7 @@
 	Requests beyond rate and burst that may pass in a window.
 	*/
 	readonly slack: number;
+	readonly windowMilliseconds: number;
 	/**
 	Returns the part of the fleet's requests that this dispatcher is asked for, 0 to 1.
 	*/
@@ -310,13 +312,24 @@
 	}
 
 	#getFullExtent(now: number): Extent {
-		return {part: this.#settings.getPart(now), extra: this.#settings.slack * SLACK_PART};
+		const {slack, isTold, windowMilliseconds} = this.#settings;
+		return {
+			part: this.#settings.getPart(now),
+			burstPart: 1,
+			extra: slack * SLACK_PART,
+			isWhole: isTold && now - this.#knowsSince >= windowMilliseconds,
+			windowMilliseconds,
+		};
 	}
 
 	#getExtent(account: Account, now: number): Extent {
 		const full = this.#getFullExtent(now);
 		const silent = this.#listSilent(now, SILENT_MILLISECONDS);
-		return silent.size === 0 ? full : {...full, part: full.part * (1 - account.getPart(silent)) * SILENT_PART};
+		return silent.size === 0
+			? full
+			: {
+				...full, isWhole: false, part: full.part * (1 - account.getPart(silent)) * SILENT_PART, burstPart: SILENT_BURST_PART,
+			};
 	}
 
 	#settle(): void {
--- a/packages/wagtailroute-allotments/src/constants.ts
+++ b/packages/wagtailroute-allotments/src/constants.ts
@@ -22,7 +22,12 @@
 /**
 Part of what is left to a dispatcher that misses the news of a service: both sides of a cut gave out the whole rate until they noticed it.
 */
-export const SILENT_PART = 0.9;
+export const SILENT_PART = 0.8;
+
+/**
+Part of the burst that such a dispatcher keeps: an organisation that floods has had its burst before, and would have it again on both sides.
+*/
+export const SILENT_BURST_PART = 0.2;
 
 /**
 Milliseconds without news of a service after which it is no longer learned who uses how much of an allotment. Both sides of a cut must remember the
@@ -49,7 +54,18 @@
 Part of the slack that a full account holds beyond its burst, and with which an account begins that knows nothing of earlier use. The rest is
 left for what dispatchers admit before they hear of each other.
 */
-export const SLACK_PART = 0.5;
+export const SLACK_PART = 0.4;
+
+/**
+Part of the burst that may be had again in each window by an organisation that sends more than its rate all the while. The rest is left for what dispatchers
+admit before they hear of each other.
+*/
+export const RETURNING_BURST_PART = 0.75;
+
+/**
+Slices in which the requests of a window are counted.
+*/
+export const WINDOW_SLICES = 20;
 
 /**
 Milliseconds in a second.
--- /dev/null
+++ b/packages/wagtailroute-allotments/src/use-window.ts
@@ -0,0 +1,58 @@
+/**
+How many requests were used in the last while. Counted in slices, so that a window costs the same memory at any rate; the oldest slice counts whole, so
+that never less is counted than was used.
+*/
+import {WINDOW_SLICES} from './constants.ts';
+
+/**
+The requests of a sliding window. Times are in milliseconds of a monotonic clock.
+*/
+export type UseWindow = {
+	/**
+	Counts requests; a negative number takes back.
+
+	@param at When they were used, up to a window ago.
+	*/
+	readonly add: (requests: number, at: number) => void;
+	readonly count: (now: number) => number;
+	/**
+	Returns the milliseconds until the oldest requests are out of the window.
+	*/
+	readonly getDelay: (now: number) => number;
+};
+
+/**
+Creates an empty window.
+*/
+export function createUseWindow(windowMilliseconds: number): UseWindow {
+	const sliceMilliseconds = windowMilliseconds / WINDOW_SLICES;
+	/**
+	Requests by number of slice, in the order in which they came.
+	*/
+	const slices = new Map<number, number>();
+	const getNumber = (time: number) => Math.floor(time / sliceMilliseconds);
+	const forget = (now: number) => {
+		const oldest = getNumber(now - windowMilliseconds);
+		for (const number of slices.keys()) {
+			if (number < oldest) {
+				slices.delete(number);
+			}
+		}
+	};
+
+	return {
+		add(requests, at) {
+			const number = getNumber(at);
+			slices.set(number, (slices.get(number) ?? 0) + requests);
+		},
+		count(now) {
+			forget(now);
+			return Math.max(0, slices.values().reduce((sum, requests) => sum + requests, 0));
+		},
+		getDelay(now) {
+			forget(now);
+			const oldest = Math.min(...slices.keys());
+			return Number.isFinite(oldest) ? ((oldest + 1) * sliceMilliseconds) + windowMilliseconds - now : 0;
+		},
+	};
+}
--- a/packages/wagtailroute-dispatch/src/asks.ts
+++ b/packages/wagtailroute-dispatch/src/asks.ts
@@ -53,6 +53,10 @@
 	The request is under way at another upstream, whose answer is overdue: it moves only to a slot that nobody waits for.
 	*/
 	readonly isMove: boolean;
+	/**
+	Another dispatcher was asked for the same before, and has counted the request. Absent: none was.
+	*/
+	readonly isAgain?: boolean;
 };
 
 /**
@@ -63,7 +67,7 @@
 /**
 How a granted request ended, as evidence about its upstream. `refused`: no connection, nobody listens. `unreachable`: no
 connection in time. `overdue`: it took so long that the request moved elsewhere. `reset`: the connection or the answer broke. `misdirected`: another instance has the address. `cancelled`:
-says nothing.
+says nothing. `unused`: the same, and nothing was sent, for the host had turned elsewhere when the place came.
 */
 export type Ending =
 	| 'success'
@@ -75,7 +79,8 @@
 	| 'overdue'
 	| 'shed'
 	| 'misdirected'
-	| 'cancelled';
+	| 'cancelled'
+	| 'unused';
 
 /**
 What a dispatcher asks to be done.
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -101,6 +101,10 @@
 	*/
 	readonly cancel: (id: AskId) => Ask | undefined;
 	/**
+	Returns the ask to which a place was granted, if it is held here.
+	*/
+	readonly findGranted: (id: AskId) => Ask | undefined;
+	/**
 	A granted request has ended.
 
 	@param milliseconds From the send to the answer's header section.
@@ -167,7 +171,8 @@
 			if (!service.budget.takeResend(now)) {
 				return [refuse(ask, 'budget', service.policy.retryAfterLeastMilliseconds)];
 			}
-		} else {
+		} else if (ask.isAgain !== true) {
+			// Counted at each dispatcher that its host turned to, one request would earn several resends.
 			service.budget.countRequest(now);
 		}
 
@@ -182,6 +187,10 @@
 		return service && this.#removeWaiting(service, id);
 	}
 
+	findGranted(id: AskId): Ask | undefined {
+		return this.#places.get(id)?.ask;
+	}
+
 	end(id: AskId, {ending, milliseconds}: {readonly ending: Ending; readonly milliseconds: number}, now: number): readonly Effect[] {
 		const place = this.#places.get(id);
 		if (place === undefined) {
@@ -350,6 +359,7 @@
 			service: service.name,
 			upstream: upstream.candidate.upstream,
 			route: ask.route,
+			ask,
 			startedAt: now,
 			deadlineAt: now + ask.remainingMilliseconds,
 			usualMilliseconds: getUsual(service, ask),
--- a/packages/wagtailroute-dispatch/src/upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -2,7 +2,12 @@
 What a dispatcher knows of one upstream: its places taken, how slow it is, and how much speaks against it.
 */
 import type * as core from 'wagtailroute-core';
-import type {Candidate, Ending, HeldPlace} from './asks.ts';
+import type {
+	Ask,
+	Candidate,
+	Ending,
+	HeldPlace,
+} from './asks.ts';
 import {
 	LEAST_PRIOR,
 	MILLISECONDS_PER_SECOND,
@@ -21,6 +26,10 @@
 	readonly service: core.ServiceName;
 	readonly upstream: core.UpstreamId;
 	readonly route: string;
+	/**
+	The ask that it was granted to; absent when a host told it.
+	*/
+	readonly ask?: Ask;
 	readonly startedAt: number;
 	readonly deadlineAt: number;
 	readonly usualMilliseconds: number;
@@ -222,6 +231,7 @@
 	shed: policy => ({doubt: policy.shedDoubt, most: policy.mostShedDoubt, closedMilliseconds: policy.shedMilliseconds}),
 	misdirected: policy => ({doubt: policy.mostDoubt}),
 	cancelled: () => ({doubt: 0}),
+	unused: () => ({doubt: 0}),
 };
 
 /**
--- a/packages/wagtailroute-fleet/src/__tests__/unit/ask-wire.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/ask-wire.test.ts
@@ -20,6 +20,9 @@
 	{isResend: false, isMove: false, waitedMilliseconds: 1700},
 	{isResend: true, isMove: false, waitedMilliseconds: 0},
 	{isResend: true, isMove: true, waitedMilliseconds: 900},
+	{
+		isResend: false, isMove: false, waitedMilliseconds: 0, isAgain: true,
+	},
 ] as const;
 
 test('an ask comes back the same', t => {
--- a/packages/wagtailroute-fleet/src/allotting.ts
+++ b/packages/wagtailroute-fleet/src/allotting.ts
@@ -9,12 +9,14 @@
 import * as utils from 'wagtailroute-utils';
 import {
 	ALLOTMENT_ASKER_MILLISECONDS,
+	DEFAULT_ALLOTMENTS,
 	ORGANISATION_LABELS_MOST,
 	REFUSALS_TOLD_MILLISECONDS,
 	UNKNOWN_ENTRY_HOSTS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
 import {type DecidedAnswer, METHODS} from './messages.ts';
+import type {FleetSettings} from './settings.ts';
 
 /**
 Allotments at a dispatcher.
@@ -36,10 +38,7 @@
 What allotting needs.
 */
 export type AllottingPlan = {
-	/**
-	Requests that may pass in a window beyond an allotment.
-	*/
-	readonly slack: number;
+	readonly settings: FleetSettings['allotments'];
 	/**
 	This dispatcher hears of all use. Any other gives out only the part of the entry hosts that ask it.
 	*/
@@ -66,7 +65,7 @@
 	};
 
 	const ledger = allotments.createAllotments({
-		slack: plan.slack,
+		...plan.settings ?? DEFAULT_ALLOTMENTS,
 		isTold: plan.isTold,
 		random: context.random,
 		getPart: time => plan.isTold ? 1 : getPart(time),
--- a/packages/wagtailroute-fleet/src/ask-wire.ts
+++ b/packages/wagtailroute-fleet/src/ask-wire.ts
@@ -33,9 +33,9 @@
 
 /**
 An ask: its number on the asking host, where it comes from, and the milliseconds until its deadline; for a resend the
-upstreams that had the request; for a caller that has waited, for how many milliseconds.
+upstreams that had the request; for a caller that has waited, for how many milliseconds; whether another dispatcher was asked before.
 */
-export type ShortAsk = readonly [ask: number, origin: AskOrigin, remaining: number, excluded?: readonly core.UpstreamId[], isResend?: boolean, isMove?: boolean, waited?: number];
+export type ShortAsk = readonly [ask: number, origin: AskOrigin, remaining: number, excluded?: readonly core.UpstreamId[], isResend?: boolean, isMove?: boolean, waited?: number, isAgain?: boolean];
 
 /**
 An answer: a granted upstream and its address, a refusal with the milliseconds until a resend makes sense, "wait", or "elsewhere".
@@ -124,21 +124,24 @@
 export function shortenAsk(ask: dispatch.Ask, origin: AskOrigin): ShortAsk {
 	const remaining = Math.floor(ask.remainingMilliseconds);
 	const waited = Math.floor(ask.waitedMilliseconds);
-	return ask.isResend || ask.excluded.length > 0 || waited > 0
-		? [getAskNumber(ask.id), origin, remaining, ask.excluded, ask.isResend, ask.isMove, waited]
-		: [getAskNumber(ask.id), origin, remaining];
+	const short = [getAskNumber(ask.id), origin, remaining] as const;
+	if (ask.isAgain === true) {
+		return [...short, ask.excluded, ask.isResend, ask.isMove, waited, true];
+	}
+
+	return ask.isResend || ask.excluded.length > 0 || waited > 0 ? [...short, ask.excluded, ask.isResend, ask.isMove, waited] : short;
 }
 
 /**
 Restores an ask.
 */
 export function restoreAsk(
-	[ask, , remainingMilliseconds, excluded = [], isResend = false, isMove = false, waitedMilliseconds = 0]: ShortAsk,
+	[ask, , remainingMilliseconds, excluded = [], isResend = false, isMove = false, waitedMilliseconds = 0, isAgain]: ShortAsk,
 	from: Pick<dispatch.Ask, 'host' | 'failureDomain' | 'organisation'>,
 	route: AskedRoute,
 ): dispatch.Ask {
 	return {
-		...route, ...from, id: createAskId(from.host, ask), remainingMilliseconds, excluded, isResend, isMove, waitedMilliseconds,
+		...route, ...from, id: createAskId(from.host, ask), remainingMilliseconds, excluded, isResend, isMove, waitedMilliseconds, ...isAgain === true && {isAgain},
 	};
 }
 
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -343,7 +343,7 @@
 			if (answer.kind === 'grant') {
 				this.#tellEnd({
 					ask, upstream: answer.upstream, grantedAt: 0, dispatcher,
-				}, 'cancelled', 0);
+				}, 'unused', 0);
 			}
 
 			return;
@@ -355,7 +355,7 @@
 			};
 			if (this.#plan.isRetired(answer.upstream)) {
 				// The dispatcher has not heard of the retirement yet; this host is bound by it.
-				this.#tellEnd(held, 'cancelled', 0);
+				this.#tellEnd(held, 'unused', 0);
 				this.#askAgain(pending, [answer.upstream]);
 				return;
 			}
@@ -372,6 +372,7 @@
 		pending.ask = {
 			...ask,
 			id: this.#createId(),
+			isAgain: true,
 			excluded: [...ask.excluded, ...without],
 			remainingMilliseconds: ask.remainingMilliseconds - (now - pending.askedAt),
 			waitedMilliseconds: ask.waitedMilliseconds + (now - pending.askedAt),
@@ -415,5 +416,5 @@
 */
 function notifyGivenUp(over: link.Link, ask: dispatch.Ask): void {
 	over.notify(METHODS.cancel, [getAskNumber(ask.id)]);
-	over.notify(METHODS.end, [getAskNumber(ask.id), 'cancelled', 0] satisfies ShortEnd);
+	over.notify(METHODS.end, [getAskNumber(ask.id), 'unused', 0] satisfies ShortEnd);
 }
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -200,18 +200,18 @@
 */
 export const TARGET_LOAD = 0.4;
 
-/**
-Milliseconds in which the number of entry hosts that the directory names shrinks to half, when less are needed.
-*/
-export const NARROWING_MILLISECONDS = 5000;
-
-/**
 /**
 How much more a used part of the link counts than one of the processor. A large body holds the link until it is through, while the processor turns to
 the next request after a millisecond: with 0.4 of a link in use by uploads of 0.2 s to 1 s each, half of all requests wait behind one.
 */
 export const LINK_LOAD_FACTOR = 4;
 
+/**
+Milliseconds in which the number of entry hosts that the directory names shrinks to half, when less are needed.
+*/
+export const NARROWING_MILLISECONDS = 5000;
+
+/**
 Milliseconds between two measurements of an entry host's load.
 */
 export const LOAD_MILLISECONDS = 1000;
@@ -284,6 +284,11 @@
 */
 export const ROUTES_MEASURED = 4096;
 
+/**
+How allotments are judged where the settings do not tell.
+*/
+export const DEFAULT_ALLOTMENTS = {slack: 0, windowMilliseconds: 5000} as const;
+
 /**
 Milliseconds after its last ask for which a host is told what a dispatcher believes.
 */
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -88,7 +88,7 @@
 		store: createInstanceStore(settings.dataFolder, context.logs('instances')),
 	});
 	const allotting = startAllotting(context, {
-		slack: settings.allotmentSlack ?? 0,
+		settings: settings.allotments,
 		isTold: true,
 		countEntryHosts: () => entries.count(),
 		tellControls(method, parameters) {
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -167,7 +167,8 @@
 	};
 
 	/**
-	What an ask took from its organisation's allotment comes back when it is granted nothing. A resend took nothing.
+	What an ask took from its organisation's allotment comes back when it is granted nothing, or a place that is not used: a host that turns from one
+	dispatcher to the next asks at both. A resend took nothing.
 	*/
 	const giveBack = (ask: dispatch.Ask) => {
 		if (!ask.isResend && !ask.isMove) {
@@ -268,6 +269,11 @@
 		},
 		end({id, ending, milliseconds}) {
 			metrics.count('ends', {ending});
+			const unused = ending === 'unused' ? dispatcher.findGranted(id) : undefined;
+			if (unused !== undefined) {
+				giveBack(unused);
+			}
+
 			carryOut(dispatcher.end(id, {ending, milliseconds}, now()));
 		},
 		hold(host, {service, places}) {
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -122,7 +122,7 @@
 	};
 
 	const allotting = startAllotting(context, {
-		slack: settings.allotmentSlack ?? 0,
+		settings: settings.allotments,
 		isTold: false,
 		countEntryHosts: () => countAddresses(directory),
 		tellControls(method, parameters) {
@@ -247,10 +247,10 @@
 		},
 		isDraining: () => isStopping,
 		connectMilliseconds: UPSTREAM_CONNECT_MILLISECONDS,
+		paces: proxy.createPaces(settings.linkBytesPerSecond, context.now),
 		note: createNoting(context),
 	});
 	opened.traffic = traffic;
-		paces: proxy.createPaces(settings.linkBytesPerSecond, context.now),
 	context.metrics.registerGauge('requests_in_flight', traffic.getInFlight);
 	context.metrics.registerGauge('generation_version', () => knowledge.getGeneration()?.version ?? 0);
 	log.info('Host started.', {traffic: core.formatAddress(settings.trafficAddress), seeds: settings.seeds.map(seed => seed.id)});
--- a/packages/wagtailroute-fleet/src/settings.ts
+++ b/packages/wagtailroute-fleet/src/settings.ts
@@ -40,9 +40,15 @@
 	*/
 	readonly floor: number;
 	/**
-	Requests of an organisation that may pass in a window beyond its allotment; 0 when absent.
+	How organisations' use of their allotments is judged; no slack in windows of five seconds when absent.
 	*/
-	readonly allotmentSlack?: number;
+	readonly allotments?: {
+		/**
+		Requests that may pass in a window beyond an allotment.
+		*/
+		readonly slack: number;
+		readonly windowMilliseconds: number;
+	};
 	/**
 	How dispatchers decide; the default policy when absent.
 	*/
