Count news that were held up in the window only

The tokens of those requests have come back since. News older than 0.6 s now count in the window, which bounds the sum, and take nothing from the bucket.

--- a/packages/wagtailroute-allotments/src/account.ts
+++ b/packages/wagtailroute-allotments/src/account.ts
@@ -10,6 +10,7 @@
 import {
 	MILLISECONDS_PER_SECOND,
 	RETURNING_BURST_PART,
+	STALE_MILLISECONDS,
 	UNTOLD_MOST,
 	UNTOLD_SECONDS,
 	USE_MEMORY_MILLISECONDS,
@@ -45,6 +46,10 @@
 	*/
 	readonly extra: number;
 	/**
+	Use elsewhere is told here.
+	*/
+	readonly isTold: boolean;
+	/**
 	All use in the last window is known here, so that the burst may be had again in each.
 	*/
 	readonly isWhole: boolean;
@@ -104,12 +109,15 @@
 	}
 
 	/**
-	Takes what another dispatcher tells that it admitted. What is owed is bounded by what both can have admitted before they heard of each other: news that
-	were held up come together, and each dispatcher has kept to the allotment by itself.
+	Takes what another dispatcher tells that it admitted. What is owed is bounded by what both can have admitted before they heard of each other: each has
+	kept to the allotment by itself. News that were held up come together, and the tokens that they took have long come back: they count in the window only.
 	*/
-	hearUse(service: core.ServiceName, requests: number, at: number): void {
-		const most = (getRate(this.#allotment, this.#extent) * UNTOLD_SECONDS * 2) + UNTOLD_MOST;
-		this.#bucket.takeToken(at, Math.min(requests, this.#bucket.getTokens(at) + most));
+	hearUse(service: core.ServiceName, requests: number, {at, now}: {readonly at: number; readonly now: number}): void {
+		if (now - at < STALE_MILLISECONDS) {
+			const most = (getRate(this.#allotment, this.#extent) * UNTOLD_SECONDS * 2) + UNTOLD_MOST;
+			this.#bucket.takeToken(at, Math.min(requests, this.#bucket.getTokens(at) + most));
+		}
+
 		this.#window.add(requests, at);
 		this.#fade(at);
 		add(this.#uses, service, requests);
@@ -153,7 +161,7 @@
 	}
 
 	#isWindowFull(now: number): boolean {
-		return this.#extent.isWhole && this.#window.count(now) + 1 > getMost(this.#allotment, this.#extent);
+		return this.#extent.isTold && this.#window.count(now) + 1 > getMost(this.#allotment, this.#extent);
 	}
 
 	#take(requests: number, now: number): void {
--- a/packages/wagtailroute-allotments/src/allotments.ts
+++ b/packages/wagtailroute-allotments/src/allotments.ts
@@ -241,7 +241,7 @@
 		for (const [service, organisation, requests] of uses) {
 			const allotment = this.#allotments.get(organisation);
 			if (allotment !== undefined) {
-				this.#getAccount(allotment, now).hearUse(service, requests, at);
+				this.#getAccount(allotment, now).hearUse(service, requests, {at, now});
 			}
 		}
 	}
@@ -317,6 +317,7 @@
 			part: this.#settings.getPart(now),
 			burstPart: 1,
 			extra: slack * SLACK_PART,
+			isTold,
 			isWhole: isTold && now - this.#knowsSince >= windowMilliseconds,
 			windowMilliseconds,
 		};
--- a/packages/wagtailroute-allotments/src/constants.ts
+++ b/packages/wagtailroute-allotments/src/constants.ts
@@ -56,6 +56,11 @@
 */
 export const SLACK_PART = 0.4;
 
+/**
+Age in milliseconds from which on news were held up on their way.
+*/
+export const STALE_MILLISECONDS = 600;
+
 /**
 Part of the burst that may be had again in each window by an organisation that sends more than its rate all the while. The rest is left for what dispatchers
 admit before they hear of each other.
