--- /dev/null
+++ b/packages/wagtailroute-allotments/src/bench/admitting.bench.ts
@@ -0,0 +1,44 @@
+/**
+What it costs to admit a request, by the number of organisations: it is on the way of every request, and must not grow with them.
+*/
+import * as allotments from '../index.ts';
+
+const COUNTS = [85, 1000, 100_000];
+const REQUESTS = 300_000;
+const WINDOW_MILLISECONDS = 5000;
+/**
+Times as long as with the fewest organisations that admitting may take with the most: what does not fit into a processor's caches is a few times slower.
+*/
+const RATIO_MOST = 4;
+const MICROSECONDS_PER_MILLISECOND = 1000;
+
+/**
+Measures.
+*/
+export async function run() {
+	const rows = COUNTS.map(count => ({organisations: count, microsecondsPerRequest: Number(measure(count).toFixed(2))}));
+	const ratio = rows.at(-1)!.microsecondsPerRequest / rows[0]!.microsecondsPerRequest;
+	return {
+		title: 'Admitting requests within allotments',
+		rows,
+		broken: ratio > RATIO_MOST ? [`With ${COUNTS.at(-1)} organisations a request takes ${ratio.toFixed(1)} times as long as with ${COUNTS[0]}.`] : [],
+	};
+}
+
+function measure(count: number): number {
+	const ledger = allotments.createAllotments({
+		slack: 20, windowMilliseconds: WINDOW_MILLISECONDS, getPart: () => 1, isTold: true, random: () => 0.5,
+	}, 0);
+	const names = Array.from({length: count}, (_item, index) => `organisation-${index}`);
+	ledger.setAllotments(names.map(organisation => ({organisation, ratePerSecond: 100, burst: 100})), 0);
+	const startedAt = performance.now();
+	for (let request = 0; request < REQUESTS; request++) {
+		const now = 10_000 + (request / 10);
+		ledger.admit(names[request % count]!, 'archive', now);
+		if (request % 1000 === 0) {
+			ledger.takeNews(now);
+		}
+	}
+
+	return (performance.now() - startedAt) * MICROSECONDS_PER_MILLISECOND / REQUESTS;
+}
