--- a/packages/wagtailroute-allotments/src/__tests__/unit/allotments.test.ts
+++ b/packages/wagtailroute-allotments/src/__tests__/unit/allotments.test.ts
@@ -316,7 +316,6 @@
 			ledger.hearUse(news, time);
 		},
 		takeNews: now => ledger.takeNews(now),
-		report: (now, most) => ledger.report(now, most),
 	};
 }
 
--- a/packages/wagtailroute-allotments/src/account.ts
+++ b/packages/wagtailroute-allotments/src/account.ts
@@ -82,10 +82,6 @@
 		this.#bucket = admission.createRateLimit(getRate(allotment, extent), now, {capacity: getCapacity(allotment, extent), tokens});
 	}
 
-	get allotment(): Allotment {
-		return this.#allotment;
-	}
-
 	setBounds(allotment: Allotment, extent: Extent, now: number): void {
 		if (isSameAllotment(allotment, this.#allotment) && isSameExtent(extent, this.#extent)) {
 			return;
@@ -149,10 +145,6 @@
 		return all === 0 ? 0 : sum(this.#uses.entries().filter(([service]) => services.has(service)).map(([, use]) => use)) / all;
 	}
 
-	getTokens(now: number): number {
-		return this.#bucket.getTokens(now);
-	}
-
 	/**
 	Returns the milliseconds until one more request may be admitted.
 	*/
--- a/packages/wagtailroute-allotments/src/allotments.ts
+++ b/packages/wagtailroute-allotments/src/allotments.ts
@@ -105,18 +105,6 @@
 	Returns what was not told yet, undefined when this dispatcher speaks for no service.
 	*/
 	readonly takeNews: (now: number) => UseNews | undefined;
-	/**
-	Returns the organisations that used most of their allotments lately, fullest use first.
-	*/
-	readonly report: (now: number, most: number) => readonly AllotmentReport[];
-};
-
-/**
-An organisation's use of its allotment.
-*/
-export type AllotmentReport = Allotment & {
-	readonly used: number;
-	readonly tokens: number;
 };
 
 /**
@@ -256,14 +244,6 @@
 		return services.length === 0 && uses.length === 0 ? undefined : {at: now, services, uses};
 	}
 
-	report(now: number, most: number): readonly AllotmentReport[] {
-		return this.#accounts.values()
-			.map(account => ({...account.allotment, used: account.getUse(now), tokens: account.getTokens(now)}))
-			.toArray()
-			.toSorted((left, right) => (right.used / right.ratePerSecond) - (left.used / left.ratePerSecond))
-			.slice(0, most);
-	}
-
 	/**
 	Others may have dispatched while this host was not asked and not told: what it holds is worth nothing then.
 	*/
--- a/packages/wagtailroute-allotments/src/index.ts
+++ b/packages/wagtailroute-allotments/src/index.ts
@@ -4,7 +4,6 @@
 export type {Allotment} from './account.ts';
 export {
 	type Admission,
-	type AllotmentReport,
 	type Allotments,
 	type AllotmentSettings,
 	createAllotments,
