--- a/packages/wagtailroute-allotments/src/account.ts
+++ b/packages/wagtailroute-allotments/src/account.ts
@@ -186,7 +186,8 @@
 function getRate(allotment: Allotment, extent: Extent): number {
 	const {ratePerSecond, burst} = allotment;
 	const {part, isWhole, windowMilliseconds} = extent;
-	return isWhole ? ratePerSecond + (burst * RETURNING_BURST_PART * MILLISECONDS_PER_SECOND / windowMilliseconds) : ratePerSecond * part;
+	const returning = isWhole ? burst * RETURNING_BURST_PART * MILLISECONDS_PER_SECOND / windowMilliseconds : 0;
+	return (ratePerSecond + returning) * part;
 }
 
 /**
