Try suspended upstreams at once where no slot is free and nothing can be repeated

Every request to it waited 0.3 to 0.56 s for a slot in the median from second 12 to 28; a seventh of branch-merge was late. Ruled out: load (a third of the slots) and links (the other service waited 8 ms).

--- a/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
@@ -95,6 +95,40 @@
 	t.is(getGrant(dispatcher.end('new', {ending: 'success', milliseconds: 200}, 400))?.ask.id, 'back');
 });
 
+const TRIAL_CASES = [
+	{name: 'while another upstream has a free slot, no request that must not run twice is risked soon', isFull: false, triedBy: 6400},
+	{name: 'while no slot is free and nothing can be repeated, a suspended upstream is tried as soon as a trial is due', isFull: true, triedBy: 400},
+] as const;
+
+for (const {name, isFull, triedBy} of TRIAL_CASES) {
+	test(name, t => {
+		// Symptom: every request of a small pool waits for half a second, though a third of its slots would do. Sequence: errors suspend half of the upstreams; their
+		// spells pass; none of the requests may be repeated, so each waits six seconds more for its trial. Cause: what a trial may cost was weighed, what
+		// all others lose meanwhile was not.
+		const others = ['b', 'c', 'd', 'e'];
+		const dispatcher = createDispatcher(['a', ...others].map(upstream => createCandidate(upstream, {slots: 1})));
+		for (const id of ['bad-1', 'bad-2']) {
+			dispatcher.ask(createAsk(id, {excluded: others}), 0);
+			dispatcher.end(id, {ending: 'error', milliseconds: 10}, 0);
+		}
+
+		let triedAt = Infinity;
+		for (let now = 50; triedAt === Infinity && now < 10_000; now += 50) {
+			const id = String(now);
+			const effects = [...dispatcher.tick(now), ...dispatcher.ask(createAsk(id, {remainingMilliseconds: 400}), now)];
+			triedAt = effects.some(effect => effect.kind === 'grant' && effect.upstream === 'a') ? now : triedAt;
+			for (const effect of effects) {
+				if (!isFull && effect.kind === 'grant') {
+					dispatcher.end(effect.ask.id, {ending: 'success', milliseconds: 10}, now);
+				}
+			}
+		}
+
+		t.true(triedAt <= triedBy, String(triedAt));
+		t.true(isFull || triedAt > 2000, String(triedAt));
+	});
+}
+
 test('a request that was asked for at another dispatcher before earns no resends here', t => {
 	// Symptom: more resends reach a service in ten seconds than its budget allows. Sequence: hosts take a dispatcher for silent and ask the next one, which
 	// counts the request too; under overload each counted request is worth a fifth of a resend. Cause: one request counts once for each dispatcher.
--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -108,6 +108,10 @@
 	Requests that may be repeated came lately.
 	*/
 	readonly hasRepeatable: boolean;
+	/**
+	No upstream in use has a free slot.
+	*/
+	readonly isFull: boolean;
 };
 
 /**
@@ -115,11 +119,12 @@
 
 @param upstreams Suspended ones.
 */
-export function chooseTrial(upstreams: Iterable<Upstream>, ask: Ask, {now, hasRepeatable}: TrialCircumstances): Choice | undefined {
+export function chooseTrial(upstreams: Iterable<Upstream>, ask: Ask, circumstances: TrialCircumstances): Choice | undefined {
+	const {now} = circumstances;
 	let trial: Upstream | undefined;
 	let trialAt = now;
 	for (const upstream of upstreams) {
-		const at = getTrialTime(upstream, ask, hasRepeatable);
+		const at = getTrialTime(upstream, ask, circumstances);
 		const isNext = at <= trialAt && isOpen(upstream, ask, now) && isTriable(upstream, ask);
 		trial = isNext ? upstream : trial;
 		trialAt = isNext ? at : trialAt;
@@ -176,11 +181,14 @@
 }
 
 /**
-One success is no proof yet: where requests that may be repeated come at all, further trials are left to them.
+One success is no proof yet: where requests that may be repeated come at all, further trials are left to them. Where none come and no upstream in use has a
+free slot, nothing is waited for: half of a small pool may be suspended for seconds after its spells have passed, and everybody waits for the other half. A
+trial may cost one request; the wait makes all of them late.
 */
-function getTrialTime({candidate, trialAt, provenAt, failedAt, policy}: Upstream, ask: Ask, hasRepeatable: boolean): number {
+function getTrialTime({candidate, trialAt, provenAt, failedAt, policy}: Upstream, ask: Ask, {hasRepeatable, isFull}: TrialCircumstances): number {
 	const isHopeful = provenAt > failedAt && !hasRepeatable;
-	const extra = isHopeful || core.isIdempotent(ask.requestClass) ? 0 : policy.unrepeatableTrialMilliseconds;
+	const isPressed = isFull && !hasRepeatable;
+	const extra = isHopeful || isPressed || core.isIdempotent(ask.requestClass) ? 0 : policy.unrepeatableTrialMilliseconds;
 	return trialAt + extra + (candidate.failureDomain === ask.failureDomain ? 0 : policy.domainTrialMilliseconds);
 }
 
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -449,7 +449,7 @@
 			}
 
 			const ask = {...waiting.ask, remainingMilliseconds: waiting.deadlineAt - now};
-			const choice = chooseTrial(dueTrials, ask, getTrialCircumstances(service, now))
+			const choice = chooseTrial(dueTrials, ask, getTrialCircumstances(service, now, free.length === 0))
 				?? choose(free, ask, this.#getCircumstances(service, now, waiting.askedAt));
 			if (choice === undefined) {
 				continue;
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -79,8 +79,8 @@
 /**
 Returns what the choice of a trial may know.
 */
-export function getTrialCircumstances({repeatableAt, policy}: Service, now: number): TrialCircumstances {
-	return {now, hasRepeatable: now - repeatableAt < policy.repeatableMilliseconds};
+export function getTrialCircumstances({repeatableAt, policy}: Service, now: number, isFull: boolean): TrialCircumstances {
+	return {now, hasRepeatable: now - repeatableAt < policy.repeatableMilliseconds, isFull};
 }
 
 /**
