--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -398,8 +398,7 @@
 
 	/**
 	Ejecting must never leave less than the floor: below it, what is suspended is better than a refusal. For a first attempt that may be repeated it
-	always is: it finds out, and moves when it hangs. Under overload that raises the served share by 0.001 and the earned worth by 0.003
-	(laboratory, crowded at 1.6 times the traffic, 20 paired days); else it makes no difference.
+	always is: it finds out, and moves when it hangs.
 	*/
 	#useReserveOrRefuse(
 		service: Service,
--- a/packages/wagtailroute-dispatch/src/policy.ts
+++ b/packages/wagtailroute-dispatch/src/policy.ts
@@ -32,7 +32,7 @@
 	fadingDoubt: 0.3,
 	/**
 	Cost of one unit of doubt, as a part of a full upstream: what has just failed is left alone where there are others, beyond what the
-	risk says. Without it, 0.11 requests more are sent into each spell of resets (laboratory, archive, 30 paired days).
+	risk says.
 	*/
 	doubtCost: 0.25,
 	/**
@@ -46,8 +46,7 @@
 	resendMilliseconds: 1000,
 	/**
 	Milliseconds by which a request that can not be answered within its objective any more stands behind others that can: enough that a crowd
-	that comes back does not make all who come later late, and not so much that it is only served when nobody else is left. Measured after a
-	restart of everything, processor time charged, one run each: the second two seconds earn 0.51 and 0.45 of their worth in place of 0.32 and 0.24.
+	that comes back does not make all who come later late, and not so much that it is only served when nobody else is left.
 	*/
 	lateMilliseconds: 1000,
 	/**
@@ -57,9 +56,7 @@
 	objectivePart: 1.3,
 	/**
 	Part of this rule that holds for a request whose objective is missed already: with 1 it is refused like others, with 0 only its deadline
-	counts. A late answer is worth more to its caller than a refusal, and it stands behind those who can be in time. In the laboratory
-	(crowded, 30 paired days) half of the refused requests are served, 0.0006 of all; it makes no difference that can be told elsewhere.
-	In four paired whole days that end with a restart of everything before small services, 0.0115 refused become 0.0075 in the mean.
+	counts. A late answer is worth more to its caller than a refusal, and it stands behind those who can be in time.
 	*/
 	missedPart: 0,
 	/**
@@ -214,9 +211,7 @@
 	*/
 	repeatableRiskCost: 8,
 	/**
-	Cost of a certain bad spell, as a part of a full upstream. In the laboratory (gateway, 40 paired days) it takes 0.38 of 2.8 requests
-	that must not run twice sent into each spell, and raises the served share by 0.0036; from 8 to 40 it makes little difference, and reads
-	gain by it too.
+	Cost of a certain bad spell, as a part of a full upstream: where one is likely, a request that must not run twice had better wait or cross.
 	*/
 	riskCost: 20,
 } as const;
