An organisation is not shut out by a cut, and no refusal tells an infinite time

Found in reading: a dispatcher that misses news of the service that an organisation used alone gave it nothing, and told it to come back after an infinite time.

--- a/packages/wagtailroute-allotments/src/__tests__/unit/allotments.test.ts
+++ b/packages/wagtailroute-allotments/src/__tests__/unit/allotments.test.ts
@@ -186,6 +186,21 @@
 	t.is(countAdmitted(ledger, 100, {at: 18_400}), 4, 'heard again, the whole rate');
 });
 
+test('an organisation that used other services only is not shut out by a cut', t => {
+	// Symptom: a refusal tells to come back after an infinite time. Sequence: an organisation uses one service; the dispatcher of another one is cut off from
+	// that of the first; the organisation turns to the other service. Cause: its part of what was used there is nothing.
+	const ledger = create();
+	for (let at = 10_000; at < 15_000; at += 200) {
+		tell(ledger, ['media'], [['media', 'parish', 2]], at);
+	}
+
+	countAdmitted(ledger, 100, {at: 20_000});
+	const refusal = ledger.admit('parish', 'archive', 20_000);
+	t.is(refusal.kind, 'refused');
+	t.true(refusal.kind === 'refused' && refusal.retryAfterMilliseconds <= 5000);
+	t.is(countAdmitted(ledger, 100, {at: 24_000}), 1);
+});
+
 test('whoever is asked for a service sets nothing aside for the one that dispatched it before', t => {
 	// Symptom: requests are refused although their organisation is within its allotment. Sequence: the dispatcher of a service is lost, the next one
 	// is asked. Cause: it takes the lost one for one that is cut off and still gives out its part.
--- a/packages/wagtailroute-allotments/src/allotments.ts
+++ b/packages/wagtailroute-allotments/src/allotments.ts
@@ -25,6 +25,7 @@
 	FRESH_MILLISECONDS,
 	MILLISECONDS_PER_SECOND,
 	SILENT_BURST_PART,
+	SILENT_LEAST_PART,
 	SILENT_MILLISECONDS,
 	SILENT_PART,
 	SLACK_PART,
@@ -67,7 +68,7 @@
 	| {
 		readonly kind: 'refused';
 		/**
-		Milliseconds until the next request may be admitted.
+		Milliseconds until the next request may be admitted, a window at most.
 		*/
 		readonly retryAfterMilliseconds: number;
 		readonly ratePerSecond: number;
@@ -199,7 +200,7 @@
 
 		return {
 			kind: 'refused',
-			retryAfterMilliseconds: account.getDelay(now),
+			retryAfterMilliseconds: Math.min(account.getDelay(now), this.#settings.windowMilliseconds),
 			ratePerSecond: allotment.ratePerSecond,
 			used: account.getUse(now),
 			ageMilliseconds: this.#lastHeardAt === undefined ? undefined : now - this.#lastHeardAt,
@@ -306,11 +307,14 @@
 	#getExtent(account: Account, now: number): Extent {
 		const full = this.#getFullExtent(now);
 		const silent = this.#listSilent(now, SILENT_MILLISECONDS);
-		return silent.size === 0
-			? full
-			: {
-				...full, isWhole: false, part: full.part * (1 - account.getPart(silent)) * SILENT_PART, burstPart: SILENT_BURST_PART,
-			};
+		if (silent.size === 0) {
+			return full;
+		}
+
+		const left = Math.max(SILENT_LEAST_PART, (1 - account.getPart(silent)) * SILENT_PART);
+		return {
+			...full, isWhole: false, part: full.part * left, burstPart: SILENT_BURST_PART,
+		};
 	}
 
 	#settle(): void {
--- a/packages/wagtailroute-allotments/src/constants.ts
+++ b/packages/wagtailroute-allotments/src/constants.ts
@@ -24,6 +24,11 @@
 */
 export const SILENT_PART = 0.8;
 
+/**
+The same at least: an organisation that used other services only must not be shut out of this one.
+*/
+export const SILENT_LEAST_PART = 0.05;
+
 /**
 Part of the burst that such a dispatcher keeps: an organisation that floods has had its burst before, and would have it again on both sides.
 */
