--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -202,7 +202,7 @@
 	return (getSlowness(upstream, now) * (1 + load))
 		+ (candidate.failureDomain === ask.failureDomain ? 0 : getCrossingCost(ask, policy))
 		+ (getDoubt(upstream, now) * policy.doubtCost)
-		+ (getRisk(upstream, now) * (core.isIdempotent(ask.requestClass) ? policy.repeatableRiskCost : policy.riskCost))
+		+ (getRisk(upstream, now) * policy.riskCost)
 		- (isRested(upstream, now) ? getRestGain(ask, policy) : 0);
 }
 
--- a/packages/wagtailroute-dispatch/src/policy.ts
+++ b/packages/wagtailroute-dispatch/src/policy.ts
@@ -207,10 +207,6 @@
 	*/
 	repeatableRestGain: 3,
 	/**
-	Cost of a certain bad spell for a request that may be repeated: it is late then, not lost.
-	*/
-	repeatableRiskCost: 8,
-	/**
 	Cost of a certain bad spell, as a part of a full upstream: where one is likely, a request that must not run twice had better wait or cross.
 	*/
 	riskCost: 20,
