--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -35,6 +35,7 @@
 import {createKnowledge} from './knowledge.ts';
 import {startLoadMeter} from './load.ts';
 import * as messages from './messages.ts';
+import {createNoting} from './noting.ts';
 import {createRouter} from './routing.ts';
 import type {ControlHost, EntrySettings, StandbyHost} from './settings.ts';
 import {createStandbys} from './standbys.ts';
@@ -283,31 +284,3 @@
 	examineLoss: async () => false,
 	noteSurvived: () => undefined,
 };
-
-function createNoting(context: FleetContext): (note: proxy.RequestNote) => void {
-	const log = context.logs('request');
-	return note => {
-		const {service, outcome, status, failure, milliseconds} = note;
-		context.metrics.count('requests', {service, outcome, status: String(status)});
-		context.metrics.observe('request', milliseconds, {service});
-		if (failure !== undefined) {
-			context.metrics.count('failures', {service, kind: failure.kind});
-		}
-
-		const line = {
-			request: note.requestId,
-			service,
-			class: note.requestClass,
-			organisation: note.organisation,
-			outcome,
-			status,
-			milliseconds: Math.round(milliseconds),
-			waited: Math.round(note.choosingMilliseconds),
-			attempts: note.attempts,
-			upstream: note.upstream,
-			...failure !== undefined && {failure: failure.kind, detail: failure.message},
-		};
-		const isGood = failure === undefined && status < 500;
-		log[isGood ? 'info' : 'warn'](isGood ? 'Answered.' : 'Failed.', line);
-	};
-}
