--- a/packages/wagtailroute-proxy/src/__tests__/unit/pace.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/pace.test.ts
@@ -43,6 +43,14 @@
 	});
 }
 
+test('what is not paced passes as it came', async t => {
+	const prefix = buffer.Buffer.alloc(70_000, 'x');
+	const rest = [buffer.Buffer.alloc(30_000, 'y')];
+	const body = {prefix, rest: rest.values() as unknown as AsyncIterator<buffer.Buffer>, limitBytes: 200_000};
+	const pieces = await Array.fromAsync(bodies.getSendable(body) as AsyncIterable<buffer.Buffer>);
+	t.deepEqual(pieces.map(({length}) => length), [70_000, 30_000]);
+});
+
 test('a paced body comes through whole, in pieces, and its length is told', async t => {
 	const prefix = buffer.Buffer.alloc(50_000, 'x');
 	const passed: number[] = [];
--- a/packages/wagtailroute-proxy/src/bodies.ts
+++ b/packages/wagtailroute-proxy/src/bodies.ts
@@ -131,6 +131,11 @@
 }
 
 async function * sendInPieces(bytes: buffer.Buffer, pace: Pace): AsyncIterable<buffer.Buffer> {
+	if (pace === NO_PACE) {
+		yield bytes;
+		return;
+	}
+
 	for (let start = 0; start < bytes.length; start += PACED_PIECE_BYTES) {
 		const piece = bytes.subarray(start, start + PACED_PIECE_BYTES);
 		yield piece;
