One table of hosts that asked lately; no part is worked out where all use is heard

Read once more: the hosts that asked a dispatcher lately were kept by two tables of the same logic (who is told beliefs, who counts for a part of an allotment). Control hosts noted each ask for a part that is always the whole, and were given a count that nothing read. How allotments are judged had a default in the adapter and another one in the fleet; the fleet's is gone, the adapter always tells. Whether a request is a first one is said once. Behaviour unchanged; the tests' set-ups follow the names, their assertions stay.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/allotting.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/allotting.test.ts
@@ -37,8 +37,6 @@
 	const told: allotments.UseNews[] = [];
 	const allotting = startAllotting(context, {
 		settings: {slack: 20, windowMilliseconds: 5000},
-		isTold: true,
-		countEntryHosts: () => 100,
 		tellControls(method, news) {
 			if (method === METHODS.use) {
 				told.push(news as allotments.UseNews);
@@ -156,7 +154,7 @@
 });
 
 test('a dispatcher that hears of no use gives out the part of the entry hosts that ask it', async t => {
-	const {ask, dispatching, context} = await setUp({isTold: false, countEntryHosts: () => 10});
+	const {ask, dispatching, context} = await setUp({countEntryHosts: () => 10});
 	let granted = 0;
 	for (let turn = 0; turn < 500; turn++) {
 		const {id, answer} = ask({host: `front-${turn % 2}`});
--- a/packages/wagtailroute-fleet/src/allotting.ts
+++ b/packages/wagtailroute-fleet/src/allotting.ts
@@ -9,13 +9,13 @@
 import * as utils from 'wagtailroute-utils';
 import {
 	ALLOTMENT_ASKER_MILLISECONDS,
-	DEFAULT_ALLOTMENTS,
 	ORGANISATION_LABELS_MOST,
 	REFUSALS_TOLD_MILLISECONDS,
 	UNKNOWN_ENTRY_HOSTS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
 import {type DecidedAnswer, METHODS} from './messages.ts';
+import {createRecentAskers} from './recent-askers.ts';
 import type {FleetSettings} from './settings.ts';
 
 /**
@@ -40,13 +40,10 @@
 export type AllottingPlan = {
 	readonly settings: FleetSettings['allotments'];
 	/**
-	This dispatcher hears of all use. Any other gives out only the part of the entry hosts that ask it.
+	Returns how many entry hosts serve callers, 0 when it is not known: a dispatcher that hears of no use elsewhere gives out only the part of those that
+	ask it. Absent for one that hears of all use.
 	*/
-	readonly isTold: boolean;
-	/**
-	Returns how many entry hosts serve callers, 0 when it is not known.
-	*/
-	readonly countEntryHosts: () => number;
+	readonly countEntryHosts?: () => number;
 	/**
 	Sends to the other control hosts.
 	*/
@@ -58,17 +55,18 @@
 */
 export function startAllotting(context: FleetContext, plan: AllottingPlan): Allotting {
 	const {now} = context;
-	const askers = createRecentAskers();
+	const askers = createRecentAskers(ALLOTMENT_ASKER_MILLISECONDS);
+	const {countEntryHosts} = plan;
 	const getPart = (time: number) => {
-		const hosts = plan.countEntryHosts();
+		const hosts = countEntryHosts?.() ?? 0;
 		return Math.min(1, Math.max(1, askers.count(time)) / (hosts === 0 ? UNKNOWN_ENTRY_HOSTS : hosts));
 	};
 
 	const ledger = allotments.createAllotments({
-		...plan.settings ?? DEFAULT_ALLOTMENTS,
-		isTold: plan.isTold,
+		...plan.settings,
+		isTold: countEntryHosts === undefined,
 		random: context.random,
-		getPart: time => plan.isTold ? 1 : getPart(time),
+		getPart: countEntryHosts === undefined ? () => 1 : getPart,
 	}, now());
 	const clocks = allotments.createSenderClocks();
 	const noteRefusal = createRefusalLog(context);
@@ -95,7 +93,10 @@
 				return undefined;
 			}
 
-			askers.note(ask.host, now());
+			if (countEntryHosts !== undefined) {
+				askers.note(ask.host, now());
+			}
+
 			const admission = ledger.admit(ask.organisation, ask.service, now());
 			if (admission.kind === 'admitted') {
 				if (admission.isUrgent) {
@@ -121,36 +122,6 @@
 	};
 }
 
-type RecentAskers = {
-	readonly note: (host: core.HostId, now: number) => void;
-	readonly count: (now: number) => number;
-};
-
-/**
-Counts the hosts that asked lately.
-*/
-function createRecentAskers(): RecentAskers {
-	const askedAt = new Map<core.HostId, number>();
-	return {
-		note(host, now) {
-			// The one that asked last comes last.
-			askedAt.delete(host);
-			askedAt.set(host, now);
-		},
-		count(now) {
-			for (const [host, time] of askedAt) {
-				if (now - time <= ALLOTMENT_ASKER_MILLISECONDS) {
-					break;
-				}
-
-				askedAt.delete(host);
-			}
-
-			return askedAt.size;
-		},
-	};
-}
-
 type Refused = Extract<allotments.Admission, {kind: 'refused'}>;
 
 /**
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -284,11 +284,6 @@
 */
 export const ROUTES_MEASURED = 4096;
 
-/**
-How allotments are judged where the settings do not tell.
-*/
-export const DEFAULT_ALLOTMENTS = {slack: 0, windowMilliseconds: 5000} as const;
-
 /**
 Milliseconds after its last ask for which a host is told what a dispatcher believes.
 */
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -89,8 +89,6 @@
 	});
 	const allotting = startAllotting(context, {
 		settings: settings.allotments,
-		isTold: true,
-		countEntryHosts: () => entries.count(),
 		tellControls(method, parameters) {
 			links.notifyAll(method, parameters);
 		},
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -17,6 +17,7 @@
 	type Holding,
 	METHODS,
 } from './messages.ts';
+import {createRecentAskers, type RecentAskers} from './recent-askers.ts';
 import type {FleetSettings} from './settings.ts';
 
 /**
@@ -90,21 +91,12 @@
 	const log = context.logs('dispatch');
 	const dispatcher = dispatch.createDispatcher({...plan.settings, random});
 	const known = new Set<core.ServiceName>();
-	const askers = new Map<core.ServiceName, Map<core.HostId, number>>();
+	const askers = new Map<core.ServiceName, RecentAskers>();
 
 	/**
 	Hosts that send requests of the service: the others would only be woken.
 	*/
-	const listAskers = (service: core.ServiceName) => {
-		const hosts = askers.get(service) ?? new Map<core.HostId, number>();
-		for (const [host, askedAt] of hosts) {
-			if (now() - askedAt > ASKER_MILLISECONDS) {
-				hosts.delete(host);
-			}
-		}
-
-		return hosts.keys().toArray();
-	};
+	const listAskers = (service: core.ServiceName) => askers.get(service)?.list(now()) ?? [];
 
 	/**
 	What askers have not been told yet, the last of each upstream.
@@ -171,15 +163,15 @@
 	dispatcher to the next asks at both. A resend took nothing.
 	*/
 	const giveBack = (ask: dispatch.Ask) => {
-		if (!ask.isResend && !ask.isMove) {
+		if (isFirst(ask)) {
 			plan.allotting?.giveBack(ask);
 		}
 	};
 
 	const noteAsker = ({service, host}: dispatch.Ask) => {
-		const hosts = askers.get(service) ?? new Map<core.HostId, number>();
+		const hosts = askers.get(service) ?? createRecentAskers(ASKER_MILLISECONDS);
 		askers.set(service, hosts);
-		hosts.set(host, now());
+		hosts.note(host, now());
 	};
 
 	const carryOut = (list: readonly dispatch.Effect[]) => {
@@ -240,8 +232,7 @@
 				return {kind: 'elsewhere'};
 			}
 
-			const isFirst = !ask.isResend && !ask.isMove;
-			const overdrawn = isFirst ? plan.allotting?.admit(ask) : undefined;
+			const overdrawn = isFirst(ask) ? plan.allotting?.admit(ask) : undefined;
 			if (overdrawn !== undefined) {
 				return overdrawn;
 			}
@@ -309,6 +300,13 @@
 	};
 }
 
+/**
+Says whether nobody had the request before.
+*/
+function isFirst({isResend, isMove}: dispatch.Ask): boolean {
+	return !isResend && !isMove;
+}
+
 /**
 Turns a decision into what the asking host is told.
 */
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -124,7 +124,6 @@
 
 	const allotting = startAllotting(context, {
 		settings: settings.allotments,
-		isTold: false,
 		countEntryHosts: () => countAddresses(directory),
 		tellControls(method, parameters) {
 			links.notifyAll(method, parameters);
--- a/packages/wagtailroute-fleet/src/settings.ts
+++ b/packages/wagtailroute-fleet/src/settings.ts
@@ -40,9 +40,9 @@
 	*/
 	readonly floor: number;
 	/**
-	How organisations' use of their allotments is judged; no slack in windows of five seconds when absent.
+	How organisations' use of their allotments is judged.
 	*/
-	readonly allotments?: {
+	readonly allotments: {
 		/**
 		Requests that may pass in a window beyond an allotment.
 		*/
--- a/packages/wagtailroute-proxy/src/__tests__/unit/pace.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/pace.test.ts
@@ -64,6 +64,6 @@
 	const pieces = await Array.fromAsync(bodies.getSendable(body, pace) as AsyncIterable<buffer.Buffer>);
 	t.true(buffer.Buffer.concat(pieces).equals(prefix));
 	t.deepEqual(passed, [8192, 8192, 8192, 8192, 8192, 8192, 848]);
-	t.is(bodies.getTold(body, {} as never), 50_000);
+	t.is(bodies.getToldLength(body, {} as never), 50_000);
 	t.true(bodies.getSendable({prefix: prefix.subarray(0, 8192), limitBytes: 100_000}, pace) instanceof Uint8Array);
 });
--- a/packages/wagtailroute-proxy/src/bodies.ts
+++ b/packages/wagtailroute-proxy/src/bodies.ts
@@ -115,7 +115,7 @@
 /**
 Returns the length that the backend server is told; undefined when the HTTP client finds it itself, or nobody knows it.
 */
-export function getTold(body: Body, request: CallerRequest): number | undefined {
+export function getToldLength(body: Body, request: CallerRequest): number | undefined {
 	if (body.rest !== undefined) {
 		return request.contentLength;
 	}
--- a/packages/wagtailroute-proxy/src/sending.ts
+++ b/packages/wagtailroute-proxy/src/sending.ts
@@ -291,7 +291,7 @@
 			headers: dialect.createRequestHeaders(message, {
 				instance: target.id,
 				remainingMilliseconds: this.#getRemaining(),
-				contentLength: bodies.getTold(body, request),
+				contentLength: bodies.getToldLength(body, request),
 				organisation,
 				forwardedBy: target.kind === 'host' ? hostId : undefined,
 				retry: this.#count > 1 ? String(this.#count - 1) : request.tierRetry,
