Log and count the rate limits that upstreams name in their answers

Now the adapter reads the header, the line of a request holds the limit of its answer, and each entry host counts the answers that named one. Nothing is decided by it yet.

--- a/packages/wagtailroute-fleet/src/noting.ts
+++ b/packages/wagtailroute-fleet/src/noting.ts
@@ -17,6 +17,10 @@
 			context.metrics.count('failures', {service, kind: failure.kind});
 		}
 
+		if (note.rateLimit !== undefined) {
+			context.metrics.count('rate_limits_named', {service});
+		}
+
 		const line = {
 			request: note.requestId,
 			service,
@@ -28,6 +32,7 @@
 			waited: Math.round(note.choosingMilliseconds),
 			attempts: note.attempts,
 			upstream: note.upstream,
+			rateLimit: note.rateLimit,
 			...failure !== undefined && {failure: failure.kind, detail: failure.message},
 		};
 		const isGood = failure === undefined && status < 500;
--- a/packages/wagtailroute-proxy/src/dialect.ts
+++ b/packages/wagtailroute-proxy/src/dialect.ts
@@ -34,6 +34,10 @@
 	*/
 	readonly createRequestHeaders: (message: http.IncomingMessage, passage: Passage) => string[];
 	readonly readAnswer: (status: number, headers: HeaderFields, request: CallerRequest) => AnswerKind;
+	/**
+	Returns the requests a second that a backend server takes from all hosts together, as its answer says; undefined when it names no limit.
+	*/
+	readonly readRateLimit: (headers: HeaderFields) => number | undefined;
 	readonly createAnswerHeaders: (headers: HeaderFields, outcome: core.Outcome) => Record<string, string | string[]>;
 	/**
 	Creates the answer that the fleet itself gives to a failed request.
@@ -58,6 +62,7 @@
 	parseRequest,
 	createRequestHeaders,
 	readAnswer: (status, headers) => isShedAnswer(status, headers) ? 'shed' : 'answer',
+	readRateLimit: () => undefined,
 	createAnswerHeaders,
 	createProblem,
 	isReserved: path => path.startsWith(RESERVED_PREFIX),
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -379,6 +379,10 @@
 	readonly attempts: number;
 	readonly upstream?: core.UpstreamId;
 	/**
+	Requests a second that the last upstream takes, as far as its answer said.
+	*/
+	readonly rateLimit?: number;
+	/**
 	Milliseconds for which it was waited for targets.
 	*/
 	readonly choosingMilliseconds: number;
--- a/packages/wagtailroute-proxy/src/sending.ts
+++ b/packages/wagtailroute-proxy/src/sending.ts
@@ -65,6 +65,10 @@
 	lastEnding: ports.AttemptEnding | undefined;
 	lastUpstream: core.UpstreamId | undefined;
 	/**
+	Requests a second that the last upstream takes, as far as its answer said.
+	*/
+	rateLimit: number | undefined;
+	/**
 	Milliseconds for which it was waited for targets, over all attempts.
 	*/
 	choosingMilliseconds = 0;
@@ -311,6 +315,8 @@
 	#decideAnswer(status: number, received: headers.HeaderFields, target: ports.Target): attempts.Verdict {
 		const {service, request, ports: {dialect}} = this.#context;
 		const kind = dialect.readAnswer(status, received, request);
+		const isOfTarget = kind !== 'foreign' && kind !== 'misdirected' && target.kind === 'upstream';
+		this.rateLimit = isOfTarget ? dialect.readRateLimit(received) : undefined;
 		if (kind === 'foreign' || (kind === 'answer' && status < 500)) {
 			return kind === 'foreign' ? 'foreign' : 'relay';
 		}
