Give out no more places of an upstream than the rate limit that it names

Cause: slots were all that a dispatcher knew of an upstream's capacity. The entry hosts handed the answers that name a limit on, and told nobody.

Now the entry host tells the dispatcher that granted the place, as soon as the header section of the answer is there. The dispatcher keeps a bucket for the upstream: every way to a place (choice, trial, reserve, move) needs a token, and what is refused at once counts the slots that the rate leaves. An answer lifts a limit only if its request was sent after the limit was named.

Why it holds over all hosts: an entry host remembers what answers told it and tells every dispatcher that it turns to, so whoever dispatches for a told host knows. Dispatchers tell each other changed rates, and what they grant while two of them are asked. A host that dispatches for few others gives out only their part.

--- a/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
@@ -462,7 +462,7 @@
 		let now = 0;
 		const take = (effects: readonly dispatch.Effect[]) => {
 			for (const effect of effects) {
-				if (effect.kind === 'believe') {
+				if (effect.kind !== 'grant' && effect.kind !== 'refuse') {
 					continue;
 				}
 
--- /dev/null
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/rate-limits.test.ts
@@ -0,0 +1,275 @@
+/**
+Tests of rate limits that upstreams name in their answers: what is granted within them, what lifts them, and what other dispatchers are told.
+*/
+import test from 'ava';
+import * as fc from 'fast-check';
+import * as utils from 'wagtailroute-utils';
+import * as dispatch from '../../index.ts';
+
+const SERVICE = 'archive';
+const LIMITED = 'limited';
+const WINDOW_MILLISECONDS = 4000;
+
+const createCandidate = (upstream: string, changes: Partial<dispatch.Candidate> = {}): dispatch.Candidate => ({
+	upstream, address: {ip: '10.0.0.1', port: 80}, failureDomain: 'x', slots: 4, isDraining: false, isSilent: false, warmAt: 0, ...changes,
+});
+
+const createAsk = (id: string, changes: Partial<dispatch.Ask> = {}): dispatch.Ask => ({
+	id,
+	host: 'host',
+	failureDomain: 'x',
+	service: SERVICE,
+	route: 'route',
+	requestClass: 'read',
+	priority: 1,
+	remainingMilliseconds: 2000,
+	objectiveMilliseconds: 1000,
+	excluded: [],
+	isResend: false,
+	isMove: false,
+	waitedMilliseconds: 0,
+	...changes,
+});
+
+const createDispatcher = (upstreams: readonly string[], settings: Partial<dispatch.DispatcherSettings> = {}): dispatch.Dispatcher => {
+	const dispatcher = dispatch.createDispatcher({
+		budget: {ratio: 0.2, extra: 60, windowMilliseconds: 10_000}, floor: 0.7, random: utils.createRandom(1), ...settings,
+	});
+	dispatcher.setCandidates(SERVICE, upstreams.map(upstream => createCandidate(upstream)), 0);
+	return dispatcher;
+};
+
+const getLimit = (dispatcher: dispatch.Dispatcher, now: number) =>
+	dispatcher.report(SERVICE, now).find(({upstream}) => upstream === LIMITED)?.rateLimit;
+
+/**
+What the platform lets pass in a window.
+*/
+const getMost = (ratePerSecond: number) => (1.5 * ratePerSecond * WINDOW_MILLISECONDS / 1000) + 5;
+
+const countMost = (times: readonly number[]) =>
+	Math.max(0, ...times.map(from => times.filter(at => at >= from && at < from + WINDOW_MILLISECONDS).length));
+
+/**
+A request is granted, and its answer names the limit.
+*/
+const nameLimit = (dispatcher: dispatch.Dispatcher, ratePerSecond: number, now: number) => {
+	dispatcher.ask(createAsk('first'), now);
+	dispatcher.noteRateLimit('first', ratePerSecond, now);
+	dispatcher.end('first', {ending: 'success', milliseconds: 1}, now);
+};
+
+const LIFTS = [
+	{
+		name: 'a success that was sent after it', ending: 'success', isSentBefore: false, limit: undefined,
+	},
+	{
+		name: 'a success that was sent before it', ending: 'success', isSentBefore: true, limit: 3,
+	},
+	{
+		name: 'an error', ending: 'error', isSentBefore: false, limit: 3,
+	},
+	{
+		name: 'a shed request', ending: 'shed', isSentBefore: false, limit: 3,
+	},
+	{
+		name: 'a reset', ending: 'reset', isSentBefore: false, limit: 3,
+	},
+] as const;
+
+for (const {name, ending, isSentBefore, limit} of LIFTS) {
+	test(`${name} ${limit === undefined ? 'lifts' : 'does not lift'} a rate limit`, t => {
+		const dispatcher = createDispatcher([LIMITED]);
+		if (isSentBefore) {
+			dispatcher.ask(createAsk('later'), 0);
+		}
+
+		nameLimit(dispatcher, 3, 10);
+		if (!isSentBefore) {
+			dispatcher.ask(createAsk('later'), 600);
+		}
+
+		dispatcher.end('later', {ending, milliseconds: 100}, 700);
+		t.is(getLimit(dispatcher, 700), limit);
+	});
+}
+
+const HEARD = [
+	{
+		name: 'a limit that is new here', before: undefined, told: {ratePerSecond: 2, ageMilliseconds: 500}, limit: 2,
+	},
+	{
+		name: 'a limit that was named after the one known here', before: 3, told: {ratePerSecond: 2, ageMilliseconds: 10}, limit: 2,
+	},
+	{
+		name: 'a limit that was named before the one known here', before: 3, told: {ratePerSecond: 2, ageMilliseconds: 500}, limit: 3,
+	},
+	{
+		name: 'a limit that was lifted', before: 3, told: {ratePerSecond: null, ageMilliseconds: 0}, limit: undefined,
+	},
+] as const;
+
+for (const {name, before, told, limit} of HEARD) {
+	test(`told by another host, ${name} leaves ${limit ?? 'none'}`, t => {
+		const dispatcher = createDispatcher([LIMITED]);
+		if (before !== undefined) {
+			nameLimit(dispatcher, before, 900);
+		}
+
+		dispatcher.hearRateLimits(SERVICE, [{upstream: LIMITED, ...told, granted: 0}], 1000);
+		t.is(getLimit(dispatcher, 1000), limit);
+	});
+}
+
+test('what no upstream takes within its rate limit is refused at once', t => {
+	// Guards against callers that wait until their deadline for a slot that a rate limit keeps free.
+	const dispatcher = createDispatcher([LIMITED]);
+	nameLimit(dispatcher, 1, 0);
+	const effects = [1, 2, 3, 4].flatMap(number => dispatcher.ask(createAsk(String(number), {requestClass: 'non-idempotent'}), 1));
+	t.true(effects.some(effect => effect.kind === 'refuse' && effect.reason === 'no-slot-in-time' && effect.retryAfterMilliseconds > 0));
+});
+
+test('an upstream that takes next to nothing is still asked whether it says so', t => {
+	const dispatcher = createDispatcher([LIMITED]);
+	nameLimit(dispatcher, 0, 0);
+	t.is(dispatcher.ask(createAsk('early'), 4000).find(effect => effect.kind === 'grant'), undefined);
+	t.truthy(dispatcher.ask(createAsk('late'), 6000).find(effect => effect.kind === 'grant'));
+});
+
+test('a place that is not used is given back to the rate limit', t => {
+	const dispatcher = createDispatcher([LIMITED]);
+	nameLimit(dispatcher, 1, 0);
+	t.truthy(dispatcher.ask(createAsk('unused'), 1000).find(effect => effect.kind === 'grant'));
+	dispatcher.end('unused', {ending: 'unused', milliseconds: 0}, 1001);
+	t.truthy(dispatcher.ask(createAsk('next'), 1002).find(effect => effect.kind === 'grant'));
+});
+
+test('a host that dispatches for few others gives out only their part of a rate limit', t => {
+	// Guards against many hosts that dispatch alone and spend a whole rate limit each.
+	const hosts = 40;
+	const limit = 2;
+	const times: number[] = [];
+	const random = utils.createRandom(1);
+	const dispatchers = Array.from({length: hosts}, () => createDispatcher([LIMITED], {getPart: () => 1 / hosts, random}));
+	for (const dispatcher of dispatchers) {
+		dispatcher.hearRateLimits(SERVICE, [{
+			upstream: LIMITED, ratePerSecond: limit, ageMilliseconds: 0, granted: 0,
+		}], 0);
+	}
+
+	for (let now = 0; now < 10_000; now += 50) {
+		for (const [host, dispatcher] of dispatchers.entries()) {
+			const granted = dispatcher.ask(createAsk(`${host}-${now}`), now).filter(effect => effect.kind === 'grant');
+			times.push(...granted.map(() => now));
+			for (const {ask} of granted) {
+				dispatcher.noteRateLimit(ask.id, limit, now);
+				dispatcher.end(ask.id, {ending: 'success', milliseconds: 20}, now);
+			}
+		}
+	}
+
+	t.true(times.length > 0);
+	t.true(countMost(times) <= getMost(limit), `${countMost(times)}`);
+});
+
+const TELL_MILLISECONDS = 100;
+const STEP_MILLISECONDS = 20;
+const STEPS = 600;
+
+const history = fc.record({
+	ratePerSecond: fc.double({min: 0, max: 8, noNaN: true}),
+	/**
+	By second: requests in each step, and the part of them that goes to the second dispatcher.
+	*/
+	seconds: fc.array(fc.record({
+		requests: fc.constantFrom(0, 1, 1, 1, 4),
+		part: fc.constantFrom(0, 0, 0.2, 0.5, 1),
+	}), {minLength: 1, maxLength: 12}),
+	/**
+	Milliseconds for which the dispatchers' news are under way.
+	*/
+	delay: fc.integer({min: 1, max: 100}),
+	seed: fc.integer({min: 1, max: 1_000_000}),
+});
+
+type History = typeof history extends fc.Arbitrary<infer Value> ? Value : never;
+
+/**
+Plays requests of all kinds, spread over two dispatchers that tell each other, and returns when the limited upstream got one.
+*/
+function playTwoDispatchers({ratePerSecond, seconds, delay, seed}: History): readonly number[] {
+	const random = utils.createRandom(seed);
+	const dispatchers = [createDispatcher([LIMITED, 'plain'], {random}), createDispatcher([LIMITED, 'plain'], {random})] as const;
+	const ends: Array<{readonly at: number; readonly to: dispatch.Dispatcher; readonly id: string; readonly isNamed: boolean}> = [];
+	const tellings: Array<{readonly at: number; readonly to: dispatch.Dispatcher; readonly news: readonly dispatch.RateLimitNews[]}> = [];
+	const times: number[] = [];
+
+	const grant = (by: dispatch.Dispatcher, effects: readonly dispatch.Effect[], now: number) => {
+		for (const effect of effects) {
+			const isNamed = effect.kind === 'grant' && effect.upstream === LIMITED;
+			times.push(...isNamed ? [now] : []);
+			if (effect.kind !== 'grant') {
+				continue;
+			}
+
+			ends.push({
+				at: now + 40 + (random() * 300), to: by, id: effect.ask.id, isNamed,
+			});
+		}
+	};
+
+	const takeDue = <Item extends {readonly at: number}>(items: Item[], now: number) => {
+		const due = items.filter(({at}) => at <= now);
+		items.splice(0, items.length, ...items.filter(({at}) => at > now));
+		return due;
+	};
+
+	for (let step = 0; step < STEPS; step++) {
+		const now = step * STEP_MILLISECONDS;
+		for (const {to, id, isNamed} of takeDue(ends, now)) {
+			const noted = isNamed ? to.noteRateLimit(id, ratePerSecond, now) : [];
+			const ending = random() < 0.9 ? 'success' : 'reset';
+			grant(to, [...noted, ...to.end(id, {ending, milliseconds: 100}, now)], now);
+		}
+
+		for (const {to, news} of takeDue(tellings, now)) {
+			to.hearRateLimits(SERVICE, news, now);
+		}
+
+		const {part, requests} = seconds[Math.floor(now / 1000) % seconds.length]!;
+		for (let request = 0; request < requests; request++) {
+			const asked = dispatchers[random() < part ? 1 : 0];
+			const requestClass = random() < 0.5 ? 'read' : 'non-idempotent';
+			const isMove = requestClass === 'read' && random() < 0.1;
+			grant(asked, asked.ask(createAsk(`${step}-${request}`, {requestClass, isResend: random() < 0.1, isMove}), now), now);
+		}
+
+		for (const dispatcher of dispatchers) {
+			grant(dispatcher, dispatcher.tick(now), now);
+		}
+
+		const [first, second] = dispatchers;
+		const isTelling = now % TELL_MILLISECONDS === 0;
+		for (const [from, to] of isTelling ? [[first, second], [second, first]] as const : []) {
+			tellings.push({at: now + delay, to, news: from.takeRateLimitNews(now).get(SERVICE) ?? []});
+		}
+	}
+
+	return times;
+}
+
+/**
+Milliseconds from the first answer that names a limit from which on it binds.
+*/
+const BINDING_MILLISECONDS = 1000;
+
+test('over any history of two dispatchers an upstream gets no more than the rate limit that it names', t => {
+	// Guards against two dispatchers that spend one rate limit twice, and against resends, moves and trials that pass it by.
+	t.notThrows(() => {
+		fc.assert(fc.property(history, drawn => {
+			const times = playTwoDispatchers(drawn);
+			const bound = times.filter(at => at >= times[0]! + BINDING_MILLISECONDS);
+			return countMost(bound) <= getMost(drawn.ratePerSecond);
+		}), {numRuns: 300});
+	});
+});
--- a/packages/wagtailroute-dispatch/src/asks.ts
+++ b/packages/wagtailroute-dispatch/src/asks.ts
@@ -109,8 +109,37 @@
 		readonly doubt: number;
 		readonly isSuspended: boolean;
 		readonly cause: Ending;
+	}
+	/**
+	An upstream has named a rate limit, another one than before, or none any more.
+	*/
+	| {
+		readonly kind: 'limit';
+		readonly service: core.ServiceName;
+		readonly upstream: core.UpstreamId;
+		readonly ratePerSecond?: number;
+		readonly ratePerSecondBefore?: number;
 	};
 
+/**
+The rate limit of an upstream, as a host tells another.
+*/
+export type RateLimitNews = {
+	readonly upstream: core.UpstreamId;
+	/**
+	Requests a second that it takes from all hosts together; null when it names no limit any more.
+	*/
+	readonly ratePerSecond: number | null;
+	/**
+	Milliseconds since an answer named it.
+	*/
+	readonly ageMilliseconds: number;
+	/**
+	Requests that the host granted since it told last.
+	*/
+	readonly granted: number;
+};
+
 /**
 A place that a host holds at an upstream, told when it turns to another dispatcher.
 */
--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -11,7 +11,7 @@
 	getDoubt,
 	getRisk,
 	getSlowness,
-	hasFreeSlot,
+	hasRoom,
 	isPathBad,
 	isServing,
 	isSuspended,
@@ -86,10 +86,12 @@
 one anywhere, nearly half of all requests would cross, and each leaves its slot at home to another that crosses.
 */
 function waitsForHome(ask: Ask, {now, waitedMilliseconds, known, policy}: ChoiceCircumstances): boolean {
+	const left = policy[DOMAIN_WAITS[ask.requestClass]] - waitedMilliseconds;
 	return !ask.isResend
-		&& waitedMilliseconds < policy[DOMAIN_WAITS[ask.requestClass]]
+		&& left > 0
 		&& known.values().some(upstream => upstream.candidate.failureDomain === ask.failureDomain
 			&& !isSuspended(upstream, now)
+			&& (upstream.limit?.getDelay(now) ?? 0) < left
 			&& isSuitable(upstream, ask, now)
 			// Where the request is likely to be lost, it had better cross.
 			&& getRisk(upstream, now) * policy.riskCost < getCrossingCost(ask, policy));
@@ -157,7 +159,7 @@
 Says whether an upstream could take the ask now if nothing spoke against it but doubt.
 */
 function isOpen(upstream: Upstream, ask: Ask, now: number): boolean {
-	return hasFreeSlot(upstream)
+	return hasRoom(upstream, now)
 		&& upstream.closedUntil <= now
 		&& isSuitable(upstream, ask, now);
 }
--- a/packages/wagtailroute-dispatch/src/constants.ts
+++ b/packages/wagtailroute-dispatch/src/constants.ts
@@ -24,6 +24,32 @@
 */
 export const MILLISECONDS_PER_SECOND = 1000;
 
+/**
+Seconds' worth of an upstream's rate limit that may be sent at once.
+*/
+export const RATE_BURST_SECONDS = 0.5;
+
+/**
+Requests a second that are sent to an upstream that takes fewer: only its answers tell that it takes more again.
+*/
+export const LEAST_RATE_PER_SECOND = 0.2;
+
+/**
+Seconds' worth of an upstream's rate limit that may be owed to other dispatchers at most.
+*/
+export const MOST_OWED_SECONDS = 1;
+
+/**
+Milliseconds without an ask for a service after which another dispatcher may have served it meanwhile.
+*/
+export const UNASKED_MILLISECONDS = 1000;
+
+/**
+Milliseconds for which a dispatcher tells the others what it grants at rate-limited upstreams, after it began to be asked for the service or heard of
+another one that is.
+*/
+export const SHARING_MILLISECONDS = 10_000;
+
 /**
 Milliseconds that a place stays taken after its deadline when its host is not heard: its answer may be under way.
 */
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -15,6 +15,7 @@
 	type Effect,
 	type Ending,
 	type HeldPlace,
+	type RateLimitNews,
 	type RefusalReason,
 } from './asks.ts';
 import {type BudgetSettings, createBudget} from './budget.ts';
@@ -30,6 +31,7 @@
 	LOOKED_AT_MOST,
 } from './constants.ts';
 import {DEFAULT_POLICY, type Policy} from './policy.ts';
+import {ServiceLimits} from './service-limits.ts';
 import {
 	countUntil,
 	countUsableSlots,
@@ -50,7 +52,7 @@
 	createUpstream,
 	fadeDoubt,
 	getDoubt,
-	hasFreeSlot,
+	hasRoom,
 	isSuspended,
 	type Place,
 	takeBelief,
@@ -76,6 +78,10 @@
 	The default policy when absent.
 	*/
 	readonly policy?: Policy;
+	/**
+	Returns the part of the fleet's requests that this dispatcher is asked for, 0 to 1; all of them when absent.
+	*/
+	readonly getPart?: (now: number) => number;
 };
 
 /**
@@ -89,6 +95,10 @@
 	readonly doubt: number;
 	readonly isSuspended: boolean;
 	readonly isDraining: boolean;
+	/**
+	Requests a second that it takes, as its answers say; absent when they name no limit.
+	*/
+	readonly rateLimit?: number;
 };
 
 /**
@@ -111,6 +121,26 @@
 	*/
 	readonly end: (id: AskId, outcome: {readonly ending: Ending; readonly milliseconds: number}, now: number) => readonly Effect[];
 	/**
+	The answer to a granted request names the requests a second that the upstream takes from all hosts together.
+	*/
+	readonly noteRateLimit: (id: AskId, ratePerSecond: number, now: number) => readonly Effect[];
+	/**
+	Takes what other hosts know of the rate limits of a service.
+	*/
+	readonly hearRateLimits: (service: core.ServiceName, news: readonly RateLimitNews[], now: number) => void;
+	/**
+	Says whether other dispatchers are to be told what is granted at the rate-limited upstreams of a service.
+	*/
+	readonly isSharingRateLimits: (service: core.ServiceName, now: number) => boolean;
+	/**
+	Returns what other dispatchers are to be told of rate limits, by service.
+	*/
+	readonly takeRateLimitNews: (now: number) => ReadonlyMap<core.ServiceName, readonly RateLimitNews[]>;
+	/**
+	Returns all rate limits in force, by service.
+	*/
+	readonly listRateLimits: (now: number) => ReadonlyMap<core.ServiceName, readonly RateLimitNews[]>;
+	/**
 	A host tells the places that it holds of a service; what was counted for it before is forgotten.
 	*/
 	readonly hold: (host: core.HostId, service: core.ServiceName, held: readonly HeldPlace[], now: number) => void;
@@ -163,6 +193,7 @@
 
 	ask(ask: Ask, now: number): readonly Effect[] {
 		const service = this.#getService(ask.service);
+		service.limits.noteAsked(now);
 		if (ask.isMove) {
 			return [this.#moveOrRefuse(service, ask, now)];
 		}
@@ -207,6 +238,9 @@
 			if (ending === 'success') {
 				weighTime(upstream, place, milliseconds, now);
 				learnUsual(service, place.route, milliseconds);
+				effects.push(...this.#liftRateLimit(service, upstream, place));
+			} else if (ending === 'unused') {
+				service.limits.use(upstream, -1, now);
 			}
 
 			if (isSuspended(upstream, now) !== wasSuspended) {
@@ -224,6 +258,45 @@
 		return [...effects, ...this.#serveWaiting(service, now)];
 	}
 
+	noteRateLimit(id: AskId, ratePerSecond: number, now: number): readonly Effect[] {
+		const place = this.#places.get(id);
+		const service = place && this.#services.get(place.service);
+		const upstream = place && service?.upstreams.get(place.upstream);
+		if (service === undefined || upstream === undefined) {
+			return [];
+		}
+
+		const ratePerSecondBefore = upstream.limit?.getRatePerSecond();
+		service.limits.set(upstream, ratePerSecond, {namedAt: now, now});
+		return ratePerSecond === ratePerSecondBefore
+			? []
+			: [{
+				kind: 'limit', service: service.name, upstream: upstream.candidate.upstream, ratePerSecond, ratePerSecondBefore,
+			}];
+	}
+
+	hearRateLimits(name: core.ServiceName, news: readonly RateLimitNews[], now: number): void {
+		const service = this.#getService(name);
+		for (const item of news) {
+			const upstream = service.upstreams.get(item.upstream);
+			if (upstream !== undefined) {
+				service.limits.hear(upstream, item, now);
+			}
+		}
+	}
+
+	isSharingRateLimits(service: core.ServiceName, now: number): boolean {
+		return this.#services.get(service)?.limits.isSharing(now) === true;
+	}
+
+	takeRateLimitNews(now: number): ReadonlyMap<core.ServiceName, readonly RateLimitNews[]> {
+		return collectLimits(this.#services.values(), ({limits}) => limits.takeNews(now));
+	}
+
+	listRateLimits(now: number): ReadonlyMap<core.ServiceName, readonly RateLimitNews[]> {
+		return collectLimits(this.#services.values(), ({limits}) => limits.list(now));
+	}
+
 	hold(host: core.HostId, service: core.ServiceName, held: readonly HeldPlace[], now: number): void {
 		for (const place of this.#places.values().filter(present => present.host === host && present.service === service)) {
 			this.#free(place);
@@ -244,6 +317,7 @@
 		for (const [id, upstream] of service.upstreams) {
 			// Its places stay counted in the table of places, so that their ends are known when they come.
 			if (!named.has(id) && upstream.places.size === 0) {
+				service.limits.forget(upstream);
 				service.upstreams.delete(id);
 			} else if (!named.has(id)) {
 				upstream.candidate = {...upstream.candidate, isDraining: true};
@@ -314,6 +388,7 @@
 			doubt: getDoubt(upstream, now),
 			isSuspended: isSuspended(upstream, now),
 			isDraining: upstream.candidate.isDraining,
+			rateLimit: upstream.limit?.getRatePerSecond(),
 		}));
 	}
 
@@ -347,6 +422,7 @@
 			policy: this.#settings.policy ?? DEFAULT_POLICY,
 			budget: createBudget(this.#settings.budget, this.#settings.policy ?? DEFAULT_POLICY),
 			repeatableAt: -Infinity,
+			limits: new ServiceLimits({getPart: this.#settings.getPart ?? (() => 1), random: this.#settings.random}),
 		};
 		this.#services.set(name, service);
 		return service;
@@ -368,11 +444,21 @@
 		this.#places.set(place.id, place);
 		upstream.places.set(place.id, place);
 		upstream.startedAt = now;
+		service.limits.use(upstream, 1, now);
 		return {
 			kind: 'grant', ask, upstream: place.upstream, address: upstream.candidate.address, isTrial,
 		};
 	}
 
+	#liftRateLimit({name, limits}: Service, upstream: Upstream, place: Place): readonly Effect[] {
+		const ratePerSecondBefore = upstream.limit?.getRatePerSecond();
+		return limits.lift(upstream, place.startedAt)
+			? [{
+				kind: 'limit', service: name, upstream: place.upstream, ratePerSecondBefore,
+			}]
+			: [];
+	}
+
 	#free(place: Place): void {
 		this.#places.delete(place.id);
 		const upstreams = this.#services.get(place.service)?.upstreams;
@@ -456,8 +542,8 @@
 
 			this.#removeWaiting(service, ask.id);
 			effects.push(this.#grant(service, ask, choice, now));
-			free = free.filter(upstream => hasFreeSlot(upstream));
-			dueTrials = dueTrials.filter(upstream => hasFreeSlot(upstream));
+			free = free.filter(upstream => hasRoom(upstream, now));
+			dueTrials = dueTrials.filter(upstream => hasRoom(upstream, now));
 		}
 
 		return effects;
@@ -482,3 +568,17 @@
 	};
 }
 
+function collectLimits(
+	services: Iterable<Service>,
+	collect: (service: Service) => readonly RateLimitNews[],
+): ReadonlyMap<core.ServiceName, readonly RateLimitNews[]> {
+	const limits = new Map<core.ServiceName, readonly RateLimitNews[]>();
+	for (const service of services) {
+		const news = collect(service);
+		if (news.length > 0) {
+			limits.set(service.name, news);
+		}
+	}
+
+	return limits;
+}
--- a/packages/wagtailroute-dispatch/src/index.ts
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -8,6 +8,7 @@
 	Effect,
 	Ending,
 	HeldPlace,
+	RateLimitNews,
 	RefusalReason,
 } from './asks.ts';
 export {
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -6,8 +6,10 @@
 import type {Budget} from './budget.ts';
 import type {TrialCircumstances} from './choosing.ts';
 import {DEFAULT_POLICY, type Policy} from './policy.ts';
+import type {ServiceLimits} from './service-limits.ts';
 import {
-	hasFreeSlot,
+	countSlots,
+	hasRoom,
 	isServing,
 	isSuspended,
 	type Upstream,
@@ -46,6 +48,7 @@
 	Time of the last request that may be repeated.
 	*/
 	repeatableAt: number;
+	readonly limits: ServiceLimits;
 };
 
 /**
@@ -124,26 +127,27 @@
 Lists the upstreams that could take a request as far as this is the same for all.
 */
 export function listFree({upstreams}: Service, now: number): readonly Upstream[] {
-	return upstreams.values().filter(upstream => hasFreeSlot(upstream) && isServing(upstream) && !isSuspended(upstream, now)).toArray();
+	return upstreams.values().filter(upstream => hasRoom(upstream, now) && isServing(upstream) && !isSuspended(upstream, now)).toArray();
 }
 
 /**
 Lists the suspended upstreams whose next trial is due for some request.
 */
 export function listDueTrials({upstreams}: Service, now: number): readonly Upstream[] {
-	return upstreams.values().filter(upstream => upstream.trialAt <= now && hasFreeSlot(upstream) && isSuspended(upstream, now)).toArray();
+	return upstreams.values().filter(upstream => upstream.trialAt <= now && hasRoom(upstream, now) && isSuspended(upstream, now)).toArray();
 }
 
 /**
-Counts the slots, free or not, of the upstreams that could take the ask.
+Counts the slots, free or not, of the upstreams that could take the ask; a part of one where a rate limit leaves no more.
 */
 export function countUsableSlots(service: Service, ask: Ask, now: number): number {
+	const usual = getUsual(service, ask);
 	let slots = 0;
 	for (const upstream of service.upstreams.values()) {
 		const isUsable = isServing(upstream)
 			&& !isSuspended(upstream, now)
 			&& !ask.excluded.includes(upstream.candidate.upstream);
-		slots += isUsable ? upstream.candidate.slots : 0;
+		slots += isUsable ? countSlots(upstream, usual) : 0;
 	}
 
 	return slots;
--- a/packages/wagtailroute-dispatch/src/upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -16,6 +16,7 @@
 	SLOWNESS_MOST,
 } from './constants.ts';
 import type {Policy} from './policy.ts';
+import type {UpstreamLimit} from './upstream-limit.ts';
 
 /**
 A place that is taken.
@@ -74,6 +75,10 @@
 	Another instance answered at its address.
 	*/
 	isMisdirected: boolean;
+	/**
+	Absent: it names no rate limit.
+	*/
+	limit?: UpstreamLimit;
 };
 
 /**
@@ -134,10 +139,26 @@
 /**
 Says whether a request more fits in.
 */
-export function hasFreeSlot({places, candidate}: Upstream): boolean {
+function hasFreeSlot({places, candidate}: Upstream): boolean {
 	return places.size < candidate.slots;
 }
 
+/**
+Says whether a request more may be sent now: a slot is free, and its rate limit allows it.
+*/
+export function hasRoom(upstream: Upstream, now: number): boolean {
+	return hasFreeSlot(upstream) && upstream.limit?.allows(now) !== false;
+}
+
+/**
+Returns the slots that can be in use at the same time: fewer than it has where its rate limit keeps some of them free.
+
+@param usualMilliseconds What a request takes.
+*/
+export function countSlots({candidate, limit}: Upstream, usualMilliseconds: number): number {
+	return Math.min(candidate.slots, limit?.getConcurrency(usualMilliseconds) ?? Infinity);
+}
+
 /**
 Says whether it serves at all: it does not leave, and its address is its own.
 */
--- a/packages/wagtailroute-fleet/src/allotting.ts
+++ b/packages/wagtailroute-fleet/src/allotting.ts
@@ -7,15 +7,10 @@
 import type * as generations from 'wagtailroute-generations';
 import type * as link from 'wagtailroute-link';
 import * as utils from 'wagtailroute-utils';
-import {
-	ALLOTMENT_ASKER_MILLISECONDS,
-	ORGANISATION_LABELS_MOST,
-	REFUSALS_TOLD_MILLISECONDS,
-	UNKNOWN_ENTRY_HOSTS,
-} from './constants.ts';
+import {createAskedPart} from './asked-part.ts';
+import {ORGANISATION_LABELS_MOST, REFUSALS_TOLD_MILLISECONDS} from './constants.ts';
 import type {FleetContext} from './context.ts';
 import {type DecidedAnswer, METHODS} from './messages.ts';
-import {createRecentAskers} from './recent-askers.ts';
 import type {FleetSettings} from './settings.ts';
 
 /**
@@ -55,18 +50,12 @@
 */
 export function startAllotting(context: FleetContext, plan: AllottingPlan): Allotting {
 	const {now} = context;
-	const askers = createRecentAskers(ALLOTMENT_ASKER_MILLISECONDS);
-	const {countEntryHosts} = plan;
-	const getPart = (time: number) => {
-		const hosts = countEntryHosts?.() ?? 0;
-		return Math.min(1, Math.max(1, askers.count(time)) / (hosts === 0 ? UNKNOWN_ENTRY_HOSTS : hosts));
-	};
-
+	const askedPart = plan.countEntryHosts && createAskedPart(plan.countEntryHosts);
 	const ledger = allotments.createAllotments({
 		...plan.settings,
-		isTold: countEntryHosts === undefined,
+		isTold: askedPart === undefined,
 		random: context.random,
-		getPart: countEntryHosts === undefined ? () => 1 : getPart,
+		getPart: askedPart?.get ?? (() => 1),
 	}, now());
 	const clocks = allotments.createSenderClocks();
 	const noteRefusal = createRefusalLog(context);
@@ -93,10 +82,7 @@
 				return undefined;
 			}
 
-			if (countEntryHosts !== undefined) {
-				askers.note(ask.host, now());
-			}
-
+			askedPart?.note(ask.host, now());
 			const admission = ledger.admit(ask.organisation, ask.service, now());
 			if (admission.kind === 'admitted') {
 				if (admission.isUrgent) {
--- a/packages/wagtailroute-fleet/src/ask-methods.ts
+++ b/packages/wagtailroute-fleet/src/ask-methods.ts
@@ -14,6 +14,7 @@
 	type ShortAsk,
 	shortenAnswer,
 	type ShortEnd,
+	type ShortRateLimit,
 } from './ask-wire.ts';
 import type {Dispatching} from './dispatching.ts';
 import {type Holding, METHODS} from './messages.ts';
@@ -73,6 +74,9 @@
 		[METHODS.end]([ask, ending, milliseconds]: ShortEnd, from: link.Link) {
 			dispatching.end({id: createAskId(getAsker(from).id, ask), ending, milliseconds});
 		},
+		[METHODS.rateLimit]([ask, ratePerSecond]: ShortRateLimit, from: link.Link) {
+			dispatching.noteRateLimit(createAskId(getAsker(from).id, ask), ratePerSecond);
+		},
 		[METHODS.hold](holding: Holding, from: link.Link) {
 			dispatching.hold(getAsker(from).id, holding);
 		},
--- a/packages/wagtailroute-fleet/src/ask-wire.ts
+++ b/packages/wagtailroute-fleet/src/ask-wire.ts
@@ -51,6 +51,11 @@
 */
 export type ShortEnd = readonly [ask: number, ending: dispatch.Ending, milliseconds: number];
 
+/**
+The requests a second that the upstream of a granted request takes, as its answer says.
+*/
+export type ShortRateLimit = readonly [ask: number, ratePerSecond: number];
+
 /**
 Returns the fleet's name of an ask.
 */
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -28,6 +28,7 @@
 	type ShortAsk,
 	shortenAsk,
 	type ShortEnd,
+	type ShortRateLimit,
 } from './ask-wire.ts';
 import type {FleetContext} from './context.ts';
 import type {OpenControl} from './control-links.ts';
@@ -35,6 +36,7 @@
 import type {Dispatching} from './dispatching.ts';
 import {type AskAnswer, type DecidedAnswer, METHODS} from './messages.ts';
 import {createHeldPlaces, type Held, type HeldPlaces} from './held-places.ts';
+import {createNamedLimits, type NamedLimits} from './named-limits.ts';
 import type {EntrySettings} from './settings.ts';
 import type {Standbys} from './standbys.ts';
 
@@ -75,6 +77,10 @@
 	A granted request has ended.
 	*/
 	readonly end: (id: dispatch.AskId, ending: dispatch.Ending, milliseconds: number) => void;
+	/**
+	The answer to a granted request names the requests a second that its upstream takes.
+	*/
+	readonly noteRateLimit: (id: dispatch.AskId, ratePerSecond: number) => void;
 	readonly hearAnswer: (ask: number, answer: ShortAnswer) => void;
 	/**
 	The link to a dispatcher is lost.
@@ -92,7 +98,7 @@
 	/**
 	The dispatcher of this host. What it decides later comes to `hearAnswer`.
 	*/
-	readonly own: Pick<Dispatching, 'ask' | 'cancel' | 'end'>;
+	readonly own: Pick<Dispatching, 'ask' | 'cancel' | 'end' | 'noteRateLimit' | 'hearRateLimits'>;
 	readonly isRetired: (upstream: core.UpstreamId) => boolean;
 	/**
 	Returns the milliseconds for which messages may wait behind large bodies on this host's own link.
@@ -130,6 +136,7 @@
 	readonly #plan: AskingPlan;
 	readonly #pending = new Map<dispatch.AskId, Pending>();
 	readonly #held: HeldPlaces;
+	readonly #limits: NamedLimits;
 	readonly #finder: DispatcherFinder;
 	readonly #routeNumbers = createRouteNumbers();
 	readonly #organisationNumbers = createOrganisationNumbers();
@@ -139,7 +146,8 @@
 	constructor(context: FleetContext, plan: AskingPlan) {
 		this.#context = context;
 		this.#plan = plan;
-		this.#held = createHeldPlaces(context.now);
+		this.#limits = createNamedLimits(context.now);
+		this.#held = createHeldPlaces(context.now, this.#limits);
 		this.#finder = createDispatcherFinder(context, {
 			self: plan.settings.hostId,
 			getControls: plan.getControls,
@@ -170,8 +178,29 @@
 
 	end(id: dispatch.AskId, ending: dispatch.Ending, milliseconds: number): void {
 		const held = this.#held.take(id);
-		if (held !== undefined) {
-			this.#tellEnd(held, ending, milliseconds);
+		if (held === undefined) {
+			return;
+		}
+
+		if (ending === 'success') {
+			this.#limits.lift(held.ask.service, held.upstream, held.grantedAt);
+		}
+
+		this.#tellEnd(held, ending, milliseconds);
+	}
+
+	noteRateLimit(id: dispatch.AskId, ratePerSecond: number): void {
+		const held = this.#held.find(id);
+		if (held === undefined) {
+			return;
+		}
+
+		const {ask, upstream, dispatcher} = held;
+		this.#limits.name(ask.service, upstream, ratePerSecond);
+		if (dispatcher === undefined) {
+			this.#plan.own.noteRateLimit(id, ratePerSecond);
+		} else {
+			dispatcher.link.notify(METHODS.rateLimit, [getAskNumber(id), ratePerSecond] satisfies ShortRateLimit);
 		}
 	}
 
@@ -332,6 +361,7 @@
 		const remainingMilliseconds = ask.remainingMilliseconds - (this.#context.now() - pending.askedAt);
 		this.#context.metrics.count('asks_own', {reason});
 		this.#context.logs('dispatch').warn('Own dispatcher asked.', {id: ask.id, service: ask.service, reason});
+		this.#plan.own.hearRateLimits({service: ask.service, limits: this.#limits.list(ask.service)});
 		const answer = this.#plan.own.ask({...ask, remainingMilliseconds});
 		this.#take(pending, answer.kind === 'elsewhere' ? NOBODY : answer);
 	}
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -296,6 +296,16 @@
 */
 export const BELIEF_NEWS_MILLISECONDS = 1000;
 
+/**
+Milliseconds for which rate limits, and what was granted within them, are collected before other dispatchers are told.
+*/
+export const RATE_LIMIT_NEWS_MILLISECONDS = 100;
+
+/**
+Milliseconds after the last answer that named it for which a host tells a rate limit to a dispatcher that it turns to.
+*/
+export const RATE_LIMIT_KEPT_MILLISECONDS = 10_000;
+
 /**
 Milliseconds for which changes of the linked control hosts are collected before all hosts are told: when a fleet starts, each of 15 control
 hosts opens 14 links within a tenth of a second, and a list for each is 58,000 messages to 277 entry hosts.
@@ -330,11 +340,11 @@
 /**
 Milliseconds after its last ask for which an entry host counts among those that ask a dispatcher.
 */
-export const ALLOTMENT_ASKER_MILLISECONDS = 1000;
+export const PART_ASKER_MILLISECONDS = 1000;
 
 /**
 Entry hosts that a fleet is taken to have while a host was not told how many there are: one that dispatches alone may give out one part in so
-many of an allotment.
+many of what is limited over all of them.
 */
 export const UNKNOWN_ENTRY_HOSTS = 100;
 
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -4,10 +4,17 @@
 */
 import type * as core from 'wagtailroute-core';
 import * as dispatch from 'wagtailroute-dispatch';
+import type * as link from 'wagtailroute-link';
 import * as utils from 'wagtailroute-utils';
-import {ASKER_MILLISECONDS, BELIEF_NEWS_MILLISECONDS, DISPATCH_TICK_MILLISECONDS} from './constants.ts';
+import {
+	ASKER_MILLISECONDS,
+	BELIEF_NEWS_MILLISECONDS,
+	DISPATCH_TICK_MILLISECONDS,
+	RATE_LIMIT_NEWS_MILLISECONDS,
+} from './constants.ts';
 import {getAskNumber, shortenAnswer} from './ask-wire.ts';
 import type {Allotting} from './allotting.ts';
+import {createAskedPart} from './asked-part.ts';
 import type {FleetContext} from './context.ts';
 import {
 	type AskAnswer,
@@ -16,6 +23,7 @@
 	type GrantEnd,
 	type Holding,
 	METHODS,
+	type RateLimitTelling,
 } from './messages.ts';
 import {createRecentAskers, type RecentAskers} from './recent-askers.ts';
 import type {FleetSettings} from './settings.ts';
@@ -27,6 +35,18 @@
 	readonly ask: (ask: dispatch.Ask) => AskAnswer;
 	readonly cancel: (id: dispatch.AskId) => void;
 	readonly end: (end: GrantEnd) => void;
+	/**
+	The answer to a granted request names the requests a second that the upstream takes.
+	*/
+	readonly noteRateLimit: (id: dispatch.AskId, ratePerSecond: number) => void;
+	/**
+	Takes what another host knows of the rate limits of a service.
+	*/
+	readonly hearRateLimits: (telling: RateLimitTelling) => void;
+	/**
+	Returns all rate limits that are known here, by service.
+	*/
+	readonly listRateLimits: () => readonly RateLimitTelling[];
 	readonly hold: (host: core.HostId, holding: Holding) => void;
 	/**
 	Takes what the dispatcher on another control host believes.
@@ -61,6 +81,11 @@
 export type DispatchingPlan = {
 	readonly settings: Pick<FleetSettings, 'budget' | 'floor' | 'policy'>;
 	/**
+	Returns how many entry hosts serve callers, 0 when it is not known: of a rate limit, a dispatcher that hears of no other one gives out only the part of those
+	that ask it. Absent for one that hears of all.
+	*/
+	readonly countEntryHosts?: () => number;
+	/**
 	Absent: nothing bounds what an organisation sends.
 	*/
 	readonly allotting?: Pick<Allotting, 'admit' | 'giveBack'>;
@@ -89,7 +114,8 @@
 export function startDispatching(context: FleetContext, plan: DispatchingPlan): Dispatching {
 	const {now, random, metrics} = context;
 	const log = context.logs('dispatch');
-	const dispatcher = dispatch.createDispatcher({...plan.settings, random});
+	const askedPart = plan.countEntryHosts && createAskedPart(plan.countEntryHosts);
+	const dispatcher = dispatch.createDispatcher({...plan.settings, random, getPart: askedPart?.get});
 	const known = new Set<core.ServiceName>();
 	const askers = new Map<core.ServiceName, RecentAskers>();
 
@@ -114,7 +140,14 @@
 		untold.clear();
 	});
 
-	const tell = (effect: Extract<dispatch.Effect, {kind: 'grant' | 'refuse'}>) => {
+	const shareRateLimits = (service: core.ServiceName) => {
+		if (dispatcher.isSharingRateLimits(service, now())) {
+			tellRateLimitNews();
+		}
+	};
+
+	const tell = (effect: Decision) => {
+		shareRateLimits(effect.ask.service);
 		plan.notify(effect.ask.host, METHODS.answer, [getAskNumber(effect.ask.id), shortenAnswer(toAnswer(effect))]);
 	};
 
@@ -141,8 +174,26 @@
 			news.set(upstream, belief);
 			tellAskersLater();
 		},
+		limit({service, upstream, ratePerSecond, ratePerSecondBefore}) {
+			metrics.count('rate_limits', {service, state: ratePerSecond === undefined ? 'lifted' : 'named'});
+			log.info(ratePerSecond === undefined ? 'Rate limit lifted.' : 'Rate limit named.', {
+				service, upstream, ratePerSecond, ratePerSecondBefore,
+			});
+			tellRateLimitNews();
+		},
 	};
 
+	const tellRateLimitNews = utils.coalesce(context.schedule, RATE_LIMIT_NEWS_MILLISECONDS, () => {
+		for (const [service, limits] of dispatcher.takeRateLimitNews(now())) {
+			const telling: RateLimitTelling = {service, limits};
+			for (const host of plan.listStandbys(service)) {
+				plan.notify(host, METHODS.rateLimits, telling);
+			}
+
+			plan.tellControls(METHODS.rateLimits, telling);
+		}
+	});
+
 	const logRefusal = ({ask, reason, retryAfterMilliseconds}: Extract<dispatch.Effect, {kind: 'refuse'}>) => {
 		const upstreams = dispatcher.report(ask.service, now());
 		metrics.count('refusals', {service: ask.service, reason});
@@ -155,6 +206,7 @@
 			waiting: dispatcher.getWaiting(),
 			upstreams: upstreams.length,
 			suspended: upstreams.filter(upstream => upstream.isSuspended).length,
+			rateLimited: upstreams.filter(upstream => upstream.rateLimit !== undefined).length,
 		});
 	};
 
@@ -169,6 +221,7 @@
 	};
 
 	const noteAsker = ({service, host}: dispatch.Ask) => {
+		askedPart?.note(host, now());
 		const hosts = askers.get(service) ?? createRecentAskers(ASKER_MILLISECONDS);
 		askers.set(service, hosts);
 		hosts.note(host, now());
@@ -238,10 +291,11 @@
 			}
 
 			const list = dispatcher.ask(ask, now());
-			const own = list.find(effect => effect.kind !== 'believe' && effect.ask.id === ask.id);
+			const own = list.find(effect => isDecision(effect) && effect.ask.id === ask.id);
 			carryOut(list.filter(effect => effect !== own));
 			tickWhileBusy();
-			if (own === undefined || own.kind === 'believe') {
+			shareRateLimits(ask.service);
+			if (own === undefined || !isDecision(own)) {
 				return {kind: 'wait'};
 			}
 
@@ -267,9 +321,18 @@
 
 			carryOut(dispatcher.end(id, {ending, milliseconds}, now()));
 		},
-		hold(host, {service, places}) {
+		noteRateLimit(id, ratePerSecond) {
+			carryOut(dispatcher.noteRateLimit(id, ratePerSecond, now()));
+		},
+		hearRateLimits({service, limits}) {
+			learn(service);
+			dispatcher.hearRateLimits(service, limits, now());
+		},
+		listRateLimits: () => dispatcher.listRateLimits(now()).entries().map(([service, limits]): RateLimitTelling => ({service, limits})).toArray(),
+		hold(host, {service, places, limits = []}) {
 			learn(service);
 			dispatcher.hold(host, service, places, now());
+			dispatcher.hearRateLimits(service, limits, now());
 			tickWhileBusy();
 		},
 		hearBelief,
@@ -300,6 +363,12 @@
 	};
 }
 
+type Decision = Extract<dispatch.Effect, {kind: 'grant' | 'refuse'}>;
+
+function isDecision(effect: dispatch.Effect): effect is Decision {
+	return effect.kind === 'grant' || effect.kind === 'refuse';
+}
+
 /**
 Says whether nobody had the request before.
 */
@@ -310,7 +379,7 @@
 /**
 Turns a decision into what the asking host is told.
 */
-export function toAnswer(effect: Extract<dispatch.Effect, {kind: 'grant' | 'refuse'}>): DecidedAnswer {
+export function toAnswer(effect: Decision): DecidedAnswer {
 	if (effect.kind === 'refuse') {
 		const {reason, retryAfterMilliseconds} = effect;
 		return {kind: 'refuse', reason, retryAfterMilliseconds};
@@ -321,3 +390,12 @@
 		kind: 'grant', upstream, address, isTrial,
 	};
 }
+
+/**
+Tells another host all rate limits that a dispatcher knows.
+*/
+export function tellRateLimits(over: link.Link, dispatching: Pick<Dispatching, 'listRateLimits'>): void {
+	for (const telling of dispatching.listRateLimits()) {
+		over.notify(METHODS.rateLimits, telling);
+	}
+}
--- a/packages/wagtailroute-fleet/src/held-places.ts
+++ b/packages/wagtailroute-fleet/src/held-places.ts
@@ -8,6 +8,7 @@
 import type * as link from 'wagtailroute-link';
 import type {OpenControl} from './control-links.ts';
 import {type Holding, METHODS} from './messages.ts';
+import type {NamedLimits} from './named-limits.ts';
 
 /**
 A place that was granted.
@@ -34,9 +35,13 @@
 	Removes a place and returns it, if it is held.
 	*/
 	readonly take: (id: dispatch.AskId) => Held | undefined;
+	/**
+	Returns a place, if it is held.
+	*/
+	readonly find: (id: dispatch.AskId) => Held | undefined;
 	readonly count: () => number;
 	/**
-	Tells a dispatcher the places of a service, if the last ask for it went elsewhere.
+	Tells a dispatcher the places and rate limits of a service, if the last ask for it went elsewhere.
 	*/
 	readonly tell: (service: core.ServiceName, dispatcher: OpenControl) => void;
 };
@@ -46,7 +51,7 @@
 
 @param now Monotonic time in milliseconds.
 */
-export function createHeldPlaces(now: () => number): HeldPlaces {
+export function createHeldPlaces(now: () => number, limits: Pick<NamedLimits, 'list'>): HeldPlaces {
 	const places = new Map<dispatch.AskId, Held>();
 	const lastLinks = new Map<core.ServiceName, link.Link>();
 
@@ -69,6 +74,7 @@
 			places.delete(id);
 			return held;
 		},
+		find: id => places.get(id),
 		count: () => places.size,
 		tell(service, dispatcher) {
 			if (lastLinks.get(service) === dispatcher.link) {
@@ -77,7 +83,8 @@
 
 			lastLinks.set(service, dispatcher.link);
 			const held = places.values().filter(({ask}) => ask.service === service).map(place => describe(place)).toArray();
-			dispatcher.link.notify(METHODS.hold, {service, places: held} satisfies Holding);
+			const named = limits.list(service);
+			dispatcher.link.notify(METHODS.hold, {service, places: held, ...named.length > 0 && {limits: named}} satisfies Holding);
 		},
 	};
 }
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -36,6 +36,8 @@
 	believe: 'dispatch.believe',
 	beliefNews: 'dispatch.belief-news',
 	beliefs: 'dispatch.beliefs',
+	rateLimit: 'dispatch.rate-limit',
+	rateLimits: 'dispatch.rate-limits',
 	use: 'allotments.use',
 	standbys: 'dispatch.standbys',
 	directory: 'fleet.directory',
@@ -158,6 +160,18 @@
 export type Holding = {
 	readonly service: core.ServiceName;
 	readonly places: readonly dispatch.HeldPlace[];
+	/**
+	Rate limits that answers to this host have named; absent: none.
+	*/
+	readonly limits?: readonly dispatch.RateLimitNews[];
+};
+
+/**
+What a host knows of the rate limits of a service.
+*/
+export type RateLimitTelling = {
+	readonly service: core.ServiceName;
+	readonly limits: readonly dispatch.RateLimitNews[];
 };
 
 /**
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -158,6 +158,12 @@
 		},
 		hasAnother: ({excluded}) => knowledge.listCandidates(service.name).some(candidate => !excluded.has(candidate.upstream) && !candidate.isDraining),
 		begin: () => undefined,
+		noteRateLimit(target, ratePerSecond) {
+			const id = granted.get(target);
+			if (id !== undefined) {
+				asking.noteRateLimit(id, ratePerSecond);
+			}
+		},
 		end({target, ending, latencyMilliseconds, failure}) {
 			if (ending === 'success') {
 				usualTimes.learn(route, latencyMilliseconds);
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -63,6 +63,23 @@
 	readonly onSuspended: (upstream: core.UpstreamId) => void;
 };
 
+/**
+What a dispatcher tells the control hosts.
+*/
+type Telling = {
+	readonly method: string;
+	readonly parameters: unknown;
+};
+
+const TELLINGS: Readonly<Record<string, (dispatching: fleet.Dispatching, parameters: unknown) => void>> = {
+	[fleet.METHODS.believe](dispatching, belief) {
+		dispatching.hearBelief(belief as fleet.Belief);
+	},
+	[fleet.METHODS.rateLimits](dispatching, telling) {
+		dispatching.hearRateLimits(telling as fleet.RateLimitTelling);
+	},
+};
+
 type Control = {
 	readonly id: core.HostId;
 	readonly endpoint: Endpoint;
@@ -231,8 +248,8 @@
 			askers,
 			extra: scenario.budget.extra,
 			listStandbys: service => fleet.orderDispatchers(service, this.#listStandbys(), host => host).slice(0, fleet.STANDBYS_TOLD),
-			tellControls: belief => {
-				this.#tellControls(id, belief);
+			tellControls: telling => {
+				this.#tellControls(id, telling);
 			},
 			getState: () => endpoint.state,
 		});
@@ -249,12 +266,12 @@
 		return this.#plan.variant.hasStandbys ? this.#entries.slice(0, fleet.STANDBYS_MOST).map(({id}) => id) : [];
 	}
 
-	#tellControls(from: core.HostId, belief: fleet.Belief): void {
+	#tellControls(from: core.HostId, {method, parameters}: Telling): void {
 		const {clock, scenario} = this.#plan;
 		clock.schedule(scenario.farMilliseconds, () => {
 			for (const {id, endpoint, dispatching} of this.#controls) {
 				if (id !== from && endpoint.state === 'up') {
-					dispatching.hearBelief(belief);
+					TELLINGS[method]?.(dispatching, parameters);
 				}
 			}
 		});
@@ -264,7 +281,7 @@
 		readonly askers: ReturnType<typeof fleet.createAskers>;
 		readonly extra: number;
 		readonly listStandbys: (service: core.ServiceName) => readonly core.HostId[];
-		readonly tellControls: (belief: fleet.Belief) => void;
+		readonly tellControls: (telling: Telling) => void;
 		readonly getState: () => Endpoint['state'];
 		/**
 		Takes what is for this host itself.
@@ -284,8 +301,8 @@
 					over?.notify(method, parameters);
 				}
 			},
-			tellControls(_method, parameters) {
-				tellControls(parameters as fleet.Belief);
+			tellControls(method, parameters) {
+				tellControls({method, parameters});
 			},
 		});
 	}
@@ -304,9 +321,9 @@
 			askers,
 			extra: fleet.STANDBY_EXTRA_RESENDS,
 			listStandbys: () => [],
-			tellControls: belief => {
+			tellControls: telling => {
 				if (askers.count() > 0) {
-					this.#tellControls(id, belief);
+					this.#tellControls(id, telling);
 				}
 			},
 			getState: () => endpoint.state,
@@ -337,6 +354,7 @@
 				asking.hearAnswer(ask, answer);
 			},
 			[fleet.METHODS.believe]: own.hearBelief,
+			[fleet.METHODS.rateLimits]: own.hearRateLimits,
 			[fleet.METHODS.beliefNews]: own.hearBeliefNews,
 			...fleet.createAskMethods(own, askers.findByLink),
 		});
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -212,6 +212,10 @@
 	*/
 	readonly hasAnother: (choice: ChoiceRequest) => boolean;
 	readonly begin: (target: Target) => void;
+	/**
+	Told when the header section of an answer says how many requests a second the target takes. Absent: nobody is told.
+	*/
+	readonly noteRateLimit?: (target: Target, ratePerSecond: number) => void;
 	readonly end: (report: AttemptReport) => void;
 	readonly retry: RetryPort;
 };
--- a/packages/wagtailroute-proxy/src/sending.ts
+++ b/packages/wagtailroute-proxy/src/sending.ts
@@ -11,6 +11,7 @@
 import * as attempts from './attempts.ts';
 import * as bodies from './bodies.ts';
 import type * as connections from './connections.ts';
+import type {AnswerKind} from './dialect.ts';
 import * as endings from './endings.ts';
 import * as failures from './failures.ts';
 import type {GivingUp} from './giving-up.ts';
@@ -315,8 +316,7 @@
 	#decideAnswer(status: number, received: headers.HeaderFields, target: ports.Target): attempts.Verdict {
 		const {service, request, ports: {dialect}} = this.#context;
 		const kind = dialect.readAnswer(status, received, request);
-		const isOfTarget = kind !== 'foreign' && kind !== 'misdirected' && target.kind === 'upstream';
-		this.rateLimit = isOfTarget ? dialect.readRateLimit(received) : undefined;
+		this.#noteRateLimit(kind, received, target);
 		if (kind === 'foreign' || (kind === 'answer' && status < 500)) {
 			return kind === 'foreign' ? 'foreign' : 'relay';
 		}
@@ -334,6 +334,18 @@
 		return isRelayed ? 'relay' : (isShed ? kind : 'repeat');
 	}
 
+	/**
+	An answer that is not the target's own says nothing about it.
+	*/
+	#noteRateLimit(kind: AnswerKind, received: headers.HeaderFields, target: ports.Target): void {
+		const {service, ports: {dialect}} = this.#context;
+		const isOfTarget = kind !== 'foreign' && kind !== 'misdirected' && target.kind === 'upstream';
+		this.rateLimit = isOfTarget ? dialect.readRateLimit(received) : undefined;
+		if (this.rateLimit !== undefined) {
+			service.noteRateLimit?.(target, this.rateLimit);
+		}
+	}
+
 	/**
 	Decides whether the request is sent again, and pays for it.
 	*/
