--- a/packages/wagtailroute-lab/src/__tests__/unit/lab.test.ts
+++ b/packages/wagtailroute-lab/src/__tests__/unit/lab.test.ts
@@ -99,6 +99,38 @@
 	});
 }
 
+const LIMITED_PER_SECOND = 2;
+const RATE_LIMITS = `
+rateLimits:
+  - {share: 0.4, atSeconds: 2, forSeconds: 9, perSecond: ${LIMITED_PER_SECOND}}
+`;
+
+/**
+What the platform lets pass beyond the rate itself in four seconds: half of it, and five requests.
+*/
+const MOST_BEYOND = (0.5 * LIMITED_PER_SECOND * 4) + 5;
+
+const LIMITED_DAYS = [
+	{name: 'a quiet day', more: ''},
+	{name: 'overload', more: 'load: 2.5\n'},
+	{name: 'a burst', more: 'faults:\n  - {kind: burst, atSeconds: 6, forSeconds: 2, times: 4}\n'},
+	{name: 'bad paths', more: 'faults:\n  - {kind: paths, atSeconds: 4, forSeconds: 5, share: 0.4}\n'},
+	...CONTROL_FAULTS.map(kind => ({name: kind, more: `faults:\n  - {kind: ${kind}, atSeconds: 5, forSeconds: 3}\n`})),
+	{
+		name: 'control hosts lost one after the other',
+		more: [5, 6, 7].map(at => `  - {kind: control-away, atSeconds: ${at}, forSeconds: 3}\n`).reduce((lines, line) => lines + line, 'faults:\n'),
+	},
+];
+
+for (const {name, more} of LIMITED_DAYS) {
+	test(`upstreams get no more than the rate limits that they name during ${name}`, async t => {
+		// Guards against dispatchers that come and go, each with a rate limit of its own to spend.
+		for (const day of await play(parse(RATE_LIMITS + more), 'present', 5)) {
+			t.true(day.beyondRateLimit <= MOST_BEYOND, `${day.beyondRateLimit} beyond the limit, ${MOST_BEYOND} allowed`);
+		}
+	});
+}
+
 const NO_FIGURES = Object.fromEntries(FIGURE_NAMES.map(name => [name, 0])) as lab.Figures;
 
 test('an estimate narrows with the sample, and a difference is paired', t => {
@@ -135,6 +167,7 @@
 const MALFORMED = [
 	{name: 'a field that is not known', text: `${SCENARIO}weather: fine\n`},
 	{name: 'a kind of spell that is not known', text: SCENARIO.replace('kind: hang', 'kind: nap')},
+	{name: 'a rate limit of an unknown service', text: `${SCENARIO}${RATE_LIMITS.replace('share', 'service: shop, share')}`},
 	{name: 'a service that is not described', text: SCENARIO.replace('services: [store]', 'services: [shop]')},
 	{name: 'a share above one', text: SCENARIO.replace('share: 0.3,', 'share: 3,')},
 	{name: 'no YAML', text: '{'},
--- a/packages/wagtailroute-lab/src/backend.ts
+++ b/packages/wagtailroute-lab/src/backend.ts
@@ -5,7 +5,12 @@
 import type * as core from 'wagtailroute-core';
 import type {Clock} from './clock.ts';
 import {drawExponential, type Luck} from './draws.ts';
-import type {ScenarioRoute, ScenarioService, ScenarioSpell} from './scenario.ts';
+import type {
+	ScenarioRateLimit,
+	ScenarioRoute,
+	ScenarioService,
+	ScenarioSpell,
+} from './scenario.ts';
 
 /**
 What comes of a request at an upstream. `hang` is no outcome: nothing ever comes.
@@ -36,6 +41,19 @@
 	lastSentAt: number;
 };
 
+/**
+A time in which an upstream names a rate limit in its answers.
+*/
+export type RateLimit = {
+	readonly from: number;
+	readonly until: number;
+	readonly perSecond: number;
+	/**
+	When requests arrived meanwhile.
+	*/
+	readonly arrivals: number[];
+};
+
 /**
 A request on its way to an upstream.
 */
@@ -43,7 +61,10 @@
 	readonly route: ScenarioRoute;
 	readonly failureDomain: string;
 	readonly luck: Luck;
-	readonly end: (outcome: BackendOutcome) => void;
+	/**
+	@param rateLimit Requests a second, where the answer names a limit.
+	*/
+	readonly end: (outcome: BackendOutcome, rateLimit?: number) => void;
 };
 
 /**
@@ -55,6 +76,7 @@
 	readonly failureDomain: string;
 	readonly slots: number;
 	readonly spells: readonly Spell[];
+	readonly rateLimits: readonly RateLimit[];
 	/**
 	`draining`: serves, but must get nothing new. `gone`: refuses.
 	*/
@@ -76,6 +98,7 @@
 	readonly service: ScenarioService;
 	readonly failureDomain: string;
 	readonly spells: readonly Spell[];
+	readonly rateLimits: readonly RateLimit[];
 	/**
 	Until when it works at half speed.
 	*/
@@ -95,10 +118,17 @@
 const MILLISECONDS = 1000;
 const ERROR_PART = 0.8;
 
+/**
+Outcomes that an answer tells.
+*/
+const ANSWERS: ReadonlySet<BackendOutcome> = new Set(['success', 'error', 'shed']);
+
 /**
 Creates an upstream.
 */
-export function createBackend({clock, id, service, failureDomain, spells, warmAt}: BackendPlan): Backend {
+export function createBackend({
+	clock, id, service, failureDomain, spells, rateLimits, warmAt,
+}: BackendPlan): Backend {
 	const running = new Set<Work>();
 	const queue: Work[] = [];
 
@@ -107,6 +137,11 @@
 		return spells.find(spell => spell.from <= now && now < spell.until && (spell.failureDomain ?? from) === from);
 	};
 
+	const findRateLimit = () => {
+		const now = clock.now();
+		return rateLimits.find(({from, until}) => from <= now && now < until);
+	};
+
 	const leave = (work: Work) => {
 		work.cancel();
 		const isRunning = running.delete(work);
@@ -123,7 +158,7 @@
 	const endAfter = (work: Work, milliseconds: number, outcome: BackendOutcome) => {
 		work.cancel = clock.schedule(milliseconds, () => {
 			leave(work);
-			work.request.end(outcome);
+			work.request.end(outcome, ANSWERS.has(outcome) ? findRateLimit()?.perSecond : undefined);
 		});
 	};
 
@@ -159,10 +194,12 @@
 		failureDomain,
 		slots: service.slots,
 		spells,
+		rateLimits,
 		state: 'serving',
 		take(request) {
 			const work: Work = {request, cancel: () => undefined};
 			noteSent(getSpell(request.failureDomain), request);
+			findRateLimit()?.arrivals.push(clock.now());
 			if (backend.state === 'gone' || (running.size >= service.slots && queue.length >= service.queue)) {
 				endAfter(work, AT_ONCE, backend.state === 'gone' ? 'refused' : 'shed');
 			} else if (running.size < service.slots) {
@@ -204,6 +241,17 @@
 	},
 };
 
+/**
+Draws the rate limits that one upstream names over a day.
+*/
+export function drawRateLimits(kinds: readonly ScenarioRateLimit[], service: string, random: utils.Random): readonly RateLimit[] {
+	return kinds
+		.filter(kind => (kind.service ?? service) === service && random() < kind.share)
+		.map(({atSeconds, forSeconds, perSecond}): RateLimit => ({
+			from: atSeconds * MILLISECONDS, until: (atSeconds + forSeconds) * MILLISECONDS, perSecond, arrivals: [],
+		}));
+}
+
 /**
 Draws the bad spells of one upstream over a day, in order of time.
 */
--- a/packages/wagtailroute-lab/src/day.ts
+++ b/packages/wagtailroute-lab/src/day.ts
@@ -11,6 +11,7 @@
 import {
 	type Backend,
 	createBackend,
+	drawRateLimits,
 	drawSpells,
 	type Spell,
 } from './backend.ts';
@@ -41,7 +42,9 @@
 /**
 Numbers that keep the sources of random numbers of one day apart.
 */
-const SOURCES = {spells: 7919, decisions: 104_729, faults: 1_299_709} as const;
+const SOURCES = {
+	spells: 7919, decisions: 104_729, faults: 1_299_709, rateLimits: 15_485_863,
+} as const;
 
 /**
 Plays a day.
@@ -56,6 +59,7 @@
 	readonly #clock: Clock = createClock();
 	readonly #decisions: utils.Random;
 	readonly #chance: utils.Random;
+	readonly #limitLuck: utils.Random;
 	readonly #backends = new Map<core.UpstreamId, Backend>();
 	readonly #warmAt = new Map<core.UpstreamId, number>();
 	readonly #tally: Tally;
@@ -69,6 +73,7 @@
 		this.#seed = seed;
 		this.#decisions = utils.createRandom(seed + SOURCES.decisions);
 		this.#chance = utils.createRandom(seed + SOURCES.faults);
+		this.#limitLuck = utils.createRandom(seed + SOURCES.rateLimits);
 		this.#tally = createTally(scenario);
 		const random = utils.createRandom(seed + SOURCES.spells);
 		for (const service of scenario.services) {
@@ -105,7 +110,11 @@
 
 		await this.#clock.runUntil(LEAD_MILLISECONDS + (seconds * MILLISECONDS) + TAIL_MILLISECONDS);
 		const {user, system} = process.cpuUsage(startedAt);
-		return this.#tally.finish(this.#backends.values().flatMap(({spells}) => spells).toArray(), user + system);
+		return this.#tally.finish({
+			spells: this.#backends.values().flatMap(({spells}) => spells).toArray(),
+			rateLimits: this.#backends.values().flatMap(({rateLimits}) => rateLimits).toArray(),
+			cpuMicroseconds: user + system,
+		});
 	}
 
 	readonly #field = {
@@ -148,13 +157,19 @@
 		failureDomain: string,
 		{name, warmAt, random}: {readonly name: string; readonly warmAt: number; readonly random: utils.Random},
 	): void {
-		const {failureDomains, seconds, spells} = this.#scenario;
+		const {failureDomains, seconds, spells, rateLimits} = this.#scenario;
 		const drawn: readonly Spell[] = drawSpells(spells, {
 			service: service.name, seconds, failureDomains, random,
 		});
 		this.#warmAt.set(name, warmAt);
 		this.#backends.set(name, createBackend({
-			clock: this.#clock, id: name, service, failureDomain, spells: drawn, warmAt,
+			clock: this.#clock,
+			id: name,
+			service,
+			failureDomain,
+			spells: drawn,
+			rateLimits: drawRateLimits(rateLimits, service.name, this.#limitLuck),
+			warmAt,
 		}));
 	}
 
--- a/packages/wagtailroute-lab/src/scenario.ts
+++ b/packages/wagtailroute-lab/src/scenario.ts
@@ -85,6 +85,23 @@
 	isOneDomain: zod.boolean().default(false),
 });
 
+const rateLimitSchema = zod.strictObject({
+	/**
+	Absent: all.
+	*/
+	service: zod.string().optional(),
+	/**
+	Part of the upstreams that name it.
+	*/
+	share,
+	atSeconds: seconds,
+	forSeconds: positive,
+	/**
+	Requests a second.
+	*/
+	perSecond: positive,
+});
+
 const faultSchema = zod.strictObject({
 	kind: zod.enum(['burst', 'control-away', 'control-frozen', 'controls-away', 'restart', 'paths', 'scale-in', 'release']),
 	atSeconds: seconds,
@@ -115,6 +132,10 @@
 	load: positive.default(1),
 	wave: zod.strictObject({swing: share, periodSeconds: positive}).prefault({swing: 0.15, periodSeconds: 11}),
 	spells: zod.array(spellSchema).default([]),
+	/**
+	Rate limits that upstreams name in their answers.
+	*/
+	rateLimits: zod.array(rateLimitSchema).default([]),
 	faults: zod.array(faultSchema).default([]),
 	callers: zod.strictObject({
 		/**
@@ -135,7 +156,7 @@
 	}),
 }).superRefine((scenario, context) => {
 	const names = new Set(scenario.services.map(({name}) => name));
-	const used = [...scenario.routes.flatMap(({services}) => services), ...scenario.spells.map(({service}) => service)];
+	const used = [...scenario.routes.flatMap(({services}) => services), ...[...scenario.spells, ...scenario.rateLimits].map(({service}) => service)];
 	const unknown = used.find(name => name !== undefined && !names.has(name));
 	if (unknown !== undefined) {
 		context.addIssue(`service ${unknown} is not described`);
@@ -155,6 +176,7 @@
 export type ScenarioService = Scenario['services'][number];
 export type ScenarioRoute = Scenario['routes'][number];
 export type ScenarioSpell = Scenario['spells'][number];
+export type ScenarioRateLimit = Scenario['rateLimits'][number];
 export type ScenarioFault = Scenario['faults'][number];
 
 const FOLDER = path.join(import.meta.dirname, 'scenarios');
--- a/packages/wagtailroute-lab/src/sending.ts
+++ b/packages/wagtailroute-lab/src/sending.ts
@@ -204,8 +204,12 @@
 					route: arrival.route,
 					failureDomain: arrival.failureDomain,
 					luck,
-					end(outcome) {
+					end(outcome, rateLimit) {
 						clock.schedule(way, () => {
+							if (rateLimit !== undefined) {
+								port.noteRateLimit?.(target, rateLimit);
+							}
+
 							resolve(outcome);
 						});
 					},
--- a/packages/wagtailroute-lab/src/tally.ts
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -2,6 +2,7 @@
 What became of a day's requests, and the figures that policies are compared by.
 */
 import * as histograms from 'hdr-histogram-js';
+import type {RateLimit, Spell} from './backend.ts';
 import type {Scenario, ScenarioRoute} from './scenario.ts';
 
 /**
@@ -55,6 +56,10 @@
 	readonly falseSuspensions: number;
 	readonly resends: number;
 	/**
+	Requests that an upstream got in four seconds beyond the rate limit that it named, at most.
+	*/
+	readonly beyondRateLimit: number;
+	/**
 	Microseconds of processor time of the whole model for each request.
 	*/
 	readonly microseconds: number;
@@ -70,12 +75,16 @@
 	readonly note: (route: ScenarioRoute, askedAt: number, fate: Fate) => void;
 	readonly noteResend: () => void;
 	readonly noteFalseSuspension: () => void;
-	readonly finish: (spells: ReadonlyArray<{
-		readonly from: number;
-		readonly sent: number;
-		readonly sentUnrepeatable: number;
-		readonly lastSentAt: number;
-	}>, cpuMicroseconds: number) => Figures;
+	readonly finish: (upstreams: UpstreamTallies) => Figures;
+};
+
+/**
+What upstreams have counted.
+*/
+export type UpstreamTallies = {
+	readonly spells: ReadonlyArray<Pick<Spell, 'from' | 'sent' | 'sentUnrepeatable' | 'lastSentAt'>>;
+	readonly rateLimits: readonly RateLimit[];
+	readonly cpuMicroseconds: number;
 };
 
 type Sum = {
@@ -85,6 +94,9 @@
 
 const WINDOW_MILLISECONDS = 2000;
 const WORST_WINDOWS = 2;
+const RATE_LIMIT_WINDOW_MILLISECONDS = 4000;
+const RATE_LIMIT_TOLD_MILLISECONDS = 1500;
+const MILLISECONDS = 1000;
 const CAUSES: readonly Cause[] = ['refused', 'hung', 'reset', 'error', 'no-connection', 'left'];
 
 /**
@@ -140,7 +152,7 @@
 		noteFalseSuspension() {
 			falseSuspensions++;
 		},
-		finish(spells, cpuMicroseconds) {
+		finish({spells, rateLimits, cpuMicroseconds}) {
 			const shares = windows.values().map(({owed, earned}) => earned / owed).toArray().toSorted((left, right) => left - right);
 			const worst = shares.slice(0, WORST_WINDOWS);
 			const worstSeconds = worst.reduce((sum, share) => sum + share, 0) / Math.max(1, worst.length);
@@ -171,8 +183,18 @@
 				spellMilliseconds: sum(({from, lastSentAt}) => lastSentAt - Math.max(0, from)),
 				falseSuspensions: falseSuspensions * 1000 / count,
 				resends: resends * 1000 / count,
+				beyondRateLimit: Math.max(0, ...rateLimits.map(rateLimit => countBeyond(rateLimit))),
 				microseconds: cpuMicroseconds / count,
 			};
 		},
 	};
 }
+
+/**
+Counts from a second after the limit was first named: until then some host may not have heard of it.
+*/
+function countBeyond({from, perSecond, arrivals}: RateLimit): number {
+	const bound = arrivals.filter(at => at >= from + RATE_LIMIT_TOLD_MILLISECONDS);
+	const counts = bound.map(start => bound.filter(at => at >= start && at < start + RATE_LIMIT_WINDOW_MILLISECONDS).length);
+	return Math.max(0, ...counts) - (perSecond * RATE_LIMIT_WINDOW_MILLISECONDS / MILLISECONDS);
+}
