--- a/packages/wagtailroute-dispatch/src/constants.ts
+++ b/packages/wagtailroute-dispatch/src/constants.ts
@@ -24,11 +24,6 @@
 */
 export const MILLISECONDS_PER_SECOND = 1000;
 
-/**
-Seconds' worth of an upstream's rate limit that may be sent at once.
-*/
-export const RATE_BURST_SECONDS = 0.5;
-
 /**
 Requests a second that are sent to an upstream that takes fewer: only its answers tell that it takes more again.
 */
--- a/packages/wagtailroute-dispatch/src/policy.ts
+++ b/packages/wagtailroute-dispatch/src/policy.ts
@@ -207,6 +207,10 @@
 	*/
 	repeatableRestGain: 3,
 	/**
+	Seconds' worth of an upstream's rate limit that may be sent at once.
+	*/
+	rateBurstSeconds: 0.5,
+	/**
 	Cost of a certain bad spell, as a part of a full upstream: where one is likely, a request that must not run twice had better wait or cross.
 	*/
 	riskCost: 20,
--- a/packages/wagtailroute-dispatch/src/service-limits.ts
+++ b/packages/wagtailroute-dispatch/src/service-limits.ts
@@ -50,7 +50,7 @@
 
 		const {getPart, random} = this.#plan;
 		upstream.limit = new UpstreamLimit({
-			ratePerSecond, namedAt, part: getPart(now), random,
+			ratePerSecond, namedAt, burstSeconds: upstream.policy.rateBurstSeconds, part: getPart(now), random,
 		}, now);
 		this.#limited.set(upstream.candidate.upstream, upstream);
 		this.#lifted.delete(upstream.candidate.upstream);
--- a/packages/wagtailroute-dispatch/src/upstream-limit.ts
+++ b/packages/wagtailroute-dispatch/src/upstream-limit.ts
@@ -9,7 +9,6 @@
 	LEAST_RATE_PER_SECOND,
 	MILLISECONDS_PER_SECOND,
 	MOST_OWED_SECONDS,
-	RATE_BURST_SECONDS,
 } from './constants.ts';
 
 /**
@@ -25,6 +24,10 @@
 	*/
 	readonly namedAt: number;
 	/**
+	Seconds' worth of the rate that may be sent at once.
+	*/
+	readonly burstSeconds: number;
+	/**
 	Part of the rate that this dispatcher may give out, 0 to 1.
 	*/
 	readonly part: number;
@@ -52,10 +55,14 @@
 	isChanged = true;
 	#ratePerSecond: number;
 	#part: number;
+	readonly #burstSeconds: number;
 	readonly #bucket: admission.RateLimit;
 
-	constructor({ratePerSecond, namedAt, part, random}: UpstreamLimitPlan, now: number) {
+	constructor({
+		ratePerSecond, namedAt, burstSeconds, part, random,
+	}: UpstreamLimitPlan, now: number) {
 		this.namedAt = namedAt;
+		this.#burstSeconds = burstSeconds;
 		this.#ratePerSecond = ratePerSecond;
 		this.#part = part;
 		// Many hosts that begin with a small part each must not all come to their first token at the same time.
@@ -146,6 +153,6 @@
 	}
 
 	#getCapacity(): number {
-		return Math.max(1, this.#getRate() * RATE_BURST_SECONDS);
+		return Math.max(1, this.#getRate() * this.#burstSeconds);
 	}
 }
