--- a/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
@@ -83,6 +83,27 @@
 	t.deepEqual(link.notified.at(-1)?.[1], [1, 'success', 120]);
 });
 
+test('the dispatcher that granted a place is told at once when its answer names a rate limit', async t => {
+	const {asking, link} = setUp(() => GRANT);
+	await asking.ask(fixture.ASK_DRAFT).answer;
+	asking.noteRateLimit('front:1', 2.6);
+	t.deepEqual(link.notified.at(-1), ['dispatch.rate-limit', [1, 2.6]]);
+	asking.end('front:1', 'success', 120);
+	asking.noteRateLimit('front:1', 1);
+	t.is(link.notified.at(-1)?.[0], 'dispatch.end', 'an answer that has ended says nothing any more');
+});
+
+test('a host that dispatches alone keeps to the rate limits that answers named', async t => {
+	// Guards against an upstream in need that every host fills as soon as no dispatcher answers.
+	const {asking} = setUp(() => undefined);
+	const draft = {...fixture.ASK_DRAFT, remainingMilliseconds: 200, objectiveMilliseconds: 100};
+	const first = await asking.ask(draft).answer;
+	t.is(first.kind, 'grant');
+	asking.noteRateLimit(first.kind === 'grant' ? first.id : '', 0.2);
+	const second = await asking.ask(draft).answer;
+	t.like(second, {kind: 'refuse', reason: 'no-slot-in-time'});
+});
+
 test('a host gives its dispatcher the time that large bodies take on its own link', async t => {
 	// Symptom: a host dispatches alone although all control hosts are well, 185 times in half a minute over the fleet. Sequence: a caller uploads 360 KB to it;
 	// an ask waits behind them; the host takes the dispatcher for silent, probes the others behind the same bytes, and leaves them all. Cause: the same
--- a/packages/wagtailroute-fleet/src/__tests__/unit/dispatching.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/dispatching.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 import type * as core from 'wagtailroute-core';
 import {startDispatching} from '../../dispatching.ts';
-import {type Belief, METHODS} from '../../messages.ts';
+import {type Belief, METHODS, type RateLimitTelling} from '../../messages.ts';
 import * as fixture from './fixture.ts';
 
 type Told = {readonly host: core.HostId; readonly method: string; readonly parameters: unknown};
@@ -94,3 +94,34 @@
 	other.dispatching.hearBeliefNews(listTold(METHODS.beliefNews)[0]!.parameters as Belief[]);
 	t.deepEqual(other.dispatching.report('archive').filter(({isSuspended}) => isSuspended).map(({upstream}) => upstream), ['u1']);
 });
+
+test('other dispatchers are told a rate limit when it is named, changed and lifted, and what is granted while it is shared', async t => {
+	const {context, dispatching, listTold} = setUp();
+	const ask = async (id: string) => {
+		await context.pass(1000);
+		const answer = dispatching.ask({
+			...fixture.ASK_DRAFT, id, host: 'front-1', failureDomain: 'x', excluded: UPSTREAMS.slice(1),
+		});
+		t.is(answer.kind, 'grant');
+	};
+
+	const end = async (id: string) => {
+		await context.pass(10);
+		dispatching.end({id, ending: 'success', milliseconds: 10});
+		await context.pass(200);
+	};
+
+	const takeTold = () => listTold(METHODS.rateLimits).map(({host, parameters}) => ({host, ...parameters as RateLimitTelling})).at(-1);
+	await ask('front-1:1');
+	dispatching.noteRateLimit('front-1:1', 2);
+	await end('front-1:1');
+	t.like(takeTold(), {host: 'front-1', service: 'archive', limits: [{upstream: 'u1', ratePerSecond: 2, granted: 0}]});
+	await ask('front-1:2');
+	dispatching.noteRateLimit('front-1:2', 3);
+	await end('front-1:2');
+	t.like(takeTold(), {limits: [{upstream: 'u1', ratePerSecond: 3, granted: 1}]});
+	await ask('front-1:3');
+	await end('front-1:3');
+	t.like(takeTold(), {limits: [{upstream: 'u1', ratePerSecond: null}]});
+	t.is(dispatching.report('archive')[0]?.rateLimit, undefined);
+});
