--- a/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
@@ -4,44 +4,13 @@
 import test from 'ava';
 import * as fc from 'fast-check';
 import * as utils from 'wagtailroute-utils';
-import * as dispatch from '../../index.ts';
-
-const SERVICE = 'archive';
-const BUDGET = {ratio: 0.2, extra: 60, windowMilliseconds: 10_000};
-
-const createCandidate = (upstream: string, changes: Partial<dispatch.Candidate> = {}): dispatch.Candidate => ({
-	upstream,
-	address: {ip: '10.0.0.1', port: 80},
-	failureDomain: 'x',
-	slots: 2,
-	isDraining: false,
-	isSilent: false,
-	warmAt: 0,
-	...changes,
-});
-
-const createAsk = (id: string, changes: Partial<dispatch.Ask> = {}): dispatch.Ask => ({
-	id,
-	host: 'host',
-	failureDomain: 'x',
-	service: SERVICE,
-	route: 'route',
-	requestClass: 'non-idempotent',
-	priority: 1,
-	remainingMilliseconds: 2000,
-	objectiveMilliseconds: 1000,
-	excluded: [],
-	isResend: false,
-	isMove: false,
-	waitedMilliseconds: 0,
-	...changes,
-});
-
-const createDispatcher = (candidates: readonly dispatch.Candidate[], budget = BUDGET): dispatch.Dispatcher => {
-	const dispatcher = dispatch.createDispatcher({budget, floor: 0.7, random: utils.createRandom(1)});
-	dispatcher.setCandidates(SERVICE, candidates, 0);
-	return dispatcher;
-};
+import type * as dispatch from '../../index.ts';
+import {
+	createAsk,
+	createCandidate,
+	createDispatcher,
+	SERVICE,
+} from './fixture.ts';
 
 const getGrant = (effects: readonly dispatch.Effect[]) => effects.find(effect => effect.kind === 'grant');
 const getRefusal = (effects: readonly dispatch.Effect[]) => effects.find(effect => effect.kind === 'refuse');
@@ -132,7 +101,7 @@
 test('a request that was asked for at another dispatcher before earns no resends here', t => {
 	// Symptom: more resends reach a service in ten seconds than its budget allows. Sequence: hosts take a dispatcher for silent and ask the next one, which
 	// counts the request too; under overload each counted request is worth a fifth of a resend. Cause: one request counts once for each dispatcher.
-	const dispatcher = createDispatcher([createCandidate('a', {slots: 100})], {ratio: 0.2, extra: 0, windowMilliseconds: 10_000});
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 100})], {budget: {ratio: 0.2, extra: 0, windowMilliseconds: 10_000}});
 	for (let ask = 0; ask < 50; ask++) {
 		dispatcher.ask(createAsk(String(ask), {isAgain: true}), 0);
 	}
@@ -415,7 +384,7 @@
 	// Symptom: an upstream that is slow gets several times the requests that callers sent.
 	// Sequence: requests fail and are sent again, those too.
 	// Cause: nobody counted resends over the fleet.
-	const dispatcher = createDispatcher([createCandidate('a', {slots: 10_000})], {ratio: 0.2, extra: 0, windowMilliseconds: 10_000});
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 10_000})], {budget: {ratio: 0.2, extra: 0, windowMilliseconds: 10_000}});
 	for (let ask = 0; ask < 100; ask++) {
 		dispatcher.ask(createAsk(`first-${ask}`), 0);
 	}
@@ -575,7 +544,7 @@
 	// Symptom: resends are refused for their budget though hardly any were sent.
 	// Sequence: slots are taken; each overdue read asks for a move, and is refused.
 	// Cause: the budget was paid before there was a place.
-	const dispatcher = createDispatcher([createCandidate('a', {slots: 1}), createCandidate('b', {slots: 1})], {ratio: 0, extra: 10, windowMilliseconds: 10_000});
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 1}), createCandidate('b', {slots: 1})], {budget: {ratio: 0, extra: 10, windowMilliseconds: 10_000}});
 	dispatcher.ask(createAsk('1', {excluded: ['b']}), 0);
 	dispatcher.ask(createAsk('2', {excluded: ['a']}), 0);
 	for (let move = 0; move < 20; move++) {
--- a/packages/wagtailroute-dispatch/src/__tests__/unit/rate-limits.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/rate-limits.test.ts
@@ -4,40 +4,21 @@
 import test from 'ava';
 import * as fc from 'fast-check';
 import * as utils from 'wagtailroute-utils';
-import * as dispatch from '../../index.ts';
+import type * as dispatch from '../../index.ts';
+import {
+	createAsk,
+	createCandidate,
+	createDispatcher,
+	SERVICE,
+} from './fixture.ts';
 
-const SERVICE = 'archive';
 const LIMITED = 'limited';
 const WINDOW_MILLISECONDS = 4000;
 
-const createCandidate = (upstream: string, changes: Partial<dispatch.Candidate> = {}): dispatch.Candidate => ({
-	upstream, address: {ip: '10.0.0.1', port: 80}, failureDomain: 'x', slots: 4, isDraining: false, isSilent: false, warmAt: 0, ...changes,
-});
-
-const createAsk = (id: string, changes: Partial<dispatch.Ask> = {}): dispatch.Ask => ({
-	id,
-	host: 'host',
-	failureDomain: 'x',
-	service: SERVICE,
-	route: 'route',
-	requestClass: 'read',
-	priority: 1,
-	remainingMilliseconds: 2000,
-	objectiveMilliseconds: 1000,
-	excluded: [],
-	isResend: false,
-	isMove: false,
-	waitedMilliseconds: 0,
-	...changes,
-});
+const createRead = (id: string, changes: Partial<dispatch.Ask> = {}) => createAsk(id, {requestClass: 'read', ...changes});
 
-const createDispatcher = (upstreams: readonly string[], settings: Partial<dispatch.DispatcherSettings> = {}): dispatch.Dispatcher => {
-	const dispatcher = dispatch.createDispatcher({
-		budget: {ratio: 0.2, extra: 60, windowMilliseconds: 10_000}, floor: 0.7, random: utils.createRandom(1), ...settings,
-	});
-	dispatcher.setCandidates(SERVICE, upstreams.map(upstream => createCandidate(upstream)), 0);
-	return dispatcher;
-};
+const createLimitedDispatcher = (upstreams: readonly string[], settings?: Partial<dispatch.DispatcherSettings>) =>
+	createDispatcher(upstreams.map(upstream => createCandidate(upstream, {slots: 4})), settings);
 
 const getLimit = (dispatcher: dispatch.Dispatcher, now: number) =>
 	dispatcher.report(SERVICE, now).find(({upstream}) => upstream === LIMITED)?.rateLimit;
@@ -54,7 +35,7 @@
 A request is granted, and its answer names the limit.
 */
 const nameLimit = (dispatcher: dispatch.Dispatcher, ratePerSecond: number, now: number) => {
-	dispatcher.ask(createAsk('first'), now);
+	dispatcher.ask(createRead('first'), now);
 	dispatcher.noteRateLimit('first', ratePerSecond, now);
 	dispatcher.end('first', {ending: 'success', milliseconds: 1}, now);
 };
@@ -79,14 +60,14 @@
 
 for (const {name, ending, isSentBefore, limit} of LIFTS) {
 	test(`${name} ${limit === undefined ? 'lifts' : 'does not lift'} a rate limit`, t => {
-		const dispatcher = createDispatcher([LIMITED]);
+		const dispatcher = createLimitedDispatcher([LIMITED]);
 		if (isSentBefore) {
-			dispatcher.ask(createAsk('later'), 0);
+			dispatcher.ask(createRead('later'), 0);
 		}
 
 		nameLimit(dispatcher, 3, 10);
 		if (!isSentBefore) {
-			dispatcher.ask(createAsk('later'), 600);
+			dispatcher.ask(createRead('later'), 600);
 		}
 
 		dispatcher.end('later', {ending, milliseconds: 100}, 700);
@@ -111,7 +92,7 @@
 
 for (const {name, before, told, limit} of HEARD) {
 	test(`told by another host, ${name} leaves ${limit ?? 'none'}`, t => {
-		const dispatcher = createDispatcher([LIMITED]);
+		const dispatcher = createLimitedDispatcher([LIMITED]);
 		if (before !== undefined) {
 			nameLimit(dispatcher, before, 900);
 		}
@@ -123,25 +104,25 @@
 
 test('what no upstream takes within its rate limit is refused at once', t => {
 	// Guards against callers that wait until their deadline for a slot that a rate limit keeps free.
-	const dispatcher = createDispatcher([LIMITED]);
+	const dispatcher = createLimitedDispatcher([LIMITED]);
 	nameLimit(dispatcher, 1, 0);
-	const effects = [1, 2, 3, 4].flatMap(number => dispatcher.ask(createAsk(String(number), {requestClass: 'non-idempotent'}), 1));
+	const effects = [1, 2, 3, 4].flatMap(number => dispatcher.ask(createRead(String(number), {requestClass: 'non-idempotent'}), 1));
 	t.true(effects.some(effect => effect.kind === 'refuse' && effect.reason === 'no-slot-in-time' && effect.retryAfterMilliseconds > 0));
 });
 
 test('an upstream that takes next to nothing is still asked whether it says so', t => {
-	const dispatcher = createDispatcher([LIMITED]);
+	const dispatcher = createLimitedDispatcher([LIMITED]);
 	nameLimit(dispatcher, 0, 0);
-	t.is(dispatcher.ask(createAsk('early'), 4000).find(effect => effect.kind === 'grant'), undefined);
-	t.truthy(dispatcher.ask(createAsk('late'), 6000).find(effect => effect.kind === 'grant'));
+	t.is(dispatcher.ask(createRead('early'), 4000).find(effect => effect.kind === 'grant'), undefined);
+	t.truthy(dispatcher.ask(createRead('late'), 6000).find(effect => effect.kind === 'grant'));
 });
 
 test('a place that is not used is given back to the rate limit', t => {
-	const dispatcher = createDispatcher([LIMITED]);
+	const dispatcher = createLimitedDispatcher([LIMITED]);
 	nameLimit(dispatcher, 1, 0);
-	t.truthy(dispatcher.ask(createAsk('unused'), 1000).find(effect => effect.kind === 'grant'));
+	t.truthy(dispatcher.ask(createRead('unused'), 1000).find(effect => effect.kind === 'grant'));
 	dispatcher.end('unused', {ending: 'unused', milliseconds: 0}, 1001);
-	t.truthy(dispatcher.ask(createAsk('next'), 1002).find(effect => effect.kind === 'grant'));
+	t.truthy(dispatcher.ask(createRead('next'), 1002).find(effect => effect.kind === 'grant'));
 });
 
 test('a host that dispatches for few others gives out only their part of a rate limit', t => {
@@ -150,7 +131,7 @@
 	const limit = 2;
 	const times: number[] = [];
 	const random = utils.createRandom(1);
-	const dispatchers = Array.from({length: hosts}, () => createDispatcher([LIMITED], {getPart: () => 1 / hosts, random}));
+	const dispatchers = Array.from({length: hosts}, () => createLimitedDispatcher([LIMITED], {getPart: () => 1 / hosts, random}));
 	for (const dispatcher of dispatchers) {
 		dispatcher.hearRateLimits(SERVICE, [{
 			upstream: LIMITED, ratePerSecond: limit, ageMilliseconds: 0, granted: 0,
@@ -159,7 +140,7 @@
 
 	for (let now = 0; now < 10_000; now += 50) {
 		for (const [host, dispatcher] of dispatchers.entries()) {
-			const granted = dispatcher.ask(createAsk(`${host}-${now}`), now).filter(effect => effect.kind === 'grant');
+			const granted = dispatcher.ask(createRead(`${host}-${now}`), now).filter(effect => effect.kind === 'grant');
 			times.push(...granted.map(() => now));
 			for (const {ask} of granted) {
 				dispatcher.noteRateLimit(ask.id, limit, now);
@@ -199,7 +180,7 @@
 */
 function playTwoDispatchers({ratePerSecond, seconds, delay, seed}: History): readonly number[] {
 	const random = utils.createRandom(seed);
-	const dispatchers = [createDispatcher([LIMITED, 'plain'], {random}), createDispatcher([LIMITED, 'plain'], {random})] as const;
+	const dispatchers = [createLimitedDispatcher([LIMITED, 'plain'], {random}), createLimitedDispatcher([LIMITED, 'plain'], {random})] as const;
 	const ends: Array<{readonly at: number; readonly to: dispatch.Dispatcher; readonly id: string; readonly isNamed: boolean}> = [];
 	const tellings: Array<{readonly at: number; readonly to: dispatch.Dispatcher; readonly news: readonly dispatch.RateLimitNews[]}> = [];
 	const times: number[] = [];
@@ -241,7 +222,7 @@
 			const asked = dispatchers[random() < part ? 1 : 0];
 			const requestClass = random() < 0.5 ? 'read' : 'non-idempotent';
 			const isMove = requestClass === 'read' && random() < 0.1;
-			grant(asked, asked.ask(createAsk(`${step}-${request}`, {requestClass, isResend: random() < 0.1, isMove}), now), now);
+			grant(asked, asked.ask(createRead(`${step}-${request}`, {requestClass, isResend: random() < 0.1, isMove}), now), now);
 		}
 
 		for (const dispatcher of dispatchers) {
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -18,7 +18,7 @@
 	type RateLimitNews,
 	type RefusalReason,
 } from './asks.ts';
-import {type BudgetSettings, createBudget} from './budget.ts';
+import {createBudget} from './budget.ts';
 import {
 	choose,
 	chooseReserve,
@@ -30,7 +30,8 @@
 	ABANDONED_MILLISECONDS,
 	LOOKED_AT_MOST,
 } from './constants.ts';
-import {DEFAULT_POLICY, type Policy} from './policy.ts';
+import type {Dispatcher, DispatcherSettings, UpstreamReport} from './dispatcher-types.ts';
+import {DEFAULT_POLICY} from './policy.ts';
 import {ServiceLimits} from './service-limits.ts';
 import {
 	countUntil,
@@ -61,119 +62,6 @@
 	weighTime,
 } from './upstreams.ts';
 
-/**
-Settings of a dispatcher.
-*/
-export type DispatcherSettings = {
-	readonly budget: BudgetSettings;
-	/**
-	Part of a service's upstreams, 0 to 1, that stay in use whatever speaks against them.
-	*/
-	readonly floor: number;
-	/**
-	Uniform in [0, 1).
-	*/
-	readonly random: () => number;
-	/**
-	The default policy when absent.
-	*/
-	readonly policy?: Policy;
-	/**
-	Returns the part of the fleet's requests that this dispatcher is asked for, 0 to 1; all of them when absent.
-	*/
-	readonly getPart?: (now: number) => number;
-};
-
-/**
-What a dispatcher knows of an upstream, for reports.
-*/
-export type UpstreamReport = {
-	readonly upstream: core.UpstreamId;
-	readonly failureDomain: core.FailureDomain;
-	readonly taken: number;
-	readonly slots: number;
-	readonly doubt: number;
-	readonly isSuspended: boolean;
-	readonly isDraining: boolean;
-	/**
-	Requests a second that it takes, as its answers say; absent when they name no limit.
-	*/
-	readonly rateLimit?: number;
-};
-
-/**
-A dispatcher. Every method takes the monotonic time in milliseconds and returns what is to be done, in order.
-*/
-export type Dispatcher = {
-	readonly ask: (ask: Ask, now: number) => readonly Effect[];
-	/**
-	Withdraws an ask and returns it, if it waits.
-	*/
-	readonly cancel: (id: AskId) => Ask | undefined;
-	/**
-	Returns the ask to which a place was granted, if it is held here.
-	*/
-	readonly findGranted: (id: AskId) => Ask | undefined;
-	/**
-	A granted request has ended.
-
-	@param milliseconds From the send to the answer's header section.
-	*/
-	readonly end: (id: AskId, outcome: {readonly ending: Ending; readonly milliseconds: number}, now: number) => readonly Effect[];
-	/**
-	The answer to a granted request names the requests a second that the upstream takes from all hosts together.
-	*/
-	readonly noteRateLimit: (id: AskId, ratePerSecond: number, now: number) => readonly Effect[];
-	/**
-	Takes what other hosts know of the rate limits of a service.
-	*/
-	readonly hearRateLimits: (service: core.ServiceName, news: readonly RateLimitNews[], now: number) => void;
-	/**
-	Says whether other dispatchers are to be told what is granted at the rate-limited upstreams of a service.
-	*/
-	readonly isSharingRateLimits: (service: core.ServiceName, now: number) => boolean;
-	/**
-	Returns what other dispatchers are to be told of rate limits, by service.
-	*/
-	readonly takeRateLimitNews: (now: number) => ReadonlyMap<core.ServiceName, readonly RateLimitNews[]>;
-	/**
-	Returns all rate limits in force, by service.
-	*/
-	readonly listRateLimits: (now: number) => ReadonlyMap<core.ServiceName, readonly RateLimitNews[]>;
-	/**
-	A host tells the places that it holds of a service; what was counted for it before is forgotten.
-	*/
-	readonly hold: (host: core.HostId, service: core.ServiceName, held: readonly HeldPlace[], now: number) => void;
-	readonly setCandidates: (service: core.ServiceName, candidates: readonly Candidate[], now: number) => readonly Effect[];
-	/**
-	Takes another dispatcher's belief.
-	*/
-	readonly setDoubt: (service: core.ServiceName, upstream: core.UpstreamId, doubt: number, now: number) => void;
-	/**
-	Takes what another dispatcher held against an upstream some milliseconds ago, if more is left of it than what this one holds.
-	*/
-	readonly raiseDoubt: (
-		service: core.ServiceName,
-		upstream: core.UpstreamId,
-		told: {readonly doubt: number; readonly ageMilliseconds: number},
-		now: number,
-	) => void;
-	/**
-	Looks for asks that can no longer be served, trials that are due and places that were abandoned.
-	*/
-	readonly tick: (now: number) => readonly Effect[];
-	readonly getWaiting: () => number;
-	/**
-	Says whether a request waits or holds a place.
-	*/
-	readonly isBusy: () => boolean;
-	/**
-	Says whether it knows any upstream of a service.
-	*/
-	readonly knows: (service: core.ServiceName) => boolean;
-	readonly report: (service: core.ServiceName, now: number) => readonly UpstreamReport[];
-};
-
 /**
 Creates a dispatcher that knows no upstream.
 */
--- a/packages/wagtailroute-dispatch/src/index.ts
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -11,12 +11,8 @@
 	RateLimitNews,
 	RefusalReason,
 } from './asks.ts';
-export {
-	createDispatcher,
-	type Dispatcher,
-	type DispatcherSettings,
-	type UpstreamReport,
-} from './dispatcher.ts';
+export {createDispatcher} from './dispatcher.ts';
+export type {Dispatcher, DispatcherSettings, UpstreamReport} from './dispatcher-types.ts';
 export type {BudgetSettings} from './budget.ts';
 export {guessUsual, mixUsual} from './services.ts';
 export {DEFAULT_POLICY, type Policy} from './policy.ts';
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -5,17 +5,13 @@
 import type * as core from 'wagtailroute-core';
 import * as dispatch from 'wagtailroute-dispatch';
 import type * as link from 'wagtailroute-link';
-import * as utils from 'wagtailroute-utils';
-import {
-	ASKER_MILLISECONDS,
-	BELIEF_NEWS_MILLISECONDS,
-	DISPATCH_TICK_MILLISECONDS,
-	RATE_LIMIT_NEWS_MILLISECONDS,
-} from './constants.ts';
+import type * as utils from 'wagtailroute-utils';
+import {ASKER_MILLISECONDS, DISPATCH_TICK_MILLISECONDS} from './constants.ts';
 import {getAskNumber, shortenAnswer} from './ask-wire.ts';
 import type {Allotting} from './allotting.ts';
 import {createAskedPart} from './asked-part.ts';
 import type {FleetContext} from './context.ts';
+import {createDispatchNews} from './dispatch-news.ts';
 import {
 	type AskAnswer,
 	type Belief,
@@ -119,35 +115,12 @@
 	const known = new Set<core.ServiceName>();
 	const askers = new Map<core.ServiceName, RecentAskers>();
 
-	/**
-	Hosts that send requests of the service: the others would only be woken.
-	*/
 	const listAskers = (service: core.ServiceName) => askers.get(service)?.list(now()) ?? [];
 
-	/**
-	What askers have not been told yet, the last of each upstream.
-	*/
-	const untold = new Map<core.ServiceName, Map<core.UpstreamId, Belief>>();
-
-	const tellAskersLater = utils.coalesce(context.schedule, BELIEF_NEWS_MILLISECONDS, () => {
-		for (const [service, news] of untold) {
-			const standbys = new Set(plan.listStandbys(service));
-			for (const host of new Set(listAskers(service)).difference(standbys)) {
-				plan.notify(host, METHODS.beliefNews, news.values().toArray());
-			}
-		}
-
-		untold.clear();
-	});
-
-	const shareRateLimits = (service: core.ServiceName) => {
-		if (dispatcher.isSharingRateLimits(service, now())) {
-			tellRateLimitNews();
-		}
-	};
+	const others = createDispatchNews(context, {...plan, dispatcher, listAskers});
 
 	const tell = (effect: Decision) => {
-		shareRateLimits(effect.ask.service);
+		others.noteGranted(effect.ask.service);
 		plan.notify(effect.ask.host, METHODS.answer, [getAskNumber(effect.ask.id), shortenAnswer(toAnswer(effect))]);
 	};
 
@@ -163,37 +136,17 @@
 			log.info(isSuspended ? 'Upstream suspended.' : 'Upstream readmitted.', {
 				service, upstream, doubt, cause,
 			});
-			const belief: Belief = {service, upstream, doubt};
-			for (const host of plan.listStandbys(service)) {
-				plan.notify(host, METHODS.believe, belief);
-			}
-
-			plan.tellControls(METHODS.believe, belief);
-			const news = untold.get(service) ?? new Map<core.UpstreamId, Belief>();
-			untold.set(service, news);
-			news.set(upstream, belief);
-			tellAskersLater();
+			others.tellBelief({service, upstream, doubt});
 		},
 		limit({service, upstream, ratePerSecond, ratePerSecondBefore}) {
 			metrics.count('rate_limits', {service, state: ratePerSecond === undefined ? 'lifted' : 'named'});
 			log.info(ratePerSecond === undefined ? 'Rate limit lifted.' : 'Rate limit named.', {
 				service, upstream, ratePerSecond, ratePerSecondBefore,
 			});
-			tellRateLimitNews();
+			others.tellRateLimits();
 		},
 	};
 
-	const tellRateLimitNews = utils.coalesce(context.schedule, RATE_LIMIT_NEWS_MILLISECONDS, () => {
-		for (const [service, limits] of dispatcher.takeRateLimitNews(now())) {
-			const telling: RateLimitTelling = {service, limits};
-			for (const host of plan.listStandbys(service)) {
-				plan.notify(host, METHODS.rateLimits, telling);
-			}
-
-			plan.tellControls(METHODS.rateLimits, telling);
-		}
-	});
-
 	const logRefusal = ({ask, reason, retryAfterMilliseconds}: Extract<dispatch.Effect, {kind: 'refuse'}>) => {
 		const upstreams = dispatcher.report(ask.service, now());
 		metrics.count('refusals', {service: ask.service, reason});
@@ -294,7 +247,7 @@
 			const own = list.find(effect => isDecision(effect) && effect.ask.id === ask.id);
 			carryOut(list.filter(effect => effect !== own));
 			tickWhileBusy();
-			shareRateLimits(ask.service);
+			others.noteGranted(ask.service);
 			if (own === undefined || !isDecision(own)) {
 				return {kind: 'wait'};
 			}
