Tell others a rate that was named here although older news of it came meanwhile

News that were passed over as older cleared the mark that the others are to be told of the newer rate. Test first: nothing was told. The line of a request no longer keeps the limit of an earlier attempt's upstream when the last one gave no answer.

--- a/packages/wagtailroute-dispatch/src/__tests__/unit/rate-limits.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/rate-limits.test.ts
@@ -102,6 +102,16 @@
 	});
 }
 
+test('a rate that was named here is told to others although older news of it came meanwhile', t => {
+	const dispatcher = createLimitedDispatcher([LIMITED]);
+	nameLimit(dispatcher, 3, 900);
+	dispatcher.hearRateLimits(SERVICE, [{
+		upstream: LIMITED, ratePerSecond: 2, ageMilliseconds: 500, granted: 0,
+	}], 1000);
+	t.like(dispatcher.takeRateLimitNews(1000).get(SERVICE), [{upstream: LIMITED, ratePerSecond: 3, ageMilliseconds: 100}]);
+	t.is(dispatcher.takeRateLimitNews(1100).size, 0);
+});
+
 test('what no upstream takes within its rate limit is refused at once', t => {
 	// Guards against callers that wait until their deadline for a slot that a rate limit keeps free.
 	const dispatcher = createLimitedDispatcher([LIMITED]);
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -155,7 +155,7 @@
 		}
 
 		const ratePerSecondBefore = upstream.limit?.getRatePerSecond();
-		service.limits.set(upstream, ratePerSecond, {namedAt: now, now});
+		service.limits.set(upstream, {ratePerSecond, namedAt: now, isTold: false}, now);
 		return ratePerSecond === ratePerSecondBefore
 			? []
 			: [{
--- a/packages/wagtailroute-dispatch/src/service-limits.ts
+++ b/packages/wagtailroute-dispatch/src/service-limits.ts
@@ -8,7 +8,7 @@
 import type * as core from 'wagtailroute-core';
 import type {RateLimitNews} from './asks.ts';
 import {SHARING_MILLISECONDS, UNASKED_MILLISECONDS} from './constants.ts';
-import {UpstreamLimit} from './upstream-limit.ts';
+import {type NamedRate, UpstreamLimit} from './upstream-limit.ts';
 import type {Upstream} from './upstreams.ts';
 
 /**
@@ -40,17 +40,17 @@
 	}
 
 	/**
-	Takes the rate that an answer of the upstream named at a time.
+	Takes the rate that an answer of the upstream named.
 	*/
-	set(upstream: Upstream, ratePerSecond: number, {namedAt, now}: {readonly namedAt: number; readonly now: number}): void {
+	set(upstream: Upstream, named: NamedRate, now: number): void {
 		if (upstream.limit !== undefined) {
-			upstream.limit.name(ratePerSecond, namedAt, now);
+			upstream.limit.name(named, now);
 			return;
 		}
 
 		const {getPart, random} = this.#plan;
 		upstream.limit = new UpstreamLimit({
-			ratePerSecond, namedAt, burstSeconds: upstream.policy.rateBurstSeconds, part: getPart(now), random,
+			named, burstSeconds: upstream.policy.rateBurstSeconds, part: getPart(now), random,
 		}, now);
 		this.#limited.set(upstream.candidate.upstream, upstream);
 		this.#lifted.delete(upstream.candidate.upstream);
@@ -84,8 +84,7 @@
 			return;
 		}
 
-		this.set(upstream, ratePerSecond, {namedAt: now - ageMilliseconds, now});
-		upstream.limit!.isChanged = false;
+		this.set(upstream, {ratePerSecond, namedAt: now - ageMilliseconds, isTold: true}, now);
 		upstream.limit!.hearUse(granted, now);
 		this.#sharedUntil = granted > 0 ? now + SHARING_MILLISECONDS : this.#sharedUntil;
 	}
--- a/packages/wagtailroute-dispatch/src/upstream-limit.ts
+++ b/packages/wagtailroute-dispatch/src/upstream-limit.ts
@@ -12,17 +12,25 @@
 } from './constants.ts';
 
 /**
-What a limit begins with.
+A rate that an answer named.
 */
-export type UpstreamLimitPlan = {
+export type NamedRate = {
 	/**
 	Requests a second that the upstream takes from all hosts together.
 	*/
 	readonly ratePerSecond: number;
+	readonly namedAt: number;
 	/**
-	When an answer named it.
+	Another host has told it, so the other dispatchers know it.
 	*/
-	readonly namedAt: number;
+	readonly isTold: boolean;
+};
+
+/**
+What a limit begins with.
+*/
+export type UpstreamLimitPlan = {
+	readonly named: NamedRate;
 	/**
 	Seconds' worth of the rate that may be sent at once.
 	*/
@@ -52,18 +60,19 @@
 	/**
 	The other dispatchers do not know the rate.
 	*/
-	isChanged = true;
+	#isChanged: boolean;
 	#ratePerSecond: number;
 	#part: number;
 	readonly #burstSeconds: number;
 	readonly #bucket: admission.RateLimit;
 
 	constructor({
-		ratePerSecond, namedAt, burstSeconds, part, random,
+		named, burstSeconds, part, random,
 	}: UpstreamLimitPlan, now: number) {
-		this.namedAt = namedAt;
+		this.namedAt = named.namedAt;
+		this.#isChanged = !named.isTold;
+		this.#ratePerSecond = named.ratePerSecond;
 		this.#burstSeconds = burstSeconds;
-		this.#ratePerSecond = ratePerSecond;
 		this.#part = part;
 		// Many hosts that begin with a small part each must not all come to their first token at the same time.
 		const tokens = part < 1 ? random() : 0;
@@ -78,15 +87,15 @@
 	}
 
 	/**
-	Takes a rate that an answer named at a time. News of one that was named before the last are passed over.
+	Takes the rate that an answer named. One that was named before the last is passed over.
 	*/
-	name(ratePerSecond: number, namedAt: number, now: number): void {
+	name({ratePerSecond, namedAt, isTold}: NamedRate, now: number): void {
 		if (namedAt < this.namedAt) {
 			return;
 		}
 
 		this.namedAt = namedAt;
-		this.isChanged ||= ratePerSecond !== this.#ratePerSecond;
+		this.#isChanged = !isTold && (this.#isChanged || ratePerSecond !== this.#ratePerSecond);
 		this.#ratePerSecond = ratePerSecond;
 		this.#bucket.setRate(this.#getRate(), now, this.#getCapacity());
 	}
@@ -142,8 +151,8 @@
 	Returns what the other dispatchers do not know yet, and takes it as told.
 	*/
 	takeNews(): {readonly isChanged: boolean; readonly granted: number} {
-		const news = {isChanged: this.isChanged, granted: this.#untold};
-		this.isChanged = false;
+		const news = {isChanged: this.#isChanged, granted: this.#untold};
+		this.#isChanged = false;
 		this.#untold = 0;
 		return news;
 	}
--- a/packages/wagtailroute-proxy/src/sending.ts
+++ b/packages/wagtailroute-proxy/src/sending.ts
@@ -250,6 +250,7 @@
 		const {service, ports: {now}} = this.#context;
 		this.#targets.exclude(target);
 		this.lastUpstream = target.id;
+		this.rateLimit = undefined;
 		this.#count++;
 		service.begin(target);
 		const startedAt = now();
