--- a/packages/wagtailroute-dispatch/src/__tests__/unit/rate-limits.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/rate-limits.test.ts
@@ -1,5 +1,5 @@
 /**
-Tests of rate limits that upstreams name in their answers: what is granted within them, what lifts them, and what other dispatchers are told.
+Tests of rate limits that upstreams advertise: what is granted within them, what lifts them, and what peers receive.
 */
 import test from 'ava';
 import * as fc from 'fast-check';
@@ -24,7 +24,7 @@
 	dispatcher.report(SERVICE, now).find(({upstream}) => upstream === LIMITED)?.rateLimit;
 
 /**
-What the platform lets pass in a window.
+Requests that the platform allows in a window.
 */
 const getMost = (ratePerSecond: number) => (1.5 * ratePerSecond * WINDOW_MILLISECONDS / 1000) + 5;
 
@@ -32,11 +32,11 @@
 	Math.max(0, ...times.map(from => times.filter(at => at >= from && at < from + WINDOW_MILLISECONDS).length));
 
 /**
-A request is granted, and its answer names the limit.
+A request is granted and its answer advertises the limit.
 */
-const nameLimit = (dispatcher: dispatch.Dispatcher, ratePerSecond: number, now: number) => {
+const advertiseLimit = (dispatcher: dispatch.Dispatcher, ratePerSecond: number, now: number) => {
 	dispatcher.ask(createRead('first'), now);
-	dispatcher.noteRateLimit('first', ratePerSecond, now);
+	dispatcher.recordRateLimit('first', ratePerSecond, now);
 	dispatcher.end('first', {ending: 'success', milliseconds: 1}, now);
 };
 
@@ -65,7 +65,7 @@
 			dispatcher.ask(createRead('later'), 0);
 		}
 
-		nameLimit(dispatcher, 3, 10);
+		advertiseLimit(dispatcher, 3, 10);
 		if (!isSentBefore) {
 			dispatcher.ask(createRead('later'), 600);
 		}
@@ -80,10 +80,10 @@
 		name: 'a limit that is new here', before: undefined, told: {ratePerSecond: 2, ageMilliseconds: 500}, limit: 2,
 	},
 	{
-		name: 'a limit that was named after the one known here', before: 3, told: {ratePerSecond: 2, ageMilliseconds: 10}, limit: 2,
+		name: 'a limit that is newer than the one known here', before: 3, told: {ratePerSecond: 2, ageMilliseconds: 10}, limit: 2,
 	},
 	{
-		name: 'a limit that was named before the one known here', before: 3, told: {ratePerSecond: 2, ageMilliseconds: 500}, limit: 3,
+		name: 'a limit that is older than the one known here', before: 3, told: {ratePerSecond: 2, ageMilliseconds: 500}, limit: 3,
 	},
 	{
 		name: 'a limit that was lifted', before: 3, told: {ratePerSecond: null, ageMilliseconds: 0}, limit: undefined,
@@ -91,59 +91,59 @@
 ] as const;
 
 for (const {name, before, told, limit} of HEARD) {
-	test(`told by another host, ${name} leaves ${limit ?? 'none'}`, t => {
+	test(`reported by another host, ${name} leaves ${limit ?? 'none'}`, t => {
 		const dispatcher = createLimitedDispatcher([LIMITED]);
 		if (before !== undefined) {
-			nameLimit(dispatcher, before, 900);
+			advertiseLimit(dispatcher, before, 900);
 		}
 
-		dispatcher.hearRateLimits(SERVICE, [{upstream: LIMITED, ...told, granted: 0}], 1000);
+		dispatcher.applyRateLimits(SERVICE, [{upstream: LIMITED, ...told, granted: 0}], 1000);
 		t.is(getLimit(dispatcher, 1000), limit);
 	});
 }
 
-test('a rate that was named here is told to others although older news of it came meanwhile', t => {
+test('a rate that was learned here reaches peers although an older update arrived meanwhile', t => {
 	const dispatcher = createLimitedDispatcher([LIMITED]);
-	nameLimit(dispatcher, 3, 900);
-	dispatcher.hearRateLimits(SERVICE, [{
+	advertiseLimit(dispatcher, 3, 900);
+	dispatcher.applyRateLimits(SERVICE, [{
 		upstream: LIMITED, ratePerSecond: 2, ageMilliseconds: 500, granted: 0,
 	}], 1000);
-	t.like(dispatcher.takeRateLimitNews(1000).get(SERVICE), [{upstream: LIMITED, ratePerSecond: 3, ageMilliseconds: 100}]);
-	t.is(dispatcher.takeRateLimitNews(1100).size, 0);
+	t.like(dispatcher.drainRateLimitUpdates(1000).get(SERVICE), [{upstream: LIMITED, ratePerSecond: 3, ageMilliseconds: 100}]);
+	t.is(dispatcher.drainRateLimitUpdates(1100).size, 0);
 });
 
 test('what no upstream takes within its rate limit is refused at once', t => {
-	// Guards against callers that wait until their deadline for a slot that a rate limit keeps free.
+	// Guards against callers that wait until their deadline for a slot that a rate limit keeps idle.
 	const dispatcher = createLimitedDispatcher([LIMITED]);
-	nameLimit(dispatcher, 1, 0);
+	advertiseLimit(dispatcher, 1, 0);
 	const effects = [1, 2, 3, 4].flatMap(number => dispatcher.ask(createRead(String(number), {requestClass: 'non-idempotent'}), 1));
 	t.true(effects.some(effect => effect.kind === 'refuse' && effect.reason === 'no-slot-in-time' && effect.retryAfterMilliseconds > 0));
 });
 
-test('an upstream that takes next to nothing is still asked whether it says so', t => {
+test('an upstream that advertises a limit of zero still gets a request now and then', t => {
 	const dispatcher = createLimitedDispatcher([LIMITED]);
-	nameLimit(dispatcher, 0, 0);
+	advertiseLimit(dispatcher, 0, 0);
 	t.is(dispatcher.ask(createRead('early'), 4000).find(effect => effect.kind === 'grant'), undefined);
 	t.truthy(dispatcher.ask(createRead('late'), 6000).find(effect => effect.kind === 'grant'));
 });
 
 test('a place that is not used is given back to the rate limit', t => {
 	const dispatcher = createLimitedDispatcher([LIMITED]);
-	nameLimit(dispatcher, 1, 0);
+	advertiseLimit(dispatcher, 1, 0);
 	t.truthy(dispatcher.ask(createRead('unused'), 1000).find(effect => effect.kind === 'grant'));
 	dispatcher.end('unused', {ending: 'unused', milliseconds: 0}, 1001);
 	t.truthy(dispatcher.ask(createRead('next'), 1002).find(effect => effect.kind === 'grant'));
 });
 
-test('a host that dispatches for few others gives out only their part of a rate limit', t => {
-	// Guards against many hosts that dispatch alone and spend a whole rate limit each.
+test('a host that dispatches for few others grants their share of a rate limit only', t => {
+	// Guards against many hosts that dispatch alone and grant a whole rate limit each.
 	const hosts = 40;
 	const limit = 2;
 	const times: number[] = [];
 	const random = utils.createRandom(1);
-	const dispatchers = Array.from({length: hosts}, () => createLimitedDispatcher([LIMITED], {getPart: () => 1 / hosts, random}));
+	const dispatchers = Array.from({length: hosts}, () => createLimitedDispatcher([LIMITED], {getShare: () => 1 / hosts, random}));
 	for (const dispatcher of dispatchers) {
-		dispatcher.hearRateLimits(SERVICE, [{
+		dispatcher.applyRateLimits(SERVICE, [{
 			upstream: LIMITED, ratePerSecond: limit, ageMilliseconds: 0, granted: 0,
 		}], 0);
 	}
@@ -153,7 +153,7 @@
 			const granted = dispatcher.ask(createRead(`${host}-${now}`), now).filter(effect => effect.kind === 'grant');
 			times.push(...granted.map(() => now));
 			for (const {ask} of granted) {
-				dispatcher.noteRateLimit(ask.id, limit, now);
+				dispatcher.recordRateLimit(ask.id, limit, now);
 				dispatcher.end(ask.id, {ending: 'success', milliseconds: 20}, now);
 			}
 		}
@@ -163,7 +163,7 @@
 	t.true(countMost(times) <= getMost(limit), `${countMost(times)}`);
 });
 
-const TELL_MILLISECONDS = 100;
+const UPDATE_MILLISECONDS = 100;
 const STEP_MILLISECONDS = 20;
 const STEPS = 600;
 
@@ -177,7 +177,7 @@
 		part: fc.constantFrom(0, 0, 0.2, 0.5, 1),
 	}), {minLength: 1, maxLength: 12}),
 	/**
-	Milliseconds for which the dispatchers' news are under way.
+	Milliseconds that an update takes to the other dispatcher.
 	*/
 	delay: fc.integer({min: 1, max: 100}),
 	seed: fc.integer({min: 1, max: 1_000_000}),
@@ -186,25 +186,25 @@
 type History = typeof history extends fc.Arbitrary<infer Value> ? Value : never;
 
 /**
-Plays requests of all kinds, spread over two dispatchers that tell each other, and returns when the limited upstream got one.
+Plays requests of all kinds, spread over two dispatchers that send each other updates. Returns the times at which the limited upstream got one.
 */
 function playTwoDispatchers({ratePerSecond, seconds, delay, seed}: History): readonly number[] {
 	const random = utils.createRandom(seed);
 	const dispatchers = [createLimitedDispatcher([LIMITED, 'plain'], {random}), createLimitedDispatcher([LIMITED, 'plain'], {random})] as const;
-	const ends: Array<{readonly at: number; readonly to: dispatch.Dispatcher; readonly id: string; readonly isNamed: boolean}> = [];
-	const tellings: Array<{readonly at: number; readonly to: dispatch.Dispatcher; readonly news: readonly dispatch.RateLimitNews[]}> = [];
+	const ends: Array<{readonly at: number; readonly to: dispatch.Dispatcher; readonly id: string; readonly isLimited: boolean}> = [];
+	const updates: Array<{readonly at: number; readonly to: dispatch.Dispatcher; readonly news: readonly dispatch.RateLimitUpdate[]}> = [];
 	const times: number[] = [];
 
 	const grant = (by: dispatch.Dispatcher, effects: readonly dispatch.Effect[], now: number) => {
 		for (const effect of effects) {
-			const isNamed = effect.kind === 'grant' && effect.upstream === LIMITED;
-			times.push(...isNamed ? [now] : []);
+			const isLimited = effect.kind === 'grant' && effect.upstream === LIMITED;
+			times.push(...isLimited ? [now] : []);
 			if (effect.kind !== 'grant') {
 				continue;
 			}
 
 			ends.push({
-				at: now + 40 + (random() * 300), to: by, id: effect.ask.id, isNamed,
+				at: now + 40 + (random() * 300), to: by, id: effect.ask.id, isLimited,
 			});
 		}
 	};
@@ -217,14 +217,14 @@
 
 	for (let step = 0; step < STEPS; step++) {
 		const now = step * STEP_MILLISECONDS;
-		for (const {to, id, isNamed} of takeDue(ends, now)) {
-			const noted = isNamed ? to.noteRateLimit(id, ratePerSecond, now) : [];
+		for (const {to, id, isLimited} of takeDue(ends, now)) {
+			const changed = isLimited ? to.recordRateLimit(id, ratePerSecond, now) : [];
 			const ending = random() < 0.9 ? 'success' : 'reset';
-			grant(to, [...noted, ...to.end(id, {ending, milliseconds: 100}, now)], now);
+			grant(to, [...changed, ...to.end(id, {ending, milliseconds: 100}, now)], now);
 		}
 
-		for (const {to, news} of takeDue(tellings, now)) {
-			to.hearRateLimits(SERVICE, news, now);
+		for (const {to, news} of takeDue(updates, now)) {
+			to.applyRateLimits(SERVICE, news, now);
 		}
 
 		const {part, requests} = seconds[Math.floor(now / 1000) % seconds.length]!;
@@ -240,9 +240,9 @@
 		}
 
 		const [first, second] = dispatchers;
-		const isTelling = now % TELL_MILLISECONDS === 0;
-		for (const [from, to] of isTelling ? [[first, second], [second, first]] as const : []) {
-			tellings.push({at: now + delay, to, news: from.takeRateLimitNews(now).get(SERVICE) ?? []});
+		const isUpdateDue = now % UPDATE_MILLISECONDS === 0;
+		for (const [from, to] of isUpdateDue ? [[first, second], [second, first]] as const : []) {
+			updates.push({at: now + delay, to, news: from.drainRateLimitUpdates(now).get(SERVICE) ?? []});
 		}
 	}
 
@@ -250,16 +250,16 @@
 }
 
 /**
-Milliseconds from the first answer that names a limit from which on it binds.
+Milliseconds from the first answer that advertises a limit until it is enforced.
 */
-const BINDING_MILLISECONDS = 1000;
+const ENFORCED_MILLISECONDS = 1000;
 
-test('over any history of two dispatchers an upstream gets no more than the rate limit that it names', t => {
-	// Guards against two dispatchers that spend one rate limit twice, and against resends, moves and trials that pass it by.
+test('over any history of two dispatchers an upstream gets no more than its rate limit', t => {
+	// Guards against two dispatchers that grant one rate limit twice, and against resends, moves and trials that bypass it.
 	t.notThrows(() => {
 		fc.assert(fc.property(history, drawn => {
 			const times = playTwoDispatchers(drawn);
-			const bound = times.filter(at => at >= times[0]! + BINDING_MILLISECONDS);
+			const bound = times.filter(at => at >= times[0]! + ENFORCED_MILLISECONDS);
 			return countMost(bound) <= getMost(drawn.ratePerSecond);
 		}), {numRuns: 300});
 	});
--- a/packages/wagtailroute-dispatch/src/asks.ts
+++ b/packages/wagtailroute-dispatch/src/asks.ts
@@ -111,10 +111,10 @@
 		readonly cause: Ending;
 	}
 	/**
-	An upstream has named a rate limit, another one than before, or none any more.
+	The rate limit of an upstream is new, changed or, without a rate, lifted.
 	*/
 	| {
-		readonly kind: 'limit';
+		readonly kind: 'rate-limit';
 		readonly service: core.ServiceName;
 		readonly upstream: core.UpstreamId;
 		readonly ratePerSecond?: number;
@@ -122,20 +122,20 @@
 	};
 
 /**
-The rate limit of an upstream, as a host tells another.
+The rate limit of an upstream, as hosts report it to each other.
 */
-export type RateLimitNews = {
+export type RateLimitUpdate = {
 	readonly upstream: core.UpstreamId;
 	/**
-	Requests a second that it takes from all hosts together; null when it names no limit any more.
+	Requests a second that it takes from all hosts together; null once the limit is lifted.
 	*/
 	readonly ratePerSecond: number | null;
 	/**
-	Milliseconds since an answer named it.
+	Milliseconds since an answer advertised it.
 	*/
 	readonly ageMilliseconds: number;
 	/**
-	Requests that the host granted since it told last.
+	Requests that the reporting dispatcher granted since its last report.
 	*/
 	readonly granted: number;
 };
--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -11,7 +11,7 @@
 	getDoubt,
 	getRisk,
 	getSlowness,
-	hasRoom,
+	hasCapacity,
 	isPathBad,
 	isServing,
 	isSuspended,
@@ -91,7 +91,7 @@
 		&& left > 0
 		&& known.values().some(upstream => upstream.candidate.failureDomain === ask.failureDomain
 			&& !isSuspended(upstream, now)
-			&& (upstream.limit?.getDelay(now) ?? 0) < left
+			&& (upstream.rateLimit?.getDelay(now) ?? 0) < left
 			&& isSuitable(upstream, ask, now)
 			// Where the request is likely to be lost, it had better cross.
 			&& getRisk(upstream, now) * policy.riskCost < getCrossingCost(ask, policy));
@@ -159,7 +159,7 @@
 Says whether an upstream could take the ask now if nothing spoke against it but doubt.
 */
 function isOpen(upstream: Upstream, ask: Ask, now: number): boolean {
-	return hasRoom(upstream, now)
+	return hasCapacity(upstream, now)
 		&& upstream.closedUntil <= now
 		&& isSuitable(upstream, ask, now);
 }
--- a/packages/wagtailroute-dispatch/src/constants.ts
+++ b/packages/wagtailroute-dispatch/src/constants.ts
@@ -25,25 +25,24 @@
 export const MILLISECONDS_PER_SECOND = 1000;
 
 /**
-Requests a second that are sent to an upstream that takes fewer: only its answers tell that it takes more again.
+Lower bound of a rate limit, in requests a second: only answers tell that a limit was lifted.
 */
-export const LEAST_RATE_PER_SECOND = 0.2;
+export const MIN_RATE_PER_SECOND = 0.2;
 
 /**
-Seconds' worth of an upstream's rate limit that may be owed to other dispatchers at most.
+Bound of the debt for requests that peers granted, in seconds' worth of the rate.
 */
-export const MOST_OWED_SECONDS = 1;
+export const MAX_DEBT_SECONDS = 1;
 
 /**
-Milliseconds without an ask for a service after which another dispatcher may have served it meanwhile.
+Milliseconds without a request of a service after which a dispatcher counts as newly taking it over.
 */
-export const UNASKED_MILLISECONDS = 1000;
+export const IDLE_MILLISECONDS = 1000;
 
 /**
-Milliseconds for which a dispatcher tells the others what it grants at rate-limited upstreams, after it began to be asked for the service or heard of
-another one that is.
+Milliseconds after a takeover, or after the last report of a peer, for which a dispatcher reports its grants.
 */
-export const SHARING_MILLISECONDS = 10_000;
+export const PEER_ACTIVE_MILLISECONDS = 10_000;
 
 /**
 Milliseconds that a place stays taken after its deadline when its host is not heard: its answer may be under way.
--- a/packages/wagtailroute-dispatch/src/dispatcher-types.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher-types.ts
@@ -9,7 +9,7 @@
 	Effect,
 	Ending,
 	HeldPlace,
-	RateLimitNews,
+	RateLimitUpdate,
 } from './asks.ts';
 import type {BudgetSettings} from './budget.ts';
 import type {Policy} from './policy.ts';
@@ -32,9 +32,9 @@
 	*/
 	readonly policy?: Policy;
 	/**
-	Returns the part of the fleet's requests that this dispatcher is asked for, 0 to 1; all of them when absent.
+	Returns the share of the fleet's requests that this dispatcher handles, 0 to 1. Absent: all of them.
 	*/
-	readonly getPart?: (now: number) => number;
+	readonly getShare?: (now: number) => number;
 };
 
 /**
@@ -49,7 +49,7 @@
 	readonly isSuspended: boolean;
 	readonly isDraining: boolean;
 	/**
-	Requests a second that it takes, as its answers say; absent when they name no limit.
+	Requests a second that its answers advertise; absent when they advertise no limit.
 	*/
 	readonly rateLimit?: number;
 };
@@ -74,25 +74,25 @@
 	*/
 	readonly end: (id: AskId, outcome: {readonly ending: Ending; readonly milliseconds: number}, now: number) => readonly Effect[];
 	/**
-	The answer to a granted request names the requests a second that the upstream takes from all hosts together.
+	The answer to a granted request advertises the requests a second that the upstream takes from all hosts together.
 	*/
-	readonly noteRateLimit: (id: AskId, ratePerSecond: number, now: number) => readonly Effect[];
+	readonly recordRateLimit: (id: AskId, ratePerSecond: number, now: number) => readonly Effect[];
 	/**
-	Takes what other hosts know of the rate limits of a service.
+	Applies rate limits that another host has learned.
 	*/
-	readonly hearRateLimits: (service: core.ServiceName, news: readonly RateLimitNews[], now: number) => void;
+	readonly applyRateLimits: (service: core.ServiceName, updates: readonly RateLimitUpdate[], now: number) => void;
 	/**
-	Says whether other dispatchers are to be told what is granted at the rate-limited upstreams of a service.
+	Says whether grants at the rate-limited upstreams of a service have to be reported to other dispatchers.
 	*/
 	readonly isSharingRateLimits: (service: core.ServiceName, now: number) => boolean;
 	/**
-	Returns what other dispatchers are to be told of rate limits, by service.
+	Returns the rate limit updates for other dispatchers since the last call, by service.
 	*/
-	readonly takeRateLimitNews: (now: number) => ReadonlyMap<core.ServiceName, readonly RateLimitNews[]>;
+	readonly drainRateLimitUpdates: (now: number) => ReadonlyMap<core.ServiceName, readonly RateLimitUpdate[]>;
 	/**
 	Returns all rate limits in force, by service.
 	*/
-	readonly listRateLimits: (now: number) => ReadonlyMap<core.ServiceName, readonly RateLimitNews[]>;
+	readonly listRateLimits: (now: number) => ReadonlyMap<core.ServiceName, readonly RateLimitUpdate[]>;
 	/**
 	A host tells the places that it holds of a service; what was counted for it before is forgotten.
 	*/
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -15,7 +15,7 @@
 	type Effect,
 	type Ending,
 	type HeldPlace,
-	type RateLimitNews,
+	type RateLimitUpdate,
 	type RefusalReason,
 } from './asks.ts';
 import {createBudget} from './budget.ts';
@@ -32,7 +32,7 @@
 } from './constants.ts';
 import type {Dispatcher, DispatcherSettings, UpstreamReport} from './dispatcher-types.ts';
 import {DEFAULT_POLICY} from './policy.ts';
-import {ServiceLimits} from './service-limits.ts';
+import {ServiceRateLimits} from './service-rate-limits.ts';
 import {
 	countUntil,
 	countUsableSlots,
@@ -53,7 +53,7 @@
 	createUpstream,
 	fadeDoubt,
 	getDoubt,
-	hasRoom,
+	hasCapacity,
 	isSuspended,
 	type Place,
 	takeBelief,
@@ -81,7 +81,7 @@
 
 	ask(ask: Ask, now: number): readonly Effect[] {
 		const service = this.#getService(ask.service);
-		service.limits.noteAsked(now);
+		service.rateLimits.recordAsk(now);
 		if (ask.isMove) {
 			return [this.#moveOrRefuse(service, ask, now)];
 		}
@@ -128,7 +128,7 @@
 				learnUsual(service, place.route, milliseconds);
 				effects.push(...this.#liftRateLimit(service, upstream, place));
 			} else if (ending === 'unused') {
-				service.limits.use(upstream, -1, now);
+				service.rateLimits.consume(upstream, -1, now);
 			}
 
 			if (isSuspended(upstream, now) !== wasSuspended) {
@@ -146,7 +146,7 @@
 		return [...effects, ...this.#serveWaiting(service, now)];
 	}
 
-	noteRateLimit(id: AskId, ratePerSecond: number, now: number): readonly Effect[] {
+	recordRateLimit(id: AskId, ratePerSecond: number, now: number): readonly Effect[] {
 		const place = this.#places.get(id);
 		const service = place && this.#services.get(place.service);
 		const upstream = place && service?.upstreams.get(place.upstream);
@@ -154,35 +154,35 @@
 			return [];
 		}
 
-		const ratePerSecondBefore = upstream.limit?.getRatePerSecond();
-		service.limits.set(upstream, {ratePerSecond, namedAt: now, isTold: false}, now);
+		const ratePerSecondBefore = upstream.rateLimit?.getRatePerSecond();
+		service.rateLimits.record(upstream, {ratePerSecond, advertisedAt: now, isPublished: false}, now);
 		return ratePerSecond === ratePerSecondBefore
 			? []
 			: [{
-				kind: 'limit', service: service.name, upstream: upstream.candidate.upstream, ratePerSecond, ratePerSecondBefore,
+				kind: 'rate-limit', service: service.name, upstream: upstream.candidate.upstream, ratePerSecond, ratePerSecondBefore,
 			}];
 	}
 
-	hearRateLimits(name: core.ServiceName, news: readonly RateLimitNews[], now: number): void {
+	applyRateLimits(name: core.ServiceName, updates: readonly RateLimitUpdate[], now: number): void {
 		const service = this.#getService(name);
-		for (const item of news) {
-			const upstream = service.upstreams.get(item.upstream);
+		for (const update of updates) {
+			const upstream = service.upstreams.get(update.upstream);
 			if (upstream !== undefined) {
-				service.limits.hear(upstream, item, now);
+				service.rateLimits.apply(upstream, update, now);
 			}
 		}
 	}
 
 	isSharingRateLimits(service: core.ServiceName, now: number): boolean {
-		return this.#services.get(service)?.limits.isSharing(now) === true;
+		return this.#services.get(service)?.rateLimits.isShared(now) === true;
 	}
 
-	takeRateLimitNews(now: number): ReadonlyMap<core.ServiceName, readonly RateLimitNews[]> {
-		return collectLimits(this.#services.values(), ({limits}) => limits.takeNews(now));
+	drainRateLimitUpdates(now: number): ReadonlyMap<core.ServiceName, readonly RateLimitUpdate[]> {
+		return collectUpdates(this.#services.values(), ({rateLimits}) => rateLimits.drainUpdates(now));
 	}
 
-	listRateLimits(now: number): ReadonlyMap<core.ServiceName, readonly RateLimitNews[]> {
-		return collectLimits(this.#services.values(), ({limits}) => limits.list(now));
+	listRateLimits(now: number): ReadonlyMap<core.ServiceName, readonly RateLimitUpdate[]> {
+		return collectUpdates(this.#services.values(), ({rateLimits}) => rateLimits.list(now));
 	}
 
 	hold(host: core.HostId, service: core.ServiceName, held: readonly HeldPlace[], now: number): void {
@@ -205,7 +205,7 @@
 		for (const [id, upstream] of service.upstreams) {
 			// Its places stay counted in the table of places, so that their ends are known when they come.
 			if (!named.has(id) && upstream.places.size === 0) {
-				service.limits.forget(upstream);
+				service.rateLimits.remove(upstream);
 				service.upstreams.delete(id);
 			} else if (!named.has(id)) {
 				upstream.candidate = {...upstream.candidate, isDraining: true};
@@ -276,7 +276,7 @@
 			doubt: getDoubt(upstream, now),
 			isSuspended: isSuspended(upstream, now),
 			isDraining: upstream.candidate.isDraining,
-			rateLimit: upstream.limit?.getRatePerSecond(),
+			rateLimit: upstream.rateLimit?.getRatePerSecond(),
 		}));
 	}
 
@@ -310,7 +310,7 @@
 			policy: this.#settings.policy ?? DEFAULT_POLICY,
 			budget: createBudget(this.#settings.budget, this.#settings.policy ?? DEFAULT_POLICY),
 			repeatableAt: -Infinity,
-			limits: new ServiceLimits({getPart: this.#settings.getPart ?? (() => 1), random: this.#settings.random}),
+			rateLimits: new ServiceRateLimits({getShare: this.#settings.getShare ?? (() => 1), random: this.#settings.random}),
 		};
 		this.#services.set(name, service);
 		return service;
@@ -332,17 +332,17 @@
 		this.#places.set(place.id, place);
 		upstream.places.set(place.id, place);
 		upstream.startedAt = now;
-		service.limits.use(upstream, 1, now);
+		service.rateLimits.consume(upstream, 1, now);
 		return {
 			kind: 'grant', ask, upstream: place.upstream, address: upstream.candidate.address, isTrial,
 		};
 	}
 
-	#liftRateLimit({name, limits}: Service, upstream: Upstream, place: Place): readonly Effect[] {
-		const ratePerSecondBefore = upstream.limit?.getRatePerSecond();
-		return limits.lift(upstream, place.startedAt)
+	#liftRateLimit({name, rateLimits}: Service, upstream: Upstream, place: Place): readonly Effect[] {
+		const ratePerSecondBefore = upstream.rateLimit?.getRatePerSecond();
+		return rateLimits.lift(upstream, place.startedAt)
 			? [{
-				kind: 'limit', service: name, upstream: place.upstream, ratePerSecondBefore,
+				kind: 'rate-limit', service: name, upstream: place.upstream, ratePerSecondBefore,
 			}]
 			: [];
 	}
@@ -430,8 +430,8 @@
 
 			this.#removeWaiting(service, ask.id);
 			effects.push(this.#grant(service, ask, choice, now));
-			free = free.filter(upstream => hasRoom(upstream, now));
-			dueTrials = dueTrials.filter(upstream => hasRoom(upstream, now));
+			free = free.filter(upstream => hasCapacity(upstream, now));
+			dueTrials = dueTrials.filter(upstream => hasCapacity(upstream, now));
 		}
 
 		return effects;
@@ -456,17 +456,17 @@
 	};
 }
 
-function collectLimits(
+function collectUpdates(
 	services: Iterable<Service>,
-	collect: (service: Service) => readonly RateLimitNews[],
-): ReadonlyMap<core.ServiceName, readonly RateLimitNews[]> {
-	const limits = new Map<core.ServiceName, readonly RateLimitNews[]>();
+	collect: (service: Service) => readonly RateLimitUpdate[],
+): ReadonlyMap<core.ServiceName, readonly RateLimitUpdate[]> {
+	const collected = new Map<core.ServiceName, readonly RateLimitUpdate[]>();
 	for (const service of services) {
-		const news = collect(service);
-		if (news.length > 0) {
-			limits.set(service.name, news);
+		const updates = collect(service);
+		if (updates.length > 0) {
+			collected.set(service.name, updates);
 		}
 	}
 
-	return limits;
+	return collected;
 }
--- a/packages/wagtailroute-dispatch/src/index.ts
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -8,7 +8,7 @@
 	Effect,
 	Ending,
 	HeldPlace,
-	RateLimitNews,
+	RateLimitUpdate,
 	RefusalReason,
 } from './asks.ts';
 export {createDispatcher} from './dispatcher.ts';
--- a/packages/wagtailroute-dispatch/src/policy.ts
+++ b/packages/wagtailroute-dispatch/src/policy.ts
@@ -207,7 +207,7 @@
 	*/
 	repeatableRestGain: 3,
 	/**
-	Seconds' worth of an upstream's rate limit that may be sent at once.
+	Burst of an upstream's rate limit, in seconds' worth of the rate.
 	*/
 	rateBurstSeconds: 0.5,
 	/**
--- /dev/null
+++ b/packages/wagtailroute-dispatch/src/service-rate-limits.ts
@@ -0,0 +1,163 @@
+/**
+The rate limits that the upstreams of one service advertise, and the updates that peer dispatchers need.
+
+Two dispatchers may serve a service at the same time, since some hosts consider one of them lost. So a dispatcher reports its grants to its peers after it
+has taken over a service, and for as long as it receives reports of another one. On its own it only reports changed rates.
+*/
+import type * as core from 'wagtailroute-core';
+import type {RateLimitUpdate} from './asks.ts';
+import {IDLE_MILLISECONDS, PEER_ACTIVE_MILLISECONDS} from './constants.ts';
+import {type AdvertisedRate, UpstreamRateLimit} from './upstream-rate-limit.ts';
+import type {Upstream} from './upstreams.ts';
+
+/**
+What the rate limits of a service depend on.
+*/
+export type ServiceRateLimitsPlan = {
+	/**
+	Returns the share of the fleet's requests that this dispatcher handles, 0 to 1.
+	*/
+	readonly getShare: (now: number) => number;
+	/**
+	Uniform in [0, 1).
+	*/
+	readonly random: () => number;
+};
+
+/**
+Rate limits of a service. Times are in milliseconds of a monotonic clock.
+*/
+export class ServiceRateLimits {
+	readonly #plan: ServiceRateLimitsPlan;
+	readonly #limits = new Map<core.UpstreamId, UpstreamRateLimit>();
+	readonly #lifted = new Set<core.UpstreamId>();
+	#lastAskAt = -Infinity;
+	#peersActiveUntil = -Infinity;
+
+	constructor(plan: ServiceRateLimitsPlan) {
+		this.#plan = plan;
+	}
+
+	/**
+	Records the rate that an answer of the upstream advertised.
+	*/
+	record(upstream: Upstream, advertised: AdvertisedRate, now: number): void {
+		if (upstream.rateLimit !== undefined) {
+			upstream.rateLimit.update(advertised, now);
+			return;
+		}
+
+		const {getShare, random} = this.#plan;
+		upstream.rateLimit = new UpstreamRateLimit({
+			advertised, burstSeconds: upstream.policy.rateBurstSeconds, share: getShare(now), random,
+		}, now);
+		this.#limits.set(upstream.candidate.upstream, upstream.rateLimit);
+		this.#lifted.delete(upstream.candidate.upstream);
+	}
+
+	/**
+	Lifts a limit after an answer without one. Answers may arrive out of order, so the request must have been sent after the limit was advertised.
+
+	@returns Whether a limit was lifted.
+	*/
+	lift(upstream: Upstream, sentAt: number): boolean {
+		if (upstream.rateLimit === undefined || sentAt <= upstream.rateLimit.getAdvertisedAt()) {
+			return false;
+		}
+
+		this.remove(upstream);
+		this.#lifted.add(upstream.candidate.upstream);
+		return true;
+	}
+
+	remove(upstream: Upstream): void {
+		upstream.rateLimit = undefined;
+		this.#limits.delete(upstream.candidate.upstream);
+	}
+
+	/**
+	Applies an update of another host.
+	*/
+	apply(upstream: Upstream, {ratePerSecond, ageMilliseconds, granted}: RateLimitUpdate, now: number): void {
+		if (ratePerSecond === null) {
+			this.remove(upstream);
+			return;
+		}
+
+		this.record(upstream, {ratePerSecond, advertisedAt: now - ageMilliseconds, isPublished: true}, now);
+		upstream.rateLimit?.consumeRemote(granted, now);
+		this.#peersActiveUntil = granted > 0 ? now + PEER_ACTIVE_MILLISECONDS : this.#peersActiveUntil;
+	}
+
+	/**
+	Records that a request of the service is dispatched here.
+	*/
+	recordAsk(now: number): void {
+		if (now - this.#lastAskAt > IDLE_MILLISECONDS) {
+			this.#peersActiveUntil = now + PEER_ACTIVE_MILLISECONDS;
+		}
+
+		this.#lastAskAt = now;
+		if (this.#limits.size === 0) {
+			return;
+		}
+
+		const share = this.#plan.getShare(now);
+		for (const limit of this.#limits.values()) {
+			limit.setShare(share, now);
+		}
+	}
+
+	/**
+	Consumes tokens for requests granted to an upstream; a negative number returns them.
+	*/
+	consume({rateLimit}: Upstream, requests: number, now: number): void {
+		rateLimit?.consume(requests, this.#arePeersActive(now), now);
+	}
+
+	/**
+	Says whether grants have to be reported to peers.
+	*/
+	isShared(now: number): boolean {
+		return this.#limits.size > 0 && this.#arePeersActive(now);
+	}
+
+	/**
+	Lists the limits in force.
+	*/
+	list(now: number): readonly RateLimitUpdate[] {
+		return this.#limits.entries().map(([upstream, limit]) => describe(upstream, limit, {granted: 0, now})).toArray();
+	}
+
+	/**
+	Returns the updates since the last call.
+	*/
+	drainUpdates(now: number): readonly RateLimitUpdate[] {
+		const updates: RateLimitUpdate[] = this.#lifted.values().map((upstream): RateLimitUpdate => ({
+			upstream, ratePerSecond: null, ageMilliseconds: 0, granted: 0,
+		})).toArray();
+		this.#lifted.clear();
+		for (const [upstream, limit] of this.#limits) {
+			const {isRateChanged, granted} = limit.drainPending();
+			if (isRateChanged || granted > 0) {
+				updates.push(describe(upstream, limit, {granted, now}));
+			}
+		}
+
+		return updates;
+	}
+
+	#arePeersActive(now: number): boolean {
+		return now < this.#peersActiveUntil;
+	}
+}
+
+function describe(
+	upstream: core.UpstreamId,
+	limit: UpstreamRateLimit,
+	{granted, now}: {readonly granted: number; readonly now: number},
+): RateLimitUpdate {
+	return {
+		upstream, ratePerSecond: limit.getRatePerSecond(), ageMilliseconds: now - limit.getAdvertisedAt(), granted,
+	};
+}
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -6,10 +6,10 @@
 import type {Budget} from './budget.ts';
 import type {TrialCircumstances} from './choosing.ts';
 import {DEFAULT_POLICY, type Policy} from './policy.ts';
-import type {ServiceLimits} from './service-limits.ts';
+import type {ServiceRateLimits} from './service-rate-limits.ts';
 import {
 	countSlots,
-	hasRoom,
+	hasCapacity,
 	isServing,
 	isSuspended,
 	type Upstream,
@@ -48,7 +48,7 @@
 	Time of the last request that may be repeated.
 	*/
 	repeatableAt: number;
-	readonly limits: ServiceLimits;
+	readonly rateLimits: ServiceRateLimits;
 };
 
 /**
@@ -127,18 +127,18 @@
 Lists the upstreams that could take a request as far as this is the same for all.
 */
 export function listFree({upstreams}: Service, now: number): readonly Upstream[] {
-	return upstreams.values().filter(upstream => hasRoom(upstream, now) && isServing(upstream) && !isSuspended(upstream, now)).toArray();
+	return upstreams.values().filter(upstream => hasCapacity(upstream, now) && isServing(upstream) && !isSuspended(upstream, now)).toArray();
 }
 
 /**
 Lists the suspended upstreams whose next trial is due for some request.
 */
 export function listDueTrials({upstreams}: Service, now: number): readonly Upstream[] {
-	return upstreams.values().filter(upstream => upstream.trialAt <= now && hasRoom(upstream, now) && isSuspended(upstream, now)).toArray();
+	return upstreams.values().filter(upstream => upstream.trialAt <= now && hasCapacity(upstream, now) && isSuspended(upstream, now)).toArray();
 }
 
 /**
-Counts the slots, free or not, of the upstreams that could take the ask; a part of one where a rate limit leaves no more.
+Counts the slots, free or not, of the upstreams that could take the ask, as far as rate limits let them be used.
 */
 export function countUsableSlots(service: Service, ask: Ask, now: number): number {
 	const usual = getUsual(service, ask);
--- /dev/null
+++ b/packages/wagtailroute-dispatch/src/upstream-rate-limit.ts
@@ -0,0 +1,171 @@
+/**
+The rate limit that one upstream advertises in its answers, as a token bucket at one dispatcher.
+
+Several dispatchers may grant requests to the same upstream for a while. Each reports its grants to its peers and takes theirs from its own bucket.
+*/
+import * as admission from 'wagtailroute-admission';
+import {
+	MAX_DEBT_SECONDS,
+	MILLISECONDS_PER_SECOND,
+	MIN_RATE_PER_SECOND,
+} from './constants.ts';
+
+/**
+A rate that an answer advertised.
+*/
+export type AdvertisedRate = {
+	/**
+	Requests a second that the upstream takes from all hosts together.
+	*/
+	readonly ratePerSecond: number;
+	readonly advertisedAt: number;
+	/**
+	It was received from another host, so the peers have it as well.
+	*/
+	readonly isPublished: boolean;
+};
+
+/**
+What a limit is created from.
+*/
+export type UpstreamRateLimitPlan = {
+	readonly advertised: AdvertisedRate;
+	/**
+	Capacity of the bucket, in seconds' worth of the rate.
+	*/
+	readonly burstSeconds: number;
+	/**
+	Share of the rate that this dispatcher may grant, 0 to 1.
+	*/
+	readonly share: number;
+	/**
+	Uniform in [0, 1).
+	*/
+	readonly random: () => number;
+};
+
+/**
+Grants and a changed rate that the peers have not received.
+*/
+export type PendingUpdate = {
+	readonly isRateChanged: boolean;
+	readonly granted: number;
+};
+
+/**
+A rate limit. Times are in milliseconds of a monotonic clock.
+*/
+export class UpstreamRateLimit {
+	#advertisedAt: number;
+	#ratePerSecond: number;
+	#share: number;
+	#pending: PendingUpdate;
+	readonly #burstSeconds: number;
+	readonly #bucket: admission.RateLimit;
+
+	constructor({
+		advertised, burstSeconds, share, random,
+	}: UpstreamRateLimitPlan, now: number) {
+		this.#advertisedAt = advertised.advertisedAt;
+		this.#ratePerSecond = advertised.ratePerSecond;
+		this.#share = share;
+		this.#pending = {isRateChanged: !advertised.isPublished, granted: 0};
+		this.#burstSeconds = burstSeconds;
+		// Hosts with a small share each would otherwise all get their first token at the same time.
+		const tokens = share < 1 ? random() : 0;
+		this.#bucket = admission.createRateLimit(this.#getRate(), now, {capacity: this.#getCapacity(), tokens});
+	}
+
+	/**
+	Returns the rate as the upstream advertised it.
+	*/
+	getRatePerSecond(): number {
+		return this.#ratePerSecond;
+	}
+
+	/**
+	Returns the time of the last answer that advertised the limit.
+	*/
+	getAdvertisedAt(): number {
+		return this.#advertisedAt;
+	}
+
+	/**
+	Takes a newly advertised rate; one that is older than the last is ignored.
+	*/
+	update({ratePerSecond, advertisedAt, isPublished}: AdvertisedRate, now: number): void {
+		if (advertisedAt < this.#advertisedAt) {
+			return;
+		}
+
+		const isRateChanged = !isPublished && (this.#pending.isRateChanged || ratePerSecond !== this.#ratePerSecond);
+		this.#pending = {...this.#pending, isRateChanged};
+		this.#advertisedAt = advertisedAt;
+		this.#ratePerSecond = ratePerSecond;
+		this.#bucket.setRate(this.#getRate(), now, this.#getCapacity());
+	}
+
+	setShare(share: number, now: number): void {
+		if (share === this.#share) {
+			return;
+		}
+
+		this.#share = share;
+		this.#bucket.setRate(this.#getRate(), now, this.#getCapacity());
+	}
+
+	hasToken(now: number): boolean {
+		return this.#bucket.hasToken(now);
+	}
+
+	/**
+	Returns the milliseconds until the next token.
+	*/
+	getDelay(now: number): number {
+		return this.#bucket.getDelay(1, now);
+	}
+
+	/**
+	Returns the average number of concurrent requests at the full rate.
+
+	@param milliseconds Duration of a request.
+	*/
+	getConcurrency(milliseconds: number): number {
+		return this.#getRate() * milliseconds / MILLISECONDS_PER_SECOND;
+	}
+
+	/**
+	Consumes tokens for requests granted here; a negative number returns them.
+
+	@param isShared Peers grant at the same time and need to know.
+	*/
+	consume(requests: number, isShared: boolean, now: number): void {
+		this.#bucket.takeToken(now, requests);
+		this.#pending = {...this.#pending, granted: this.#pending.granted + (isShared ? requests : 0)};
+	}
+
+	/**
+	Consumes tokens for requests granted by a peer. Updates that were delayed arrive together, so the debt is bounded.
+	*/
+	consumeRemote(requests: number, now: number): void {
+		const most = this.#bucket.getTokens(now) + (this.#getRate() * MAX_DEBT_SECONDS);
+		this.#bucket.takeToken(now, Math.min(requests, Math.max(0, most)));
+	}
+
+	/**
+	Returns what the peers have not received, and marks it as sent.
+	*/
+	drainPending(): PendingUpdate {
+		const pending = this.#pending;
+		this.#pending = {isRateChanged: false, granted: 0};
+		return pending;
+	}
+
+	#getRate(): number {
+		return Math.max(MIN_RATE_PER_SECOND, this.#ratePerSecond) * this.#share;
+	}
+
+	#getCapacity(): number {
+		return Math.max(1, this.#getRate() * this.#burstSeconds);
+	}
+}
--- a/packages/wagtailroute-dispatch/src/upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -16,7 +16,7 @@
 	SLOWNESS_MOST,
 } from './constants.ts';
 import type {Policy} from './policy.ts';
-import type {UpstreamLimit} from './upstream-limit.ts';
+import type {UpstreamRateLimit} from './upstream-rate-limit.ts';
 
 /**
 A place that is taken.
@@ -76,9 +76,9 @@
 	*/
 	isMisdirected: boolean;
 	/**
-	Absent: it names no rate limit.
+	Absent when its answers advertise none.
 	*/
-	limit?: UpstreamLimit;
+	rateLimit?: UpstreamRateLimit;
 };
 
 /**
@@ -144,19 +144,19 @@
 }
 
 /**
-Says whether a request more may be sent now: a slot is free, and its rate limit allows it.
+Says whether another request may be sent now: a slot is free and the rate limit has a token.
 */
-export function hasRoom(upstream: Upstream, now: number): boolean {
-	return hasFreeSlot(upstream) && upstream.limit?.allows(now) !== false;
+export function hasCapacity(upstream: Upstream, now: number): boolean {
+	return hasFreeSlot(upstream) && upstream.rateLimit?.hasToken(now) !== false;
 }
 
 /**
-Returns the slots that can be in use at the same time: fewer than it has where its rate limit keeps some of them free.
+Returns the average number of slots that can be in use; a rate limit may leave some of them idle.
 
-@param usualMilliseconds What a request takes.
+@param usualMilliseconds Duration of a request.
 */
-export function countSlots({candidate, limit}: Upstream, usualMilliseconds: number): number {
-	return Math.min(candidate.slots, limit?.getConcurrency(usualMilliseconds) ?? Infinity);
+export function countSlots({candidate, rateLimit}: Upstream, usualMilliseconds: number): number {
+	return Math.min(candidate.slots, rateLimit?.getConcurrency(usualMilliseconds) ?? Infinity);
 }
 
 /**
--- a/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
@@ -83,23 +83,23 @@
 	t.deepEqual(link.notified.at(-1)?.[1], [1, 'success', 120]);
 });
 
-test('the dispatcher that granted a place is told at once when its answer names a rate limit', async t => {
+test('the dispatcher that granted a place receives the rate limit that its answer advertises at once', async t => {
 	const {asking, link} = setUp(() => GRANT);
 	await asking.ask(fixture.ASK_DRAFT).answer;
-	asking.noteRateLimit('front:1', 2.6);
+	asking.recordRateLimit('front:1', 2.6);
 	t.deepEqual(link.notified.at(-1), ['dispatch.rate-limit', [1, 2.6]]);
 	asking.end('front:1', 'success', 120);
-	asking.noteRateLimit('front:1', 1);
-	t.is(link.notified.at(-1)?.[0], 'dispatch.end', 'an answer that has ended says nothing any more');
+	asking.recordRateLimit('front:1', 1);
+	t.is(link.notified.at(-1)?.[0], 'dispatch.end', 'an attempt that has ended reports nothing');
 });
 
-test('a host that dispatches alone keeps to the rate limits that answers named', async t => {
+test('a host that dispatches alone keeps to the rate limits that answers advertised', async t => {
 	// Guards against an upstream in need that every host fills as soon as no dispatcher answers.
 	const {asking} = setUp(() => undefined);
 	const draft = {...fixture.ASK_DRAFT, remainingMilliseconds: 200, objectiveMilliseconds: 100};
 	const first = await asking.ask(draft).answer;
 	t.is(first.kind, 'grant');
-	asking.noteRateLimit(first.kind === 'grant' ? first.id : '', 0.2);
+	asking.recordRateLimit(first.kind === 'grant' ? first.id : '', 0.2);
 	const second = await asking.ask(draft).answer;
 	t.like(second, {kind: 'refuse', reason: 'no-slot-in-time'});
 });
--- a/packages/wagtailroute-fleet/src/__tests__/unit/dispatching.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/dispatching.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 import type * as core from 'wagtailroute-core';
 import {startDispatching} from '../../dispatching.ts';
-import {type Belief, METHODS, type RateLimitTelling} from '../../messages.ts';
+import {type Belief, METHODS, type RateLimitUpdates} from '../../messages.ts';
 import * as fixture from './fixture.ts';
 
 type Told = {readonly host: core.HostId; readonly method: string; readonly parameters: unknown};
@@ -95,7 +95,7 @@
 	t.deepEqual(other.dispatching.report('archive').filter(({isSuspended}) => isSuspended).map(({upstream}) => upstream), ['u1']);
 });
 
-test('other dispatchers are told a rate limit when it is named, changed and lifted, and what is granted while it is shared', async t => {
+test('other dispatchers receive a rate limit when it is new, changed and lifted, and the grants while it is shared', async t => {
 	const {context, dispatching, listTold} = setUp();
 	const ask = async (id: string) => {
 		await context.pass(1000);
@@ -111,17 +111,17 @@
 		await context.pass(200);
 	};
 
-	const takeTold = () => listTold(METHODS.rateLimits).map(({host, parameters}) => ({host, ...parameters as RateLimitTelling})).at(-1);
+	const getLast = () => listTold(METHODS.rateLimits).map(({host, parameters}) => ({host, ...parameters as RateLimitUpdates})).at(-1);
 	await ask('front-1:1');
-	dispatching.noteRateLimit('front-1:1', 2);
+	dispatching.recordRateLimit('front-1:1', 2);
 	await end('front-1:1');
-	t.like(takeTold(), {host: 'front-1', service: 'archive', limits: [{upstream: 'u1', ratePerSecond: 2, granted: 0}]});
+	t.like(getLast(), {host: 'front-1', service: 'archive', updates: [{upstream: 'u1', ratePerSecond: 2, granted: 0}]});
 	await ask('front-1:2');
-	dispatching.noteRateLimit('front-1:2', 3);
+	dispatching.recordRateLimit('front-1:2', 3);
 	await end('front-1:2');
-	t.like(takeTold(), {limits: [{upstream: 'u1', ratePerSecond: 3, granted: 1}]});
+	t.like(getLast(), {updates: [{upstream: 'u1', ratePerSecond: 3, granted: 1}]});
 	await ask('front-1:3');
 	await end('front-1:3');
-	t.like(takeTold(), {limits: [{upstream: 'u1', ratePerSecond: null}]});
+	t.like(getLast(), {updates: [{upstream: 'u1', ratePerSecond: null}]});
 	t.is(dispatching.report('archive')[0]?.rateLimit, undefined);
 });
--- a/packages/wagtailroute-fleet/src/allotting.ts
+++ b/packages/wagtailroute-fleet/src/allotting.ts
@@ -7,7 +7,7 @@
 import type * as generations from 'wagtailroute-generations';
 import type * as link from 'wagtailroute-link';
 import * as utils from 'wagtailroute-utils';
-import {createAskedPart} from './asked-part.ts';
+import {createRequestShare} from './request-share.ts';
 import {ORGANISATION_LABELS_MOST, REFUSALS_TOLD_MILLISECONDS} from './constants.ts';
 import type {FleetContext} from './context.ts';
 import {type DecidedAnswer, METHODS} from './messages.ts';
@@ -50,12 +50,12 @@
 */
 export function startAllotting(context: FleetContext, plan: AllottingPlan): Allotting {
 	const {now} = context;
-	const askedPart = plan.countEntryHosts && createAskedPart(plan.countEntryHosts);
+	const requestShare = plan.countEntryHosts && createRequestShare(plan.countEntryHosts);
 	const ledger = allotments.createAllotments({
 		...plan.settings,
-		isTold: askedPart === undefined,
+		isTold: requestShare === undefined,
 		random: context.random,
-		getPart: askedPart?.get ?? (() => 1),
+		getPart: requestShare?.get ?? (() => 1),
 	}, now());
 	const clocks = allotments.createSenderClocks();
 	const noteRefusal = createRefusalLog(context);
@@ -82,7 +82,7 @@
 				return undefined;
 			}
 
-			askedPart?.note(ask.host, now());
+			requestShare?.record(ask.host, now());
 			const admission = ledger.admit(ask.organisation, ask.service, now());
 			if (admission.kind === 'admitted') {
 				if (admission.isUrgent) {
--- a/packages/wagtailroute-fleet/src/ask-methods.ts
+++ b/packages/wagtailroute-fleet/src/ask-methods.ts
@@ -75,7 +75,7 @@
 			dispatching.end({id: createAskId(getAsker(from).id, ask), ending, milliseconds});
 		},
 		[METHODS.rateLimit]([ask, ratePerSecond]: ShortRateLimit, from: link.Link) {
-			dispatching.noteRateLimit(createAskId(getAsker(from).id, ask), ratePerSecond);
+			dispatching.recordRateLimit(createAskId(getAsker(from).id, ask), ratePerSecond);
 		},
 		[METHODS.hold](holding: Holding, from: link.Link) {
 			dispatching.hold(getAsker(from).id, holding);
--- a/packages/wagtailroute-fleet/src/ask-wire.ts
+++ b/packages/wagtailroute-fleet/src/ask-wire.ts
@@ -52,7 +52,7 @@
 export type ShortEnd = readonly [ask: number, ending: dispatch.Ending, milliseconds: number];
 
 /**
-The requests a second that the upstream of a granted request takes, as its answer says.
+The requests a second that the upstream of a granted request takes, as its answer advertises.
 */
 export type ShortRateLimit = readonly [ask: number, ratePerSecond: number];
 
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -14,6 +14,7 @@
 	PROBE_MILLISECONDS,
 	UNKNOWN_SERVICE_MILLISECONDS,
 } from './constants.ts';
+import {type AdvertisedLimits, createAdvertisedLimits} from './advertised-limits.ts';
 import {
 	type AskOrigin,
 	createAskId,
@@ -36,7 +37,6 @@
 import type {Dispatching} from './dispatching.ts';
 import {type AskAnswer, type DecidedAnswer, METHODS} from './messages.ts';
 import {createHeldPlaces, type Held, type HeldPlaces} from './held-places.ts';
-import {createNamedLimits, type NamedLimits} from './named-limits.ts';
 import type {EntrySettings} from './settings.ts';
 import type {Standbys} from './standbys.ts';
 
@@ -78,9 +78,9 @@
 	*/
 	readonly end: (id: dispatch.AskId, ending: dispatch.Ending, milliseconds: number) => void;
 	/**
-	The answer to a granted request names the requests a second that its upstream takes.
+	The answer to a granted request advertises the requests a second that its upstream takes.
 	*/
-	readonly noteRateLimit: (id: dispatch.AskId, ratePerSecond: number) => void;
+	readonly recordRateLimit: (id: dispatch.AskId, ratePerSecond: number) => void;
 	readonly hearAnswer: (ask: number, answer: ShortAnswer) => void;
 	/**
 	The link to a dispatcher is lost.
@@ -98,7 +98,7 @@
 	/**
 	The dispatcher of this host. What it decides later comes to `hearAnswer`.
 	*/
-	readonly own: Pick<Dispatching, 'ask' | 'cancel' | 'end' | 'noteRateLimit' | 'hearRateLimits'>;
+	readonly own: Pick<Dispatching, 'ask' | 'cancel' | 'end' | 'recordRateLimit' | 'applyRateLimits'>;
 	readonly isRetired: (upstream: core.UpstreamId) => boolean;
 	/**
 	Returns the milliseconds for which messages may wait behind large bodies on this host's own link.
@@ -136,7 +136,7 @@
 	readonly #plan: AskingPlan;
 	readonly #pending = new Map<dispatch.AskId, Pending>();
 	readonly #held: HeldPlaces;
-	readonly #limits: NamedLimits;
+	readonly #limits: AdvertisedLimits;
 	readonly #finder: DispatcherFinder;
 	readonly #routeNumbers = createRouteNumbers();
 	readonly #organisationNumbers = createOrganisationNumbers();
@@ -146,7 +146,7 @@
 	constructor(context: FleetContext, plan: AskingPlan) {
 		this.#context = context;
 		this.#plan = plan;
-		this.#limits = createNamedLimits(context.now);
+		this.#limits = createAdvertisedLimits(context.now);
 		this.#held = createHeldPlaces(context.now, this.#limits);
 		this.#finder = createDispatcherFinder(context, {
 			self: plan.settings.hostId,
@@ -189,16 +189,16 @@
 		this.#tellEnd(held, ending, milliseconds);
 	}
 
-	noteRateLimit(id: dispatch.AskId, ratePerSecond: number): void {
+	recordRateLimit(id: dispatch.AskId, ratePerSecond: number): void {
 		const held = this.#held.find(id);
 		if (held === undefined) {
 			return;
 		}
 
 		const {ask, upstream, dispatcher} = held;
-		this.#limits.name(ask.service, upstream, ratePerSecond);
+		this.#limits.record(ask.service, upstream, ratePerSecond);
 		if (dispatcher === undefined) {
-			this.#plan.own.noteRateLimit(id, ratePerSecond);
+			this.#plan.own.recordRateLimit(id, ratePerSecond);
 		} else {
 			dispatcher.link.notify(METHODS.rateLimit, [getAskNumber(id), ratePerSecond] satisfies ShortRateLimit);
 		}
@@ -361,7 +361,7 @@
 		const remainingMilliseconds = ask.remainingMilliseconds - (this.#context.now() - pending.askedAt);
 		this.#context.metrics.count('asks_own', {reason});
 		this.#context.logs('dispatch').warn('Own dispatcher asked.', {id: ask.id, service: ask.service, reason});
-		this.#plan.own.hearRateLimits({service: ask.service, limits: this.#limits.list(ask.service)});
+		this.#plan.own.applyRateLimits({service: ask.service, updates: this.#limits.list(ask.service)});
 		const answer = this.#plan.own.ask({...ask, remainingMilliseconds});
 		this.#take(pending, answer.kind === 'elsewhere' ? NOBODY : answer);
 	}
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -297,14 +297,14 @@
 export const BELIEF_NEWS_MILLISECONDS = 1000;
 
 /**
-Milliseconds for which rate limits, and what was granted within them, are collected before other dispatchers are told.
+Milliseconds for which rate limit updates to other dispatchers are batched.
 */
-export const RATE_LIMIT_NEWS_MILLISECONDS = 100;
+export const RATE_LIMIT_UPDATE_MILLISECONDS = 100;
 
 /**
-Milliseconds after the last answer that named it for which a host tells a rate limit to a dispatcher that it turns to.
+Milliseconds after the last answer that advertised it for which a host reports a rate limit to dispatchers that it turns to.
 */
-export const RATE_LIMIT_KEPT_MILLISECONDS = 10_000;
+export const RATE_LIMIT_TTL_MILLISECONDS = 10_000;
 
 /**
 Milliseconds for which changes of the linked control hosts are collected before all hosts are told: when a fleet starts, each of 15 control
@@ -338,9 +338,9 @@
 export const REPORT_MILLISECONDS = 10_000;
 
 /**
-Milliseconds after its last ask for which an entry host counts among those that ask a dispatcher.
+Milliseconds of recent asks that the request share of a dispatcher is measured over.
 */
-export const PART_ASKER_MILLISECONDS = 1000;
+export const REQUEST_SHARE_WINDOW_MILLISECONDS = 1000;
 
 /**
 Entry hosts that a fleet is taken to have while a host was not told how many there are: one that dispatches alone may give out one part in so
--- a/packages/wagtailroute-fleet/src/control-links.ts
+++ b/packages/wagtailroute-fleet/src/control-links.ts
@@ -64,7 +64,7 @@
 type Known = {
 	host: ControlHost;
 	isSeed: boolean;
-	namedAt: number;
+	advertisedAt: number;
 	open?: OpenControl;
 	readonly dialer: link.Dialer;
 };
@@ -101,7 +101,7 @@
 		}
 
 		entry.open = undefined;
-		entry.namedAt = now();
+		entry.advertisedAt = now();
 		log.warn('Link lost.', {control: id});
 		plan.onLost(open);
 	};
@@ -111,7 +111,7 @@
 		if (present !== undefined || host.id === plan.self) {
 			if (present !== undefined) {
 				present.isSeed ||= isSeed;
-				present.namedAt = now();
+				present.advertisedAt = now();
 			}
 
 			return;
@@ -120,7 +120,7 @@
 		known.set(host.id, {
 			host,
 			isSeed,
-			namedAt: now(),
+			advertisedAt: now(),
 			dialer: link.startDialer({
 				address: host.address,
 				methods: plan.methods,
@@ -155,7 +155,7 @@
 
 	const forget = () => {
 		for (const [id, entry] of known) {
-			if (!(entry.open === undefined && !entry.isSeed && now() - entry.namedAt > FORGET_CONTROL_MILLISECONDS)) {
+			if (!(entry.open === undefined && !entry.isSeed && now() - entry.advertisedAt > FORGET_CONTROL_MILLISECONDS)) {
 				continue;
 			}
 
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -9,9 +9,9 @@
 import {ASKER_MILLISECONDS, DISPATCH_TICK_MILLISECONDS} from './constants.ts';
 import {getAskNumber, shortenAnswer} from './ask-wire.ts';
 import type {Allotting} from './allotting.ts';
-import {createAskedPart} from './asked-part.ts';
+import {createRequestShare} from './request-share.ts';
 import type {FleetContext} from './context.ts';
-import {createDispatchNews} from './dispatch-news.ts';
+import {createPeerUpdates} from './peer-updates.ts';
 import {
 	type AskAnswer,
 	type Belief,
@@ -19,7 +19,7 @@
 	type GrantEnd,
 	type Holding,
 	METHODS,
-	type RateLimitTelling,
+	type RateLimitUpdates,
 } from './messages.ts';
 import {createRecentAskers, type RecentAskers} from './recent-askers.ts';
 import type {FleetSettings} from './settings.ts';
@@ -32,17 +32,17 @@
 	readonly cancel: (id: dispatch.AskId) => void;
 	readonly end: (end: GrantEnd) => void;
 	/**
-	The answer to a granted request names the requests a second that the upstream takes.
+	The answer to a granted request advertises the requests a second that the upstream takes.
 	*/
-	readonly noteRateLimit: (id: dispatch.AskId, ratePerSecond: number) => void;
+	readonly recordRateLimit: (id: dispatch.AskId, ratePerSecond: number) => void;
 	/**
-	Takes what another host knows of the rate limits of a service.
+	Applies rate limits that another host has learned.
 	*/
-	readonly hearRateLimits: (telling: RateLimitTelling) => void;
+	readonly applyRateLimits: (message: RateLimitUpdates) => void;
 	/**
-	Returns all rate limits that are known here, by service.
+	Returns the rate limits in force, by service.
 	*/
-	readonly listRateLimits: () => readonly RateLimitTelling[];
+	readonly listRateLimits: () => readonly RateLimitUpdates[];
 	readonly hold: (host: core.HostId, holding: Holding) => void;
 	/**
 	Takes what the dispatcher on another control host believes.
@@ -77,8 +77,8 @@
 export type DispatchingPlan = {
 	readonly settings: Pick<FleetSettings, 'budget' | 'floor' | 'policy'>;
 	/**
-	Returns how many entry hosts serve callers, 0 when it is not known: of a rate limit, a dispatcher that hears of no other one gives out only the part of those
-	that ask it. Absent for one that hears of all.
+	Returns how many entry hosts serve callers, 0 when it is not known: a dispatcher that does not hear of the others grants its share of a rate limit only.
+	Absent for one that does.
 	*/
 	readonly countEntryHosts?: () => number;
 	/**
@@ -110,17 +110,17 @@
 export function startDispatching(context: FleetContext, plan: DispatchingPlan): Dispatching {
 	const {now, random, metrics} = context;
 	const log = context.logs('dispatch');
-	const askedPart = plan.countEntryHosts && createAskedPart(plan.countEntryHosts);
-	const dispatcher = dispatch.createDispatcher({...plan.settings, random, getPart: askedPart?.get});
+	const requestShare = plan.countEntryHosts && createRequestShare(plan.countEntryHosts);
+	const dispatcher = dispatch.createDispatcher({...plan.settings, random, getShare: requestShare?.get});
 	const known = new Set<core.ServiceName>();
 	const askers = new Map<core.ServiceName, RecentAskers>();
 
 	const listAskers = (service: core.ServiceName) => askers.get(service)?.list(now()) ?? [];
 
-	const others = createDispatchNews(context, {...plan, dispatcher, listAskers});
+	const peers = createPeerUpdates(context, {...plan, dispatcher, listAskers});
 
 	const tell = (effect: Decision) => {
-		others.noteGranted(effect.ask.service);
+		peers.onGranted(effect.ask.service);
 		plan.notify(effect.ask.host, METHODS.answer, [getAskNumber(effect.ask.id), shortenAnswer(toAnswer(effect))]);
 	};
 
@@ -136,14 +136,14 @@
 			log.info(isSuspended ? 'Upstream suspended.' : 'Upstream readmitted.', {
 				service, upstream, doubt, cause,
 			});
-			others.tellBelief({service, upstream, doubt});
+			peers.publishBelief({service, upstream, doubt});
 		},
-		limit({service, upstream, ratePerSecond, ratePerSecondBefore}) {
-			metrics.count('rate_limits', {service, state: ratePerSecond === undefined ? 'lifted' : 'named'});
-			log.info(ratePerSecond === undefined ? 'Rate limit lifted.' : 'Rate limit named.', {
+		'rate-limit'({service, upstream, ratePerSecond, ratePerSecondBefore}) {
+			metrics.count('rate_limit_changes', {service, state: ratePerSecond === undefined ? 'lifted' : 'changed'});
+			log.info(ratePerSecond === undefined ? 'Rate limit lifted.' : 'Rate limit changed.', {
 				service, upstream, ratePerSecond, ratePerSecondBefore,
 			});
-			others.tellRateLimits();
+			peers.publishRateLimits();
 		},
 	};
 
@@ -174,7 +174,7 @@
 	};
 
 	const noteAsker = ({service, host}: dispatch.Ask) => {
-		askedPart?.note(host, now());
+		requestShare?.record(host, now());
 		const hosts = askers.get(service) ?? createRecentAskers(ASKER_MILLISECONDS);
 		askers.set(service, hosts);
 		hosts.note(host, now());
@@ -247,7 +247,7 @@
 			const own = list.find(effect => isDecision(effect) && effect.ask.id === ask.id);
 			carryOut(list.filter(effect => effect !== own));
 			tickWhileBusy();
-			others.noteGranted(ask.service);
+			peers.onGranted(ask.service);
 			if (own === undefined || !isDecision(own)) {
 				return {kind: 'wait'};
 			}
@@ -274,18 +274,18 @@
 
 			carryOut(dispatcher.end(id, {ending, milliseconds}, now()));
 		},
-		noteRateLimit(id, ratePerSecond) {
-			carryOut(dispatcher.noteRateLimit(id, ratePerSecond, now()));
+		recordRateLimit(id, ratePerSecond) {
+			carryOut(dispatcher.recordRateLimit(id, ratePerSecond, now()));
 		},
-		hearRateLimits({service, limits}) {
+		applyRateLimits({service, updates}) {
 			learn(service);
-			dispatcher.hearRateLimits(service, limits, now());
+			dispatcher.applyRateLimits(service, updates, now());
 		},
-		listRateLimits: () => dispatcher.listRateLimits(now()).entries().map(([service, limits]): RateLimitTelling => ({service, limits})).toArray(),
-		hold(host, {service, places, limits = []}) {
+		listRateLimits: () => dispatcher.listRateLimits(now()).entries().map(([service, updates]): RateLimitUpdates => ({service, updates})).toArray(),
+		hold(host, {service, places, rateLimits = []}) {
 			learn(service);
 			dispatcher.hold(host, service, places, now());
-			dispatcher.hearRateLimits(service, limits, now());
+			dispatcher.applyRateLimits(service, rateLimits, now());
 			tickWhileBusy();
 		},
 		hearBelief,
@@ -345,10 +345,10 @@
 }
 
 /**
-Tells another host all rate limits that a dispatcher knows.
+Sends all rate limits that a dispatcher knows to another host.
 */
-export function tellRateLimits(over: link.Link, dispatching: Pick<Dispatching, 'listRateLimits'>): void {
-	for (const telling of dispatching.listRateLimits()) {
-		over.notify(METHODS.rateLimits, telling);
+export function sendRateLimits(over: link.Link, dispatching: Pick<Dispatching, 'listRateLimits'>): void {
+	for (const message of dispatching.listRateLimits()) {
+		over.notify(METHODS.rateLimits, message);
 	}
 }
--- a/packages/wagtailroute-fleet/src/held-places.ts
+++ b/packages/wagtailroute-fleet/src/held-places.ts
@@ -8,7 +8,7 @@
 import type * as link from 'wagtailroute-link';
 import type {OpenControl} from './control-links.ts';
 import {type Holding, METHODS} from './messages.ts';
-import type {NamedLimits} from './named-limits.ts';
+import type {AdvertisedLimits} from './advertised-limits.ts';
 
 /**
 A place that was granted.
@@ -51,7 +51,7 @@
 
 @param now Monotonic time in milliseconds.
 */
-export function createHeldPlaces(now: () => number, limits: Pick<NamedLimits, 'list'>): HeldPlaces {
+export function createHeldPlaces(now: () => number, limits: Pick<AdvertisedLimits, 'list'>): HeldPlaces {
 	const places = new Map<dispatch.AskId, Held>();
 	const lastLinks = new Map<core.ServiceName, link.Link>();
 
@@ -83,8 +83,8 @@
 
 			lastLinks.set(service, dispatcher.link);
 			const held = places.values().filter(({ask}) => ask.service === service).map(place => describe(place)).toArray();
-			const named = limits.list(service);
-			dispatcher.link.notify(METHODS.hold, {service, places: held, ...named.length > 0 && {limits: named}} satisfies Holding);
+			const rateLimits = limits.list(service);
+			dispatcher.link.notify(METHODS.hold, {service, places: held, ...rateLimits.length > 0 && {rateLimits}} satisfies Holding);
 		},
 	};
 }
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -161,17 +161,17 @@
 	readonly service: core.ServiceName;
 	readonly places: readonly dispatch.HeldPlace[];
 	/**
-	Rate limits that answers to this host have named; absent: none.
+	Rate limits that answers to the host advertised; absent: none.
 	*/
-	readonly limits?: readonly dispatch.RateLimitNews[];
+	readonly rateLimits?: readonly dispatch.RateLimitUpdate[];
 };
 
 /**
-What a host knows of the rate limits of a service.
+Rate limits of a service's upstreams.
 */
-export type RateLimitTelling = {
+export type RateLimitUpdates = {
 	readonly service: core.ServiceName;
-	readonly limits: readonly dispatch.RateLimitNews[];
+	readonly updates: readonly dispatch.RateLimitUpdate[];
 };
 
 /**
--- a/packages/wagtailroute-fleet/src/noting.ts
+++ b/packages/wagtailroute-fleet/src/noting.ts
@@ -18,7 +18,7 @@
 		}
 
 		if (note.rateLimit !== undefined) {
-			context.metrics.count('rate_limits_named', {service});
+			context.metrics.count('rate_limited_answers', {service});
 		}
 
 		const line = {
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/peer-updates.ts
@@ -0,0 +1,103 @@
+/**
+Updates that the dispatcher of a host sends to others: suspensions, readmissions, rate limits, and grants within rate limits that a peer grants from as well.
+
+Control hosts and the first standbys of a service may dispatch it next, so they get updates promptly. Hosts that ask need beliefs only in order to dispatch on
+their own, so theirs are batched.
+*/
+import type * as core from 'wagtailroute-core';
+import type * as dispatch from 'wagtailroute-dispatch';
+import * as utils from 'wagtailroute-utils';
+import {BELIEF_NEWS_MILLISECONDS, RATE_LIMIT_UPDATE_MILLISECONDS} from './constants.ts';
+import type {FleetContext} from './context.ts';
+import {type Belief, METHODS, type RateLimitUpdates} from './messages.ts';
+
+/**
+Sends updates.
+*/
+export type PeerUpdates = {
+	readonly publishBelief: (belief: Belief) => void;
+	/**
+	Schedules the pending rate limit updates.
+	*/
+	readonly publishRateLimits: () => void;
+	/**
+	Called for each grant: within a shared rate limit it has to be reported.
+	*/
+	readonly onGranted: (service: core.ServiceName) => void;
+};
+
+/**
+What sending updates depends on.
+*/
+export type PeerUpdatesPlan = {
+	readonly dispatcher: Pick<dispatch.Dispatcher, 'isSharingRateLimits' | 'drainRateLimitUpdates'>;
+	/**
+	Returns the hosts that send requests of the service.
+	*/
+	readonly listAskers: (service: core.ServiceName) => readonly core.HostId[];
+	/**
+	Returns the entry hosts that dispatch the service next, when no control host does.
+	*/
+	readonly listStandbys: (service: core.ServiceName) => readonly core.HostId[];
+	/**
+	Sends to an entry host, if it has a link.
+	*/
+	readonly notify: (host: core.HostId, method: string, parameters: unknown) => void;
+	/**
+	Sends to the other control hosts.
+	*/
+	readonly tellControls: (method: string, parameters: unknown) => void;
+};
+
+/**
+Starts without pending updates.
+*/
+export function createPeerUpdates({now, schedule}: Pick<FleetContext, 'now' | 'schedule'>, plan: PeerUpdatesPlan): PeerUpdates {
+	const {dispatcher} = plan;
+	/**
+	The last belief about each upstream that askers have not received.
+	*/
+	const pending = new Map<core.ServiceName, Map<core.UpstreamId, Belief>>();
+
+	const notifySuccessors = (service: core.ServiceName, method: string, parameters: unknown) => {
+		for (const host of plan.listStandbys(service)) {
+			plan.notify(host, method, parameters);
+		}
+
+		plan.tellControls(method, parameters);
+	};
+
+	const notifyAskers = utils.coalesce(schedule, BELIEF_NEWS_MILLISECONDS, () => {
+		for (const [service, beliefs] of pending) {
+			const standbys = new Set(plan.listStandbys(service));
+			for (const host of new Set(plan.listAskers(service)).difference(standbys)) {
+				plan.notify(host, METHODS.beliefNews, beliefs.values().toArray());
+			}
+		}
+
+		pending.clear();
+	});
+
+	const publishRateLimits = utils.coalesce(schedule, RATE_LIMIT_UPDATE_MILLISECONDS, () => {
+		for (const [service, updates] of dispatcher.drainRateLimitUpdates(now())) {
+			notifySuccessors(service, METHODS.rateLimits, {service, updates} satisfies RateLimitUpdates);
+		}
+	});
+
+	return {
+		publishBelief(belief) {
+			const {service, upstream} = belief;
+			notifySuccessors(service, METHODS.believe, belief);
+			const beliefs = pending.get(service) ?? new Map<core.UpstreamId, Belief>();
+			pending.set(service, beliefs);
+			beliefs.set(upstream, belief);
+			notifyAskers();
+		},
+		publishRateLimits,
+		onGranted(service) {
+			if (dispatcher.isSharingRateLimits(service, now())) {
+				publishRateLimits();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/request-share.ts
@@ -0,0 +1,35 @@
+/**
+The share of a fleet's requests that a dispatcher on an entry host handles.
+
+Such a dispatcher does not hear of the others, so of a limit that holds over the whole fleet it grants this share only.
+*/
+import type * as core from 'wagtailroute-core';
+import {REQUEST_SHARE_WINDOW_MILLISECONDS, UNKNOWN_ENTRY_HOSTS} from './constants.ts';
+import {createRecentAskers} from './recent-askers.ts';
+
+/**
+A share, 0 to 1.
+*/
+export type RequestShare = {
+	/**
+	Records that a host sent an ask.
+	*/
+	readonly record: (host: core.HostId, now: number) => void;
+	readonly get: (now: number) => number;
+};
+
+/**
+Creates the share of a dispatcher that no host has asked yet.
+
+@param countEntryHosts Returns how many entry hosts serve callers, 0 when it is not known.
+*/
+export function createRequestShare(countEntryHosts: () => number): RequestShare {
+	const askers = createRecentAskers(REQUEST_SHARE_WINDOW_MILLISECONDS);
+	return {
+		record: askers.note,
+		get(now) {
+			const hosts = countEntryHosts();
+			return Math.min(1, Math.max(1, askers.count(now)) / (hosts === 0 ? UNKNOWN_ENTRY_HOSTS : hosts));
+		},
+	};
+}
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -158,10 +158,10 @@
 		},
 		hasAnother: ({excluded}) => knowledge.listCandidates(service.name).some(candidate => !excluded.has(candidate.upstream) && !candidate.isDraining),
 		begin: () => undefined,
-		noteRateLimit(target, ratePerSecond) {
+		recordRateLimit(target, ratePerSecond) {
 			const id = granted.get(target);
 			if (id !== undefined) {
-				asking.noteRateLimit(id, ratePerSecond);
+				asking.recordRateLimit(id, ratePerSecond);
 			}
 		},
 		end({target, ending, latencyMilliseconds, failure}) {
--- a/packages/wagtailroute-lab/src/__tests__/unit/lab.test.ts
+++ b/packages/wagtailroute-lab/src/__tests__/unit/lab.test.ts
@@ -106,9 +106,9 @@
 `;
 
 /**
-What the platform lets pass beyond the rate itself in four seconds: half of it, and five requests.
+Excess that the platform allows in four seconds: half of the rate and five requests.
 */
-const MOST_BEYOND = (0.5 * LIMITED_PER_SECOND * 4) + 5;
+const MAX_EXCESS = (0.5 * LIMITED_PER_SECOND * 4) + 5;
 
 const LIMITED_DAYS = [
 	{name: 'a quiet day', more: ''},
@@ -123,10 +123,10 @@
 ];
 
 for (const {name, more} of LIMITED_DAYS) {
-	test(`upstreams get no more than the rate limits that they name during ${name}`, async t => {
-		// Guards against dispatchers that come and go, each with a rate limit of its own to spend.
+	test(`rate limits are kept during ${name}`, async t => {
+		// Guards against dispatchers that each grant a whole rate limit when they replace each other.
 		for (const day of await play(parse(RATE_LIMITS + more), 'present', 5)) {
-			t.true(day.beyondRateLimit <= MOST_BEYOND, `${day.beyondRateLimit} beyond the limit, ${MOST_BEYOND} allowed`);
+			t.true(day.rateLimitExcess <= MAX_EXCESS, `${day.rateLimitExcess} beyond the limit, ${MAX_EXCESS} allowed`);
 		}
 	});
 }
--- a/packages/wagtailroute-lab/src/backend.ts
+++ b/packages/wagtailroute-lab/src/backend.ts
@@ -42,14 +42,14 @@
 };
 
 /**
-A time in which an upstream names a rate limit in its answers.
+A period in which an upstream advertises a rate limit in its answers.
 */
 export type RateLimit = {
 	readonly from: number;
 	readonly until: number;
 	readonly perSecond: number;
 	/**
-	When requests arrived meanwhile.
+	Times of the requests that arrived in it.
 	*/
 	readonly arrivals: number[];
 };
@@ -62,7 +62,7 @@
 	readonly failureDomain: string;
 	readonly luck: Luck;
 	/**
-	@param rateLimit Requests a second, where the answer names a limit.
+	@param rateLimit Requests a second, if the answer advertises a limit.
 	*/
 	readonly end: (outcome: BackendOutcome, rateLimit?: number) => void;
 };
@@ -119,7 +119,7 @@
 const ERROR_PART = 0.8;
 
 /**
-Outcomes that an answer tells.
+Outcomes that come with an answer.
 */
 const ANSWERS: ReadonlySet<BackendOutcome> = new Set(['success', 'error', 'shed']);
 
@@ -242,7 +242,7 @@
 };
 
 /**
-Draws the rate limits that one upstream names over a day.
+Draws the rate limits that one upstream advertises over a day.
 */
 export function drawRateLimits(kinds: readonly ScenarioRateLimit[], service: string, random: utils.Random): readonly RateLimit[] {
 	return kinds
--- a/packages/wagtailroute-lab/src/comparison.ts
+++ b/packages/wagtailroute-lab/src/comparison.ts
@@ -48,7 +48,7 @@
 	'spellMilliseconds',
 	'falseSuspensions',
 	'resends',
-	'beyondRateLimit',
+	'rateLimitExcess',
 	'microseconds',
 ];
 
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -64,19 +64,19 @@
 };
 
 /**
-What a dispatcher tells the control hosts.
+A message of a dispatcher to the control hosts.
 */
-type Telling = {
+type Message = {
 	readonly method: string;
 	readonly parameters: unknown;
 };
 
-const TELLINGS: Readonly<Record<string, (dispatching: fleet.Dispatching, parameters: unknown) => void>> = {
+const MESSAGE_HANDLERS: Readonly<Record<string, (dispatching: fleet.Dispatching, parameters: unknown) => void>> = {
 	[fleet.METHODS.believe](dispatching, belief) {
 		dispatching.hearBelief(belief as fleet.Belief);
 	},
-	[fleet.METHODS.rateLimits](dispatching, telling) {
-		dispatching.hearRateLimits(telling as fleet.RateLimitTelling);
+	[fleet.METHODS.rateLimits](dispatching, updates) {
+		dispatching.applyRateLimits(updates as fleet.RateLimitUpdates);
 	},
 };
 
@@ -248,8 +248,8 @@
 			askers,
 			extra: scenario.budget.extra,
 			listStandbys: service => fleet.orderDispatchers(service, this.#listStandbys(), host => host).slice(0, fleet.STANDBYS_TOLD),
-			tellControls: telling => {
-				this.#tellControls(id, telling);
+			tellControls: message => {
+				this.#tellControls(id, message);
 			},
 			getState: () => endpoint.state,
 		});
@@ -266,12 +266,12 @@
 		return this.#plan.variant.hasStandbys ? this.#entries.slice(0, fleet.STANDBYS_MOST).map(({id}) => id) : [];
 	}
 
-	#tellControls(from: core.HostId, {method, parameters}: Telling): void {
+	#tellControls(from: core.HostId, {method, parameters}: Message): void {
 		const {clock, scenario} = this.#plan;
 		clock.schedule(scenario.farMilliseconds, () => {
 			for (const {id, endpoint, dispatching} of this.#controls) {
 				if (id !== from && endpoint.state === 'up') {
-					TELLINGS[method]?.(dispatching, parameters);
+					MESSAGE_HANDLERS[method]?.(dispatching, parameters);
 				}
 			}
 		});
@@ -281,7 +281,7 @@
 		readonly askers: ReturnType<typeof fleet.createAskers>;
 		readonly extra: number;
 		readonly listStandbys: (service: core.ServiceName) => readonly core.HostId[];
-		readonly tellControls: (telling: Telling) => void;
+		readonly tellControls: (message: Message) => void;
 		readonly getState: () => Endpoint['state'];
 		/**
 		Takes what is for this host itself.
@@ -321,9 +321,9 @@
 			askers,
 			extra: fleet.STANDBY_EXTRA_RESENDS,
 			listStandbys: () => [],
-			tellControls: telling => {
+			tellControls: message => {
 				if (askers.count() > 0) {
-					this.#tellControls(id, telling);
+					this.#tellControls(id, message);
 				}
 			},
 			getState: () => endpoint.state,
@@ -354,7 +354,7 @@
 				asking.hearAnswer(ask, answer);
 			},
 			[fleet.METHODS.believe]: own.hearBelief,
-			[fleet.METHODS.rateLimits]: own.hearRateLimits,
+			[fleet.METHODS.rateLimits]: own.applyRateLimits,
 			[fleet.METHODS.beliefNews]: own.hearBeliefNews,
 			...fleet.createAskMethods(own, askers.findByLink),
 		});
--- a/packages/wagtailroute-lab/src/scenario.ts
+++ b/packages/wagtailroute-lab/src/scenario.ts
@@ -91,7 +91,7 @@
 	*/
 	service: zod.string().optional(),
 	/**
-	Part of the upstreams that name it.
+	Part of the upstreams that advertise it.
 	*/
 	share,
 	atSeconds: seconds,
@@ -133,7 +133,7 @@
 	wave: zod.strictObject({swing: share, periodSeconds: positive}).prefault({swing: 0.15, periodSeconds: 11}),
 	spells: zod.array(spellSchema).default([]),
 	/**
-	Rate limits that upstreams name in their answers.
+	Rate limits that upstreams advertise in their answers.
 	*/
 	rateLimits: zod.array(rateLimitSchema).default([]),
 	faults: zod.array(faultSchema).default([]),
--- a/packages/wagtailroute-lab/src/sending.ts
+++ b/packages/wagtailroute-lab/src/sending.ts
@@ -207,7 +207,7 @@
 					end(outcome, rateLimit) {
 						clock.schedule(way, () => {
 							if (rateLimit !== undefined) {
-								port.noteRateLimit?.(target, rateLimit);
+								port.recordRateLimit?.(target, rateLimit);
 							}
 
 							resolve(outcome);
--- a/packages/wagtailroute-lab/src/tally.ts
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -56,9 +56,9 @@
 	readonly falseSuspensions: number;
 	readonly resends: number;
 	/**
-	Requests that an upstream got in four seconds beyond the rate limit that it named, at most.
+	Most requests beyond its rate limit that an upstream got in four seconds.
 	*/
-	readonly beyondRateLimit: number;
+	readonly rateLimitExcess: number;
 	/**
 	Microseconds of processor time of the whole model for each request.
 	*/
@@ -95,7 +95,7 @@
 const WINDOW_MILLISECONDS = 2000;
 const WORST_WINDOWS = 2;
 const RATE_LIMIT_WINDOW_MILLISECONDS = 4000;
-const RATE_LIMIT_TOLD_MILLISECONDS = 1500;
+const RATE_LIMIT_GRACE_MILLISECONDS = 1500;
 const MILLISECONDS = 1000;
 const CAUSES: readonly Cause[] = ['refused', 'hung', 'reset', 'error', 'no-connection', 'left'];
 
@@ -183,7 +183,7 @@
 				spellMilliseconds: sum(({from, lastSentAt}) => lastSentAt - Math.max(0, from)),
 				falseSuspensions: falseSuspensions * 1000 / count,
 				resends: resends * 1000 / count,
-				beyondRateLimit: Math.max(0, ...rateLimits.map(rateLimit => countBeyond(rateLimit))),
+				rateLimitExcess: Math.max(0, ...rateLimits.map(rateLimit => countExcess(rateLimit))),
 				microseconds: cpuMicroseconds / count,
 			};
 		},
@@ -191,10 +191,10 @@
 }
 
 /**
-Counts from a second after the limit was first named: until then some host may not have heard of it.
+Leaves out the time in which hosts may not have received the limit yet.
 */
-function countBeyond({from, perSecond, arrivals}: RateLimit): number {
-	const bound = arrivals.filter(at => at >= from + RATE_LIMIT_TOLD_MILLISECONDS);
+function countExcess({from, perSecond, arrivals}: RateLimit): number {
+	const bound = arrivals.filter(at => at >= from + RATE_LIMIT_GRACE_MILLISECONDS);
 	const counts = bound.map(start => bound.filter(at => at >= start && at < start + RATE_LIMIT_WINDOW_MILLISECONDS).length);
 	return Math.max(0, ...counts) - (perSecond * RATE_LIMIT_WINDOW_MILLISECONDS / MILLISECONDS);
 }
--- a/packages/wagtailroute-proxy/src/dialect.ts
+++ b/packages/wagtailroute-proxy/src/dialect.ts
@@ -35,7 +35,7 @@
 	readonly createRequestHeaders: (message: http.IncomingMessage, passage: Passage) => string[];
 	readonly readAnswer: (status: number, headers: HeaderFields, request: CallerRequest) => AnswerKind;
 	/**
-	Returns the requests a second that a backend server takes from all hosts together, as its answer says; undefined when it names no limit.
+	Returns the requests a second that a backend server takes from all hosts together; undefined when its answer advertises no limit.
 	*/
 	readonly readRateLimit: (headers: HeaderFields) => number | undefined;
 	readonly createAnswerHeaders: (headers: HeaderFields, outcome: core.Outcome) => Record<string, string | string[]>;
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -213,9 +213,9 @@
 	readonly hasAnother: (choice: ChoiceRequest) => boolean;
 	readonly begin: (target: Target) => void;
 	/**
-	Told when the header section of an answer says how many requests a second the target takes. Absent: nobody is told.
+	Called when the header section of an answer advertises how many requests a second the target takes.
 	*/
-	readonly noteRateLimit?: (target: Target, ratePerSecond: number) => void;
+	readonly recordRateLimit?: (target: Target, ratePerSecond: number) => void;
 	readonly end: (report: AttemptReport) => void;
 	readonly retry: RetryPort;
 };
@@ -383,7 +383,7 @@
 	readonly attempts: number;
 	readonly upstream?: core.UpstreamId;
 	/**
-	Requests a second that the last upstream takes, as far as its answer said.
+	Requests a second that the last answer advertised.
 	*/
 	readonly rateLimit?: number;
 	/**
--- a/packages/wagtailroute-proxy/src/sending.ts
+++ b/packages/wagtailroute-proxy/src/sending.ts
@@ -66,7 +66,7 @@
 	lastEnding: ports.AttemptEnding | undefined;
 	lastUpstream: core.UpstreamId | undefined;
 	/**
-	Requests a second that the last upstream takes, as far as its answer said.
+	Requests a second that the last answer advertised.
 	*/
 	rateLimit: number | undefined;
 	/**
@@ -317,7 +317,7 @@
 	#decideAnswer(status: number, received: headers.HeaderFields, target: ports.Target): attempts.Verdict {
 		const {service, request, ports: {dialect}} = this.#context;
 		const kind = dialect.readAnswer(status, received, request);
-		this.#noteRateLimit(kind, received, target);
+		this.#recordRateLimit(kind, received, target);
 		if (kind === 'foreign' || (kind === 'answer' && status < 500)) {
 			return kind === 'foreign' ? 'foreign' : 'relay';
 		}
@@ -336,14 +336,14 @@
 	}
 
 	/**
-	An answer that is not the target's own says nothing about it.
+	Ignores answers that are not the target's own.
 	*/
-	#noteRateLimit(kind: AnswerKind, received: headers.HeaderFields, target: ports.Target): void {
+	#recordRateLimit(kind: AnswerKind, received: headers.HeaderFields, target: ports.Target): void {
 		const {service, ports: {dialect}} = this.#context;
 		const isOfTarget = kind !== 'foreign' && kind !== 'misdirected' && target.kind === 'upstream';
 		this.rateLimit = isOfTarget ? dialect.readRateLimit(received) : undefined;
 		if (this.rateLimit !== undefined) {
-			service.noteRateLimit?.(target, this.rateLimit);
+			service.recordRateLimit?.(target, this.rateLimit);
 		}
 	}
 
