--- a/packages/wagtailroute-dispatch/src/__tests__/unit/rate-limits.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/rate-limits.test.ts
@@ -169,15 +169,16 @@
 
 const history = fc.record({
 	ratePerSecond: fc.double({min: 0, max: 8, noNaN: true}),
+	dispatchers: fc.integer({min: 2, max: 5}),
 	/**
-	By second: requests in each step, and the part of them that goes to the second dispatcher.
+	By second: requests in each step, and the part of them that does not go to the first dispatcher.
 	*/
 	seconds: fc.array(fc.record({
 		requests: fc.constantFrom(0, 1, 1, 1, 4),
 		part: fc.constantFrom(0, 0, 0.2, 0.5, 1),
 	}), {minLength: 1, maxLength: 12}),
 	/**
-	Milliseconds that an update takes to the other dispatcher.
+	Milliseconds that an update takes to another dispatcher.
 	*/
 	delay: fc.integer({min: 1, max: 100}),
 	seed: fc.integer({min: 1, max: 1_000_000}),
@@ -186,13 +187,16 @@
 type History = typeof history extends fc.Arbitrary<infer Value> ? Value : never;
 
 /**
-Plays requests of all kinds, spread over two dispatchers that send each other updates. Returns the times at which the limited upstream got one.
+Plays requests of all kinds, spread over dispatchers that send each other updates. Returns the times at which the limited upstream got one.
 */
-function playTwoDispatchers({ratePerSecond, seconds, delay, seed}: History): readonly number[] {
+function playDispatchers({
+	ratePerSecond, dispatchers: count, seconds, delay, seed,
+}: History): readonly number[] {
 	const random = utils.createRandom(seed);
-	const dispatchers = [createLimitedDispatcher([LIMITED, 'plain'], {random}), createLimitedDispatcher([LIMITED, 'plain'], {random})] as const;
+	const [first, ...others] = Array.from({length: count}, () => createLimitedDispatcher([LIMITED, 'plain'], {random}));
+	const dispatchers = [first!, ...others];
 	const ends: Array<{readonly at: number; readonly to: dispatch.Dispatcher; readonly id: string; readonly isLimited: boolean}> = [];
-	const updates: Array<{readonly at: number; readonly to: dispatch.Dispatcher; readonly news: readonly dispatch.RateLimitUpdate[]}> = [];
+	const updates: Array<{readonly at: number; readonly to: dispatch.Dispatcher; readonly updates: readonly dispatch.RateLimitUpdate[]}> = [];
 	const times: number[] = [];
 
 	const grant = (by: dispatch.Dispatcher, effects: readonly dispatch.Effect[], now: number) => {
@@ -223,13 +227,13 @@
 			grant(to, [...changed, ...to.end(id, {ending, milliseconds: 100}, now)], now);
 		}
 
-		for (const {to, news} of takeDue(updates, now)) {
-			to.applyRateLimits(SERVICE, news, now);
+		for (const {to, updates: received} of takeDue(updates, now)) {
+			to.applyRateLimits(SERVICE, received, now);
 		}
 
 		const {part, requests} = seconds[Math.floor(now / 1000) % seconds.length]!;
 		for (let request = 0; request < requests; request++) {
-			const asked = dispatchers[random() < part ? 1 : 0];
+			const asked = random() < part ? others[utils.pickIndex(random, others.length)]! : first!;
 			const requestClass = random() < 0.5 ? 'read' : 'non-idempotent';
 			const isMove = requestClass === 'read' && random() < 0.1;
 			grant(asked, asked.ask(createRead(`${step}-${request}`, {requestClass, isResend: random() < 0.1, isMove}), now), now);
@@ -239,10 +243,9 @@
 			grant(dispatcher, dispatcher.tick(now), now);
 		}
 
-		const [first, second] = dispatchers;
-		const isUpdateDue = now % UPDATE_MILLISECONDS === 0;
-		for (const [from, to] of isUpdateDue ? [[first, second], [second, first]] as const : []) {
-			updates.push({at: now + delay, to, news: from.drainRateLimitUpdates(now).get(SERVICE) ?? []});
+		for (const from of now % UPDATE_MILLISECONDS === 0 ? dispatchers : []) {
+			const sent = from.drainRateLimitUpdates(now).get(SERVICE) ?? [];
+			updates.push(...dispatchers.filter(to => to !== from).map(to => ({at: now + delay, to, updates: sent})));
 		}
 	}
 
@@ -254,11 +257,11 @@
 */
 const ENFORCED_MILLISECONDS = 1000;
 
-test('over any history of two dispatchers an upstream gets no more than its rate limit', t => {
-	// Guards against two dispatchers that grant one rate limit twice, and against resends, moves and trials that bypass it.
+test('over any history of several dispatchers an upstream gets no more than its rate limit', t => {
+	// Guards against dispatchers that each grant a whole rate limit, and against resends, moves and trials that bypass it.
 	t.notThrows(() => {
 		fc.assert(fc.property(history, drawn => {
-			const times = playTwoDispatchers(drawn);
+			const times = playDispatchers(drawn);
 			const bound = times.filter(at => at >= times[0]! + ENFORCED_MILLISECONDS);
 			return countMost(bound) <= getMost(drawn.ratePerSecond);
 		}), {numRuns: 300});
