--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -120,12 +120,14 @@
 	const peers = createPeerUpdates(context, {...plan, dispatcher, listAskers});
 
 	const tell = (effect: Decision) => {
-		peers.onGranted(effect.ask.service);
 		plan.notify(effect.ask.host, METHODS.answer, [getAskNumber(effect.ask.id), shortenAnswer(toAnswer(effect))]);
 	};
 
 	const effects: Effects = {
-		grant: tell,
+		grant(effect) {
+			peers.onGranted(effect.ask.service);
+			tell(effect);
+		},
 		refuse(effect) {
 			giveBack(effect.ask);
 			logRefusal(effect);
@@ -247,7 +249,6 @@
 			const own = list.find(effect => isDecision(effect) && effect.ask.id === ask.id);
 			carryOut(list.filter(effect => effect !== own));
 			tickWhileBusy();
-			peers.onGranted(ask.service);
 			if (own === undefined || !isDecision(own)) {
 				return {kind: 'wait'};
 			}
@@ -255,6 +256,8 @@
 			if (own.kind === 'refuse') {
 				giveBack(ask);
 				logRefusal(own);
+			} else {
+				peers.onGranted(ask.service);
 			}
 
 			return toAnswer(own);
