Log and count all that backend servers advertise in their answers

Now the adapter decodes Retry-After of refusals and Server-Leaving beside the rate limit, the line of a request lists what the answers to all its attempts advertised, by upstream, and each entry host counts them by kind. Nothing is decided by it yet.

--- a/packages/wagtailroute-core/src/index.ts
+++ b/packages/wagtailroute-core/src/index.ts
@@ -18,6 +18,7 @@
 	type UpstreamCounts,
 } from './floor.ts';
 export {isIdempotent, type Outcome, type RequestClass} from './outcomes.ts';
+export type {Advertisement} from './advertisements.ts';
 export {createFailure, type Failure} from './failures.ts';
 export type {Circumstances, Step, Transition} from './transitions.ts';
 export {createSnapshotStore, type SnapshotStore, type UpdateListener} from './snapshots.ts';
--- a/packages/wagtailroute-fleet/src/noting.ts
+++ b/packages/wagtailroute-fleet/src/noting.ts
@@ -17,8 +17,8 @@
 			context.metrics.count('failures', {service, kind: failure.kind});
 		}
 
-		if (note.rateLimit !== undefined) {
-			context.metrics.count('rate_limited_answers', {service});
+		for (const {kind} of note.advertised) {
+			context.metrics.count('advertisements', {service, kind});
 		}
 
 		const line = {
@@ -32,7 +32,7 @@
 			waited: Math.round(note.choosingMilliseconds),
 			attempts: note.attempts,
 			upstream: note.upstream,
-			rateLimit: note.rateLimit,
+			...note.advertised.length > 0 && {advertised: note.advertised},
 			...failure !== undefined && {failure: failure.kind, detail: failure.message},
 		};
 		const isGood = failure === undefined && status < 500;
--- a/packages/wagtailroute-host/src/__tests__/unit/burn.test.ts
+++ b/packages/wagtailroute-host/src/__tests__/unit/burn.test.ts
@@ -79,7 +79,7 @@
 	serve(name: Name, requests: number): void {
 		for (let request = 0; request < requests; request++) {
 			this.hosts.get(name)!.burn.note({
-				service: ENTRY.name, outcome: 'ran', status: 200, requestClass: 'non-idempotent', milliseconds: 1, choosingMilliseconds: 0, isCancelled: false, attempts: 1, isForwarded: false,
+				service: ENTRY.name, outcome: 'ran', status: 200, requestClass: 'non-idempotent', milliseconds: 1, choosingMilliseconds: 0, isCancelled: false, attempts: 1, advertised: [], isForwarded: false,
 			});
 		}
 	}
@@ -197,7 +197,7 @@
 test('a request that another host forwarded is counted by that host alone', async t => {
 	const fleet = await createFleet();
 	const note = {
-		service: ENTRY.name, outcome: 'ran', status: 200, requestClass: 'non-idempotent', milliseconds: 1, choosingMilliseconds: 0, isCancelled: false, attempts: 1, isForwarded: false,
+		service: ENTRY.name, outcome: 'ran', status: 200, requestClass: 'non-idempotent', milliseconds: 1, choosingMilliseconds: 0, isCancelled: false, attempts: 1, advertised: [], isForwarded: false,
 	} as const;
 	fleet.hosts.get('a')!.burn.note(note);
 	fleet.hosts.get('b')!.burn.note({...note, isForwarded: true});
--- a/packages/wagtailroute-proxy/src/dialect.ts
+++ b/packages/wagtailroute-proxy/src/dialect.ts
@@ -35,9 +35,9 @@
 	readonly createRequestHeaders: (message: http.IncomingMessage, passage: Passage) => string[];
 	readonly readAnswer: (status: number, headers: HeaderFields, request: CallerRequest) => AnswerKind;
 	/**
-	Returns the requests a second that a backend server takes from all hosts together; undefined when its answer advertises no limit.
+	Returns what a backend server advertises about itself in the header section of an answer.
 	*/
-	readonly readRateLimit: (headers: HeaderFields) => number | undefined;
+	readonly readAdvertisements: (status: number, headers: HeaderFields) => readonly core.Advertisement[];
 	readonly createAnswerHeaders: (headers: HeaderFields, outcome: core.Outcome) => Record<string, string | string[]>;
 	/**
 	Creates the answer that the fleet itself gives to a failed request.
@@ -62,7 +62,7 @@
 	parseRequest,
 	createRequestHeaders,
 	readAnswer: (status, headers) => isShedAnswer(status, headers) ? 'shed' : 'answer',
-	readRateLimit: () => undefined,
+	readAdvertisements: () => [],
 	createAnswerHeaders,
 	createProblem,
 	isReserved: path => path.startsWith(RESERVED_PREFIX),
--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -252,7 +252,7 @@
 			organisation,
 			attempts: this.#sending.getCount(),
 			upstream: this.#sending.lastUpstream,
-			rateLimit: this.#sending.rateLimit,
+			advertised: this.#sending.advertised,
 			choosingMilliseconds: this.#sending.choosingMilliseconds,
 			outcome: told?.outcome ?? this.#storedOutcome ?? this.#sending.toldOutcome,
 			status: response.headersSent ? response.statusCode : told?.status ?? response.statusCode,
--- a/packages/wagtailroute-proxy/src/index.ts
+++ b/packages/wagtailroute-proxy/src/index.ts
@@ -34,6 +34,7 @@
 	TrialAnswer,
 	TrialEnding,
 	TrialRequest,
+	UpstreamAdvertisement,
 	WaitingPlace,
 	WaitingTarget,
 } from './ports.ts';
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -369,6 +369,11 @@
 	readonly note: (note: RequestNote) => void;
 };
 
+/**
+An advertisement and the upstream whose answer held it.
+*/
+export type UpstreamAdvertisement = core.Advertisement & {readonly upstream: core.UpstreamId};
+
 /**
 One answered request, for reports.
 */
@@ -383,9 +388,9 @@
 	readonly attempts: number;
 	readonly upstream?: core.UpstreamId;
 	/**
-	Requests a second that the last answer advertised.
+	What the answers to all attempts advertised.
 	*/
-	readonly rateLimit?: number;
+	readonly advertised: readonly UpstreamAdvertisement[];
 	/**
 	Milliseconds for which it was waited for targets.
 	*/
--- a/packages/wagtailroute-proxy/src/sending.ts
+++ b/packages/wagtailroute-proxy/src/sending.ts
@@ -66,9 +66,9 @@
 	lastEnding: ports.AttemptEnding | undefined;
 	lastUpstream: core.UpstreamId | undefined;
 	/**
-	Requests a second that the last answer advertised.
+	What the answers to all attempts advertised.
 	*/
-	rateLimit: number | undefined;
+	readonly advertised: ports.UpstreamAdvertisement[] = [];
 	/**
 	Milliseconds for which it was waited for targets, over all attempts.
 	*/
@@ -250,7 +250,6 @@
 		const {service, ports: {now}} = this.#context;
 		this.#targets.exclude(target);
 		this.lastUpstream = target.id;
-		this.rateLimit = undefined;
 		this.#count++;
 		service.begin(target);
 		const startedAt = now();
@@ -317,7 +316,7 @@
 	#decideAnswer(status: number, received: headers.HeaderFields, target: ports.Target): attempts.Verdict {
 		const {service, request, ports: {dialect}} = this.#context;
 		const kind = dialect.readAnswer(status, received, request);
-		this.#recordRateLimit(kind, received, target);
+		this.#recordAdvertisements(kind, {status, received}, target);
 		if (kind === 'foreign' || (kind === 'answer' && status < 500)) {
 			return kind === 'foreign' ? 'foreign' : 'relay';
 		}
@@ -338,12 +337,18 @@
 	/**
 	Ignores answers that are not the target's own.
 	*/
-	#recordRateLimit(kind: AnswerKind, received: headers.HeaderFields, target: ports.Target): void {
+	#recordAdvertisements(
+		kind: AnswerKind,
+		{status, received}: {readonly status: number; readonly received: headers.HeaderFields},
+		target: ports.Target,
+	): void {
 		const {service, ports: {dialect}} = this.#context;
 		const isOfTarget = kind !== 'foreign' && kind !== 'misdirected' && target.kind === 'upstream';
-		this.rateLimit = isOfTarget ? dialect.readRateLimit(received) : undefined;
-		if (this.rateLimit !== undefined) {
-			service.recordRateLimit?.(target, this.rateLimit);
+		for (const advertisement of isOfTarget ? dialect.readAdvertisements(status, received) : []) {
+			this.advertised.push({...advertisement, upstream: target.id});
+			if (advertisement.kind === 'rate-limit') {
+				service.recordRateLimit?.(target, advertisement.ratePerSecond);
+			}
 		}
 	}
 
