--- a/packages/wagtailroute-dispatch/src/__tests__/unit/rate-limits.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/rate-limits.test.ts
@@ -36,7 +36,7 @@
 */
 const advertiseLimit = (dispatcher: dispatch.Dispatcher, ratePerSecond: number, now: number) => {
 	dispatcher.ask(createRead('first'), now);
-	dispatcher.recordRateLimit('first', ratePerSecond, now);
+	dispatcher.recordAdvertisements('first', [{kind: 'rate-limit', ratePerSecond}], now);
 	dispatcher.end('first', {ending: 'success', milliseconds: 1}, now);
 };
 
@@ -97,7 +97,9 @@
 			advertiseLimit(dispatcher, before, 900);
 		}
 
-		dispatcher.applyRateLimits(SERVICE, [{upstream: LIMITED, ...told, granted: 0}], 1000);
+		dispatcher.applyUpdates(SERVICE, [{
+			kind: 'rate-limit', upstream: LIMITED, ...told, granted: 0,
+		}], 1000);
 		t.is(getLimit(dispatcher, 1000), limit);
 	});
 }
@@ -105,11 +107,11 @@
 test('a rate that was learned here reaches peers although an older update arrived meanwhile', t => {
 	const dispatcher = createLimitedDispatcher([LIMITED]);
 	advertiseLimit(dispatcher, 3, 900);
-	dispatcher.applyRateLimits(SERVICE, [{
-		upstream: LIMITED, ratePerSecond: 2, ageMilliseconds: 500, granted: 0,
+	dispatcher.applyUpdates(SERVICE, [{
+		kind: 'rate-limit', upstream: LIMITED, ratePerSecond: 2, ageMilliseconds: 500, granted: 0,
 	}], 1000);
-	t.like(dispatcher.drainRateLimitUpdates(1000).get(SERVICE), [{upstream: LIMITED, ratePerSecond: 3, ageMilliseconds: 100}]);
-	t.is(dispatcher.drainRateLimitUpdates(1100).size, 0);
+	t.like(dispatcher.drainUpdates(1000).get(SERVICE), [{upstream: LIMITED, ratePerSecond: 3, ageMilliseconds: 100}]);
+	t.is(dispatcher.drainUpdates(1100).size, 0);
 });
 
 test('what no upstream takes within its rate limit is refused at once', t => {
@@ -143,8 +145,8 @@
 	const random = utils.createRandom(1);
 	const dispatchers = Array.from({length: hosts}, () => createLimitedDispatcher([LIMITED], {getShare: () => 1 / hosts, random}));
 	for (const dispatcher of dispatchers) {
-		dispatcher.applyRateLimits(SERVICE, [{
-			upstream: LIMITED, ratePerSecond: limit, ageMilliseconds: 0, granted: 0,
+		dispatcher.applyUpdates(SERVICE, [{
+			kind: 'rate-limit', upstream: LIMITED, ratePerSecond: limit, ageMilliseconds: 0, granted: 0,
 		}], 0);
 	}
 
@@ -153,7 +155,7 @@
 			const granted = dispatcher.ask(createRead(`${host}-${now}`), now).filter(effect => effect.kind === 'grant');
 			times.push(...granted.map(() => now));
 			for (const {ask} of granted) {
-				dispatcher.recordRateLimit(ask.id, limit, now);
+				dispatcher.recordAdvertisements(ask.id, [{kind: 'rate-limit', ratePerSecond: limit}], now);
 				dispatcher.end(ask.id, {ending: 'success', milliseconds: 20}, now);
 			}
 		}
@@ -196,7 +198,7 @@
 	const [first, ...others] = Array.from({length: count}, () => createLimitedDispatcher([LIMITED, 'plain'], {random}));
 	const dispatchers = [first!, ...others];
 	const ends: Array<{readonly at: number; readonly to: dispatch.Dispatcher; readonly id: string; readonly isLimited: boolean}> = [];
-	const updates: Array<{readonly at: number; readonly to: dispatch.Dispatcher; readonly updates: readonly dispatch.RateLimitUpdate[]}> = [];
+	const updates: Array<{readonly at: number; readonly to: dispatch.Dispatcher; readonly updates: readonly dispatch.UpstreamUpdate[]}> = [];
 	const times: number[] = [];
 
 	const grant = (by: dispatch.Dispatcher, effects: readonly dispatch.Effect[], now: number) => {
@@ -222,13 +224,13 @@
 	for (let step = 0; step < STEPS; step++) {
 		const now = step * STEP_MILLISECONDS;
 		for (const {to, id, isLimited} of takeDue(ends, now)) {
-			const changed = isLimited ? to.recordRateLimit(id, ratePerSecond, now) : [];
+			const changed = isLimited ? to.recordAdvertisements(id, [{kind: 'rate-limit', ratePerSecond}], now) : [];
 			const ending = random() < 0.9 ? 'success' : 'reset';
 			grant(to, [...changed, ...to.end(id, {ending, milliseconds: 100}, now)], now);
 		}
 
 		for (const {to, updates: received} of takeDue(updates, now)) {
-			to.applyRateLimits(SERVICE, received, now);
+			to.applyUpdates(SERVICE, received, now);
 		}
 
 		const {part, requests} = seconds[Math.floor(now / 1000) % seconds.length]!;
@@ -244,7 +246,7 @@
 		}
 
 		for (const from of now % UPDATE_MILLISECONDS === 0 ? dispatchers : []) {
-			const sent = from.drainRateLimitUpdates(now).get(SERVICE) ?? [];
+			const sent = from.drainUpdates(now).get(SERVICE) ?? [];
 			updates.push(...dispatchers.filter(to => to !== from).map(to => ({at: now + delay, to, updates: sent})));
 		}
 	}
--- a/packages/wagtailroute-dispatch/src/asks.ts
+++ b/packages/wagtailroute-dispatch/src/asks.ts
@@ -111,6 +111,25 @@
 		readonly cause: Ending;
 	}
 	/**
+	An upstream asked a host to send nothing for a while.
+	*/
+	| {
+		readonly kind: 'backoff';
+		readonly service: core.ServiceName;
+		readonly upstream: core.UpstreamId;
+		readonly host: core.HostId;
+		readonly milliseconds: number;
+	}
+	/**
+	An upstream told a host that it leaves.
+	*/
+	| {
+		readonly kind: 'draining';
+		readonly service: core.ServiceName;
+		readonly upstream: core.UpstreamId;
+		readonly host: core.HostId;
+	}
+	/**
 	The rate limit of an upstream is new, changed or, without a rate, lifted.
 	*/
 	| {
@@ -122,9 +141,15 @@
 	};
 
 /**
-The rate limit of an upstream, as hosts report it to each other.
+What an upstream advertised, as hosts report it to each other.
+*/
+export type UpstreamUpdate = RateLimitUpdate | BackoffUpdate | DrainingUpdate;
+
+/**
+The rate limit of an upstream.
 */
 export type RateLimitUpdate = {
+	readonly kind: 'rate-limit';
 	readonly upstream: core.UpstreamId;
 	/**
 	Requests a second that it takes from all hosts together; null once the limit is lifted.
@@ -140,6 +165,24 @@
 	readonly granted: number;
 };
 
+/**
+A host that is to send nothing to an upstream for a while.
+*/
+export type BackoffUpdate = {
+	readonly kind: 'backoff';
+	readonly upstream: core.UpstreamId;
+	readonly host: core.HostId;
+	readonly remainingMilliseconds: number;
+};
+
+/**
+An upstream that leaves, though its heartbeats may not tell.
+*/
+export type DrainingUpdate = {
+	readonly kind: 'draining';
+	readonly upstream: core.UpstreamId;
+};
+
 /**
 A place that a host holds at an upstream, told when it turns to another dispatcher.
 */
--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -8,6 +8,7 @@
 import type {Ask} from './asks.ts';
 import type {Policy} from './policy.ts';
 import {
+	getBackoff,
 	getDoubt,
 	getRisk,
 	getSlowness,
@@ -172,6 +173,7 @@
 	return isServing(upstream)
 		&& candidate.slots > 0
 		&& !ask.excluded.includes(candidate.upstream)
+		&& getBackoff(upstream, ask.host, now) === 0
 		&& !isPathBad(upstream, ask.host, now);
 }
 
--- a/packages/wagtailroute-dispatch/src/dispatcher-types.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher-types.ts
@@ -9,7 +9,7 @@
 	Effect,
 	Ending,
 	HeldPlace,
-	RateLimitUpdate,
+	UpstreamUpdate,
 } from './asks.ts';
 import type {BudgetSettings} from './budget.ts';
 import type {Policy} from './policy.ts';
@@ -49,6 +49,10 @@
 	readonly isSuspended: boolean;
 	readonly isDraining: boolean;
 	/**
+	Hosts that it asked to send nothing for now.
+	*/
+	readonly hostsBackingOff: readonly core.HostId[];
+	/**
 	Requests a second that its answers advertise; absent when they advertise no limit.
 	*/
 	readonly rateLimit?: number;
@@ -74,25 +78,25 @@
 	*/
 	readonly end: (id: AskId, outcome: {readonly ending: Ending; readonly milliseconds: number}, now: number) => readonly Effect[];
 	/**
-	The answer to a granted request advertises the requests a second that the upstream takes from all hosts together.
+	The answer to a granted request advertises something about its upstream.
 	*/
-	readonly recordRateLimit: (id: AskId, ratePerSecond: number, now: number) => readonly Effect[];
+	readonly recordAdvertisements: (id: AskId, advertisements: readonly core.Advertisement[], now: number) => readonly Effect[];
 	/**
-	Applies rate limits that another host has learned.
+	Applies what another host has learned from answers.
 	*/
-	readonly applyRateLimits: (service: core.ServiceName, updates: readonly RateLimitUpdate[], now: number) => void;
+	readonly applyUpdates: (service: core.ServiceName, updates: readonly UpstreamUpdate[], now: number) => readonly Effect[];
 	/**
 	Says whether grants at the rate-limited upstreams of a service have to be reported to other dispatchers.
 	*/
 	readonly isSharingRateLimits: (service: core.ServiceName, now: number) => boolean;
 	/**
-	Returns the rate limit updates for other dispatchers since the last call, by service.
+	Returns the updates for other dispatchers since the last call, by service.
 	*/
-	readonly drainRateLimitUpdates: (now: number) => ReadonlyMap<core.ServiceName, readonly RateLimitUpdate[]>;
+	readonly drainUpdates: (now: number) => ReadonlyMap<core.ServiceName, readonly UpstreamUpdate[]>;
 	/**
-	Returns all rate limits in force, by service.
+	Returns all that upstreams advertise and that is in force, by service.
 	*/
-	readonly listRateLimits: (now: number) => ReadonlyMap<core.ServiceName, readonly RateLimitUpdate[]>;
+	readonly listUpdates: (now: number) => ReadonlyMap<core.ServiceName, readonly UpstreamUpdate[]>;
 	/**
 	A host tells the places that it holds of a service; what was counted for it before is forgotten.
 	*/
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -8,6 +8,12 @@
 It holds no promise of its own: lost, it is replaced by another host's, which is told what is under way.
 */
 import * as core from 'wagtailroute-core';
+import {
+	applyUpdate,
+	drainUpdates,
+	listUpdates,
+	recordAdvertisement,
+} from './advertisements.ts';
 import {
 	type Ask,
 	type AskId,
@@ -15,8 +21,8 @@
 	type Effect,
 	type Ending,
 	type HeldPlace,
-	type RateLimitUpdate,
 	type RefusalReason,
+	type UpstreamUpdate,
 } from './asks.ts';
 import {createBudget} from './budget.ts';
 import {
@@ -36,9 +42,11 @@
 import {
 	countUntil,
 	countUsableSlots,
+	getBackoffDelay,
 	getTrialCircumstances,
 	getTurn,
 	getUsual,
+	hasUsableSlot,
 	isBelowFloor,
 	isObjectiveMissed,
 	isTooLate,
@@ -55,6 +63,7 @@
 	getDoubt,
 	hasCapacity,
 	isSuspended,
+	listBackoffs,
 	type Place,
 	takeBelief,
 	type Upstream,
@@ -146,43 +155,41 @@
 		return [...effects, ...this.#serveWaiting(service, now)];
 	}
 
-	recordRateLimit(id: AskId, ratePerSecond: number, now: number): readonly Effect[] {
+	recordAdvertisements(id: AskId, advertisements: readonly core.Advertisement[], now: number): readonly Effect[] {
 		const place = this.#places.get(id);
 		const service = place && this.#services.get(place.service);
 		const upstream = place && service?.upstreams.get(place.upstream);
-		if (service === undefined || upstream === undefined) {
+		if (place === undefined || service === undefined || upstream === undefined) {
 			return [];
 		}
 
-		const ratePerSecondBefore = upstream.rateLimit?.getRatePerSecond();
-		service.rateLimits.record(upstream, {ratePerSecond, advertisedAt: now, isPublished: false}, now);
-		return ratePerSecond === ratePerSecondBefore
-			? []
-			: [{
-				kind: 'rate-limit', service: service.name, upstream: upstream.candidate.upstream, ratePerSecond, ratePerSecondBefore,
-			}];
+		const source = {upstream, host: place.host};
+		const effects = advertisements.flatMap(advertisement => recordAdvertisement(service, source, advertisement, now));
+		return [...effects, ...this.#refuseStranded(service, advertisements, now)];
 	}
 
-	applyRateLimits(name: core.ServiceName, updates: readonly RateLimitUpdate[], now: number): void {
+	applyUpdates(name: core.ServiceName, updates: readonly UpstreamUpdate[], now: number): readonly Effect[] {
 		const service = this.#getService(name);
 		for (const update of updates) {
 			const upstream = service.upstreams.get(update.upstream);
 			if (upstream !== undefined) {
-				service.rateLimits.apply(upstream, update, now);
+				applyUpdate(service, upstream, update, now);
 			}
 		}
+
+		return this.#refuseStranded(service, updates, now);
 	}
 
 	isSharingRateLimits(service: core.ServiceName, now: number): boolean {
 		return this.#services.get(service)?.rateLimits.isShared(now) === true;
 	}
 
-	drainRateLimitUpdates(now: number): ReadonlyMap<core.ServiceName, readonly RateLimitUpdate[]> {
-		return collectUpdates(this.#services.values(), ({rateLimits}) => rateLimits.drainUpdates(now));
+	drainUpdates(now: number): ReadonlyMap<core.ServiceName, readonly UpstreamUpdate[]> {
+		return collectUpdates(this.#services.values(), service => drainUpdates(service, now));
 	}
 
-	listRateLimits(now: number): ReadonlyMap<core.ServiceName, readonly RateLimitUpdate[]> {
-		return collectUpdates(this.#services.values(), ({rateLimits}) => rateLimits.list(now));
+	listUpdates(now: number): ReadonlyMap<core.ServiceName, readonly UpstreamUpdate[]> {
+		return collectUpdates(this.#services.values(), service => listUpdates(service, now));
 	}
 
 	hold(host: core.HostId, service: core.ServiceName, held: readonly HeldPlace[], now: number): void {
@@ -275,7 +282,8 @@
 			slots: upstream.candidate.slots,
 			doubt: getDoubt(upstream, now),
 			isSuspended: isSuspended(upstream, now),
-			isDraining: upstream.candidate.isDraining,
+			isDraining: upstream.candidate.isDraining || upstream.isLeaving,
+			hostsBackingOff: listBackoffs(upstream, now).map(({host}) => host),
 			rateLimit: upstream.rateLimit?.getRatePerSecond(),
 		}));
 	}
@@ -310,6 +318,7 @@
 			policy: this.#settings.policy ?? DEFAULT_POLICY,
 			budget: createBudget(this.#settings.budget, this.#settings.policy ?? DEFAULT_POLICY),
 			repeatableAt: -Infinity,
+			unpublishedDraining: new Set(),
 			rateLimits: new ServiceRateLimits({getShare: this.#settings.getShare ?? (() => 1), random: this.#settings.random}),
 		};
 		this.#services.set(name, service);
@@ -358,7 +367,7 @@
 		const slots = countUsableSlots(service, ask, now);
 		const usual = getUsual(service, ask);
 		// Itself included.
-		const wait = slots === 0 ? Infinity : countUntil(service, turn) * usual / slots;
+		const wait = slots === 0 ? getBackoffDelay(service, ask, now) : countUntil(service, turn) * usual / slots;
 		const {missedPart, objectivePart} = service.policy;
 		const counted = isObjectiveMissed(service, ask) ? missedPart : 1;
 		const isInObjective = ask.isResend || (wait + (usual * objectivePart)) * counted <= ask.objectiveMilliseconds;
@@ -437,6 +446,19 @@
 		return effects;
 	}
 
+	/**
+	Refuses the asks that nothing can take any more, since upstreams leave or their host backs off.
+	*/
+	#refuseStranded(service: Service, causes: ReadonlyArray<Pick<core.Advertisement, 'kind'>>, now: number): readonly Effect[] {
+		if (causes.every(({kind}) => kind === 'rate-limit')) {
+			return [];
+		}
+
+		return service.waiting
+			.filter(({ask}) => !hasUsableSlot(service, ask, now))
+			.flatMap(waiting => this.#waitOrRefuse(service, {...waiting, ask: {...waiting.ask, remainingMilliseconds: waiting.deadlineAt - now}}, now));
+	}
+
 	/**
 	Refuses what can no longer be answered in time.
 	*/
@@ -458,9 +480,9 @@
 
 function collectUpdates(
 	services: Iterable<Service>,
-	collect: (service: Service) => readonly RateLimitUpdate[],
-): ReadonlyMap<core.ServiceName, readonly RateLimitUpdate[]> {
-	const collected = new Map<core.ServiceName, readonly RateLimitUpdate[]>();
+	collect: (service: Service) => readonly UpstreamUpdate[],
+): ReadonlyMap<core.ServiceName, readonly UpstreamUpdate[]> {
+	const collected = new Map<core.ServiceName, readonly UpstreamUpdate[]>();
 	for (const service of services) {
 		const updates = collect(service);
 		if (updates.length > 0) {
--- a/packages/wagtailroute-dispatch/src/index.ts
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -10,6 +10,7 @@
 	HeldPlace,
 	RateLimitUpdate,
 	RefusalReason,
+	UpstreamUpdate,
 } from './asks.ts';
 export {createDispatcher} from './dispatcher.ts';
 export type {Dispatcher, DispatcherSettings, UpstreamReport} from './dispatcher-types.ts';
--- a/packages/wagtailroute-dispatch/src/service-rate-limits.ts
+++ b/packages/wagtailroute-dispatch/src/service-rate-limits.ts
@@ -134,7 +134,7 @@
 	*/
 	drainUpdates(now: number): readonly RateLimitUpdate[] {
 		const updates: RateLimitUpdate[] = this.#lifted.values().map((upstream): RateLimitUpdate => ({
-			upstream, ratePerSecond: null, ageMilliseconds: 0, granted: 0,
+			kind: 'rate-limit', upstream, ratePerSecond: null, ageMilliseconds: 0, granted: 0,
 		})).toArray();
 		this.#lifted.clear();
 		for (const [upstream, limit] of this.#limits) {
@@ -158,6 +158,6 @@
 	{granted, now}: {readonly granted: number; readonly now: number},
 ): RateLimitUpdate {
 	return {
-		upstream, ratePerSecond: limit.getRatePerSecond(), ageMilliseconds: now - limit.getAdvertisedAt(), granted,
+		kind: 'rate-limit', upstream, ratePerSecond: limit.getRatePerSecond(), ageMilliseconds: now - limit.getAdvertisedAt(), granted,
 	};
 }
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -9,6 +9,7 @@
 import type {ServiceRateLimits} from './service-rate-limits.ts';
 import {
 	countSlots,
+	getBackoff,
 	hasCapacity,
 	isServing,
 	isSuspended,
@@ -49,6 +50,10 @@
 	*/
 	repeatableAt: number;
 	readonly rateLimits: ServiceRateLimits;
+	/**
+	Upstreams that leave, and that peers were not told of.
+	*/
+	readonly unpublishedDraining: Set<core.UpstreamId>;
 };
 
 /**
@@ -144,15 +149,34 @@
 	const usual = getUsual(service, ask);
 	let slots = 0;
 	for (const upstream of service.upstreams.values()) {
-		const isUsable = isServing(upstream)
-			&& !isSuspended(upstream, now)
-			&& !ask.excluded.includes(upstream.candidate.upstream);
-		slots += isUsable ? countSlots(upstream, usual) : 0;
+		slots += isUsable(upstream, ask, now) && getBackoff(upstream, ask.host, now) === 0 ? countSlots(upstream, usual) : 0;
 	}
 
 	return slots;
 }
 
+/**
+Says whether any upstream that could take the ask takes requests of its host.
+*/
+export function hasUsableSlot({upstreams}: Service, ask: Ask, now: number): boolean {
+	return upstreams.values().some(upstream => isUsable(upstream, ask, now) && getBackoff(upstream, ask.host, now) === 0);
+}
+
+/**
+Returns the milliseconds until an upstream that could take the ask takes requests of its host again; Infinity when there is none.
+*/
+export function getBackoffDelay({upstreams}: Service, ask: Ask, now: number): number {
+	const delays = upstreams.values().filter(upstream => isUsable(upstream, ask, now)).map(upstream => getBackoff(upstream, ask.host, now));
+	return delays.reduce((least, delay) => Math.min(least, delay), Infinity);
+}
+
+/**
+Says whether an upstream could take the ask, were its host not to back off.
+*/
+function isUsable(upstream: Upstream, {excluded}: Ask, now: number): boolean {
+	return isServing(upstream) && !isSuspended(upstream, now) && !excluded.includes(upstream.candidate.upstream);
+}
+
 /**
 Says whether fewer upstreams than the floor's part are free of suspicion.
 */
--- a/packages/wagtailroute-dispatch/src/upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -4,6 +4,7 @@
 import type * as core from 'wagtailroute-core';
 import type {
 	Ask,
+	BackoffUpdate,
 	Candidate,
 	Ending,
 	HeldPlace,
@@ -72,10 +73,18 @@
 	*/
 	readonly badPaths: Map<core.HostId, number>;
 	/**
+	Hosts that it asked to send nothing, with the time until which they do.
+	*/
+	readonly backoffs: Map<core.HostId, number>;
+	/**
 	Another instance answered at its address.
 	*/
 	isMisdirected: boolean;
 	/**
+	Its answers say that it leaves.
+	*/
+	isLeaving: boolean;
+	/**
 	Absent when its answers advertise none.
 	*/
 	rateLimit?: UpstreamRateLimit;
@@ -101,7 +110,9 @@
 		trialAt: -Infinity,
 		failedTrials: 0,
 		badPaths: new Map(),
+		backoffs: new Map(),
 		isMisdirected: false,
+		isLeaving: false,
 	};
 }
 
@@ -162,8 +173,8 @@
 /**
 Says whether it serves at all: it does not leave, and its address is its own.
 */
-export function isServing({candidate, isMisdirected}: Upstream): boolean {
-	return !candidate.isDraining && !isMisdirected;
+export function isServing({candidate, isMisdirected, isLeaving}: Upstream): boolean {
+	return !candidate.isDraining && !isLeaving && !isMisdirected;
 }
 
 /**
@@ -225,6 +236,37 @@
 	return false;
 }
 
+/**
+Records until when a host sends nothing to the upstream. Returns whether the host sent until now.
+*/
+export function recordBackoff({backoffs}: Upstream, host: core.HostId, until: number, now: number): boolean {
+	for (const [other, time] of backoffs) {
+		if (time <= now) {
+			backoffs.delete(other);
+		}
+	}
+
+	const before = backoffs.get(host);
+	backoffs.set(host, Math.max(before ?? 0, until));
+	return before === undefined;
+}
+
+/**
+Returns the milliseconds for which a host sends nothing more to the upstream.
+*/
+export function getBackoff({backoffs}: Upstream, host: core.HostId, now: number): number {
+	return Math.max(0, (backoffs.get(host) ?? now) - now);
+}
+
+/**
+Lists the hosts that send nothing, as updates.
+*/
+export function listBackoffs({backoffs, candidate: {upstream}}: Upstream, now: number): readonly BackoffUpdate[] {
+	return backoffs.entries().filter(([, until]) => until > now).map(([host, until]): BackoffUpdate => ({
+		kind: 'backoff', upstream, host, remainingMilliseconds: until - now,
+	})).toArray();
+}
+
 /**
 What an ending does.
 */
--- a/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/asking.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 import type * as dispatch from 'wagtailroute-dispatch';
 import {createAsking} from '../../asking.ts';
-import type {ShortAnswer} from '../../ask-wire.ts';
+import type {ShortAnswer, ShortAsk} from '../../ask-wire.ts';
 import type {OpenControl} from '../../control-links.ts';
 import {startDispatching} from '../../dispatching.ts';
 import {orderDispatchers} from '../../dispatch-order.ts';
@@ -86,10 +86,10 @@
 test('the dispatcher that granted a place receives the rate limit that its answer advertises at once', async t => {
 	const {asking, link} = setUp(() => GRANT);
 	await asking.ask(fixture.ASK_DRAFT).answer;
-	asking.recordRateLimit('front:1', 2.6);
-	t.deepEqual(link.notified.at(-1), ['dispatch.rate-limit', [1, 2.6]]);
+	asking.recordAdvertisements('front:1', [{kind: 'rate-limit', ratePerSecond: 2.6}]);
+	t.deepEqual(link.notified.at(-1), ['dispatch.advertised', [1, [{kind: 'rate-limit', ratePerSecond: 2.6}]]]);
 	asking.end('front:1', 'success', 120);
-	asking.recordRateLimit('front:1', 1);
+	asking.recordAdvertisements('front:1', [{kind: 'rate-limit', ratePerSecond: 1}]);
 	t.is(link.notified.at(-1)?.[0], 'dispatch.end', 'an attempt that has ended reports nothing');
 });
 
@@ -99,7 +99,7 @@
 	const draft = {...fixture.ASK_DRAFT, remainingMilliseconds: 200, objectiveMilliseconds: 100};
 	const first = await asking.ask(draft).answer;
 	t.is(first.kind, 'grant');
-	asking.recordRateLimit(first.kind === 'grant' ? first.id : '', 0.2);
+	asking.recordAdvertisements(first.kind === 'grant' ? first.id : '', [{kind: 'rate-limit', ratePerSecond: 0.2}]);
 	const second = await asking.ask(draft).answer;
 	t.like(second, {kind: 'refuse', reason: 'no-slot-in-time'});
 });
@@ -187,6 +187,27 @@
 	t.like(await asking.ask(fixture.ASK_DRAFT).answer, {kind: 'grant', upstream: 'standby'});
 });
 
+const CLOSURES = [
+	{name: 'asked this host to back off', advertisement: {kind: 'backoff', milliseconds: 3000}, endsAfter: 3000},
+	{name: 'told this host that it leaves', advertisement: {kind: 'draining'}, endsAfter: undefined},
+] as const;
+
+for (const {name, advertisement, endsAfter} of CLOSURES) {
+	test(`a place at an upstream that ${name} is given back and another one asked for`, async t => {
+		// Guards against dispatchers that do not know what an upstream told a host, and grant it all the same.
+		const {asking, link, context} = setUp((_method, ask: ShortAsk) => ask[3]?.includes('u') === true ? ['grant', 'v', '10.0.0.5:80', 0] : GRANT);
+		const first = await asking.ask(fixture.ASK_DRAFT).answer;
+		t.like(first, {kind: 'grant', upstream: 'u'});
+		asking.recordAdvertisements('front:1', [advertisement]);
+		asking.end('front:1', 'shed', 1);
+		t.true(asking.isClosed('u'));
+		t.like(await asking.ask(fixture.ASK_DRAFT).answer, {kind: 'grant', upstream: 'v', id: 'front:3'});
+		t.deepEqual(link.notified.at(-1), ['dispatch.end', [2, 'unused', 0]]);
+		await context.pass(3000);
+		t.is(asking.isClosed('u'), endsAfter === undefined);
+	});
+}
+
 test('a place at an upstream that was retired here is given back and another one asked for', async t => {
 	// Symptom: a request reaches an upstream after its draining was acknowledged.
 	// Sequence: the dispatcher is cut off from the other control hosts and does not hear of the retirement; this host does.
--- a/packages/wagtailroute-fleet/src/__tests__/unit/directory.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/directory.test.ts
@@ -58,7 +58,7 @@
 	}
 
 	const report: dispatch.UpstreamReport = {
-		upstream: 'u', failureDomain: 'b', taken: 0, slots: 4, doubt: 0, isSuspended: false, isDraining: false,
+		upstream: 'u', failureDomain: 'b', taken: 0, slots: 4, doubt: 0, isSuspended: false, isDraining: false, hostsBackingOff: [],
 	};
 	const directory = startDirectory(context, {failureDomain: 'a', entries, report: () => [report]});
 	directory.setGeneration(GENERATION);
--- a/packages/wagtailroute-fleet/src/__tests__/unit/dispatching.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/dispatching.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 import type * as core from 'wagtailroute-core';
 import {startDispatching} from '../../dispatching.ts';
-import {type Belief, METHODS, type RateLimitUpdates} from '../../messages.ts';
+import {type Belief, METHODS, type ServiceUpdates} from '../../messages.ts';
 import * as fixture from './fixture.ts';
 
 type Told = {readonly host: core.HostId; readonly method: string; readonly parameters: unknown};
@@ -111,13 +111,13 @@
 		await context.pass(200);
 	};
 
-	const getLast = () => listTold(METHODS.rateLimits).map(({host, parameters}) => ({host, ...parameters as RateLimitUpdates})).at(-1);
+	const getLast = () => listTold(METHODS.updates).map(({host, parameters}) => ({host, ...parameters as ServiceUpdates})).at(-1);
 	await ask('front-1:1');
-	dispatching.recordRateLimit('front-1:1', 2);
+	dispatching.recordAdvertisements('front-1:1', [{kind: 'rate-limit', ratePerSecond: 2}]);
 	await end('front-1:1');
 	t.like(getLast(), {host: 'front-1', service: 'archive', updates: [{upstream: 'u1', ratePerSecond: 2, granted: 0}]});
 	await ask('front-1:2');
-	dispatching.recordRateLimit('front-1:2', 3);
+	dispatching.recordAdvertisements('front-1:2', [{kind: 'rate-limit', ratePerSecond: 3}]);
 	await end('front-1:2');
 	t.like(getLast(), {updates: [{upstream: 'u1', ratePerSecond: 3, granted: 1}]});
 	await ask('front-1:3');
--- a/packages/wagtailroute-fleet/src/__tests__/unit/entry-domain.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/entry-domain.test.ts
@@ -8,7 +8,7 @@
 
 function createReport(failureDomain: string, changes: Partial<dispatch.UpstreamReport> = {}): dispatch.UpstreamReport {
 	return {
-		upstream: `u-${failureDomain}`, failureDomain, taken: 0, slots: 4, doubt: 0, isSuspended: false, isDraining: false, ...changes,
+		upstream: `u-${failureDomain}`, failureDomain, taken: 0, slots: 4, doubt: 0, isSuspended: false, isDraining: false, hostsBackingOff: [], ...changes,
 	};
 }
 
--- a/packages/wagtailroute-fleet/src/ask-methods.ts
+++ b/packages/wagtailroute-fleet/src/ask-methods.ts
@@ -10,11 +10,11 @@
 	type OrganisationTelling,
 	restoreAsk,
 	type RouteTelling,
+	type ShortAdvertisements,
 	type ShortAnswer,
 	type ShortAsk,
 	shortenAnswer,
 	type ShortEnd,
-	type ShortRateLimit,
 } from './ask-wire.ts';
 import type {Dispatching} from './dispatching.ts';
 import {type Holding, METHODS} from './messages.ts';
@@ -74,8 +74,8 @@
 		[METHODS.end]([ask, ending, milliseconds]: ShortEnd, from: link.Link) {
 			dispatching.end({id: createAskId(getAsker(from).id, ask), ending, milliseconds});
 		},
-		[METHODS.rateLimit]([ask, ratePerSecond]: ShortRateLimit, from: link.Link) {
-			dispatching.recordRateLimit(createAskId(getAsker(from).id, ask), ratePerSecond);
+		[METHODS.advertised]([ask, advertisements]: ShortAdvertisements, from: link.Link) {
+			dispatching.recordAdvertisements(createAskId(getAsker(from).id, ask), advertisements);
 		},
 		[METHODS.hold](holding: Holding, from: link.Link) {
 			dispatching.hold(getAsker(from).id, holding);
--- a/packages/wagtailroute-fleet/src/ask-wire.ts
+++ b/packages/wagtailroute-fleet/src/ask-wire.ts
@@ -52,9 +52,9 @@
 export type ShortEnd = readonly [ask: number, ending: dispatch.Ending, milliseconds: number];
 
 /**
-The requests a second that the upstream of a granted request takes, as its answer advertises.
+What the answer to a granted request advertises about its upstream.
 */
-export type ShortRateLimit = readonly [ask: number, ratePerSecond: number];
+export type ShortAdvertisements = readonly [ask: number, advertisements: readonly core.Advertisement[]];
 
 /**
 Returns the fleet's name of an ask.
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -14,7 +14,7 @@
 	PROBE_MILLISECONDS,
 	UNKNOWN_SERVICE_MILLISECONDS,
 } from './constants.ts';
-import {type AdvertisedLimits, createAdvertisedLimits} from './advertised-limits.ts';
+import {type Advertisements, type Closure, createAdvertisements} from './advertisements.ts';
 import {
 	type AskOrigin,
 	createAskId,
@@ -25,11 +25,11 @@
 	type OrganisationTelling,
 	restoreAnswer,
 	type RouteTelling,
+	type ShortAdvertisements,
 	type ShortAnswer,
 	type ShortAsk,
 	shortenAsk,
 	type ShortEnd,
-	type ShortRateLimit,
 } from './ask-wire.ts';
 import type {FleetContext} from './context.ts';
 import type {OpenControl} from './control-links.ts';
@@ -78,9 +78,13 @@
 	*/
 	readonly end: (id: dispatch.AskId, ending: dispatch.Ending, milliseconds: number) => void;
 	/**
-	The answer to a granted request advertises the requests a second that its upstream takes.
+	The answer to a granted request advertises something about its upstream.
 	*/
-	readonly recordRateLimit: (id: dispatch.AskId, ratePerSecond: number) => void;
+	readonly recordAdvertisements: (id: dispatch.AskId, advertisements: readonly core.Advertisement[]) => void;
+	/**
+	Says whether this host sends nothing to an upstream now, by what the upstream's answers told it.
+	*/
+	readonly isClosed: (upstream: core.UpstreamId) => boolean;
 	readonly hearAnswer: (ask: number, answer: ShortAnswer) => void;
 	/**
 	The link to a dispatcher is lost.
@@ -98,7 +102,7 @@
 	/**
 	The dispatcher of this host. What it decides later comes to `hearAnswer`.
 	*/
-	readonly own: Pick<Dispatching, 'ask' | 'cancel' | 'end' | 'recordRateLimit' | 'applyRateLimits'>;
+	readonly own: Pick<Dispatching, 'ask' | 'cancel' | 'end' | 'recordAdvertisements' | 'applyUpdates'>;
 	readonly isRetired: (upstream: core.UpstreamId) => boolean;
 	/**
 	Returns the milliseconds for which messages may wait behind large bodies on this host's own link.
@@ -136,7 +140,7 @@
 	readonly #plan: AskingPlan;
 	readonly #pending = new Map<dispatch.AskId, Pending>();
 	readonly #held: HeldPlaces;
-	readonly #limits: AdvertisedLimits;
+	readonly #advertisements: Advertisements;
 	readonly #finder: DispatcherFinder;
 	readonly #routeNumbers = createRouteNumbers();
 	readonly #organisationNumbers = createOrganisationNumbers();
@@ -146,8 +150,8 @@
 	constructor(context: FleetContext, plan: AskingPlan) {
 		this.#context = context;
 		this.#plan = plan;
-		this.#limits = createAdvertisedLimits(context.now);
-		this.#held = createHeldPlaces(context.now, this.#limits);
+		this.#advertisements = createAdvertisements(plan.settings.hostId, context.now);
+		this.#held = createHeldPlaces(context.now, this.#advertisements);
 		this.#finder = createDispatcherFinder(context, {
 			self: plan.settings.hostId,
 			getControls: plan.getControls,
@@ -183,27 +187,34 @@
 		}
 
 		if (ending === 'success') {
-			this.#limits.lift(held.ask.service, held.upstream, held.grantedAt);
+			this.#advertisements.liftRateLimit(held.ask.service, held.upstream, held.grantedAt);
 		}
 
 		this.#tellEnd(held, ending, milliseconds);
 	}
 
-	recordRateLimit(id: dispatch.AskId, ratePerSecond: number): void {
+	recordAdvertisements(id: dispatch.AskId, advertisements: readonly core.Advertisement[]): void {
 		const held = this.#held.find(id);
 		if (held === undefined) {
 			return;
 		}
 
 		const {ask, upstream, dispatcher} = held;
-		this.#limits.record(ask.service, upstream, ratePerSecond);
+		for (const advertisement of advertisements) {
+			this.#advertisements.record(ask.service, upstream, advertisement);
+		}
+
 		if (dispatcher === undefined) {
-			this.#plan.own.recordRateLimit(id, ratePerSecond);
+			this.#plan.own.recordAdvertisements(id, advertisements);
 		} else {
-			dispatcher.link.notify(METHODS.rateLimit, [getAskNumber(id), ratePerSecond] satisfies ShortRateLimit);
+			dispatcher.link.notify(METHODS.advertised, [getAskNumber(id), advertisements] satisfies ShortAdvertisements);
 		}
 	}
 
+	isClosed(upstream: core.UpstreamId): boolean {
+		return this.#advertisements.findClosure(upstream) !== undefined;
+	}
+
 	hearAnswer(ask: number, answer: ShortAnswer): void {
 		const pending = this.#pending.get(createAskId(this.#plan.settings.hostId, ask));
 		const restored = restoreAnswer(answer);
@@ -361,7 +372,7 @@
 		const remainingMilliseconds = ask.remainingMilliseconds - (this.#context.now() - pending.askedAt);
 		this.#context.metrics.count('asks_own', {reason});
 		this.#context.logs('dispatch').warn('Own dispatcher asked.', {id: ask.id, service: ask.service, reason});
-		this.#plan.own.applyRateLimits({service: ask.service, updates: this.#limits.list(ask.service)});
+		this.#plan.own.applyUpdates({service: ask.service, updates: this.#advertisements.list(ask.service)});
 		const answer = this.#plan.own.ask({...ask, remainingMilliseconds});
 		this.#take(pending, answer.kind === 'elsewhere' ? NOBODY : answer);
 	}
@@ -383,9 +394,10 @@
 			const held: Held = {
 				ask, upstream: answer.upstream, grantedAt: this.#context.now(), dispatcher,
 			};
-			if (this.#plan.isRetired(answer.upstream)) {
-				// The dispatcher has not heard of the retirement yet; this host is bound by it.
-				this.#tellEnd(held, 'unused', 0);
+			const cause = this.#plan.isRetired(answer.upstream) ? 'retired' : this.#advertisements.findClosure(answer.upstream);
+			if (cause !== undefined) {
+				// The dispatcher has not heard of it yet; this host is bound by it.
+				this.#giveBack(held, cause);
 				this.#askAgain(pending, [answer.upstream]);
 				return;
 			}
@@ -396,6 +408,15 @@
 		pending.resolve(answer.kind === 'grant' ? {...answer, id: ask.id} : answer);
 	}
 
+	#giveBack(held: Held, cause: Closure | 'retired'): void {
+		const {ask, upstream} = held;
+		this.#context.metrics.count('places_given_back', {cause});
+		this.#context.logs('dispatch').info('Place given back.', {
+			id: ask.id, service: ask.service, upstream, cause,
+		});
+		this.#tellEnd(held, 'unused', 0);
+	}
+
 	#askAgain(pending: Pending, without: readonly core.UpstreamId[] = []): void {
 		const now = this.#context.now();
 		const {ask} = pending;
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -297,9 +297,9 @@
 export const BELIEF_NEWS_MILLISECONDS = 1000;
 
 /**
-Milliseconds for which rate limit updates to other dispatchers are batched.
+Milliseconds for which updates to other dispatchers, of what upstreams advertise, are batched.
 */
-export const RATE_LIMIT_UPDATE_MILLISECONDS = 100;
+export const UPDATE_MILLISECONDS = 100;
 
 /**
 Milliseconds after the last answer that advertised it for which a host reports a rate limit to dispatchers that it turns to.
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -20,7 +20,7 @@
 } from './constants.ts';
 import {orderDispatchers} from './dispatch-order.ts';
 import {startDirectory} from './directory.ts';
-import {sendRateLimits, startDispatching} from './dispatching.ts';
+import {sendUpdates, startDispatching} from './dispatching.ts';
 import {createEntryHosts, describeEntryHost} from './entry-hosts.ts';
 import type {FleetContext} from './context.ts';
 import {createInstanceStore} from './instance-store.ts';
@@ -181,7 +181,7 @@
 			dispatching.hearBelief(belief);
 			keepBeliefs();
 		},
-		[messages.METHODS.rateLimits]: dispatching.applyRateLimits,
+		[messages.METHODS.updates]: dispatching.applyUpdates,
 		[messages.METHODS.beliefs](beliefs: readonly messages.Belief[]) {
 			dispatching.hearBeliefs(beliefs);
 		},
@@ -198,7 +198,7 @@
 		onOpen({link: opened}) {
 			tellControls();
 			opened.notify(messages.METHODS.beliefs, dispatching.listBeliefs());
-			sendRateLimits(opened, dispatching);
+			sendUpdates(opened, dispatching);
 			void registry.catchUp(opened);
 		},
 		onLost: tellControls,
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -19,7 +19,7 @@
 	type GrantEnd,
 	type Holding,
 	METHODS,
-	type RateLimitUpdates,
+	type ServiceUpdates,
 } from './messages.ts';
 import {createRecentAskers, type RecentAskers} from './recent-askers.ts';
 import type {FleetSettings} from './settings.ts';
@@ -32,17 +32,17 @@
 	readonly cancel: (id: dispatch.AskId) => void;
 	readonly end: (end: GrantEnd) => void;
 	/**
-	The answer to a granted request advertises the requests a second that the upstream takes.
+	The answer to a granted request advertises something about its upstream.
 	*/
-	readonly recordRateLimit: (id: dispatch.AskId, ratePerSecond: number) => void;
+	readonly recordAdvertisements: (id: dispatch.AskId, advertisements: readonly core.Advertisement[]) => void;
 	/**
-	Applies rate limits that another host has learned.
+	Applies what another host has learned from answers.
 	*/
-	readonly applyRateLimits: (message: RateLimitUpdates) => void;
+	readonly applyUpdates: (message: ServiceUpdates) => void;
 	/**
-	Returns the rate limits in force, by service.
+	Returns all that upstreams advertise and that is in force, by service.
 	*/
-	readonly listRateLimits: () => readonly RateLimitUpdates[];
+	readonly listUpdates: () => readonly ServiceUpdates[];
 	readonly hold: (host: core.HostId, holding: Holding) => void;
 	/**
 	Takes what the dispatcher on another control host believes.
@@ -145,7 +145,18 @@
 			log.info(ratePerSecond === undefined ? 'Rate limit lifted.' : 'Rate limit changed.', {
 				service, upstream, ratePerSecond, ratePerSecondBefore,
 			});
-			peers.publishRateLimits();
+			peers.publishUpdates();
+		},
+		backoff({service, upstream, host, milliseconds}) {
+			metrics.count('closures', {service, cause: 'backoff'});
+			log.info('Host backs off.', {
+				service, upstream, host, milliseconds,
+			});
+		},
+		draining({service, upstream, host}) {
+			metrics.count('closures', {service, cause: 'draining'});
+			log.info('Upstream leaves.', {service, upstream, host});
+			peers.publishUpdates();
 		},
 	};
 
@@ -162,6 +173,8 @@
 			upstreams: upstreams.length,
 			suspended: upstreams.filter(upstream => upstream.isSuspended).length,
 			rateLimited: upstreams.filter(upstream => upstream.rateLimit !== undefined).length,
+			draining: upstreams.filter(upstream => upstream.isDraining).length,
+			backingOff: upstreams.filter(upstream => upstream.hostsBackingOff.includes(ask.host)).length,
 		});
 	};
 
@@ -226,6 +239,11 @@
 		dispatcher.setDoubt(service, upstream, doubt, now());
 	};
 
+	const applyUpdates = ({service, updates}: ServiceUpdates) => {
+		learn(service);
+		carryOut(dispatcher.applyUpdates(service, updates, now()));
+	};
+
 	const listBeliefs = () => known.values().flatMap(service => dispatcher.report(service, now())
 		.filter(({doubt}) => doubt > 0)
 		.map(({upstream, doubt}): Belief => ({service, upstream, doubt}))).toArray();
@@ -277,18 +295,15 @@
 
 			carryOut(dispatcher.end(id, {ending, milliseconds}, now()));
 		},
-		recordRateLimit(id, ratePerSecond) {
-			carryOut(dispatcher.recordRateLimit(id, ratePerSecond, now()));
-		},
-		applyRateLimits({service, updates}) {
-			learn(service);
-			dispatcher.applyRateLimits(service, updates, now());
+		recordAdvertisements(id, advertisements) {
+			carryOut(dispatcher.recordAdvertisements(id, advertisements, now()));
 		},
-		listRateLimits: () => dispatcher.listRateLimits(now()).entries().map(([service, updates]): RateLimitUpdates => ({service, updates})).toArray(),
-		hold(host, {service, places, rateLimits = []}) {
+		applyUpdates,
+		listUpdates: () => dispatcher.listUpdates(now()).entries().map(([service, updates]): ServiceUpdates => ({service, updates})).toArray(),
+		hold(host, {service, places, updates = []}) {
 			learn(service);
 			dispatcher.hold(host, service, places, now());
-			dispatcher.applyRateLimits(service, rateLimits, now());
+			applyUpdates({service, updates});
 			tickWhileBusy();
 		},
 		hearBelief,
@@ -348,10 +363,10 @@
 }
 
 /**
-Sends all rate limits that a dispatcher knows to another host.
+Sends all that a dispatcher knows of what upstreams advertise to another host.
 */
-export function sendRateLimits(over: link.Link, dispatching: Pick<Dispatching, 'listRateLimits'>): void {
-	for (const message of dispatching.listRateLimits()) {
-		over.notify(METHODS.rateLimits, message);
+export function sendUpdates(over: link.Link, dispatching: Pick<Dispatching, 'listUpdates'>): void {
+	for (const message of dispatching.listUpdates()) {
+		over.notify(METHODS.updates, message);
 	}
 }
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -31,7 +31,7 @@
 	EMPTY_TABLE,
 	lookUp,
 } from './directory-table.ts';
-import {sendRateLimits, startDispatching} from './dispatching.ts';
+import {sendUpdates, startDispatching} from './dispatching.ts';
 import {createKnowledge} from './knowledge.ts';
 import {startLoadMeter} from './load.ts';
 import * as messages from './messages.ts';
@@ -167,7 +167,7 @@
 		[messages.METHODS.answer]([ask, answer]: [number, ShortAnswer]) {
 			asking.hearAnswer(ask, answer);
 		},
-		[messages.METHODS.rateLimits]: own.applyRateLimits,
+		[messages.METHODS.updates]: own.applyUpdates,
 		[messages.METHODS.believe]: own.hearBelief,
 		[messages.METHODS.beliefNews]: own.hearBeliefNews,
 		[messages.METHODS.standbys](hosts: readonly StandbyHost[]) {
@@ -197,7 +197,7 @@
 			if (askers.count() > 0) {
 				// The control host was away, and this host dispatched for others meanwhile.
 				control.link.notify(messages.METHODS.beliefs, own.listBeliefs());
-				sendRateLimits(control.link, own);
+				sendUpdates(control.link, own);
 			}
 
 			knowledge.hearVersion(control, version);
--- a/packages/wagtailroute-fleet/src/held-places.ts
+++ b/packages/wagtailroute-fleet/src/held-places.ts
@@ -8,7 +8,7 @@
 import type * as link from 'wagtailroute-link';
 import type {OpenControl} from './control-links.ts';
 import {type Holding, METHODS} from './messages.ts';
-import type {AdvertisedLimits} from './advertised-limits.ts';
+import type {Advertisements} from './advertisements.ts';
 
 /**
 A place that was granted.
@@ -41,7 +41,7 @@
 	readonly find: (id: dispatch.AskId) => Held | undefined;
 	readonly count: () => number;
 	/**
-	Tells a dispatcher the places and rate limits of a service, if the last ask for it went elsewhere.
+	Tells a dispatcher the places of a service and what its upstreams advertised, if the last ask for it went elsewhere.
 	*/
 	readonly tell: (service: core.ServiceName, dispatcher: OpenControl) => void;
 };
@@ -51,7 +51,7 @@
 
 @param now Monotonic time in milliseconds.
 */
-export function createHeldPlaces(now: () => number, limits: Pick<AdvertisedLimits, 'list'>): HeldPlaces {
+export function createHeldPlaces(now: () => number, advertisements: Pick<Advertisements, 'list'>): HeldPlaces {
 	const places = new Map<dispatch.AskId, Held>();
 	const lastLinks = new Map<core.ServiceName, link.Link>();
 
@@ -83,8 +83,8 @@
 
 			lastLinks.set(service, dispatcher.link);
 			const held = places.values().filter(({ask}) => ask.service === service).map(place => describe(place)).toArray();
-			const rateLimits = limits.list(service);
-			dispatcher.link.notify(METHODS.hold, {service, places: held, ...rateLimits.length > 0 && {rateLimits}} satisfies Holding);
+			const updates = advertisements.list(service);
+			dispatcher.link.notify(METHODS.hold, {service, places: held, ...updates.length > 0 && {updates}} satisfies Holding);
 		},
 	};
 }
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -36,8 +36,8 @@
 	believe: 'dispatch.believe',
 	beliefNews: 'dispatch.belief-news',
 	beliefs: 'dispatch.beliefs',
-	rateLimit: 'dispatch.rate-limit',
-	rateLimits: 'dispatch.rate-limits',
+	advertised: 'dispatch.advertised',
+	updates: 'dispatch.updates',
 	use: 'allotments.use',
 	standbys: 'dispatch.standbys',
 	directory: 'fleet.directory',
@@ -161,17 +161,17 @@
 	readonly service: core.ServiceName;
 	readonly places: readonly dispatch.HeldPlace[];
 	/**
-	Rate limits that answers to the host advertised; absent: none.
+	What answers to the host advertised; absent: nothing.
 	*/
-	readonly rateLimits?: readonly dispatch.RateLimitUpdate[];
+	readonly updates?: readonly dispatch.UpstreamUpdate[];
 };
 
 /**
-Rate limits of a service's upstreams.
+What upstreams of a service advertised.
 */
-export type RateLimitUpdates = {
+export type ServiceUpdates = {
 	readonly service: core.ServiceName;
-	readonly updates: readonly dispatch.RateLimitUpdate[];
+	readonly updates: readonly dispatch.UpstreamUpdate[];
 };
 
 /**
--- a/packages/wagtailroute-fleet/src/peer-updates.ts
+++ b/packages/wagtailroute-fleet/src/peer-updates.ts
@@ -1,5 +1,5 @@
 /**
-Updates that the dispatcher of a host sends to others: suspensions, readmissions, rate limits, and grants within rate limits that a peer grants from as well.
+Updates that the dispatcher of a host sends to others: suspensions, readmissions, what upstreams advertise, and grants within rate limits that a peer grants from as well.
 
 Control hosts and the first standbys of a service may dispatch it next, so they get updates promptly. Hosts that ask need beliefs only in order to dispatch on
 their own, so theirs are batched.
@@ -7,9 +7,9 @@
 import type * as core from 'wagtailroute-core';
 import type * as dispatch from 'wagtailroute-dispatch';
 import * as utils from 'wagtailroute-utils';
-import {BELIEF_NEWS_MILLISECONDS, RATE_LIMIT_UPDATE_MILLISECONDS} from './constants.ts';
+import {BELIEF_NEWS_MILLISECONDS, UPDATE_MILLISECONDS} from './constants.ts';
 import type {FleetContext} from './context.ts';
-import {type Belief, METHODS, type RateLimitUpdates} from './messages.ts';
+import {type Belief, METHODS, type ServiceUpdates} from './messages.ts';
 
 /**
 Sends updates.
@@ -17,9 +17,9 @@
 export type PeerUpdates = {
 	readonly publishBelief: (belief: Belief) => void;
 	/**
-	Schedules the pending rate limit updates.
+	Schedules the pending updates of what upstreams advertise.
 	*/
-	readonly publishRateLimits: () => void;
+	readonly publishUpdates: () => void;
 	/**
 	Called for each grant: within a shared rate limit it has to be reported.
 	*/
@@ -30,7 +30,7 @@
 What sending updates depends on.
 */
 export type PeerUpdatesPlan = {
-	readonly dispatcher: Pick<dispatch.Dispatcher, 'isSharingRateLimits' | 'drainRateLimitUpdates'>;
+	readonly dispatcher: Pick<dispatch.Dispatcher, 'isSharingRateLimits' | 'drainUpdates'>;
 	/**
 	Returns the hosts that send requests of the service.
 	*/
@@ -78,9 +78,9 @@
 		pending.clear();
 	});
 
-	const publishRateLimits = utils.coalesce(schedule, RATE_LIMIT_UPDATE_MILLISECONDS, () => {
-		for (const [service, updates] of dispatcher.drainRateLimitUpdates(now())) {
-			notifySuccessors(service, METHODS.rateLimits, {service, updates} satisfies RateLimitUpdates);
+	const publishUpdates = utils.coalesce(schedule, UPDATE_MILLISECONDS, () => {
+		for (const [service, updates] of dispatcher.drainUpdates(now())) {
+			notifySuccessors(service, METHODS.updates, {service, updates} satisfies ServiceUpdates);
 		}
 	});
 
@@ -93,10 +93,10 @@
 			beliefs.set(upstream, belief);
 			notifyAskers();
 		},
-		publishRateLimits,
+		publishUpdates,
 		onGranted(service) {
 			if (dispatcher.isSharingRateLimits(service, now())) {
-				publishRateLimits();
+				publishUpdates();
 			}
 		},
 	};
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -156,12 +156,13 @@
 				})(),
 			};
 		},
-		hasAnother: ({excluded}) => knowledge.listCandidates(service.name).some(candidate => !excluded.has(candidate.upstream) && !candidate.isDraining),
+		hasAnother: ({excluded}) => knowledge.listCandidates(service.name)
+			.some(({upstream, isDraining}) => !excluded.has(upstream) && !isDraining && !asking.isClosed(upstream)),
 		begin: () => undefined,
-		recordRateLimit(target, ratePerSecond) {
+		recordAdvertisements(target, advertisements) {
 			const id = granted.get(target);
 			if (id !== undefined) {
-				asking.recordRateLimit(id, ratePerSecond);
+				asking.recordAdvertisements(id, advertisements);
 			}
 		},
 		end({target, ending, latencyMilliseconds, failure}) {
--- a/packages/wagtailroute-lab/src/__tests__/unit/lab.test.ts
+++ b/packages/wagtailroute-lab/src/__tests__/unit/lab.test.ts
@@ -131,6 +131,31 @@
 	});
 }
 
+const CLOSURES = `
+leaving:
+  - {share: 0.3, atSeconds: 4}
+`;
+
+/**
+All that they get is shed, and hosts are told to back off.
+*/
+const BACKOFFS = '  - {kind: shed, share: 0.4, everySeconds: 5, lengthSeconds: 4, failing: 1, backoffSeconds: 3}\n';
+
+/**
+Requests that the platform lets pass after a backoff has begun to bind a host.
+*/
+const MOST_IN_BACKOFF = 2;
+
+for (const {name, more} of LIMITED_DAYS) {
+	test(`hosts keep to what upstreams told them during ${name}`, async t => {
+		// Guards against dispatchers that replace each other, do not know what a host was told, and grant it all the same.
+		for (const day of await play(parse(BACKOFFS + CLOSURES + more), 'present', 5)) {
+			t.true(day.backoffArrivals <= MOST_IN_BACKOFF, `${day.backoffArrivals} requests in a backoff, ${MOST_IN_BACKOFF} allowed`);
+			t.is(day.leavingArrivals, 0, 'requests to an upstream that leaves');
+		}
+	});
+}
+
 const NO_FIGURES = Object.fromEntries(FIGURE_NAMES.map(name => [name, 0])) as lab.Figures;
 
 test('an estimate narrows with the sample, and a difference is paired', t => {
--- a/packages/wagtailroute-lab/src/backend.ts
+++ b/packages/wagtailroute-lab/src/backend.ts
@@ -6,6 +6,7 @@
 import type {Clock} from './clock.ts';
 import {drawExponential, type Luck} from './draws.ts';
 import type {
+	ScenarioLeaving,
 	ScenarioRateLimit,
 	ScenarioRoute,
 	ScenarioService,
@@ -27,6 +28,10 @@
 	readonly failing: number;
 	readonly times: number;
 	/**
+	Milliseconds for which a host whose request is shed is to send nothing more; 0 when it is not told.
+	*/
+	readonly backoffMilliseconds: number;
+	/**
 	Harms only requests from here.
 	*/
 	readonly failureDomain?: string;
@@ -54,17 +59,35 @@
 	readonly arrivals: number[];
 };
 
+/**
+What an upstream told a host: to send nothing for a while, or that it leaves.
+*/
+export type Closure = {
+	readonly kind: 'backoff' | 'draining';
+	readonly host: core.HostId;
+	/**
+	From when on it binds the host, and until when.
+	*/
+	readonly from: number;
+	readonly until: number;
+	/**
+	Requests of the host that arrived in that time.
+	*/
+	arrivals: number;
+};
+
 /**
 A request on its way to an upstream.
 */
 export type BackendRequest = {
 	readonly route: ScenarioRoute;
+	readonly host: core.HostId;
 	readonly failureDomain: string;
 	readonly luck: Luck;
 	/**
-	@param rateLimit Requests a second, if the answer advertises a limit.
+	@param advertisements What the answer advertises; empty without an answer.
 	*/
-	readonly end: (outcome: BackendOutcome, rateLimit?: number) => void;
+	readonly end: (outcome: BackendOutcome, advertisements: readonly core.Advertisement[]) => void;
 };
 
 /**
@@ -77,6 +100,7 @@
 	readonly slots: number;
 	readonly spells: readonly Spell[];
 	readonly rateLimits: readonly RateLimit[];
+	readonly closures: readonly Closure[];
 	/**
 	`draining`: serves, but must get nothing new. `gone`: refuses.
 	*/
@@ -100,6 +124,10 @@
 	readonly spells: readonly Spell[];
 	readonly rateLimits: readonly RateLimit[];
 	/**
+	From when on its answers say that it leaves, although its heartbeats do not.
+	*/
+	readonly leavingAt: number;
+	/**
 	Until when it works at half speed.
 	*/
 	readonly warmAt: number;
@@ -114,6 +142,11 @@
 Milliseconds in which an upstream resets or sheds.
 */
 const AT_ONCE = 1;
+
+/**
+Milliseconds after an answer from which on what it told binds its host.
+*/
+const BINDING_MILLISECONDS: Readonly<Record<Closure['kind'], number>> = {backoff: 500, draining: 2000};
 const COLD_TIMES = 2;
 const MILLISECONDS = 1000;
 const ERROR_PART = 0.8;
@@ -127,10 +160,11 @@
 Creates an upstream.
 */
 export function createBackend({
-	clock, id, service, failureDomain, spells, rateLimits, warmAt,
+	clock, id, service, failureDomain, spells, rateLimits, leavingAt, warmAt,
 }: BackendPlan): Backend {
 	const running = new Set<Work>();
 	const queue: Work[] = [];
+	const closures: Closure[] = [];
 
 	const getSpell = (from: string) => {
 		const now = clock.now();
@@ -142,6 +176,43 @@
 		return rateLimits.find(({from, until}) => from <= now && now < until);
 	};
 
+	const close = (kind: Closure['kind'], host: core.HostId, until: number) => {
+		closures.push({
+			kind, host, from: clock.now() + BINDING_MILLISECONDS[kind], until, arrivals: 0,
+		});
+	};
+
+	/**
+	Returns what an answer to a host advertises, and notes what binds the host from now on.
+	*/
+	const advertise = (outcome: BackendOutcome, {failureDomain: from, host}: BackendRequest): readonly core.Advertisement[] => {
+		const advertisements: core.Advertisement[] = [];
+		const rateLimit = findRateLimit();
+		if (rateLimit !== undefined) {
+			advertisements.push({kind: 'rate-limit', ratePerSecond: rateLimit.perSecond});
+		}
+
+		const milliseconds = outcome === 'shed' ? getSpell(from)?.backoffMilliseconds ?? 0 : 0;
+		if (milliseconds > 0) {
+			advertisements.push({kind: 'backoff', milliseconds});
+			close('backoff', host, clock.now() + milliseconds);
+		}
+
+		if (clock.now() >= leavingAt) {
+			advertisements.push({kind: 'draining'});
+			close('draining', host, Infinity);
+		}
+
+		return advertisements;
+	};
+
+	const noteArrival = ({host}: BackendRequest) => {
+		const now = clock.now();
+		for (const closure of closures) {
+			closure.arrivals += closure.host === host && closure.from < now && now < closure.until ? 1 : 0;
+		}
+	};
+
 	const leave = (work: Work) => {
 		work.cancel();
 		const isRunning = running.delete(work);
@@ -158,7 +229,7 @@
 	const endAfter = (work: Work, milliseconds: number, outcome: BackendOutcome) => {
 		work.cancel = clock.schedule(milliseconds, () => {
 			leave(work);
-			work.request.end(outcome, ANSWERS.has(outcome) ? findRateLimit()?.perSecond : undefined);
+			work.request.end(outcome, ANSWERS.has(outcome) ? advertise(outcome, work.request) : []);
 		});
 	};
 
@@ -195,11 +266,13 @@
 		slots: service.slots,
 		spells,
 		rateLimits,
+		closures,
 		state: 'serving',
 		take(request) {
 			const work: Work = {request, cancel: () => undefined};
 			noteSent(getSpell(request.failureDomain), request);
 			findRateLimit()?.arrivals.push(clock.now());
+			noteArrival(request);
 			if (backend.state === 'gone' || (running.size >= service.slots && queue.length >= service.queue)) {
 				endAfter(work, AT_ONCE, backend.state === 'gone' ? 'refused' : 'shed');
 			} else if (running.size < service.slots) {
@@ -252,6 +325,14 @@
 		}));
 }
 
+/**
+Draws when the answers of one upstream begin to say that it leaves; Infinity when they never do.
+*/
+export function drawLeaving(kinds: readonly ScenarioLeaving[], service: string, random: utils.Random): number {
+	const drawn = kinds.find(kind => (kind.service ?? service) === service && random() < kind.share);
+	return drawn === undefined ? Infinity : drawn.atSeconds * MILLISECONDS;
+}
+
 /**
 Draws the bad spells of one upstream over a day, in order of time.
 */
@@ -288,6 +369,7 @@
 				until: at + Math.min(every, length),
 				failing: kind.failing,
 				times: kind.times,
+				backoffMilliseconds: kind.backoffSeconds * MILLISECONDS,
 				...kind.isOneDomain && {failureDomain: failureDomains[utils.pickIndex(random, failureDomains.length)]!},
 				sent: 0,
 				sentUnrepeatable: 0,
--- a/packages/wagtailroute-lab/src/comparison.ts
+++ b/packages/wagtailroute-lab/src/comparison.ts
@@ -49,6 +49,8 @@
 	'falseSuspensions',
 	'resends',
 	'rateLimitExcess',
+	'backoffArrivals',
+	'leavingArrivals',
 	'microseconds',
 ];
 
--- a/packages/wagtailroute-lab/src/day.ts
+++ b/packages/wagtailroute-lab/src/day.ts
@@ -11,6 +11,7 @@
 import {
 	type Backend,
 	createBackend,
+	drawLeaving,
 	drawRateLimits,
 	drawSpells,
 	type Spell,
@@ -113,6 +114,7 @@
 		return this.#tally.finish({
 			spells: this.#backends.values().flatMap(({spells}) => spells).toArray(),
 			rateLimits: this.#backends.values().flatMap(({rateLimits}) => rateLimits).toArray(),
+			closures: this.#backends.values().flatMap(({closures}) => closures).toArray(),
 			cpuMicroseconds: user + system,
 		});
 	}
@@ -157,7 +159,7 @@
 		failureDomain: string,
 		{name, warmAt, random}: {readonly name: string; readonly warmAt: number; readonly random: utils.Random},
 	): void {
-		const {failureDomains, seconds, spells, rateLimits} = this.#scenario;
+		const {failureDomains, seconds, spells, rateLimits, leaving} = this.#scenario;
 		const drawn: readonly Spell[] = drawSpells(spells, {
 			service: service.name, seconds, failureDomains, random,
 		});
@@ -169,6 +171,7 @@
 			failureDomain,
 			spells: drawn,
 			rateLimits: drawRateLimits(rateLimits, service.name, this.#limitLuck),
+			leavingAt: drawLeaving(leaving, service.name, this.#limitLuck),
 			warmAt,
 		}));
 	}
@@ -243,6 +246,7 @@
 			clock: this.#clock,
 			random: this.#decisions,
 			arrival,
+			host: entry.id,
 			port: this.#getPort(entry.route, arrival, remaining),
 			deadlineAt: this.#clock.now() + Math.min(route.timeoutMilliseconds, remaining),
 			getWay: backend => backend.failureDomain === entry.failureDomain ? this.#scenario.nearMilliseconds : this.#scenario.farMilliseconds,
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -75,8 +75,8 @@
 	[fleet.METHODS.believe](dispatching, belief) {
 		dispatching.hearBelief(belief as fleet.Belief);
 	},
-	[fleet.METHODS.rateLimits](dispatching, updates) {
-		dispatching.applyRateLimits(updates as fleet.RateLimitUpdates);
+	[fleet.METHODS.updates](dispatching, updates) {
+		dispatching.applyUpdates(updates as fleet.ServiceUpdates);
 	},
 };
 
@@ -354,7 +354,7 @@
 				asking.hearAnswer(ask, answer);
 			},
 			[fleet.METHODS.believe]: own.hearBelief,
-			[fleet.METHODS.rateLimits]: own.applyRateLimits,
+			[fleet.METHODS.updates]: own.applyUpdates,
 			[fleet.METHODS.beliefNews]: own.hearBeliefNews,
 			...fleet.createAskMethods(own, askers.findByLink),
 		});
--- a/packages/wagtailroute-lab/src/scenario.ts
+++ b/packages/wagtailroute-lab/src/scenario.ts
@@ -80,6 +80,10 @@
 	*/
 	times: positive.default(4),
 	/**
+	Time for which a host whose request is shed in a shed spell is told to send nothing more.
+	*/
+	backoffSeconds: seconds.default(0),
+	/**
 	Harms only requests that come from one failure domain.
 	*/
 	isOneDomain: zod.boolean().default(false),
@@ -102,6 +106,18 @@
 	perSecond: positive,
 });
 
+const leavingSchema = zod.strictObject({
+	/**
+	Absent: all.
+	*/
+	service: zod.string().optional(),
+	/**
+	Part of the upstreams that leave.
+	*/
+	share,
+	atSeconds: seconds,
+});
+
 const faultSchema = zod.strictObject({
 	kind: zod.enum(['burst', 'control-away', 'control-frozen', 'controls-away', 'restart', 'paths', 'scale-in', 'release']),
 	atSeconds: seconds,
@@ -136,6 +152,10 @@
 	Rate limits that upstreams advertise in their answers.
 	*/
 	rateLimits: zod.array(rateLimitSchema).default([]),
+	/**
+	Upstreams whose answers say that they leave, while their heartbeats go on as before.
+	*/
+	leaving: zod.array(leavingSchema).default([]),
 	faults: zod.array(faultSchema).default([]),
 	callers: zod.strictObject({
 		/**
@@ -156,7 +176,7 @@
 	}),
 }).superRefine((scenario, context) => {
 	const names = new Set(scenario.services.map(({name}) => name));
-	const used = [...scenario.routes.flatMap(({services}) => services), ...[...scenario.spells, ...scenario.rateLimits].map(({service}) => service)];
+	const used = [...scenario.routes.flatMap(({services}) => services), ...[...scenario.spells, ...scenario.rateLimits, ...scenario.leaving].map(({service}) => service)];
 	const unknown = used.find(name => name !== undefined && !names.has(name));
 	if (unknown !== undefined) {
 		context.addIssue(`service ${unknown} is not described`);
@@ -177,6 +197,7 @@
 export type ScenarioRoute = Scenario['routes'][number];
 export type ScenarioSpell = Scenario['spells'][number];
 export type ScenarioRateLimit = Scenario['rateLimits'][number];
+export type ScenarioLeaving = Scenario['leaving'][number];
 export type ScenarioFault = Scenario['faults'][number];
 
 const FOLDER = path.join(import.meta.dirname, 'scenarios');
--- a/packages/wagtailroute-lab/src/sending.ts
+++ b/packages/wagtailroute-lab/src/sending.ts
@@ -21,6 +21,10 @@
 	readonly clock: Clock;
 	readonly random: utils.Random;
 	readonly arrival: Arrival;
+	/**
+	The entry host that serves the request.
+	*/
+	readonly host: core.HostId;
 	readonly port: proxy.ServicePort;
 	readonly deadlineAt: number;
 	/**
@@ -175,7 +179,7 @@
 	}
 
 	async #attempt(target: proxy.Target): Promise<AttemptEnd> {
-		const {clock, arrival, port, findBackend, getWay, isPathBad, ended} = this.#plan;
+		const {clock, arrival, host, port, findBackend, getWay, isPathBad, ended} = this.#plan;
 		const backend = findBackend(target.id);
 		const luck = arrival.lucks[Math.min(this.#count, arrival.lucks.length - 1)]!;
 		this.#tried.add(target.id);
@@ -203,11 +207,12 @@
 				giveUp = backend.take({
 					route: arrival.route,
 					failureDomain: arrival.failureDomain,
+					host,
 					luck,
-					end(outcome, rateLimit) {
+					end(outcome, advertisements) {
 						clock.schedule(way, () => {
-							if (rateLimit !== undefined) {
-								port.recordRateLimit?.(target, rateLimit);
+							if (advertisements.length > 0) {
+								port.recordAdvertisements?.(target, advertisements);
 							}
 
 							resolve(outcome);
--- a/packages/wagtailroute-lab/src/tally.ts
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -2,7 +2,7 @@
 What became of a day's requests, and the figures that policies are compared by.
 */
 import * as histograms from 'hdr-histogram-js';
-import type {RateLimit, Spell} from './backend.ts';
+import type {Closure, RateLimit, Spell} from './backend.ts';
 import type {Scenario, ScenarioRoute} from './scenario.ts';
 
 /**
@@ -60,6 +60,11 @@
 	*/
 	readonly rateLimitExcess: number;
 	/**
+	Most requests of a host that reached an upstream while the host was to send it nothing, after a backoff and after it said that it leaves.
+	*/
+	readonly backoffArrivals: number;
+	readonly leavingArrivals: number;
+	/**
 	Microseconds of processor time of the whole model for each request.
 	*/
 	readonly microseconds: number;
@@ -84,6 +89,7 @@
 export type UpstreamTallies = {
 	readonly spells: ReadonlyArray<Pick<Spell, 'from' | 'sent' | 'sentUnrepeatable' | 'lastSentAt'>>;
 	readonly rateLimits: readonly RateLimit[];
+	readonly closures: readonly Closure[];
 	readonly cpuMicroseconds: number;
 };
 
@@ -152,7 +158,7 @@
 		noteFalseSuspension() {
 			falseSuspensions++;
 		},
-		finish({spells, rateLimits, cpuMicroseconds}) {
+		finish({spells, rateLimits, closures, cpuMicroseconds}) {
 			const shares = windows.values().map(({owed, earned}) => earned / owed).toArray().toSorted((left, right) => left - right);
 			const worst = shares.slice(0, WORST_WINDOWS);
 			const worstSeconds = worst.reduce((sum, share) => sum + share, 0) / Math.max(1, worst.length);
@@ -184,12 +190,18 @@
 				falseSuspensions: falseSuspensions * 1000 / count,
 				resends: resends * 1000 / count,
 				rateLimitExcess: Math.max(0, ...rateLimits.map(rateLimit => countExcess(rateLimit))),
+				backoffArrivals: countMost(closures, 'backoff'),
+				leavingArrivals: countMost(closures, 'draining'),
 				microseconds: cpuMicroseconds / count,
 			};
 		},
 	};
 }
 
+function countMost(closures: readonly Closure[], kind: Closure['kind']): number {
+	return Math.max(0, ...closures.filter(closure => closure.kind === kind).map(({arrivals}) => arrivals));
+}
+
 /**
 Leaves out the time in which hosts may not have received the limit yet.
 */
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -213,9 +213,9 @@
 	readonly hasAnother: (choice: ChoiceRequest) => boolean;
 	readonly begin: (target: Target) => void;
 	/**
-	Called when the header section of an answer advertises how many requests a second the target takes.
+	Called when the header section of an answer advertises something about the target.
 	*/
-	readonly recordRateLimit?: (target: Target, ratePerSecond: number) => void;
+	readonly recordAdvertisements?: (target: Target, advertisements: readonly core.Advertisement[]) => void;
 	readonly end: (report: AttemptReport) => void;
 	readonly retry: RetryPort;
 };
--- a/packages/wagtailroute-proxy/src/sending.ts
+++ b/packages/wagtailroute-proxy/src/sending.ts
@@ -344,12 +344,13 @@
 	): void {
 		const {service, ports: {dialect}} = this.#context;
 		const isOfTarget = kind !== 'foreign' && kind !== 'misdirected' && target.kind === 'upstream';
-		for (const advertisement of isOfTarget ? dialect.readAdvertisements(status, received) : []) {
-			this.advertised.push({...advertisement, upstream: target.id});
-			if (advertisement.kind === 'rate-limit') {
-				service.recordRateLimit?.(target, advertisement.ratePerSecond);
-			}
+		const advertisements = isOfTarget ? dialect.readAdvertisements(status, received) : [];
+		if (advertisements.length === 0) {
+			return;
 		}
+
+		this.advertised.push(...advertisements.map(advertisement => ({...advertisement, upstream: target.id})));
+		service.recordAdvertisements?.(target, advertisements);
 	}
 
 	/**
