--- a/packages/wagtailroute-dispatch/src/__tests__/unit/advertisements.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/advertisements.test.ts
@@ -98,10 +98,10 @@
 	const dispatcher = createDispatcher([createCandidate('u'), createCandidate('v')]);
 	advertise(dispatcher, 'a', BACKOFF, 0);
 	advertise(dispatcher, 'b', DRAINING, 0);
-	const [leaving, ...others] = dispatcher.drainUpdates(0).get(SERVICE) ?? [];
-	t.is(leaving?.kind, 'draining');
+	const [draining, ...others] = dispatcher.flushUpdates(0).get(SERVICE) ?? [];
+	t.is(draining?.kind, 'draining');
 	t.deepEqual(others, []);
-	t.is(dispatcher.drainUpdates(0).size, 0);
+	t.is(dispatcher.flushUpdates(0).size, 0);
 });
 
 const WAITS = [
@@ -130,10 +130,10 @@
 
 const history = fc.record({
 	/**
-	Part of the answers that advertise something, and the part of these that tell of leaving.
+	Part of the answers that advertise something, and the part of these that tell of draining.
 	*/
 	part: fc.double({min: 0.05, max: 1, noNaN: true}),
-	leavingPart: fc.double({min: 0, max: 0.2, noNaN: true}),
+	drainingPart: fc.double({min: 0, max: 0.2, noNaN: true}),
 	backoffMilliseconds: fc.integer({min: 50, max: 3000}),
 	requests: fc.integer({min: 1, max: 4}),
 	seed: fc.integer({min: 1, max: 1_000_000}),
@@ -145,7 +145,7 @@
 Plays requests of all kinds from several hosts. Returns the grants at an upstream that was closed to the host.
 */
 function playHistory({
-	part, leavingPart, backoffMilliseconds, requests, seed,
+	part, drainingPart, backoffMilliseconds, requests, seed,
 }: History): readonly string[] {
 	const random = utils.createRandom(seed);
 	const dispatcher = createDispatcher(UPSTREAMS.map(upstream => createCandidate(upstream, {slots: 3})), {random});
@@ -169,8 +169,8 @@
 
 	const answer = ({id, host, upstream}: (typeof ends)[number], now: number) => {
 		const isAdvertising = random() < part;
-		const isLeaving = isAdvertising && random() < leavingPart;
-		if (isLeaving) {
+		const isDraining = isAdvertising && random() < drainingPart;
+		if (isDraining) {
 			closedUntil.set(`${host} ${upstream}`, Infinity);
 			grant(dispatcher.recordAdvertisements(id, [DRAINING], now), now);
 		} else if (isAdvertising) {
@@ -179,7 +179,7 @@
 			grant(dispatcher.recordAdvertisements(id, [{kind: 'backoff', milliseconds: backoffMilliseconds}], now), now);
 		}
 
-		grant(dispatcher.end(id, {ending: isAdvertising && !isLeaving ? 'shed' : 'success', milliseconds: 50}, now), now);
+		grant(dispatcher.end(id, {ending: isAdvertising && !isDraining ? 'shed' : 'success', milliseconds: 50}, now), now);
 	};
 
 	for (let step = 0; step < STEPS; step++) {
--- a/packages/wagtailroute-dispatch/src/__tests__/unit/rate-limits.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/rate-limits.test.ts
@@ -110,8 +110,8 @@
 	dispatcher.applyUpdates(SERVICE, [{
 		kind: 'rate-limit', upstream: LIMITED, ratePerSecond: 2, ageMilliseconds: 500, granted: 0,
 	}], 1000);
-	t.like(dispatcher.drainUpdates(1000).get(SERVICE), [{upstream: LIMITED, ratePerSecond: 3, ageMilliseconds: 100}]);
-	t.is(dispatcher.drainUpdates(1100).size, 0);
+	t.like(dispatcher.flushUpdates(1000).get(SERVICE), [{upstream: LIMITED, ratePerSecond: 3, ageMilliseconds: 100}]);
+	t.is(dispatcher.flushUpdates(1100).size, 0);
 });
 
 test('what no upstream takes within its rate limit is refused at once', t => {
@@ -246,7 +246,7 @@
 		}
 
 		for (const from of now % UPDATE_MILLISECONDS === 0 ? dispatchers : []) {
-			const sent = from.drainUpdates(now).get(SERVICE) ?? [];
+			const sent = from.flushUpdates(now).get(SERVICE) ?? [];
 			updates.push(...dispatchers.filter(to => to !== from).map(to => ({at: now + delay, to, updates: sent})));
 		}
 	}
--- a/packages/wagtailroute-dispatch/src/advertisements.ts
+++ b/packages/wagtailroute-dispatch/src/advertisements.ts
@@ -44,11 +44,11 @@
 			: [];
 	},
 	draining({name, unpublishedDraining}, {upstream, host}) {
-		if (upstream.isLeaving) {
+		if (upstream.isDraining) {
 			return [];
 		}
 
-		upstream.isLeaving = true;
+		upstream.isDraining = true;
 		unpublishedDraining.add(upstream.candidate.upstream);
 		return [{
 			kind: 'draining', service: name, upstream: upstream.candidate.upstream, host,
@@ -80,7 +80,7 @@
 		recordBackoff(upstream, host, now + remainingMilliseconds, now);
 	},
 	draining(_service, upstream) {
-		upstream.isLeaving = true;
+		upstream.isDraining = true;
 	},
 };
 
@@ -95,17 +95,17 @@
 Lists everything in force.
 */
 export function listUpdates({rateLimits, upstreams}: Service, now: number): readonly UpstreamUpdate[] {
-	const leaving = upstreams.values().filter(({isLeaving}) => isLeaving).map(({candidate}) => createDrainingUpdate(candidate.upstream)).toArray();
-	return [...rateLimits.list(now), ...leaving, ...upstreams.values().flatMap(upstream => listBackoffs(upstream, now))];
+	const draining = upstreams.values().filter(({isDraining}) => isDraining).map(({candidate}) => createDrainingUpdate(candidate.upstream)).toArray();
+	return [...rateLimits.list(now), ...draining, ...upstreams.values().flatMap(upstream => listBackoffs(upstream, now))];
 }
 
 /**
 Returns the updates for peers since the last call.
 */
-export function drainUpdates({rateLimits, unpublishedDraining}: Service, now: number): readonly UpstreamUpdate[] {
-	const leaving = unpublishedDraining.values().map(upstream => createDrainingUpdate(upstream)).toArray();
+export function flushUpdates({rateLimits, unpublishedDraining}: Service, now: number): readonly UpstreamUpdate[] {
+	const draining = unpublishedDraining.values().map(upstream => createDrainingUpdate(upstream)).toArray();
 	unpublishedDraining.clear();
-	return [...rateLimits.drainUpdates(now), ...leaving];
+	return [...rateLimits.flushUpdates(now), ...draining];
 }
 
 function createDrainingUpdate(upstream: core.UpstreamId): UpstreamUpdate {
--- a/packages/wagtailroute-dispatch/src/dispatcher-types.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher-types.ts
@@ -92,7 +92,7 @@
 	/**
 	Returns the updates for other dispatchers since the last call, by service.
 	*/
-	readonly drainUpdates: (now: number) => ReadonlyMap<core.ServiceName, readonly UpstreamUpdate[]>;
+	readonly flushUpdates: (now: number) => ReadonlyMap<core.ServiceName, readonly UpstreamUpdate[]>;
 	/**
 	Returns all that upstreams advertise and that is in force, by service.
 	*/
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -10,7 +10,7 @@
 import * as core from 'wagtailroute-core';
 import {
 	applyUpdate,
-	drainUpdates,
+	flushUpdates,
 	listUpdates,
 	recordAdvertisement,
 } from './advertisements.ts';
@@ -184,8 +184,8 @@
 		return this.#services.get(service)?.rateLimits.isShared(now) === true;
 	}
 
-	drainUpdates(now: number): ReadonlyMap<core.ServiceName, readonly UpstreamUpdate[]> {
-		return collectUpdates(this.#services.values(), service => drainUpdates(service, now));
+	flushUpdates(now: number): ReadonlyMap<core.ServiceName, readonly UpstreamUpdate[]> {
+		return collectUpdates(this.#services.values(), service => flushUpdates(service, now));
 	}
 
 	listUpdates(now: number): ReadonlyMap<core.ServiceName, readonly UpstreamUpdate[]> {
@@ -282,7 +282,7 @@
 			slots: upstream.candidate.slots,
 			doubt: getDoubt(upstream, now),
 			isSuspended: isSuspended(upstream, now),
-			isDraining: upstream.candidate.isDraining || upstream.isLeaving,
+			isDraining: upstream.candidate.isDraining || upstream.isDraining,
 			hostsBackingOff: listBackoffs(upstream, now).map(({host}) => host),
 			rateLimit: upstream.rateLimit?.getRatePerSecond(),
 		}));
--- a/packages/wagtailroute-dispatch/src/service-rate-limits.ts
+++ b/packages/wagtailroute-dispatch/src/service-rate-limits.ts
@@ -132,13 +132,13 @@
 	/**
 	Returns the updates since the last call.
 	*/
-	drainUpdates(now: number): readonly RateLimitUpdate[] {
+	flushUpdates(now: number): readonly RateLimitUpdate[] {
 		const updates: RateLimitUpdate[] = this.#lifted.values().map((upstream): RateLimitUpdate => ({
 			kind: 'rate-limit', upstream, ratePerSecond: null, ageMilliseconds: 0, granted: 0,
 		})).toArray();
 		this.#lifted.clear();
 		for (const [upstream, limit] of this.#limits) {
-			const {isRateChanged, granted} = limit.drainPending();
+			const {isRateChanged, granted} = limit.flushPending();
 			if (isRateChanged || granted > 0) {
 				updates.push(describe(upstream, limit, {granted, now}));
 			}
--- a/packages/wagtailroute-dispatch/src/upstream-rate-limit.ts
+++ b/packages/wagtailroute-dispatch/src/upstream-rate-limit.ts
@@ -156,7 +156,7 @@
 	/**
 	Returns what the peers have not received, and marks it as sent.
 	*/
-	drainPending(): PendingUpdate {
+	flushPending(): PendingUpdate {
 		const pending = this.#pending;
 		this.#pending = {isRateChanged: false, granted: 0};
 		return pending;
--- a/packages/wagtailroute-dispatch/src/upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -81,9 +81,9 @@
 	*/
 	isMisdirected: boolean;
 	/**
-	Its answers say that it leaves.
+	Its answers say so, whatever its heartbeats say.
 	*/
-	isLeaving: boolean;
+	isDraining: boolean;
 	/**
 	Absent when its answers advertise none.
 	*/
@@ -112,7 +112,7 @@
 		badPaths: new Map(),
 		backoffs: new Map(),
 		isMisdirected: false,
-		isLeaving: false,
+		isDraining: false,
 	};
 }
 
@@ -173,8 +173,8 @@
 /**
 Says whether it serves at all: it does not leave, and its address is its own.
 */
-export function isServing({candidate, isMisdirected, isLeaving}: Upstream): boolean {
-	return !candidate.isDraining && !isLeaving && !isMisdirected;
+export function isServing({candidate, isMisdirected, isDraining}: Upstream): boolean {
+	return !candidate.isDraining && !isDraining && !isMisdirected;
 }
 
 /**
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -155,7 +155,7 @@
 		},
 		draining({service, upstream, host}) {
 			metrics.count('closures', {service, cause: 'draining'});
-			log.info('Upstream leaves.', {service, upstream, host});
+			log.info('Upstream draining.', {service, upstream, host});
 			peers.publishUpdates();
 		},
 	};
--- a/packages/wagtailroute-fleet/src/peer-updates.ts
+++ b/packages/wagtailroute-fleet/src/peer-updates.ts
@@ -30,7 +30,7 @@
 What sending updates depends on.
 */
 export type PeerUpdatesPlan = {
-	readonly dispatcher: Pick<dispatch.Dispatcher, 'isSharingRateLimits' | 'drainUpdates'>;
+	readonly dispatcher: Pick<dispatch.Dispatcher, 'isSharingRateLimits' | 'flushUpdates'>;
 	/**
 	Returns the hosts that send requests of the service.
 	*/
@@ -79,7 +79,7 @@
 	});
 
 	const publishUpdates = utils.coalesce(schedule, UPDATE_MILLISECONDS, () => {
-		for (const [service, updates] of dispatcher.drainUpdates(now())) {
+		for (const [service, updates] of dispatcher.flushUpdates(now())) {
 			notifySuccessors(service, METHODS.updates, {service, updates} satisfies ServiceUpdates);
 		}
 	});
--- a/packages/wagtailroute-lab/src/__tests__/unit/lab.test.ts
+++ b/packages/wagtailroute-lab/src/__tests__/unit/lab.test.ts
@@ -132,7 +132,7 @@
 }
 
 const CLOSURES = `
-leaving:
+draining:
   - {share: 0.3, atSeconds: 4}
 `;
 
@@ -151,7 +151,7 @@
 		// Guards against dispatchers that replace each other, do not know what a host was told, and grant it all the same.
 		for (const day of await play(parse(BACKOFFS + CLOSURES + more), 'present', 5)) {
 			t.true(day.backoffArrivals <= MOST_IN_BACKOFF, `${day.backoffArrivals} requests in a backoff, ${MOST_IN_BACKOFF} allowed`);
-			t.is(day.leavingArrivals, 0, 'requests to an upstream that leaves');
+			t.is(day.drainingArrivals, 0, 'requests to an upstream that leaves');
 		}
 	});
 }
--- a/packages/wagtailroute-lab/src/backend.ts
+++ b/packages/wagtailroute-lab/src/backend.ts
@@ -6,7 +6,7 @@
 import type {Clock} from './clock.ts';
 import {drawExponential, type Luck} from './draws.ts';
 import type {
-	ScenarioLeaving,
+	ScenarioDraining,
 	ScenarioRateLimit,
 	ScenarioRoute,
 	ScenarioService,
@@ -126,7 +126,7 @@
 	/**
 	From when on its answers say that it leaves, although its heartbeats do not.
 	*/
-	readonly leavingAt: number;
+	readonly drainingAt: number;
 	/**
 	Until when it works at half speed.
 	*/
@@ -160,7 +160,7 @@
 Creates an upstream.
 */
 export function createBackend({
-	clock, id, service, failureDomain, spells, rateLimits, leavingAt, warmAt,
+	clock, id, service, failureDomain, spells, rateLimits, drainingAt, warmAt,
 }: BackendPlan): Backend {
 	const running = new Set<Work>();
 	const queue: Work[] = [];
@@ -198,7 +198,7 @@
 			close('backoff', host, clock.now() + milliseconds);
 		}
 
-		if (clock.now() >= leavingAt) {
+		if (clock.now() >= drainingAt) {
 			advertisements.push({kind: 'draining'});
 			close('draining', host, Infinity);
 		}
@@ -328,7 +328,7 @@
 /**
 Draws when the answers of one upstream begin to say that it leaves; Infinity when they never do.
 */
-export function drawLeaving(kinds: readonly ScenarioLeaving[], service: string, random: utils.Random): number {
+export function drawDraining(kinds: readonly ScenarioDraining[], service: string, random: utils.Random): number {
 	const drawn = kinds.find(kind => (kind.service ?? service) === service && random() < kind.share);
 	return drawn === undefined ? Infinity : drawn.atSeconds * MILLISECONDS;
 }
--- a/packages/wagtailroute-lab/src/comparison.ts
+++ b/packages/wagtailroute-lab/src/comparison.ts
@@ -50,7 +50,7 @@
 	'resends',
 	'rateLimitExcess',
 	'backoffArrivals',
-	'leavingArrivals',
+	'drainingArrivals',
 	'microseconds',
 ];
 
--- a/packages/wagtailroute-lab/src/day.ts
+++ b/packages/wagtailroute-lab/src/day.ts
@@ -11,7 +11,7 @@
 import {
 	type Backend,
 	createBackend,
-	drawLeaving,
+	drawDraining,
 	drawRateLimits,
 	drawSpells,
 	type Spell,
@@ -159,7 +159,7 @@
 		failureDomain: string,
 		{name, warmAt, random}: {readonly name: string; readonly warmAt: number; readonly random: utils.Random},
 	): void {
-		const {failureDomains, seconds, spells, rateLimits, leaving} = this.#scenario;
+		const {failureDomains, seconds, spells, rateLimits, draining} = this.#scenario;
 		const drawn: readonly Spell[] = drawSpells(spells, {
 			service: service.name, seconds, failureDomains, random,
 		});
@@ -171,7 +171,7 @@
 			failureDomain,
 			spells: drawn,
 			rateLimits: drawRateLimits(rateLimits, service.name, this.#limitLuck),
-			leavingAt: drawLeaving(leaving, service.name, this.#limitLuck),
+			drainingAt: drawDraining(draining, service.name, this.#limitLuck),
 			warmAt,
 		}));
 	}
--- a/packages/wagtailroute-lab/src/scenario.ts
+++ b/packages/wagtailroute-lab/src/scenario.ts
@@ -106,7 +106,7 @@
 	perSecond: positive,
 });
 
-const leavingSchema = zod.strictObject({
+const drainingSchema = zod.strictObject({
 	/**
 	Absent: all.
 	*/
@@ -155,7 +155,7 @@
 	/**
 	Upstreams whose answers say that they leave, while their heartbeats go on as before.
 	*/
-	leaving: zod.array(leavingSchema).default([]),
+	draining: zod.array(drainingSchema).default([]),
 	faults: zod.array(faultSchema).default([]),
 	callers: zod.strictObject({
 		/**
@@ -176,7 +176,7 @@
 	}),
 }).superRefine((scenario, context) => {
 	const names = new Set(scenario.services.map(({name}) => name));
-	const used = [...scenario.routes.flatMap(({services}) => services), ...[...scenario.spells, ...scenario.rateLimits, ...scenario.leaving].map(({service}) => service)];
+	const used = [...scenario.routes.flatMap(({services}) => services), ...[...scenario.spells, ...scenario.rateLimits, ...scenario.draining].map(({service}) => service)];
 	const unknown = used.find(name => name !== undefined && !names.has(name));
 	if (unknown !== undefined) {
 		context.addIssue(`service ${unknown} is not described`);
@@ -197,7 +197,7 @@
 export type ScenarioRoute = Scenario['routes'][number];
 export type ScenarioSpell = Scenario['spells'][number];
 export type ScenarioRateLimit = Scenario['rateLimits'][number];
-export type ScenarioLeaving = Scenario['leaving'][number];
+export type ScenarioDraining = Scenario['draining'][number];
 export type ScenarioFault = Scenario['faults'][number];
 
 const FOLDER = path.join(import.meta.dirname, 'scenarios');
--- a/packages/wagtailroute-lab/src/tally.ts
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -63,7 +63,7 @@
 	Most requests of a host that reached an upstream while the host was to send it nothing, after a backoff and after it said that it leaves.
 	*/
 	readonly backoffArrivals: number;
-	readonly leavingArrivals: number;
+	readonly drainingArrivals: number;
 	/**
 	Microseconds of processor time of the whole model for each request.
 	*/
@@ -191,7 +191,7 @@
 				resends: resends * 1000 / count,
 				rateLimitExcess: Math.max(0, ...rateLimits.map(rateLimit => countExcess(rateLimit))),
 				backoffArrivals: countMost(closures, 'backoff'),
-				leavingArrivals: countMost(closures, 'draining'),
+				drainingArrivals: countMost(closures, 'draining'),
 				microseconds: cpuMicroseconds / count,
 			};
 		},
