--- a/packages/wagtailroute-host/src/__tests__/unit/burn.test.ts
+++ b/packages/wagtailroute-host/src/__tests__/unit/burn.test.ts
@@ -3,6 +3,7 @@
 */
 import test from 'ava';
 import * as results from 'ts-results-es';
+import type * as proxy from 'wagtailroute-proxy';
 import type * as report from 'wagtailroute-report';
 import type {AdminRequest} from '../../admin-routes.ts';
 import {startBurn} from '../../burn.ts';
@@ -11,6 +12,18 @@
 const MINUTE = 60_000;
 const NAMES = ['a', 'b', 'c', 'd', 'e', 'f'] as const;
 const ENTRY = {name: 'archive', owner: 'owner', objective: {availability: 0.999, latencyMilliseconds: 100, windowDays: 28}};
+const NOTE: proxy.RequestNote = {
+	service: ENTRY.name,
+	outcome: 'ran',
+	status: 200,
+	requestClass: 'non-idempotent',
+	milliseconds: 1,
+	choosingMilliseconds: 0,
+	isCancelled: false,
+	attempts: 1,
+	advertised: [],
+	isForwarded: false,
+};
 
 type Name = (typeof NAMES)[number];
 
@@ -78,9 +91,7 @@
 
 	serve(name: Name, requests: number): void {
 		for (let request = 0; request < requests; request++) {
-			this.hosts.get(name)!.burn.note({
-				service: ENTRY.name, outcome: 'ran', status: 200, requestClass: 'non-idempotent', milliseconds: 1, choosingMilliseconds: 0, isCancelled: false, attempts: 1, advertised: [], isForwarded: false,
-			});
+			this.hosts.get(name)!.burn.note(NOTE);
 		}
 	}
 
@@ -196,11 +207,8 @@
 
 test('a request that another host forwarded is counted by that host alone', async t => {
 	const fleet = await createFleet();
-	const note = {
-		service: ENTRY.name, outcome: 'ran', status: 200, requestClass: 'non-idempotent', milliseconds: 1, choosingMilliseconds: 0, isCancelled: false, attempts: 1, advertised: [], isForwarded: false,
-	} as const;
-	fleet.hosts.get('a')!.burn.note(note);
-	fleet.hosts.get('b')!.burn.note({...note, isForwarded: true});
+	fleet.hosts.get('a')!.burn.note(NOTE);
+	fleet.hosts.get('b')!.burn.note({...NOTE, isForwarded: true});
 	t.is(await fleet.count('c'), 1);
 });
 
