Stop: the margin before the end of the time to stop is a tenth of it at most

Cause: 600 ms before the end the host gives up what is under way, whatever the time to stop; of 2 s that is nearly a third. Ruled out: an upstream or a path that broke, a kill. From 6 s on nothing changes.

--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -264,9 +264,10 @@
 export const ACCEPTING_PART = 0.48;
 
 /**
-Milliseconds before the end of the time to stop at which a stopping host gives up what is still under way.
+Milliseconds before the end of the time to stop at which a stopping host gives up what is still under way, and the part of that time that this is at most.
 */
 export const STOP_MARGIN_MILLISECONDS = 600;
+export const STOP_MARGIN_PART = 0.1;
 
 /**
 Usual times of its route after which a request that may be repeated is asked another place for: with work times that spread by half, one in
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -14,13 +14,11 @@
 import {createAsking} from './asking.ts';
 import {createBeginning} from './beginning.ts';
 import {
-	ACCEPTING_PART,
 	LOAD_STEP,
 	MILLISECONDS_PER_SECOND,
 	MOST_LINK_DELAY_MILLISECONDS,
 	RETAIN_MILLISECONDS,
 	STANDBY_EXTRA_RESENDS,
-	STOP_MARGIN_MILLISECONDS,
 	UPSTREAM_CONNECT_MILLISECONDS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
@@ -39,6 +37,7 @@
 import {createRouter} from './routing.ts';
 import type {ControlHost, EntrySettings, StandbyHost} from './settings.ts';
 import {createStandbys} from './standbys.ts';
+import {divideStop} from './stop-times.ts';
 
 /**
 A running entry host.
@@ -270,9 +269,9 @@
 			isStopping = true;
 			tellState();
 			log.info('Host stopping.', {inFlight: traffic.getInFlight()});
-			await timers.setTimeout(settings.stopMilliseconds * ACCEPTING_PART);
-			const limit = (settings.stopMilliseconds * (1 - ACCEPTING_PART)) - STOP_MARGIN_MILLISECONDS;
-			await Promise.race([traffic.drain(), timers.setTimeout(limit)]);
+			const {acceptingMilliseconds, drainingMilliseconds} = divideStop(settings.stopMilliseconds);
+			await timers.setTimeout(acceptingMilliseconds);
+			await Promise.race([traffic.drain(), timers.setTimeout(drainingMilliseconds)]);
 			log.info('Host stopped.', {inFlight: traffic.getInFlight()});
 			teardown();
 			await linkServer.close();
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/stop-times.ts
@@ -0,0 +1,29 @@
+/**
+How an entry host divides the time that it has to stop.
+*/
+import {ACCEPTING_PART, STOP_MARGIN_MILLISECONDS, STOP_MARGIN_PART} from './constants.ts';
+
+/**
+The parts of a stop, in milliseconds.
+*/
+export type StopTimes = {
+	/**
+	For which it takes new requests.
+	*/
+	readonly acceptingMilliseconds: number;
+	/**
+	After that, until it gives up what is still under way.
+	*/
+	readonly drainingMilliseconds: number;
+};
+
+/**
+Divides the time to stop.
+
+@param milliseconds From the request to stop until the process is killed.
+*/
+export function divideStop(milliseconds: number): StopTimes {
+	const acceptingMilliseconds = milliseconds * ACCEPTING_PART;
+	const margin = Math.min(STOP_MARGIN_MILLISECONDS, milliseconds * STOP_MARGIN_PART);
+	return {acceptingMilliseconds, drainingMilliseconds: milliseconds - acceptingMilliseconds - margin};
+}
