Failing tests: an organisation that floods gets more than its allotment while control hosts are lost

Callers see it as an organisation that is served beyond its bound, at the cost of others. The laboratory knows organisations now: their requests come beside those of the routes, may flood, and are counted over all hosts, with the real asking, dispatching and allotting. A control host that starts again may be reached by entry hosts one after the other.

--- a/packages/wagtailroute-fleet/src/allotting.ts
+++ b/packages/wagtailroute-fleet/src/allotting.ts
@@ -5,7 +5,6 @@
 import type * as core from 'wagtailroute-core';
 import type * as dispatch from 'wagtailroute-dispatch';
 import type * as generations from 'wagtailroute-generations';
-import type * as link from 'wagtailroute-link';
 import * as utils from 'wagtailroute-utils';
 import {createRequestShare} from './request-share.ts';
 import {ORGANISATION_LABELS_MOST, REFUSALS_TOLD_MILLISECONDS} from './constants.ts';
@@ -26,7 +25,10 @@
 	Gives back what was taken for an ask that was granted no place.
 	*/
 	readonly giveBack: (ask: dispatch.Ask) => void;
-	readonly hearUse: (news: allotments.UseNews, from: link.Link) => void;
+	/**
+	@param sender Stands for the host that tells it: times of one sender are compared with each other.
+	*/
+	readonly hearUse: (news: allotments.UseNews, sender: object) => void;
 };
 
 /**
@@ -102,8 +104,8 @@
 				ledger.giveBack(organisation, service, now());
 			}
 		},
-		hearUse(news, from) {
-			ledger.hearUse(news, {at: clocks.convert(from, news.at, now()), now: now()});
+		hearUse(news, sender) {
+			ledger.hearUse(news, {at: clocks.convert(sender, news.at, now()), now: now()});
 		},
 	};
 }
--- /dev/null
+++ b/packages/wagtailroute-lab/src/__tests__/unit/allotments.test.ts
@@ -0,0 +1,127 @@
+/**
+Histories of a fleet in virtual time in which organisations flood while dispatchers change: control hosts that are lost all at once and come back, entry
+hosts that dispatch meanwhile. The requests of each organisation are counted over all hosts.
+*/
+import test from 'ava';
+import * as fc from 'fast-check';
+import * as lab from '../../index.ts';
+
+type Flood = {
+	readonly atSeconds: number;
+	readonly forSeconds: number;
+	readonly times: number;
+};
+
+type Fault = {
+	readonly kind: 'controls-away' | 'control-away' | 'control-frozen';
+	readonly atSeconds: number;
+	readonly forSeconds: number;
+};
+
+type History = {
+	readonly seed: number;
+	readonly perSecond: number;
+	readonly floods: readonly Flood[];
+	readonly faults: readonly Fault[];
+	/**
+	Time within which entry hosts reach a control host that has started again.
+	*/
+	readonly reconnectSeconds: number;
+};
+
+const SECONDS = 14;
+
+/**
+An archive that gets six times the requests of the media service. Its upstreams have room for every request that an allotment lets pass.
+*/
+function createScenario({perSecond, floods, faults, reconnectSeconds}: History): lab.Scenario {
+	const work = {
+		meanMilliseconds: 100, spread: 0.3, tailShare: 0, tailTimes: 1,
+	};
+	const route = {
+		requestClass: 'non-idempotent', work, objectiveMilliseconds: 1000, deadlineMilliseconds: 2000, timeoutMilliseconds: 1500,
+		priority: 1, attempts: 1, worth: 1, lateWorth: 0.5, errorShare: 0,
+	};
+	return lab.parseScenario(JSON.stringify({
+		about: 'organisations that flood while dispatchers change',
+		seconds: SECONDS,
+		failureDomains: ['a', 'b', 'c'],
+		entryHostsPerDomain: 3,
+		controlHosts: 5,
+		nearMilliseconds: 0.2,
+		farMilliseconds: 1.4,
+		services: [
+			{
+				name: 'archive', upstreams: [30, 30, 30], slots: 4, queue: 12,
+			},
+			{
+				name: 'media', upstreams: [10, 10, 10], slots: 4, queue: 12,
+			},
+		],
+		routes: [
+			{
+				...route, name: 'transfer', services: ['archive'], perSecond: 12,
+			},
+			{
+				...route, name: 'merge', services: ['media'], perSecond: 2,
+			},
+		],
+		organisations: [
+			{
+				name: 'parish', perSecond, burst: perSecond, floods,
+			},
+			{name: 'museum', perSecond, burst: perSecond},
+		],
+		callers: {retries: 0},
+		faults,
+		reconnectSeconds,
+	})).unwrap();
+}
+
+async function play(history: History): Promise<lab.Figures> {
+	return lab.playDay(createScenario(history), lab.findVariant('present').unwrap(), history.seed);
+}
+
+const floods = fc.record({
+	atSeconds: fc.constantFrom(0, 1, 3), forSeconds: fc.constantFrom(4, 12), times: fc.constantFrom(3, 8),
+});
+
+const losses = fc.record({
+	kind: fc.constant('controls-away' as const), atSeconds: fc.constantFrom(0.5, 1.6, 2.8, 4), forSeconds: fc.constantFrom(0.1, 1, 2.5, 4, 7),
+});
+
+const others = fc.record({
+	kind: fc.constantFrom('controls-away' as const, 'control-away' as const, 'control-frozen' as const),
+	atSeconds: fc.constantFrom(6, 8, 9.5),
+	forSeconds: fc.constantFrom(0.1, 1, 3),
+});
+
+const histories: fc.Arbitrary<History> = fc.record({
+	seed: fc.integer({min: 1, max: 1_000_000}),
+	perSecond: fc.constantFrom(10, 30, 60),
+	floods: fc.tuple(floods),
+	faults: fc.tuple(losses, others),
+	reconnectSeconds: fc.constantFrom(0, 0.4, 1.2),
+});
+
+const HISTORIES = 20;
+const SEED = 20_261_203;
+
+test('an organisation that floods gets no more than its allotment while control hosts are lost, replaced and found again', async t => {
+	// Guards against dispatchers that each give out the whole allotment, and against hand-overs that forget what was admitted before.
+	await fc.assert(fc.asyncProperty(histories, async history => {
+		const {allotmentExcess} = await play(history);
+		t.true(allotmentExcess <= 0, `${allotmentExcess} beyond the allotment: ${JSON.stringify(history)}`);
+	}), {seed: SEED, numRuns: HISTORIES});
+});
+
+test('an organisation within its allotment is hardly ever refused in such histories', async t => {
+	// Guards against an allotment that is kept by giving out a part of it only.
+	const shares: number[] = [];
+	await fc.assert(fc.asyncProperty(histories, async history => {
+		const {refusedWithinAllotment} = await play(history);
+		shares.push(refusedWithinAllotment);
+	}), {seed: SEED, numRuns: HISTORIES});
+	const mean = shares.reduce((sum, share) => sum + share, 0) / shares.length;
+	t.true(mean <= 0.02, `${mean} refused`);
+});
--- a/packages/wagtailroute-lab/src/arrivals.ts
+++ b/packages/wagtailroute-lab/src/arrivals.ts
@@ -3,7 +3,7 @@
 */
 import * as utils from 'wagtailroute-utils';
 import {drawExponential, drawLuck, type Luck} from './draws.ts';
-import type {Scenario, ScenarioRoute} from './scenario.ts';
+import type {Scenario, ScenarioOrganisation, ScenarioRoute} from './scenario.ts';
 
 /**
 A request.
@@ -13,6 +13,10 @@
 	readonly at: number;
 	readonly route: ScenarioRoute;
 	readonly service: string;
+	/**
+	Absent: nobody's allotment counts.
+	*/
+	readonly organisation?: string;
 	readonly failureDomain: string;
 	/**
 	Chooses among the entry hosts of the failure domain, uniform in [0, 1).
@@ -30,15 +34,74 @@
 
 const ATTEMPTS_DRAWN = 4;
 const SIDE_SHARE = 0.1;
+
+/**
+Keeps the random numbers of organisations apart from those of routes.
+*/
+const ORGANISATIONS_SOURCE = 32_452_843;
 const MILLISECONDS = 1000;
 
 /**
 Draws the requests of a day, in order of time.
 */
 export function drawArrivals(scenario: Scenario, seed: number): readonly Arrival[] {
-	return scenario.routes
-		.flatMap((route, index) => drawRoute(scenario, route, utils.createRandom((seed * scenario.routes.length) + index + 1)))
-		.toSorted((left, right) => left.at - right.at);
+	const {routes, organisations} = scenario;
+	return [
+		...routes.flatMap((route, index) => drawRoute(scenario, route, utils.createRandom((seed * routes.length) + index + 1))),
+		...organisations.flatMap((organisation, index) => drawOrganisation(scenario, organisation, utils.createRandom((seed * ORGANISATIONS_SOURCE) + index))),
+	].toSorted((left, right) => left.at - right.at);
+}
+
+/**
+Draws the requests of an organisation, which uses the routes as all callers together do.
+*/
+function drawOrganisation(scenario: Scenario, organisation: ScenarioOrganisation, random: utils.Random): readonly Arrival[] {
+	const {name, perSecond, use, floods} = organisation;
+	const arrivals: Arrival[] = [];
+	const most = Math.max(1, ...floods.map(({times}) => times));
+	let at = 0;
+	for (;;) {
+		at += drawExponential(random, MILLISECONDS / (perSecond * use * most));
+		if (at >= scenario.seconds * MILLISECONDS) {
+			return arrivals;
+		}
+
+		if (random() >= getFlood(organisation, at) / most) {
+			continue;
+		}
+
+		const route = drawRouteByTraffic(scenario, random);
+		arrivals.push({
+			...drawArrival(scenario, route, random), id: `${name}-${arrivals.length}`, at, organisation: name,
+		});
+	}
+}
+
+/**
+Returns what an organisation sends as a multiple of the usual.
+*/
+function getFlood({floods}: ScenarioOrganisation, at: number): number {
+	const flood = floods.find(({atSeconds, forSeconds}) => at >= atSeconds * MILLISECONDS && at < (atSeconds + forSeconds) * MILLISECONDS);
+	return flood?.times ?? 1;
+}
+
+function drawRouteByTraffic({routes}: Scenario, random: utils.Random): ScenarioRoute {
+	let left = random() * routes.reduce((sum, {perSecond}) => sum + perSecond, 0);
+	return routes.find(({perSecond}) => {
+		left -= perSecond;
+		return left < 0;
+	}) ?? routes.at(-1)!;
+}
+
+function drawArrival(scenario: Scenario, route: ScenarioRoute, random: utils.Random): Omit<Arrival, 'id' | 'at'> {
+	return {
+		route,
+		service: drawService(route, random),
+		failureDomain: scenario.failureDomains[utils.pickIndex(random, scenario.failureDomains.length)]!,
+		entry: random(),
+		lucks: Array.from({length: ATTEMPTS_DRAWN}, () => drawLuck(random, route)),
+		retries: scenario.callers.retries,
+	};
 }
 
 function drawRoute(scenario: Scenario, route: ScenarioRoute, random: utils.Random): readonly Arrival[] {
@@ -55,14 +118,7 @@
 
 		// Drawn for those passed over too: a change of the load then keeps the luck of the others.
 		const arrival: Arrival = {
-			id: `${route.name}-${arrivals.length}`,
-			at,
-			route,
-			service: drawService(route, random),
-			failureDomain: scenario.failureDomains[utils.pickIndex(random, scenario.failureDomains.length)]!,
-			entry: random(),
-			lucks: Array.from({length: ATTEMPTS_DRAWN}, () => drawLuck(random, route)),
-			retries: scenario.callers.retries,
+			...drawArrival(scenario, route, random), id: `${route.name}-${arrivals.length}`, at,
 		};
 		if (random() < getRate(scenario, at, phase) / (most * (1 + scenario.wave.swing))) {
 			arrivals.push(arrival);
--- a/packages/wagtailroute-lab/src/comparison.ts
+++ b/packages/wagtailroute-lab/src/comparison.ts
@@ -51,6 +51,8 @@
 	'rateLimitExcess',
 	'backoffArrivals',
 	'drainingArrivals',
+	'allotmentExcess',
+	'refusedWithinAllotment',
 	'microseconds',
 ];
 
--- a/packages/wagtailroute-lab/src/day.ts
+++ b/packages/wagtailroute-lab/src/day.ts
@@ -242,6 +242,7 @@
 			return;
 		}
 
+		const startedAt = this.#clock.now();
 		const end = await serve({
 			clock: this.#clock,
 			random: this.#decisions,
@@ -255,6 +256,10 @@
 				this.#clock.now() < until && entries.has(entry.id) && backends.has(backend.id)),
 			ended: entry.ended,
 		});
+		if (arrival.organisation !== undefined) {
+			this.#tally.noteOrganisation(arrival.organisation, startedAt, end.kind === 'refused' || (end.kind === 'unserved' && end.cause === 'no-connection'));
+		}
+
 		if (mayComeBack && end.kind === 'refused') {
 			comeBack(Math.min(end.retryAfterMilliseconds, (arrival.at + route.deadlineMilliseconds - this.#clock.now()) / 3));
 		} else {
@@ -268,7 +273,7 @@
 		}
 
 		const routed = route({
-			host: 'lab', path: `/${arrival.route.name}/${arrival.service}`, method: 'GET', timeoutMilliseconds: remaining,
+			host: 'lab', path: `/${arrival.route.name}/${arrival.service}`, method: 'GET', timeoutMilliseconds: remaining, key: arrival.organisation,
 		} as proxy.CallerRequest);
 		utils.invariant('service' in routed, 'a scenario has a route for each of its requests');
 		return routed.service;
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -1,10 +1,11 @@
 /**
 The hosts of a fleet in virtual time: the real asking, routing and dispatching over virtual links.
 */
+import type * as allotments from 'wagtailroute-allotments';
 import type * as core from 'wagtailroute-core';
 import type * as dispatch from 'wagtailroute-dispatch';
 import * as fleet from 'wagtailroute-fleet';
-import type * as generations from 'wagtailroute-generations';
+import * as generations from 'wagtailroute-generations';
 import type * as link from 'wagtailroute-link';
 import type * as utils from 'wagtailroute-utils';
 import type {Arrival} from './arrivals.ts';
@@ -71,18 +72,24 @@
 	readonly parameters: unknown;
 };
 
-const MESSAGE_HANDLERS: Readonly<Record<string, (dispatching: fleet.Dispatching, parameters: unknown) => void>> = {
-	[fleet.METHODS.believe](dispatching, belief) {
+type MessageHandler = (control: Pick<Control, 'dispatching' | 'allotting'>, parameters: unknown, from: object) => void;
+
+const MESSAGE_HANDLERS: Readonly<Record<string, MessageHandler>> = {
+	[fleet.METHODS.believe]({dispatching}, belief) {
 		dispatching.hearBelief(belief as fleet.Belief);
 	},
-	[fleet.METHODS.updates](dispatching, updates) {
+	[fleet.METHODS.updates]({dispatching}, updates) {
 		dispatching.applyUpdates(updates as fleet.ServiceUpdates);
 	},
+	[fleet.METHODS.use]({allotting}, news, from) {
+		allotting.hearUse(news as allotments.UseNews, from);
+	},
 };
 
 type Control = {
 	readonly id: core.HostId;
 	readonly endpoint: Endpoint;
+	readonly allotting: fleet.Allotting;
 	readonly askers: ReturnType<typeof fleet.createAskers>;
 	readonly dispatching: fleet.Dispatching;
 };
@@ -104,6 +111,12 @@
 */
 const START_MILLISECONDS = 500;
 const DIAL_MILLISECONDS = 10;
+const MILLISECONDS_PER_SECOND = 1000;
+
+/**
+How the users' platform judges allotments.
+*/
+const ALLOTMENTS = {slack: 20, windowMilliseconds: 5000} as const;
 
 /**
 Starts the hosts.
@@ -115,12 +128,14 @@
 class VirtualFleet implements Fleet {
 	readonly #plan: FleetPlan;
 	readonly #generation: generations.Generation;
+	readonly #findOrganisation: generations.KeyFinder;
 	#controls: Control[] = [];
 	#entries: Entry[] = [];
 
 	constructor(plan: FleetPlan) {
 		this.#plan = plan;
 		this.#generation = createGeneration(plan.scenario);
+		this.#findOrganisation = generations.createKeyFinder(this.#generation);
 		this.#start();
 	}
 
@@ -216,10 +231,25 @@
 				entry.asking.loseDispatcher(old);
 			}
 
-			this.#connect(entry, control);
-			if (entry.askers.count() > 0) {
-				control.dispatching.hearBeliefs(entry.own.listBeliefs());
+			this.#reconnect(entry, control);
+		}
+	}
+
+	#reconnect(entry: Entry, control: Control): void {
+		const {clock, random, scenario} = this.#plan;
+		const connect = () => {
+			if (!this.#controls.includes(control)) {
+				return;
 			}
+
+			this.#connect(entry, control);
+			control.dispatching.hearBeliefs(entry.askers.count() > 0 ? entry.own.listBeliefs() : []);
+		};
+
+		if (scenario.reconnectSeconds === 0) {
+			connect();
+		} else {
+			clock.schedule(random() * scenario.reconnectSeconds * MILLISECONDS_PER_SECOND, connect);
 		}
 	}
 
@@ -244,8 +274,16 @@
 		};
 		const id = `control-${index}`;
 		const askers = fleet.createAskers();
+		const allotting = this.#startAllotting({
+			tellControls: message => {
+				if (endpoint.state === 'up') {
+					this.#tellControls(id, message);
+				}
+			},
+		});
 		const dispatching = this.#startDispatching({
 			askers,
+			allotting,
 			extra: scenario.budget.extra,
 			listStandbys: service => fleet.orderDispatchers(service, this.#listStandbys(), host => host).slice(0, fleet.STANDBYS_TOLD),
 			tellControls: message => {
@@ -256,29 +294,50 @@
 		register(methods, {
 			...fleet.createAskMethods(dispatching, askers.findByLink),
 			[fleet.METHODS.probe]: () => ({}),
+			...Object.fromEntries(Object.entries(MESSAGE_HANDLERS).map(([method, handle]): [string, link.LinkMethod] => [method, (parameters: never, over) => {
+				handle({dispatching, allotting}, parameters, over);
+			}])),
 		});
 		return {
-			id, endpoint, askers, dispatching,
+			id, endpoint, askers, dispatching, allotting,
 		};
 	}
 
+	#startAllotting({tellControls, countEntryHosts}: {
+		readonly tellControls: (message: Message) => void;
+		readonly countEntryHosts?: () => number;
+	}): fleet.Allotting {
+		const {clock, random, onSuspended} = this.#plan;
+		const allotting = fleet.startAllotting(createContext(clock, random, onSuspended), {
+			settings: ALLOTMENTS,
+			countEntryHosts,
+			tellControls(method, parameters) {
+				tellControls({method, parameters});
+			},
+		});
+		allotting.setOrganisations(this.#generation.organisations);
+		return allotting;
+	}
+
 	#listStandbys(): readonly core.HostId[] {
 		return this.#plan.variant.hasStandbys ? this.#entries.slice(0, fleet.STANDBYS_MOST).map(({id}) => id) : [];
 	}
 
 	#tellControls(from: core.HostId, {method, parameters}: Message): void {
 		const {clock, scenario} = this.#plan;
+		const sender = this.#controls.find(({id}) => id === from) ?? {};
 		clock.schedule(scenario.farMilliseconds, () => {
-			for (const {id, endpoint, dispatching} of this.#controls) {
-				if (id !== from && endpoint.state === 'up') {
-					MESSAGE_HANDLERS[method]?.(dispatching, parameters);
+			for (const control of this.#controls) {
+				if (control.id !== from && control.endpoint.state === 'up') {
+					MESSAGE_HANDLERS[method]?.(control, parameters, sender);
 				}
 			}
 		});
 	}
 
-	#startDispatching({askers, extra, listStandbys, tellControls, getState, onAnswer}: {
+	#startDispatching({askers, allotting, extra, listStandbys, tellControls, getState, onAnswer}: {
 		readonly askers: ReturnType<typeof fleet.createAskers>;
+		readonly allotting: fleet.Allotting;
 		readonly extra: number;
 		readonly listStandbys: (service: core.ServiceName) => readonly core.HostId[];
 		readonly tellControls: (message: Message) => void;
@@ -291,6 +350,7 @@
 		const {clock, random, scenario, variant, listCandidates, onSuspended} = this.#plan;
 		return fleet.startDispatching(createContext(clock, random, onSuspended), {
 			settings: {budget: {...scenario.budget, extra}, floor: scenario.floor, policy: variant.policy},
+			allotting,
 			listCandidates,
 			listStandbys,
 			notify(host, method, parameters) {
@@ -317,13 +377,21 @@
 		const askers = fleet.createAskers();
 		const controls: fleet.OpenControl[] = [];
 		const standbys: fleet.OpenControl[] = [];
+		const notifyControls = ({method, parameters}: Message) => {
+			for (const control of controls) {
+				control.link.notify(method, parameters);
+			}
+		};
+
+		const allotting = this.#startAllotting({tellControls: notifyControls, countEntryHosts: () => this.#entries.length});
 		const own = this.#startDispatching({
 			askers,
+			allotting,
 			extra: fleet.STANDBY_EXTRA_RESENDS,
 			listStandbys: () => [],
-			tellControls: message => {
+			tellControls(message) {
 				if (askers.count() > 0) {
-					this.#tellControls(id, message);
+					notifyControls(message);
 				}
 			},
 			getState: () => endpoint.state,
@@ -377,7 +445,7 @@
 				knowledge: {
 					getGeneration: () => this.#generation,
 					findRoute: (_host, path) => this.#generation.routes.find(({name}) => `/${name}` === path),
-					findOrganisation: () => undefined,
+					findOrganisation: key => this.#findOrganisation(key),
 					findService: name => this.#generation.services.find(service => service.name === name),
 					listCandidates,
 				},
--- a/packages/wagtailroute-lab/src/generation.ts
+++ b/packages/wagtailroute-lab/src/generation.ts
@@ -7,7 +7,7 @@
 /**
 Creates the catalogue of a scenario.
 */
-export function createGeneration({routes, services}: Scenario): generations.Generation {
+export function createGeneration({routes, services, organisations}: Scenario): generations.Generation {
 	return {
 		version: 1,
 		routes: routes.flatMap(route => route.services.map(service => ({
@@ -20,8 +20,14 @@
 			priority: route.priority,
 			attempts: route.attempts,
 			shares: [{service, weight: 1}],
+			isPublic: true,
 		}))),
 		services: services.map(({name}) => ({name, connectionsPerUpstream: 100, healthPath: '/'})),
+		...organisations.length > 0 && {
+			organisations: organisations.map(({name, perSecond, burst}) => ({
+				name, keys: [name], ratePerSecond: perSecond, burst,
+			})),
+		},
 		limits: {
 			headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1,
 		},
--- a/packages/wagtailroute-lab/src/scenario.ts
+++ b/packages/wagtailroute-lab/src/scenario.ts
@@ -118,6 +118,23 @@
 	atSeconds: seconds,
 });
 
+const organisationSchema = zod.strictObject({
+	name: zod.string(),
+	/**
+	Its allotment: requests a second, and requests beyond that which may come at once.
+	*/
+	perSecond: positive,
+	burst: zod.number().min(0),
+	/**
+	What it usually sends, as a part of its rate.
+	*/
+	use: positive.default(0.62),
+	/**
+	Times in which it sends so many times as much.
+	*/
+	floods: zod.array(zod.strictObject({atSeconds: seconds, forSeconds: positive, times: positive})).default([]),
+});
+
 const faultSchema = zod.strictObject({
 	kind: zod.enum(['burst', 'control-away', 'control-frozen', 'controls-away', 'restart', 'paths', 'scale-in', 'release']),
 	atSeconds: seconds,
@@ -156,7 +173,15 @@
 	Upstreams whose answers say that they leave, while their heartbeats go on as before.
 	*/
 	draining: zod.array(drainingSchema).default([]),
+	/**
+	Organisations with allotments, whose requests come beside those of the routes.
+	*/
+	organisations: zod.array(organisationSchema).default([]),
 	faults: zod.array(faultSchema).default([]),
+	/**
+	Time within which entry hosts reach a control host that has started again.
+	*/
+	reconnectSeconds: seconds.default(0),
 	callers: zod.strictObject({
 		/**
 		Times that a refused caller comes back.
@@ -198,6 +223,7 @@
 export type ScenarioSpell = Scenario['spells'][number];
 export type ScenarioRateLimit = Scenario['rateLimits'][number];
 export type ScenarioDraining = Scenario['draining'][number];
+export type ScenarioOrganisation = Scenario['organisations'][number];
 export type ScenarioFault = Scenario['faults'][number];
 
 const FOLDER = path.join(import.meta.dirname, 'scenarios');
--- a/packages/wagtailroute-lab/src/tally.ts
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -65,6 +65,14 @@
 	readonly backoffArrivals: number;
 	readonly drainingArrivals: number;
 	/**
+	Most requests of an organisation in five seconds beyond what may pass; negative where all are within.
+	*/
+	readonly allotmentExcess: number;
+	/**
+	Part of the requests of organisations that never flood that were refused.
+	*/
+	readonly refusedWithinAllotment: number;
+	/**
 	Microseconds of processor time of the whole model for each request.
 	*/
 	readonly microseconds: number;
@@ -78,6 +86,12 @@
 	@param askedAt When the caller first asked.
 	*/
 	readonly note: (route: ScenarioRoute, askedAt: number, fate: Fate) => void;
+	/**
+	An attempt of an organisation's caller was refused, or may have run.
+
+	@param at When the caller asked.
+	*/
+	readonly noteOrganisation: (name: string, at: number, isRefused: boolean) => void;
 	readonly noteResend: () => void;
 	readonly noteFalseSuspension: () => void;
 	readonly finish: (upstreams: UpstreamTallies) => Figures;
@@ -103,6 +117,13 @@
 const RATE_LIMIT_WINDOW_MILLISECONDS = 4000;
 const RATE_LIMIT_GRACE_MILLISECONDS = 1500;
 const MILLISECONDS = 1000;
+
+/**
+What an organisation may send beyond its rate and burst in a window: the users' bound.
+*/
+const ALLOTMENT_WINDOW_MILLISECONDS = 5000;
+const ALLOTMENT_OVER = 0.1;
+const ALLOTMENT_SLACK = 20;
 const CAUSES: readonly Cause[] = ['refused', 'hung', 'reset', 'error', 'no-connection', 'left'];
 
 /**
@@ -117,6 +138,7 @@
 	let count = 0;
 	let inTime = 0;
 	let late = 0;
+	const uses = new Map<string, {readonly at: number[]; refused: number}>(scenario.organisations.map(({name}) => [name, {at: [], refused: 0}]));
 	let resends = 0;
 	let falseSuspensions = 0;
 
@@ -152,6 +174,14 @@
 			inTime += fate.milliseconds <= route.objectiveMilliseconds ? 1 : 0;
 			late += fate.milliseconds <= route.objectiveMilliseconds ? 0 : 1;
 		},
+		noteOrganisation(name, at, isRefused) {
+			const use = uses.get(name)!;
+			if (isRefused) {
+				use.refused++;
+			} else {
+				use.at.push(at);
+			}
+		},
 		noteResend() {
 			resends++;
 		},
@@ -192,12 +222,53 @@
 				rateLimitExcess: Math.max(0, ...rateLimits.map(rateLimit => countExcess(rateLimit))),
 				backoffArrivals: countMost(closures, 'backoff'),
 				drainingArrivals: countMost(closures, 'draining'),
+				allotmentExcess: countAllotmentExcess(scenario, uses),
+				refusedWithinAllotment: getRefusedShare(scenario, uses),
 				microseconds: cpuMicroseconds / count,
 			};
 		},
 	};
 }
 
+type OrganisationUse = {
+	readonly at: readonly number[];
+	readonly refused: number;
+};
+
+function countAllotmentExcess({organisations}: Scenario, uses: ReadonlyMap<string, OrganisationUse>): number {
+	const excesses = organisations.map(({name, perSecond, burst}) => {
+		const at = uses.get(name)!.at.toSorted((left, right) => left - right);
+		const most = (((perSecond * ALLOTMENT_WINDOW_MILLISECONDS / MILLISECONDS) + burst) * (1 + ALLOTMENT_OVER)) + ALLOTMENT_SLACK;
+		return countInWindow(at, ALLOTMENT_WINDOW_MILLISECONDS) - most;
+	});
+	return organisations.length === 0 ? 0 : Math.max(...excesses);
+}
+
+/**
+Returns the most times within any window.
+
+@param times In order.
+*/
+function countInWindow(times: readonly number[], windowMilliseconds: number): number {
+	let most = 0;
+	let first = 0;
+	for (const [last, at] of times.entries()) {
+		while (at - times[first]! > windowMilliseconds) {
+			first++;
+		}
+
+		most = Math.max(most, last - first + 1);
+	}
+
+	return most;
+}
+
+function getRefusedShare({organisations}: Scenario, uses: ReadonlyMap<string, OrganisationUse>): number {
+	const quiet = organisations.filter(({floods}) => floods.length === 0).map(({name}) => uses.get(name)!);
+	const refused = quiet.reduce((sum, use) => sum + use.refused, 0);
+	return refused / Math.max(1, quiet.reduce((sum, use) => sum + use.at.length + use.refused, 0));
+}
+
 function countMost(closures: readonly Closure[], kind: Closure['kind']): number {
 	return Math.max(0, ...closures.filter(closure => closure.kind === kind).map(({arrivals}) => arrivals));
 }
