Allotments: each dispatcher gives out the share of the entry hosts that ask it, and past use is handed over

Cause, two parts of it. Entry hosts that dispatch gave out the part of the hosts that ask them, and a host that asks two of them for two services was counted by both, so two dispatchers gave out the whole rate each, and heard nothing of each other. And nothing was handed over: control hosts that had just started let accounts fill while entry hosts still dispatched, and knew nothing of what these, or they themselves before, had admitted. Ruled out: that the change to entry hosts alone does it (they begin with nearly nothing).

Now every entry host carries one part in as many of each bound and lends it to the dispatcher that it asks. A dispatcher that others may be asked beside (an entry host, a control host in its first window, one that hears of another dispatcher of its service) gives out the share of those that ask it, in rate, tokens and window. Who turns to another dispatcher tells it what its callers were admitted in the last window; hosts that may dispatch tell each other. The line of a refusal has the part.

--- a/packages/wagtailroute-allotments/src/account.ts
+++ b/packages/wagtailroute-allotments/src/account.ts
@@ -42,13 +42,17 @@
 	*/
 	readonly burstPart: number;
 	/**
-	Tokens beyond the burst.
+	Share of the entry hosts that this dispatcher speaks for, 0 to 1. It bounds the window, and is the part of what other dispatchers admit that is taken here.
 	*/
-	readonly extra: number;
+	readonly share: number;
 	/**
-	Use elsewhere is told here.
+	Share of the entry hosts that told what they were admitted before, 0 to 1: the burst is given out anew for these only, since what they have used of it is known.
 	*/
-	readonly isTold: boolean;
+	readonly toldShare: number;
+	/**
+	Tokens beyond the burst.
+	*/
+	readonly extra: number;
 	/**
 	All use in the last window is known here, so that the burst may be had again in each.
 	*/
@@ -69,7 +73,18 @@
 	Requests that were admitted here since the others were last heard.
 	*/
 	readonly #unsettled = new Map<core.ServiceName, number>();
+	/**
+	What was admitted here, or for the entry hosts that ask here before they did.
+	*/
 	readonly #window: UseWindow;
+	/**
+	What other dispatchers told.
+	*/
+	readonly #heardWindow: UseWindow;
+	/**
+	Share of the burst that was given out for what entry hosts told.
+	*/
+	#burstShare = 0;
 	#fadedAt: number;
 	#allotment: Allotment;
 	#extent: Extent;
@@ -79,7 +94,9 @@
 		this.#extent = extent;
 		this.#fadedAt = now;
 		this.#window = createUseWindow(extent.windowMilliseconds);
+		this.#heardWindow = createUseWindow(extent.windowMilliseconds);
 		this.#bucket = admission.createRateLimit(getRate(allotment, extent), now, {capacity: getCapacity(allotment, extent), tokens});
+		this.#addBurst(now);
 	}
 
 	setBounds(allotment: Allotment, extent: Extent, now: number): void {
@@ -90,6 +107,7 @@
 		this.#allotment = allotment;
 		this.#extent = extent;
 		this.#bucket.setRate(getRate(allotment, extent), now, getCapacity(allotment, extent));
+		this.#addBurst(now);
 	}
 
 	hasToken(now: number): boolean {
@@ -109,14 +127,22 @@
 	kept to the allotment by itself. News that were held up come together, and the tokens that they took have long come back: they count in the window only.
 	*/
 	hearUse(service: core.ServiceName, requests: number, {at, now}: {readonly at: number; readonly now: number}): void {
+		const {share} = this.#extent;
 		if (now - at < STALE_MILLISECONDS) {
 			const most = (getRate(this.#allotment, this.#extent) * UNTOLD_SECONDS * 2) + UNTOLD_MOST;
-			this.#bucket.takeToken(at, Math.min(requests, this.#bucket.getTokens(at) + most));
+			this.#bucket.takeToken(at, Math.min(requests * share, this.#bucket.getTokens(at) + most));
 		}
 
+		this.#heardWindow.add(requests, at);
+		this.#rememberUse(service, requests, at);
+	}
+
+	/**
+	Records what was admitted before this account began: it counts in the window, and the tokens that it took were never here.
+	*/
+	recordPast(service: core.ServiceName, requests: number, at: number): void {
 		this.#window.add(requests, at);
-		this.#fade(at);
-		add(this.#uses, service, requests);
+		this.#rememberUse(service, requests, at);
 	}
 
 	/**
@@ -131,10 +157,10 @@
 	}
 
 	/**
-	Returns the requests used in the last window.
+	Returns the requests used in the last window; of those that other dispatchers told, the share that this one speaks for.
 	*/
 	getUse(now: number): number {
-		return this.#window.count(now);
+		return this.#window.count(now) + (this.#heardWindow.count(now) * this.#extent.share);
 	}
 
 	/**
@@ -149,11 +175,30 @@
 	Returns the milliseconds until one more request may be admitted.
 	*/
 	getDelay(now: number): number {
-		return Math.max(this.#bucket.getDelay(1, now), this.#isWindowFull(now) ? this.#window.getDelay(now) : 0);
+		return Math.max(this.#bucket.getDelay(1, now), this.#isWindowFull(now) ? this.#getWindowDelay(now) : 0);
+	}
+
+	/**
+	Gives out the burst for entry hosts that have told their past since the last call. What they used of it counts in the window.
+	*/
+	#addBurst(now: number): void {
+		const {toldShare, burstPart} = this.#extent;
+		this.#bucket.takeToken(now, -Math.max(0, toldShare - this.#burstShare) * this.#allotment.burst * burstPart);
+		this.#burstShare = Math.max(this.#burstShare, toldShare);
+	}
+
+	#getWindowDelay(now: number): number {
+		const delays = [this.#window, this.#heardWindow].map(window => window.getDelay(now)).filter(delay => delay > 0);
+		return Math.min(...delays, this.#extent.windowMilliseconds);
 	}
 
 	#isWindowFull(now: number): boolean {
-		return this.#extent.isTold && this.#window.count(now) + 1 > getMost(this.#allotment, this.#extent);
+		return this.getUse(now) + 1 > getMost(this.#allotment, this.#extent);
+	}
+
+	#rememberUse(service: core.ServiceName, requests: number, at: number): void {
+		this.#fade(at);
+		add(this.#uses, service, requests);
 	}
 
 	#take(requests: number, now: number): void {
@@ -180,7 +225,8 @@
 }
 
 function isSameExtent(left: Extent, right: Extent): boolean {
-	return left.part === right.part && left.burstPart === right.burstPart && left.extra === right.extra && left.isWhole === right.isWhole;
+	return left.part === right.part && left.burstPart === right.burstPart && left.share === right.share && left.toldShare === right.toldShare
+		&& left.extra === right.extra && left.isWhole === right.isWhole;
 }
 
 function getRate(allotment: Allotment, extent: Extent): number {
@@ -191,10 +237,10 @@
 }
 
 /**
-Returns the requests of a whole window.
+Returns the requests of a window that may be given out; one at least, as for the tokens.
 */
-function getMost({ratePerSecond, burst}: Allotment, {extra, windowMilliseconds}: Extent): number {
-	return (ratePerSecond * windowMilliseconds / MILLISECONDS_PER_SECOND) + burst + extra;
+function getMost({ratePerSecond, burst}: Allotment, {share, extra, windowMilliseconds}: Extent): number {
+	return Math.max(1, ((ratePerSecond * windowMilliseconds / MILLISECONDS_PER_SECOND) + burst + extra) * share);
 }
 
 /**
--- a/packages/wagtailroute-allotments/src/allotments.ts
+++ b/packages/wagtailroute-allotments/src/allotments.ts
@@ -2,6 +2,16 @@
 The allotments of organisations at one dispatcher. Each service has its dispatcher, so an organisation that calls several services is
 admitted by several; each tells the others what it admitted, and takes what it is told from its own account.
 
+Who may give out which part of an allotment:
+
+- A control host that has heard of all use for a whole window gives out all of it, and the others that are asked for other services do so too: what
+  each admits is taken from the accounts of the others.
+- Any other dispatcher gives out the share of the entry hosts that ask it: an entry host, since others may be asked at the same time; a control host that has
+  started less than a window ago, since entry hosts may still be asked; and one that hears of another dispatcher of its own service. Of what it is told
+  it takes the same share from its accounts: the rest was admitted for the hosts that ask the others.
+- An entry host that turns to another dispatcher tells it what it was admitted in the last window. So a dispatcher that takes over does not admit the burst once
+  more, whoever was lost before.
+
 What can go wrong, and what it costs:
 
 - Two dispatchers admit the same tokens before they hear of each other. They owe them afterwards, so an organisation that floods gets more than its
@@ -9,8 +19,7 @@
 - Dispatchers are cut off from each other while entry hosts reach both. Told nothing, each would give out the whole rate. So whoever misses news of
   a service gives out only the part that its other services used before; the parts of both sides add up to the whole.
 - A dispatcher is lost. Its successor was told what it admitted, and speaks for its service from the first ask on, so nothing stays set aside.
-- Everything starts anew, or a dispatcher that was told nothing takes over. What was admitted before is unknown, so accounts begin nearly empty.
-- Many hosts dispatch, each for a few others. Each gives out no more than the part of the entry hosts that ask it.
+- Everything starts anew. What was admitted before is unknown, so accounts begin nearly empty.
 */
 import type * as core from 'wagtailroute-core';
 import {
@@ -38,6 +47,11 @@
 */
 export type Use = readonly [service: core.ServiceName, organisation: core.Organisation, requests: number];
 
+/**
+Requests that an entry host was admitted a while ago.
+*/
+export type PastUse = readonly [service: core.ServiceName, organisation: core.Organisation, requests: number, ageMilliseconds: number];
+
 /**
 What a dispatcher tells the others. A service without use is named all the same: its dispatcher can be heard.
 */
@@ -77,6 +91,10 @@
 		*/
 		readonly used: number;
 		/**
+		Part of the allotment that is given out here, 0 to 1.
+		*/
+		readonly part: number;
+		/**
 		Milliseconds since another dispatcher told its use; absent when none ever did.
 		*/
 		readonly ageMilliseconds?: number;
@@ -103,6 +121,12 @@
 	*/
 	readonly hearUse: (news: UseNews, time: {readonly at: number; readonly now: number}) => void;
 	/**
+	Takes all that an entry host was admitted by other dispatchers in the last window, before it asks here for the first time.
+
+	@param share Share of the entry hosts that this one is, 0 to 1.
+	*/
+	readonly takeOver: (uses: readonly PastUse[], share: number, now: number) => void;
+	/**
 	Returns what was not told yet, undefined when this dispatcher speaks for no service.
 	*/
 	readonly takeNews: (now: number) => UseNews | undefined;
@@ -118,11 +142,11 @@
 	readonly slack: number;
 	readonly windowMilliseconds: number;
 	/**
-	Returns the part of the fleet's requests that this dispatcher is asked for, 0 to 1.
+	Returns the share of the entry hosts that ask this dispatcher, 0 to 1.
 	*/
-	readonly getPart: (now: number) => number;
+	readonly getShare: (now: number) => number;
 	/**
-	This dispatcher hears of all use even while it is not asked.
+	This dispatcher hears of all use even while it is not asked, as control hosts do.
 	*/
 	readonly isTold: boolean;
 	/**
@@ -161,6 +185,10 @@
 	Since when this dispatcher has heard of all use.
 	*/
 	#knowsSince: number;
+	/**
+	Share of the entry hosts that have told what they were admitted before.
+	*/
+	#toldShare = 0;
 	#lastAskedAt: number;
 	#lastHeardAt: number | undefined;
 
@@ -203,6 +231,7 @@
 			retryAfterMilliseconds: Math.min(account.getDelay(now), this.#settings.windowMilliseconds),
 			ratePerSecond: allotment.ratePerSecond,
 			used: account.getUse(now),
+			part: this.#getExtent(account, now).part,
 			ageMilliseconds: this.#lastHeardAt === undefined ? undefined : now - this.#lastHeardAt,
 		};
 	}
@@ -235,6 +264,22 @@
 		}
 	}
 
+	takeOver(uses: readonly PastUse[], share: number, now: number): void {
+		this.#wake(now);
+		this.#toldShare += share;
+		for (const [service, organisation, requests, ageMilliseconds] of uses) {
+			const at = now - ageMilliseconds;
+			const allotment = this.#allotments.get(organisation);
+			// What was admitted later was told by the dispatcher that admitted it.
+			if (allotment === undefined || !(at <= this.#knowsSince + SILENT_MILLISECONDS)) {
+				continue;
+			}
+
+			this.#getAccount(allotment, now).recordPast(service, requests, at);
+			this.#expectNews(service, now);
+		}
+	}
+
 	takeNews(now: number): UseNews | undefined {
 		const services = this.#askedAt.entries().filter(([, askedAt]) => now - askedAt < ACTIVE_MILLISECONDS).map(([service]) => service).toArray();
 		const uses = this.#untold.entries()
@@ -245,17 +290,32 @@
 		return services.length === 0 && uses.length === 0 ? undefined : {at: now, services, uses};
 	}
 
+	#noteAsked(service: core.ServiceName, now: number): void {
+		this.#wake(now);
+		this.#askedAt.set(service, now);
+	}
+
 	/**
 	Others may have dispatched while this host was not asked and not told: what it holds is worth nothing then.
 	*/
-	#noteAsked(service: core.ServiceName, now: number): void {
+	#wake(now: number): void {
 		if (!this.#settings.isTold && now - this.#lastAskedAt > ACTIVE_MILLISECONDS) {
 			this.#accounts.clear();
+			this.#heardAt.clear();
+			this.#toldShare = 0;
 			this.#knowsSince = now;
 		}
 
 		this.#lastAskedAt = now;
-		this.#askedAt.set(service, now);
+	}
+
+	/**
+	Whoever dispatches a service that was used lately is to be heard soon, or counts as cut off.
+	*/
+	#expectNews(service: core.ServiceName, now: number): void {
+		if (!this.#heardAt.has(service)) {
+			this.#heardAt.set(service, now);
+		}
 	}
 
 	#noteUntold(service: core.ServiceName, organisation: core.Organisation, requests: number): number {
@@ -277,7 +337,8 @@
 
 		const extent = this.#getFullExtent(now);
 		const filled = this.#drawStart(extent) + ((now - this.#knowsSince) * allotment.ratePerSecond * extent.part / MILLISECONDS_PER_SECOND);
-		const account = new Account(allotment, extent, Math.min(getCapacity(allotment, extent), filled), now);
+		const tokens = Math.min(getCapacity(allotment, extent), filled);
+		const account = new Account(allotment, extent, tokens, now);
 		this.#accounts.set(allotment.organisation, account);
 		return account;
 	}
@@ -293,17 +354,30 @@
 	}
 
 	#getFullExtent(now: number): Extent {
-		const {slack, isTold, windowMilliseconds} = this.#settings;
+		const {slack, windowMilliseconds} = this.#settings;
+		const isWhole = this.#hearsAll(now);
+		const share = isWhole ? 1 : this.#settings.getShare(now);
 		return {
-			part: this.#settings.getPart(now),
+			part: share,
 			burstPart: 1,
+			share,
+			toldShare: isWhole ? 0 : Math.min(share, this.#toldShare),
 			extra: slack * SLACK_PART,
-			isTold,
-			isWhole: isTold && now - this.#knowsSince >= windowMilliseconds,
+			isWhole,
 			windowMilliseconds,
 		};
 	}
 
+	/**
+	Says whether this dispatcher has heard of all use for a window, and no other one is asked for its services.
+	*/
+	#hearsAll(now: number): boolean {
+		const {isTold, windowMilliseconds} = this.#settings;
+		const isContested = this.#askedAt.entries().some(([service, askedAt]) =>
+			now - askedAt < ACTIVE_MILLISECONDS && now - (this.#heardAt.get(service) ?? -Infinity) <= SILENT_MILLISECONDS);
+		return isTold && !isContested && now - this.#knowsSince >= windowMilliseconds;
+	}
+
 	#getExtent(account: Account, now: number): Extent {
 		const full = this.#getFullExtent(now);
 		const silent = this.#listSilent(now, SILENT_MILLISECONDS);
--- a/packages/wagtailroute-allotments/src/index.ts
+++ b/packages/wagtailroute-allotments/src/index.ts
@@ -7,6 +7,7 @@
 	type Allotments,
 	type AllotmentSettings,
 	createAllotments,
+	type PastUse,
 	type Use,
 	type UseNews,
 } from './allotments.ts';
--- a/packages/wagtailroute-dispatch/src/asks.ts
+++ b/packages/wagtailroute-dispatch/src/asks.ts
@@ -59,6 +59,13 @@
 	readonly isAgain?: boolean;
 };
 
+/**
+Says whether nobody had the request before.
+*/
+export function isFirst({isResend, isMove}: Ask): boolean {
+	return !isResend && !isMove;
+}
+
 /**
 Why an ask was refused. `allotment`: its organisation has used what it may.
 */
--- a/packages/wagtailroute-dispatch/src/index.ts
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -1,6 +1,7 @@
 /**
 Slots of backend servers, given out one request at a time.
 */
+export {isFirst} from './asks.ts';
 export type {
 	Ask,
 	AskId,
--- a/packages/wagtailroute-fleet/src/__tests__/unit/belief-store.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/belief-store.test.ts
@@ -54,6 +54,7 @@
 	// Cause: suspensions lived in the memory of the dispatcher alone.
 	const context = fixture.createFakeContext();
 	const dispatching = startDispatching(context, {
+		...fixture.ONLY_DISPATCHER,
 		settings: {budget: {ratio: 0.2, extra: 2, windowMilliseconds: 10_000}, floor: 0},
 		listCandidates: () => ['u', 'v'].map(upstream => ({
 			upstream, address: {ip: '10.0.0.1', port: 80}, failureDomain: 'x', slots: 1, isDraining: false, isSilent: false, warmAt: 0,
--- a/packages/wagtailroute-fleet/src/__tests__/unit/dispatching.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/dispatching.test.ts
@@ -21,6 +21,7 @@
 	const context = fixture.createFakeContext();
 	const told: Told[] = [];
 	const dispatching = startDispatching(context, {
+		...fixture.ONLY_DISPATCHER,
 		settings: {budget: {ratio: 0.2, extra: 2, windowMilliseconds: 10_000}, floor: 0},
 		listCandidates: () => UPSTREAMS.map((upstream, index) => ({
 			upstream,
--- a/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
@@ -9,6 +9,8 @@
 import * as utils from 'wagtailroute-utils';
 import type {AskDraft} from '../../asking.ts';
 import type {FleetContext} from '../../context.ts';
+import type {DispatchingPlan} from '../../dispatching.ts';
+import type {FleetSettings} from '../../settings.ts';
 
 /**
 What a request asks for.
@@ -26,6 +28,18 @@
 	waitedMilliseconds: 0,
 };
 
+/**
+What dispatching needs of a host whose dispatcher is the only one.
+*/
+export const ONLY_DISPATCHER: Pick<DispatchingPlan, 'requestShare' | 'isTold'> = {
+	requestShare: {record: () => undefined, get: () => 1, getOne: () => 1}, isTold: true,
+};
+
+/**
+How organisations' use is judged.
+*/
+export const ALLOTMENTS: FleetSettings['allotments'] = {slack: 20, windowMilliseconds: 5000};
+
 /**
 A route of uploads, whose heaviest share goes to the second service.
 */
--- a/packages/wagtailroute-fleet/src/allotting.ts
+++ b/packages/wagtailroute-fleet/src/allotting.ts
@@ -6,7 +6,7 @@
 import type * as dispatch from 'wagtailroute-dispatch';
 import type * as generations from 'wagtailroute-generations';
 import * as utils from 'wagtailroute-utils';
-import {createRequestShare} from './request-share.ts';
+import type {RequestShare} from './request-share.ts';
 import {ORGANISATION_LABELS_MOST, REFUSALS_TOLD_MILLISECONDS} from './constants.ts';
 import type {FleetContext} from './context.ts';
 import {type DecidedAnswer, METHODS} from './messages.ts';
@@ -26,6 +26,10 @@
 	*/
 	readonly giveBack: (ask: dispatch.Ask) => void;
 	/**
+	Takes all that an entry host was admitted by other dispatchers in the last window, before it asks here for the first time.
+	*/
+	readonly takeOver: (uses: readonly allotments.PastUse[]) => void;
+	/**
 	@param sender Stands for the host that tells it: times of one sender are compared with each other.
 	*/
 	readonly hearUse: (news: allotments.UseNews, sender: object) => void;
@@ -37,14 +41,17 @@
 export type AllottingPlan = {
 	readonly settings: FleetSettings['allotments'];
 	/**
-	Returns how many entry hosts serve callers, 0 when it is not known: a dispatcher that hears of no use elsewhere gives out only the part of those that
-	ask it. Absent for one that hears of all use.
+	Share of the entry hosts that ask this host's dispatcher: where others may be asked beside it, it gives out no more.
 	*/
-	readonly countEntryHosts?: () => number;
+	readonly requestShare: Pick<RequestShare, 'get' | 'getOne'>;
 	/**
-	Sends to the other control hosts.
+	This host hears of all use even while it is not asked, as control hosts do.
 	*/
-	readonly tellControls: (method: string, parameters: unknown) => void;
+	readonly isTold: boolean;
+	/**
+	Sends to the other hosts that may dispatch.
+	*/
+	readonly tellDispatchers: (method: string, parameters: unknown) => void;
 };
 
 /**
@@ -52,12 +59,11 @@
 */
 export function startAllotting(context: FleetContext, plan: AllottingPlan): Allotting {
 	const {now} = context;
-	const requestShare = plan.countEntryHosts && createRequestShare(plan.countEntryHosts);
 	const ledger = allotments.createAllotments({
 		...plan.settings,
-		isTold: requestShare === undefined,
+		isTold: plan.isTold,
 		random: context.random,
-		getPart: requestShare?.get ?? (() => 1),
+		getShare: plan.requestShare.get,
 	}, now());
 	const clocks = allotments.createSenderClocks();
 	const noteRefusal = createRefusalLog(context);
@@ -68,7 +74,7 @@
 			return;
 		}
 
-		plan.tellControls(METHODS.use, news);
+		plan.tellDispatchers(METHODS.use, news);
 		// Goes on until nothing was asked for a while: whoever misses it takes this host for cut off.
 		tellLater();
 	};
@@ -84,7 +90,6 @@
 				return undefined;
 			}
 
-			requestShare?.record(ask.host, now());
 			const admission = ledger.admit(ask.organisation, ask.service, now());
 			if (admission.kind === 'admitted') {
 				if (admission.isUrgent) {
@@ -104,6 +109,9 @@
 				ledger.giveBack(organisation, service, now());
 			}
 		},
+		takeOver(uses) {
+			ledger.takeOver(uses, plan.requestShare.getOne(), now());
+		},
 		hearUse(news, sender) {
 			ledger.hearUse(news, {at: clocks.convert(sender, news.at, now()), now: now()});
 		},
@@ -128,7 +136,7 @@
 		return labels.has(organisation) ? organisation : 'other';
 	};
 
-	return ({id, service, organisation = ''}, {ratePerSecond, used, ageMilliseconds, retryAfterMilliseconds}) => {
+	return ({id, service, organisation = ''}, {ratePerSecond, used, part, ageMilliseconds, retryAfterMilliseconds}) => {
 		context.metrics.count('allotment_refusals', {organisation: getLabel(organisation)});
 		const before = quiet.get(organisation);
 		if (before !== undefined && context.now() - before.loggedAt < REFUSALS_TOLD_MILLISECONDS) {
@@ -143,6 +151,7 @@
 			organisation,
 			ratePerSecond,
 			used: Math.round(used),
+			part: Number(part.toFixed(2)),
 			heardMillisecondsAgo: ageMilliseconds === undefined ? undefined : Math.round(ageMilliseconds),
 			retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
 			refusedBefore: before?.refusals ?? 0,
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -6,7 +6,7 @@
 are taken by others' requests and shed, never a wrong answer.
 */
 import type * as core from 'wagtailroute-core';
-import type * as dispatch from 'wagtailroute-dispatch';
+import * as dispatch from 'wagtailroute-dispatch';
 import type * as link from 'wagtailroute-link';
 import {
 	ASK_MILLISECONDS,
@@ -38,6 +38,7 @@
 import {type AskAnswer, type DecidedAnswer, METHODS} from './messages.ts';
 import {createHeldPlaces, type Held, type HeldPlaces} from './held-places.ts';
 import type {EntrySettings} from './settings.ts';
+import {createRecentUses, type RecentUses} from './recent-uses.ts';
 import type {Standbys} from './standbys.ts';
 
 /**
@@ -96,13 +97,17 @@
 What asking needs.
 */
 export type AskingPlan = {
-	readonly settings: Pick<EntrySettings, 'hostId' | 'failureDomain'>;
+	readonly settings: Pick<EntrySettings, 'hostId' | 'failureDomain' | 'allotments'>;
+	/**
+	Returns how many entry hosts serve callers, 0 when it is not known.
+	*/
+	readonly countEntryHosts: () => number;
 	readonly getControls: () => readonly OpenControl[];
 	readonly standbys: Pick<Standbys, 'getOpen' | 'open' | 'waitForOne' | 'isSelfNamed'>;
 	/**
 	The dispatcher of this host. What it decides later comes to `hearAnswer`.
 	*/
-	readonly own: Pick<Dispatching, 'ask' | 'cancel' | 'end' | 'recordAdvertisements' | 'applyUpdates'>;
+	readonly own: Pick<Dispatching, 'ask' | 'cancel' | 'end' | 'recordAdvertisements' | 'applyUpdates' | 'takeOver'>;
 	readonly isRetired: (upstream: core.UpstreamId) => boolean;
 	/**
 	Returns the milliseconds for which messages may wait behind large bodies on this host's own link.
@@ -141,6 +146,7 @@
 	readonly #pending = new Map<dispatch.AskId, Pending>();
 	readonly #held: HeldPlaces;
 	readonly #advertisements: Advertisements;
+	readonly #recentUses: RecentUses;
 	readonly #finder: DispatcherFinder;
 	readonly #routeNumbers = createRouteNumbers();
 	readonly #organisationNumbers = createOrganisationNumbers();
@@ -151,7 +157,10 @@
 		this.#context = context;
 		this.#plan = plan;
 		this.#advertisements = createAdvertisements(plan.settings.hostId, context.now);
-		this.#held = createHeldPlaces(context.now, this.#advertisements);
+		this.#recentUses = createRecentUses(context.now, plan.settings.allotments.windowMilliseconds);
+		this.#held = createHeldPlaces(context.now, {
+			advertisements: this.#advertisements, recentUses: this.#recentUses, countEntryHosts: plan.countEntryHosts,
+		});
 		this.#finder = createDispatcherFinder(context, {
 			self: plan.settings.hostId,
 			getControls: plan.getControls,
@@ -373,6 +382,11 @@
 		this.#context.metrics.count('asks_own', {reason});
 		this.#context.logs('dispatch').warn('Own dispatcher asked.', {id: ask.id, service: ask.service, reason});
 		this.#plan.own.applyUpdates({service: ask.service, updates: this.#advertisements.list(ask.service)});
+		const uses = this.#recentUses.takeUntold(this.#plan.own);
+		if (uses !== undefined) {
+			this.#plan.own.takeOver(uses);
+		}
+
 		const answer = this.#plan.own.ask({...ask, remainingMilliseconds});
 		this.#take(pending, answer.kind === 'elsewhere' ? NOBODY : answer);
 	}
@@ -403,11 +417,22 @@
 			}
 
 			this.#held.add(held);
+			this.#recordUse(held);
 		}
 
 		pending.resolve(answer.kind === 'grant' ? {...answer, id: ask.id} : answer);
 	}
 
+	/**
+	Only the first place of a request takes from its organisation's allotment.
+	*/
+	#recordUse({ask, dispatcher}: Held): void {
+		const {service, organisation} = ask;
+		if (organisation !== undefined && dispatch.isFirst(ask)) {
+			this.#recentUses.record({service, organisation, by: dispatcher?.link ?? this.#plan.own});
+		}
+	}
+
 	#giveBack(held: Held, cause: Closure | 'retired'): void {
 		const {ask, upstream} = held;
 		this.#context.metrics.count('places_given_back', {cause});
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -343,6 +343,17 @@
 */
 export const REQUEST_SHARE_WINDOW_MILLISECONDS = 1000;
 
+/**
+Slices of a window in which a host counts what its callers were admitted.
+*/
+export const RECENT_USE_SLICES = 20;
+
+/**
+Milliseconds for which the largest number of entry hosts that was told counts: callers keep an earlier answer of the directory three times as long as it
+says.
+*/
+export const ENTRY_HOST_COUNT_MILLISECONDS = 6000;
+
 /**
 Entry hosts that a fleet is taken to have while a host was not told how many there are: one that dispatches alone may give out one part in so
 many of what is limited over all of them.
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -20,7 +20,9 @@
 } from './constants.ts';
 import {orderDispatchers} from './dispatch-order.ts';
 import {startDirectory} from './directory.ts';
+import {countAddresses} from './directory-table.ts';
 import {sendUpdates, startDispatching} from './dispatching.ts';
+import {createHostCount} from './host-count.ts';
 import {createEntryHosts, describeEntryHost} from './entry-hosts.ts';
 import type {FleetContext} from './context.ts';
 import {createInstanceStore} from './instance-store.ts';
@@ -33,6 +35,7 @@
 } from './leader-calls.ts';
 import * as messages from './messages.ts';
 import {startRegistry} from './registry.ts';
+import {createRequestShare} from './request-share.ts';
 import type {ControlHost, ControlSettings, StandbyHost} from './settings.ts';
 import {chooseStandbys} from './standby-choice.ts';
 
@@ -87,15 +90,22 @@
 		},
 		store: createInstanceStore(settings.dataFolder, context.logs('instances')),
 	});
+	const hostCount = createHostCount(context.now, () => countAddresses(directory.getTable()));
+	const requestShare = createRequestShare(hostCount.get);
 	const allotting = startAllotting(context, {
 		settings: settings.allotments,
-		tellControls(method, parameters) {
+		requestShare,
+		isTold: true,
+		tellDispatchers(method, parameters) {
 			links.notifyAll(method, parameters);
 		},
 	});
 	const dispatching = startDispatching(context, {
 		settings,
 		allotting,
+		requestShare,
+		isTold: true,
+		onEntryHosts: hostCount.record,
 		listCandidates: registry.listCandidates,
 		listStandbys: service => orderDispatchers(service, standbys, host => host.id).slice(0, STANDBYS_TOLD).map(host => host.id),
 		notify(host, method, parameters) {
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -2,6 +2,7 @@
 The dispatcher of a host, as entry hosts ask it over their links. Every host has one: control hosts dispatch as long as they answer, entry
 hosts when none does.
 */
+import type * as allotments from 'wagtailroute-allotments';
 import type * as core from 'wagtailroute-core';
 import * as dispatch from 'wagtailroute-dispatch';
 import type * as link from 'wagtailroute-link';
@@ -9,7 +10,7 @@
 import {ASKER_MILLISECONDS, DISPATCH_TICK_MILLISECONDS} from './constants.ts';
 import {getAskNumber, shortenAnswer} from './ask-wire.ts';
 import type {Allotting} from './allotting.ts';
-import {createRequestShare} from './request-share.ts';
+import type {RequestShare} from './request-share.ts';
 import type {FleetContext} from './context.ts';
 import {createPeerUpdates} from './peer-updates.ts';
 import {
@@ -45,6 +46,10 @@
 	readonly listUpdates: () => readonly ServiceUpdates[];
 	readonly hold: (host: core.HostId, holding: Holding) => void;
 	/**
+	Takes what a host was admitted by other dispatchers, before it asks here for the first time.
+	*/
+	readonly takeOver: (uses: readonly allotments.PastUse[]) => void;
+	/**
 	Takes what the dispatcher on another control host believes.
 	*/
 	readonly hearBelief: (belief: Belief) => void;
@@ -77,14 +82,21 @@
 export type DispatchingPlan = {
 	readonly settings: Pick<FleetSettings, 'budget' | 'floor' | 'policy'>;
 	/**
-	Returns how many entry hosts serve callers, 0 when it is not known: a dispatcher that does not hear of the others grants its share of a rate limit only.
-	Absent for one that does.
+	Share of the entry hosts that ask here.
+	*/
+	readonly requestShare: RequestShare;
+	/**
+	This host hears of what others grant, as control hosts do. One that does not grants its share of a rate limit only.
 	*/
-	readonly countEntryHosts?: () => number;
+	readonly isTold: boolean;
 	/**
 	Absent: nothing bounds what an organisation sends.
 	*/
-	readonly allotting?: Pick<Allotting, 'admit' | 'giveBack'>;
+	readonly allotting?: Pick<Allotting, 'admit' | 'giveBack' | 'takeOver'>;
+	/**
+	A host told how many entry hosts serve callers.
+	*/
+	readonly onEntryHosts?: (hosts: number) => void;
 	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
 	/**
 	Returns the entry hosts that are told what this dispatcher believes although they send no requests of the service: they are next.
@@ -110,8 +122,8 @@
 export function startDispatching(context: FleetContext, plan: DispatchingPlan): Dispatching {
 	const {now, random, metrics} = context;
 	const log = context.logs('dispatch');
-	const requestShare = plan.countEntryHosts && createRequestShare(plan.countEntryHosts);
-	const dispatcher = dispatch.createDispatcher({...plan.settings, random, getShare: requestShare?.get});
+	const {requestShare} = plan;
+	const dispatcher = dispatch.createDispatcher({...plan.settings, random, getShare: plan.isTold ? undefined : requestShare.get});
 	const known = new Set<core.ServiceName>();
 	const askers = new Map<core.ServiceName, RecentAskers>();
 
@@ -183,13 +195,13 @@
 	dispatcher to the next asks at both. A resend took nothing.
 	*/
 	const giveBack = (ask: dispatch.Ask) => {
-		if (isFirst(ask)) {
+		if (dispatch.isFirst(ask)) {
 			plan.allotting?.giveBack(ask);
 		}
 	};
 
 	const noteAsker = ({service, host}: dispatch.Ask) => {
-		requestShare?.record(host, now());
+		requestShare.record(host, now());
 		const hosts = askers.get(service) ?? createRecentAskers(ASKER_MILLISECONDS);
 		askers.set(service, hosts);
 		hosts.note(host, now());
@@ -258,7 +270,7 @@
 				return {kind: 'elsewhere'};
 			}
 
-			const overdrawn = isFirst(ask) ? plan.allotting?.admit(ask) : undefined;
+			const overdrawn = dispatch.isFirst(ask) ? plan.allotting?.admit(ask) : undefined;
 			if (overdrawn !== undefined) {
 				return overdrawn;
 			}
@@ -300,12 +312,23 @@
 		},
 		applyUpdates,
 		listUpdates: () => dispatcher.listUpdates(now()).entries().map(([service, updates]): ServiceUpdates => ({service, updates})).toArray(),
-		hold(host, {service, places, updates = []}) {
+		hold(host, {service, places, updates = [], uses, entryHosts}) {
 			learn(service);
+			if (entryHosts !== undefined) {
+				plan.onEntryHosts?.(entryHosts);
+			}
+
+			if (uses !== undefined) {
+				plan.allotting?.takeOver(uses);
+			}
+
 			dispatcher.hold(host, service, places, now());
 			applyUpdates({service, updates});
 			tickWhileBusy();
 		},
+		takeOver(uses) {
+			plan.allotting?.takeOver(uses);
+		},
 		hearBelief,
 		hearBeliefNews(news) {
 			for (const belief of news) {
@@ -340,13 +363,6 @@
 	return effect.kind === 'grant' || effect.kind === 'refuse';
 }
 
-/**
-Says whether nobody had the request before.
-*/
-function isFirst({isResend, isMove}: dispatch.Ask): boolean {
-	return !isResend && !isMove;
-}
-
 /**
 Turns a decision into what the asking host is told.
 */
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -30,10 +30,12 @@
 	lookUp,
 } from './directory-table.ts';
 import {sendUpdates, startDispatching} from './dispatching.ts';
+import {createHostCount} from './host-count.ts';
 import {createKnowledge} from './knowledge.ts';
 import {startLoadMeter} from './load.ts';
 import * as messages from './messages.ts';
 import {createNoting} from './noting.ts';
+import {createRequestShare} from './request-share.ts';
 import {createRouter} from './routing.ts';
 import type {ControlHost, EntrySettings, StandbyHost} from './settings.ts';
 import {createStandbys} from './standbys.ts';
@@ -121,18 +123,24 @@
 		directory = Object.keys(table.addresses).length > 0 ? table : directory;
 	};
 
+	const hostCount = createHostCount(context.now, () => countAddresses(directory));
+	const requestShare = createRequestShare(hostCount.get);
 	const allotting = startAllotting(context, {
 		settings: settings.allotments,
-		countEntryHosts: () => countAddresses(directory),
-		tellControls(method, parameters) {
+		requestShare,
+		isTold: false,
+		tellDispatchers(method, parameters) {
 			links.notifyAll(method, parameters);
+			standbys.notifyAll(method, parameters);
 		},
 	});
 	const askers = createAskers();
 	const own = startDispatching(context, {
 		settings: {...settings, budget: {...settings.budget, extra: STANDBY_EXTRA_RESENDS}},
 		allotting,
-		countEntryHosts: () => countAddresses(directory),
+		requestShare,
+		isTold: false,
+		onEntryHosts: hostCount.record,
 		listCandidates: knowledge.listCandidates,
 		listStandbys: () => [],
 		notify(host, method, parameters) {
@@ -167,6 +175,7 @@
 			asking.hearAnswer(ask, answer);
 		},
 		[messages.METHODS.updates]: own.applyUpdates,
+		[messages.METHODS.use]: allotting.hearUse,
 		[messages.METHODS.believe]: own.hearBelief,
 		[messages.METHODS.beliefNews]: own.hearBeliefNews,
 		[messages.METHODS.standbys](hosts: readonly StandbyHost[]) {
@@ -218,6 +227,7 @@
 	});
 	const asking = createAsking(context, {
 		settings,
+		countEntryHosts: hostCount.get,
 		getControls: links.getOpen,
 		standbys,
 		own,
--- a/packages/wagtailroute-fleet/src/held-places.ts
+++ b/packages/wagtailroute-fleet/src/held-places.ts
@@ -9,6 +9,7 @@
 import type {OpenControl} from './control-links.ts';
 import {type Holding, METHODS} from './messages.ts';
 import type {Advertisements} from './advertisements.ts';
+import type {RecentUses} from './recent-uses.ts';
 
 /**
 A place that was granted.
@@ -41,17 +42,29 @@
 	readonly find: (id: dispatch.AskId) => Held | undefined;
 	readonly count: () => number;
 	/**
-	Tells a dispatcher the places of a service and what its upstreams advertised, if the last ask for it went elsewhere.
+	Tells a dispatcher the places of a service, what its upstreams advertised and what callers were admitted, if the last ask for it went elsewhere.
 	*/
 	readonly tell: (service: core.ServiceName, dispatcher: OpenControl) => void;
 };
 
+/**
+What a dispatcher is told beside the places.
+*/
+export type HeldPlacesPlan = {
+	readonly advertisements: Pick<Advertisements, 'list'>;
+	readonly recentUses: Pick<RecentUses, 'takeUntold'>;
+	/**
+	Returns how many entry hosts serve callers, 0 when it is not known.
+	*/
+	readonly countEntryHosts: () => number;
+};
+
 /**
 Creates an empty table.
 
 @param now Monotonic time in milliseconds.
 */
-export function createHeldPlaces(now: () => number, advertisements: Pick<Advertisements, 'list'>): HeldPlaces {
+export function createHeldPlaces(now: () => number, {advertisements, recentUses, countEntryHosts}: HeldPlacesPlan): HeldPlaces {
 	const places = new Map<dispatch.AskId, Held>();
 	const lastLinks = new Map<core.ServiceName, link.Link>();
 
@@ -84,7 +97,13 @@
 			lastLinks.set(service, dispatcher.link);
 			const held = places.values().filter(({ask}) => ask.service === service).map(place => describe(place)).toArray();
 			const updates = advertisements.list(service);
-			dispatcher.link.notify(METHODS.hold, {service, places: held, ...updates.length > 0 && {updates}} satisfies Holding);
+			const uses = recentUses.takeUntold(dispatcher.link);
+			dispatcher.link.notify(METHODS.hold, {
+				service,
+				places: held,
+				...updates.length > 0 && {updates},
+				...uses !== undefined && {uses, entryHosts: countEntryHosts()},
+			} satisfies Holding);
 		},
 	};
 }
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/host-count.ts
@@ -0,0 +1,52 @@
+/**
+How many entry hosts serve callers, for dispatchers that grant the share of those that ask them.
+
+Callers keep an earlier answer of the directory for a while, and a control host that has just started knows few entry hosts yet. Taken for all, those few would
+make the share of each dispatcher too large, so the largest number that was told lately counts.
+*/
+import {ENTRY_HOST_COUNT_MILLISECONDS} from './constants.ts';
+
+/**
+A number of entry hosts.
+*/
+export type HostCount = {
+	/**
+	@param hosts 0 when it is not known.
+	*/
+	readonly record: (hosts: number) => void;
+	/**
+	Returns the largest number of the last while; 0 when none is known.
+	*/
+	readonly get: () => number;
+};
+
+/**
+Creates a number that nothing is known of.
+
+@param now Monotonic time in milliseconds.
+@param countOwn Returns the number that this host knows at present.
+*/
+export function createHostCount(now: () => number, countOwn: () => number): HostCount {
+	/**
+	When each number was told last.
+	*/
+	const toldAt = new Map<number, number>();
+
+	const record = (hosts: number) => {
+		toldAt.set(hosts, now());
+	};
+
+	return {
+		record,
+		get() {
+			record(countOwn());
+			for (const [hosts, at] of toldAt) {
+				if (now() - at > ENTRY_HOST_COUNT_MILLISECONDS) {
+					toldAt.delete(hosts);
+				}
+			}
+
+			return Math.max(...toldAt.keys());
+		},
+	};
+}
--- a/packages/wagtailroute-fleet/src/index.ts
+++ b/packages/wagtailroute-fleet/src/index.ts
@@ -20,6 +20,7 @@
 export {orderDispatchers} from './dispatch-order.ts';
 export {type Dispatching, startDispatching} from './dispatching.ts';
 export {type Belief, METHODS, type ServiceUpdates} from './messages.ts';
+export {createRequestShare, type RequestShare} from './request-share.ts';
 export {createRouter, type Router} from './routing.ts';
 export {type Entry, startEntry} from './entry.ts';
 export type {LeaderFailure} from './leader-calls.ts';
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -1,6 +1,7 @@
 /**
 The messages between the hosts of a fleet, by method. Each is a JSON-RPC call or notification over a link.
 */
+import type * as allotments from 'wagtailroute-allotments';
 import type * as core from 'wagtailroute-core';
 import type * as dispatch from 'wagtailroute-dispatch';
 import type * as generations from 'wagtailroute-generations';
@@ -164,6 +165,14 @@
 	What answers to the host advertised; absent: nothing.
 	*/
 	readonly updates?: readonly dispatch.UpstreamUpdate[];
+	/**
+	All that the host's callers were admitted by other dispatchers in the last window; absent: it was told before, or is not known.
+	*/
+	readonly uses?: readonly allotments.PastUse[];
+	/**
+	Entry hosts that serve callers, as far as the host knows.
+	*/
+	readonly entryHosts?: number;
 };
 
 /**
--- a/packages/wagtailroute-fleet/src/request-share.ts
+++ b/packages/wagtailroute-fleet/src/request-share.ts
@@ -16,6 +16,10 @@
 	*/
 	readonly record: (host: core.HostId, now: number) => void;
 	readonly get: (now: number) => number;
+	/**
+	Returns the share of one host.
+	*/
+	readonly getOne: () => number;
 };
 
 /**
@@ -25,11 +29,14 @@
 */
 export function createRequestShare(countEntryHosts: () => number): RequestShare {
 	const askers = createRecentAskers(REQUEST_SHARE_WINDOW_MILLISECONDS);
+	const getOne = () => {
+		const hosts = countEntryHosts();
+		return 1 / (hosts === 0 ? UNKNOWN_ENTRY_HOSTS : hosts);
+	};
+
 	return {
 		record: askers.note,
-		get(now) {
-			const hosts = countEntryHosts();
-			return Math.min(1, Math.max(1, askers.count(now)) / (hosts === 0 ? UNKNOWN_ENTRY_HOSTS : hosts));
-		},
+		get: now => Math.min(1, Math.max(1, askers.count(now)) * getOne()),
+		getOne,
 	};
 }
--- a/packages/wagtailroute-fleet/src/standbys.ts
+++ b/packages/wagtailroute-fleet/src/standbys.ts
@@ -32,6 +32,7 @@
 	*/
 	readonly open: () => void;
 	readonly getOpen: () => readonly OpenControl[];
+	readonly notifyAll: (method: string, parameters: unknown) => void;
 	/**
 	Resolves once one of them is open; soon in any case.
 	*/
@@ -163,6 +164,11 @@
 			dialMissing();
 		},
 		getOpen,
+		notifyAll(method, parameters) {
+			for (const open of getOpen()) {
+				open.link.notify(method, parameters);
+			}
+		},
 		async waitForOne() {
 			if (dialed.size === 0 || getOpen().length > 0) {
 				return;
