--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -369,3 +369,13 @@
 Milliseconds between two log lines about refusals of one organisation.
 */
 export const REFUSALS_TOLD_MILLISECONDS = 1000;
+
+/**
+Milliseconds between two looks whether the process runs late.
+*/
+export const PAUSE_LOOK_MILLISECONDS = 1000;
+
+/**
+Milliseconds from which on a late timer is logged: a leader that is late by so much misses a heartbeat.
+*/
+export const PAUSE_MILLISECONDS = 200;
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -35,6 +35,7 @@
 } from './leader-calls.ts';
 import * as messages from './messages.ts';
 import {startRegistry} from './registry.ts';
+import {watchPauses} from './pauses.ts';
 import {createRequestShare} from './request-share.ts';
 import type {ControlHost, ControlSettings, StandbyHost} from './settings.ts';
 import {chooseStandbys} from './standby-choice.ts';
@@ -262,7 +263,7 @@
 	context.metrics.registerGauge('instances', registry.countInstances);
 	context.metrics.registerGauge('generation_version', getVersion);
 	log.info('Host started.', {address: core.formatAddress(settings.linkAddress), isFirstStart: settings.isFirstStart});
-	const teardown = utils.mergeTeardowns(registry.teardown, dispatching.teardown, directory.teardown, links.close);
+	const teardown = utils.mergeTeardowns(watchPauses(context), registry.teardown, dispatching.teardown, directory.teardown, links.close);
 	return {
 		takeHeartbeat(heartbeat) {
 			registry.take(heartbeat);
@@ -279,12 +280,17 @@
 			return proposed.map(() => undefined);
 		},
 		async putGeneration(stored) {
+			const startedAt = context.now();
 			const proposed = await proposeToLeader(calls, {name: 'put', stored});
-			log.info('Generation proposed.', {version: stored.generation.version, isTaken: proposed.isOk(), leader: group.getLeader()});
+			log.info('Generation proposed.', {
+				version: stored.generation.version, isTaken: proposed.isOk(), leader: group.getLeader(), milliseconds: Math.round(context.now() - startedAt),
+			});
 			return proposed;
 		},
 		async readGeneration() {
+			const startedAt = context.now();
 			const read = await readFromLeader(calls);
+			log.info('Generation read.', {isAnswered: read.isOk(), leader: group.getLeader(), milliseconds: Math.round(context.now() - startedAt)});
 			return read.map(document => document ?? undefined);
 		},
 		listAddresses: directory.listAddresses,
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -35,6 +35,7 @@
 import {startLoadMeter} from './load.ts';
 import * as messages from './messages.ts';
 import {createNoting} from './noting.ts';
+import {watchPauses} from './pauses.ts';
 import {createRequestShare} from './request-share.ts';
 import {createRouter} from './routing.ts';
 import type {ControlHost, EntrySettings, StandbyHost} from './settings.ts';
@@ -266,7 +267,7 @@
 	context.metrics.registerGauge('requests_in_flight', traffic.getInFlight);
 	context.metrics.registerGauge('generation_version', () => knowledge.getGeneration()?.version ?? 0);
 	log.info('Host started.', {traffic: core.formatAddress(settings.trafficAddress), seeds: settings.seeds.map(seed => seed.id)});
-	const teardown = utils.mergeTeardowns(links.close, standbys.teardown, own.teardown, meter.teardown);
+	const teardown = utils.mergeTeardowns(watchPauses(context), links.close, standbys.teardown, own.teardown, meter.teardown);
 	return {
 		isReady,
 		listAddresses(failureDomain, host) {
--- a/packages/wagtailroute-fleet/src/group.ts
+++ b/packages/wagtailroute-fleet/src/group.ts
@@ -70,6 +70,26 @@
 	let replicated = generations.createReplicatedGenerations();
 	let group: replication.Group | undefined;
 	let isClosed = false;
+	let loggedRole = '';
+
+	/**
+	The role is looked at rather than told: one that lasts shorter than a look has led nobody.
+	*/
+	const logRole = () => {
+		const status = group?.getStatus();
+		if (status === undefined) {
+			return;
+		}
+
+		const {role, term, leader} = status;
+		const text = `${role} ${term} ${leader}`;
+		if (text === loggedRole) {
+			return;
+		}
+
+		loggedRole = text;
+		log.info('Role changed.', {role, term, leader});
+	};
 
 	const announce = () => {
 		const stored = replicated.getStored();
@@ -171,6 +191,7 @@
 
 	void open();
 	const stopReconciling = context.repeat(RECONCILE_MILLISECONDS, () => {
+		logRole();
 		void reconcile();
 	});
 	const toNotLeader = (leader: core.HostId | null) => ({kind: 'not-leader', leader} as const);
