Links: elections, reads and confirmations of the catalogue do not wait behind other messages

Fault: at a busy control host every message waited for all that had come before it. After a restart of everything, hundreds of hosts greet, ask for lists and dispatch at once, and votes, appends and reads ran into their limits behind these. Now what may wait is handled in slices of 5 ms, and between two slices the loop reads all connections; what elections, reads, changes, versions and leaving upstreams hang on is handled as it comes. A link that has 512 messages waiting is not read until half of them are handled, so that its sender waits as before.

Test: an urgent call behind 400 messages of 1 ms, on the same link and on another one; before, all 400 were handled first; now less than 100.

--- a/packages/wagtailroute-fleet/src/control-links.ts
+++ b/packages/wagtailroute-fleet/src/control-links.ts
@@ -15,7 +15,12 @@
 	REPORT_MILLISECONDS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
-import {type Hello, METHODS, type Welcome} from './messages.ts';
+import {
+	type Hello,
+	METHODS,
+	URGENT_METHODS,
+	type Welcome,
+} from './messages.ts';
 import type {ControlHost} from './settings.ts';
 
 /**
@@ -124,6 +129,7 @@
 			dialer: link.startDialer({
 				address: host.address,
 				methods: plan.methods,
+				urgent: URGENT_METHODS,
 				now,
 				random,
 				// A seed's failure domain is known from its first answer on.
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -243,6 +243,7 @@
 	const server = await link.openLinkServer({
 		address: settings.linkAddress,
 		methods,
+		urgent: messages.URGENT_METHODS,
 		now: context.now,
 		onClose(closed) {
 			registry.unfollow(closed);
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -238,6 +238,7 @@
 	const linkServer = await link.openLinkServer({
 		address: settings.linkAddress,
 		methods,
+		urgent: messages.URGENT_METHODS,
 		now: context.now,
 		onClose(closed) {
 			askers.remove(closed);
--- a/packages/wagtailroute-fleet/src/standbys.ts
+++ b/packages/wagtailroute-fleet/src/standbys.ts
@@ -16,7 +16,11 @@
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
 import type {OpenControl} from './control-links.ts';
-import {type Hello, METHODS} from './messages.ts';
+import {
+	type Hello,
+	METHODS,
+	URGENT_METHODS,
+} from './messages.ts';
 import type {StandbyHost} from './settings.ts';
 
 /**
@@ -106,6 +110,7 @@
 			dialer: link.startDialer({
 				address: host.address,
 				methods: plan.methods,
+				urgent: URGENT_METHODS,
 				now,
 				random,
 				pingMilliseconds: () => FAR_PING_MILLISECONDS,
--- a/packages/wagtailroute-link/src/__tests__/unit/link.test.ts
+++ b/packages/wagtailroute-link/src/__tests__/unit/link.test.ts
@@ -197,3 +197,63 @@
 	await waitUntil(() => opened === 2);
 	t.true(dialer.getLink()?.isOpen());
 });
+
+const ORDINARY_MESSAGES = 400;
+const BUSY_MILLISECONDS = 1;
+
+function keepBusy(milliseconds: number): void {
+	const until = now() + milliseconds;
+	while (now() < until) {
+		// A handler that computes.
+	}
+}
+
+const LANES = [
+	{name: 'on its own link', isOwnLink: true},
+	{name: 'on the link that the others came over', isOwnLink: false},
+] as const;
+
+for (const {name, isOwnLink} of LANES) {
+	test(`an urgent call ${name} is answered before ordinary messages that came earlier`, async t => {
+		// Guards against a group of replicas that elects nobody, and reads that nobody answers, while hosts that start send more than a process can handle.
+		let handled = 0;
+		const server = await link.openLinkServer({
+			address: LOOPBACK,
+			methods: new Map<string, link.LinkMethod>([['work', () => {
+				handled++;
+				keepBusy(BUSY_MILLISECONDS);
+			}], ['vote', () => handled]]),
+			urgent: new Set(['vote']),
+			now,
+			onClose: () => undefined,
+			onDefect: () => undefined,
+		});
+		const dial = async () => {
+			const {promise, resolve} = Promise.withResolvers<link.Link>();
+			const dialer = link.startDialer({
+				address: server.address,
+				methods: METHODS,
+				now,
+				random: () => 0.5,
+				pingMilliseconds: () => 100,
+				onOpen: resolve,
+				onClose: () => undefined,
+				onDefect: () => undefined,
+			});
+			t.teardown(() => {
+				dialer.close();
+			});
+			return promise;
+		};
+
+		t.teardown(server.close);
+		const [ordinary, other] = [await dial(), await dial()];
+		for (let message = 0; message < ORDINARY_MESSAGES; message++) {
+			ordinary.notify('work', {message});
+		}
+
+		const answer = await (isOwnLink ? other : ordinary).call('vote', {}, 60_000);
+		t.true(answer.unwrap() as number < ORDINARY_MESSAGES / 4, `${answer.unwrap() as number} were handled before`);
+		await waitUntil(() => handled === ORDINARY_MESSAGES);
+	});
+}
--- a/packages/wagtailroute-link/src/constants.ts
+++ b/packages/wagtailroute-link/src/constants.ts
@@ -73,3 +73,13 @@
 twice as long for 2% less.
 */
 export const PACKING_LEVEL = 1;
+
+/**
+Milliseconds for which messages that may wait are handled in a row: a tenth of what a leader's heartbeat may be late.
+*/
+export const SLICE_MILLISECONDS = 5;
+
+/**
+Messages of a link that may wait for their turn; a link with more is not read until half of them are handled, so that its sender waits too.
+*/
+export const WAITING_MESSAGES = 512;
--- a/packages/wagtailroute-link/src/dialer.ts
+++ b/packages/wagtailroute-link/src/dialer.ts
@@ -19,6 +19,10 @@
 export type DialerPlan = {
 	readonly address: core.Address;
 	readonly methods: LinkMethods;
+	/**
+	Methods whose messages do not wait for others.
+	*/
+	readonly urgent?: ReadonlySet<string>;
 	readonly now: () => number;
 	/**
 	Milliseconds without a message of this side after which it sends an empty one.
--- a/packages/wagtailroute-link/src/link.ts
+++ b/packages/wagtailroute-link/src/link.ts
@@ -13,10 +13,12 @@
 	MESSAGE_BYTES,
 	SILENT_MILLISECONDS,
 	WAITING_BYTES,
+	WAITING_MESSAGES,
 } from './constants.ts';
 import {createLinkFailure, type LinkFailure} from './failures.ts';
 import {createLineReader} from './lines.ts';
 import {packLine, unpackLine} from './packing.ts';
+import {runInTurn} from './turns.ts';
 import {registerWatch} from './watch.ts';
 
 /**
@@ -61,6 +63,10 @@
 	readonly socket: net.Socket;
 	readonly methods: LinkMethods;
 	/**
+	Methods whose messages do not wait for others that came before, on this link or on another one.
+	*/
+	readonly urgent?: ReadonlySet<string>;
+	/**
 	Monotonic time in milliseconds.
 	*/
 	readonly now: () => number;
@@ -71,6 +77,12 @@
 	readonly onDefect: (error: Error) => void;
 };
 
+/**
+Where a message names its method: the library writes it before the parameters.
+*/
+const METHOD_CHARACTERS = 100;
+const METHOD_PATTERN = /"method":"(?<method>[^"]+)"/v;
+
 /**
 Runs a link over a connection that is open.
 */
@@ -84,6 +96,7 @@
 	readonly #reader = createLineReader(MESSAGE_BYTES);
 	#lines: string[] = [];
 	#isOpen = true;
+	#waiting = 0;
 	#heardAt: number;
 	#sentAt: number;
 	readonly #stopWatching: utils.Teardown;
@@ -214,13 +227,44 @@
 
 		for (const line of lines) {
 			if (line !== '') {
+				this.#order(line);
+			}
+		}
+	}
+
+	#order(packed: string): void {
+		const line = unpackLine(packed);
+		if (this.#isUrgent(line)) {
+			this.#take(line);
+			return;
+		}
+
+		this.#waiting++;
+		runInTurn(() => {
+			this.#waiting--;
+			if (this.#isOpen) {
 				this.#take(line);
 			}
+
+			if (this.#plan.socket.isPaused() && this.#waiting <= WAITING_MESSAGES / 2) {
+				this.#plan.socket.resume();
+			}
+		});
+		if (this.#waiting > WAITING_MESSAGES) {
+			this.#plan.socket.pause();
 		}
 	}
 
-	#take(line: string): void {
-		const payload = parseLine(unpackLine(line));
+	/**
+	Answers to this side's calls are urgent: somebody waits for them, and they are as many as the calls.
+	*/
+	#isUrgent(line: string | undefined): boolean {
+		const method = line === undefined ? undefined : METHOD_PATTERN.exec(line.slice(0, METHOD_CHARACTERS))?.groups?.method;
+		return method === undefined || this.#plan.urgent?.has(method) === true;
+	}
+
+	#take(line: string | undefined): void {
+		const payload = parseLine(line);
 		// The library reads members of whatever it is given: a bare `null` would be a rejection that nobody handles.
 		if (typeof payload !== 'object' || payload === null) {
 			this.#plan.onDefect(new Error('A message is no JSON-RPC.'));
--- a/packages/wagtailroute-link/src/server.ts
+++ b/packages/wagtailroute-link/src/server.ts
@@ -13,6 +13,10 @@
 export type LinkServerPlan = {
 	readonly address: core.Address;
 	readonly methods: LinkMethods;
+	/**
+	Methods whose messages do not wait for others.
+	*/
+	readonly urgent?: ReadonlySet<string>;
 	readonly now: () => number;
 	readonly onClose: (link: Link) => void;
 	readonly onDefect: (error: Error) => void;
--- /dev/null
+++ b/packages/wagtailroute-link/src/turns.ts
@@ -0,0 +1,53 @@
+/**
+Divides the time of a process between messages that may wait and those that may not.
+
+What may wait is handled for a slice of time in a row; then the loop looks at all connections again, so that an urgent message waits for one slice at most, however
+much has come before it. A process that is not busy handles everything at once.
+*/
+import {SLICE_MILLISECONDS} from './constants.ts';
+
+const waiting: Array<() => void> = [];
+let isScheduled = false;
+let sliceStartedAt = -Infinity;
+
+/**
+Runs now if the present slice has time left and nothing waits, otherwise in its turn.
+*/
+export function runInTurn(run: () => void): void {
+	const now = performance.now();
+	if (now - sliceStartedAt >= SLICE_MILLISECONDS * 2) {
+		sliceStartedAt = now;
+	}
+
+	if (waiting.length === 0 && now - sliceStartedAt < SLICE_MILLISECONDS) {
+		run();
+		return;
+	}
+
+	waiting.push(run);
+	schedule();
+}
+
+function schedule(): void {
+	if (isScheduled) {
+		return;
+	}
+
+	isScheduled = true;
+	setImmediate(runSlice);
+}
+
+function runSlice(): void {
+	isScheduled = false;
+	sliceStartedAt = performance.now();
+	let count = 0;
+	while (count < waiting.length && performance.now() - sliceStartedAt < SLICE_MILLISECONDS) {
+		waiting[count]!();
+		count++;
+	}
+
+	waiting.splice(0, count);
+	if (waiting.length > 0) {
+		schedule();
+	}
+}
