--- a/packages/wagtailroute-lab/src/__tests__/unit/lab.test.ts
+++ b/packages/wagtailroute-lab/src/__tests__/unit/lab.test.ts
@@ -116,6 +116,10 @@
 	{name: 'a burst', more: 'faults:\n  - {kind: burst, atSeconds: 6, forSeconds: 2, times: 4}\n'},
 	{name: 'bad paths', more: 'faults:\n  - {kind: paths, atSeconds: 4, forSeconds: 5, share: 0.4}\n'},
 	...CONTROL_FAULTS.map(kind => ({name: kind, more: `faults:\n  - {kind: ${kind}, atSeconds: 5, forSeconds: 3}\n`})),
+	...[0.1, 1.5].map(forSeconds => ({
+		name: `control hosts lost for ${forSeconds} s and found again one after the other`,
+		more: `faults:\n  - {kind: controls-away, atSeconds: 5, forSeconds: ${forSeconds}}\n  - {kind: controls-away, atSeconds: 8, forSeconds: 1}\nreconnectSeconds: 1.2\n`,
+	})),
 	{
 		name: 'control hosts lost one after the other',
 		more: [5, 6, 7].map(at => `  - {kind: control-away, atSeconds: ${at}, forSeconds: 3}\n`).reduce((lines, line) => lines + line, 'faults:\n'),
@@ -131,6 +135,18 @@
 	});
 }
 
+const BAD_UPSTREAMS = '  - {kind: reset, share: 0.8, everySeconds: 5, lengthSeconds: 4, failing: 0.9}\nbudget: {ratio: 0.2, extra: 12, windowMilliseconds: 10000}\n';
+
+for (const {name, more} of LIMITED_DAYS) {
+	test(`the budget of resends is kept during ${name}`, async t => {
+		// Guards against dispatchers that replace each other and spend the whole budget each.
+		for (const day of await play(parse(BAD_UPSTREAMS + more), 'present', 5)) {
+			t.true(day.resends > 0);
+			t.is(day.resendExcess, 0, `${day.resendExcess} resends beyond the budget`);
+		}
+	});
+}
+
 const CLOSURES = `
 draining:
   - {share: 0.3, atSeconds: 4}
--- a/packages/wagtailroute-lab/src/comparison.ts
+++ b/packages/wagtailroute-lab/src/comparison.ts
@@ -48,6 +48,7 @@
 	'spellMilliseconds',
 	'falseSuspensions',
 	'resends',
+	'resendExcess',
 	'rateLimitExcess',
 	'backoffArrivals',
 	'drainingArrivals',
--- a/packages/wagtailroute-lab/src/day.ts
+++ b/packages/wagtailroute-lab/src/day.ts
@@ -254,6 +254,9 @@
 			findBackend: id => this.#backends.get(id),
 			isPathBad: backend => this.#badPaths.some(({until, entries, backends}) =>
 				this.#clock.now() < until && entries.has(entry.id) && backends.has(backend.id)),
+			onSent: isResend => {
+				this.#tally.noteSent(arrival.service, this.#clock.now(), isResend);
+			},
 			ended: entry.ended,
 		});
 		if (arrival.organisation !== undefined) {
--- a/packages/wagtailroute-lab/src/sending.ts
+++ b/packages/wagtailroute-lab/src/sending.ts
@@ -34,6 +34,10 @@
 	readonly findBackend: (id: core.UpstreamId) => Backend | undefined;
 	readonly isPathBad: (backend: Backend) => boolean;
 	/**
+	A request is on its way to an upstream, the first or another one.
+	*/
+	readonly onSent: (isResend: boolean) => void;
+	/**
 	The entry host ends: the connection of the caller breaks.
 	*/
 	readonly ended: Promise<'left'>;
@@ -179,7 +183,7 @@
 	}
 
 	async #attempt(target: proxy.Target): Promise<AttemptEnd> {
-		const {clock, arrival, host, port, findBackend, getWay, isPathBad, ended} = this.#plan;
+		const {clock, arrival, host, port, findBackend, getWay, isPathBad, onSent, ended} = this.#plan;
 		const backend = findBackend(target.id);
 		const luck = arrival.lucks[Math.min(this.#count, arrival.lucks.length - 1)]!;
 		this.#tried.add(target.id);
@@ -202,6 +206,7 @@
 				});
 			}
 		} else {
+			onSent(this.#hasArrived);
 			this.#hasArrived = true;
 			clock.schedule(way, () => {
 				giveUp = backend.take({
--- a/packages/wagtailroute-lab/src/tally.ts
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -56,6 +56,10 @@
 	readonly falseSuspensions: number;
 	readonly resends: number;
 	/**
+	Most resends to a service beyond what the budget gives in one of its windows.
+	*/
+	readonly resendExcess: number;
+	/**
 	Most requests beyond its rate limit that an upstream got in four seconds.
 	*/
 	readonly rateLimitExcess: number;
@@ -92,7 +96,7 @@
 	@param at When the caller asked.
 	*/
 	readonly noteOrganisation: (name: string, at: number, isRefused: boolean) => void;
-	readonly noteResend: () => void;
+	readonly noteSent: (service: string, at: number, isResend: boolean) => void;
 	readonly noteFalseSuspension: () => void;
 	readonly finish: (upstreams: UpstreamTallies) => Figures;
 };
@@ -139,7 +143,7 @@
 	let inTime = 0;
 	let late = 0;
 	const uses = new Map<string, {readonly at: number[]; refused: number}>(scenario.organisations.map(({name}) => [name, {at: [], refused: 0}]));
-	let resends = 0;
+	const sentTimes = new Map<string, SentTimes>();
 	let falseSuspensions = 0;
 
 	const add = <Key>(sums: Map<Key, Sum>, key: Key, {owed, earned}: Sum) => {
@@ -182,8 +186,10 @@
 				use.at.push(at);
 			}
 		},
-		noteResend() {
-			resends++;
+		noteSent(service, at, isResend) {
+			const times = sentTimes.get(service) ?? {firsts: [], resends: []};
+			sentTimes.set(service, times);
+			times[isResend ? 'resends' : 'firsts'].push(at);
 		},
 		noteFalseSuspension() {
 			falseSuspensions++;
@@ -218,7 +224,8 @@
 				unrepeatableIntoSpell: sum(({sentUnrepeatable}) => sentUnrepeatable),
 				spellMilliseconds: sum(({from, lastSentAt}) => lastSentAt - Math.max(0, from)),
 				falseSuspensions: falseSuspensions * 1000 / count,
-				resends: resends * 1000 / count,
+				resends: sentTimes.values().reduce((before, times) => before + times.resends.length, 0) * 1000 / count,
+				resendExcess: Math.max(0, ...sentTimes.values().map(times => countResendExcess(scenario, times))),
 				rateLimitExcess: Math.max(0, ...rateLimits.map(rateLimit => countExcess(rateLimit))),
 				backoffArrivals: countMost(closures, 'backoff'),
 				drainingArrivals: countMost(closures, 'draining'),
@@ -230,6 +237,22 @@
 	};
 }
 
+/**
+When requests were sent to a service, in order.
+*/
+type SentTimes = {
+	readonly firsts: number[];
+	readonly resends: number[];
+};
+
+function countResendExcess({budget: {ratio, extra, windowMilliseconds}}: Scenario, {firsts, resends}: SentTimes): number {
+	const excesses = resends.map(end => {
+		const isInWindow = (at: number) => at <= end && at > end - windowMilliseconds;
+		return resends.filter(at => isInWindow(at)).length - extra - (ratio * firsts.filter(at => isInWindow(at)).length);
+	});
+	return Math.max(0, ...excesses);
+}
+
 type OrganisationUse = {
 	readonly at: readonly number[];
 	readonly refused: number;
