--- a/packages/wagtailroute-link/src/link.ts
+++ b/packages/wagtailroute-link/src/link.ts
@@ -17,6 +17,7 @@
 } from './constants.ts';
 import {createLinkFailure, type LinkFailure} from './failures.ts';
 import {createLineReader} from './lines.ts';
+import {writeNotification} from './notifications.ts';
 import {packLine, unpackLine} from './packing.ts';
 import {runInTurn} from './turns.ts';
 import {registerWatch} from './watch.ts';
@@ -115,7 +116,7 @@
 		}
 
 		this.#ends = new rpc.JSONRPCServerAndClient(server, new rpc.JSONRPCClient(payload => {
-			this.#write(JSON.stringify(payload));
+			this.#write(packLine(JSON.stringify(payload)));
 		}));
 		plan.socket.setNoDelay(true);
 		plan.socket.on('data', (chunk: buffer.Buffer) => {
@@ -153,7 +154,7 @@
 
 	notify(method: string, parameters: unknown): void {
 		if (this.#isOpen) {
-			this.#write(JSON.stringify(rpc.createJSONRPCNotification(method, parameters as rpc.JSONRPCParams)));
+			this.#write(writeNotification(method, parameters));
 		}
 	}
 
@@ -197,7 +198,7 @@
 	Collects the messages of one turn of the loop into one write: each write costs a system call and a packet.
 	*/
 	#write(line: string): void {
-		this.#lines.push(packLine(line));
+		this.#lines.push(line);
 		if (this.#lines.length === 1) {
 			setImmediate(() => {
 				this.#flush();
