--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -149,7 +149,7 @@
 	const usual = getUsual(service, ask);
 	let slots = 0;
 	for (const upstream of service.upstreams.values()) {
-		slots += isUsable(upstream, ask, now) && getBackoff(upstream, ask.host, now) === 0 ? countSlots(upstream, usual) : 0;
+		slots += takesNow(upstream, ask, now) ? countSlots(upstream, usual) : 0;
 	}
 
 	return slots;
@@ -159,7 +159,7 @@
 Says whether any upstream that could take the ask takes requests of its host.
 */
 export function hasUsableSlot({upstreams}: Service, ask: Ask, now: number): boolean {
-	return upstreams.values().some(upstream => isUsable(upstream, ask, now) && getBackoff(upstream, ask.host, now) === 0);
+	return upstreams.values().some(upstream => takesNow(upstream, ask, now));
 }
 
 /**
@@ -170,6 +170,10 @@
 	return delays.reduce((least, delay) => Math.min(least, delay), Infinity);
 }
 
+function takesNow(upstream: Upstream, ask: Ask, now: number): boolean {
+	return isUsable(upstream, ask, now) && getBackoff(upstream, ask.host, now) === 0;
+}
+
 /**
 Says whether an upstream could take the ask, were its host not to back off.
 */
--- a/packages/wagtailroute-link/src/__tests__/unit/link.test.ts
+++ b/packages/wagtailroute-link/src/__tests__/unit/link.test.ts
@@ -46,6 +46,13 @@
 		onClose: () => undefined,
 		onDefect,
 	});
+	t.teardown(server.close);
+	return {
+		link: await dial(t, server, onDefect), received, defects, server,
+	};
+}
+
+async function dial(t: ExecutionContext, server: link.LinkServer, onDefect: (error: Error) => void = () => undefined): Promise<link.Link> {
 	const {promise, resolve} = Promise.withResolvers<link.Link>();
 	const dialer = link.startDialer({
 		address: server.address,
@@ -57,13 +64,10 @@
 		onClose: () => undefined,
 		onDefect,
 	});
-	t.teardown(async () => {
+	t.teardown(() => {
 		dialer.close();
-		await server.close();
 	});
-	return {
-		link: await promise, received, defects, server,
-	};
+	return promise;
 }
 
 async function waitUntil(check: () => boolean): Promise<void> {
@@ -228,26 +232,8 @@
 			onClose: () => undefined,
 			onDefect: () => undefined,
 		});
-		const dial = async () => {
-			const {promise, resolve} = Promise.withResolvers<link.Link>();
-			const dialer = link.startDialer({
-				address: server.address,
-				methods: METHODS,
-				now,
-				random: () => 0.5,
-				pingMilliseconds: () => 100,
-				onOpen: resolve,
-				onClose: () => undefined,
-				onDefect: () => undefined,
-			});
-			t.teardown(() => {
-				dialer.close();
-			});
-			return promise;
-		};
-
 		t.teardown(server.close);
-		const [ordinary, other] = [await dial(), await dial()];
+		const [ordinary, other] = [await dial(t, server), await dial(t, server)];
 		for (let message = 0; message < ORDINARY_MESSAGES; message++) {
 			ordinary.notify('work', {message});
 		}
