Links: the catalogue itself goes first too, and asks that nobody waits for any more are dropped

Cause: confirmations went first, but hosts fetched the catalogue among what may wait, and a control host that is busy worked off asks whose hosts had turned away after 0.25 s. Fetching is urgent now, and an ask that has waited for longer than its host does is dropped and counted. Test: of 400 messages of 1 ms each, the calls beyond their limit are dropped, all others handled.

--- a/packages/wagtailroute-fleet/src/control-links.ts
+++ b/packages/wagtailroute-fleet/src/control-links.ts
@@ -15,10 +15,10 @@
 	REPORT_MILLISECONDS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
+import {createMessageOrder} from './message-order.ts';
 import {
 	type Hello,
 	METHODS,
-	URGENT_METHODS,
 	type Welcome,
 } from './messages.ts';
 import type {ControlHost} from './settings.ts';
@@ -79,6 +79,7 @@
 */
 export function startControlLinks(context: FleetContext, plan: ControlLinksPlan): ControlLinks {
 	const {now, random} = context;
+	const order = createMessageOrder(context);
 	const log = context.logs('links');
 	const known = new Map<core.HostId, Known>();
 
@@ -129,7 +130,7 @@
 			dialer: link.startDialer({
 				address: host.address,
 				methods: plan.methods,
-				urgent: URGENT_METHODS,
+				order,
 				now,
 				random,
 				// A seed's failure domain is known from its first answer on.
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -33,6 +33,7 @@
 	proposeToLeader,
 	readFromLeader,
 } from './leader-calls.ts';
+import {createMessageOrder} from './message-order.ts';
 import * as messages from './messages.ts';
 import {startRegistry} from './registry.ts';
 import {watchPauses} from './pauses.ts';
@@ -243,7 +244,7 @@
 	const server = await link.openLinkServer({
 		address: settings.linkAddress,
 		methods,
-		urgent: messages.URGENT_METHODS,
+		order: createMessageOrder(context),
 		now: context.now,
 		onClose(closed) {
 			registry.unfollow(closed);
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -33,6 +33,7 @@
 import {createHostCount} from './host-count.ts';
 import {createKnowledge} from './knowledge.ts';
 import {startLoadMeter} from './load.ts';
+import {createMessageOrder} from './message-order.ts';
 import * as messages from './messages.ts';
 import {createNoting} from './noting.ts';
 import {watchPauses} from './pauses.ts';
@@ -238,7 +239,7 @@
 	const linkServer = await link.openLinkServer({
 		address: settings.linkAddress,
 		methods,
-		urgent: messages.URGENT_METHODS,
+		order: createMessageOrder(context),
 		now: context.now,
 		onClose(closed) {
 			askers.remove(closed);
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -45,19 +45,6 @@
 	probe: 'dispatch.probe',
 } as const;
 
-/**
-Methods whose messages do not wait for others at a busy host: what elections, reads, changes and confirmations of the catalogue and of leaving upstreams hang on. All of
-them are few, whatever the load.
-*/
-export const URGENT_METHODS: ReadonlySet<string> = new Set([
-	METHODS.hello,
-	METHODS.group,
-	METHODS.propose,
-	METHODS.readGeneration,
-	METHODS.generationVersion,
-	METHODS.retired,
-]);
-
 /**
 What an entry host says of itself.
 */
--- a/packages/wagtailroute-fleet/src/standbys.ts
+++ b/packages/wagtailroute-fleet/src/standbys.ts
@@ -15,12 +15,9 @@
 	STANDBY_OPEN_MILLISECONDS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
+import {createMessageOrder} from './message-order.ts';
 import type {OpenControl} from './control-links.ts';
-import {
-	type Hello,
-	METHODS,
-	URGENT_METHODS,
-} from './messages.ts';
+import {type Hello, METHODS} from './messages.ts';
 import type {StandbyHost} from './settings.ts';
 
 /**
@@ -72,6 +69,7 @@
 */
 export function createStandbys(context: FleetContext, plan: StandbysPlan): Standbys {
 	const {now, random} = context;
+	const order = createMessageOrder(context);
 	const log = context.logs('standbys');
 	const dialed = new Map<core.HostId, Dialed>();
 	let hosts: readonly StandbyHost[] = [];
@@ -110,7 +108,7 @@
 			dialer: link.startDialer({
 				address: host.address,
 				methods: plan.methods,
-				urgent: URGENT_METHODS,
+				order,
 				now,
 				random,
 				pingMilliseconds: () => FAR_PING_MILLISECONDS,
--- a/packages/wagtailroute-link/src/__tests__/unit/link.test.ts
+++ b/packages/wagtailroute-link/src/__tests__/unit/link.test.ts
@@ -227,7 +227,7 @@
 				handled++;
 				keepBusy(BUSY_MILLISECONDS);
 			}], ['vote', () => handled]]),
-			urgent: new Set(['vote']),
+			order: {urgent: new Set(['vote']), limits: new Map(), onDropped: () => undefined},
 			now,
 			onClose: () => undefined,
 			onDefect: () => undefined,
@@ -243,3 +243,33 @@
 		await waitUntil(() => handled === ORDINARY_MESSAGES);
 	});
 }
+
+test('a call that has waited for longer than its caller does is dropped, the others are handled', async t => {
+	// Guards against a process that spends its time on calls that nobody waits for any more, so that it is late for all that come after.
+	const handled: string[] = [];
+	let dropped = 0;
+	const server = await link.openLinkServer({
+		address: LOOPBACK,
+		methods: new Map<string, link.LinkMethod>(['ask', 'end'].map(method => [method, () => {
+			handled.push(method);
+			keepBusy(BUSY_MILLISECONDS);
+		}])),
+		order: {
+			urgent: new Set(), limits: new Map([['ask', 50]]), onDropped() {
+				dropped++;
+			},
+		},
+		now,
+		onClose: () => undefined,
+		onDefect: () => undefined,
+	});
+	t.teardown(server.close);
+	const dialed = await dial(t, server);
+	for (let message = 0; message < ORDINARY_MESSAGES; message++) {
+		dialed.notify(message % 2 === 0 ? 'ask' : 'end', {message});
+	}
+
+	await waitUntil(() => handled.length + dropped === ORDINARY_MESSAGES);
+	t.is(handled.filter(method => method === 'end').length, ORDINARY_MESSAGES / 2);
+	t.true(dropped > ORDINARY_MESSAGES / 4, `${dropped} were dropped`);
+});
--- a/packages/wagtailroute-link/src/dialer.ts
+++ b/packages/wagtailroute-link/src/dialer.ts
@@ -11,7 +11,12 @@
 	RECONNECT_SOON_MILLISECONDS,
 	RECONNECT_SOON_MOST_MILLISECONDS,
 } from './constants.ts';
-import {type Link, type LinkMethods, runLink} from './link.ts';
+import {
+	type Link,
+	type LinkMethods,
+	type MessageOrder,
+	runLink,
+} from './link.ts';
 
 /**
 What a dialer needs.
@@ -19,10 +24,7 @@
 export type DialerPlan = {
 	readonly address: core.Address;
 	readonly methods: LinkMethods;
-	/**
-	Methods whose messages do not wait for others.
-	*/
-	readonly urgent?: ReadonlySet<string>;
+	readonly order?: MessageOrder;
 	readonly now: () => number;
 	/**
 	Milliseconds without a message of this side after which it sends an empty one.
--- a/packages/wagtailroute-link/src/link.ts
+++ b/packages/wagtailroute-link/src/link.ts
@@ -53,6 +53,24 @@
 */
 export type LinkMethods = ReadonlyMap<string, LinkMethod>;
 
+/**
+Which messages go first at a busy process, and which are of no use any more when their turn comes.
+*/
+export type MessageOrder = {
+	/**
+	Methods whose messages do not wait for others that came before, on this link or on another one.
+	*/
+	readonly urgent: ReadonlySet<string>;
+	/**
+	Milliseconds after which a message that waits is dropped, by method: its sender waits no longer for the answer.
+	*/
+	readonly limits: ReadonlyMap<string, number>;
+	/**
+	Told of each message that was dropped.
+	*/
+	readonly onDropped: (method: string) => void;
+};
+
 /**
 What a link needs.
 */
@@ -64,9 +82,9 @@
 	readonly socket: net.Socket;
 	readonly methods: LinkMethods;
 	/**
-	Methods whose messages do not wait for others that came before, on this link or on another one.
+	Absent: all messages wait for those that came before.
 	*/
-	readonly urgent?: ReadonlySet<string>;
+	readonly order?: MessageOrder;
 	/**
 	Monotonic time in milliseconds.
 	*/
@@ -235,15 +253,21 @@
 
 	#order(packed: string): void {
 		const line = unpackLine(packed);
-		if (this.#isUrgent(line)) {
+		const method = findMethod(line);
+		const {order, now} = this.#plan;
+		// Answers to this side's calls are urgent: somebody waits for them, and they are as many as the calls.
+		if (method === undefined || order?.urgent.has(method) === true) {
 			this.#take(line);
 			return;
 		}
 
+		const droppedAt = now() + (order?.limits.get(method) ?? Infinity);
 		this.#waiting++;
 		runInTurn(() => {
 			this.#waiting--;
-			if (this.#isOpen) {
+			if (now() > droppedAt) {
+				order?.onDropped(method);
+			} else if (this.#isOpen) {
 				this.#take(line);
 			}
 
@@ -256,14 +280,6 @@
 		}
 	}
 
-	/**
-	Answers to this side's calls are urgent: somebody waits for them, and they are as many as the calls.
-	*/
-	#isUrgent(line: string | undefined): boolean {
-		const method = line === undefined ? undefined : METHOD_PATTERN.exec(line.slice(0, METHOD_CHARACTERS))?.groups?.method;
-		return method === undefined || this.#plan.urgent?.has(method) === true;
-	}
-
 	#take(line: string | undefined): void {
 		const payload = parseLine(line);
 		// The library reads members of whatever it is given: a bare `null` would be a rejection that nobody handles.
@@ -279,6 +295,13 @@
 	}
 }
 
+/**
+Returns the method that a message names; undefined for an answer, and for what is no message.
+*/
+function findMethod(line: string | undefined): string | undefined {
+	return line === undefined ? undefined : METHOD_PATTERN.exec(line.slice(0, METHOD_CHARACTERS))?.groups?.method;
+}
+
 function parseLine(line: string | undefined): unknown {
 	try {
 		return line === undefined ? undefined : JSON.parse(line);
--- a/packages/wagtailroute-link/src/server.ts
+++ b/packages/wagtailroute-link/src/server.ts
@@ -5,7 +5,12 @@
 import type * as core from 'wagtailroute-core';
 import * as utils from 'wagtailroute-utils';
 import {ANSWERING_PING_MILLISECONDS} from './constants.ts';
-import {type Link, type LinkMethods, runLink} from './link.ts';
+import {
+	type Link,
+	type LinkMethods,
+	type MessageOrder,
+	runLink,
+} from './link.ts';
 
 /**
 What the server needs.
@@ -13,10 +18,7 @@
 export type LinkServerPlan = {
 	readonly address: core.Address;
 	readonly methods: LinkMethods;
-	/**
-	Methods whose messages do not wait for others.
-	*/
-	readonly urgent?: ReadonlySet<string>;
+	readonly order?: MessageOrder;
 	readonly now: () => number;
 	readonly onClose: (link: Link) => void;
 	readonly onDefect: (error: Error) => void;
