Allotments: entry hosts bring no burst to an account that held it; links: a slice ends with the last message handled

A dispatcher that had given out the whole allotment and then heard of another one of its service would have been brought the burst again (the window bounded it); the test fails without the change. And a message that came 5 to 10 ms after the one before waited for one more turn of the loop for nothing.

--- a/packages/wagtailroute-allotments/src/__tests__/unit/allotments.test.ts
+++ b/packages/wagtailroute-allotments/src/__tests__/unit/allotments.test.ts
@@ -287,6 +287,15 @@
 	t.is(countAdmitted(ledger, 100, {at: 12_000}), 5, 'half of the rate');
 });
 
+test('who held the whole burst is brought none by entry hosts', t => {
+	// Guards against a burst that is given out once more whenever another dispatcher of the same service appears.
+	const ledger = create({getShare: () => 1});
+	ledger.takeOver([], 1, 0);
+	countAdmitted(ledger, 100, {at: 10_000});
+	tell(ledger, ['archive'], [], 10_000);
+	t.is(countAdmitted(ledger, 100, {at: 10_000}), 0);
+});
+
 const RATES = [1, 5, 16, 60, 150] as const;
 const DISPATCHERS = [1, 2, 3, 5, 12, 24] as const;
 
--- a/packages/wagtailroute-allotments/src/account.ts
+++ b/packages/wagtailroute-allotments/src/account.ts
@@ -182,7 +182,13 @@
 	Gives out the burst for entry hosts that have told their past since the last call. What they used of it counts in the window.
 	*/
 	#addBurst(now: number): void {
-		const {toldShare, burstPart} = this.#extent;
+		const {toldShare, burstPart, isWhole} = this.#extent;
+		if (isWhole) {
+			// The account has held the whole burst since then.
+			this.#burstShare = 1;
+			return;
+		}
+
 		this.#bucket.takeToken(now, -Math.max(0, toldShare - this.#burstShare) * this.#allotment.burst * burstPart);
 		this.#burstShare = Math.max(this.#burstShare, toldShare);
 	}
--- a/packages/wagtailroute-link/src/constants.ts
+++ b/packages/wagtailroute-link/src/constants.ts
@@ -79,6 +79,11 @@
 */
 export const SLICE_MILLISECONDS = 5;
 
+/**
+Milliseconds without such a message after which the loop has looked at all connections: a new slice begins.
+*/
+export const IDLE_MILLISECONDS = 1;
+
 /**
 Messages of a link that may wait for their turn; a link with more is not read until half of them are handled, so that its sender waits too.
 */
--- a/packages/wagtailroute-link/src/turns.ts
+++ b/packages/wagtailroute-link/src/turns.ts
@@ -4,23 +4,25 @@
 What may wait is handled for a slice of time in a row; then the loop looks at all connections again, so that an urgent message waits for one slice at most, however
 much has come before it. A process that is not busy handles everything at once.
 */
-import {SLICE_MILLISECONDS} from './constants.ts';
+import {IDLE_MILLISECONDS, SLICE_MILLISECONDS} from './constants.ts';
 
 const waiting: Array<() => void> = [];
 let isScheduled = false;
 let sliceStartedAt = -Infinity;
+let sliceEndedAt = -Infinity;
 
 /**
 Runs now if the present slice has time left and nothing waits, otherwise in its turn.
 */
 export function runInTurn(run: () => void): void {
 	const now = performance.now();
-	if (now - sliceStartedAt >= SLICE_MILLISECONDS * 2) {
+	if (now - sliceEndedAt >= IDLE_MILLISECONDS) {
 		sliceStartedAt = now;
 	}
 
 	if (waiting.length === 0 && now - sliceStartedAt < SLICE_MILLISECONDS) {
 		run();
+		sliceEndedAt = performance.now();
 		return;
 	}
 
@@ -46,6 +48,7 @@
 		count++;
 	}
 
+	sliceEndedAt = performance.now();
 	waiting.splice(0, count);
 	if (waiting.length > 0) {
 		schedule();
