Allotments: dispatchers of one service give out the whole together again, and shares do not begin below a request

And after a restart of everything the shares of the first hosts that ask were below one request (parts of 0.01 to 0.05, small twin with logs).

A host's own number of entry hosts counts as it is; a control host that knows none takes those that ask for all; hosts that begin to ask bring their share of the tokens beyond the burst.

--- a/packages/wagtailroute-allotments/src/account.ts
+++ b/packages/wagtailroute-allotments/src/account.ts
@@ -82,9 +82,10 @@
 	*/
 	readonly #heardWindow: UseWindow;
 	/**
-	Share of the burst that was given out for what entry hosts told.
+	Share of the burst that was given out for what entry hosts told, and of the tokens beyond it for those that ask.
 	*/
 	#burstShare = 0;
+	#extraShare: number;
 	#fadedAt: number;
 	#allotment: Allotment;
 	#extent: Extent;
@@ -92,6 +93,7 @@
 	constructor(allotment: Allotment, extent: Extent, tokens: number, now: number) {
 		this.#allotment = allotment;
 		this.#extent = extent;
+		this.#extraShare = extent.share;
 		this.#fadedAt = now;
 		this.#window = createUseWindow(extent.windowMilliseconds);
 		this.#heardWindow = createUseWindow(extent.windowMilliseconds);
@@ -179,18 +181,15 @@
 	}
 
 	/**
-	Gives out the burst for entry hosts that have told their past since the last call. What they used of it counts in the window.
+	Gives out what entry hosts bring that have begun to ask since the last call: their share of the tokens beyond the burst, and of the burst once they have told
+	their past. What they used of it counts in the window.
 	*/
 	#addBurst(now: number): void {
-		const {toldShare, burstPart, isWhole} = this.#extent;
-		if (isWhole) {
-			// The account has held the whole burst since then.
-			this.#burstShare = 1;
-			return;
-		}
-
-		this.#bucket.takeToken(now, -Math.max(0, toldShare - this.#burstShare) * this.#allotment.burst * burstPart);
+		const {share, toldShare, burstPart, extra} = this.#extent;
+		const burst = Math.max(0, toldShare - this.#burstShare) * this.#allotment.burst * burstPart;
+		this.#bucket.takeToken(now, -burst - (Math.max(0, share - this.#extraShare) * extra));
 		this.#burstShare = Math.max(this.#burstShare, toldShare);
+		this.#extraShare = Math.max(this.#extraShare, share);
 	}
 
 	#getWindowDelay(now: number): number {
--- a/packages/wagtailroute-allotments/src/allotments.ts
+++ b/packages/wagtailroute-allotments/src/allotments.ts
@@ -4,11 +4,10 @@
 
 Who may give out which part of an allotment:
 
-- A control host that has heard of all use for a whole window gives out all of it, and the others that are asked for other services do so too: what
+- A control host that has heard of all use for a whole window gives out all of it, and so do the others that are asked, for other services or for the same one: what
   each admits is taken from the accounts of the others.
-- Any other dispatcher gives out the share of the entry hosts that ask it: an entry host, since others may be asked at the same time; a control host that has
-  started less than a window ago, since entry hosts may still be asked; and one that hears of another dispatcher of its own service. Of what it is told
-  it takes the same share from its accounts: the rest was admitted for the hosts that ask the others.
+- Any other dispatcher gives out the share of the entry hosts that ask it: an entry host, since others may be asked at the same time, and a control host that has
+  started less than a window ago, since entry hosts may still be asked. Of what it is told it takes the same share from its accounts: the rest was admitted for the hosts that ask the others.
 - An entry host that turns to another dispatcher tells it what it was admitted in the last window. So a dispatcher that takes over does not admit the burst once
   more, whoever was lost before.
 
@@ -369,13 +368,11 @@
 	}
 
 	/**
-	Says whether this dispatcher has heard of all use for a window, and no other one is asked for its services.
+	Says whether this dispatcher has heard of all use for a window.
 	*/
 	#hearsAll(now: number): boolean {
 		const {isTold, windowMilliseconds} = this.#settings;
-		const isContested = this.#askedAt.entries().some(([service, askedAt]) =>
-			now - askedAt < ACTIVE_MILLISECONDS && now - (this.#heardAt.get(service) ?? -Infinity) <= SILENT_MILLISECONDS);
-		return isTold && !isContested && now - this.#knowsSince >= windowMilliseconds;
+		return isTold && now - this.#knowsSince >= windowMilliseconds;
 	}
 
 	#getExtent(account: Account, now: number): Extent {
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -349,8 +349,7 @@
 export const RECENT_USE_SLICES = 20;
 
 /**
-Milliseconds for which the largest number of entry hosts that was told counts: callers keep an earlier answer of the directory three times as long as it
-says.
+Milliseconds for which a number of entry hosts that another host told counts: a host that has just started knows all of them by then.
 */
 export const ENTRY_HOST_COUNT_MILLISECONDS = 6000;
 
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -93,7 +93,8 @@
 		store: createInstanceStore(settings.dataFolder, context.logs('instances')),
 	});
 	const hostCount = createHostCount(context.now, () => countAddresses(directory.getTable()));
-	const requestShare = createRequestShare(hostCount.get);
+	// After a restart of everything no entry host is known, and whoever asks is all there is.
+	const requestShare = createRequestShare(hostCount.get, 1);
 	const allotting = startAllotting(context, {
 		settings: settings.allotments,
 		requestShare,
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -19,6 +19,7 @@
 	MOST_LINK_DELAY_MILLISECONDS,
 	RETAIN_MILLISECONDS,
 	STANDBY_EXTRA_RESENDS,
+	UNKNOWN_ENTRY_HOSTS,
 	UPSTREAM_CONNECT_MILLISECONDS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
@@ -126,7 +127,7 @@
 	};
 
 	const hostCount = createHostCount(context.now, () => countAddresses(directory));
-	const requestShare = createRequestShare(hostCount.get);
+	const requestShare = createRequestShare(hostCount.get, UNKNOWN_ENTRY_HOSTS);
 	const allotting = startAllotting(context, {
 		settings: settings.allotments,
 		requestShare,
--- a/packages/wagtailroute-fleet/src/host-count.ts
+++ b/packages/wagtailroute-fleet/src/host-count.ts
@@ -1,8 +1,8 @@
 /**
 How many entry hosts serve callers, for dispatchers that grant the share of those that ask them.
 
-Callers keep an earlier answer of the directory for a while, and a control host that has just started knows few entry hosts yet. Taken for all, those few would
-make the share of each dispatcher too large, so the largest number that was told lately counts.
+A control host that has just started knows few entry hosts yet. Taken for all, those few would make the share of each dispatcher too large, so the largest number that
+entry hosts told lately counts.
 */
 import {ENTRY_HOST_COUNT_MILLISECONDS} from './constants.ts';
 
@@ -15,7 +15,7 @@
 	*/
 	readonly record: (hosts: number) => void;
 	/**
-	Returns the largest number of the last while; 0 when none is known.
+	Returns the largest of this host's own number and those that were told in the last while; 0 when none is known.
 	*/
 	readonly get: () => number;
 };
@@ -32,21 +32,18 @@
 	*/
 	const toldAt = new Map<number, number>();
 
-	const record = (hosts: number) => {
-		toldAt.set(hosts, now());
-	};
-
 	return {
-		record,
+		record(hosts) {
+			toldAt.set(hosts, now());
+		},
 		get() {
-			record(countOwn());
 			for (const [hosts, at] of toldAt) {
 				if (now() - at > ENTRY_HOST_COUNT_MILLISECONDS) {
 					toldAt.delete(hosts);
 				}
 			}
 
-			return Math.max(...toldAt.keys());
+			return Math.max(countOwn(), ...toldAt.keys());
 		},
 	};
 }
--- a/packages/wagtailroute-fleet/src/request-share.ts
+++ b/packages/wagtailroute-fleet/src/request-share.ts
@@ -4,7 +4,7 @@
 Such a dispatcher does not hear of the others, so of a limit that holds over the whole fleet it grants this share only.
 */
 import type * as core from 'wagtailroute-core';
-import {REQUEST_SHARE_WINDOW_MILLISECONDS, UNKNOWN_ENTRY_HOSTS} from './constants.ts';
+import {REQUEST_SHARE_WINDOW_MILLISECONDS} from './constants.ts';
 import {createRecentAskers} from './recent-askers.ts';
 
 /**
@@ -26,12 +26,13 @@
 Creates the share of a dispatcher that no host has asked yet.
 
 @param countEntryHosts Returns how many entry hosts serve callers, 0 when it is not known.
+@param unknownHosts Entry hosts that there are taken to be then.
 */
-export function createRequestShare(countEntryHosts: () => number): RequestShare {
+export function createRequestShare(countEntryHosts: () => number, unknownHosts: number): RequestShare {
 	const askers = createRecentAskers(REQUEST_SHARE_WINDOW_MILLISECONDS);
 	const getOne = () => {
 		const hosts = countEntryHosts();
-		return 1 / (hosts === 0 ? UNKNOWN_ENTRY_HOSTS : hosts);
+		return 1 / (hosts === 0 ? unknownHosts : hosts);
 	};
 
 	return {
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -274,7 +274,7 @@
 		};
 		const id = `control-${index}`;
 		const askers = fleet.createAskers();
-		const requestShare = fleet.createRequestShare(() => this.#entries.length);
+		const requestShare = fleet.createRequestShare(() => this.#entries.length, 1);
 		const allotting = this.#startAllotting({
 			requestShare,
 			isTold: true,
@@ -392,7 +392,7 @@
 			notifyAll(controls, message);
 		};
 
-		const requestShare = fleet.createRequestShare(() => this.#entries.length);
+		const requestShare = fleet.createRequestShare(() => this.#entries.length, 1);
 		const allotting = this.#startAllotting({
 			requestShare,
 			isTold: false,
