Allotments: a refusal does not work out its dispatcher's part twice

Read once more at the end: admitting worked out what an account may give out, and a refusal did so again only to tell its part, hundreds of times a second in a flood. And the check whether a window was heard had nearly the name of the one whether all services are heard now.

--- a/packages/wagtailroute-allotments/src/allotments.ts
+++ b/packages/wagtailroute-allotments/src/allotments.ts
@@ -217,7 +217,8 @@
 
 		this.#noteAsked(service, now);
 		const account = this.#getAccount(allotment, now);
-		account.setBounds(allotment, this.#getExtent(account, now), now);
+		const extent = this.#getExtent(account, now);
+		account.setBounds(allotment, extent, now);
 		if (account.hasToken(now)) {
 			account.use(service, 1, now);
 			this.#unsettled.add(account);
@@ -230,7 +231,7 @@
 			retryAfterMilliseconds: Math.min(account.getDelay(now), this.#settings.windowMilliseconds),
 			ratePerSecond: allotment.ratePerSecond,
 			used: account.getUse(now),
-			part: this.#getExtent(account, now).part,
+			part: extent.part,
 			ageMilliseconds: this.#lastHeardAt === undefined ? undefined : now - this.#lastHeardAt,
 		};
 	}
@@ -354,7 +355,7 @@
 
 	#getFullExtent(now: number): Extent {
 		const {slack, windowMilliseconds} = this.#settings;
-		const isWhole = this.#hearsAll(now);
+		const isWhole = this.#hasHeardWindow(now);
 		const share = isWhole ? 1 : this.#settings.getShare(now);
 		return {
 			part: share,
@@ -370,7 +371,7 @@
 	/**
 	Says whether this dispatcher has heard of all use for a window.
 	*/
-	#hearsAll(now: number): boolean {
+	#hasHeardWindow(now: number): boolean {
 		const {isTold, windowMilliseconds} = this.#settings;
 		return isTold && now - this.#knowsSince >= windowMilliseconds;
 	}
