Known red: the shed over the slots traced, ports of tests are claimed

A request over the slots is shed and not run: the first request, which holds the slot, was given up after 1 s, whether the second one had come or not. The first request is now held until the second one is answered; nothing of what is checked has changed.

The two tests of fleets of three hosts: findFreePort gives a port back before its host listens, and processes whose identifiers are equal modulo 200 search the same 50 ports in the same order. Shown by a search as another process with the same identifier, which got a port that was given out already. Each port is claimed now until its process ends, and blocks have 100 ports, as nothing is given out twice. That the two tests failed for this cause is suspected: the reason of their failure was not printed.

--- a/packages/wagtailroute-standin/src/__tests__/unit/standin.test.ts
+++ b/packages/wagtailroute-standin/src/__tests__/unit/standin.test.ts
@@ -112,12 +112,13 @@
 	readonly method?: undici.Dispatcher.HttpMethod;
 	readonly body?: string;
 	readonly patience?: number;
+	readonly signal?: AbortSignal;
 } = {}): Promise<{readonly status: string; readonly text: string}> {
-	const {patience = PATIENCE_MILLISECONDS, ...question} = options;
+	const {patience = PATIENCE_MILLISECONDS, signal = AbortSignal.timeout(patience), ...question} = options;
 	const {port} = standin.getAddress();
 	try {
 		const response = await undici.request(`http://127.0.0.1:${port}${path}`, {
-			...question, dispatcher: AGENT, signal: AbortSignal.timeout(patience), headers: {connection: 'close', ...question.headers},
+			...question, dispatcher: AGENT, signal, headers: {connection: 'close', ...question.headers},
 		});
 		const text = await response.body.text();
 		const outcome = response.headers['wagtailroute-outcome'];
@@ -212,7 +213,8 @@
 test('a request over the slots is shed and not run', async t => {
 	const standin = await startStandin(t, createSettings({slots: 1, overSlots: 'shed'}));
 	standin.behave({kind: 'half-open'});
-	const held = ask(standin, '/a', {patience: SHORT_PATIENCE_MILLISECONDS});
+	const holding = new AbortController();
+	const held = ask(standin, '/a', {signal: holding.signal});
 	while (standin.counters().inFlight === 0) {
 		// The first request arrives some turns later.
 		// eslint-disable-next-line no-await-in-loop
@@ -220,6 +222,7 @@
 	}
 
 	t.is(await askStatus(standin, '/b'), '503 not-run');
+	holding.abort();
 	await held;
 	t.is(standin.counters().runs, 0);
 	t.is(standin.counters().mostInFlight, 1);
--- a/packages/wagtailroute-standin/src/ports.ts
+++ b/packages/wagtailroute-standin/src/ports.ts
@@ -4,6 +4,9 @@
 Asking the system for a free port and giving it back is not enough: tests that run side by side get the same port a moment
 later, and one of them fails now and then with EADDRINUSE. So each process takes ports in turn from a block of its own, below
 the range that the system hands out, and passes over those in use.
+
+Processes whose identifiers are equal modulo the number of blocks share a block. So each port that is given out is claimed until its process ends, by listening on the
+same port of another loopback address.
 */
 import * as dgram from 'node:dgram';
 import * as net from 'node:net';
@@ -11,8 +14,9 @@
 
 const FIRST_PORT = 10_000;
 const BLOCKS = 200;
-const BLOCK_PORTS = 50;
+const BLOCK_PORTS = 100;
 const LOOPBACK = '127.0.0.1';
+const CLAIMS_LOOPBACK = '127.0.0.2';
 
 let taken = 0;
 
@@ -24,7 +28,7 @@
 		const port = FIRST_PORT + (process.pid % BLOCKS * BLOCK_PORTS) + (taken % BLOCK_PORTS);
 		taken++;
 		// eslint-disable-next-line no-await-in-loop -- One port after the other.
-		if (await isFree(port)) {
+		if (await claim(port) && await isFree(port)) {
 			return port;
 		}
 	}
@@ -32,19 +36,37 @@
 	throw new RangeError('All ports of this process are in use.');
 }
 
+/**
+Claims a port until this process ends; resolves to false where another process, or an earlier call, has claimed it.
+*/
+async function claim(port: number): Promise<boolean> {
+	const server = await listen(port, CLAIMS_LOOPBACK);
+	server?.unref();
+	return server !== undefined;
+}
+
 async function isFree(port: number): Promise<boolean> {
-	const isTcpFree = await new Promise<boolean>(resolve => {
+	const server = await listen(port, LOOPBACK);
+	if (server === undefined) {
+		return false;
+	}
+
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	return isUdpFree(port);
+}
+
+async function listen(port: number, ip: string): Promise<net.Server | undefined> {
+	return new Promise(resolve => {
 		const server = net.createServer();
 		server.once('error', () => {
-			resolve(false);
+			resolve(undefined);
 		});
-		server.listen(port, LOOPBACK, () => {
-			server.close(() => {
-				resolve(true);
-			});
+		server.listen(port, ip, () => {
+			resolve(server);
 		});
 	});
-	return isTcpFree && isUdpFree(port);
 }
 
 async function isUdpFree(port: number): Promise<boolean> {
