--- a/packages/wagtailroute-lab/src/__tests__/unit/allotments.test.ts
+++ b/packages/wagtailroute-lab/src/__tests__/unit/allotments.test.ts
@@ -16,9 +16,13 @@
 };
 
 type Fault = {
-	readonly kind: 'controls-away' | 'control-away' | 'control-frozen' | 'restart';
+	readonly kind: 'controls-away' | 'control-away' | 'control-frozen' | 'entries-cut' | 'restart';
 	readonly atSeconds: number;
 	readonly forSeconds: number;
+	/**
+	Part of the entry hosts that it befalls.
+	*/
+	readonly share?: number;
 };
 
 type History = {
@@ -31,6 +35,10 @@
 	readonly floods: readonly Flood[];
 	readonly faults: readonly Fault[];
 	/**
+	Requests a second for the media service beside 12 for the archive.
+	*/
+	readonly mediaPerSecond: number;
+	/**
 	Time within which entry hosts reach a control host that has started again.
 	*/
 	readonly reconnectSeconds: number;
@@ -39,9 +47,9 @@
 const SECONDS = 14;
 
 /**
-An archive that gets six times the requests of the media service. Its upstreams have room for every request that an allotment lets pass.
+An archive and a media service. Their upstreams have room for every request that an allotment lets pass.
 */
-function createScenario({perSecond, use, floods, faults, reconnectSeconds}: History): lab.Scenario {
+function createScenario({perSecond, use, floods, faults, mediaPerSecond, reconnectSeconds}: History): lab.Scenario {
 	const work = {
 		meanMilliseconds: 100, spread: 0.3, tailShare: 0, tailTimes: 1,
 	};
@@ -70,7 +78,7 @@
 				...route, name: 'transfer', services: ['archive'], perSecond: 12,
 			},
 			{
-				...route, name: 'merge', services: ['media'], perSecond: 2,
+				...route, name: 'merge', services: ['media'], perSecond: mediaPerSecond,
 			},
 		],
 		organisations: [
@@ -109,9 +117,27 @@
 	use: fc.constantFrom(0.62, 0.62, 0.01),
 	floods: fc.tuple(floods),
 	faults: fc.tuple(losses, others),
+	mediaPerSecond: fc.constant(2),
 	reconnectSeconds: fc.constantFrom(0, 0.4, 1.2),
 });
 
+const CUT_SECONDS = 3;
+
+/**
+A part of the entry hosts loses all control hosts, before, while or after an organisation begins to flood.
+*/
+const cuts: fc.Arbitrary<History> = fc.record({
+	seed: fc.integer({min: 1, max: 1_000_000}),
+	perSecond: fc.constantFrom(10, 30, 60, 150),
+	use: fc.constant(0.62),
+	floods: fc.tuple(fc.record({atSeconds: fc.constantFrom(1.5, 2.5, 3.5), forSeconds: fc.constantFrom(4, 9), times: fc.constantFrom(2, 5)})),
+	faults: fc.tuple(fc.record({
+		kind: fc.constant('entries-cut' as const), atSeconds: fc.constant(CUT_SECONDS), forSeconds: fc.constantFrom(1, 3, 7), share: fc.constantFrom(0.3, 0.5, 0.9),
+	})),
+	mediaPerSecond: fc.constantFrom(2, 12),
+	reconnectSeconds: fc.constantFrom(0, 0.4),
+});
+
 const HISTORIES = 20;
 const SEED = 20_261_203;
 
@@ -133,3 +159,22 @@
 	const mean = shares.reduce((sum, share) => sum + share, 0) / shares.length;
 	t.true(mean <= 0.02, `${mean} refused`);
 });
+
+test('an organisation that floods gets no more than its allotment while entry hosts are cut off from all control hosts', async t => {
+	// Guards against control hosts that give out the whole allotment beside the part that entry hosts give out which they do not hear.
+	await fc.assert(fc.asyncProperty(cuts, async history => {
+		const {allotmentExcess} = await play(history);
+		t.true(allotmentExcess <= 0, `${allotmentExcess} beyond the allotment: ${JSON.stringify(history)}`);
+	}), {seed: SEED, numRuns: HISTORIES});
+});
+
+test('an organisation within its allotment is hardly ever refused while entry hosts are cut off', async t => {
+	// Guards against an allotment that is kept by giving out a part of it only.
+	const shares: number[] = [];
+	await fc.assert(fc.asyncProperty(cuts, async history => {
+		const {refusedWithinAllotment} = await play(history);
+		shares.push(refusedWithinAllotment);
+	}), {seed: SEED, numRuns: HISTORIES});
+	const mean = shares.reduce((sum, share) => sum + share, 0) / shares.length;
+	t.true(mean <= 0.02, `${mean} refused`);
+});
--- a/packages/wagtailroute-lab/src/day.ts
+++ b/packages/wagtailroute-lab/src/day.ts
@@ -21,6 +21,7 @@
 import {createOracle} from './oracle.ts';
 import type {Scenario, ScenarioFault, ScenarioService} from './scenario.ts';
 import {serve} from './sending.ts';
+import {pickShare} from './draws.ts';
 import {createTally, type Figures, type Tally} from './tally.ts';
 import type {Variant} from './variants.ts';
 
@@ -115,6 +116,7 @@
 			spells: this.#backends.values().flatMap(({spells}) => spells).toArray(),
 			rateLimits: this.#backends.values().flatMap(({rateLimits}) => rateLimits).toArray(),
 			closures: this.#backends.values().flatMap(({closures}) => closures).toArray(),
+			serving: this.#backends.values().filter(({state}) => state === 'serving').toArray(),
 			cpuMicroseconds: user + system,
 		});
 	}
@@ -126,6 +128,9 @@
 		freeze: (milliseconds: number) => {
 			this.#fleet.freeze(milliseconds);
 		},
+		cutOff: (share: number, milliseconds: number) => {
+			this.#fleet.cutOff(share, milliseconds);
+		},
 		restart: (milliseconds: number) => {
 			this.#fleet.restart(milliseconds);
 		},
@@ -236,7 +241,7 @@
 			if (mayComeBack) {
 				comeBack(NO_CONNECTION_MILLISECONDS);
 			} else {
-				this.#tally.note(route, arrival.at, {kind: 'unserved', cause: 'no-connection'});
+				this.#tally.note(arrival, arrival.at, {kind: 'unserved', cause: 'no-connection'});
 			}
 
 			return;
@@ -254,8 +259,8 @@
 			findBackend: id => this.#backends.get(id),
 			isPathBad: backend => this.#badPaths.some(({until, entries, backends}) =>
 				this.#clock.now() < until && entries.has(entry.id) && backends.has(backend.id)),
-			onSent: isResend => {
-				this.#tally.noteSent(arrival.service, this.#clock.now(), isResend);
+			onSent: (upstream, isResend) => {
+				this.#tally.noteSent({service: arrival.service, upstream, isResend}, this.#clock.now());
 			},
 			ended: entry.ended,
 		});
@@ -266,7 +271,7 @@
 		if (mayComeBack && end.kind === 'refused') {
 			comeBack(Math.min(end.retryAfterMilliseconds, (arrival.at + route.deadlineMilliseconds - this.#clock.now()) / 3));
 		} else {
-			this.#tally.note(route, arrival.at, end.kind === 'refused' ? {kind: 'unserved', cause: 'refused'} : end);
+			this.#tally.note(arrival, arrival.at, end.kind === 'refused' ? {kind: 'unserved', cause: 'refused'} : end);
 		}
 	}
 
@@ -286,6 +291,7 @@
 type Field = {
 	readonly darken: (which: 'first' | 'all', milliseconds: number) => void;
 	readonly freeze: (milliseconds: number) => void;
+	readonly cutOff: (share: number, milliseconds: number) => void;
 	readonly restart: (milliseconds: number) => void;
 	readonly spoilPaths: (share: number, milliseconds: number) => void;
 	readonly drain: (share: number, isReplaced: boolean) => void;
@@ -303,6 +309,9 @@
 	'control-frozen'(field, {forSeconds}) {
 		field.freeze(forSeconds * MILLISECONDS);
 	},
+	'entries-cut'(field, {share, forSeconds}) {
+		field.cutOff(share, forSeconds * MILLISECONDS);
+	},
 	restart(field, {forSeconds}) {
 		field.restart(forSeconds * MILLISECONDS);
 	},
@@ -317,6 +326,3 @@
 	},
 };
 
-function pickShare<Item>(random: utils.Random, items: readonly Item[], share: number): readonly Item[] {
-	return utils.shuffle(random, items).slice(0, Math.ceil(items.length * share));
-}
--- a/packages/wagtailroute-lab/src/draws.ts
+++ b/packages/wagtailroute-lab/src/draws.ts
@@ -1,7 +1,7 @@
 /**
 Draws from the distributions that scenarios name.
 */
-import type * as utils from 'wagtailroute-utils';
+import * as utils from 'wagtailroute-utils';
 import type {ScenarioRoute} from './scenario.ts';
 
 /**
@@ -45,3 +45,10 @@
 	const usual = meanMilliseconds * Math.exp((drawNormal(random) * spread) - (spread * spread / 2));
 	return random() < tailShare ? usual * tailTimes : usual;
 }
+
+/**
+Returns a share of the items, rounded up.
+*/
+export function pickShare<Item>(random: utils.Random, items: readonly Item[], share: number): readonly Item[] {
+	return utils.shuffle(random, items).slice(0, Math.ceil(items.length * share));
+}
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -13,6 +13,7 @@
 import {createContext} from './context.ts';
 import {createLinkPair, type Endpoint} from './links.ts';
 import {createGeneration} from './generation.ts';
+import {pickShare} from './draws.ts';
 import type {Scenario} from './scenario.ts';
 import type {Variant} from './variants.ts';
 
@@ -47,6 +48,10 @@
 	readonly darken: (which: 'first' | 'all', milliseconds: number) => void;
 	readonly freeze: (milliseconds: number) => void;
 	/**
+	A share of the entry hosts loses all control hosts, and goes on to serve callers.
+	*/
+	readonly cutOff: (share: number, milliseconds: number) => void;
+	/**
 	All processes end and start again.
 	*/
 	readonly restart: (milliseconds: number) => void;
@@ -113,6 +118,11 @@
 const DIAL_MILLISECONDS = 10;
 const MILLISECONDS_PER_SECOND = 1000;
 
+/**
+Milliseconds of silence after which a link is closed.
+*/
+const LINK_SILENCE_MILLISECONDS = 6500;
+
 /**
 How the users' platform judges allotments.
 */
@@ -177,6 +187,25 @@
 		});
 	}
 
+	cutOff(share: number, milliseconds: number): void {
+		const {clock, random} = this.#plan;
+		const chosen = pickShare(random, this.#entries, share);
+		for (const {endpoint} of chosen) {
+			endpoint.cut = {from: endpoint.cut?.from ?? clock.now(), until: clock.now() + milliseconds};
+		}
+
+		clock.schedule(Math.min(milliseconds, LINK_SILENCE_MILLISECONDS), () => {
+			for (const entry of milliseconds > LINK_SILENCE_MILLISECONDS ? chosen : []) {
+				this.#loseLinks(entry);
+			}
+		});
+		clock.schedule(milliseconds, () => {
+			for (const entry of chosen) {
+				this.#endCut(entry);
+			}
+		});
+	}
+
 	restart(milliseconds: number): void {
 		const kept = this.#plan.variant.isForgetful ? [] : this.#controls[0]!.dispatching.listBeliefs();
 		for (const entry of this.#entries) {
@@ -205,6 +234,22 @@
 		}
 	}
 
+	#loseLinks(entry: Entry): void {
+		for (const old of entry.controls.splice(0)) {
+			old.link.close();
+			entry.asking.loseDispatcher(old);
+		}
+	}
+
+	#endCut(entry: Entry): void {
+		entry.endpoint.cut = undefined;
+		for (const control of this.#controls) {
+			if (entry.controls.every(({host}) => host.id !== control.id)) {
+				this.#reconnect(entry, control);
+			}
+		}
+	}
+
 	/**
 	Returns the control host that dispatches the service with the most requests.
 	*/
@@ -238,7 +283,7 @@
 	#reconnect(entry: Entry, control: Control): void {
 		const {clock, random, scenario} = this.#plan;
 		const connect = () => {
-			if (!this.#controls.includes(control)) {
+			if (!this.#controls.includes(control) || entry.endpoint.cut !== undefined) {
 				return;
 			}
 
@@ -270,7 +315,7 @@
 		const failureDomain = scenario.failureDomains[index % scenario.failureDomains.length]!;
 		const methods = new Map<string, link.LinkMethod>();
 		const endpoint: Endpoint = {
-			failureDomain, methods, state: 'up', frozenUntil: 0,
+			role: 'control', failureDomain, methods, state: 'up', frozenUntil: 0,
 		};
 		const id = `control-${index}`;
 		const askers = fleet.createAskers();
@@ -383,7 +428,7 @@
 		const id = `entry-${failureDomain}-${index}`;
 		const methods = new Map<string, link.LinkMethod>();
 		const endpoint: Endpoint = {
-			failureDomain, methods, state: 'up', frozenUntil: 0,
+			role: 'entry', failureDomain, methods, state: 'up', frozenUntil: 0,
 		};
 		const askers = fleet.createAskers();
 		const controls: fleet.OpenControl[] = [];
--- a/packages/wagtailroute-lab/src/index.ts
+++ b/packages/wagtailroute-lab/src/index.ts
@@ -9,6 +9,7 @@
 	loadScenario,
 	parseScenario,
 	type Scenario,
+	type ScenarioSpell,
 } from './scenario.ts';
 export type {Figures} from './tally.ts';
 export {findVariant, MECHANISMS, type Variant} from './variants.ts';
--- a/packages/wagtailroute-lab/src/links.ts
+++ b/packages/wagtailroute-lab/src/links.ts
@@ -9,9 +9,14 @@
 A host as links see it.
 */
 export type Endpoint = {
+	readonly role: 'control' | 'entry';
 	readonly failureDomain: string;
 	readonly methods: link.LinkMethods;
 	/**
+	Since when it has been cut off from all hosts of the other role, and until when; absent while it reaches them. What is sent meanwhile arrives afterwards.
+	*/
+	cut?: {readonly from: number; readonly until: number};
+	/**
 	`away`: nothing arrives. `frozen`: what arrives waits.
 	*/
 	state: 'up' | 'away' | 'frozen';
@@ -78,8 +83,14 @@
 	}
 
 	getSilence(): number {
-		// A host that runs pings; one that is away or stands still does not.
-		return this.peer!.#end.state === 'up' ? 0 : this.#clock.now() - this.#heardAt;
+		const peer = this.peer!.#end;
+		if (peer.state !== 'up') {
+			return this.#clock.now() - this.#heardAt;
+		}
+
+		// A host that runs pings, as long as its messages arrive.
+		const cut = findCut(this.#end, peer);
+		return cut === undefined ? 0 : this.#clock.now() - Math.max(cut.from, this.#heardAt);
 	}
 
 	isOpen(): boolean {
@@ -121,8 +132,10 @@
 			return;
 		}
 
-		if (this.#end.state === 'frozen') {
-			this.#clock.schedule(this.#end.frozenUntil - this.#clock.now(), () => {
+		const cut = findCut(this.#end, this.peer!.#end);
+		const heldUntil = this.#end.state === 'frozen' ? this.#end.frozenUntil : cut?.until;
+		if (heldUntil !== undefined) {
+			this.#clock.schedule(heldUntil - this.#clock.now(), () => {
 				this.#receive(run);
 			});
 			return;
@@ -132,3 +145,7 @@
 		run();
 	}
 }
+
+function findCut(left: Endpoint, right: Endpoint): Endpoint['cut'] {
+	return left.role === right.role ? undefined : left.cut ?? right.cut;
+}
--- a/packages/wagtailroute-lab/src/sending.ts
+++ b/packages/wagtailroute-lab/src/sending.ts
@@ -36,7 +36,7 @@
 	/**
 	A request is on its way to an upstream, the first or another one.
 	*/
-	readonly onSent: (isResend: boolean) => void;
+	readonly onSent: (upstream: core.UpstreamId, isResend: boolean) => void;
 	/**
 	The entry host ends: the connection of the caller breaks.
 	*/
@@ -206,7 +206,7 @@
 				});
 			}
 		} else {
-			onSent(this.#hasArrived);
+			onSent(target.id, this.#hasArrived);
 			this.#hasArrived = true;
 			clock.schedule(way, () => {
 				giveUp = backend.take({
--- a/packages/wagtailroute-lab/src/tally.ts
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -2,7 +2,9 @@
 What became of a day's requests, and the figures that policies are compared by.
 */
 import * as histograms from 'hdr-histogram-js';
-import type {Closure, RateLimit, Spell} from './backend.ts';
+import type {Arrival} from './arrivals.ts';
+import type {Backend, Closure, RateLimit, Spell} from './backend.ts';
+import {getLeastFedShare} from './feeding.ts';
 import type {Scenario, ScenarioRoute} from './scenario.ts';
 
 /**
@@ -77,6 +79,10 @@
 	*/
 	readonly refusedWithinAllotment: number;
 	/**
+	Least share of the sound upstreams of a service that got requests in two seconds in which a part of its requests was not served.
+	*/
+	readonly leastFedShare: number;
+	/**
 	Microseconds of processor time of the whole model for each request.
 	*/
 	readonly microseconds: number;
@@ -89,18 +95,27 @@
 	/**
 	@param askedAt When the caller first asked.
 	*/
-	readonly note: (route: ScenarioRoute, askedAt: number, fate: Fate) => void;
+	readonly note: (arrival: Pick<Arrival, 'route' | 'service'>, askedAt: number, fate: Fate) => void;
 	/**
 	An attempt of an organisation's caller was refused, or may have run.
 
 	@param at When the caller asked.
 	*/
 	readonly noteOrganisation: (name: string, at: number, isRefused: boolean) => void;
-	readonly noteSent: (service: string, at: number, isResend: boolean) => void;
+	readonly noteSent: (attempt: SentAttempt, at: number) => void;
 	readonly noteFalseSuspension: () => void;
 	readonly finish: (upstreams: UpstreamTallies) => Figures;
 };
 
+/**
+An attempt that is sent to an upstream.
+*/
+export type SentAttempt = {
+	readonly service: string;
+	readonly upstream: string;
+	readonly isResend: boolean;
+};
+
 /**
 What upstreams have counted.
 */
@@ -108,6 +123,10 @@
 	readonly spells: ReadonlyArray<Pick<Spell, 'from' | 'sent' | 'sentUnrepeatable' | 'lastSentAt'>>;
 	readonly rateLimits: readonly RateLimit[];
 	readonly closures: readonly Closure[];
+	/**
+	Those that served all day.
+	*/
+	readonly serving: ReadonlyArray<Pick<Backend, 'id' | 'service' | 'spells'>>;
 	readonly cpuMicroseconds: number;
 };
 
@@ -144,8 +163,16 @@
 	let late = 0;
 	const uses = new Map<string, {readonly at: number[]; refused: number}>(scenario.organisations.map(({name}) => [name, {at: [], refused: 0}]));
 	const sentTimes = new Map<string, SentTimes>();
+	const requests = new Map<string, Array<{readonly at: number; readonly isServed: boolean}>>();
+	const arrivals = new Map<string, number[]>();
 	let falseSuspensions = 0;
 
+	const append = <Item>(lists: Map<string, Item[]>, key: string, item: Item) => {
+		const list = lists.get(key) ?? [];
+		lists.set(key, list);
+		list.push(item);
+	};
+
 	const add = <Key>(sums: Map<Key, Sum>, key: Key, {owed, earned}: Sum) => {
 		const sum = sums.get(key) ?? {owed: 0, earned: 0};
 		sum.owed += owed;
@@ -162,7 +189,8 @@
 	};
 
 	return {
-		note(route, askedAt, fate) {
+		note({route, service}, askedAt, fate) {
+			append(requests, service, {at: askedAt, isServed: fate.kind === 'served'});
 			const earned = getEarned(route, fate);
 			count++;
 			total.owed += route.worth;
@@ -186,7 +214,8 @@
 				use.at.push(at);
 			}
 		},
-		noteSent(service, at, isResend) {
+		noteSent({service, upstream, isResend}, at) {
+			append(arrivals, upstream, at);
 			const times = sentTimes.get(service) ?? {firsts: [], resends: []};
 			sentTimes.set(service, times);
 			times[isResend ? 'resends' : 'firsts'].push(at);
@@ -194,7 +223,7 @@
 		noteFalseSuspension() {
 			falseSuspensions++;
 		},
-		finish({spells, rateLimits, closures, cpuMicroseconds}) {
+		finish({spells, rateLimits, closures, serving, cpuMicroseconds}) {
 			const shares = windows.values().map(({owed, earned}) => earned / owed).toArray().toSorted((left, right) => left - right);
 			const worst = shares.slice(0, WORST_WINDOWS);
 			const worstSeconds = worst.reduce((sum, share) => sum + share, 0) / Math.max(1, worst.length);
@@ -231,6 +260,10 @@
 				drainingArrivals: countMost(closures, 'draining'),
 				allotmentExcess: countAllotmentExcess(scenario, uses),
 				refusedWithinAllotment: getRefusedShare(scenario, uses),
+				leastFedShare: Math.min(1, ...requests.entries().map(([service, asked]) => getLeastFedShare({
+					requests: asked,
+					upstreams: serving.filter(upstream => upstream.service === service).map(upstream => ({...upstream, arrivals: arrivals.get(upstream.id) ?? []})),
+				}))),
 				microseconds: cpuMicroseconds / count,
 			};
 		},
