Allotments: control hosts leave out the shares of entry hosts that they do not hear

What callers saw: an organisation got more than its allotment while entry hosts were cut off from all control hosts.

Cause: each entry host that is cut off gives out its share of every allotment, by itself or through others, and control hosts went on to give out the whole. Class: parts of a bound that are given out by hosts which do not hear each other, with nobody who leaves a part to the others. A second one of the class: two entry hosts that dispatch for two services of the same hosts took of each other's use the share of the entry hosts that ask them, so that half of the hosts were given two thirds of the whole.

What is changed: entry hosts send something every 0.35 to 0.7 s to control hosts that they asked lately. One that is silent for a second, or whose link is closed while it is silent, counts as absent; control hosts give out the whole less the absent shares, and count of what they admitted before what the present hosts may have had. A host that comes back tells what it used meanwhile; only then is its share given out again. Use that is told carries the share that its dispatcher speaks for.

--- a/packages/wagtailroute-allotments/src/__tests__/unit/allotments.test.ts
+++ b/packages/wagtailroute-allotments/src/__tests__/unit/allotments.test.ts
@@ -294,6 +294,74 @@
 	t.is(countAdmitted(ledger, 100, {at: 10_000}), 0);
 });
 
+type AbsenceCase = {
+	readonly name: string;
+	readonly absences: readonly allotments.Absence[];
+	readonly admittedBefore: number;
+	readonly admitted: number;
+};
+
+/**
+10 a second, 10 at once and 8 beyond: 68 in a window.
+*/
+const ABSENCES: readonly AbsenceCase[] = [
+	{
+		name: 'no host', absences: [], admittedBefore: 0, admitted: 68,
+	},
+	{
+		name: 'half of the hosts, before the flood', absences: [{since: 9000, share: 0.5}], admittedBefore: 0, admitted: 34,
+	},
+	{
+		name: 'half of the hosts, whose part of what was admitted before is their own', absences: [{since: 10_001, share: 0.5}], admittedBefore: 18, admitted: 25,
+	},
+	{
+		name: 'half of the hosts one after the other', absences: [{since: 9000, share: 0.25}, {since: 9500, share: 0.25}], admittedBefore: 0, admitted: 34,
+	},
+];
+
+for (const {name, absences, admittedBefore, admitted} of ABSENCES) {
+	test(`a control host that does not hear ${name} leaves out their shares`, t => {
+		// Guards against the whole allotment being given out beside the part that entry hosts give out which are cut off from it.
+		const ledger = create({listAbsences: now => absences.filter(({since}) => since <= now)});
+		t.is(countAdmitted(ledger, admittedBefore, {at: 10_000}), admittedBefore);
+		let count = 0;
+		for (let at = 10_010; at < 15_000; at += 10) {
+			count += countAdmitted(ledger, 1, {at});
+		}
+
+		t.is(count, admitted);
+	});
+}
+
+test('what an absent host used counts once it is back', t => {
+	// Guards against a burst that is given out once more to hosts that were cut off and had theirs from others.
+	const ledger = create({listAbsences: () => []});
+	countAdmitted(ledger, 0, {at: 10_000});
+	ledger.takeOver([['archive', 'parish', 60, 1000]], 0.5, 20_000, 18_000);
+	t.is(countAdmitted(ledger, 100, {at: 20_000}), 8);
+});
+
+const SIBLINGS = [
+	{
+		name: 'the same hosts', share: 0.5, left: 1,
+	},
+	{
+		name: 'all hosts', share: 1, left: 5,
+	},
+] as const;
+
+for (const {name, share, left} of SIBLINGS) {
+	test(`an entry host that dispatches for half of the hosts takes what another admitted for another service of ${name}`, t => {
+		// Guards against two thirds of a part that are given out by two dispatchers for two services of the same hosts.
+		const ledger = create({getShare: () => 0.5, isTold: false});
+		ledger.takeOver([], 0.5, 10_000);
+		ledger.hearUse({
+			at: 10_000, services: ['media'], uses: [['media', 'parish', 8]], share,
+		}, {at: 10_000, now: 10_000});
+		t.is(countAdmitted(ledger, 100, {at: 10_000}), left);
+	});
+}
+
 const RATES = [1, 5, 16, 60, 150] as const;
 const DISPATCHERS = [1, 2, 3, 5, 12, 24] as const;
 
--- a/packages/wagtailroute-allotments/src/account.ts
+++ b/packages/wagtailroute-allotments/src/account.ts
@@ -50,6 +50,10 @@
 	*/
 	readonly toldShare: number;
 	/**
+	Entry hosts that are not heard here: their shares are not given out, and count as used by themselves from then on.
+	*/
+	readonly absences: readonly Absence[];
+	/**
 	Tokens beyond the burst.
 	*/
 	readonly extra: number;
@@ -60,6 +64,20 @@
 	readonly windowMilliseconds: number;
 };
 
+/**
+Entry hosts that a dispatcher does not hear, and that may go on to serve callers by others.
+*/
+export type Absence = {
+	/**
+	When they were heard last.
+	*/
+	readonly since: number;
+	/**
+	Share of the entry hosts that they are, 0 to 1.
+	*/
+	readonly share: number;
+};
+
 /**
 An account. Times are in milliseconds of a monotonic clock.
 */
@@ -129,16 +147,22 @@
 	kept to the allotment by itself. News that were held up come together, and the tokens that they took have long come back: they count in the window only.
 	*/
 	hearUse(service: core.ServiceName, requests: number, {at, now}: {readonly at: number; readonly now: number}): void {
-		const {share} = this.#extent;
-		if (now - at < STALE_MILLISECONDS) {
-			const most = (getRate(this.#allotment, this.#extent) * UNTOLD_SECONDS * 2) + UNTOLD_MOST;
-			this.#bucket.takeToken(at, Math.min(requests * share, this.#bucket.getTokens(at) + most));
-		}
-
+		this.#takeHeard(requests * this.#extent.share, {at, now});
 		this.#heardWindow.add(requests, at);
 		this.#rememberUse(service, requests, at);
 	}
 
+	/**
+	Takes what another dispatcher tells that it admitted on behalf of entry hosts that ask here too, for another service.
+
+	@param part Part of the requests that these hosts may have sent, 0 to 1.
+	*/
+	hearSharedUse(service: core.ServiceName, requests: number, {at, now, part}: {readonly at: number; readonly now: number; readonly part: number}): void {
+		this.#takeHeard(requests * part, {at, now});
+		this.#window.add(requests * part, at);
+		this.#rememberUse(service, requests, at);
+	}
+
 	/**
 	Records what was admitted before this account began: it counts in the window, and the tokens that it took were never here.
 	*/
@@ -162,7 +186,9 @@
 	Returns the requests used in the last window; of those that other dispatchers told, the share that this one speaks for.
 	*/
 	getUse(now: number): number {
-		return this.#window.count(now) + (this.#heardWindow.count(now) * this.#extent.share);
+		const {absences, share} = this.#extent;
+		const getWeight = absences.length === 0 ? undefined : (at: number) => 1 - sumShares(absences.filter(({since}) => since >= at));
+		return this.#window.count(now, getWeight) + (this.#heardWindow.count(now, getWeight) * share);
 	}
 
 	/**
@@ -201,6 +227,15 @@
 		return this.getUse(now) + 1 > getMost(this.#allotment, this.#extent);
 	}
 
+	#takeHeard(requests: number, {at, now}: {readonly at: number; readonly now: number}): void {
+		if (now - at >= STALE_MILLISECONDS) {
+			return;
+		}
+
+		const most = (getRate(this.#allotment, this.#extent) * UNTOLD_SECONDS * 2) + UNTOLD_MOST;
+		this.#bucket.takeToken(at, Math.min(requests, this.#bucket.getTokens(at) + most));
+	}
+
 	#rememberUse(service: core.ServiceName, requests: number, at: number): void {
 		this.#fade(at);
 		add(this.#uses, service, requests);
@@ -231,7 +266,7 @@
 
 function isSameExtent(left: Extent, right: Extent): boolean {
 	return left.part === right.part && left.burstPart === right.burstPart && left.share === right.share && left.toldShare === right.toldShare
-		&& left.extra === right.extra && left.isWhole === right.isWhole;
+		&& left.extra === right.extra && left.isWhole === right.isWhole && left.absences === right.absences;
 }
 
 function getRate(allotment: Allotment, extent: Extent): number {
@@ -244,8 +279,19 @@
 /**
 Returns the requests of a window that may be given out; one at least, as for the tokens.
 */
-function getMost({ratePerSecond, burst}: Allotment, {share, extra, windowMilliseconds}: Extent): number {
-	return Math.max(1, ((ratePerSecond * windowMilliseconds / MILLISECONDS_PER_SECOND) + burst + extra) * share);
+function getMost({ratePerSecond, burst}: Allotment, {share, absences, extra, windowMilliseconds}: Extent): number {
+	return Math.max(1, ((ratePerSecond * windowMilliseconds / MILLISECONDS_PER_SECOND) + burst + extra) * share * getPresentShare(absences));
+}
+
+/**
+Returns the share of the entry hosts that is left beside those that are absent, 0 to 1.
+*/
+export function getPresentShare(absences: readonly Absence[]): number {
+	return Math.max(0, 1 - sumShares(absences));
+}
+
+function sumShares(absences: readonly Absence[]): number {
+	return Math.min(1, sum(absences.map(({share}) => share)));
 }
 
 /**
--- a/packages/wagtailroute-allotments/src/allotments.ts
+++ b/packages/wagtailroute-allotments/src/allotments.ts
@@ -15,6 +15,8 @@
 
 - Two dispatchers admit the same tokens before they hear of each other. They owe them afterwards, so an organisation that floods gets more than its
   rate by what is admitted in one interval of telling, once.
+- Entry hosts are cut off from all control hosts, and dispatch among themselves. A control host does not give out the shares of those that it does not hear. Of
+  what it admitted before it counts what the others may have had; back again, an entry host tells what it was admitted meanwhile.
 - Dispatchers are cut off from each other while entry hosts reach both. Told nothing, each would give out the whole rate. So whoever misses news of
   a service gives out only the part that its other services used before; the parts of both sides add up to the whole.
 - A dispatcher is lost. Its successor was told what it admitted, and speaks for its service from the first ask on, so nothing stays set aside.
@@ -22,10 +24,12 @@
 */
 import type * as core from 'wagtailroute-core';
 import {
+	type Absence,
 	Account,
 	type Allotment,
 	type Extent,
 	getCapacity,
+	getPresentShare,
 } from './account.ts';
 import {
 	ACTIVE_MILLISECONDS,
@@ -59,6 +63,10 @@
 	Clock of the dispatcher that tells it.
 	*/
 	readonly at: number;
+	/**
+	Share of the entry hosts that it speaks for, 0 to 1; absent: it gives out the whole, as control hosts do.
+	*/
+	readonly share?: number;
 	readonly services: readonly core.ServiceName[];
 	readonly uses: readonly Use[];
 };
@@ -123,8 +131,9 @@
 	Takes all that an entry host was admitted by other dispatchers in the last window, before it asks here for the first time.
 
 	@param share Share of the entry hosts that this one is, 0 to 1.
+	@param absentSince When it was last heard here; absent: it was heard all the while.
 	*/
-	readonly takeOver: (uses: readonly PastUse[], share: number, now: number) => void;
+	readonly takeOver: (uses: readonly PastUse[], share: number, now: number, absentSince?: number) => void;
 	/**
 	Returns what was not told yet, undefined when this dispatcher speaks for no service.
 	*/
@@ -145,6 +154,11 @@
 	*/
 	readonly getShare: (now: number) => number;
 	/**
+	Returns the entry hosts that this dispatcher does not hear; the same list for as long as nothing changes. Absent on entry hosts, which give out the share of
+	those that ask.
+	*/
+	readonly listAbsences?: (now: number) => readonly Absence[];
+	/**
 	This dispatcher hears of all use even while it is not asked, as control hosts do.
 	*/
 	readonly isTold: boolean;
@@ -154,6 +168,7 @@
 	readonly random: () => number;
 };
 
+const NO_ABSENCES: readonly Absence[] = [];
 const ADMITTED: Admission = {kind: 'admitted', isBound: false, isUrgent: false};
 
 /**
@@ -246,7 +261,7 @@
 		this.#noteUntold(service, organisation, -1);
 	}
 
-	hearUse({services, uses}: UseNews, {at, now}: {readonly at: number; readonly now: number}): void {
+	hearUse({services, uses, share}: UseNews, {at, now}: {readonly at: number; readonly now: number}): void {
 		this.#lastHeardAt = now;
 		for (const service of services) {
 			this.#heardAt.set(service, now);
@@ -256,22 +271,36 @@
 			this.#settle();
 		}
 
+		// Entry hosts dispatch for those that are absent here, out of the shares that are not given out for these.
+		if (share !== undefined && this.#listAbsences(now).length > 0) {
+			return;
+		}
+
 		for (const [service, organisation, requests] of uses) {
 			const allotment = this.#allotments.get(organisation);
-			if (allotment !== undefined) {
-				this.#getAccount(allotment, now).hearUse(service, requests, {at, now});
+			if (allotment === undefined) {
+				continue;
+			}
+
+			const account = this.#getAccount(allotment, now);
+			const part = this.#getSharedPart(service, share, now);
+			if (part === undefined) {
+				account.hearUse(service, requests, {at, now});
+			} else {
+				account.hearSharedUse(service, requests, {at, now, part});
 			}
 		}
 	}
 
-	takeOver(uses: readonly PastUse[], share: number, now: number): void {
+	takeOver(uses: readonly PastUse[], share: number, now: number, absentSince = Infinity): void {
 		this.#wake(now);
 		this.#toldShare += share;
 		for (const [service, organisation, requests, ageMilliseconds] of uses) {
 			const at = now - ageMilliseconds;
 			const allotment = this.#allotments.get(organisation);
-			// What was admitted later was told by the dispatcher that admitted it.
-			if (allotment === undefined || !(at <= this.#knowsSince + SILENT_MILLISECONDS)) {
+			// What was admitted later was told by the dispatcher that admitted it, unless it spoke for hosts that were absent here.
+			const isUntold = at <= this.#knowsSince + SILENT_MILLISECONDS || at >= absentSince;
+			if (allotment === undefined || !isUntold) {
 				continue;
 			}
 
@@ -287,7 +316,11 @@
 			.filter(use => use[2] !== 0)
 			.toArray();
 		this.#untold.clear();
-		return services.length === 0 && uses.length === 0 ? undefined : {at: now, services, uses};
+		return services.length === 0 && uses.length === 0
+			? undefined
+			: {
+				at: now, services, uses, ...!this.#settings.isTold && {share: this.#settings.getShare(now)},
+			};
 	}
 
 	#noteAsked(service: core.ServiceName, now: number): void {
@@ -357,10 +390,12 @@
 		const {slack, windowMilliseconds} = this.#settings;
 		const isWhole = this.#hasHeardWindow(now);
 		const share = isWhole ? 1 : this.#settings.getShare(now);
+		const absences = this.#listAbsences(now);
 		return {
-			part: share,
+			part: share * getPresentShare(absences),
 			burstPart: 1,
 			share,
+			absences,
 			toldShare: isWhole ? 0 : Math.min(share, this.#toldShare),
 			extra: slack * SLACK_PART,
 			isWhole,
@@ -368,6 +403,22 @@
 		};
 	}
 
+	/**
+	Lists the entry hosts whose shares are not given out here. One that gives out the share of those that ask leaves out the others anyway.
+	*/
+	#listAbsences(now: number): readonly Absence[] {
+		return (this.#hasHeardWindow(now) ? this.#settings.listAbsences?.(now) : undefined) ?? NO_ABSENCES;
+	}
+
+	/**
+	Returns which part of the use of another entry host's dispatcher may be that of hosts that ask here too; undefined where those that ask it ask nobody here. A host
+	asks one dispatcher for each service, so two dispatchers of different services speak for the same hosts.
+	*/
+	#getSharedPart(service: core.ServiceName, share: number | undefined, now: number): number | undefined {
+		const isOwn = now - (this.#askedAt.get(service) ?? -Infinity) < ACTIVE_MILLISECONDS;
+		return share === undefined || isOwn || this.#hasHeardWindow(now) ? undefined : Math.min(1, this.#settings.getShare(now) / share);
+	}
+
 	/**
 	Says whether this dispatcher has heard of all use for a window.
 	*/
--- a/packages/wagtailroute-allotments/src/index.ts
+++ b/packages/wagtailroute-allotments/src/index.ts
@@ -1,7 +1,7 @@
 /**
 Allotments of organisations over all dispatchers of a fleet.
 */
-export type {Allotment} from './account.ts';
+export type {Absence, Allotment} from './account.ts';
 export {
 	type Admission,
 	type Allotments,
--- a/packages/wagtailroute-allotments/src/use-window.ts
+++ b/packages/wagtailroute-allotments/src/use-window.ts
@@ -14,7 +14,10 @@
 	@param at When they were used, up to a window ago.
 	*/
 	readonly add: (requests: number, at: number) => void;
-	readonly count: (now: number) => number;
+	/**
+	@param getWeight Part of the requests used at a time that counts, 0 to 1; absent: all of them.
+	*/
+	readonly count: (now: number, getWeight?: (at: number) => number) => number;
 	/**
 	Returns the milliseconds until the oldest requests are out of the window.
 	*/
@@ -45,9 +48,9 @@
 			const number = getNumber(at);
 			slices.set(number, (slices.get(number) ?? 0) + requests);
 		},
-		count(now) {
+		count(now, getWeight = () => 1) {
 			forget(now);
-			return Math.max(0, slices.values().reduce((sum, requests) => sum + requests, 0));
+			return Math.max(0, slices.entries().reduce((sum, [number, requests]) => sum + (requests * getWeight(number * sliceMilliseconds)), 0));
 		},
 		getDelay(now) {
 			forget(now);
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/absences.test.ts
@@ -0,0 +1,106 @@
+/**
+Tests of which entry hosts a control host counts as absent, and for how long.
+*/
+import test from 'ava';
+import {type HeardHost, startAbsences} from '../../absences.ts';
+
+const WINDOW_MILLISECONDS = 5000;
+const SHARE = 0.1;
+
+type Step = {
+	readonly at: number;
+	/**
+	Absent: its link is closed.
+	*/
+	readonly silence?: number;
+	readonly isReady?: boolean;
+	readonly does?: 'ask' | 'close' | 'tell';
+	/**
+	When the host was last heard; absent: it does not count as absent.
+	*/
+	readonly since?: number;
+};
+
+type Case = {
+	readonly name: string;
+	readonly steps: readonly Step[];
+};
+
+const CASES: readonly Case[] = [
+	{
+		name: 'one that asks and is heard',
+		steps: [{at: 0, silence: 0, does: 'ask'}, {at: 900, silence: 900}],
+	},
+	{
+		name: 'one that asked and is silent for a second',
+		steps: [{at: 0, silence: 0, does: 'ask'}, {at: 1100, silence: 1100, since: 0}, {at: 1200, silence: 1200, since: 0}],
+	},
+	{
+		name: 'one that does not ask, within its long pings',
+		steps: [{at: 0, silence: 0}, {at: 4000, silence: 4000}, {at: 4600, silence: 4600, since: 0}],
+	},
+	{
+		name: 'one that stops',
+		steps: [{at: 0, silence: 0, does: 'ask'}, {at: 2000, silence: 2000, since: 0}, {at: 2100, silence: 0, isReady: false}],
+	},
+	{
+		name: 'one whose process ends while it is heard',
+		steps: [{at: 0, silence: 0, does: 'ask'}, {at: 500, silence: 300, does: 'close'}, {at: 2000}],
+	},
+	{
+		name: 'one whose link is closed for its silence, until it is forgotten',
+		steps: [{at: 0, silence: 0, does: 'ask'}, {
+			at: 6500, silence: 6500, does: 'close', since: 0,
+		}, {at: 30_000, since: 0}, {at: 60_100}],
+	},
+	{
+		name: 'one that is heard again, until it tells what it used',
+		steps: [
+			{at: 0, silence: 0, does: 'ask'},
+			{at: 3000, silence: 3000, since: 0},
+			{at: 3100, silence: 0, since: 0},
+			{
+				at: 3200, silence: 0, does: 'ask', since: 0,
+			},
+			{at: 3300, silence: 0, does: 'tell'},
+			{at: 3400, silence: 0},
+		],
+	},
+	{
+		name: 'one that is heard again and tells nothing, for a window',
+		steps: [
+			{at: 0, silence: 0, does: 'ask'},
+			{at: 3000, silence: 3000, since: 0},
+			{at: 3100, silence: 0, since: 0},
+			{at: 8000, silence: 0, since: 0},
+			{at: 8200, silence: 0},
+		],
+	},
+];
+
+for (const {name, steps} of CASES) {
+	test(`an entry host counts as absent: ${name}`, t => {
+		// Guards against control hosts that give out the share of an entry host beside itself, and against shares that nobody gives out for long.
+		let time = 0;
+		let hosts: readonly HeardHost[] = [];
+		const absences = startAbsences({now: () => time, repeat: () => () => undefined}, {
+			listHosts: () => hosts, getOneShare: () => SHARE, windowMilliseconds: WINDOW_MILLISECONDS,
+		});
+		for (const {at, silence, isReady = true, does, since} of steps) {
+			time = at;
+			const host: HeardHost = {id: 'entry', isReady, silence: silence ?? 0};
+			hosts = silence === undefined || does === 'close' ? [] : [host];
+			const actions = {
+				ask: absences.recordAsk.bind(undefined, host.id),
+				close: absences.recordClosed.bind(undefined, host),
+				tell: absences.end.bind(undefined, host.id),
+			};
+			if (does !== undefined) {
+				actions[does]();
+			}
+
+			t.deepEqual(absences.list(), since === undefined ? [] : [{since, share: SHARE}], `at ${at}`);
+			t.is(absences.findStart('entry'), since, `at ${at}`);
+		}
+	});
+}
--- a/packages/wagtailroute-fleet/src/allotting.ts
+++ b/packages/wagtailroute-fleet/src/allotting.ts
@@ -6,6 +6,7 @@
 import type * as dispatch from 'wagtailroute-dispatch';
 import type * as generations from 'wagtailroute-generations';
 import * as utils from 'wagtailroute-utils';
+import type {Absences} from './absences.ts';
 import type {RequestShare} from './request-share.ts';
 import {ORGANISATION_LABELS_MOST, REFUSALS_TOLD_MILLISECONDS} from './constants.ts';
 import type {FleetContext} from './context.ts';
@@ -28,7 +29,7 @@
 	/**
 	Takes all that an entry host was admitted by other dispatchers in the last window, before it asks here for the first time.
 	*/
-	readonly takeOver: (uses: readonly allotments.PastUse[]) => void;
+	readonly takeOver: (host: core.HostId, uses: readonly allotments.PastUse[]) => void;
 	/**
 	@param sender Stands for the host that tells it: times of one sender are compared with each other.
 	*/
@@ -45,6 +46,10 @@
 	*/
 	readonly requestShare: Pick<RequestShare, 'get' | 'getOne'>;
 	/**
+	The entry hosts that are not heard here; absent on entry hosts.
+	*/
+	readonly absences?: Pick<Absences, 'recordAsk' | 'findStart' | 'end' | 'list'>;
+	/**
 	This host hears of all use even while it is not asked, as control hosts do.
 	*/
 	readonly isTold: boolean;
@@ -64,6 +69,7 @@
 		isTold: plan.isTold,
 		random: context.random,
 		getShare: plan.requestShare.get,
+		listAbsences: plan.absences?.list,
 	}, now());
 	const clocks = allotments.createSenderClocks();
 	const noteRefusal = createRefusalLog(context);
@@ -86,6 +92,7 @@
 			ledger.setAllotments(organisations.map(({name, ratePerSecond, burst}) => ({organisation: name, ratePerSecond, burst})), now());
 		},
 		admit(ask) {
+			plan.absences?.recordAsk(ask.host);
 			if (ask.organisation === undefined) {
 				return undefined;
 			}
@@ -109,8 +116,9 @@
 				ledger.giveBack(organisation, service, now());
 			}
 		},
-		takeOver(uses) {
-			ledger.takeOver(uses, plan.requestShare.getOne(), now());
+		takeOver(host, uses) {
+			ledger.takeOver(uses, plan.requestShare.getOne(), now(), plan.absences?.findStart(host));
+			plan.absences?.end(host);
 		},
 		hearUse(news, sender) {
 			ledger.hearUse(news, {at: clocks.convert(sender, news.at, now()), now: now()});
--- a/packages/wagtailroute-fleet/src/asking.ts
+++ b/packages/wagtailroute-fleet/src/asking.ts
@@ -10,6 +10,7 @@
 import type * as link from 'wagtailroute-link';
 import {
 	ASK_MILLISECONDS,
+	ASKER_MILLISECONDS,
 	MOST_UNANSWERED,
 	PROBE_MILLISECONDS,
 	UNKNOWN_SERVICE_MILLISECONDS,
@@ -88,6 +89,10 @@
 	readonly isClosed: (upstream: core.UpstreamId) => boolean;
 	readonly hearAnswer: (ask: number, answer: ShortAnswer) => void;
 	/**
+	Says whether the dispatcher at the other end of a link still counts this host among those that ask it.
+	*/
+	readonly isAsked: (over: link.Link) => boolean;
+	/**
 	The link to a dispatcher is lost.
 	*/
 	readonly loseDispatcher: (dispatcher: OpenControl) => void;
@@ -150,6 +155,7 @@
 	readonly #finder: DispatcherFinder;
 	readonly #routeNumbers = createRouteNumbers();
 	readonly #organisationNumbers = createOrganisationNumbers();
+	readonly #askedAt = new WeakMap<link.Link, number>();
 	#count = 0;
 	#isProbing = false;
 
@@ -232,6 +238,10 @@
 		}
 	}
 
+	isAsked(over: link.Link): boolean {
+		return this.#context.now() - (this.#askedAt.get(over) ?? -Infinity) < ASKER_MILLISECONDS + ASK_MILLISECONDS;
+	}
+
 	loseDispatcher(lost: OpenControl): void {
 		this.#plan.standbys.open();
 		const left = this.#pending.values().filter(({dispatcher}) => dispatcher?.link === lost.link).toArray();
@@ -282,6 +292,7 @@
 		}
 
 		pending.dispatcher = dispatcher;
+		this.#askedAt.set(dispatcher.link, this.#context.now());
 		this.#held.tell(ask.service, dispatcher);
 		const answer = await dispatcher.link.call(METHODS.ask, this.#shorten(dispatcher.link, ask), ASK_MILLISECONDS + this.#plan.getLinkDelay());
 		// Otherwise the ask was taken elsewhere already.
@@ -384,7 +395,7 @@
 		this.#plan.own.applyUpdates({service: ask.service, updates: this.#advertisements.list(ask.service)});
 		const uses = this.#recentUses.takeUntold(this.#plan.own);
 		if (uses !== undefined) {
-			this.#plan.own.takeOver(uses);
+			this.#plan.own.takeOver(this.#plan.settings.hostId, uses);
 		}
 
 		const answer = this.#plan.own.ask({...ask, remainingMilliseconds});
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -378,3 +378,24 @@
 Milliseconds from which on a late timer is logged: a leader that is late by so much misses a heartbeat.
 */
 export const PAUSE_MILLISECONDS = 200;
+
+/**
+Longest time in milliseconds without a message of this side on a link to a dispatcher that is asked: looked at every 0.35 s.
+*/
+export const ASKED_PING_MILLISECONDS = 350;
+
+/**
+Silence in milliseconds from which on an entry host that asks here counts as absent: two pings were missed.
+*/
+export const SILENT_ASKER_MILLISECONDS = 1000;
+
+/**
+Milliseconds between two looks at which entry hosts are heard: at least while a dispatcher is asked, at most while it is not.
+*/
+export const ABSENCE_LOOK_MILLISECONDS = 50;
+export const ABSENCE_REPEAT_MILLISECONDS = 250;
+
+/**
+Milliseconds after which an entry host that is not heard counts as gone: callers have turned to others.
+*/
+export const ABSENCE_MOST_MILLISECONDS = 60_000;
--- a/packages/wagtailroute-fleet/src/control-links.ts
+++ b/packages/wagtailroute-fleet/src/control-links.ts
@@ -7,6 +7,7 @@
 import * as core from 'wagtailroute-core';
 import * as link from 'wagtailroute-link';
 import {
+	ASKED_PING_MILLISECONDS,
 	FAR_PING_MILLISECONDS,
 	FORGET_CONTROL_MILLISECONDS,
 	HELLO_MILLISECONDS,
@@ -43,6 +44,10 @@
 	readonly failureDomain: core.FailureDomain;
 	readonly createHello: () => Hello;
 	readonly methods: link.LinkMethods;
+	/**
+	Says whether the dispatcher of a control host counts this host among those that ask it: it is to notice soon when it does not hear this host any more.
+	*/
+	readonly isAsked?: (over: link.Link) => boolean;
 	readonly onOpen: (control: OpenControl, welcome: Welcome) => void;
 	readonly onLost: (control: OpenControl) => void;
 };
@@ -112,6 +117,16 @@
 		plan.onLost(open);
 	};
 
+	const getPing = (id: core.HostId) => {
+		const entry = known.get(id);
+		if (entry?.open !== undefined && plan.isAsked?.(entry.open.link) === true) {
+			return ASKED_PING_MILLISECONDS;
+		}
+
+		// A seed's failure domain is known from its first answer on.
+		return entry?.host.failureDomain === plan.failureDomain ? NEAR_PING_MILLISECONDS : FAR_PING_MILLISECONDS;
+	};
+
 	const add = (host: ControlHost, isSeed: boolean) => {
 		const present = known.get(host.id);
 		if (present !== undefined || host.id === plan.self) {
@@ -133,8 +148,7 @@
 				order,
 				now,
 				random,
-				// A seed's failure domain is known from its first answer on.
-				pingMilliseconds: () => known.get(host.id)?.host.failureDomain === plan.failureDomain ? NEAR_PING_MILLISECONDS : FAR_PING_MILLISECONDS,
+				pingMilliseconds: () => getPing(host.id),
 				onOpen(opened) {
 					void greet(host.id, opened);
 				},
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -8,6 +8,7 @@
 import * as link from 'wagtailroute-link';
 import * as results from 'ts-results-es';
 import * as utils from 'wagtailroute-utils';
+import {type HeardHost, startAbsences} from './absences.ts';
 import {startAllotting} from './allotting.ts';
 import {startControlLinks} from './control-links.ts';
 import {createAskMethods} from './ask-methods.ts';
@@ -23,7 +24,7 @@
 import {countAddresses} from './directory-table.ts';
 import {sendUpdates, startDispatching} from './dispatching.ts';
 import {createHostCount} from './host-count.ts';
-import {createEntryHosts, describeEntryHost} from './entry-hosts.ts';
+import {createEntryHosts, describeEntryHost, type EntryHost} from './entry-hosts.ts';
 import type {FleetContext} from './context.ts';
 import {createInstanceStore} from './instance-store.ts';
 import {startControlGroup} from './group.ts';
@@ -95,9 +96,15 @@
 	const hostCount = createHostCount(context.now, () => countAddresses(directory.getTable()));
 	// After a restart of everything no entry host is known, and whoever asks is all there is.
 	const requestShare = createRequestShare(hostCount.get, 1);
+	const absences = startAbsences(context, {
+		listHosts: () => entries.listAll().map(host => describeHeard(host)),
+		getOneShare: requestShare.getOne,
+		windowMilliseconds: settings.allotments.windowMilliseconds,
+	});
 	const allotting = startAllotting(context, {
 		settings: settings.allotments,
 		requestShare,
+		absences,
 		isTold: true,
 		tellDispatchers(method, parameters) {
 			links.notifyAll(method, parameters);
@@ -254,6 +261,7 @@
 				return;
 			}
 
+			absences.recordClosed(describeHeard(host));
 			log.info('Entry host left.', describeEntryHost(host));
 			tellStandbys();
 		},
@@ -263,10 +271,11 @@
 	});
 	const calls: LeaderCalls = {self: settings.hostId, group, findLink: links.find};
 	context.metrics.registerGauge('entry_hosts', entries.count);
+	context.metrics.registerGauge('entry_hosts_absent', () => absences.list().length);
 	context.metrics.registerGauge('instances', registry.countInstances);
 	context.metrics.registerGauge('generation_version', getVersion);
 	log.info('Host started.', {address: core.formatAddress(settings.linkAddress), isFirstStart: settings.isFirstStart});
-	const teardown = utils.mergeTeardowns(watchPauses(context), registry.teardown, dispatching.teardown, directory.teardown, links.close);
+	const teardown = utils.mergeTeardowns(watchPauses(context), absences.teardown, registry.teardown, dispatching.teardown, directory.teardown, links.close);
 	return {
 		takeHeartbeat(heartbeat) {
 			registry.take(heartbeat);
@@ -307,6 +316,10 @@
 	};
 }
 
+function describeHeard({id, state, link: over}: EntryHost): HeardHost {
+	return {id, isReady: state.isReady, silence: over.getSilence()};
+}
+
 function registerMethods(methods: Map<string, link.LinkMethod>, table: Readonly<Record<string, link.LinkMethod>>): void {
 	for (const [name, method] of Object.entries(table)) {
 		methods.set(name, method);
--- a/packages/wagtailroute-fleet/src/dispatching.ts
+++ b/packages/wagtailroute-fleet/src/dispatching.ts
@@ -48,7 +48,7 @@
 	/**
 	Takes what a host was admitted by other dispatchers, before it asks here for the first time.
 	*/
-	readonly takeOver: (uses: readonly allotments.PastUse[]) => void;
+	readonly takeOver: (host: core.HostId, uses: readonly allotments.PastUse[]) => void;
 	/**
 	Takes what the dispatcher on another control host believes.
 	*/
@@ -319,15 +319,15 @@
 			}
 
 			if (uses !== undefined) {
-				plan.allotting?.takeOver(uses);
+				plan.allotting?.takeOver(host, uses);
 			}
 
 			dispatcher.hold(host, service, places, now());
 			applyUpdates({service, updates});
 			tickWhileBusy();
 		},
-		takeOver(uses) {
-			plan.allotting?.takeOver(uses);
+		takeOver(host, uses) {
+			plan.allotting?.takeOver(host, uses);
 		},
 		hearBelief,
 		hearBeliefNews(news) {
--- a/packages/wagtailroute-fleet/src/entry-hosts.ts
+++ b/packages/wagtailroute-fleet/src/entry-hosts.ts
@@ -35,6 +35,7 @@
 	readonly findByLink: (of: link.Link) => EntryHost | undefined;
 	readonly notifyAll: (method: string, parameters: unknown) => void;
 	readonly count: () => number;
+	readonly listAll: () => readonly EntryHost[];
 	/**
 	Returns those that serve, as far as is known.
 	*/
@@ -94,6 +95,7 @@
 			}
 		},
 		count: () => byId.size,
+		listAll: () => byId.values().toArray(),
 		listReady: () => byId.values().filter(host => isServing(host)).toArray(),
 		listAddresses(failureDomain) {
 			const serving = byId.values().filter(host => isServing(host)).toArray();
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -200,6 +200,7 @@
 		failureDomain: settings.failureDomain,
 		createHello,
 		methods,
+		isAsked: over => asking.isAsked(over),
 		onOpen(control, {version, standbys: toldStandbys, directory: toldDirectory}) {
 			standbys.learn(toldStandbys);
 			learnDirectory(toldDirectory);
--- a/packages/wagtailroute-fleet/src/index.ts
+++ b/packages/wagtailroute-fleet/src/index.ts
@@ -11,6 +11,7 @@
 	STANDBYS_TOLD,
 	UPSTREAM_CONNECT_MILLISECONDS,
 } from './constants.ts';
+export {type Absences, startAbsences} from './absences.ts';
 export {type Allotting, startAllotting} from './allotting.ts';
 export {createAskers} from './askers.ts';
 export {createAskMethods} from './ask-methods.ts';
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -320,8 +320,14 @@
 		const id = `control-${index}`;
 		const askers = fleet.createAskers();
 		const requestShare = fleet.createRequestShare(() => this.#entries.length, 1);
+		const absences = fleet.startAbsences(createContext(this.#plan.clock, this.#plan.random, () => undefined), {
+			listHosts: () => this.#listHeard(askers),
+			getOneShare: requestShare.getOne,
+			windowMilliseconds: ALLOTMENTS.windowMilliseconds,
+		});
 		const allotting = this.#startAllotting({
 			requestShare,
+			absences,
 			isTold: true,
 			tellDispatchers: message => {
 				if (endpoint.state === 'up') {
@@ -353,8 +359,16 @@
 		};
 	}
 
-	#startAllotting({requestShare, isTold, tellDispatchers}: {
+	#listHeard(askers: ReturnType<typeof fleet.createAskers>): ReadonlyArray<Parameters<fleet.Absences['recordClosed']>[0]> {
+		return this.#entries.flatMap(({id}) => {
+			const over = askers.find(id);
+			return over === undefined ? [] : [{id, isReady: true, silence: over.getSilence()}];
+		});
+	}
+
+	#startAllotting({requestShare, absences, isTold, tellDispatchers}: {
 		readonly requestShare: fleet.RequestShare;
+		readonly absences?: fleet.Absences;
 		readonly isTold: boolean;
 		readonly tellDispatchers: (message: Message) => void;
 	}): fleet.Allotting {
@@ -362,6 +376,7 @@
 		const allotting = fleet.startAllotting(createContext(clock, random, onSuspended), {
 			settings: ALLOTMENTS,
 			requestShare,
+			absences,
 			isTold,
 			tellDispatchers(method, parameters) {
 				tellDispatchers({method, parameters});
--- a/packages/wagtailroute-lab/src/tally.ts
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -3,7 +3,12 @@
 */
 import * as histograms from 'hdr-histogram-js';
 import type {Arrival} from './arrivals.ts';
-import type {Backend, Closure, RateLimit, Spell} from './backend.ts';
+import type {
+	Backend,
+	Closure,
+	RateLimit,
+	Spell,
+} from './backend.ts';
 import {getLeastFedShare} from './feeding.ts';
 import type {Scenario, ScenarioRoute} from './scenario.ts';
 
