Recent uses: ages are those of the last request, not of the beginning of a slice

What an entry host tells a dispatcher that it turns to was up to 250 ms older than it was, so it left the dispatcher's window too soon. The test expects the ages of the last requests now, which is stricter: 990 and 980 ms in place of 1,000 for both.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/recent-uses.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/recent-uses.test.ts
@@ -33,7 +33,7 @@
 	admit(6010, 'parish', FIRST);
 	admit(6020, 'museum', FIRST);
 	admit(6500, 'parish', SECOND);
-	t.deepEqual(tell(7000, SECOND), [['archive', 'parish', 2, 1000], ['archive', 'museum', 1, 1000]]);
+	t.deepEqual(tell(7000, SECOND), [['archive', 'parish', 2, 990], ['archive', 'museum', 1, 980]]);
 	t.deepEqual(tell(7000, FIRST), [['archive', 'parish', 1, 500]]);
 });
 
--- a/packages/wagtailroute-fleet/src/recent-uses.ts
+++ b/packages/wagtailroute-fleet/src/recent-uses.ts
@@ -33,7 +33,10 @@
 };
 
 type Slice = AdmittedUse & {
-	readonly at: number;
+	/**
+	Time of its last request: taken for older, what it holds would be out of the dispatcher's window too soon.
+	*/
+	at: number;
 	requests: number;
 };
 
@@ -46,7 +49,7 @@
 	const startedAt = now();
 	const sliceMilliseconds = windowMilliseconds / RECENT_USE_SLICES;
 	/**
-	In the order of their times.
+	In the order of their first times.
 	*/
 	const slices = new Map<string, Slice>();
 	const numbers = new WeakMap<object, number>();
@@ -80,8 +83,9 @@
 			const number = Math.floor(now() / sliceMilliseconds);
 			const key = `${number} ${getNumber(by)} ${service} ${organisation}`;
 			const slice = slices.get(key) ?? {
-				service, organisation, by, at: number * sliceMilliseconds, requests: 0,
+				service, organisation, by, at: now(), requests: 0,
 			};
+			slice.at = now();
 			slice.requests++;
 			slices.set(key, slice);
 		},
