Absent entry hosts: a control host that stood still counts none, a process that started anew is not absent

A control host that was paused for a second looked before it read what had come, took all entry hosts for absent, and gave out next to nothing for a window to those that had told their use shortly before. An entry host that lost power and came back kept its share left out for a window, though its new process had used nothing. The control host now counts silence from the end of its own pause on, and entry hosts tell for how long they have run. Both are cases of the table of absences, and fail without it.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/absences.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/absences.test.ts
@@ -6,6 +6,13 @@
 
 const WINDOW_MILLISECONDS = 5000;
 const SHARE = 0.1;
+const RAN_BEFORE_MILLISECONDS = 60_000;
+const RESTARTED_MILLISECONDS = 300;
+
+/**
+How often a control host looks.
+*/
+const LOOK_MILLISECONDS = 250;
 
 type Step = {
 	readonly at: number;
@@ -14,7 +21,11 @@
 	*/
 	readonly silence?: number;
 	readonly isReady?: boolean;
-	readonly does?: 'ask' | 'close' | 'tell';
+	/**
+	The control host stood still until then.
+	*/
+	readonly isPaused?: boolean;
+	readonly does?: 'ask' | 'close' | 'tell' | 'reconnect' | 'restart';
 	/**
 	When the host was last heard; absent: it does not count as absent.
 	*/
@@ -66,6 +77,38 @@
 			{at: 3400, silence: 0},
 		],
 	},
+	{
+		name: 'one that is not heard while this host stands still',
+		steps: [
+			{at: 0, silence: 0, does: 'ask'},
+			{at: 3000, silence: 3000, isPaused: true},
+			{at: 3900, silence: 3900},
+			{at: 4100, silence: 4100, since: 0},
+		],
+	},
+	{
+		name: 'one that opens its link again after a cut',
+		steps: [
+			{at: 0, silence: 0, does: 'ask'},
+			{
+				at: 6500, silence: 6500, does: 'close', since: 0,
+			},
+			{
+				at: 8000, silence: 0, does: 'reconnect', since: 0,
+			},
+		],
+	},
+	{
+		name: 'one whose process has started again',
+		steps: [
+			{at: 0, silence: 0, does: 'ask'},
+			{
+				at: 6500, silence: 6500, does: 'close', since: 0,
+			},
+			{at: 8000, silence: 0, does: 'restart'},
+			{at: 8100, silence: 0},
+		],
+	},
 	{
 		name: 'one that is heard again and tells nothing, for a window',
 		steps: [
@@ -83,10 +126,24 @@
 		// Guards against control hosts that give out the share of an entry host beside itself, and against shares that nobody gives out for long.
 		let time = 0;
 		let hosts: readonly HeardHost[] = [];
-		const absences = startAbsences({now: () => time, repeat: () => () => undefined}, {
+		let look = () => undefined as void;
+		const repeat = (_milliseconds: number, run: () => void) => {
+			look = run;
+			return () => undefined;
+		};
+
+		const absences = startAbsences({now: () => time, repeat}, {
 			listHosts: () => hosts, getOneShare: () => SHARE, windowMilliseconds: WINDOW_MILLISECONDS,
 		});
-		for (const {at, silence, isReady = true, does, since} of steps) {
+		for (const {
+			at, silence, isReady = true, does, since, isPaused = false,
+		} of steps) {
+			const lastLook = isPaused ? time : at - LOOK_MILLISECONDS;
+			while (time < lastLook) {
+				time += LOOK_MILLISECONDS;
+				look();
+			}
+
 			time = at;
 			const host: HeardHost = {id: 'entry', isReady, silence: silence ?? 0};
 			hosts = silence === undefined || does === 'close' ? [] : [host];
@@ -94,6 +151,8 @@
 				ask: absences.recordAsk.bind(undefined, host.id),
 				close: absences.recordClosed.bind(undefined, host),
 				tell: absences.end.bind(undefined, host.id),
+				reconnect: absences.recordHello.bind(undefined, host.id, at + RAN_BEFORE_MILLISECONDS),
+				restart: absences.recordHello.bind(undefined, host.id, RESTARTED_MILLISECONDS),
 			};
 			if (does !== undefined) {
 				actions[does]();
--- a/packages/wagtailroute-fleet/src/absences.ts
+++ b/packages/wagtailroute-fleet/src/absences.ts
@@ -12,6 +12,7 @@
 	ABSENCE_MOST_MILLISECONDS,
 	ABSENCE_REPEAT_MILLISECONDS,
 	ASKER_MILLISECONDS,
+	PAUSE_MILLISECONDS,
 	SILENT_ASKER_MILLISECONDS,
 	SILENT_FAR_ENTRY_MILLISECONDS,
 } from './constants.ts';
@@ -36,6 +37,10 @@
 The absent hosts.
 */
 export type Absences = {
+	/**
+	A host has opened a link. A process that has started since the host was last heard has used nothing meanwhile.
+	*/
+	readonly recordHello: (host: core.HostId, runningMilliseconds: number) => void;
 	/**
 	A host has asked this host's dispatcher.
 	*/
@@ -90,11 +95,12 @@
 	const askedAt = new Map<core.HostId, number>();
 	const absent = new Map<core.HostId, Absent>();
 	let listed: readonly allotments.Absence[] = [];
-	let lookedAt = -Infinity;
+	let lookedAt = now();
+	let resumedAt = -Infinity;
 
 	const isSilent = ({id, silence}: HeardHost) => {
 		const isAsker = now() - (askedAt.get(id) ?? -Infinity) < ASKER_MILLISECONDS;
-		return silence > (isAsker ? SILENT_ASKER_MILLISECONDS : SILENT_FAR_ENTRY_MILLISECONDS);
+		return Math.min(silence, now() - resumedAt) > (isAsker ? SILENT_ASKER_MILLISECONDS : SILENT_FAR_ENTRY_MILLISECONDS);
 	};
 
 	const add = ({id, silence}: HeardHost) => {
@@ -138,6 +144,8 @@
 	};
 
 	const look = () => {
+		// A process that was paused looks before it reads what has come meanwhile.
+		resumedAt = now() - lookedAt > ABSENCE_REPEAT_MILLISECONDS + PAUSE_MILLISECONDS ? now() : resumedAt;
 		lookedAt = now();
 		for (const host of plan.listHosts()) {
 			lookAt(host);
@@ -147,16 +155,23 @@
 		renew();
 	};
 
+	const end = (host: core.HostId) => {
+		if (absent.delete(host)) {
+			renew();
+		}
+	};
+
 	return {
 		teardown: repeat(ABSENCE_REPEAT_MILLISECONDS, look),
+		recordHello(host, runningMilliseconds) {
+			if (now() - runningMilliseconds > (absent.get(host)?.since ?? Infinity)) {
+				end(host);
+			}
+		},
 		recordAsk(host) {
 			askedAt.set(host, now());
 		},
-		end(host) {
-			if (absent.delete(host)) {
-				renew();
-			}
-		},
+		end,
 		recordClosed(host) {
 			askedAt.delete(host.id);
 			if (host.isReady && isSilent(host)) {
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -161,6 +161,7 @@
 					id: hello.id, failureDomain: hello.failureDomain, state: hello.entry, link: from,
 				};
 				entries.add(host);
+				absences.recordHello(hello.id, hello.runningMilliseconds ?? Infinity);
 				tellStandbys();
 				log.info('Entry host joined.', describeEntryHost(host));
 			}
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -193,7 +193,10 @@
 			} satisfies messages.Welcome;
 		},
 	}));
-	const createHello = (): messages.Hello => ({id: settings.hostId, failureDomain: settings.failureDomain, entry: getState()});
+	const startedAt = context.now();
+	const createHello = (): messages.Hello => ({
+		id: settings.hostId, failureDomain: settings.failureDomain, entry: getState(), runningMilliseconds: Math.round(context.now() - startedAt),
+	});
 	const links = startControlLinks(context, {
 		seeds: settings.seeds,
 		self: settings.hostId,
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -72,6 +72,10 @@
 	*/
 	readonly entry?: EntryState;
 	/**
+	Milliseconds since an entry host started; absent for a control host.
+	*/
+	readonly runningMilliseconds?: number;
+	/**
 	Present for a control host.
 	*/
 	readonly control?: ControlHost;
