Absent entry hosts are listed together by the time at which they were last heard

Each admission looks at every entry of the list and at every slice of a window: half of 2,400 hosts absent would be 24,000 steps. Together by slices of 250 ms, as of the earliest time, so that no more of what was admitted before is left out.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/absences.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/absences.test.ts
@@ -163,3 +163,25 @@
 		}
 	});
 }
+
+test('hosts that were last heard at about the same time are listed together, as of the earliest', t => {
+	let time = 0;
+	let silences: readonly number[] = [0, 0, 0];
+	const absences = startAbsences({now: () => time, repeat: () => () => undefined}, {
+		listHosts: () => silences.map((silence, index): HeardHost => ({id: `entry-${index}`, isReady: true, silence})),
+		getOneShare: () => SHARE,
+		windowMilliseconds: WINDOW_MILLISECONDS,
+	});
+	while (time < 2000) {
+		time += LOOK_MILLISECONDS;
+		absences.list();
+	}
+
+	for (let host = 0; host < silences.length; host++) {
+		absences.recordAsk(`entry-${host}`);
+	}
+
+	time = 2100;
+	silences = [2090, 1900, 1200];
+	t.deepEqual(absences.list(), [{since: 0, share: 2 * SHARE}, {since: 750, share: SHARE}]);
+});
--- a/packages/wagtailroute-fleet/src/absences.ts
+++ b/packages/wagtailroute-fleet/src/absences.ts
@@ -11,6 +11,7 @@
 	ABSENCE_LOOK_MILLISECONDS,
 	ABSENCE_MOST_MILLISECONDS,
 	ABSENCE_REPEAT_MILLISECONDS,
+	ABSENCE_SLICE_MILLISECONDS,
 	ASKER_MILLISECONDS,
 	PAUSE_MILLISECONDS,
 	SILENT_ASKER_MILLISECONDS,
@@ -58,7 +59,7 @@
 	*/
 	readonly end: (host: core.HostId) => void;
 	/**
-	Returns the same list for as long as nothing changes.
+	Returns the absent hosts together with those that were last heard at about the same time; the same list for as long as nothing changes.
 	*/
 	readonly list: () => readonly allotments.Absence[];
 	readonly teardown: utils.Teardown;
@@ -137,8 +138,12 @@
 		}
 	};
 
+	/**
+	Half of the hosts may be absent at once, and each admission looks at all entries of the list.
+	*/
 	const renew = () => {
-		const shares = absent.values().map(({since, share}): allotments.Absence => ({since, share})).toArray();
+		const groups = Map.groupBy(absent.values(), ({since}) => Math.floor(since / ABSENCE_SLICE_MILLISECONDS) * ABSENCE_SLICE_MILLISECONDS);
+		const shares = groups.entries().map(([since, hosts]): allotments.Absence => ({since, share: hosts.reduce((sum, {share}) => sum + share, 0)})).toArray();
 		const isSame = shares.length === listed.length && shares.every(({since, share}, index) => since === listed[index]!.since && share === listed[index]!.share);
 		listed = isSame ? listed : shares;
 	};
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -395,6 +395,11 @@
 export const ABSENCE_LOOK_MILLISECONDS = 50;
 export const ABSENCE_REPEAT_MILLISECONDS = 250;
 
+/**
+Milliseconds of the slices of time in which absent hosts are put together.
+*/
+export const ABSENCE_SLICE_MILLISECONDS = 250;
+
 /**
 Milliseconds after which an entry host that is not heard counts as gone: callers have turned to others.
 */
