--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -14,7 +14,7 @@
 	getSlowness,
 	hasCapacity,
 	isPathBad,
-	isRested,
+	isQuiet,
 	isServing,
 	isSuspended,
 	type Upstream,
@@ -234,3 +234,11 @@
 
 	return core.isIdempotent(requestClass) ? repeatableRestGain : restGain;
 }
+
+/**
+With little traffic, those proved last would get all of it, and the others, quiet for ever longer, nothing: they would be missing when one of
+the few fails.
+*/
+function isRested(upstream: Upstream, now: number): boolean {
+	return isQuiet(upstream, upstream.policy.restMilliseconds, now);
+}
--- a/packages/wagtailroute-dispatch/src/idle-upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/idle-upstreams.ts
@@ -6,6 +6,7 @@
 import {isShort, type Service} from './services.ts';
 import {
 	getDoubt,
+	isQuiet,
 	isServing,
 	isSuspended,
 	type Upstream,
@@ -39,7 +40,7 @@
 	}
 
 	return service.upstreams.values()
-		.filter(upstream => isServing(upstream) && isIdle(upstream, now))
+		.filter(upstream => isServing(upstream) && isQuiet(upstream, IDLE_UPSTREAM_MILLISECONDS, now))
 		.map((upstream): IdleUpstream => ({
 			upstream: upstream.candidate.upstream,
 			cause: findCause(upstream, now),
@@ -49,10 +50,6 @@
 		.toArray();
 }
 
-function isIdle({places, startedAt, createdAt}: Upstream, now: number): boolean {
-	return places.size === 0 && now - Math.max(startedAt, createdAt) > IDLE_UPSTREAM_MILLISECONDS;
-}
-
 function findCause(upstream: Upstream, now: number): IdleCause {
 	if (isSuspended(upstream, now)) {
 		return upstream.candidate.isSilent ? 'silent' : 'suspended';
--- a/packages/wagtailroute-dispatch/src/upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -178,11 +178,10 @@
 }
 
 /**
-With little traffic, those proved last would get all of it, and the others, quiet for ever longer, nothing: they would be missing when one of
-the few fails.
+Says whether it has had no request for a while.
 */
-export function isRested({places, startedAt, createdAt, policy}: Upstream, now: number): boolean {
-	return places.size === 0 && now - Math.max(startedAt, createdAt) > policy.restMilliseconds;
+export function isQuiet({places, startedAt, createdAt}: Upstream, milliseconds: number, now: number): boolean {
+	return places.size === 0 && now - Math.max(startedAt, createdAt) > milliseconds;
 }
 
 /**
