--- a/packages/wagtailroute-lab/src/__tests__/unit/floor.test.ts
+++ b/packages/wagtailroute-lab/src/__tests__/unit/floor.test.ts
@@ -105,7 +105,7 @@
 		const scenario = createScenario(item);
 		const variant = lab.findVariant('present').unwrap();
 		const days = await Promise.all(SEEDS.map(async seed => lab.playDay(scenario, variant, seed)));
-		const shares = days.map(({leastFedShare}) => leastFedShare);
+		const shares = days.map(({leastUsedShare}) => leastUsedShare);
 		t.true(Math.min(...shares) >= FLOOR, shares.join(' '));
 	});
 }
--- a/packages/wagtailroute-lab/src/comparison.ts
+++ b/packages/wagtailroute-lab/src/comparison.ts
@@ -54,7 +54,7 @@
 	'drainingArrivals',
 	'allotmentExcess',
 	'refusedWithinAllotment',
-	'leastFedShare',
+	'leastUsedShare',
 	'microseconds',
 ];
 
--- a/packages/wagtailroute-lab/src/feeding.ts
+++ b/packages/wagtailroute-lab/src/sound-upstreams.ts
@@ -8,18 +8,18 @@
 /**
 Requests and upstreams of one service over a day.
 */
-export type Feeding = {
+export type ServiceRecord = {
 	/**
 	Requests of callers, with the time of each and whether it was served in the end.
 	*/
 	readonly requests: ReadonlyArray<{readonly at: number; readonly isServed: boolean}>;
-	readonly upstreams: readonly FedUpstream[];
+	readonly upstreams: readonly UpstreamRecord[];
 };
 
 /**
 An upstream that served all day.
 */
-export type FedUpstream = {
+export type UpstreamRecord = {
 	readonly spells: ReadonlyArray<Pick<Spell, 'from' | 'until'>>;
 	/**
 	Times of the requests that it got, in order.
@@ -44,7 +44,7 @@
 /**
 Returns the least share of the sound upstreams that got requests in any window in which requests were not served; 1 when there is no such window.
 */
-export function getLeastFedShare({requests, upstreams}: Feeding): number {
+export function getLeastUsedShare({requests, upstreams}: ServiceRecord): number {
 	const end = Math.max(0, ...requests.map(({at}) => at)) - WINDOW_MILLISECONDS;
 	let least = 1;
 	for (let from = SOUND_MILLISECONDS; from <= end; from += STEP_MILLISECONDS) {
@@ -56,8 +56,8 @@
 		}
 
 		const sound = upstreams.filter(({spells}) => spells.every(spell => spell.until + SOUND_MILLISECONDS < window.from || spell.from >= window.until));
-		const fed = sound.filter(({arrivals}) => arrivals.some(at => isWithin(at, window)));
-		least = fed.length === 0 ? least : Math.min(least, fed.length / sound.length);
+		const used = sound.filter(({arrivals}) => arrivals.some(at => isWithin(at, window)));
+		least = used.length === 0 ? least : Math.min(least, used.length / sound.length);
 	}
 
 	return least;
--- a/packages/wagtailroute-lab/src/tally.ts
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -9,7 +9,7 @@
 	RateLimit,
 	Spell,
 } from './backend.ts';
-import {getLeastFedShare} from './feeding.ts';
+import {getLeastUsedShare} from './sound-upstreams.ts';
 import type {Scenario, ScenarioRoute} from './scenario.ts';
 
 /**
@@ -86,7 +86,7 @@
 	/**
 	Least share of the sound upstreams of a service that got requests in two seconds in which a part of its requests was not served.
 	*/
-	readonly leastFedShare: number;
+	readonly leastUsedShare: number;
 	/**
 	Microseconds of processor time of the whole model for each request.
 	*/
@@ -265,7 +265,7 @@
 				drainingArrivals: countMost(closures, 'draining'),
 				allotmentExcess: countAllotmentExcess(scenario, uses),
 				refusedWithinAllotment: getRefusedShare(scenario, uses),
-				leastFedShare: Math.min(1, ...requests.entries().map(([service, asked]) => getLeastFedShare({
+				leastUsedShare: Math.min(1, ...requests.entries().map(([service, asked]) => getLeastUsedShare({
 					requests: asked,
 					upstreams: serving.filter(upstream => upstream.service === service).map(upstream => ({...upstream, arrivals: arrivals.get(upstream.id) ?? []})),
 				}))),
