--- a/packages/wagtailroute-lab/src/links.ts
+++ b/packages/wagtailroute-lab/src/links.ts
@@ -41,6 +41,10 @@
 	readonly #clock: Clock;
 	readonly #end: Endpoint;
 	readonly #way: number;
+	/**
+	What has arrived and waits.
+	*/
+	readonly #held: Array<() => void> = [];
 	#isOpen = true;
 	#heardAt: number;
 
@@ -132,18 +136,43 @@
 			return;
 		}
 
-		const cut = findCut(this.#end, this.peer!.#end);
-		const heldUntil = this.#end.state === 'frozen' ? this.#end.frozenUntil : cut?.until;
-		if (heldUntil !== undefined) {
-			this.#clock.schedule(heldUntil - this.#clock.now(), () => {
-				this.#receive(run);
-			});
+		if (this.#held.length > 0 || this.#findHoldEnd() !== undefined) {
+			this.#held.push(run);
+			this.#releaseLater();
 			return;
 		}
 
 		this.#heardAt = this.#clock.now();
 		run();
 	}
+
+	/**
+	Returns until when what arrives waits; undefined when it does not.
+	*/
+	#findHoldEnd(): number | undefined {
+		return this.#end.state === 'frozen' ? this.#end.frozenUntil : findCut(this.#end, this.peer!.#end)?.until;
+	}
+
+	/**
+	Takes what waits in the order in which it came.
+	*/
+	#releaseLater(): void {
+		if (this.#held.length > 1) {
+			return;
+		}
+
+		const wait = Math.max(0, (this.#findHoldEnd() ?? 0) - this.#clock.now());
+		this.#clock.schedule(wait, () => {
+			this.#release();
+		});
+	}
+
+	#release(): void {
+		const held = this.#held.splice(0);
+		for (const run of held) {
+			this.#receive(run);
+		}
+	}
 }
 
 function findCut(left: Endpoint, right: Endpoint): Endpoint['cut'] {
