--- a/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
@@ -128,6 +128,9 @@
 	{
 		name: 'doubted, while the others fail some', failing: 8, errors: 1, failsTrials: false, tried: [[1400, 2000]],
 	},
+	{
+		name: 'suspended and still ill, while the others serve: its trials do not count', failing: Infinity, errors: 2, failsTrials: true, tried: [[6000, 6500], [6000, 7500]],
+	},
 ];
 
 for (const {name, failing, errors, failsTrials, tried} of SHORT_CASES) {
@@ -178,19 +181,20 @@
 
 for (const {name, errors, isSilent, cause} of IDLE_CASES) {
 	test(`an upstream that gets nothing while requests fail is listed with its cause: ${name}`, t => {
-		const dispatcher = createDispatcher([createCandidate('a', {isSilent}), createCandidate('b')]);
-		const fail = (id: string, excluded: string) => {
-			dispatcher.ask(createAsk(id, {excluded: [excluded]}), 0);
+		const others = ['b', 'c', 'd'];
+		const dispatcher = createDispatcher([createCandidate('a', {isSilent}), ...others.map(upstream => createCandidate(upstream))]);
+		const fail = (upstream: string, id: string) => {
+			dispatcher.ask(createAsk(id, {excluded: ['a', ...others].filter(other => other !== upstream)}), 0);
 			dispatcher.end(id, {ending: 'error', milliseconds: 10}, 0);
 		};
 
 		for (let error = 0; error < errors; error++) {
-			fail(`a-${error}`, 'b');
+			fail('a', `a-${error}`);
 		}
 
 		t.deepEqual(dispatcher.listIdle(SERVICE, 2500), [], 'too few failures');
-		for (let error = 0; error < 3; error++) {
-			fail(`b-${error}`, 'a');
+		for (const other of others) {
+			fail(other, other);
 		}
 
 		t.deepEqual(dispatcher.listIdle(SERVICE, 1500), [], 'all got requests lately');
@@ -199,6 +203,21 @@
 	});
 }
 
+test('where requests come that may be repeated, one that may not tries nothing sooner', t => {
+	// Guards against requests that are lost to trials which another one could have made without harm.
+	const others = ['b', 'c', 'd'];
+	const dispatcher = createDispatcher(['a', ...others].map(upstream => createCandidate(upstream, {slots: 50})));
+	for (const upstream of ['a', 'a', ...others]) {
+		const id = `${upstream}-failed`;
+		dispatcher.ask(createAsk(id, {excluded: ['a', ...others].filter(other => other !== upstream)}), 0);
+		dispatcher.end(id, {ending: 'error', milliseconds: 10}, 0);
+	}
+
+	dispatcher.ask(createAsk('read', {requestClass: 'read', excluded: ['a']}), 100);
+	t.not(getGrant(dispatcher.ask(createAsk('unrepeatable'), 2000))?.upstream, 'a');
+	t.is(getGrant(dispatcher.ask(createAsk('read-again', {requestClass: 'read'}), 2100))?.upstream, 'a');
+});
+
 test('a request that was asked for at another dispatcher before earns no resends here', t => {
 	// Symptom: more resends reach a service in ten seconds than its budget allows. Sequence: hosts take a dispatcher for silent and ask the next one, which
 	// counts the request too; under overload each counted request is worth a fifth of a resend. Cause: one request counts once for each dispatcher.
--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -46,9 +46,9 @@
 	*/
 	readonly known: ReadonlyMap<core.UpstreamId, Upstream>;
 	/**
-	A noticeable part of the service's requests is not served.
+	Upstreams that get nothing are missed: requests fail, and none may be repeated.
 	*/
-	readonly isShort: boolean;
+	readonly isMissed: boolean;
 	readonly policy: Policy;
 };
 
@@ -65,7 +65,7 @@
 @param upstreams Those with a free slot that are not suspended.
 */
 export function choose(upstreams: Iterable<Upstream>, ask: Ask, circumstances: ChoiceCircumstances): Choice | undefined {
-	const {now, random, isShort} = circumstances;
+	const {now, random, isMissed} = circumstances;
 	let best: Upstream | undefined;
 	let bestCost = Infinity;
 	for (const upstream of upstreams) {
@@ -73,7 +73,7 @@
 			continue;
 		}
 
-		const cost = getCost(upstream, ask, {now, isShort}) + (random() * upstream.policy.spreadCost);
+		const cost = getCost(upstream, ask, {now, isMissed}) + (random() * upstream.policy.spreadCost);
 		if (!(cost < bestCost)) {
 			continue;
 		}
@@ -83,7 +83,7 @@
 	}
 
 	const isAbroad = best !== undefined && best.candidate.failureDomain !== ask.failureDomain;
-	const findsOut = best !== undefined && (isShort || core.isIdempotent(ask.requestClass)) && isRested(best, now);
+	const findsOut = best !== undefined && (isMissed || core.isIdempotent(ask.requestClass)) && isRested(best, now);
 	return best === undefined || (isAbroad && !findsOut && waitsForHome(ask, circumstances)) ? undefined : {upstream: best, isTrial: false};
 }
 
@@ -121,9 +121,9 @@
 	*/
 	readonly isFull: boolean;
 	/**
-	A noticeable part of the service's requests is not served.
+	Upstreams that get nothing are missed: requests fail, and none may be repeated.
 	*/
-	readonly isShort: boolean;
+	readonly isMissed: boolean;
 };
 
 /**
@@ -199,13 +199,13 @@
 trial may cost one request; the wait makes all of them late. The same where requests fail although there are free slots: spells end while the upstreams that
 take their place fall ill.
 */
-function getTrialTime(upstream: Upstream, ask: Ask, {hasRepeatable, isFull, isShort}: TrialCircumstances): number {
+function getTrialTime(upstream: Upstream, ask: Ask, {hasRepeatable, isFull, isMissed}: TrialCircumstances): number {
 	const {candidate, trialAt, provenAt, failedAt, policy} = upstream;
 	const isHopeful = provenAt > failedAt && !hasRepeatable;
 	const isPressed = isFull && !hasRepeatable;
 	const extra = isHopeful || isPressed || core.isIdempotent(ask.requestClass) ? 0 : policy.unrepeatableTrialMilliseconds;
 	const usual = trialAt + extra + (candidate.failureDomain === ask.failureDomain ? 0 : policy.domainTrialMilliseconds);
-	return isShort ? Math.min(usual, Math.max(trialAt, failedAt + getShortfallWait(upstream))) : usual;
+	return isMissed ? Math.min(usual, Math.max(trialAt, failedAt + getShortfallWait(upstream))) : usual;
 }
 
 function getShortfallWait({failedTrials, policy}: Upstream): number {
@@ -216,19 +216,19 @@
 Weighs what may be lost at an upstream against what it takes longer elsewhere. The risk tells by the ages of the requests under way there,
 long before the first of them ends.
 */
-function getCost(upstream: Upstream, ask: Ask, {now, isShort}: Pick<ChoiceCircumstances, 'now' | 'isShort'>): number {
+function getCost(upstream: Upstream, ask: Ask, {now, isMissed}: Pick<ChoiceCircumstances, 'now' | 'isMissed'>): number {
 	const {candidate, places, policy} = upstream;
 	const load = (places.size + 1) / candidate.slots;
 	return (getSlowness(upstream, now) * (1 + load))
 		+ (candidate.failureDomain === ask.failureDomain ? 0 : getCrossingCost(ask, policy))
 		+ (getDoubt(upstream, now) * policy.doubtCost)
 		+ (getRisk(upstream, now) * policy.riskCost)
-		- (isRested(upstream, now) ? getRestGain(upstream, ask, {now, isShort}) : 0);
+		- (isRested(upstream, now) ? getRestGain(upstream, ask, {now, isMissed}) : 0);
 }
 
-function getRestGain(upstream: Upstream, {requestClass}: Ask, {now, isShort}: Pick<ChoiceCircumstances, 'now' | 'isShort'>): number {
+function getRestGain(upstream: Upstream, {requestClass}: Ask, {now, isMissed}: Pick<ChoiceCircumstances, 'now' | 'isMissed'>): number {
 	const {restGain, repeatableRestGain, shortfallRestGain} = upstream.policy;
-	if (isShort && now - upstream.failedAt >= getShortfallWait(upstream)) {
+	if (isMissed && now - upstream.failedAt >= getShortfallWait(upstream)) {
 		return shortfallRestGain;
 	}
 
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -50,8 +50,8 @@
 	getUsual,
 	hasUsableSlot,
 	isBelowFloor,
+	isMissed,
 	isObjectiveMissed,
-	isShort,
 	isTooLate,
 	learnUsual,
 	listDueTrials,
@@ -136,7 +136,8 @@
 		if (upstream !== undefined) {
 			const wasSuspended = isSuspended(upstream, now);
 			weighEnding(upstream, place, ending, now);
-			if (isFailure(ending)) {
+			// Trials that find the spell still there must not be what keeps upstreams tried.
+			if (FAILURES.has(ending) && !place.isTrial) {
 				service.shortfall.recordFailure(now);
 			}
 
@@ -319,7 +320,7 @@
 	#getCircumstances(service: Service, now: number, askedAt: number): ChoiceCircumstances {
 		const {upstreams, policy} = service;
 		return {
-			now, random: this.#settings.random, waitedMilliseconds: now - askedAt, known: upstreams, isShort: isShort(service, now), policy,
+			now, random: this.#settings.random, waitedMilliseconds: now - askedAt, known: upstreams, isMissed: isMissed(service, now), policy,
 		};
 	}
 
@@ -493,10 +494,6 @@
 */
 const FAILURES: ReadonlySet<Ending> = new Set(['error', 'reset', 'timeout']);
 
-function isFailure(ending: Ending): boolean {
-	return FAILURES.has(ending);
-}
-
 function refuse(ask: Ask, reason: RefusalReason, retryAfterMilliseconds: number): Effect {
 	return {
 		kind: 'refuse', ask, reason, retryAfterMilliseconds,
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -90,12 +90,25 @@
 Returns what the choice of a trial may know.
 */
 export function getTrialCircumstances(service: Service, now: number, isFull: boolean): TrialCircumstances {
-	const {repeatableAt, policy} = service;
 	return {
-		now, hasRepeatable: now - repeatableAt < policy.repeatableMilliseconds, isFull, isShort: isShort(service, now),
+		now, hasRepeatable: hasRepeatable(service, now), isFull, isMissed: isMissed(service, now),
 	};
 }
 
+/**
+Says whether requests that may be repeated came lately.
+*/
+function hasRepeatable({repeatableAt, policy}: Service, now: number): boolean {
+	return now - repeatableAt < policy.repeatableMilliseconds;
+}
+
+/**
+Says whether upstreams that get nothing are missed: a noticeable part of the requests is not served, and none comes that could find out without harm which of them are well.
+*/
+export function isMissed(service: Service, now: number): boolean {
+	return isShort(service, now) && !hasRepeatable(service, now);
+}
+
 /**
 Says whether a noticeable part of the requests is not served.
 */
