--- a/packages/wagtailroute-allotments/src/account.ts
+++ b/packages/wagtailroute-allotments/src/account.ts
@@ -187,7 +187,7 @@
 	*/
 	getUse(now: number): number {
 		const {absences, share} = this.#extent;
-		const getWeight = absences.length === 0 ? undefined : (at: number) => 1 - sumShares(absences.filter(({since}) => since >= at));
+		const getWeight = absences.length === 0 ? undefined : (at: number) => getPresentShare(absences.filter(({since}) => since >= at));
 		return this.#window.count(now, getWeight) + (this.#heardWindow.count(now, getWeight) * share);
 	}
 
@@ -287,11 +287,7 @@
 Returns the share of the entry hosts that is left beside those that are absent, 0 to 1.
 */
 export function getPresentShare(absences: readonly Absence[]): number {
-	return Math.max(0, 1 - sumShares(absences));
-}
-
-function sumShares(absences: readonly Absence[]): number {
-	return Math.min(1, sum(absences.map(({share}) => share)));
+	return Math.max(0, 1 - sum(absences.map(({share}) => share)));
 }
 
 /**
--- a/packages/wagtailroute-dispatch/src/budget.ts
+++ b/packages/wagtailroute-dispatch/src/budget.ts
@@ -7,6 +7,7 @@
 */
 import {BUDGET_SLICE_MILLISECONDS} from './constants.ts';
 import type {Policy} from './policy.ts';
+import {createRecentCounts} from './recent-counts.ts';
 
 /**
 Bounds of the budget.
@@ -34,51 +35,22 @@
 	readonly takeResend: (now: number) => boolean;
 };
 
-type Slice = {
-	readonly startedAt: number;
-	requests: number;
-	resends: number;
-};
-
 /**
 Creates a full budget.
 */
 export function createBudget({ratio, extra, windowMilliseconds}: BudgetSettings, policy: Policy): Budget {
-	const slices: Slice[] = [];
-
-	const getSlice = (now: number) => {
-		while (slices.length > 0 && now - slices[0]!.startedAt > windowMilliseconds) {
-			slices.shift();
-		}
-
-		const last = slices.at(-1);
-		if (last !== undefined && now - last.startedAt < BUDGET_SLICE_MILLISECONDS) {
-			return last;
-		}
-
-		const slice: Slice = {startedAt: now, requests: 0, resends: 0};
-		slices.push(slice);
-		return slice;
-	};
-
+	const counts = createRecentCounts({requests: 0, resends: 0}, {windowMilliseconds, sliceMilliseconds: BUDGET_SLICE_MILLISECONDS});
 	return {
 		countRequest(now) {
-			getSlice(now).requests++;
+			counts.add('requests', now);
 		},
 		takeResend(now) {
-			const slice = getSlice(now);
-			let requests = 0;
-			let resends = 0;
-			for (const present of slices) {
-				requests += present.requests;
-				resends += present.resends;
-			}
-
+			const {requests, resends} = counts.sum(now);
 			if (resends + 1 > (ratio * requests * policy.resendRatioPart) + (extra * policy.fixedResendsPart)) {
 				return false;
 			}
 
-			slice.resends++;
+			counts.add('resends', now);
 			return true;
 		},
 	};
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -307,7 +307,7 @@
 	the budget nothing when it is refused.
 	*/
 	#moveOrRefuse(service: Service, ask: Ask, now: number): Effect {
-		const choice = service.waiting.length > 0 ? undefined : choose(listFree(service, now), ask, this.#getCircumstances(service, now, now));
+		const choice = service.waiting.length > 0 ? undefined : choose(listFree(service, now), ask, this.#getCircumstances(service, {now, askedAt: now, isMissed: isMissed(service, now)}));
 		if (choice === undefined) {
 			return refuse(ask, 'no-slot-in-time', service.policy.retryAfterLeastMilliseconds);
 		}
@@ -317,10 +317,12 @@
 			: refuse(ask, 'budget', service.policy.retryAfterLeastMilliseconds);
 	}
 
-	#getCircumstances(service: Service, now: number, askedAt: number): ChoiceCircumstances {
-		const {upstreams, policy} = service;
+	#getCircumstances(
+		{upstreams, policy}: Service,
+		{askedAt, now, ...known}: Pick<ChoiceCircumstances, 'now' | 'isMissed'> & {readonly askedAt: number},
+	): ChoiceCircumstances {
 		return {
-			now, random: this.#settings.random, waitedMilliseconds: now - askedAt, known: upstreams, isMissed: isMissed(service, now), policy,
+			...known, now, random: this.#settings.random, waitedMilliseconds: now - askedAt, known: upstreams, policy,
 		};
 	}
 
@@ -442,14 +444,15 @@
 		const effects: Effect[] = [];
 		let free = listFree(service, now);
 		let dueTrials = listDueTrials(service, now);
+		const circumstances = {now, isMissed: isMissed(service, now)};
 		for (const waiting of service.waiting.slice(0, LOOKED_AT_MOST)) {
 			if (free.length === 0 && dueTrials.length === 0) {
 				break;
 			}
 
 			const ask = {...waiting.ask, remainingMilliseconds: waiting.deadlineAt - now};
-			const choice = chooseTrial(dueTrials, ask, getTrialCircumstances(service, now, free.length === 0))
-				?? choose(free, ask, this.#getCircumstances(service, now, waiting.askedAt));
+			const choice = chooseTrial(dueTrials, ask, getTrialCircumstances(service, now, {...circumstances, isFull: free.length === 0}))
+				?? choose(free, ask, this.#getCircumstances(service, {...circumstances, askedAt: waiting.askedAt}));
 			if (choice === undefined) {
 				continue;
 			}
--- /dev/null
+++ b/packages/wagtailroute-dispatch/src/recent-counts.ts
@@ -0,0 +1,62 @@
+/**
+Counts of what happened lately, in slices of time: a window costs the same memory at any rate.
+*/
+
+/**
+Counts of a sliding window. Times are in milliseconds of a monotonic clock.
+*/
+export type RecentCounts<Name extends string> = {
+	readonly add: (name: Name, now: number) => void;
+	/**
+	Returns the sum of each count over the window.
+	*/
+	readonly sum: (now: number) => Readonly<Record<Name, number>>;
+};
+
+/**
+Creates counts that are all 0.
+
+@param zero Each count by its name, 0.
+*/
+export function createRecentCounts<Name extends string>(
+	zero: Readonly<Record<Name, number>>,
+	{windowMilliseconds, sliceMilliseconds}: {readonly windowMilliseconds: number; readonly sliceMilliseconds: number},
+): RecentCounts<Name> {
+	const names = Object.keys(zero) as Name[];
+	const slices: Array<{readonly startedAt: number; readonly counts: Record<Name, number>}> = [];
+
+	const forget = (now: number) => {
+		while (slices.length > 0 && now - slices[0]!.startedAt > windowMilliseconds) {
+			slices.shift();
+		}
+	};
+
+	const getCounts = (now: number) => {
+		forget(now);
+		const last = slices.at(-1);
+		if (last !== undefined && now - last.startedAt < sliceMilliseconds) {
+			return last.counts;
+		}
+
+		const counts = {...zero};
+		slices.push({startedAt: now, counts});
+		return counts;
+	};
+
+	return {
+		add(name, now) {
+			getCounts(now)[name]++;
+		},
+		sum(now) {
+			forget(now);
+			const total: Record<Name, number> = {...zero};
+			for (const {counts} of slices) {
+				for (const name of names) {
+					total[name] += counts[name];
+				}
+			}
+
+			return total;
+		},
+	};
+}
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -89,9 +89,13 @@
 /**
 Returns what the choice of a trial may know.
 */
-export function getTrialCircumstances(service: Service, now: number, isFull: boolean): TrialCircumstances {
+export function getTrialCircumstances(
+	service: Service,
+	now: number,
+	{isFull, isMissed: isIdleMissed}: Pick<TrialCircumstances, 'isFull' | 'isMissed'>,
+): TrialCircumstances {
 	return {
-		now, hasRepeatable: hasRepeatable(service, now), isFull, isMissed: isMissed(service, now),
+		now, hasRepeatable: hasRepeatable(service, now), isFull, isMissed: isIdleMissed,
 	};
 }
 
@@ -106,7 +110,7 @@
 Says whether upstreams that get nothing are missed: a noticeable part of the requests is not served, and none comes that could find out without harm which of them are well.
 */
 export function isMissed(service: Service, now: number): boolean {
-	return isShort(service, now) && !hasRepeatable(service, now);
+	return !hasRepeatable(service, now) && isShort(service, now);
 }
 
 /**
