Absent entry hosts: a host that has opened another link is not absent when the silent one is closed

A connection can go silent for good while a new one works; when it was closed after 6.5 s its host counted as absent for a window, and its share of every allotment was left out. The case of the table failed before.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/absences.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/absences.test.ts
@@ -9,6 +9,11 @@
 const RAN_BEFORE_MILLISECONDS = 60_000;
 const RESTARTED_MILLISECONDS = 300;
 
+/**
+Silence for which a link is closed.
+*/
+const LINK_SILENCE_MILLISECONDS = 6500;
+
 /**
 How often a control host looks.
 */
@@ -25,7 +30,7 @@
 	The control host stood still until then.
 	*/
 	readonly isPaused?: boolean;
-	readonly does?: 'ask' | 'close' | 'tell' | 'reconnect' | 'restart';
+	readonly does?: 'ask' | 'close' | 'close-other' | 'tell' | 'reconnect' | 'restart';
 	/**
 	When the host was last heard; absent: it does not count as absent.
 	*/
@@ -58,6 +63,10 @@
 		name: 'one whose process ends while it is heard',
 		steps: [{at: 0, silence: 0, does: 'ask'}, {at: 500, silence: 300, does: 'close'}, {at: 2000}],
 	},
+	{
+		name: 'one that has opened another link before the silent one is closed',
+		steps: [{at: 0, silence: 0, does: 'ask'}, {at: 900, silence: 0, does: 'close-other'}, {at: 1000, silence: 0}],
+	},
 	{
 		name: 'one whose link is closed for its silence, until it is forgotten',
 		steps: [{at: 0, silence: 0, does: 'ask'}, {
@@ -150,6 +159,7 @@
 			const actions = {
 				ask: absences.recordAsk.bind(undefined, host.id),
 				close: absences.recordClosed.bind(undefined, host),
+				'close-other': absences.recordClosed.bind(undefined, {...host, silence: LINK_SILENCE_MILLISECONDS}),
 				tell: absences.end.bind(undefined, host.id),
 				reconnect: absences.recordHello.bind(undefined, host.id, at + RAN_BEFORE_MILLISECONDS),
 				restart: absences.recordHello.bind(undefined, host.id, RESTARTED_MILLISECONDS),
--- a/packages/wagtailroute-fleet/src/absences.ts
+++ b/packages/wagtailroute-fleet/src/absences.ts
@@ -106,7 +106,11 @@
 
 	const add = ({id, silence}: HeardHost) => {
 		const known = absent.get(id);
-		absent.set(id, known === undefined ? {since: now() - silence, share: plan.getOneShare()} : {since: known.since, share: known.share});
+		if (known === undefined) {
+			absent.set(id, {since: now() - silence, share: plan.getOneShare()});
+		} else {
+			known.heardAgainAt = undefined;
+		}
 	};
 
 	/**
@@ -178,6 +182,11 @@
 		},
 		end,
 		recordClosed(host) {
+			// It has opened another link: connections can go silent for good while new ones work.
+			if (Iterator.from(plan.listHosts()).some(({id}) => id === host.id)) {
+				return;
+			}
+
 			askedAt.delete(host.id);
 			if (host.isReady && isSilent(host)) {
 				add(host);
