Dispatch: the retry budget is a token bucket that starts empty, so that no dispatcher grants it again

Cause: each dispatcher counted what it had granted in the last window, and spent 0.3 of the fixed number and 0.92 of the ratio. Nothing of that outlived it. Three in succession fit; a fourth, or the same host started again, spent its part anew, and what had been saved in a quiet window was spent once by each. Ruled out: resends of the entry hosts' own, which ask a dispatcher for each (all refused resends are the dispatcher's); requests counted twice (`isAgain`).

Why it holds now: what all buckets hold at one moment plus what is added to them afterwards bounds any window, whoever was asked before. Buckets start empty, are filled once by each request, and hold no more than the share of the hosts that ask. Nothing is handed over.

The laboratory counts requests as the rule does.

Logs and metrics tell what is left of a budget, and which share of it the dispatcher grants.

--- a/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
@@ -303,7 +303,7 @@
 	const dispatcher = createDispatcher([createCandidate('a', {slots: 1})]);
 	dispatcher.requestSlot(createSlotRequest('1'), 0);
 	dispatcher.requestSlot(createSlotRequest('2'), 0);
-	dispatcher.cancel('2');
+	dispatcher.cancel('2', 1);
 	t.deepEqual(dispatcher.end('1', {ending: 'success', milliseconds: 10}, 10), []);
 });
 
@@ -563,7 +563,7 @@
 			} else if (kind === 'cancel' && open.size > 0) {
 				const id = [...open][pick % open.size]!;
 				open.delete(id);
-				dispatcher.cancel(id);
+				dispatcher.cancel(id, now);
 			} else {
 				applyEffects(dispatcher.tick(now));
 			}
@@ -628,7 +628,9 @@
 
 test('a request that is in progress elsewhere moves only to a slot that no queued request waits for', t => {
 	// Guards against moves that delay other requests under load: overdue reads were sent again ahead of all queued requests.
-	const dispatcher = createDispatcher([createCandidate('a', {slots: 1}), createCandidate('b', {slots: 1})]);
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 1}), createCandidate('b', {slots: 1})], {
+		budget: {ratio: 1, extra: 60, windowMilliseconds: 10_000},
+	});
 	const move = {
 		requestClass: 'read', isResend: true, isMove: true, excluded: ['a'],
 	} as const;
@@ -641,7 +643,7 @@
 
 test('a move that is refused leaves the budget as it was', t => {
 	// Guards against a retry budget that is used up by moves that were refused for lack of a slot.
-	const dispatcher = createDispatcher([createCandidate('a', {slots: 1}), createCandidate('b', {slots: 1})], {budget: {ratio: 0, extra: 10, windowMilliseconds: 10_000}});
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 1}), createCandidate('b', {slots: 1})], {budget: {ratio: 0.5, extra: 0, windowMilliseconds: 10_000}});
 	dispatcher.requestSlot(createSlotRequest('1', {excluded: ['b']}), 0);
 	dispatcher.requestSlot(createSlotRequest('2', {excluded: ['a']}), 0);
 	for (let move = 0; move < 20; move++) {
--- a/packages/wagtailroute-dispatch/src/constants.ts
+++ b/packages/wagtailroute-dispatch/src/constants.ts
@@ -8,11 +8,6 @@
 export const MIN_SLOWNESS = 0.4;
 export const MAX_SLOWNESS = 12;
 
-/**
-Slice of the window over which the retry budget counts requests and resends.
-*/
-export const BUDGET_SLICE_MILLISECONDS = 500;
-
 /**
 Queued requests that are examined when a slot becomes free, in the order of the queue. Those that have waited longest accept a slot of any upstream;
 examining all of them costs a millisecond per event with 300 upstreams under overload.
--- a/packages/wagtailroute-dispatch/src/dispatcher-types.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher-types.ts
@@ -11,7 +11,7 @@
 	SlotRequestId,
 	UpstreamUpdate,
 } from './slot-requests.ts';
-import type {BudgetSettings} from './budget.ts';
+import type {BudgetReport, BudgetSettings} from './budget.ts';
 import type {IdleUpstream} from './idle-upstreams.ts';
 import type {Policy} from './policy.ts';
 
@@ -36,6 +36,10 @@
 	Returns the share of the fleet's requests that this dispatcher handles, 0 to 1. Absent: all of them.
 	*/
 	readonly getShare?: (now: number) => number;
+	/**
+	Returns the share of the retry budget that this dispatcher grants, 0 to 1. Absent: all of it.
+	*/
+	readonly getBudgetShare?: (now: number) => number;
 };
 
 /**
@@ -73,7 +77,7 @@
 	/**
 	Removes a queued slot request and returns it; undefined when it is not in the queue.
 	*/
-	readonly cancel: (id: SlotRequestId) => SlotRequest | undefined;
+	readonly cancel: (id: SlotRequestId, now: number) => SlotRequest | undefined;
 	/**
 	Returns the slot request for which a slot is held; undefined when this dispatcher has not granted it or it has ended.
 	*/
@@ -147,6 +151,10 @@
 	*/
 	readonly report: (service: core.ServiceName, now: number) => readonly UpstreamReport[];
 	/**
+	Returns what is left of a service's retry budget at this dispatcher; undefined before its first request.
+	*/
+	readonly reportBudget: (service: core.ServiceName, now: number) => BudgetReport | undefined;
+	/**
 	Lists the upstreams of a service that get no requests although a noticeable fraction of its requests fails; none while nearly all succeed.
 	*/
 	readonly listIdleUpstreams: (service: core.ServiceName, now: number) => readonly IdleUpstream[];
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -24,7 +24,7 @@
 	type SlotRequestId,
 	type UpstreamUpdate,
 } from './slot-requests.ts';
-import {createBudget} from './budget.ts';
+import {type BudgetReport, createBudget} from './budget.ts';
 import {
 	type Choice,
 	type ChoiceContext,
@@ -117,9 +117,14 @@
 		return this.#servicesByQueuedId.has(request.id) ? [...effects, ...this.#waitOrRefuse(service, queued, now)] : effects;
 	}
 
-	cancel(id: SlotRequestId): SlotRequest | undefined {
+	cancel(id: SlotRequestId, now: number): SlotRequest | undefined {
 		const service = this.#servicesByQueuedId.get(id);
-		return service && this.#dequeue(service, id);
+		const request = service && this.#dequeue(service, id);
+		if (request?.isResend === true) {
+			service!.budget.refundResend(now);
+		}
+
+		return request;
 	}
 
 	findGrantedRequest(id: SlotRequestId): SlotRequest | undefined {
@@ -135,6 +140,10 @@
 		const service = this.#getService(heldSlot.service);
 		const upstream = service.upstreams.get(heldSlot.upstream);
 		this.#releaseSlot(heldSlot);
+		if (ending === 'unused' && heldSlot.request?.isResend === true) {
+			service.budget.refundResend(now);
+		}
+
 		const effects: Effect[] = [];
 		if (upstream !== undefined) {
 			const wasSuspended = isSuspended(upstream, now);
@@ -300,6 +309,10 @@
 		}));
 	}
 
+	reportBudget(service: core.ServiceName, now: number): BudgetReport | undefined {
+		return this.#services.get(service)?.budget.report(now);
+	}
+
 	listIdleUpstreams(name: core.ServiceName, now: number): readonly IdleUpstream[] {
 		const service = this.#services.get(name);
 		return service === undefined ? [] : listIdleUpstreams(service, now);
@@ -341,7 +354,7 @@
 			usualMillisecondsByRoute: new Map(),
 			policy: this.#settings.policy ?? DEFAULT_POLICY,
 			shortfall: createShortfall(),
-			budget: createBudget(this.#settings.budget, this.#settings.policy ?? DEFAULT_POLICY),
+			budget: createBudget(this.#settings.budget, this.#settings.policy ?? DEFAULT_POLICY, this.#settings.getBudgetShare ?? (() => 1)),
 			lastIdempotentAt: -Infinity,
 			unpublishedDraining: new Set(),
 			rateLimits: new ServiceRateLimits({getShare: this.#settings.getShare ?? (() => 1), random: this.#settings.random}),
@@ -422,6 +435,10 @@
 			return [this.#grant(service, request, choice, now)];
 		}
 
+		if (request.isResend) {
+			service.budget.refundResend(now);
+		}
+
 		service.shortfall.recordFailure(now);
 		const expectedWait = Number.isFinite(wait) ? wait : request.remainingMilliseconds / 4;
 		const retryAfter = Math.max(service.policy.retryAfterLeastMilliseconds, Math.min(expectedWait, request.remainingMilliseconds / 3));
--- a/packages/wagtailroute-dispatch/src/index.ts
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -15,6 +15,6 @@
 } from './slot-requests.ts';
 export {createDispatcher} from './dispatcher.ts';
 export type {Dispatcher, DispatcherSettings, UpstreamReport} from './dispatcher-types.ts';
-export type {BudgetSettings} from './budget.ts';
+export type {BudgetReport, BudgetSettings} from './budget.ts';
 export {averageUsualMilliseconds, estimateUsualMilliseconds} from './services.ts';
 export {DEFAULT_POLICY, type Policy} from './policy.ts';
--- a/packages/wagtailroute-dispatch/src/policy.ts
+++ b/packages/wagtailroute-dispatch/src/policy.ts
@@ -191,13 +191,14 @@
 	*/
 	retryAfterLeastMilliseconds: 100,
 	/**
-	Fraction of the budgeted resends per request that is used. The rest covers what other hosts send while they cannot reach this dispatcher.
+	Most resends that are saved up for a service, as a fraction of the fixed number of the retry budget. The rest covers dispatchers that hold tokens at the same time,
+	and resends that are granted before and sent after a window begins.
 	*/
-	resendRatioPart: 0.92,
+	resendCapacityPart: 0.6,
 	/**
-	Fraction of the fixed number of budgeted resends that is used: three dispatchers in succession must not exceed the budget together.
+	Fraction of the fixed number that is granted over a window without requests, for services with few of them.
 	*/
-	fixedResendsPart: 0.3,
+	resendRefillPart: 0.2,
 	/**
 	Rate of failure periods ("spells") per second of an upstream without other information: one in half a minute.
 	*/
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -62,12 +62,6 @@
 */
 export const MAX_STANDBY_WAIT_MILLISECONDS = 60;
 
-/**
-Resends that the dispatcher of an entry host may grant in addition to a ratio of the requests that it dispatches. The budget holds for the whole fleet
-and any number of entry hosts may dispatch at once, so each gets next to nothing beyond the ratio.
-*/
-export const STANDBY_EXTRA_RESENDS = 2;
-
 /**
 Milliseconds for which a dispatcher that did not answer in time is skipped.
 */
@@ -410,6 +404,11 @@
 */
 export const IDLE_LOG_INTERVAL_MILLISECONDS = 2000;
 
+/**
+Milliseconds between two log lines about the resends of a service.
+*/
+export const BUDGET_LOG_INTERVAL_MILLISECONDS = 1000;
+
 /**
 Largest number of idle upstreams that such a line names.
 */
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -19,7 +19,6 @@
 	MAX_LINK_DELAY_MILLISECONDS,
 	MILLISECONDS_PER_SECOND,
 	MIN_REPORTED_LOAD_CHANGE,
-	STANDBY_EXTRA_RESENDS,
 	UPSTREAM_CONNECT_TIMEOUT_MILLISECONDS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
@@ -139,7 +138,7 @@
 	});
 	const requestingHosts = createRequestingHosts();
 	const ownDispatcher = startHostDispatcher(context, {
-		settings: {...settings, budget: {...settings.budget, extra: STANDBY_EXTRA_RESENDS}},
+		settings,
 		allotmentEnforcer,
 		requestShare,
 		isReceivingUpdates: false,
--- a/packages/wagtailroute-fleet/src/host-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/host-dispatcher.ts
@@ -28,6 +28,7 @@
 	type ServiceUpdates,
 } from './messages.ts';
 import {createRecentRequestingHosts, type RecentRequestingHosts} from './recent-requesting-hosts.ts';
+import {createRetryBudgetLog} from './retry-budget-log.ts';
 import type {FleetSettings} from './settings.ts';
 
 /**
@@ -140,7 +141,10 @@
 	const {now, random, metrics} = context;
 	const log = context.logs('dispatch');
 	const {requestShare} = options;
-	const dispatcher = dispatch.createDispatcher({...options.settings, random, getShare: options.isReceivingUpdates ? undefined : requestShare.get});
+	const dispatcher = dispatch.createDispatcher({
+		...options.settings, random, getShare: options.isReceivingUpdates ? undefined : requestShare.get, getBudgetShare: requestShare.get,
+	});
+	const retryBudgetLog = createRetryBudgetLog(context, service => dispatcher.reportBudget(service, now()));
 	const knownServices = new Set<core.ServiceName>();
 	const requestingHosts = new Map<core.ServiceName, RecentRequestingHosts>();
 
@@ -152,9 +156,16 @@
 		options.notify(effect.request.host, METHODS.answer, [getSlotRequestNumber(effect.request.id), encodeAnswer(toAnswer(effect))]);
 	};
 
+	const recordGrant = ({request}: Extract<dispatch.Effect, {kind: 'grant'}>) => {
+		peerUpdates.onGranted(request.service);
+		if (request.isResend) {
+			retryBudgetLog.record(request.service, 'granted');
+		}
+	};
+
 	const effectHandlers: EffectHandlers = {
 		grant(effect) {
-			peerUpdates.onGranted(effect.request.service);
+			recordGrant(effect);
 			sendDecision(effect);
 		},
 		refuse(effect) {
@@ -217,6 +228,10 @@
 
 	const logRefusal = ({request, reason, retryAfterMilliseconds}: Extract<dispatch.Effect, {kind: 'refuse'}>) => {
 		const upstreams = dispatcher.report(request.service, now());
+		if (request.isResend) {
+			retryBudgetLog.record(request.service, reason === 'budget' ? 'refused' : 'unserved');
+		}
+
 		metrics.count('refusals', {service: request.service, reason});
 		log.warn('A slot request was refused.', {
 			id: request.id,
@@ -230,6 +245,7 @@
 			rateLimited: upstreams.filter(upstream => upstream.rateLimit !== undefined).length,
 			draining: upstreams.filter(upstream => upstream.isDraining).length,
 			backingOff: upstreams.filter(upstream => upstream.hostsBackingOff.includes(request.host)).length,
+			...reason === 'budget' && retryBudgetLog.describe(request.service),
 		});
 		logIdleUpstreams(request.service);
 	};
@@ -331,13 +347,13 @@
 				refundAllotment(request);
 				logRefusal(ownDecision);
 			} else {
-				peerUpdates.onGranted(request.service);
+				recordGrant(ownDecision);
 			}
 
 			return toAnswer(ownDecision);
 		},
 		cancel(id) {
-			const cancelled = dispatcher.cancel(id);
+			const cancelled = dispatcher.cancel(id, now());
 			if (cancelled !== undefined) {
 				refundAllotment(cancelled);
 			}
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -165,7 +165,8 @@
 	}
 
 	darken(which: 'first' | 'all', milliseconds: number): void {
-		const chosen = which === 'all' ? [...this.#controls] : [this.#findFirst()];
+		// None runs during a restart of everything.
+		const chosen = which === 'all' ? [...this.#controls] : this.#listFirst();
 		for (const control of chosen) {
 			control.endpoint.state = 'away';
 		}
@@ -178,13 +179,14 @@
 	}
 
 	freeze(milliseconds: number): void {
-		const {endpoint} = this.#findFirst();
 		const {clock} = this.#plan;
-		endpoint.state = 'frozen';
-		endpoint.frozenUntil = clock.now() + milliseconds;
-		clock.schedule(milliseconds, () => {
-			endpoint.state = 'up';
-		});
+		for (const {endpoint} of this.#listFirst()) {
+			endpoint.state = 'frozen';
+			endpoint.frozenUntil = clock.now() + milliseconds;
+			clock.schedule(milliseconds, () => {
+				endpoint.state = 'up';
+			});
+		}
 	}
 
 	cutOff(share: number, milliseconds: number): void {
@@ -251,11 +253,11 @@
 	}
 
 	/**
-	Returns the control host that dispatches the service with the most requests.
+	Returns the control host that dispatches the service with the most requests; none during a restart of everything.
 	*/
-	#findFirst(): Control {
+	#listFirst(): readonly Control[] {
 		const [busiest] = this.#plan.scenario.routes.toSorted((left, right) => right.perSecond - left.perSecond);
-		return fleet.orderDispatchers(busiest!.services[0]!, this.#controls, ({id}) => id)[0]!;
+		return fleet.orderDispatchers(busiest!.services[0]!, this.#controls, ({id}) => id).slice(0, 1);
 	}
 
 	#replaceControl(lost: Control): void {
@@ -340,7 +342,6 @@
 			allotting,
 			requestShare,
 			isTold: true,
-			extra: scenario.budget.extra,
 			listStandbys: service => fleet.orderDispatchers(service, this.#listStandbys(), host => host).slice(0, fleet.STANDBYS_PER_SERVICE),
 			tellControls: message => {
 				this.#tellControls(id, message);
@@ -402,12 +403,11 @@
 		});
 	}
 
-	#startDispatching({askers, allotting, requestShare, isTold, extra, listStandbys, tellControls, getState, onAnswer}: {
+	#startDispatching({askers, allotting, requestShare, isTold, listStandbys, tellControls, getState, onAnswer}: {
 		readonly askers: ReturnType<typeof fleet.createRequestingHosts>;
 		readonly allotting: fleet.AllotmentEnforcer;
 		readonly requestShare: fleet.RequestShare;
 		readonly isTold: boolean;
-		readonly extra: number;
 		readonly listStandbys: (service: core.ServiceName) => readonly core.HostId[];
 		readonly tellControls: (message: Message) => void;
 		readonly getState: () => Endpoint['state'];
@@ -418,7 +418,7 @@
 	}): fleet.HostDispatcher {
 		const {clock, random, scenario, variant, listCandidates, onSuspended} = this.#plan;
 		return fleet.startHostDispatcher(createContext(clock, random, onSuspended), {
-			settings: {budget: {...scenario.budget, extra}, floor: scenario.floor, policy: variant.policy},
+			settings: {budget: scenario.budget, floor: scenario.floor, policy: variant.policy},
 			allotmentEnforcer: allotting,
 			requestShare,
 			isReceivingUpdates: isTold,
@@ -466,7 +466,6 @@
 			allotting,
 			requestShare,
 			isTold: false,
-			extra: fleet.STANDBY_EXTRA_RESENDS,
 			listStandbys: () => [],
 			tellControls(message) {
 				if (askers.count() > 0) {
--- a/packages/wagtailroute-lab/src/tally.ts
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -259,7 +259,7 @@
 				spellMilliseconds: sum(({from, lastSentAt}) => lastSentAt - Math.max(0, from)),
 				falseSuspensions: falseSuspensions * 1000 / count,
 				resends: sentTimes.values().reduce((before, times) => before + times.resends.length, 0) * 1000 / count,
-				resendExcess: Math.max(0, ...sentTimes.values().map(times => countResendExcess(scenario, times))),
+				resendExcess: Math.max(0, ...sentTimes.entries().map(([service, {resends}]) => countResendExcess(scenario, resends, (requests.get(service) ?? []).map(({at}) => at)))),
 				rateLimitExcess: Math.max(0, ...rateLimits.map(rateLimit => countExcess(rateLimit))),
 				backoffArrivals: countMost(closures, 'backoff'),
 				drainingArrivals: countMost(closures, 'draining'),
@@ -283,14 +283,22 @@
 	readonly resends: number[];
 };
 
-function countResendExcess({budget: {ratio, extra, windowMilliseconds}}: Scenario, {firsts, resends}: SentTimes): number {
-	const excesses = resends.map(end => {
-		const isInWindow = (at: number) => at <= end && at > end - windowMilliseconds;
-		return resends.filter(at => isInWindow(at)).length - extra - (ratio * firsts.filter(at => isInWindow(at)).length);
+/**
+Returns the most resends beyond the budget of a window that starts or ends with a resend. Requests count that callers sent in the window, in the window before it, or in the
+one half a window before it, whichever are most.
+*/
+function countResendExcess({budget: {ratio, extra, windowMilliseconds}}: Scenario, resends: readonly number[], asked: readonly number[]): number {
+	const excesses = resends.flatMap(at => [at, at - windowMilliseconds]).map(start => {
+		const earning = Math.max(...[0, windowMilliseconds / 2, windowMilliseconds].map(earlier => countBetween(asked, start - earlier, windowMilliseconds)));
+		return countBetween(resends, start, windowMilliseconds) - extra - (ratio * earning);
 	});
 	return Math.max(0, ...excesses);
 }
 
+function countBetween(times: readonly number[], start: number, milliseconds: number): number {
+	return times.filter(at => at >= start && at <= start + milliseconds).length;
+}
+
 type OrganisationUse = {
 	readonly at: readonly number[];
 	readonly refused: number;
