Proxy: a request that was shed has not survived anything

Found while looking for the cause of requests that crash one backend server after the other. An attempt that ended with an answer counted as a survival of the request, also where the answer said that it had not run (shed, or another instance): a crashing request that an overloaded backend server turned away was cleared, and went on to the next one. A trial of a suspect ended the same way.

--- a/packages/wagtailroute-proxy/src/endings.ts
+++ b/packages/wagtailroute-proxy/src/endings.ts
@@ -8,7 +8,12 @@
 import type {RequestFailureKind} from './failures.ts';
 import type {HeaderFields} from './headers.ts';
 import {MOVED_CODE} from './overdue.ts';
-import type {AttemptEnding, ReleaseEnding, Settlement} from './ports.ts';
+import type {
+	AttemptEnding,
+	ReleaseEnding,
+	Settlement,
+	TrialEnding,
+} from './ports.ts';
 
 const SHED_STATUS = 503;
 const SERVER_ERROR_STATUS = 500;
@@ -122,6 +127,17 @@
 	return (result.kind === 'lost' || result.kind === 'truncated') && !BODY_ERROR_CODES.has(result.code) && result.code !== MOVED_CODE;
 }
 
+/**
+Returns what an attempt tells of a request that may crash backend servers. A request that was shed has not run, so it has survived nothing.
+*/
+export function getTrialEnding(result: AttemptResult): TrialEnding {
+	if (result.kind === 'not-sent' || isShedResult(result)) {
+		return 'not-sent';
+	}
+
+	return result.kind === 'relayed' || result.kind === 'discarded' ? 'completed' : 'lost';
+}
+
 const RESULT_DESCRIPTIONS: Readonly<Record<Exclude<AttemptResult['kind'], 'relayed'>, (target: string) => string>> = {
 	'not-sent': target => `Nothing was sent to ${target}.`,
 	lost: target => `${target} was lost after the request was sent.`,
--- a/packages/wagtailroute-proxy/src/request-sender.ts
+++ b/packages/wagtailroute-proxy/src/request-sender.ts
@@ -236,12 +236,12 @@
 
 	#recordSurvival(result: attempts.AttemptResult, trial: GrantedTrial | undefined): void {
 		const {match, service, ports: {guard}} = this.#context;
-		const hasSurvived = result.kind === 'relayed' || result.kind === 'discarded';
-		if (hasSurvived && service.isCarried) {
+		const ending = endings.getTrialEnding(result);
+		if (ending === 'completed' && service.isCarried) {
 			guard.recordSurvival(match.service, this.fingerprint);
 		}
 
-		trial?.end(hasSurvived ? 'completed' : (result.kind === 'not-sent' ? 'not-sent' : 'lost'));
+		trial?.end(ending);
 	}
 
 	async #send(
