Fleet: a request that crashes backend servers is quarantined on all entry hosts

What callers saw: nothing; what operators saw: a request that crashes each backend server that runs it, sent again by its caller, took down one after the other, through whichever entry host it came.

Cause: the composition of hosts for the users' platform had a crash guard that lets everything pass; the one of `wagtailroute run` needs the replicated records, which this composition does not have.

Entry hosts probe an upstream that lost a request, and report its crash with the request's fingerprint; control hosts gather, store and tell. Records are merged, so nothing depends on who hears first, restarts or comes back.

--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -413,3 +413,44 @@
 Largest number of idle upstreams that such a line names.
 */
 export const MAX_IDLE_UPSTREAMS_LOGGED = 5;
+
+/**
+Crashes after which a request is quarantined: as many upstreams are lost to it at most, but for copies that are in flight together.
+*/
+export const CRASHES_TO_QUARANTINE = 3;
+
+/**
+Crashes from which on entry hosts are told of a request, so that those at which it completes clear it.
+*/
+export const CRASHES_TO_TELL = 2;
+
+/**
+Milliseconds after its last crash for which a request that is not quarantined is remembered, and for which it stays quarantined.
+*/
+export const SUSPECT_EXPIRY_MILLISECONDS = 120_000;
+export const QUARANTINE_MILLISECONDS = 3_600_000;
+
+/**
+Largest number of crash records on a host.
+*/
+export const MAX_CRASH_RECORDS = 4096;
+
+/**
+Largest number of completed requests, by fingerprint, and of probed upstreams that an entry host remembers.
+*/
+export const MAX_SURVIVALS = 4096;
+
+/**
+Milliseconds that an upstream may take to accept a new connection after one was lost; a timeout is no crash.
+*/
+export const CRASH_PROBE_TIMEOUT_MILLISECONDS = 250;
+
+/**
+Milliseconds for which the result of a probe holds for further requests that the upstream loses.
+*/
+export const PROBED_MILLISECONDS = 1000;
+
+/**
+Milliseconds after a change of the crash records before they are saved to disk.
+*/
+export const CRASHES_SAVE_DELAY_MILLISECONDS = 100;
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -13,6 +13,7 @@
 import {startControlLinks} from './control-links.ts';
 import {createSlotRequestMethods} from './slot-request-methods.ts';
 import {createBeliefStore} from './belief-store.ts';
+import {createCrashRegistry} from './crash-registry.ts';
 import {
 	BELIEFS_SAVE_DELAY_MILLISECONDS,
 	CONTROL_HOSTS_BATCH_MILLISECONDS,
@@ -145,6 +146,7 @@
 		standbys = chosen;
 		entryHosts.notifyAll(messages.METHODS.standbys, standbys);
 	});
+	const crashRegistry = createCrashRegistry(context, {folder: settings.dataFolder, notifyEntryHosts: entryHosts.notifyAll});
 	const listControlHosts = () => [self, ...links.getOpen().map(open => open.host)];
 	const getVersion = () => group.getStored()?.generation.version ?? 0;
 
@@ -163,6 +165,7 @@
 				entryHosts.add(host);
 				absenceTracker.recordHello(hello.id, hello.runningMilliseconds ?? Infinity);
 				publishStandbys();
+				crashRegistry.sendTo(from, 'entry');
 				log.info('An entry host joined.', describeEntryHost(host));
 			}
 
@@ -208,6 +211,7 @@
 		},
 		[messages.METHODS.use]: allotmentEnforcer.applyReport,
 		[messages.METHODS.probe]: () => ({}),
+		...crashRegistry.methods,
 		...createSlotRequestMethods(dispatcher, entryHosts.findByLink),
 	});
 	const links = startControlLinks(context, {
@@ -220,6 +224,7 @@
 			publishControlHosts();
 			opened.notify(messages.METHODS.beliefs, dispatcher.listBeliefs());
 			sendUpdates(opened, dispatcher);
+			crashRegistry.sendTo(opened, 'control');
 			void registry.catchUp(opened);
 		},
 		onLost: publishControlHosts,
@@ -245,7 +250,7 @@
 			entryHosts.notifyAll(messages.METHODS.retired, {retirements});
 		},
 	});
-	await registry.loaded;
+	await Promise.all([registry.loaded, crashRegistry.load()]);
 	const storedBeliefs = await beliefStore.load();
 	dispatcher.mergeBeliefs(storedBeliefs.beliefs, storedBeliefs.ageMilliseconds);
 	log.info('The stored beliefs were loaded.', {beliefs: storedBeliefs.beliefs.length, ageMilliseconds: Math.round(storedBeliefs.ageMilliseconds)});
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -11,6 +11,7 @@
 import {createSlotRequestMethods} from './slot-request-methods.ts';
 import {startAllotmentEnforcer} from './allotment-enforcer.ts';
 import {createRequestingHosts} from './requesting-hosts.ts';
+import {createEntryCrashGuard} from './crash-guard.ts';
 import {createDispatchClient} from './dispatch-client.ts';
 import {createStartupGate} from './startup-gate.ts';
 import {
@@ -136,6 +137,11 @@
 			standbys.notifyAll(method, parameters);
 		},
 	});
+	const crashGuard = createEntryCrashGuard(context, {
+		notifyControlHosts(method, parameters) {
+			controlLinks.notifyAll(method, parameters);
+		},
+	});
 	const requestingHosts = createRequestingHosts();
 	const ownDispatcher = startHostDispatcher(context, {
 		settings,
@@ -184,6 +190,7 @@
 			standbys.setHosts(hosts);
 		},
 		[messages.METHODS.directory]: applyDirectory,
+		[messages.METHODS.crashes]: crashGuard.applyRecords,
 		...createSlotRequestMethods(ownDispatcher, requestingHosts.findByLink),
 		[messages.METHODS.hello]({id, failureDomain}: messages.Hello, from: link.Link) {
 			requestingHosts.add({id, failureDomain}, from);
@@ -192,6 +199,13 @@
 			} satisfies messages.Welcome;
 		},
 	}));
+	const sendCrashRecords = (controlLink: link.Link) => {
+		const records = crashGuard.listRecords();
+		if (records.length > 0) {
+			controlLink.notify(messages.METHODS.crashes, records);
+		}
+	};
+
 	const startedAt = context.now();
 	const createHello = (): messages.Hello => ({
 		id: settings.hostId, failureDomain: settings.failureDomain, entry: getState(), runningMilliseconds: Math.round(context.now() - startedAt),
@@ -208,6 +222,7 @@
 			applyDirectory(directoryTable);
 			// The state may have changed since the hello, so it is sent again.
 			control.link.notify(messages.METHODS.state, getState());
+			sendCrashRecords(control.link);
 			if (requestingHosts.count() > 0) {
 				// This host has dispatched for others while the control host was away.
 				control.link.notify(messages.METHODS.beliefs, ownDispatcher.listBeliefs());
@@ -259,7 +274,7 @@
 		route: createRouter(context, {fleetView, dispatchClient}),
 		routes: startupGate,
 		claim: async () => ({kind: 'refused', failure: proxy.createRequestFailure('idempotency-records-unavailable', 'This fleet keeps no keys.')}),
-		guard: PERMISSIVE_GUARD,
+		guard: crashGuard.guard,
 		random: context.random,
 		answerReserved(_message, response) {
 			proxy.answerJson(response, 404, {});
@@ -295,13 +310,3 @@
 		},
 	};
 }
-
-/**
-This kind of fleet quarantines no requests.
-*/
-const PERMISSIVE_GUARD: proxy.CrashGuard = {
-	getQuarantineStatus: () => 'free',
-	requestTrial: async () => ({kind: 'free'}),
-	detectCrash: async () => false,
-	recordSurvival: () => undefined,
-};
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -43,6 +43,7 @@
 	standbys: 'dispatch.standbys',
 	directory: 'fleet.directory',
 	probe: 'dispatch.probe',
+	crashes: 'crashes.records',
 } as const;
 
 /**
--- a/packages/wagtailroute-host/src/crash-guard.ts
+++ b/packages/wagtailroute-host/src/crash-guard.ts
@@ -7,7 +7,6 @@
 crashed. The answers to the requests that were in flight are delayed until all carriers know the suspects.
 */
 import * as crypto from 'node:crypto';
-import * as net from 'node:net';
 import type * as core from 'wagtailroute-core';
 import * as proxy from 'wagtailroute-proxy';
 import type * as records from 'wagtailroute-records';
@@ -67,7 +66,7 @@
 	const {now, peer} = context;
 	const log = context.log('host');
 	const propose = fakes.propose ?? proposeCommand;
-	const isRefusing = fakes.isRefusing ?? probe;
+	const isRefusing = fakes.isRefusing ?? (async address => utils.isRefusing(address, CRASH_PROBE_TIMEOUT_MILLISECONDS));
 	const suspects = createSuspects();
 	const lossGroups = new Map<string, LossGroup>();
 
@@ -234,26 +233,3 @@
 		context.schedule(milliseconds, resolve);
 	});
 }
-
-/**
-Returns whether a server refuses connections. A timeout or another error is no refusal.
-*/
-async function probe(address: core.Address): Promise<boolean> {
-	return new Promise(resolve => {
-		const socket = net.connect({host: address.ip, port: address.port, timeout: CRASH_PROBE_TIMEOUT_MILLISECONDS});
-		const end = (isRefused: boolean) => {
-			socket.destroy();
-			resolve(isRefused);
-		};
-
-		socket.once('connect', () => {
-			end(false);
-		});
-		socket.once('timeout', () => {
-			end(false);
-		});
-		socket.once('error', (error: NodeJS.ErrnoException) => {
-			end(error.code === 'ECONNREFUSED');
-		});
-	});
-}
--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -167,7 +167,7 @@
 		}
 
 		return guard.getQuarantineStatus(match.service, this.#sender.fingerprint) === 'quarantined'
-			? failures.createRequestFailure('quarantined', 'This request crashed two backend servers and is not sent to another one.')
+			? failures.createRequestFailure('quarantined', 'This request crashed several backend servers and is not sent to another one.')
 			: this.#runWithClaim(body);
 	}
 
--- a/packages/wagtailroute-utils/src/index.ts
+++ b/packages/wagtailroute-utils/src/index.ts
@@ -1,9 +1,10 @@
 /**
-Small helpers that every package may use: invariants, teardowns, seeded random numbers, listening.
+Small helpers that every package may use: invariants, teardowns, seeded random numbers, listening, probing.
 */
 export {setBounded} from './bounded.ts';
 export {BrokenInvariant, invariant} from './invariant.ts';
 export {closeServer, listen, type ListenAddress} from './listening.ts';
+export {isRefusing} from './probing.ts';
 export {mergeTeardowns, type Teardown} from './teardown.ts';
 export {
 	coalesce,
