Fleet: crash records are kept for ten minutes; one counter for refused requests

Read as a newcomer: a request refused for its crashes was counted by a query, and again among the failures by kind. A request that comes again less often than every two minutes was forgotten between its crashes.

--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -427,7 +427,7 @@
 /**
 Milliseconds after its last crash for which a request that is not quarantined is remembered, and for which it stays quarantined.
 */
-export const SUSPECT_EXPIRY_MILLISECONDS = 120_000;
+export const SUSPECT_EXPIRY_MILLISECONDS = 600_000;
 export const QUARANTINE_MILLISECONDS = 3_600_000;
 
 /**
--- a/packages/wagtailroute-fleet/src/crash-guard.ts
+++ b/packages/wagtailroute-fleet/src/crash-guard.ts
@@ -1,9 +1,8 @@
 /**
 Protects backend servers from requests that crash them, on an entry host: reports crashes to the control hosts, and refuses what is quarantined.
 
-Without it, a caller that sends a crashing request again takes down one backend server after the other, through any entry host. A lost connection alone is no crash; a server that then
-refuses a new connection has crashed. A request that completes
-was not the cause of earlier crashes; all hosts are told of that too.
+Without it, a caller that sends a crashing request again takes down one backend server after the other, through any entry host. A lost connection alone is
+no crash; a server that then refuses a new connection has crashed. A request that completes was not the cause of earlier crashes; all hosts are told of that too.
 */
 import type * as core from 'wagtailroute-core';
 import * as proxy from 'wagtailroute-proxy';
@@ -50,10 +49,13 @@
 const QUARANTINED = proxy.createRequestFailure('quarantined', 'This request crashed several backend servers and is not sent to another one.');
 
 /**
-A probe of an upstream that has lost a request: its result, or that the upstream was alive lately.
+A probe of an upstream that has lost a request.
 */
 type Probe = {
 	readonly startedAt: number;
+	/**
+	Whether the upstream refused the connection.
+	*/
 	readonly result: Promise<boolean>;
 };
 
@@ -104,18 +106,9 @@
 		options.notifyControlHosts(METHODS.crashes, [completion]);
 	};
 
-	const hasCrashedUpstreams = (fingerprint: string) => {
-		const isRefused = isQuarantined(records.find(fingerprint));
-		if (isRefused) {
-			metrics.count('quarantined_requests');
-		}
-
-		return isRefused;
-	};
-
 	return {
 		guard: {
-			getQuarantineStatus: (_service, fingerprint) => hasCrashedUpstreams(fingerprint) ? 'quarantined' : 'free',
+			getQuarantineStatus: (_service, fingerprint) => isQuarantined(records.find(fingerprint)) ? 'quarantined' : 'free',
 			// Asked for only when a request is quarantined between two of its attempts.
 			requestTrial: async () => ({kind: 'refused', failure: QUARANTINED}),
 			async detectCrash({service, target, fingerprint}) {
