Fleet: a crash is found also where the server goes on accepting connections for a moment

Found by looking at the guard as a reader: one probe right after the loss misses a server that closes its port a moment after its connections, or that accepts and resets what comes. A second probe 0.15 s later must stay open for 50 ms; the caller does not wait for it.

Cost: one connection more for each upstream that loses requests, entry host and second.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/crash-guard.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/crash-guard.test.ts
@@ -282,7 +282,7 @@
 	t.is(fleet.entries[0]!.guard.getQuarantineStatus(SERVICE, 'x'), 'free');
 });
 
-test('an upstream that loses many requests is probed once a second', async t => {
+test('an upstream that loses many requests is probed twice a second at most', async t => {
 	const context = createFakeContext();
 	let probes = 0;
 	const {guard} = createEntryCrashGuard(context, {
@@ -296,9 +296,34 @@
 		service: SERVICE, target: {id: 'a', address: {ip: 'a', port: 1}, kind: 'upstream'}, fingerprint: 'x', isOnTrial: false,
 	});
 	await Promise.all([lose(), lose(), lose()]);
-	await context.pass(1100);
+	await context.pass(900);
 	await lose();
 	t.is(probes, 2);
+	await context.pass(1100);
+	await lose();
+	await context.pass(900);
+	t.is(probes, 4);
+});
+
+test('a crash is found although the upstream still accepts a connection at first', async t => {
+	// Guards against a crash that is missed because the server closes its port a moment after its connections.
+	const context = createFakeContext();
+	const reported: unknown[] = [];
+	let probes = 0;
+	const {guard} = createEntryCrashGuard(context, {
+		notifyControlHosts(_method, parameters) {
+			reported.push(parameters);
+		},
+		async isRefusing() {
+			probes++;
+			return probes > 1;
+		},
+	});
+	t.false(await guard.detectCrash({
+		service: SERVICE, target: {id: 'a', address: {ip: 'a', port: 1}, kind: 'upstream'}, fingerprint: 'x', isOnTrial: false,
+	}), 'the caller does not wait for the second probe');
+	await context.pass(200);
+	t.deepEqual(reported, [[{fingerprint: 'x', crashes: [['a', 0]]}]]);
 });
 
 test('records survive a restart of all hosts on the disk of a control host', async t => {
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -445,6 +445,12 @@
 */
 export const CRASH_PROBE_TIMEOUT_MILLISECONDS = 250;
 
+/**
+Milliseconds until an upstream that accepted a probe is probed again, and for which it must then leave the connection open.
+*/
+export const SECOND_PROBE_DELAY_MILLISECONDS = 150;
+export const PROBE_OPEN_MILLISECONDS = 50;
+
 /**
 Milliseconds for which the result of a probe holds for further requests that the upstream loses.
 */
--- a/packages/wagtailroute-fleet/src/crash-guard.ts
+++ b/packages/wagtailroute-fleet/src/crash-guard.ts
@@ -7,7 +7,13 @@
 import type * as core from 'wagtailroute-core';
 import * as proxy from 'wagtailroute-proxy';
 import * as utils from 'wagtailroute-utils';
-import {CRASH_PROBE_TIMEOUT_MILLISECONDS, MAX_SURVIVALS, PROBED_MILLISECONDS} from './constants.ts';
+import {
+	CRASH_PROBE_TIMEOUT_MILLISECONDS,
+	MAX_SURVIVALS,
+	PROBE_OPEN_MILLISECONDS,
+	PROBED_MILLISECONDS,
+	SECOND_PROBE_DELAY_MILLISECONDS,
+} from './constants.ts';
 import type {FleetContext} from './context.ts';
 import {
 	countCrashes,
@@ -41,9 +47,9 @@
 	*/
 	readonly notifyControlHosts: (method: string, parameters: unknown) => void;
 	/**
-	Returns whether an address refuses connections.
+	Returns whether an address refuses connections, or closes them within a time.
 	*/
-	readonly isRefusing?: (address: core.Address) => Promise<boolean>;
+	readonly isRefusing?: (address: core.Address, openMilliseconds: number) => Promise<boolean>;
 };
 
 const QUARANTINED = proxy.createRequestFailure('quarantined', 'This request crashed several backend servers and is not sent to another one.');
@@ -54,9 +60,13 @@
 type Probe = {
 	readonly startedAt: number;
 	/**
-	Whether the upstream refused the connection.
+	Whether the upstream refused a connection at once.
+	*/
+	readonly first: Promise<boolean>;
+	/**
+	Whether it refused one then, or a little later. A server that is going down may still accept connections, or accept and close them.
 	*/
-	readonly result: Promise<boolean>;
+	readonly second: Promise<boolean>;
 };
 
 /**
@@ -71,20 +81,53 @@
 	*/
 	const survivals = new Map<string, number>();
 	const probes = new Map<core.UpstreamId, Probe>();
-	const isRefusing = options.isRefusing ?? (async (address: core.Address) => utils.isRefusing(address, CRASH_PROBE_TIMEOUT_MILLISECONDS));
+	const isRefusing = options.isRefusing ?? (async (address: core.Address, openMilliseconds: number) =>
+		utils.isRefusing(address, {timeoutMilliseconds: CRASH_PROBE_TIMEOUT_MILLISECONDS, openMilliseconds}));
 
 	/**
 	Probes an upstream at most once in a while: one that resets its connections in a failure period would be probed for each request that it loses.
 	*/
-	const probe = async ({id, address}: proxy.Target): Promise<boolean> => {
+	const probe = ({id, address}: proxy.Target): Probe => {
 		const recent = probes.get(id);
 		if (recent !== undefined && now() - recent.startedAt < PROBED_MILLISECONDS) {
-			return recent.result;
+			return recent;
+		}
+
+		const first = isRefusing(address, 0);
+		const started: Probe = {startedAt: now(), first, second: probeAgain(address, first)};
+		utils.setBounded(probes, id, started, MAX_SURVIVALS);
+		return started;
+	};
+
+	const probeAgain = async (address: core.Address, first: Promise<boolean>): Promise<boolean> => {
+		if (await first) {
+			return true;
 		}
 
-		const result = isRefusing(address);
-		utils.setBounded(probes, id, {startedAt: now(), result}, MAX_SURVIVALS);
-		return result;
+		await new Promise<void>(resolve => {
+			context.schedule(SECOND_PROBE_DELAY_MILLISECONDS, resolve);
+		});
+		return isRefusing(address, PROBE_OPEN_MILLISECONDS);
+	};
+
+	const reportCrash = ({service, target, fingerprint}: proxy.LostAttempt) => {
+		const crash: CrashRecord = {fingerprint, crashes: [[target.id, 0]]};
+		records.merge(crash);
+		const merged = records.find(fingerprint);
+		metrics.count('crashes', {service});
+		log.warn('An upstream crashed with a request in flight.', {
+			service, upstream: target.id, fingerprint, crashes: countCrashes(merged), isQuarantined: isQuarantined(merged),
+		});
+		options.notifyControlHosts(METHODS.crashes, [crash]);
+	};
+
+	/**
+	Reports a crash that only the second probe finds. The caller does not wait for it.
+	*/
+	const reportLateCrash = async (loss: proxy.LostAttempt, second: Promise<boolean>) => {
+		if (await second) {
+			reportCrash(loss);
+		}
 	};
 
 	/**
@@ -111,20 +154,16 @@
 			getQuarantineStatus: (_service, fingerprint) => isQuarantined(records.find(fingerprint)) ? 'quarantined' : 'free',
 			// Asked for only when a request is quarantined between two of its attempts.
 			requestTrial: async () => ({kind: 'refused', failure: QUARANTINED}),
-			async detectCrash({service, target, fingerprint}) {
-				if (!await probe(target)) {
-					return false;
+			async detectCrash(loss) {
+				const {first, second} = probe(loss.target);
+				const hasCrashed = await first;
+				if (hasCrashed) {
+					reportCrash(loss);
+				} else {
+					void reportLateCrash(loss, second);
 				}
 
-				const crash: CrashRecord = {fingerprint, crashes: [[target.id, 0]]};
-				records.merge(crash);
-				const merged = records.find(fingerprint);
-				metrics.count('crashes', {service});
-				log.warn('An upstream crashed with a request in flight.', {
-					service, upstream: target.id, fingerprint, crashes: countCrashes(merged), isQuarantined: isQuarantined(merged),
-				});
-				options.notifyControlHosts(METHODS.crashes, [crash]);
-				return true;
+				return hasCrashed;
 			},
 			recordSurvival(_service, fingerprint) {
 				utils.setBounded(survivals, fingerprint, now(), MAX_SURVIVALS);
--- a/packages/wagtailroute-host/src/crash-guard.ts
+++ b/packages/wagtailroute-host/src/crash-guard.ts
@@ -66,7 +66,7 @@
 	const {now, peer} = context;
 	const log = context.log('host');
 	const propose = fakes.propose ?? proposeCommand;
-	const isRefusing = fakes.isRefusing ?? (async address => utils.isRefusing(address, CRASH_PROBE_TIMEOUT_MILLISECONDS));
+	const isRefusing = fakes.isRefusing ?? (async address => utils.isRefusing(address, {timeoutMilliseconds: CRASH_PROBE_TIMEOUT_MILLISECONDS}));
 	const suspects = createSuspects();
 	const lossGroups = new Map<string, LossGroup>();
 
