--- a/packages/wagtailroute-dispatch/src/__tests__/unit/retry-budget.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/retry-budget.test.ts
@@ -3,7 +3,7 @@
 */
 import test from 'ava';
 import * as fc from 'fast-check';
-import type * as dispatch from '../../index.ts';
+import * as dispatch from '../../index.ts';
 import {createCandidate, createDispatcher, createSlotRequest} from './fixture.ts';
 
 const BUDGET = {ratio: 0.2, extra: 20, windowMilliseconds: 10_000};
@@ -127,11 +127,6 @@
 	{name: 'all of these', changes: ['none', 'restart', 'replace', 'divide', 'freeze']},
 ];
 
-type PlayedHistory = {
-	readonly requests: readonly number[];
-	readonly resends: readonly number[];
-};
-
 /**
 A dispatcher and the hosts that asked it, by its own clock, which stands still while it is frozen.
 */
@@ -147,7 +142,7 @@
 	return {dispatcher: createTestDispatcher(getShare), askedAt, frozenMilliseconds: 0};
 }
 
-function play(steps: readonly Step[]): PlayedHistory {
+function play(steps: readonly Step[]): dispatch.AuditedTimes {
 	const members = Array.from({length: DISPATCHERS}, createFleetMember);
 	const asked: number[] = Array.from({length: HOSTS}, () => 0);
 	const requests: number[] = [];
@@ -201,15 +196,6 @@
 	return {requests, resends};
 }
 
-function findMostBeyond({requests, resends}: PlayedHistory): number {
-	const {ratio, extra, windowMilliseconds} = BUDGET;
-	const count = (times: readonly number[], start: number) => times.filter(at => at >= start && at <= start + windowMilliseconds).length;
-	return Math.max(0, ...resends.map(start => {
-		const earning = Math.max(...[0, windowMilliseconds / 2, windowMilliseconds].map(earlier => count(requests, start - earlier)));
-		return count(resends, start) - extra - (ratio * earning);
-	}));
-}
-
 for (const {name, changes} of HISTORIES) {
 	test(`over any history of ${name} resends stay within the budget of every window`, t => {
 		// Guards against a budget that dispatchers grant again after a restart, a replacement, a freeze, or while several are asked.
@@ -217,7 +203,7 @@
 		fc.assert(fc.property(createSteps(changes), steps => {
 			const played = play(steps);
 			granted += played.resends.length;
-			return findMostBeyond(played) <= 0;
+			return dispatch.getExcess(dispatch.findWorstWindow(played, BUDGET)) <= 0;
 		}), {numRuns: 300, seed: 20_261_203});
 		t.true(granted > 0);
 	});
--- a/packages/wagtailroute-dispatch/src/bench/retry-budget.bench.ts
+++ b/packages/wagtailroute-dispatch/src/bench/retry-budget.bench.ts
@@ -4,6 +4,7 @@
 */
 import * as utils from 'wagtailroute-utils';
 import {createBudget, type BudgetSettings} from '../budget.ts';
+import {findWorstWindow, getExcess} from '../budget-audit.ts';
 import {DEFAULT_POLICY} from '../policy.ts';
 import {createRecentCounts} from '../recent-counts.ts';
 
@@ -320,20 +321,7 @@
 		refused += resends.wanted - resends.sent;
 	}
 
-	return {excess: countExcess(drawn.sent.map(({at}) => at), resent), wanted, refused};
-}
-
-/**
-Returns the most resends beyond the budget in a window that starts with a resend. Requests count that were sent in the window, in the one before it, or in the one half a window before it.
-*/
-function countExcess(sent: readonly number[], resent: readonly number[]): number {
-	const {ratio, extra, windowMilliseconds} = SETTINGS;
-	const count = (times: readonly number[], start: number) => times.filter(at => at >= start && at <= start + windowMilliseconds).length;
-	const excesses = resent.filter((_, index) => index % 5 === 0).map(start => {
-		const earning = Math.max(...[0, windowMilliseconds / 2, windowMilliseconds].map(earlier => count(sent, start - earlier)));
-		return count(resent, start) - extra - (ratio * earning);
-	});
-	return Math.max(0, ...excesses);
+	return {excess: getExcess(findWorstWindow({requests: drawn.sent.map(({at}) => at), resends: resent}, SETTINGS)), wanted, refused};
 }
 
 type Row = {
@@ -351,7 +339,7 @@
 		way,
 		history,
 		broken: played.filter(({excess}) => excess > 0).length,
-		mostBeyond: Math.round(Math.max(...played.map(({excess}) => excess))),
+		mostBeyond: Math.round(Math.max(0, ...played.map(({excess}) => excess))),
 		refusedPart: Number((sum(({refused}) => refused) / Math.max(1, sum(({wanted}) => wanted))).toFixed(3)),
 	};
 }
--- a/packages/wagtailroute-dispatch/src/index.ts
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -16,5 +16,11 @@
 export {createDispatcher} from './dispatcher.ts';
 export type {Dispatcher, DispatcherSettings, UpstreamReport} from './dispatcher-types.ts';
 export type {BudgetReport, BudgetSettings} from './budget.ts';
+export {
+	type AuditedTimes,
+	type BudgetWindow,
+	findWorstWindow,
+	getExcess,
+} from './budget-audit.ts';
 export {averageUsualMilliseconds, estimateUsualMilliseconds} from './services.ts';
 export {DEFAULT_POLICY, type Policy} from './policy.ts';
--- a/packages/wagtailroute-lab/src/tally.ts
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -2,6 +2,7 @@
 What became of a day's requests, and the figures that policies are compared by.
 */
 import * as histograms from 'hdr-histogram-js';
+import * as dispatch from 'wagtailroute-dispatch';
 import type {Arrival} from './arrivals.ts';
 import type {
 	Backend,
@@ -259,7 +260,10 @@
 				spellMilliseconds: sum(({from, lastSentAt}) => lastSentAt - Math.max(0, from)),
 				falseSuspensions: falseSuspensions * 1000 / count,
 				resends: sentTimes.values().reduce((before, times) => before + times.resends.length, 0) * 1000 / count,
-				resendExcess: Math.max(0, ...sentTimes.entries().map(([service, {resends}]) => countResendExcess(scenario, resends, (requests.get(service) ?? []).map(({at}) => at)))),
+				resendExcess: Math.max(0, ...sentTimes.entries().map(([service, {resends}]) => {
+					const asked = (requests.get(service) ?? []).map(({at}) => at);
+					return dispatch.getExcess(dispatch.findWorstWindow({requests: asked, resends}, scenario.budget));
+				})),
 				rateLimitExcess: Math.max(0, ...rateLimits.map(rateLimit => countExcess(rateLimit))),
 				backoffArrivals: countMost(closures, 'backoff'),
 				drainingArrivals: countMost(closures, 'draining'),
@@ -283,22 +287,6 @@
 	readonly resends: number[];
 };
 
-/**
-Returns the most resends beyond the budget of a window that starts or ends with a resend. Requests count that callers sent in the window, in the window before it, or in the
-one half a window before it, whichever are most.
-*/
-function countResendExcess({budget: {ratio, extra, windowMilliseconds}}: Scenario, resends: readonly number[], asked: readonly number[]): number {
-	const excesses = resends.flatMap(at => [at, at - windowMilliseconds]).map(start => {
-		const earning = Math.max(...[0, windowMilliseconds / 2, windowMilliseconds].map(earlier => countBetween(asked, start - earlier, windowMilliseconds)));
-		return countBetween(resends, start, windowMilliseconds) - extra - (ratio * earning);
-	});
-	return Math.max(0, ...excesses);
-}
-
-function countBetween(times: readonly number[], start: number, milliseconds: number): number {
-	return times.filter(at => at >= start && at <= start + milliseconds).length;
-}
-
 type OrganisationUse = {
 	readonly at: readonly number[];
 	readonly refused: number;
