Fleet: a crash counts as of the moment at which the request was lost

A request that was in flight at a crash by chance is sent again and served while its upstream is probed. The crash was recorded as of the end of the probes, later than that completion, so that it still counted against the request: three such crashes in ten minutes would have quarantined an innocent one.

--- a/packages/wagtailroute-fleet/src/crash-guard.ts
+++ b/packages/wagtailroute-fleet/src/crash-guard.ts
@@ -110,26 +110,6 @@
 		return isRefusing(address, PROBE_OPEN_MILLISECONDS);
 	};
 
-	const reportCrash = ({service, target, fingerprint}: proxy.LostAttempt) => {
-		const crash: CrashRecord = {fingerprint, crashes: [[target.id, 0]]};
-		records.merge(crash);
-		const merged = records.find(fingerprint);
-		metrics.count('crashes', {service});
-		log.warn('An upstream crashed with a request in flight.', {
-			service, upstream: target.id, fingerprint, crashes: countCrashes(merged), isQuarantined: isQuarantined(merged),
-		});
-		options.notifyControlHosts(METHODS.crashes, [crash]);
-	};
-
-	/**
-	Reports a crash that only the second probe finds. The caller does not wait for it.
-	*/
-	const reportLateCrash = async (loss: proxy.LostAttempt, second: Promise<boolean>) => {
-		if (await second) {
-			reportCrash(loss);
-		}
-	};
-
 	/**
 	Tells all hosts of a completion, if the request is known to have been in flight at crashes.
 	*/
@@ -149,18 +129,41 @@
 		options.notifyControlHosts(METHODS.crashes, [completion]);
 	};
 
+	const reportCrash = ({service, target, fingerprint}: proxy.LostAttempt, lostAt: number) => {
+		// As of the loss: the request may have completed elsewhere before the probes ended.
+		const crash: CrashRecord = {fingerprint, crashes: [[target.id, now() - lostAt]]};
+		records.merge(crash);
+		const merged = records.find(fingerprint);
+		metrics.count('crashes', {service});
+		log.warn('An upstream crashed with a request in flight.', {
+			service, upstream: target.id, fingerprint, crashes: countCrashes(merged), isQuarantined: isQuarantined(merged),
+		});
+		options.notifyControlHosts(METHODS.crashes, [crash]);
+		reportCompletion(fingerprint);
+	};
+
+	/**
+	Reports a crash that only the second probe finds. The caller does not wait for it.
+	*/
+	const reportLateCrash = async (loss: proxy.LostAttempt, lostAt: number, second: Promise<boolean>) => {
+		if (await second) {
+			reportCrash(loss, lostAt);
+		}
+	};
+
 	return {
 		guard: {
 			getQuarantineStatus: (_service, fingerprint) => isQuarantined(records.find(fingerprint)) ? 'quarantined' : 'free',
 			// Asked for only when a request is quarantined between two of its attempts.
 			requestTrial: async () => ({kind: 'refused', failure: QUARANTINED}),
 			async detectCrash(loss) {
+				const lostAt = now();
 				const {first, second} = probe(loss.target);
 				const hasCrashed = await first;
 				if (hasCrashed) {
-					reportCrash(loss);
+					reportCrash(loss, lostAt);
 				} else {
-					void reportLateCrash(loss, second);
+					void reportLateCrash(loss, lostAt, second);
 				}
 
 				return hasCrashed;
