Fleet: a request is quarantined however the upstreams go down that it crashes

Callers saw: a request that crashes the backend servers that run it took down one after the other where a crashed server does not refuse connections at once.

Cause: a crash was what two connections found, at once and 0.15 s later. A server that still accepts connections, or is silent, counted as running, and a request that hung until its deadline was not looked into at all. Its class: a state that is inferred from one moment.

Now: a connection at once, as before; then health checks until the instance answers, is gone or replaced, each 0.5 s. Control hosts are told of silent upstreams: one whose heartbeats have stopped with the loss counts as crashed after 2.3 s, until one arrives; one whose name or address another instance has taken has crashed. What answers, in whatever way, has not crashed.

The stand-ins answer health checks.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/crash-guard.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/crash-guard.test.ts
@@ -7,10 +7,12 @@
 import test from 'ava';
 import * as fc from 'fast-check';
 import type * as link from 'wagtailroute-link';
-import {createEntryCrashGuard, type EntryCrashGuard} from '../../crash-guard.ts';
+import type * as proxy from 'wagtailroute-proxy';
+import {createEntryCrashGuard, type EntryCrashGuard, type EntryCrashGuardOptions} from '../../crash-guard.ts';
 import {createCrashRecords, type CrashRecord, isQuarantined} from '../../crash-records.ts';
 import {createCrashRegistry, type CrashRegistry} from '../../crash-registry.ts';
 import {METHODS} from '../../messages.ts';
+import type {HeartbeatStatus} from '../../silent-upstreams.ts';
 import {createFakeContext, createFakeLink, type FakeContext} from './fixture.ts';
 
 const SERVICE = 'shop';
@@ -18,6 +20,16 @@
 const ENTRIES = 4;
 const FOLDER = files.mkdtempSync(path.join(os.tmpdir(), 'wagtailroute-crashes-'));
 
+/**
+An upstream that accepts connections, answers health checks and sends heartbeats; its guard tells nobody.
+*/
+const SOUND: EntryCrashGuardOptions = {
+	notifyControlHosts: () => undefined, isRefusing: async () => false, probe: async () => 'answered', isReplaced: () => false,
+};
+const isUnknown = () => undefined;
+const SENT = {service: SERVICE, target: {id: 'a', address: {ip: 'a', port: 1}, kind: 'upstream'}, fingerprint: 'x'} as const;
+const LOST = {...SENT, isOnTrial: false};
+
 test.after.always(() => {
 	files.rmSync(FOLDER, {recursive: true, force: true});
 });
@@ -70,6 +82,7 @@
 
 	const createControl = () => createCrashRegistry(context, {
 		folder: FOLDER,
+		findHeartbeatStatus: isUnknown,
 		notifyEntryHosts(_method, parameters) {
 			for (let index = 0; index < ENTRIES; index++) {
 				callEntry(index, parameters);
@@ -78,6 +91,7 @@
 	});
 
 	const createEntry = (index: number) => createEntryCrashGuard(context, {
+		...SOUND,
 		notifyControlHosts(method, parameters) {
 			for (let control = 0; control < CONTROLS && !cut.has(index); control++) {
 				callControl(control, method, parameters);
@@ -271,85 +285,189 @@
 
 test('a connection that is lost without a crash is no crash of the request', async t => {
 	const fleet = createFleet();
-	const target = {id: 'a', address: {ip: 'a', port: 1}, kind: 'upstream'} as const;
 	for (let attempt = 0; attempt < 5; attempt++) {
 		// eslint-disable-next-line no-await-in-loop -- One loss after the other.
-		t.false(await fleet.entries[0]!.guard.detectCrash({
-			service: SERVICE, target, fingerprint: 'x', isOnTrial: false,
-		}));
+		t.false(await fleet.entries[0]!.guard.detectCrash(LOST));
+		// eslint-disable-next-line no-await-in-loop -- See above.
+		await fleet.context.pass(1000);
 	}
 
 	t.is(fleet.entries[0]!.guard.getQuarantineStatus(SERVICE, 'x'), 'free');
 });
 
-test('an upstream that loses many requests is probed twice a second at most', async t => {
+test('an upstream that loses many requests is connected to once a second, and checked once a second', async t => {
 	const context = createFakeContext();
+	let connections = 0;
 	let probes = 0;
 	const {guard} = createEntryCrashGuard(context, {
-		notifyControlHosts: () => undefined,
+		...SOUND,
 		async isRefusing() {
-			probes++;
+			connections++;
 			return false;
 		},
+		async probe() {
+			probes++;
+			return 'answered';
+		},
 	});
-	const lose = async () => guard.detectCrash({
-		service: SERVICE, target: {id: 'a', address: {ip: 'a', port: 1}, kind: 'upstream'}, fingerprint: 'x', isOnTrial: false,
-	});
-	await Promise.all([lose(), lose(), lose()]);
-	await context.pass(900);
-	await lose();
-	t.is(probes, 2);
-	await context.pass(1100);
-	await lose();
-	await context.pass(900);
-	t.is(probes, 4);
+	for (let time = 0; time < 2000; time += 50) {
+		// eslint-disable-next-line no-await-in-loop -- One loss after the other.
+		await guard.detectCrash(LOST);
+		// eslint-disable-next-line no-await-in-loop -- See above.
+		await context.pass(50);
+	}
+
+	t.deepEqual([connections, probes], [2, 2]);
 });
 
-test('a crash is found although the upstream still accepts a connection at first', async t => {
-	// Guards against a crash that is missed because the server closes its port a moment after its connections.
+type FoundCrash = {
+	readonly name: string;
+	/**
+	Results of the health checks, the last one for all further ones.
+	*/
+	readonly results: readonly proxy.ProbeResult[];
+	/**
+	Age of the reported crash; absent where none is reported.
+	*/
+	readonly age?: number;
+	/**
+	Milliseconds after which another instance has taken the upstream's name.
+	*/
+	readonly replacedAfter?: number;
+};
+
+const FOUND_CRASHES: readonly FoundCrash[] = [
+	{name: 'a server that closes its port a moment after its connections', results: ['gone'], age: 150},
+	{name: 'a server that accepts a check in silence and is gone then', results: ['silent', 'gone'], age: 650},
+	{name: 'a server that stays silent for two seconds', results: ['silent', 'silent', 'silent', 'silent', 'gone'], age: 2150},
+	{name: 'a server that closes the connections of two checks in a row', results: ['closed', 'closed'], age: 200},
+	{
+		name: 'a server that stays silent and is replaced', results: ['silent'], replacedAfter: 1000, age: 1150,
+	},
+	{name: 'a server that closes the connection of one check', results: ['closed', 'answered']},
+	{name: 'a server that answers after a while', results: ['silent', 'silent', 'answered']},
+	{name: 'a server that stays silent', results: ['silent']},
+];
+
+for (const {name, results, age, replacedAfter = Infinity} of FOUND_CRASHES) {
+	test(`${name} has ${age === undefined ? 'not ' : ''}crashed`, async t => {
+		// Guards against crashes that are missed because the port stays open, and against requests that are blamed for an overloaded server.
+		const context = createFakeContext();
+		const reported: unknown[] = [];
+		let probes = 0;
+		const {guard} = createEntryCrashGuard(context, {
+			...SOUND,
+			notifyControlHosts(method, parameters) {
+				reported.push(...method === METHODS.crashes ? [parameters] : []);
+			},
+			async probe() {
+				probes++;
+				return results[Math.min(probes, results.length) - 1]!;
+			},
+			isReplaced: () => context.now() >= replacedAfter,
+		});
+		t.false(await guard.detectCrash(LOST), 'the caller does not wait for the health check');
+		await context.pass(10_000);
+		t.deepEqual(reported, age === undefined ? [] : [[{fingerprint: 'x', crashes: [['a', age]]}]]);
+	});
+}
+
+test('an unanswered attempt is looked into, and ends when its upstream has crashed', async t => {
 	const context = createFakeContext();
-	const reported: unknown[] = [];
-	let probes = 0;
-	const {guard} = createEntryCrashGuard(context, {
-		notifyControlHosts(_method, parameters) {
-			reported.push(parameters);
-		},
-		async isRefusing() {
-			probes++;
-			return probes > 1;
+	let isGone = false;
+	let crashes = 0;
+	const {guard, listRecords} = createEntryCrashGuard(context, {...SOUND, probe: async () => isGone ? 'gone' : 'silent'});
+	guard.inquire!({
+		...SENT, sentAt: 0, onCrash() {
+			crashes++;
 		},
 	});
-	t.false(await guard.detectCrash({
-		service: SERVICE, target: {id: 'a', address: {ip: 'a', port: 1}, kind: 'upstream'}, fingerprint: 'x', isOnTrial: false,
-	}), 'the caller does not wait for the second probe');
-	await context.pass(200);
-	t.deepEqual(reported, [[{fingerprint: 'x', crashes: [['a', 150]]}]]);
+	await context.pass(1000);
+	t.is(crashes, 0);
+	isGone = true;
+	await context.pass(1000);
+	t.is(crashes, 1);
+	t.is(listRecords()[0]?.crashes.length, 1);
 });
 
-test('a request that completed elsewhere before the second probe was not the cause of the crash', async t => {
-	// Guards against the quarantine of innocent requests that are sent again, and served, while their upstream is probed.
+test('an unanswered attempt that is answered after all was not the cause of a later crash', async t => {
 	const context = createFakeContext();
-	let probes = 0;
-	const {guard, listRecords} = createEntryCrashGuard(context, {
-		notifyControlHosts: () => undefined,
-		async isRefusing() {
-			probes++;
-			return probes > 1;
-		},
-	});
-	await guard.detectCrash({
-		service: SERVICE, target: {id: 'a', address: {ip: 'a', port: 1}, kind: 'upstream'}, fingerprint: 'x', isOnTrial: false,
-	});
+	let isGone = false;
+	const {guard, listRecords} = createEntryCrashGuard(context, {...SOUND, probe: async () => isGone ? 'gone' : 'silent'});
+	const recordAnswer = guard.inquire!({...SENT, sentAt: 0, onCrash: () => undefined});
+	await context.pass(1000);
+	recordAnswer();
+	isGone = true;
+	await context.pass(1000);
+	t.deepEqual(listRecords(), []);
+});
+
+test('a request that completed elsewhere before the health check was not the cause of the crash', async t => {
+	// Guards against the quarantine of innocent requests that are sent again, and served, while their upstream is checked.
+	const context = createFakeContext();
+	const {guard, listRecords} = createEntryCrashGuard(context, {...SOUND, probe: async () => 'gone'});
+	await guard.detectCrash(LOST);
 	await context.pass(50);
 	guard.recordSurvival(SERVICE, 'x');
 	await context.pass(200);
 	t.true(listRecords().every(({crashes}) => crashes.length === 0));
 });
 
+type Silence = {
+	readonly name: string;
+	/**
+	Milliseconds from the loss to each heartbeat, negative before it.
+	*/
+	readonly heartbeats: readonly number[];
+	readonly replacedAt?: number;
+	/**
+	Whether the loss counts as a crash after 3 s and at the end.
+	*/
+	readonly isCrash: readonly [soon: boolean, end: boolean];
+};
+
+const SILENCES: readonly Silence[] = [
+	{name: 'a silent upstream that sends no more heartbeats', heartbeats: [-1000], isCrash: [true, true]},
+	{name: 'a silent upstream that goes on sending heartbeats', heartbeats: [-1000, 500, 2000, 3500], isCrash: [false, false]},
+	{name: 'a silent upstream whose heartbeats had stopped before', heartbeats: [-4000], isCrash: [false, false]},
+	{name: 'a silent upstream that sends a heartbeat late', heartbeats: [-1000, 5000], isCrash: [true, false]},
+	{
+		name: 'a silent upstream that is replaced', heartbeats: [-1000], replacedAt: 400, isCrash: [true, true],
+	},
+];
+
+const LOSS_AT = 10_000;
+
+for (const {name, heartbeats, replacedAt = Infinity, isCrash} of SILENCES) {
+	test(`the control hosts decide on ${name}`, async t => {
+		// Guards against a crashing request that is sent on because its upstreams fall silent in place of refusing connections.
+		const context = createFakeContext();
+		const told: CrashRecord[] = [];
+		const {methods} = createCrashRegistry(context, {
+			folder: FOLDER,
+			findHeartbeatStatus: (): HeartbeatStatus => ({
+				heardAt: Math.max(...heartbeats.map(at => LOSS_AT + at).filter(at => at <= context.now())), isReplaced: context.now() >= LOSS_AT + replacedAt,
+			}),
+			notifyEntryHosts(_method, parameters) {
+				told.push(...parameters as CrashRecord[]);
+			},
+		});
+		await context.pass(LOSS_AT);
+		for (const upstream of ['a', 'b', 'c']) {
+			void methods[METHODS.losses]!([{fingerprint: 'x', upstream, ageMilliseconds: 0}] as never, createFakeLink(() => undefined));
+		}
+
+		await context.pass(3000);
+		t.is(told.some(record => isQuarantined(record)), isCrash[0]);
+		await context.pass(5000);
+		t.is(isQuarantined(told.at(-1)), isCrash[1]);
+	});
+}
+
 test('records survive a restart of all hosts on the disk of a control host', async t => {
 	const context = createFakeContext();
 	const folder = path.join(FOLDER, 'kept');
-	const saved = createCrashRegistry(context, {folder, notifyEntryHosts: () => undefined});
+	const saved = createCrashRegistry(context, {folder, notifyEntryHosts: () => undefined, findHeartbeatStatus: isUnknown});
 	await saved.load();
 	saved.methods[METHODS.crashes]!([{fingerprint: 'boom', crashes: [['a', 0], ['b', 0], ['c', 0]]}] as never, createFakeLink(() => undefined));
 	await context.pass(200);
@@ -360,7 +478,7 @@
 		});
 	}
 
-	const loaded = createCrashRegistry(context, {folder, notifyEntryHosts: () => undefined});
+	const loaded = createCrashRegistry(context, {folder, notifyEntryHosts: () => undefined, findHeartbeatStatus: isUnknown});
 	await loaded.load();
 	const received: unknown[] = [];
 	loaded.sendTo(createLinkTo((_method, parameters) => {
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -446,15 +446,57 @@
 export const CRASH_PROBE_TIMEOUT_MILLISECONDS = 250;
 
 /**
-Milliseconds until an upstream that accepted a probe is probed again, and for which it must then leave the connection open.
+Milliseconds for which the result of such a connection holds for further requests that the upstream loses.
 */
-export const SECOND_PROBE_DELAY_MILLISECONDS = 150;
-export const PROBE_OPEN_MILLISECONDS = 50;
+export const PROBED_MILLISECONDS = 1000;
 
 /**
-Milliseconds for which the result of a probe holds for further requests that the upstream loses.
+Milliseconds from a loss until the first health check of its upstream, since a server that is going down may still accept connections.
 */
-export const PROBED_MILLISECONDS = 1000;
+export const FIRST_CHECK_DELAY_MILLISECONDS = 150;
+
+/**
+Milliseconds from a health check whose connection was closed until the next one.
+*/
+export const CLOSED_CHECK_DELAY_MILLISECONDS = 50;
+
+/**
+Health checks in a row whose connection is closed without an answer that show a crash: one alone may have met the upstream's limit of connections.
+*/
+export const CLOSED_PROBES_OF_CRASH = 2;
+
+/**
+Milliseconds from an unanswered health check until the next one.
+*/
+export const SILENT_CHECK_DELAY_MILLISECONDS = 500;
+
+/**
+Milliseconds between the starts of two inquiries into an upstream that answers its health checks: one that resets connections in a failure period would be checked
+for each request that it loses.
+*/
+export const MIN_INQUIRY_INTERVAL_MILLISECONDS = 1000;
+
+/**
+Milliseconds after a loss for which an entry host checks whether its upstream has crashed, and the largest number of upstreams that it checks.
+*/
+export const UNDECIDED_LOSS_MILLISECONDS = 6000;
+export const MAX_INQUIRIES = 1024;
+
+/**
+Milliseconds without a heartbeat after which a silent upstream counts as crashed. Heartbeats come every 1.5 s at most, and are relayed up to 0.5 s later.
+*/
+export const MISSED_HEARTBEAT_MILLISECONDS = 2300;
+
+/**
+Milliseconds between two checks of the heartbeats of silent upstreams, and for which a heartbeat can still disprove a crash.
+*/
+export const LOSS_CHECK_INTERVAL_MILLISECONDS = 100;
+export const MAX_LOSS_AGE_MILLISECONDS = 30_000;
+
+/**
+Milliseconds by which hosts may differ on the time of a crash: messages between them take this long at most, unless a host is overloaded.
+*/
+export const CRASH_TIME_TOLERANCE_MILLISECONDS = 200;
 
 /**
 Milliseconds after a change of the crash records before they are saved to disk.
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -146,7 +146,9 @@
 		standbys = chosen;
 		entryHosts.notifyAll(messages.METHODS.standbys, standbys);
 	});
-	const crashRegistry = createCrashRegistry(context, {folder: settings.dataFolder, notifyEntryHosts: entryHosts.notifyAll});
+	const crashRegistry = createCrashRegistry(context, {
+		folder: settings.dataFolder, notifyEntryHosts: entryHosts.notifyAll, findHeartbeatStatus: registry.findHeartbeatStatus,
+	});
 	const listControlHosts = () => [self, ...links.getOpen().map(open => open.host)];
 	const getVersion = () => group.getStored()?.generation.version ?? 0;
 
--- a/packages/wagtailroute-fleet/src/crash-guard.ts
+++ b/packages/wagtailroute-fleet/src/crash-guard.ts
@@ -2,26 +2,21 @@
 Protects backend servers from requests that crash them, on an entry host: reports crashes to the control hosts, and refuses what is quarantined.
 
 Without it, a caller that sends a crashing request again takes down one backend server after the other, through any entry host. A lost connection alone is
-no crash; a server that then refuses a new connection has crashed. A request that completes was not the cause of earlier crashes; all hosts are told of that too.
+no crash: its upstream is checked ({@link createCrashInquiries}). A request that completes was not the cause of earlier crashes; all hosts are told of that too.
 */
 import type * as core from 'wagtailroute-core';
 import * as proxy from 'wagtailroute-proxy';
 import * as utils from 'wagtailroute-utils';
-import {
-	CRASH_PROBE_TIMEOUT_MILLISECONDS,
-	MAX_SURVIVALS,
-	PROBE_OPEN_MILLISECONDS,
-	PROBED_MILLISECONDS,
-	SECOND_PROBE_DELAY_MILLISECONDS,
-} from './constants.ts';
+import {CRASH_PROBE_TIMEOUT_MILLISECONDS, MAX_SURVIVALS, PROBED_MILLISECONDS} from './constants.ts';
 import type {FleetContext} from './context.ts';
+import {createCrashInquiries, type Loss} from './crash-inquiries.ts';
 import {
 	countCrashes,
 	createCrashRecords,
 	type CrashRecord,
 	isQuarantined,
 } from './crash-records.ts';
-import {METHODS} from './messages.ts';
+import {type LossReport, METHODS} from './messages.ts';
 
 /**
 The crash guard of an entry host.
@@ -47,26 +42,27 @@
 	*/
 	readonly notifyControlHosts: (method: string, parameters: unknown) => void;
 	/**
-	Returns whether an address refuses connections, or closes them within a time.
+	Returns whether an address refuses connections.
+	*/
+	readonly isRefusing?: (address: core.Address) => Promise<boolean>;
+	/**
+	Sends a health check to the upstream that lost a request.
+	*/
+	readonly probe: (loss: Loss) => Promise<proxy.ProbeResult>;
+	/**
+	Returns whether another instance has taken the upstream's name or address.
 	*/
-	readonly isRefusing?: (address: core.Address, openMilliseconds: number) => Promise<boolean>;
+	readonly isReplaced: (upstream: core.UpstreamId) => boolean;
 };
 
 const QUARANTINED = proxy.createRequestFailure('quarantined', 'This request crashed several backend servers and is not sent to another one.');
 
 /**
-A probe of an upstream that has lost a request.
+The connection attempted to an upstream that has lost a request, and whether it was refused.
 */
-type Probe = {
+type Connecting = {
 	readonly startedAt: number;
-	/**
-	Whether the upstream refused a connection at once.
-	*/
-	readonly first: Promise<boolean>;
-	/**
-	Whether it refused one then, or a little later. A server that is going down may still accept connections, or accept and close them.
-	*/
-	readonly second: Promise<boolean>;
+	readonly isRefused: Promise<boolean>;
 };
 
 /**
@@ -80,34 +76,21 @@
 	When requests last completed, by fingerprint.
 	*/
 	const survivals = new Map<string, number>();
-	const probes = new Map<core.UpstreamId, Probe>();
-	const isRefusing = options.isRefusing ?? (async (address: core.Address, openMilliseconds: number) =>
-		utils.isRefusing(address, {timeoutMilliseconds: CRASH_PROBE_TIMEOUT_MILLISECONDS, openMilliseconds}));
+	const connecting = new Map<core.UpstreamId, Connecting>();
+	const isRefusing = options.isRefusing ?? (async (address: core.Address) => utils.isRefusing(address, {timeoutMilliseconds: CRASH_PROBE_TIMEOUT_MILLISECONDS}));
 
 	/**
-	Probes an upstream at most once in a while: one that resets its connections in a failure period would be probed for each request that it loses.
+	Connects to an upstream at most once in a while: one that resets its connections in a failure period would be connected to for each request that it loses.
 	*/
-	const probe = ({id, address}: proxy.Target): Probe => {
-		const recent = probes.get(id);
+	const isUpstreamRefusing = async ({id, address}: proxy.Target): Promise<boolean> => {
+		const recent = connecting.get(id);
 		if (recent !== undefined && now() - recent.startedAt < PROBED_MILLISECONDS) {
-			return recent;
-		}
-
-		const first = isRefusing(address, 0);
-		const started: Probe = {startedAt: now(), first, second: probeAgain(address, first)};
-		utils.setBounded(probes, id, started, MAX_SURVIVALS);
-		return started;
-	};
-
-	const probeAgain = async (address: core.Address, first: Promise<boolean>): Promise<boolean> => {
-		if (await first) {
-			return true;
+			return recent.isRefused;
 		}
 
-		await new Promise<void>(resolve => {
-			context.schedule(SECOND_PROBE_DELAY_MILLISECONDS, resolve);
-		});
-		return isRefusing(address, PROBE_OPEN_MILLISECONDS);
+		const started: Connecting = {startedAt: now(), isRefused: isRefusing(address)};
+		utils.setBounded(connecting, id, started, MAX_SURVIVALS);
+		return started.isRefused;
 	};
 
 	/**
@@ -129,45 +112,62 @@
 		options.notifyControlHosts(METHODS.crashes, [completion]);
 	};
 
-	const reportCrash = ({service, target, fingerprint}: proxy.LostAttempt, lostAt: number) => {
-		// As of the loss: the request may have completed elsewhere before the probes ended.
-		const crash: CrashRecord = {fingerprint, crashes: [[target.id, now() - lostAt]]};
+	const reportCrash = ({
+		service, upstream, fingerprint, lostAt,
+	}: Loss) => {
+		// As of the loss: the request may have completed elsewhere before the checks ended.
+		const crash: CrashRecord = {fingerprint, crashes: [[upstream, now() - lostAt]]};
 		records.merge(crash);
 		const merged = records.find(fingerprint);
 		metrics.count('crashes', {service});
 		log.warn('An upstream crashed with a request in flight.', {
-			service, upstream: target.id, fingerprint, crashes: countCrashes(merged), isQuarantined: isQuarantined(merged),
+			service, upstream, fingerprint, crashes: countCrashes(merged), isQuarantined: isQuarantined(merged),
 		});
 		options.notifyControlHosts(METHODS.crashes, [crash]);
 		reportCompletion(fingerprint);
 	};
 
-	/**
-	Reports a crash that only the second probe finds. The caller does not wait for it.
-	*/
-	const reportLateCrash = async (loss: proxy.LostAttempt, lostAt: number, second: Promise<boolean>) => {
-		if (await second) {
-			reportCrash(loss, lostAt);
-		}
-	};
+	const inquiries = createCrashInquiries(context, {
+		probe: options.probe,
+		isReplaced: options.isReplaced,
+		onCrash: reportCrash,
+		onSilent(losses) {
+			log.info('An upstream with lost or unanswered requests does not answer a health check.', {upstream: losses[0]!.upstream, requests: losses.length});
+			options.notifyControlHosts(METHODS.losses, losses.map(({fingerprint, upstream, lostAt}): LossReport => ({
+				fingerprint, upstream, ageMilliseconds: Math.round(now() - lostAt),
+			})));
+		},
+	});
 
 	return {
 		guard: {
 			getQuarantineStatus: (_service, fingerprint) => isQuarantined(records.find(fingerprint)) ? 'quarantined' : 'free',
 			// Asked for only when a request is quarantined between two of its attempts.
 			requestTrial: async () => ({kind: 'refused', failure: QUARANTINED}),
-			async detectCrash(loss) {
-				const lostAt = now();
-				const {first, second} = probe(loss.target);
-				const hasCrashed = await first;
+			async detectCrash({service, target, fingerprint}) {
+				const loss: Loss = {
+					service, upstream: target.id, address: target.address, fingerprint, lostAt: now(),
+				};
+				const hasCrashed = await isUpstreamRefusing(target);
 				if (hasCrashed) {
-					reportCrash(loss, lostAt);
+					reportCrash(loss);
 				} else {
-					void reportLateCrash(loss, lostAt, second);
+					inquiries.add(loss);
 				}
 
 				return hasCrashed;
 			},
+			inquire({
+				service, target, fingerprint, sentAt, onCrash,
+			}) {
+				const loss: Loss = {
+					service, upstream: target.id, address: target.address, fingerprint, lostAt: sentAt, onCrash,
+				};
+				inquiries.add(loss);
+				return () => {
+					inquiries.withdraw(loss);
+				};
+			},
 			recordSurvival(_service, fingerprint) {
 				utils.setBounded(survivals, fingerprint, now(), MAX_SURVIVALS);
 				reportCompletion(fingerprint);
--- a/packages/wagtailroute-fleet/src/crash-registry.ts
+++ b/packages/wagtailroute-fleet/src/crash-registry.ts
@@ -7,7 +7,7 @@
 import type * as replication from 'wagtailroute-replication';
 import * as utils from 'wagtailroute-utils';
 import * as zod from 'zod';
-import {CRASHES_SAVE_DELAY_MILLISECONDS, CRASHES_TO_TELL} from './constants.ts';
+import {CRASH_TIME_TOLERANCE_MILLISECONDS, CRASHES_SAVE_DELAY_MILLISECONDS, CRASHES_TO_TELL} from './constants.ts';
 import type {FleetContext} from './context.ts';
 import {
 	countCrashes,
@@ -16,7 +16,8 @@
 	isQuarantined,
 } from './crash-records.ts';
 import {createJsonFile} from './json-file.ts';
-import {METHODS} from './messages.ts';
+import {type LossReport, METHODS} from './messages.ts';
+import {createSilentUpstreams, type LostRequest, type SilentUpstreamsOptions} from './silent-upstreams.ts';
 
 /**
 The crash records of a control host.
@@ -42,6 +43,7 @@
 export type CrashRegistryOptions = {
 	readonly folder: string;
 	readonly notifyEntryHosts: (method: string, parameters: unknown) => void;
+	readonly findHeartbeatStatus: SilentUpstreamsOptions['findHeartbeatStatus'];
 	readonly disk?: replication.Disk;
 };
 
@@ -60,7 +62,9 @@
 /**
 Creates the registry; `load` reads its file.
 */
-export function createCrashRegistry(context: FleetContext, {folder, notifyEntryHosts, disk}: CrashRegistryOptions): CrashRegistry {
+export function createCrashRegistry(context: FleetContext, {
+	folder, notifyEntryHosts, findHeartbeatStatus, disk,
+}: CrashRegistryOptions): CrashRegistry {
 	const log = context.logs('crashes');
 	const records = createCrashRecords(context.now);
 	const file = createJsonFile<zod.output<typeof documentSchema>>({
@@ -90,13 +94,37 @@
 		return isTold(before) || isTold(merged) ? merged : undefined;
 	};
 
+	const receive = (received: readonly CrashRecord[]) => {
+		const told = received.map(record => merge(record)).filter(record => record !== undefined);
+		if (told.length > 0) {
+			notifyEntryHosts(METHODS.crashes, told);
+		}
+	};
+
+	const getAge = ({lostAt}: LostRequest) => Math.round(context.now() - lostAt);
+
+	const silentUpstreams = createSilentUpstreams(context, {
+		findHeartbeatStatus,
+		onCrash(lost) {
+			log.warn('An upstream without heartbeats counts as crashed with a request in flight.', {
+				upstream: lost.upstream, fingerprint: lost.fingerprint, ageMilliseconds: getAge(lost),
+			});
+			receive([{fingerprint: lost.fingerprint, crashes: [[lost.upstream, getAge(lost)]]}]);
+		},
+		onSurvival(lost) {
+			log.info('An upstream that counted as crashed has sent a heartbeat.', {upstream: lost.upstream, fingerprint: lost.fingerprint});
+			// As a completion it removes the crash on all hosts, in whatever order they hear of both.
+			receive([{fingerprint: lost.fingerprint, crashes: [], completedAgeMilliseconds: Math.max(0, getAge(lost) - CRASH_TIME_TOLERANCE_MILLISECONDS)}]);
+		},
+	});
+
 	context.metrics.registerGauge('quarantined_fingerprints', () => records.list().filter(record => isQuarantined(record)).length);
 	return {
 		methods: {
-			[METHODS.crashes](received: readonly CrashRecord[]) {
-				const told = received.map(record => merge(record)).filter(record => record !== undefined);
-				if (told.length > 0) {
-					notifyEntryHosts(METHODS.crashes, told);
+			[METHODS.crashes]: receive,
+			[METHODS.losses](reports: readonly LossReport[]) {
+				for (const report of reports) {
+					silentUpstreams.add(report);
 				}
 			},
 		},
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -137,10 +137,13 @@
 			standbys.notifyAll(method, parameters);
 		},
 	});
+	const probeUpstream = proxy.createUpstreamProbe(dialect);
 	const crashGuard = createEntryCrashGuard(context, {
 		notifyControlHosts(method, parameters) {
 			controlLinks.notifyAll(method, parameters);
 		},
+		probe: async ({service, upstream, address}) => probeUpstream({upstream, address, healthPath: fleetView.findService(service)?.healthPath ?? '/'}),
+		isReplaced: fleetView.isReplaced,
 	});
 	const requestingHosts = createRequestingHosts();
 	const ownDispatcher = startHostDispatcher(context, {
--- a/packages/wagtailroute-fleet/src/fleet-view.ts
+++ b/packages/wagtailroute-fleet/src/fleet-view.ts
@@ -31,6 +31,10 @@
 	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
 	readonly isRetired: (upstream: core.UpstreamId) => boolean;
 	/**
+	Returns whether another instance has taken the upstream's name or address.
+	*/
+	readonly isReplaced: (upstream: core.UpstreamId) => boolean;
+	/**
 	Returns the addresses of all known instances, as text.
 	*/
 	readonly listAddresses: () => ReadonlySet<string>;
@@ -206,6 +210,7 @@
 		// Only control hosts receive heartbeats and detect silent instances; this host receives changes only, so none counts as silent here.
 		listCandidates: service => instanceTable.list(service).map(instance => toCandidate(instance, false)),
 		isRetired: upstream => retired.has(upstream),
+		isReplaced: instanceTable.isReplaced,
 		listAddresses: () => new Set(instanceTable.listAll().map(instance => core.formatAddress(instance.address))),
 		recordVersion(control, version) {
 			if (version < state.newestVersion || version <= getVersion()) {
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -44,6 +44,7 @@
 	directory: 'fleet.directory',
 	probe: 'dispatch.probe',
 	crashes: 'crashes.records',
+	losses: 'crashes.losses',
 } as const;
 
 /**
@@ -199,6 +200,18 @@
 	readonly doubt: number;
 };
 
+/**
+A request that was lost at an upstream, or is left unanswered by it, which then did not answer a health check either.
+*/
+export type LossReport = {
+	readonly fingerprint: string;
+	readonly upstream: core.UpstreamId;
+	/**
+	Milliseconds since the loss, or since the unanswered request was sent.
+	*/
+	readonly ageMilliseconds: number;
+};
+
 /**
 The answer of a control host to a proposed command. `unknown`: the command may have been applied.
 */
--- a/packages/wagtailroute-fleet/src/registry.ts
+++ b/packages/wagtailroute-fleet/src/registry.ts
@@ -26,6 +26,7 @@
 	METHODS,
 	type RelayedHeartbeat,
 } from './messages.ts';
+import type {HeartbeatStatus} from './silent-upstreams.ts';
 
 /**
 The instances that a control host knows.
@@ -66,6 +67,10 @@
 	Returns the latest known start of a server in Unix milliseconds; 0 when the server is unknown or its heartbeats give no start.
 	*/
 	readonly findLatestStart: (server: string) => number;
+	/**
+	Returns undefined for an upstream that is unknown or was retired.
+	*/
+	readonly findHeartbeatStatus: (upstream: core.UpstreamId) => HeartbeatStatus | undefined;
 	readonly teardown: utils.Teardown;
 };
 
@@ -255,6 +260,12 @@
 			const latest = table.findLatest(server);
 			return latest === undefined ? 0 : instances.parseUpstreamId(latest.upstream).startedAt;
 		},
+		findHeartbeatStatus(upstream) {
+			const heardAt = table.get(upstream)?.heardAt ?? -Infinity;
+			const isReplaced = table.isReplaced(upstream);
+			const isKnown = isReplaced || heardAt > -Infinity;
+			return isKnown && !retirements.has(upstream) ? {heardAt, isReplaced} : undefined;
+		},
 		teardown: stopChecking,
 	};
 }
--- a/packages/wagtailroute-instances/src/__tests__/unit/instances.test.ts
+++ b/packages/wagtailroute-instances/src/__tests__/unit/instances.test.ts
@@ -171,6 +171,28 @@
 	t.deepEqual(table.list('archive').map(({upstream}) => upstream), ['other']);
 });
 
+const ENDS = [
+	{name: 'that still runs', heartbeat: {upstream: 'other', sequence: 1, address: {ip: '10.0.0.9', port: 9}}, isReplaced: false},
+	{name: 'whose server has started again', heartbeat: {upstream: SECOND_START}, isReplaced: true},
+	{name: 'whose address another server has taken', heartbeat: {upstream: instances.createUpstreamId({server: 'other', startedAt: 1_764_720_030_000})}, isReplaced: true},
+	{
+		name: 'that was retired before its server started again', heartbeat: {upstream: SECOND_START}, isRetired: true, isReplaced: false,
+	},
+];
+
+for (const {name, heartbeat, isRetired = false, isReplaced} of ENDS) {
+	test(`an instance ${name} ${isReplaced ? 'was' : 'was not'} replaced`, t => {
+		const table = instances.createInstanceTable();
+		table.applyHeartbeat(createHeartbeat({upstream: FIRST_START}), 0);
+		if (isRetired) {
+			table.retire(FIRST_START, 'gone');
+		}
+
+		table.applyHeartbeat(createHeartbeat(heartbeat), 1000);
+		t.is(table.isReplaced(FIRST_START), isReplaced);
+	});
+}
+
 test('the id of an instance holds its server and start time', t => {
 	fc.assert(fc.property(fc.string({minLength: 1}), fc.maxSafeNat(), (server, startedAt) => {
 		t.deepEqual(instances.parseUpstreamId(instances.createUpstreamId({server, startedAt})), {server, startedAt});
--- a/packages/wagtailroute-instances/src/instances.ts
+++ b/packages/wagtailroute-instances/src/instances.ts
@@ -76,6 +76,10 @@
 	readonly retire: (upstream: core.UpstreamId, state: 'draining' | 'gone') => boolean;
 	readonly get: (upstream: core.UpstreamId) => Instance | undefined;
 	/**
+	Returns whether an instance ended without a retirement: its server has started again, or another instance holds its address.
+	*/
+	readonly isReplaced: (upstream: core.UpstreamId) => boolean;
+	/**
 	Returns the instance of the latest known start of a server.
 	*/
 	readonly findLatest: (server: string) => Instance | undefined;
@@ -122,6 +126,7 @@
 		applyHeartbeat: (heartbeat, now) => applyHeartbeat(tables, heartbeat, now),
 		retire: (upstream, state) => retire(tables, upstream, state),
 		get: upstream => tables.instances.get(upstream),
+		isReplaced: upstream => isReplaced(tables, upstream),
 		findLatest: server => tables.instances.get(tables.latestByServer.get(server) ?? ''),
 		list: service => tables.byService.get(service)?.values().filter(instance => isAddressHolder(tables, instance)).toArray() ?? [],
 		listAll: () => tables.instances.values().filter(instance => isAddressHolder(tables, instance)).toArray(),
@@ -169,6 +174,12 @@
 	return known !== undefined && parseUpstreamId(known).startedAt > startedAt;
 }
 
+function isReplaced(tables: Tables, upstream: core.UpstreamId): boolean {
+	const present = tables.instances.get(upstream);
+	const hasLostAddress = present !== undefined && !isAddressHolder(tables, present);
+	return !tables.retirements.has(upstream) && (hasLostAddress || isSuperseded(tables, upstream));
+}
+
 /**
 Removes the instance of the server's previous start, which ended when the server restarted.
 */
--- a/packages/wagtailroute-proxy/src/attempts.ts
+++ b/packages/wagtailroute-proxy/src/attempts.ts
@@ -84,6 +84,10 @@
 	Aborts the attempt: its connection is destroyed, and its result resolves at once with the code.
 	*/
 	readonly abort: (code: string) => void;
+	/**
+	Returns whether the request was sent, at least in part.
+	*/
+	readonly isSent: () => boolean;
 };
 
 type Phase = 'waiting' | 'sent' | 'relaying' | 'discarding' | 'ended';
@@ -105,6 +109,7 @@
 		abort(code) {
 			handler.abort(code);
 		},
+		isSent: handler.isSent,
 	};
 }
 
@@ -127,6 +132,8 @@
 		this.#storedChunks = options.isAnswerStored ? [] : undefined;
 	}
 
+	readonly isSent = () => this.#phase !== 'waiting';
+
 	abort(code: string): void {
 		this.#fail(code);
 		this.#controller?.abort(new Error(code));
--- a/packages/wagtailroute-proxy/src/constants.ts
+++ b/packages/wagtailroute-proxy/src/constants.ts
@@ -148,3 +148,8 @@
 Link capacity in bytes per second from which bodies are not paced: 64 KiB take 5 ms there.
 */
 export const MIN_UNPACED_LINK_BYTES_PER_SECOND = 12_500_000;
+
+/**
+Milliseconds that an upstream may take to answer a health check. It may wait for a slot.
+*/
+export const HEALTH_CHECK_TIMEOUT_MILLISECONDS = 400;
--- a/packages/wagtailroute-proxy/src/dialect.ts
+++ b/packages/wagtailroute-proxy/src/dialect.ts
@@ -50,6 +50,14 @@
 	*/
 	readonly isReserved: (path: string) => boolean;
 	/**
+	Returns the headers of a health check that is meant for one instance.
+	*/
+	readonly createProbeHeaders: (instance: core.UpstreamId) => Readonly<Record<string, string>>;
+	/**
+	Returns whether a health check was answered by another instance than the one that it was meant for.
+	*/
+	readonly isAnswerOfOther: (status: number, headers: HeaderFields, instance: core.UpstreamId) => boolean;
+	/**
 	Whether backend servers guarantee that a shed request never runs, so that one without an idempotency key may be sent to another.
 	*/
 	readonly isShedPromise: boolean;
@@ -66,5 +74,7 @@
 	createAnswerHeaders,
 	createProblem,
 	isReserved: path => path.startsWith(RESERVED_PREFIX),
+	createProbeHeaders: () => ({}),
+	isAnswerOfOther: () => false,
 	isShedPromise: false,
 };
--- a/packages/wagtailroute-proxy/src/index.ts
+++ b/packages/wagtailroute-proxy/src/index.ts
@@ -36,6 +36,7 @@
 	TrialAnswer,
 	TrialEnding,
 	TrialRequest,
+	UnansweredAttempt,
 	UpstreamAdvertisement,
 } from './ports.ts';
 export {type AnswerKind, DEFAULT_DIALECT, type Dialect} from './dialect.ts';
@@ -52,3 +53,6 @@
 	type Pacer,
 	type Pacers,
 } from './pacing.ts';
+export {
+	createUpstreamProbe, type ProbedUpstream, type ProbeResult, type UpstreamProbe,
+} from './upstream-probe.ts';
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -323,6 +323,20 @@
 	readonly isOnTrial: boolean;
 };
 
+/**
+An attempt that its upstream leaves unanswered for longer than usual.
+*/
+export type UnansweredAttempt = Omit<LostAttempt, 'isOnTrial'> & {
+	/**
+	Monotonic milliseconds at which it was sent.
+	*/
+	readonly sentAt: number;
+	/**
+	Called when the upstream is found to have crashed.
+	*/
+	readonly onCrash: () => void;
+};
+
 /**
 Protects backend servers from requests that crash them.
 */
@@ -338,6 +352,11 @@
 	*/
 	readonly detectCrash: (attempt: LostAttempt) => Promise<boolean>;
 	/**
+	Finds out whether the upstream has crashed that leaves an attempt unanswered. The returned function is called when the answer begins after all. Absent: only lost
+	connections are looked into.
+	*/
+	readonly inquire?: (attempt: UnansweredAttempt) => () => void;
+	/**
 	Records that an upstream has answered a request without crashing.
 	*/
 	readonly recordSurvival: (service: core.ServiceName, fingerprint: string) => void;
--- a/packages/wagtailroute-proxy/src/request-sender.ts
+++ b/packages/wagtailroute-proxy/src/request-sender.ts
@@ -19,6 +19,7 @@
 import type {RequestAbortController} from './request-abort.ts';
 import type * as requests from './requests.ts';
 import {type RequestClock, Targets} from './targets.ts';
+import {startUnansweredWatch, type UnansweredWatch} from './unanswered.ts';
 
 /**
 The request to send, its route, and the ports and connections that are used.
@@ -260,14 +261,20 @@
 			answerHeadersAt = now();
 			listener.onAnswerHeaders?.();
 		}));
+		const unanswered = this.#watchUnanswered(target, attempt, startedAt);
 		const watch = this.#targets.watch(attempt, {count: this.#attemptCount, isReplayable: bodies.isReplayable(this.#body!)});
-		listener.onAnswerHeaders = () => watch?.end();
+		listener.onAnswerHeaders = () => {
+			unanswered?.recordAnswer();
+			watch?.end();
+		};
+
 		this.#abortController.setListener(reason => {
 			watch?.end();
 			attempt.abort(reason);
 		});
 		const result = await attempt.result;
 		watch?.end();
+		unanswered?.end(result, this.#abortController.getReason() === 'deadline');
 		this.#isMoving = this.#targets.recordMove(watch);
 		this.#abortController.setListener(() => undefined);
 		const latencyMilliseconds = (answerHeadersAt ?? now()) - startedAt;
@@ -285,6 +292,21 @@
 		return {result, hasCrashed};
 	}
 
+	#watchUnanswered(target: ports.Target, attempt: attempts.Attempt, sentAt: number): UnansweredWatch | undefined {
+		const {match, service, ports: {guard}} = this.#context;
+		const overdueMilliseconds = service.retry.getOverdueMilliseconds?.();
+		return overdueMilliseconds === undefined || target.kind === 'host'
+			? undefined
+			: startUnansweredWatch({
+				attempt,
+				guard,
+				sent: {
+					service: match.service, target, fingerprint: this.fingerprint, sentAt,
+				},
+				overdueMilliseconds,
+			});
+	}
+
 	#createAttemptOptions(target: ports.Target, onAnswerHeaders: () => void): attempts.AttemptOptions {
 		const {service, request, organisation, message, response, ports: {dialect, hostId, pacers}} = this.#context;
 		const body = this.#body!;
--- /dev/null
+++ b/packages/wagtailroute-proxy/src/upstream-probe.ts
@@ -0,0 +1,76 @@
+/**
+Checks whether an upstream still answers, by its health path.
+
+Any answer will do: a server that reports that it is unhealthy, or sheds the check, has not crashed. An answer of another instance shows that the one asked for
+has ended.
+*/
+import * as core from 'wagtailroute-core';
+import * as undici from 'undici';
+import * as utils from 'wagtailroute-utils';
+import {HEALTH_CHECK_TIMEOUT_MILLISECONDS} from './constants.ts';
+import type {Dialect} from './dialect.ts';
+
+/**
+What a health check shows. `answered`: the upstream runs. `gone`: nothing listens at its address, or another instance does. `closed`: the connection ended without an
+answer. `silent`: no answer in time.
+*/
+export type ProbeResult = 'answered' | 'gone' | 'closed' | 'silent';
+
+/**
+The upstream to check, and the path to request.
+*/
+export type ProbedUpstream = {
+	readonly upstream: core.UpstreamId;
+	readonly address: core.Address;
+	readonly healthPath: string;
+};
+
+/**
+Sends a health check. Never rejects.
+*/
+export type UpstreamProbe = (probed: ProbedUpstream) => Promise<ProbeResult>;
+
+const CLOSED_CODES: ReadonlySet<unknown> = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET']);
+const PARSER_ERROR_NAME = 'HTTPParserError';
+
+/**
+Creates the check. Each uses a connection of its own: one of a pool may be in the state that the check is to find out.
+*/
+export function createUpstreamProbe({createProbeHeaders, isAnswerOfOther}: Pick<Dialect, 'createProbeHeaders' | 'isAnswerOfOther'>): UpstreamProbe {
+	return async ({upstream, address, healthPath}) => {
+		const pool = new undici.Pool(`http://${core.formatAddress(address)}`, {
+			connections: 1, connect: undici.buildConnector({timeout: HEALTH_CHECK_TIMEOUT_MILLISECONDS}),
+		});
+		const {promise, resolve} = Promise.withResolvers<ProbeResult>();
+		const cancelTimeout = utils.schedule(HEALTH_CHECK_TIMEOUT_MILLISECONDS, () => {
+			resolve('silent');
+		});
+		pool.dispatch({path: healthPath, method: 'GET', headers: createProbeHeaders(upstream)}, {
+			onRequestStart: () => undefined,
+			onResponseStart(_controller, status, headers) {
+				resolve(isAnswerOfOther(status, headers, upstream) ? 'gone' : 'answered');
+			},
+			onResponseData: () => undefined,
+			onResponseEnd: () => undefined,
+			onResponseError(_controller, error) {
+				resolve(readFailure(error));
+			},
+		});
+		const result = await promise;
+		cancelTimeout();
+		void pool.destroy();
+		return result;
+	};
+}
+
+function readFailure({name, code}: NodeJS.ErrnoException): ProbeResult {
+	if (code === 'ECONNREFUSED') {
+		return 'gone';
+	}
+
+	if (CLOSED_CODES.has(code)) {
+		return 'closed';
+	}
+
+	return name === PARSER_ERROR_NAME ? 'answered' : 'silent';
+}
