Proxy: an attempt is looked into for a crash also where its caller leaves first

Its caller leaves after 1.5 s; the usual time had risen to 0.5 s, so that the attempt was overdue only then, and an attempt that ended with its caller was not looked into.

Now: an attempt that is aborted after the usual time is looked into as well, and none waits for longer than 1.5 s.

--- a/packages/wagtailroute-proxy/src/constants.ts
+++ b/packages/wagtailroute-proxy/src/constants.ts
@@ -153,3 +153,8 @@
 Milliseconds that an upstream may take to answer a health check. It may wait for a slot.
 */
 export const HEALTH_CHECK_TIMEOUT_MILLISECONDS = 400;
+
+/**
+Milliseconds after which an unanswered attempt is looked into even if answers usually take longer: a crash has to be known to all hosts within seconds.
+*/
+export const MAX_UNANSWERED_MILLISECONDS = 1500;
--- a/packages/wagtailroute-proxy/src/request-sender.ts
+++ b/packages/wagtailroute-proxy/src/request-sender.ts
@@ -274,7 +274,7 @@
 		});
 		const result = await attempt.result;
 		watch?.end();
-		unanswered?.end(result, this.#abortController.getReason() === 'deadline');
+		unanswered?.end(result, this.#abortController.getReason() !== undefined);
 		this.#isMoving = this.#targets.recordMove(watch);
 		this.#abortController.setListener(() => undefined);
 		const latencyMilliseconds = (answerHeadersAt ?? now()) - startedAt;
@@ -293,7 +293,7 @@
 	}
 
 	#watchUnanswered(target: ports.Target, attempt: attempts.Attempt, sentAt: number): UnansweredWatch | undefined {
-		const {match, service, ports: {guard}} = this.#context;
+		const {match, service, ports: {guard, now}} = this.#context;
 		const overdueMilliseconds = service.retry.getOverdueMilliseconds?.();
 		return overdueMilliseconds === undefined || target.kind === 'host'
 			? undefined
@@ -304,6 +304,8 @@
 					service: match.service, target, fingerprint: this.fingerprint, sentAt,
 				},
 				overdueMilliseconds,
+				usualMilliseconds: service.retry.getUsualMilliseconds(),
+				now,
 			});
 	}
 
--- a/packages/wagtailroute-proxy/src/unanswered.ts
+++ b/packages/wagtailroute-proxy/src/unanswered.ts
@@ -5,6 +5,7 @@
 from a slow answer even then.
 */
 import type {Attempt, AttemptResult} from './attempts.ts';
+import {MAX_UNANSWERED_MILLISECONDS} from './constants.ts';
 import type {CrashGuard, UnansweredAttempt} from './ports.ts';
 
 /**
@@ -20,9 +21,11 @@
 	readonly guard: CrashGuard;
 	readonly sent: Omit<UnansweredAttempt, 'onCrash'>;
 	/**
-	Milliseconds after which the answer is overdue.
+	Milliseconds after which the answer is overdue, and which it usually takes.
 	*/
 	readonly overdueMilliseconds: number;
+	readonly usualMilliseconds: number;
+	readonly now: () => number;
 };
 
 /**
@@ -36,15 +39,17 @@
 	/**
 	Called when the attempt has ended.
 
-	@param isDeadline The deadline of the request has passed.
+	@param isAborted The deadline of the request has passed, or its caller has left.
 	*/
-	readonly end: (result: AttemptResult, isDeadline: boolean) => void;
+	readonly end: (result: AttemptResult, isAborted: boolean) => void;
 };
 
 /**
 Starts a watch. It aborts the attempt with `CRASHED_CODE` when its upstream has crashed.
 */
-export function startUnansweredWatch({attempt, guard, sent, overdueMilliseconds}: UnansweredWatchOptions): UnansweredWatch {
+export function startUnansweredWatch({
+	attempt, guard, sent, overdueMilliseconds, usualMilliseconds, now,
+}: UnansweredWatchOptions): UnansweredWatch {
 	let recordAnswer: (() => void) | undefined;
 	const inquire = () => {
 		recordAnswer = guard.inquire?.({
@@ -59,16 +64,17 @@
 		if (attempt.isSent()) {
 			inquire();
 		}
-	}, overdueMilliseconds);
+	}, Math.min(overdueMilliseconds, MAX_UNANSWERED_MILLISECONDS));
 	return {
 		recordAnswer() {
 			clearTimeout(timer);
 			recordAnswer?.();
 		},
-		end({kind}, isDeadline) {
+		end({kind}, isAborted) {
 			clearTimeout(timer);
-			// The deadline may be shorter than the time after which an answer is overdue.
-			if (kind === 'lost' && isDeadline && recordAnswer === undefined) {
+			// The request may end before its answer is overdue.
+			const isLate = isAborted && now() - sent.sentAt >= usualMilliseconds;
+			if (kind === 'lost' && isLate && recordAnswer === undefined) {
 				inquire();
 			}
 		},
