Fleet: an entry host that reaches no upstream forwards its callers' requests to other entry hosts

Callers saw: at entry hosts that had lost their paths to all upstreams hardly a request was served, although callers and other hosts reached them.

Its class: a fault of the observer taken for one of the observed.

Now: - A failure counts against its upstream only if another upstream answers this host at about the same time: a health check, then three more. If none answers, the host is isolated: it reports nothing of upstreams, no crash either, until two answer. - An isolated host forwards requests to another entry host, at an address for that; that host identifies the caller, asks for slots, makes all attempts and counts them. It never forwards again; isolated itself, it says so, and the next of up to three is tried. A request that may have been taken is not forwarded twice. - The directory names isolated hosts only if all are. Its table carries the forwarding addresses, so that it works without control hosts.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/crash-guard.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/crash-guard.test.ts
@@ -24,7 +24,7 @@
 An upstream that accepts connections, answers health checks and sends heartbeats; its guard tells nobody.
 */
 const SOUND: EntryCrashGuardOptions = {
-	notifyControlHosts: () => undefined, isRefusing: async () => false, probe: async () => 'answered', isReplaced: () => false,
+	notifyControlHosts: () => undefined, isRefusing: async () => false, probe: async () => 'answered', confirmReach: async () => true, isReplaced: () => false,
 };
 const isUnknown = () => undefined;
 const SENT = {service: SERVICE, target: {id: 'a', address: {ip: 'a', port: 1}, kind: 'upstream'}, fingerprint: 'x'} as const;
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/upstream-reach.test.ts
@@ -0,0 +1,136 @@
+/**
+Tests of how an entry host finds out that it reaches no upstream, and that it reaches them again.
+*/
+import test from 'ava';
+import type * as instances from 'wagtailroute-instances';
+import type * as proxy from 'wagtailroute-proxy';
+import {createUpstreamReach, type UpstreamReach} from '../../upstream-reach.ts';
+import {createFakeContext, type FakeContext} from './fixture.ts';
+
+const CHECK_MILLISECONDS = 100;
+
+type Reach = UpstreamReach & {
+	readonly context: FakeContext;
+	/**
+	Results of health checks by upstream.
+	*/
+	readonly results: Map<string, proxy.ProbeResult>;
+	readonly probed: string[];
+	readonly changes: boolean[];
+};
+
+function createReach(upstreams: readonly string[]): Reach {
+	const context = createFakeContext();
+	const results = new Map<string, proxy.ProbeResult>(upstreams.map(upstream => [upstream, 'answered']));
+	const probed: string[] = [];
+	const changes: boolean[] = [];
+	const reach = createUpstreamReach(context, {
+		listInstances: () => upstreams.map((upstream, index): instances.Instance => ({
+			upstream, service: 's', address: {ip: '10.0.0.1', port: index}, failureDomain: 'a', slots: 1, sequence: 1, state: 'serving', heardAt: 0, warmAt: 0,
+		})),
+		async probe({upstream}) {
+			probed.push(upstream);
+			await new Promise<void>(resolve => {
+				context.schedule(CHECK_MILLISECONDS, resolve);
+			});
+			return results.get(upstream)!;
+		},
+		onChanged(isIsolated) {
+			changes.push(isIsolated);
+		},
+	});
+	return {
+		...reach, context, results, probed, changes,
+	};
+}
+
+function setAll({results}: Reach, result: proxy.ProbeResult): void {
+	for (const upstream of results.keys()) {
+		results.set(upstream, result);
+	}
+}
+
+async function confirm({confirm: confirmReach, context}: Reach, upstream = 'a'): Promise<boolean> {
+	const [isReached] = await Promise.all([confirmReach(upstream), context.pass(CHECK_MILLISECONDS * 2)]);
+	return isReached;
+}
+
+const UPSTREAMS = ['a', 'b', 'c', 'd', 'e', 'f'];
+
+type Case = {
+	readonly name: string;
+	readonly upstreams?: readonly string[];
+	readonly all: proxy.ProbeResult;
+	/**
+	Upstreams that answer all the same.
+	*/
+	readonly answering?: readonly string[];
+	/**
+	A request is answered during the checks.
+	*/
+	readonly isAnswered?: boolean;
+	readonly isReached: boolean;
+};
+
+const CASES: readonly Case[] = [
+	{name: 'whose checks are answered', all: 'answered', isReached: true},
+	{name: 'whose checks stay silent', all: 'silent', isReached: false},
+	{name: 'whose checks are refused', all: 'gone', isReached: false},
+	{name: 'whose connections are closed', all: 'closed', isReached: false},
+	{
+		name: 'at which only the upstream that failed would answer', all: 'silent', answering: ['a'], isReached: false,
+	},
+	{
+		name: 'at which every other upstream answers', all: 'silent', answering: ['b', 'd', 'f'], isReached: true,
+	},
+	{
+		name: 'whose checks stay silent while a request is answered', all: 'silent', isAnswered: true, isReached: true,
+	},
+	{
+		name: 'whose checks are refused while a request is answered on an open connection', all: 'gone', isAnswered: true, isReached: false,
+	},
+	{
+		name: 'that knows only one other upstream', upstreams: ['a', 'b'], all: 'silent', isReached: true,
+	},
+];
+
+for (const {name, upstreams = UPSTREAMS, all, answering = [], isAnswered = false, isReached} of CASES) {
+	test(`a host ${name} ${isReached ? 'reaches upstreams' : 'is isolated'}`, async t => {
+		// Guards against upstreams that are suspended for the whole fleet because one host has lost its paths, and against hosts that give up theirs for one bad upstream.
+		const reach = createReach(upstreams);
+		setAll(reach, all);
+		for (const upstream of answering) {
+			reach.results.set(upstream, 'answered');
+		}
+
+		reach.context.schedule(CHECK_MILLISECONDS / 2, () => {
+			if (isAnswered) {
+				reach.recordAnswer();
+			}
+		});
+		t.is(await confirm(reach), isReached);
+		t.is(reach.isIsolated(), !isReached);
+		t.deepEqual(reach.changes, isReached ? [] : [true]);
+	});
+}
+
+test('a host that is isolated uses its paths again when two upstreams answer', async t => {
+	const reach = createReach(UPSTREAMS);
+	setAll(reach, 'silent');
+	await confirm(reach);
+	await reach.context.pass(3000);
+	t.true(reach.isIsolated());
+	setAll(reach, 'answered');
+	await reach.context.pass(1000);
+	t.false(reach.isIsolated());
+	t.deepEqual(reach.changes, [true, false]);
+});
+
+test('failures in quick succession share one check', async t => {
+	const reach = createReach(UPSTREAMS);
+	const confirmed = ['a', 'b', 'c'].map(async upstream => reach.confirm(upstream));
+	await reach.context.pass(CHECK_MILLISECONDS);
+	t.deepEqual(await Promise.all(confirmed), [true, true, true]);
+	t.true(await reach.confirm('d'));
+	t.is(reach.probed.length, 1);
+});
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -498,6 +498,43 @@
 */
 export const CRASH_TIME_TOLERANCE_MILLISECONDS = 200;
 
+/**
+Milliseconds for which an answered health check shows that this host reaches upstreams.
+*/
+export const REACHED_MILLISECONDS = 300;
+
+/**
+Upstreams that are sent a health check, one and then several at once, before a host considers itself isolated.
+*/
+export const FIRST_REACH_CHECKS = 1;
+export const FURTHER_REACH_CHECKS = 3;
+
+/**
+Smallest number of upstreams, beside the one that failed, without an answer of which a host considers itself isolated.
+*/
+export const MIN_UNREACHED_UPSTREAMS = 2;
+
+/**
+Milliseconds between two checks of a host that is isolated, and the upstreams that must all answer for it to use its own paths again.
+*/
+export const ISOLATION_CHECK_INTERVAL_MILLISECONDS = 500;
+export const ISOLATION_CHECKS = 2;
+
+/**
+Entry hosts that a directory table names as forwarding targets.
+*/
+export const MAX_FORWARDING_ADDRESSES = 24;
+
+/**
+Hosts to which a request may be forwarded, one after the other, while each answers that it is isolated too or refuses the connection.
+*/
+export const MAX_FORWARDS = 3;
+
+/**
+Milliseconds for which a host that did not take a forwarded request is not chosen again.
+*/
+export const FORWARDING_PAUSE_MILLISECONDS = 1500;
+
 /**
 Milliseconds after a change of the crash records before they are saved to disk.
 */
--- a/packages/wagtailroute-fleet/src/crash-guard.ts
+++ b/packages/wagtailroute-fleet/src/crash-guard.ts
@@ -50,6 +50,10 @@
 	*/
 	readonly probe: (loss: Loss) => Promise<proxy.ProbeResult>;
 	/**
+	Resolves with whether this host reaches other upstreams than the one that failed.
+	*/
+	readonly confirmReach: (failed: core.UpstreamId) => Promise<boolean>;
+	/**
 	Returns whether another instance has taken the upstream's name or address.
 	*/
 	readonly isReplaced: (upstream: core.UpstreamId) => boolean;
@@ -129,6 +133,7 @@
 
 	const inquiries = createCrashInquiries(context, {
 		probe: options.probe,
+		confirmReach: options.confirmReach,
 		isReplaced: options.isReplaced,
 		onCrash: reportCrash,
 		onSilent(losses) {
@@ -148,7 +153,7 @@
 				const loss: Loss = {
 					service, upstream: target.id, address: target.address, fingerprint, lostAt: now(),
 				};
-				const hasCrashed = await isUpstreamRefusing(target);
+				const hasCrashed = await isUpstreamRefusing(target) && await options.confirmReach(target.id);
 				if (hasCrashed) {
 					reportCrash(loss);
 				} else {
--- a/packages/wagtailroute-fleet/src/crash-inquiries.ts
+++ b/packages/wagtailroute-fleet/src/crash-inquiries.ts
@@ -53,6 +53,10 @@
 export type CrashInquiriesOptions = {
 	readonly probe: (loss: Loss) => Promise<proxy.ProbeResult>;
 	/**
+	Resolves with whether this host reaches other upstreams than the one that failed.
+	*/
+	readonly confirmReach: (failed: core.UpstreamId) => Promise<boolean>;
+	/**
 	Returns whether another instance has taken the upstream's name or address.
 	*/
 	readonly isReplaced: (upstream: core.UpstreamId) => boolean;
@@ -101,7 +105,14 @@
 
 		inquiry.lastProbeAt = now();
 		const result = options.isReplaced(first.upstream) ? 'gone' : await options.probe(first);
+		const isReached = result === 'answered' || await options.confirmReach(first.upstream);
 		inquiry.isScheduled = false;
+		if (!isReached) {
+			// What a host without paths to any upstream sees says nothing about this one.
+			inquiry.losses.clear();
+			return;
+		}
+
 		inquiry.closedProbes = result === 'closed' ? inquiry.closedProbes + 1 : 0;
 		schedule(inquiry, resultHandlers[result](inquiry, checked));
 	};
--- a/packages/wagtailroute-fleet/src/directory-table.ts
+++ b/packages/wagtailroute-fleet/src/directory-table.ts
@@ -30,6 +30,10 @@
 export type DirectoryTable = {
 	readonly addresses: Readonly<Record<core.FailureDomain, readonly string[]>>;
 	readonly detours: readonly Detour[];
+	/**
+	Addresses of entry hosts to which others may forward requests; absent in a table of a host that does not know any.
+	*/
+	readonly forwardingAddresses?: readonly core.Address[];
 };
 
 /**
--- a/packages/wagtailroute-fleet/src/directory.ts
+++ b/packages/wagtailroute-fleet/src/directory.ts
@@ -66,6 +66,7 @@
 		return {
 			addresses: Object.fromEntries(domains.map(domain => [domain, listAddressTexts(domain)])),
 			detours: listDetours(domains),
+			forwardingAddresses: entryHosts.listForwardingAddresses(),
 		};
 	};
 
--- a/packages/wagtailroute-fleet/src/entry-hosts.ts
+++ b/packages/wagtailroute-fleet/src/entry-hosts.ts
@@ -6,7 +6,7 @@
 */
 import * as core from 'wagtailroute-core';
 import type * as link from 'wagtailroute-link';
-import {SILENT_ENTRY_MILLISECONDS, SILENT_FAR_ENTRY_MILLISECONDS} from './constants.ts';
+import {MAX_FORWARDING_ADDRESSES, SILENT_ENTRY_MILLISECONDS, SILENT_FAR_ENTRY_MILLISECONDS} from './constants.ts';
 import {adaptDirectorySize, type DirectorySize} from './directory-size.ts';
 import {orderDispatchers} from './dispatch-order.ts';
 import type {EntryState} from './messages.ts';
@@ -44,6 +44,10 @@
 	Returns the addresses for a caller; empty when no entry host is known to serve.
 	*/
 	readonly listAddresses: (failureDomain: core.FailureDomain) => readonly core.Address[];
+	/**
+	Returns the addresses of hosts to which others may forward requests, of all failure domains in turn.
+	*/
+	readonly listForwardingAddresses: () => readonly core.Address[];
 };
 
 /**
@@ -99,14 +103,24 @@
 		listReady: () => byId.values().filter(host => isServing(host)).toArray(),
 		listAddresses(failureDomain) {
 			const serving = byId.values().filter(host => isServing(host)).toArray();
-			const near = serving.filter(host => host.failureDomain === failureDomain);
-			const chosen = near.length > 0 ? near : serving;
+			const reaching = serving.filter(host => host.state.isIsolated !== true);
+			const preferred = reaching.length > 0 ? reaching : serving;
+			const near = preferred.filter(host => host.failureDomain === failureDomain);
+			const chosen = near.length > 0 ? near : preferred;
 			const width = adaptDirectorySize(widths.get(failureDomain), chosen.map(host => host.state.load), now());
 			widths.set(failureDomain, width);
 			return orderDispatchers('directory', chosen, host => host.id)
 				.slice(0, Math.ceil(width.hosts))
 				.map(host => host.state.trafficAddress);
 		},
+		listForwardingAddresses() {
+			const targets = byId.values().filter(host => isServing(host) && host.state.isIsolated !== true && host.state.forwardingAddress !== undefined).toArray();
+			const byDomain = Map.groupBy(orderDispatchers('forwarding', targets, host => host.id), host => host.failureDomain).values().toArray();
+			const most = Math.max(0, ...byDomain.map(({length}) => length));
+			return Array.from({length: most}, (_, index) => byDomain.map(hosts => hosts[index])).flat()
+				.flatMap(host => host?.state.forwardingAddress ?? [])
+				.slice(0, MAX_FORWARDING_ADDRESSES);
+		},
 	};
 }
 
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -4,6 +4,7 @@
 */
 import * as timers from 'node:timers/promises';
 import * as core from 'wagtailroute-core';
+import type * as instances from 'wagtailroute-instances';
 import * as link from 'wagtailroute-link';
 import * as proxy from 'wagtailroute-proxy';
 import * as utils from 'wagtailroute-utils';
@@ -33,6 +34,7 @@
 import {sendUpdates, startHostDispatcher} from './host-dispatcher.ts';
 import {createEntryHostCount} from './host-count.ts';
 import {createFleetView} from './fleet-view.ts';
+import {createForwardingTargets} from './forwarding.ts';
 import {startLoadMeter} from './load.ts';
 import {createMessageOrder} from './message-order.ts';
 import * as messages from './messages.ts';
@@ -43,6 +45,7 @@
 import type {ControlHost, EntrySettings, StandbyHost} from './settings.ts';
 import {createStandbys} from './standbys.ts';
 import {divideStopTime} from './stop-times.ts';
+import {createUpstreamReach} from './upstream-reach.ts';
 
 /**
 A running entry host.
@@ -98,12 +101,17 @@
 	});
 	const isReady = () => !isStopping && fleetView.getGeneration() !== undefined;
 	const getState = (): messages.EntryState => ({
-		trafficAddress: settings.trafficAddress, linkAddress: settings.linkAddress, isReady: isReady(), load: meter.getLoad(),
+		trafficAddress: settings.trafficAddress,
+		linkAddress: settings.linkAddress,
+		forwardingAddress: settings.forwardingAddress,
+		isReady: isReady(),
+		isIsolated: reach.isIsolated(),
+		load: meter.getLoad(),
 	});
 	let reportedState: messages.EntryState | undefined;
 	const reportState = () => {
 		const state = getState();
-		const isSame = state.isReady === reportedState?.isReady && Math.abs(state.load - reportedState.load) < MIN_REPORTED_LOAD_CHANGE;
+		const isSame = state.isReady === reportedState?.isReady && state.isIsolated === reportedState.isIsolated && Math.abs(state.load - reportedState.load) < MIN_REPORTED_LOAD_CHANGE;
 		if (isSame) {
 			return;
 		}
@@ -138,11 +146,18 @@
 		},
 	});
 	const probeUpstream = proxy.createUpstreamProbe(dialect);
+	const checkHealth = async ({service, upstream, address}: Pick<instances.Instance, 'service' | 'upstream' | 'address'>) =>
+		probeUpstream({upstream, address, healthPath: fleetView.findService(service)?.healthPath ?? '/'});
+	const reach = createUpstreamReach(context, {listInstances: fleetView.listServingInstances, probe: checkHealth, onChanged: reportState});
+	const ownForwardingText = settings.forwardingAddress && core.formatAddress(settings.forwardingAddress);
+	const forwardingTargets = createForwardingTargets(context, () =>
+		(directory.forwardingAddresses ?? []).filter(address => core.formatAddress(address) !== ownForwardingText));
 	const crashGuard = createEntryCrashGuard(context, {
 		notifyControlHosts(method, parameters) {
 			controlLinks.notifyAll(method, parameters);
 		},
-		probe: async ({service, upstream, address}) => probeUpstream({upstream, address, healthPath: fleetView.findService(service)?.healthPath ?? '/'}),
+		probe: checkHealth,
+		confirmReach: reach.confirm,
 		isReplaced: fleetView.isReplaced,
 	});
 	const requestingHosts = createRequestingHosts();
@@ -274,7 +289,9 @@
 		hostId: settings.hostId,
 		now: context.now,
 		dialect,
-		route: createRouter(context, {fleetView, dispatchClient}),
+		route: createRouter(context, {
+			fleetView, dispatchClient, reach, forwardingTargets,
+		}),
 		routes: startupGate,
 		claim: async () => ({kind: 'refused', failure: proxy.createRequestFailure('idempotency-records-unavailable', 'This fleet keeps no keys.')}),
 		guard: crashGuard.guard,
@@ -286,12 +303,13 @@
 		connectTimeoutMilliseconds: UPSTREAM_CONNECT_TIMEOUT_MILLISECONDS,
 		pacers: proxy.createPacers(settings.linkBytesPerSecond, context.now),
 		recordRequest: createRequestLog(context),
-	});
+	}, {forwardingAddress: settings.forwardingAddress});
 	opened.traffic = traffic;
 	context.metrics.registerGauge('requests_in_flight', traffic.getInFlight);
 	context.metrics.registerGauge('generation_version', () => fleetView.getGeneration()?.version ?? 0);
 	log.info('The entry host has started.', {traffic: core.formatAddress(settings.trafficAddress), seeds: settings.seeds.map(seed => seed.id)});
-	const teardown = utils.mergeTeardowns(watchPauses(context), controlLinks.close, standbys.teardown, ownDispatcher.teardown, meter.teardown);
+	context.metrics.registerGauge('isolated', () => reach.isIsolated() ? 1 : 0);
+	const teardown = utils.mergeTeardowns(watchPauses(context), reach.teardown, controlLinks.close, standbys.teardown, ownDispatcher.teardown, meter.teardown);
 	return {
 		isReady,
 		listAddresses(failureDomain, host) {
--- a/packages/wagtailroute-fleet/src/fleet-view.ts
+++ b/packages/wagtailroute-fleet/src/fleet-view.ts
@@ -29,6 +29,10 @@
 	readonly findOrganisation: generations.OrganisationFinder;
 	readonly findService: (name: core.ServiceName) => generations.GenerationService | undefined;
 	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
+	/**
+	Returns the instances of all services that accept requests.
+	*/
+	readonly listServingInstances: () => readonly instances.Instance[];
 	readonly isRetired: (upstream: core.UpstreamId) => boolean;
 	/**
 	Returns whether another instance has taken the upstream's name or address.
@@ -209,6 +213,7 @@
 		findService: name => state.services.get(name),
 		// Only control hosts receive heartbeats and detect silent instances; this host receives changes only, so none counts as silent here.
 		listCandidates: service => instanceTable.list(service).map(instance => toCandidate(instance, false)),
+		listServingInstances: () => instanceTable.listAll().filter(({state: instanceState}) => instanceState === 'serving'),
 		isRetired: upstream => retired.has(upstream),
 		isReplaced: instanceTable.isReplaced,
 		listAddresses: () => new Set(instanceTable.listAll().map(instance => core.formatAddress(instance.address))),
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -54,10 +54,18 @@
 	readonly trafficAddress: core.Address;
 	readonly linkAddress: core.Address;
 	/**
+	Address to which other entry hosts may forward requests; absent for a host that accepts none.
+	*/
+	readonly forwardingAddress?: core.Address;
+	/**
 	Whether it has a generation, and is not stopping.
 	*/
 	readonly isReady: boolean;
 	/**
+	It reaches no upstream, and forwards the requests of its callers to other entry hosts.
+	*/
+	readonly isIsolated?: boolean;
+	/**
 	Part of its processor or, weighted, of its link that is in use, whichever is more; 0 and up.
 	*/
 	readonly load: number;
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -5,10 +5,17 @@
 import type * as dispatch from 'wagtailroute-dispatch';
 import * as generations from 'wagtailroute-generations';
 import * as proxy from 'wagtailroute-proxy';
-import type {SlotRequestDraft, DispatchClient} from './dispatch-client.ts';
-import {MIN_OVERDUE_MILLISECONDS, NO_GENERATION_RETRY_MILLISECONDS, OVERDUE_RATIO} from './constants.ts';
+import type {DispatchClient, SlotRequestDraft, SlotRequestHandle} from './dispatch-client.ts';
+import {
+	MAX_FORWARDS,
+	MIN_OVERDUE_MILLISECONDS,
+	NO_GENERATION_RETRY_MILLISECONDS,
+	OVERDUE_RATIO,
+} from './constants.ts';
 import type {FleetContext} from './context.ts';
 import type {FleetView} from './fleet-view.ts';
+import {type ForwardingTargets, HOST_ISOLATED} from './forwarding.ts';
+import type {UpstreamReach} from './upstream-reach.ts';
 import {createCallerDeadlines} from './caller-deadlines.ts';
 import {createUsualTimes, type UsualTimes} from './usual-times.ts';
 
@@ -23,6 +30,8 @@
 export type RouterOptions = {
 	readonly fleetView: Pick<FleetView, 'getGeneration' | 'findRoute' | 'findOrganisation' | 'findService' | 'listCandidates'>;
 	readonly dispatchClient: DispatchClient;
+	readonly reach: Pick<UpstreamReach, 'isIsolated' | 'recordAnswer' | 'confirm'>;
+	readonly forwardingTargets: ForwardingTargets;
 };
 
 type RouteContext = {
@@ -34,6 +43,10 @@
 	*/
 	readonly waitedMilliseconds: number;
 	readonly caller: Caller;
+	/**
+	Another entry host forwarded the request.
+	*/
+	readonly isForwarded: boolean;
 };
 
 /**
@@ -59,7 +72,9 @@
 	const usualTimes = createUsualTimes();
 	const callerDeadlines = createCallerDeadlines();
 
-	return ({host, path, method, timeoutMilliseconds, key}) => {
+	return ({
+		host, path, method, timeoutMilliseconds, key, isForwarded,
+	}) => {
 		const generation = fleetView.getGeneration();
 		if (generation === undefined) {
 			return proxy.createRequestFailure('no-upstream', 'This host has no catalogue yet.', NO_GENERATION_RETRY_MILLISECONDS);
@@ -75,9 +90,13 @@
 			return caller;
 		}
 
+		if (isForwarded && options.reach.isIsolated()) {
+			return HOST_ISOLATED;
+		}
+
 		const service = fleetView.findService(chooseService(route))!;
 		const routeContext: RouteContext = {
-			route, service, bodyBytes: generation.limits.bodyBytes, waitedMilliseconds: callerDeadlines.estimateWaited(route, timeoutMilliseconds), caller,
+			route, service, bodyBytes: generation.limits.bodyBytes, waitedMilliseconds: callerDeadlines.estimateWaited(route, timeoutMilliseconds), caller, isForwarded,
 		};
 		return {
 			match: {service: service.name, route: {class: route.class}},
@@ -107,57 +126,60 @@
 
 function createServicePort(
 	context: FleetContext,
-	{fleetView, dispatchClient}: RouterOptions,
-	{
-		route, service, bodyBytes, usualTimes, waitedMilliseconds, caller: {organisation, priority},
-	}: RouteContext & {readonly usualTimes: UsualTimes},
+	options: RouterOptions,
+	routeContext: RouteContext & {readonly usualTimes: UsualTimes},
 ): proxy.ServicePort {
+	const {fleetView, dispatchClient, reach} = options;
+	const {route, service, bodyBytes, usualTimes, isForwarded} = routeContext;
 	const grantedIds = new Map<proxy.Target, dispatch.SlotRequestId>();
+	const forwarder = createForwarder(options, isForwarded);
 
-	const createDraft = (choice: proxy.ChoiceRequest): SlotRequestDraft => ({
-		service: service.name,
-		route: route.name,
-		requestClass: route.class,
-		priority,
-		// A request without an organisation counts against no allotment.
-		...organisation !== undefined && organisation !== '' && {organisation},
-		remainingMilliseconds: choice.remainingMilliseconds,
-		objectiveMilliseconds: route.objectiveMilliseconds,
-		excluded: [...choice.excluded],
-		isResend: choice.isResend,
-		isMove: choice.isMove,
-		waitedMilliseconds: waitedMilliseconds + choice.waitedMilliseconds,
-	});
+	const requestSlot = async (pending: SlotRequestHandle, choice: proxy.ChoiceRequest): Promise<proxy.Target | proxy.RequestFailure> => {
+		const answer = await pending.answer;
+		if (answer.kind === 'refuse') {
+			return REFUSALS[answer.reason](answer.retryAfterMilliseconds);
+		}
+
+		if (reach.isIsolated()) {
+			dispatchClient.reportEnd(answer.id, 'unused', 0);
+			return forwarder.choose(choice) ?? HOST_ISOLATED;
+		}
+
+		const target: proxy.Target = {id: answer.upstream, address: answer.address, kind: 'upstream'};
+		grantedIds.set(target, answer.id);
+		context.logs('dispatch').debug('A slot was granted for an attempt.', {request: choice.requestId, ask: answer.id, upstream: answer.upstream});
+		return target;
+	};
+
+	/**
+	Reports the end of an attempt to its dispatcher. A failure counts against the upstream only if this host reaches others.
+	*/
+	const reportEnd = async (id: dispatch.SlotRequestId, {target, ending, latencyMilliseconds, failure}: proxy.AttemptReport): Promise<void> => {
+		const isReached = !UNREACHED_ENDINGS.has(ending) || await reach.confirm(target.id);
+		dispatchClient.reportEnd(id, isReached ? toDispatchEnding(ending, failure) : 'cancelled', latencyMilliseconds);
+	};
 
 	return {
 		limits: {
 			timeoutMilliseconds: route.timeoutMilliseconds,
 			bodyBytes,
 			connectionsPerUpstream: service.connectionsPerUpstream,
-			attempts: route.attempts,
+			attempts: reach.isIsolated() ? MAX_FORWARDS : route.attempts,
 		},
-		isCarried: true,
+		isCarried: !reach.isIsolated(),
 		admit: () => undefined,
 		release: () => undefined,
 		choose(choice) {
-			const handle = dispatchClient.requestSlot(createDraft(choice));
-			return {
-				cancel: handle.cancel,
-				result: (async () => {
-					const answer = await handle.answer;
-					if (answer.kind === 'refuse') {
-						return REFUSALS[answer.reason](answer.retryAfterMilliseconds);
-					}
-
-					const target: proxy.Target = {id: answer.upstream, address: answer.address, kind: 'upstream'};
-					grantedIds.set(target, answer.id);
-					context.logs('dispatch').debug('A slot was granted for an attempt.', {request: choice.requestId, ask: answer.id, upstream: answer.upstream});
-					return target;
-				})(),
-			};
+			if (reach.isIsolated()) {
+				return forwarder.choose(choice);
+			}
+
+			const handle = dispatchClient.requestSlot(createDraft(routeContext, choice));
+			return {cancel: handle.cancel, result: requestSlot(handle, choice)};
 		},
-		hasOtherTarget: ({excluded}) => fleetView.listCandidates(service.name)
-			.some(({upstream, isDraining}) => !excluded.has(upstream) && !isDraining && !dispatchClient.isClosed(upstream)),
+		hasOtherTarget: choice => reach.isIsolated()
+			? forwarder.choose(choice) !== undefined
+			: fleetView.listCandidates(service.name).some(({upstream, isDraining}) => !choice.excluded.has(upstream) && !isDraining && !dispatchClient.isClosed(upstream)),
 		begin: () => undefined,
 		recordAdvertisements(target, advertisements) {
 			const id = grantedIds.get(target);
@@ -165,14 +187,24 @@
 				dispatchClient.recordAdvertisements(id, advertisements);
 			}
 		},
-		end({target, ending, latencyMilliseconds, failure}) {
+		end(report) {
+			const {target, ending, latencyMilliseconds} = report;
+			if (target.kind === 'host') {
+				forwarder.recordEnding(target, ending);
+				return;
+			}
+
+			if (ANSWERED_ENDINGS.has(ending)) {
+				reach.recordAnswer();
+			}
+
 			if (ending === 'success') {
 				usualTimes.record(route, latencyMilliseconds);
 			}
 
 			const id = grantedIds.get(target);
 			if (id !== undefined) {
-				dispatchClient.reportEnd(id, toDispatchEnding(ending, failure), latencyMilliseconds);
+				void reportEnd(id, report);
 			}
 		},
 		// The dispatcher enforces the budget of resends for all hosts.
@@ -185,6 +217,57 @@
 	};
 }
 
+type Forwarder = Pick<ForwardingTargets, 'recordEnding'> & {
+	/**
+	Returns the host to which the next attempt goes; undefined when there is none, or when the request may have been sent to an upstream by another one: that one has made
+	all attempts that the request may have.
+	*/
+	readonly choose: (choice: proxy.ChoiceRequest) => proxy.Target | undefined;
+};
+
+function createForwarder({forwardingTargets}: RouterOptions, isForwarded: boolean): Forwarder {
+	let isTaken = false;
+	return {
+		choose: ({excluded, isMove}) => isForwarded || isTaken || isMove ? undefined : forwardingTargets.choose(excluded),
+		recordEnding(target, ending) {
+			isTaken ||= !NOT_TAKEN_ENDINGS.has(ending);
+			forwardingTargets.recordEnding(target, ending);
+		},
+	};
+}
+
+function createDraft({route, service, waitedMilliseconds, caller: {organisation, priority}}: RouteContext, choice: proxy.ChoiceRequest): SlotRequestDraft {
+	return {
+		service: service.name,
+		route: route.name,
+		requestClass: route.class,
+		priority,
+		// A request without an organisation counts against no allotment.
+		...organisation !== undefined && organisation !== '' && {organisation},
+		remainingMilliseconds: choice.remainingMilliseconds,
+		objectiveMilliseconds: route.objectiveMilliseconds,
+		excluded: [...choice.excluded],
+		isResend: choice.isResend,
+		isMove: choice.isMove,
+		waitedMilliseconds: waitedMilliseconds + choice.waitedMilliseconds,
+	};
+}
+
+/**
+Endings that show that the host reaches the upstream.
+*/
+const ANSWERED_ENDINGS: ReadonlySet<proxy.AttemptEnding> = new Set(['success', 'server-error', 'shed', 'misdirected']);
+
+/**
+Endings that a lost path of this host would cause as well.
+*/
+const UNREACHED_ENDINGS: ReadonlySet<proxy.AttemptEnding> = new Set(['connect-error', 'reset', 'truncated', 'timeout', 'overdue']);
+
+/**
+Endings of a forwarded attempt that show that the other host has not taken the request.
+*/
+const NOT_TAKEN_ENDINGS: ReadonlySet<proxy.AttemptEnding> = new Set(['connect-error', 'shed']);
+
 type Refusal = (retryAfterMilliseconds: number) => proxy.RequestFailure;
 
 const REFUSALS: Readonly<Record<dispatch.RefusalReason, Refusal>> = {
--- a/packages/wagtailroute-fleet/src/settings.ts
+++ b/packages/wagtailroute-fleet/src/settings.ts
@@ -65,6 +65,10 @@
 	*/
 	readonly linkAddress: core.Address;
 	/**
+	Address at which it accepts requests that other entry hosts forward; absent: it accepts none.
+	*/
+	readonly forwardingAddress?: core.Address;
+	/**
 	Capacity of the host's link in each direction.
 	*/
 	readonly linkBytesPerSecond: number;
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/upstream-reach.ts
@@ -0,0 +1,135 @@
+/**
+Finds out whether this entry host reaches any upstream at all.
+
+A host that has lost its paths to all upstreams sees each of them fail. Without this, it would refuse every request although other hosts could serve it, and its
+reports would have working upstreams suspended for the whole fleet. So a failure counts against its upstream only if another upstream answers at about the same time.
+*/
+import type * as core from 'wagtailroute-core';
+import type * as instances from 'wagtailroute-instances';
+import type * as proxy from 'wagtailroute-proxy';
+import * as utils from 'wagtailroute-utils';
+import {
+	FIRST_REACH_CHECKS,
+	FURTHER_REACH_CHECKS,
+	ISOLATION_CHECK_INTERVAL_MILLISECONDS,
+	ISOLATION_CHECKS,
+	MIN_UNREACHED_UPSTREAMS,
+	REACHED_MILLISECONDS,
+} from './constants.ts';
+import type {FleetContext} from './context.ts';
+
+/**
+What a host knows of its paths to upstreams.
+*/
+export type UpstreamReach = {
+	/**
+	Returns whether no upstream answers this host.
+	*/
+	readonly isIsolated: () => boolean;
+	/**
+	Records that an upstream has answered a request, in whatever way.
+	*/
+	readonly recordAnswer: () => void;
+	/**
+	Resolves with whether this host reaches other upstreams than the one that failed: at once after a recent check, otherwise after health checks.
+	*/
+	readonly confirm: (failed: core.UpstreamId) => Promise<boolean>;
+	readonly teardown: utils.Teardown;
+};
+
+/**
+What upstreams there are, and how they are checked.
+*/
+export type UpstreamReachOptions = {
+	/**
+	Returns the upstreams in service, over all services.
+	*/
+	readonly listInstances: () => readonly instances.Instance[];
+	readonly probe: (instance: instances.Instance) => Promise<proxy.ProbeResult>;
+	readonly onChanged: (isIsolated: boolean) => void;
+};
+
+/**
+Starts with a host that reaches upstreams.
+*/
+export function createUpstreamReach(context: FleetContext, options: UpstreamReachOptions): UpstreamReach {
+	const {now, random} = context;
+	const log = context.logs('reach');
+	let isIsolated = false;
+	let answeredAt = -Infinity;
+	let checkedAt = -Infinity;
+	let running: Promise<boolean> | undefined;
+	let cancelCheck: utils.Teardown = () => undefined;
+
+	const setIsolated = (value: boolean) => {
+		if (value === isIsolated) {
+			return;
+		}
+
+		isIsolated = value;
+		log.warn(value ? 'This host reaches no upstream; it forwards requests to other entry hosts.' : 'This host reaches upstreams again.', {});
+		options.onChanged(value);
+		if (value) {
+			scheduleCheck();
+		}
+	};
+
+	const probeAll = async (checked: readonly instances.Instance[]) => Promise.all(checked.map(async instance => options.probe(instance)));
+
+	const scheduleCheck = () => {
+		cancelCheck = context.schedule(ISOLATION_CHECK_INTERVAL_MILLISECONDS, () => {
+			void checkIsolation();
+		});
+	};
+
+	const checkIsolation = async () => {
+		const checked = utils.shuffle(random, options.listInstances()).slice(0, ISOLATION_CHECKS);
+		const results = await probeAll(checked);
+		if (results.every(result => result === 'answered')) {
+			setIsolated(false);
+		} else if (isIsolated) {
+			scheduleCheck();
+		}
+	};
+
+	const check = async (failed: core.UpstreamId): Promise<boolean> => {
+		const startedAt = now();
+		const others = utils.shuffle(random, options.listInstances().filter(({upstream}) => upstream !== failed));
+		const first = others.slice(0, FIRST_REACH_CHECKS);
+		const further = others.slice(FIRST_REACH_CHECKS, FIRST_REACH_CHECKS + FURTHER_REACH_CHECKS);
+		const results = others.length < MIN_UNREACHED_UPSTREAMS ? ['answered'] : await probeAll(first);
+		if (results.includes('answered')) {
+			return true;
+		}
+
+		results.push(...await probeAll(further));
+		// Upstreams that are too busy for health checks still answer requests. Where new connections are refused, open ones may live on for a while.
+		return results.includes('answered') || (results.includes('silent') && answeredAt > startedAt);
+	};
+
+	return {
+		isIsolated: () => isIsolated,
+		recordAnswer() {
+			answeredAt = now();
+		},
+		async confirm(failed) {
+			if (isIsolated || now() - checkedAt < REACHED_MILLISECONDS) {
+				return !isIsolated;
+			}
+
+			running ??= check(failed);
+			const isReached = await running;
+			running = undefined;
+			if (isReached) {
+				checkedAt = now();
+			} else {
+				setIsolated(true);
+			}
+
+			return isReached;
+		},
+		teardown() {
+			cancelCheck();
+		},
+	};
+}
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -530,6 +530,8 @@
 					listCandidates,
 				},
 				dispatchClient: asking,
+				reach: {isIsolated: () => false, recordAnswer: () => undefined, confirm: async () => true},
+				forwardingTargets: {choose: () => undefined, recordEnding: () => undefined},
 			}),
 		};
 		return entry;
--- a/packages/wagtailroute-proxy/src/dialect.ts
+++ b/packages/wagtailroute-proxy/src/dialect.ts
@@ -9,6 +9,7 @@
 import {RESERVED_PREFIX} from './constants.ts';
 import {isShedAnswer} from './endings.ts';
 import type {RequestFailure} from './failures.ts';
+import type {Target} from './ports.ts';
 import {
 	createAnswerHeaders,
 	createRequestHeaders,
@@ -20,9 +21,10 @@
 /**
 Classification of a backend server's answer. `answer`: the answer to this request. `shed`: it states that the request was not
 run. `misdirected`: like `shed`, and another instance has the address. `unclear`: it must not be relayed, as the caller would
-take its status for a promise that the request was not run. `foreign`: the answer to another request.
+take its status for a promise that the request was not run. `foreign`: the answer to another request. `final`: the answer of another host that has made all attempts
+that the request may have.
 */
-export type AnswerKind = 'answer' | 'shed' | 'misdirected' | 'unclear' | 'foreign';
+export type AnswerKind = 'answer' | 'shed' | 'misdirected' | 'unclear' | 'foreign' | 'final';
 
 /**
 Reads and creates the headers and problem documents of one dialect.
@@ -33,7 +35,10 @@
 	Returns the headers of the request to send to the target, as alternating names and values.
 	*/
 	readonly createRequestHeaders: (message: http.IncomingMessage, options: RequestHeaderOptions) => string[];
-	readonly readAnswer: (status: number, headers: HeaderFields, request: CallerRequest) => AnswerKind;
+	/**
+	@param source Receiver of the request: a backend server, or another host of the fleet.
+	*/
+	readonly readAnswer: (status: number, headers: HeaderFields, request: CallerRequest, source: Target['kind']) => AnswerKind;
 	/**
 	Returns the advertisements of a backend server about itself in the header section of an answer.
 	*/
--- a/packages/wagtailroute-proxy/src/index.ts
+++ b/packages/wagtailroute-proxy/src/index.ts
@@ -44,7 +44,8 @@
 	getConnectionOptions, type HeaderFields, HOP_BY_HOP_HEADERS, type RequestHeaderOptions,
 } from './headers.ts';
 export type {CallerRequest} from './requests.ts';
-export {openTrafficServer, type TrafficServer} from './traffic.ts';
+export {FORWARDED_HEADER} from './constants.ts';
+export {openTrafficServer, type TrafficServer, type TrafficServerOptions} from './traffic.ts';
 export type {ConnectionPools} from './connections.ts';
 export {MOVE_TIMEOUT_MILLISECONDS} from './constants.ts';
 export {
--- a/packages/wagtailroute-proxy/src/request-sender.ts
+++ b/packages/wagtailroute-proxy/src/request-sender.ts
@@ -340,10 +340,14 @@
 	*/
 	#decideAnswer(status: number, received: headers.HeaderFields, target: ports.Target): attempts.AnswerAction {
 		const {service, request, ports: {dialect}} = this.#context;
-		const kind = dialect.readAnswer(status, received, request);
+		const kind = dialect.readAnswer(status, received, request, target.kind);
 		this.#recordAdvertisements(kind, {status, received}, target);
-		if (kind === 'foreign' || (kind === 'answer' && status < 500)) {
-			return kind === 'foreign' ? 'foreign' : 'relay';
+		if (kind === 'foreign') {
+			return 'foreign';
+		}
+
+		if (kind === 'final' || (kind === 'answer' && status < 500)) {
+			return 'relay';
 		}
 
 		const isShed = kind === 'shed' || kind === 'misdirected';
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -46,10 +46,20 @@
 	readonly drain: () => Promise<void>;
 };
 
+/**
+Optional parts of a traffic server.
+*/
+export type TrafficServerOptions = {
+	/**
+	Address at which other hosts forward requests to this one; absent where they use the callers' address or none does.
+	*/
+	readonly forwardingAddress?: core.Address;
+};
+
 /**
 Opens the server and the connection pools to upstreams.
 */
-export async function openTrafficServer(address: core.Address, ports: TrafficPorts): Promise<TrafficServer> {
+export async function openTrafficServer(address: core.Address, ports: TrafficPorts, {forwardingAddress}: TrafficServerOptions = {}): Promise<TrafficServer> {
 	const connections = createConnectionPools(ports.connectTimeoutMilliseconds);
 	const inFlightBySocket = new WeakMap<net.Socket, number>();
 	const countedBytesBySocket = new WeakMap<net.Socket, number>();
@@ -57,7 +67,7 @@
 	let transferredBytes = 0;
 	let largeBodyBytes = 0;
 	let isClosing = false;
-	const server = http.createServer({
+	const createServer = (isForwarding: boolean) => http.createServer({
 		maxHeaderSize: MAX_HEADER_BYTES,
 		headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
 		requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
@@ -82,24 +92,33 @@
 				// `server.close()` closes idle connections only once. A connection whose answer began before the drain stays open
 				// after it, and the drain would wait for the caller's next request or the keep-alive timeout.
 				setImmediate(() => {
-					server.closeIdleConnections();
+					for (const server of servers) {
+						server.closeIdleConnections();
+					}
 				});
 			}
 		});
-		serveWhenRoutable(ports, connections, message, response);
+		serveWhenRoutable(ports, connections, {message, response, isForwarding});
 	});
-	server.maxConnections = MAX_CALLER_CONNECTIONS;
-	server.on('clientError', (error: ClientError, socket: net.Socket) => {
-		// Malformed bytes may follow a complete request that is still running. A `not-run` answer written then would be taken as
-		// the answer to that request, and the caller would resend it; a destroyed connection promises nothing.
-		if ((inFlightBySocket.get(socket) ?? 0) > 0) {
-			socket.destroy();
-			return;
-		}
+	const callerServer = createServer(false);
+	const forwardingServer = createServer(true);
+	const servers = forwardingAddress === undefined ? [callerServer] : [callerServer, forwardingServer];
+	for (const server of servers) {
+		server.maxConnections = MAX_CALLER_CONNECTIONS;
+		server.on('clientError', (error: ClientError, socket: net.Socket) => {
+			// Malformed bytes may follow a complete request that is still running. A `not-run` answer written then would be taken as
+			// the answer to that request, and the caller would resend it; a destroyed connection promises nothing.
+			if ((inFlightBySocket.get(socket) ?? 0) > 0) {
+				socket.destroy();
+				return;
+			}
 
-		answerClientError(ports, error, socket);
-	});
-	const listening = await utils.listen(server, address);
+			answerClientError(ports, error, socket);
+		});
+	}
+
+	const listening = await utils.listen(callerServer, address);
+	await (forwardingAddress === undefined ? undefined : utils.listen(forwardingServer, forwardingAddress));
 	return {
 		connections,
 		address: listening,
@@ -109,11 +128,11 @@
 		async drain() {
 			// Idle connections are closed now, the others after their answer.
 			isClosing = true;
-			await new Promise<void>(resolve => {
+			await Promise.all(servers.map(async server => new Promise<void>(resolve => {
 				server.close(() => {
 					resolve();
 				});
-			});
+			})));
 			await connections.close();
 		},
 	};
@@ -122,15 +141,17 @@
 function serveWhenRoutable(
 	ports: TrafficPorts,
 	connections: ConnectionPools,
-	message: http.IncomingMessage,
-	response: http.ServerResponse,
+	{message, response, isForwarding}: Omit<IncomingRequest, 'arrivedAt'>,
 ): void {
 	// Without a listener an error on a caller's connection would end the process. Exchanges react to the 'close' that follows.
 	message.on('error', () => undefined);
 	response.on('error', () => undefined);
 	const arrivedAt = ports.now();
 	const startServing = () => {
-		const failure = response.destroyed ? undefined : startExchange(ports, connections, {message, response, arrivedAt});
+		const incoming: IncomingRequest = {
+			message, response, isForwarding, arrivedAt,
+		};
+		const failure = response.destroyed ? undefined : startExchange(ports, connections, incoming);
 		if (failure !== undefined) {
 			answerFailure(response, () => ports.dialect.createProblem(failure, ports.random));
 		}
@@ -150,16 +171,26 @@
 type IncomingRequest = {
 	readonly message: http.IncomingMessage;
 	readonly response: http.ServerResponse;
+	/**
+	Another host forwarded the request to this host's address for that.
+	*/
+	readonly isForwarding: boolean;
 	readonly arrivedAt: number;
 };
 
-function startExchange(ports: TrafficPorts, connections: ConnectionPools, {message, response, arrivedAt}: IncomingRequest): RequestFailure | undefined {
+function startExchange(
+	ports: TrafficPorts,
+	connections: ConnectionPools,
+	{
+		message, response, isForwarding, arrivedAt,
+	}: IncomingRequest,
+): RequestFailure | undefined {
 	const parsedRequest = ports.dialect.parseRequest(message);
 	if (parsedRequest.isErr()) {
 		return parsedRequest.error;
 	}
 
-	const request = parsedRequest.value;
+	const request = isForwarding ? {...parsedRequest.value, isForwarded: true} : parsedRequest.value;
 	if (ports.dialect.isReserved(request.path)) {
 		ports.answerReserved(message, response, request.path);
 		return undefined;
