Laboratory: entry hosts that reach no upstream

A fault by which part of the entry hosts loses its paths to all upstreams, with the reach checks and the forwarding of the fleet's own code.

--- a/packages/wagtailroute-fleet/src/index.ts
+++ b/packages/wagtailroute-fleet/src/index.ts
@@ -22,6 +22,8 @@
 export {type Belief, METHODS, type ServiceUpdates} from './messages.ts';
 export {createRequestShare, type RequestShare} from './request-share.ts';
 export {createRouter, type Router} from './routing.ts';
+export {createForwardingTargets} from './forwarding.ts';
+export {createUpstreamReach} from './upstream-reach.ts';
 export {type Entry, startEntry} from './entry.ts';
 export type {LeaderFailure} from './leader-calls.ts';
 export type {
--- a/packages/wagtailroute-lab/src/day.ts
+++ b/packages/wagtailroute-lab/src/day.ts
@@ -17,10 +17,10 @@
 	type Spell,
 } from './backend.ts';
 import {type Clock, createClock} from './clock.ts';
-import {createFleet, type Fleet} from './fleet.ts';
+import {createFleet, type EntryHost, type Fleet} from './fleet.ts';
 import {createOracle} from './oracle.ts';
 import type {Scenario, ScenarioFault, ScenarioService} from './scenario.ts';
-import {serve} from './sending.ts';
+import {type SendingEnd, type SendingPlan, serve} from './sending.ts';
 import {pickShare} from './draws.ts';
 import {createTally, type Figures, type Tally} from './tally.ts';
 import type {Variant} from './variants.ts';
@@ -91,6 +91,7 @@
 			onSuspended: upstream => {
 				this.#noteSuspended(upstream);
 			},
+			isPathBad: (entry, upstream) => this.#isPathBad(entry, upstream),
 		});
 	}
 
@@ -134,13 +135,13 @@
 		restart: (milliseconds: number) => {
 			this.#fleet.restart(milliseconds);
 		},
-		spoilPaths: (share: number, milliseconds: number) => {
+		spoilPaths: (share: number, milliseconds: number, upstreamShare = share) => {
 			const {failureDomains} = this.#scenario;
 			const entries = failureDomains.flatMap(domain => [0, 1, 2].map(index => `entry-${domain}-${index}`));
 			this.#badPaths.push({
 				until: this.#clock.now() + milliseconds,
 				entries: new Set(pickShare(this.#chance, entries, share)),
-				backends: new Set(pickShare(this.#chance, this.#backends.keys().toArray(), share)),
+				backends: new Set(pickShare(this.#chance, this.#backends.keys().toArray(), upstreamShare)),
 			});
 		},
 		drain: (share: number, isReplaced: boolean) => {
@@ -248,31 +249,49 @@
 		}
 
 		const startedAt = this.#clock.now();
-		const end = await serve({
+		const end = await this.#serve(entry, {arrival, port: this.#getPort(entry.route, arrival, remaining), deadlineAt: this.#clock.now() + Math.min(route.timeoutMilliseconds, remaining)});
+		if (arrival.organisation !== undefined) {
+			this.#tally.noteOrganisation(arrival.organisation, startedAt, end.kind === 'refused' || (end.kind === 'unserved' && end.cause === 'no-connection'));
+		}
+
+		if (mayComeBack && end.kind === 'refused') {
+			comeBack(Math.min(end.retryAfterMilliseconds, (arrival.at + route.deadlineMilliseconds - this.#clock.now()) / 3));
+		} else {
+			this.#tally.note(arrival, arrival.at, end.kind === 'refused' ? {kind: 'unserved', cause: 'refused'} : end);
+		}
+	}
+
+	async #serve(entry: EntryHost, {arrival, port, deadlineAt}: Pick<SendingPlan, 'arrival' | 'port' | 'deadlineAt'>): Promise<SendingEnd> {
+		return serve({
 			clock: this.#clock,
 			random: this.#decisions,
 			arrival,
 			host: entry.id,
-			port: this.#getPort(entry.route, arrival, remaining),
-			deadlineAt: this.#clock.now() + Math.min(route.timeoutMilliseconds, remaining),
+			port,
+			deadlineAt,
 			getWay: backend => backend.failureDomain === entry.failureDomain ? this.#scenario.nearMilliseconds : this.#scenario.farMilliseconds,
 			findBackend: id => this.#backends.get(id),
-			isPathBad: backend => this.#badPaths.some(({until, entries, backends}) =>
-				this.#clock.now() < until && entries.has(entry.id) && backends.has(backend.id)),
+			isPathBad: backend => this.#isPathBad(entry.id, backend.id),
+			forward: async target => this.#forward(target, {arrival, deadlineAt}),
 			onSent: (upstream, isResend) => {
 				this.#tally.noteSent({service: arrival.service, upstream, isResend}, this.#clock.now());
 			},
 			ended: entry.ended,
 		});
-		if (arrival.organisation !== undefined) {
-			this.#tally.noteOrganisation(arrival.organisation, startedAt, end.kind === 'refused' || (end.kind === 'unserved' && end.cause === 'no-connection'));
-		}
+	}
 
-		if (mayComeBack && end.kind === 'refused') {
-			comeBack(Math.min(end.retryAfterMilliseconds, (arrival.at + route.deadlineMilliseconds - this.#clock.now()) / 3));
-		} else {
-			this.#tally.note(arrival, arrival.at, end.kind === 'refused' ? {kind: 'unserved', cause: 'refused'} : end);
+	async #forward({id}: proxy.Target, request: Pick<SendingPlan, 'arrival' | 'deadlineAt'>): Promise<SendingEnd | 'shed' | 'unreachable'> {
+		const entry = this.#fleet.findForwardingTarget(id);
+		const routed = entry?.route({...createCallerRequest(request.arrival, request.deadlineAt - this.#clock.now()), isForwarded: true});
+		if (entry === undefined || routed === undefined) {
+			return 'unreachable';
 		}
+
+		return 'service' in routed ? this.#serve(entry, {...request, port: routed.service}) : 'shed';
+	}
+
+	#isPathBad(entry: string, upstream: string): boolean {
+		return this.#badPaths.some(({until, entries, backends}) => this.#clock.now() < until && entries.has(entry) && backends.has(upstream));
 	}
 
 	#getPort(route: fleet.Router, arrival: Arrival, remaining: number): proxy.ServicePort {
@@ -280,20 +299,28 @@
 			return createOracle(this.#backends, arrival);
 		}
 
-		const routed = route({
-			host: 'lab', path: `/${arrival.route.name}/${arrival.service}`, method: 'GET', timeoutMilliseconds: remaining, key: arrival.organisation,
-		} as proxy.CallerRequest);
+		const routed = route(createCallerRequest(arrival, remaining));
 		utils.invariant('service' in routed, 'a scenario has a route for each of its requests');
 		return routed.service;
 	}
 }
 
+function createCallerRequest({route, service, organisation}: Arrival, timeoutMilliseconds: number): proxy.CallerRequest {
+	const path = `/${route.name}/${service}`;
+	return {
+		host: 'lab', path, requestTarget: path, method: 'GET', timeoutMilliseconds, key: organisation, organisation: '', hasBody: false, isForwarded: false,
+	};
+}
+
 type Field = {
 	readonly darken: (which: 'first' | 'all', milliseconds: number) => void;
 	readonly freeze: (milliseconds: number) => void;
 	readonly cutOff: (share: number, milliseconds: number) => void;
 	readonly restart: (milliseconds: number) => void;
-	readonly spoilPaths: (share: number, milliseconds: number) => void;
+	/**
+	@param share Part of the entry hosts that lose paths, and of the upstreams that they lose them to if no other part is given.
+	*/
+	readonly spoilPaths: (share: number, milliseconds: number, upstreamShare?: number) => void;
 	readonly drain: (share: number, isReplaced: boolean) => void;
 };
 
@@ -318,6 +345,9 @@
 	paths(field, {share, forSeconds}) {
 		field.spoilPaths(share, forSeconds * MILLISECONDS);
 	},
+	unreached(field, {share, forSeconds}) {
+		field.spoilPaths(share, forSeconds * MILLISECONDS, 1);
+	},
 	'scale-in'(field, {share}) {
 		field.drain(share, false);
 	},
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -2,7 +2,7 @@
 The hosts of a fleet in virtual time: the real asking, routing and dispatching over virtual links.
 */
 import type * as allotments from 'wagtailroute-allotments';
-import type * as core from 'wagtailroute-core';
+import * as core from 'wagtailroute-core';
 import type * as dispatch from 'wagtailroute-dispatch';
 import * as fleet from 'wagtailroute-fleet';
 import * as generations from 'wagtailroute-generations';
@@ -39,6 +39,10 @@
 	*/
 	readonly find: (arrival: Arrival) => EntryHost | undefined;
 	/**
+	Returns the entry host to which another one forwards a request; undefined while it does not run.
+	*/
+	readonly findForwardingTarget: (target: string) => EntryHost | undefined;
+	/**
 	The upstreams of a service have changed.
 	*/
 	readonly refresh: (service: core.ServiceName) => void;
@@ -67,6 +71,10 @@
 	readonly variant: Variant;
 	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
 	readonly onSuspended: (upstream: core.UpstreamId) => void;
+	/**
+	Returns whether an entry host has lost its path to an upstream.
+	*/
+	readonly isPathBad: (entry: core.HostId, upstream: core.UpstreamId) => boolean;
 };
 
 /**
@@ -118,6 +126,13 @@
 const DIAL_MILLISECONDS = 10;
 const MILLISECONDS_PER_SECOND = 1000;
 
+/**
+Milliseconds that a health check takes, and after which it counts as unanswered.
+*/
+const PROBE_MILLISECONDS = 25;
+const PROBE_TIMEOUT_MILLISECONDS = 400;
+const FORWARDING_PORT = 1;
+
 /**
 Milliseconds of silence after which a link is closed.
 */
@@ -154,6 +169,10 @@
 		return near[Math.floor(entry * Math.min(fleet.MIN_DIRECTORY_ADDRESSES, near.length))];
 	}
 
+	findForwardingTarget(target: string): EntryHost | undefined {
+		return this.#entries.find(({id, endpoint}) => endpoint.state === 'up' && core.formatAddress(createForwardingAddress(id)) === target);
+	}
+
 	refresh(service: core.ServiceName): void {
 		for (const {dispatching} of this.#controls) {
 			dispatching.refreshCandidates(service);
@@ -530,13 +549,30 @@
 					listCandidates,
 				},
 				dispatchClient: asking,
-				reach: {isIsolated: () => false, recordAnswer: () => undefined, confirm: async () => true},
-				forwardingTargets: {choose: () => undefined, recordEnding: () => undefined},
+				reach: this.#createReach(context, id),
+				forwardingTargets: fleet.createForwardingTargets(context, () => this.#entries.filter(other => other.id !== id).map(other => createForwardingAddress(other.id))),
 			}),
 		};
 		return entry;
 	}
 
+	#createReach(context: fleet.FleetContext, id: core.HostId): ReturnType<typeof fleet.createUpstreamReach> {
+		const {clock, scenario, listCandidates, isPathBad} = this.#plan;
+		return fleet.createUpstreamReach(context, {
+			listInstances: () => scenario.services.flatMap(({name}) => listCandidates(name).map(candidate => ({
+				...candidate, service: name, sequence: 1, state: 'serving' as const, heardAt: 0,
+			}))),
+			async probe({upstream}) {
+				const isBad = isPathBad(id, upstream);
+				await new Promise<void>(resolve => {
+					clock.schedule(isBad ? PROBE_TIMEOUT_MILLISECONDS : PROBE_MILLISECONDS, resolve);
+				});
+				return isBad ? 'silent' : 'answered';
+			},
+			onChanged: () => undefined,
+		});
+	}
+
 	#openStandbys(entry: Entry): void {
 		if (entry.standbys.length > 0) {
 			return;
@@ -556,6 +592,10 @@
 	}
 }
 
+function createForwardingAddress(id: core.HostId): core.Address {
+	return {ip: id, port: FORWARDING_PORT};
+}
+
 function notifyAll(hosts: readonly fleet.LinkedHost[], {method, parameters}: Message): void {
 	for (const {link: over} of hosts) {
 		over.notify(method, parameters);
--- a/packages/wagtailroute-lab/src/scenario.ts
+++ b/packages/wagtailroute-lab/src/scenario.ts
@@ -136,7 +136,7 @@
 });
 
 const faultSchema = zod.strictObject({
-	kind: zod.enum(['burst', 'control-away', 'control-frozen', 'controls-away', 'entries-cut', 'restart', 'paths', 'scale-in', 'release']),
+	kind: zod.enum(['burst', 'control-away', 'control-frozen', 'controls-away', 'entries-cut', 'restart', 'paths', 'unreached', 'scale-in', 'release']),
 	atSeconds: seconds,
 	forSeconds: seconds.default(0),
 	/**
--- a/packages/wagtailroute-lab/src/sending.ts
+++ b/packages/wagtailroute-lab/src/sending.ts
@@ -34,6 +34,10 @@
 	readonly findBackend: (id: core.UpstreamId) => Backend | undefined;
 	readonly isPathBad: (backend: Backend) => boolean;
 	/**
+	Has another entry host serve the request. Resolves with `shed` if that one reaches no upstream either, and with `unreachable` if it does not run.
+	*/
+	readonly forward: (target: proxy.Target) => Promise<SendingEnd | 'shed' | 'unreachable'>;
+	/**
 	A request is on its way to an upstream, the first or another one.
 	*/
 	readonly onSent: (upstream: core.UpstreamId, isResend: boolean) => void;
@@ -114,6 +118,16 @@
 					: {kind: 'unserved', cause: 'hung'};
 			}
 
+			if (target.kind === 'host') {
+				// eslint-disable-next-line no-await-in-loop -- See above.
+				const forwarded = await this.#forward(target);
+				if (forwarded !== undefined) {
+					return forwarded;
+				}
+
+				continue;
+			}
+
 			// eslint-disable-next-line no-await-in-loop -- See above.
 			const end = await this.#attempt(target);
 			if (end === 'success') {
@@ -182,6 +196,27 @@
 		return result;
 	}
 
+	/**
+	Returns undefined where another host may be asked.
+	*/
+	async #forward(target: proxy.Target): Promise<SendingEnd | undefined> {
+		const {clock, port, forward} = this.#plan;
+		const startedAt = clock.now();
+		this.#tried.add(target.id);
+		this.#count++;
+		const end = await forward(target);
+		const isTaken = end !== 'shed' && end !== 'unreachable';
+		const untaken: proxy.AttemptEnding = end === 'shed' ? 'shed' : 'connect-error';
+		port.end({
+			target, ending: isTaken ? 'success' : untaken, latencyMilliseconds: clock.now() - startedAt, fingerprint: '', hasCrashed: false,
+		});
+		if (isTaken) {
+			return end;
+		}
+
+		return this.#count < (port.limits.attempts ?? 1) ? undefined : {kind: 'refused', retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS};
+	}
+
 	async #attempt(target: proxy.Target): Promise<AttemptEnd> {
 		const {clock, arrival, host, port, findBackend, getWay, isPathBad, onSent, ended} = this.#plan;
 		const backend = findBackend(target.id);
