Fleet: a request that was forwarded in vain is tried on the host's own paths, and counts as a resend where it was sent before

The stand-ins had taken the processors (below), and all entry hosts considered themselves isolated: each refused what the others forwarded.

- Three hosts that are isolated too mean a common cause: the request is tried on the host's own paths, within its attempts.
- A request that hangs on a path of its own may move to another host.
- A request that its first host may have sent (`Wagtailroute-Retry`, set towards another host only if an attempt may have run) gets one attempt there, and is counted as a resend; it is not moved.

--- a/packages/wagtailroute-fleet/src/forwarding.ts
+++ b/packages/wagtailroute-fleet/src/forwarding.ts
@@ -1,5 +1,5 @@
 /**
-Forwards the requests of a host that reaches no upstream to other entry hosts.
+Forwards the requests of a host that reaches no upstream to other entry hosts. Where these reach none either, the cause is not this host's paths, and it tries them.
 
 The other host does what it does for its own callers: it identifies the caller, checks the quarantine, asks for slots, makes all attempts within the deadline passed on,
 and counts them against the budgets. So each of these is still counted once, in one place. A forwarded request is never forwarded again.
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -47,6 +47,10 @@
 	Another entry host forwarded the request.
 	*/
 	readonly isForwarded: boolean;
+	/**
+	The host that forwarded the request may have sent it to an upstream before.
+	*/
+	readonly isSentBefore: boolean;
 };
 
 /**
@@ -73,7 +77,7 @@
 	const callerDeadlines = createCallerDeadlines();
 
 	return ({
-		host, path, method, timeoutMilliseconds, key, isForwarded,
+		host, path, method, timeoutMilliseconds, key, isForwarded, tierRetry,
 	}) => {
 		const generation = fleetView.getGeneration();
 		if (generation === undefined) {
@@ -96,7 +100,13 @@
 
 		const service = fleetView.findService(chooseService(route))!;
 		const routeContext: RouteContext = {
-			route, service, bodyBytes: generation.limits.bodyBytes, waitedMilliseconds: callerDeadlines.estimateWaited(route, timeoutMilliseconds), caller, isForwarded,
+			route,
+			service,
+			bodyBytes: generation.limits.bodyBytes,
+			waitedMilliseconds: callerDeadlines.estimateWaited(route, timeoutMilliseconds),
+			caller,
+			isForwarded,
+			isSentBefore: tierRetry !== undefined,
 		};
 		return {
 			match: {service: service.name, route: {class: route.class}},
@@ -134,17 +144,26 @@
 	const grantedIds = new Map<proxy.Target, dispatch.SlotRequestId>();
 	const forwarder = createForwarder(options, isForwarded);
 
+	/**
+	Attempts of the request that this host has sent to upstreams, or is about to.
+	*/
+	let ownAttempts = 0;
+	const chooseForwardingTarget = (choice: proxy.ChoiceRequest) => reach.isIsolated() ? forwarder.choose(choice) : undefined;
+	const mayAttempt = ({isMove}: proxy.ChoiceRequest) => ownAttempts < route.attempts && !forwarder.isTaken() && !(isMove && forwarder.hasForwarded());
+
 	const requestSlot = async (pending: SlotRequestHandle, choice: proxy.ChoiceRequest): Promise<proxy.Target | proxy.RequestFailure> => {
 		const answer = await pending.answer;
 		if (answer.kind === 'refuse') {
 			return REFUSALS[answer.reason](answer.retryAfterMilliseconds);
 		}
 
-		if (reach.isIsolated()) {
+		const forwardingTarget = chooseForwardingTarget(choice);
+		if (forwardingTarget !== undefined || (isForwarded && reach.isIsolated())) {
 			dispatchClient.reportEnd(answer.id, 'unused', 0);
-			return forwarder.choose(choice) ?? HOST_ISOLATED;
+			return forwardingTarget ?? HOST_ISOLATED;
 		}
 
+		ownAttempts++;
 		const target: proxy.Target = {id: answer.upstream, address: answer.address, kind: 'upstream'};
 		grantedIds.set(target, answer.id);
 		context.logs('dispatch').debug('A slot was granted for an attempt.', {request: choice.requestId, ask: answer.id, upstream: answer.upstream});
@@ -164,22 +183,22 @@
 			timeoutMilliseconds: route.timeoutMilliseconds,
 			bodyBytes,
 			connectionsPerUpstream: service.connectionsPerUpstream,
-			attempts: reach.isIsolated() ? MAX_FORWARDS : route.attempts,
+			attempts: reach.isIsolated() ? MAX_FORWARDS + route.attempts : route.attempts,
 		},
 		isCarried: !reach.isIsolated(),
 		admit: () => undefined,
 		release: () => undefined,
 		choose(choice) {
-			if (reach.isIsolated()) {
-				return forwarder.choose(choice);
+			const forwardingTarget = chooseForwardingTarget(choice);
+			if (forwardingTarget !== undefined || !mayAttempt(choice)) {
+				return forwardingTarget;
 			}
 
 			const handle = dispatchClient.requestSlot(createDraft(routeContext, choice));
 			return {cancel: handle.cancel, result: requestSlot(handle, choice)};
 		},
-		hasOtherTarget: choice => reach.isIsolated()
-			? forwarder.choose(choice) !== undefined
-			: fleetView.listCandidates(service.name).some(({upstream, isDraining}) => !choice.excluded.has(upstream) && !isDraining && !dispatchClient.isClosed(upstream)),
+		hasOtherTarget: choice => (reach.isIsolated() && forwarder.canChoose(choice))
+			|| (mayAttempt(choice) && fleetView.listCandidates(service.name).some(({upstream, isDraining}) => !choice.excluded.has(upstream) && !isDraining && !dispatchClient.isClosed(upstream))),
 		begin: () => undefined,
 		recordAdvertisements(target, advertisements) {
 			const id = grantedIds.get(target);
@@ -219,16 +238,35 @@
 
 type Forwarder = Pick<ForwardingTargets, 'recordEnding'> & {
 	/**
-	Returns the host to which the next attempt goes; undefined when there is none, or when the request may have been sent to an upstream by another one: that one has made
-	all attempts that the request may have.
+	Returns the host to which the next attempt goes; undefined when there is none, when several hosts have not taken the request, or when one may have: that one has made all
+	attempts that the request may have.
 	*/
 	readonly choose: (choice: proxy.ChoiceRequest) => proxy.Target | undefined;
+	readonly canChoose: (choice: proxy.ChoiceRequest) => boolean;
+	/**
+	Returns whether another host may have sent the request to an upstream.
+	*/
+	readonly isTaken: () => boolean;
+	readonly hasForwarded: () => boolean;
 };
 
 function createForwarder({forwardingTargets}: RouterOptions, isForwarded: boolean): Forwarder {
+	let forwards = 0;
 	let isTaken = false;
+	const find = ({excluded, isMove}: proxy.ChoiceRequest) => {
+		const isAllowed = !isForwarded && !isTaken && forwards < MAX_FORWARDS && !(isMove && forwards > 0);
+		return isAllowed ? forwardingTargets.choose(excluded) : undefined;
+	};
+
 	return {
-		choose: ({excluded, isMove}) => isForwarded || isTaken || isMove ? undefined : forwardingTargets.choose(excluded),
+		choose(choice) {
+			const target = find(choice);
+			forwards += target === undefined ? 0 : 1;
+			return target;
+		},
+		canChoose: choice => find(choice) !== undefined,
+		isTaken: () => isTaken,
+		hasForwarded: () => forwards > 0,
 		recordEnding(target, ending) {
 			isTaken ||= !NOT_TAKEN_ENDINGS.has(ending);
 			forwardingTargets.recordEnding(target, ending);
@@ -236,7 +274,12 @@
 	};
 }
 
-function createDraft({route, service, waitedMilliseconds, caller: {organisation, priority}}: RouteContext, choice: proxy.ChoiceRequest): SlotRequestDraft {
+function createDraft(
+	{
+		route, service, waitedMilliseconds, isSentBefore, caller: {organisation, priority},
+	}: RouteContext,
+	choice: proxy.ChoiceRequest,
+): SlotRequestDraft {
 	return {
 		service: service.name,
 		route: route.name,
@@ -247,7 +290,7 @@
 		remainingMilliseconds: choice.remainingMilliseconds,
 		objectiveMilliseconds: route.objectiveMilliseconds,
 		excluded: [...choice.excluded],
-		isResend: choice.isResend,
+		isResend: choice.isResend || isSentBefore,
 		isMove: choice.isMove,
 		waitedMilliseconds: waitedMilliseconds + choice.waitedMilliseconds,
 	};
--- a/packages/wagtailroute-proxy/src/request-sender.ts
+++ b/packages/wagtailroute-proxy/src/request-sender.ts
@@ -324,7 +324,7 @@
 				contentLength: bodies.getContentLength(body, request),
 				organisation,
 				forwardedBy: target.kind === 'host' ? hostId : undefined,
-				retry: this.#attemptCount > 1 ? String(this.#attemptCount - 1) : request.tierRetry,
+				retry: this.#isResendTo(target) ? String(this.#attemptCount - 1) : request.tierRetry,
 			}),
 			body: bodies.getSendableBody(body, pacers?.sending),
 			response,
@@ -335,6 +335,13 @@
 		};
 	}
 
+	/**
+	Returns whether the target must count the request as sent before. Another host that did not take it has not sent it to an upstream.
+	*/
+	#isResendTo({kind}: ports.Target): boolean {
+		return kind === 'host' ? this.outcome !== 'not-run' : this.#attemptCount > 1;
+	}
+
 	/**
 	Decides what is done with an answer when its header section has arrived. A relayed answer rules out further attempts.
 	*/
--- a/packages/wagtailroute-proxy/src/targets.ts
+++ b/packages/wagtailroute-proxy/src/targets.ts
@@ -122,11 +122,13 @@
 	the time left suffices for one. Returns undefined for other attempts.
 	*/
 	watch(attempt: Attempt, {count, isReplayable}: MovableAttempt): OverdueWatch | undefined {
-		const {service: {retry, limits, choose}, match} = this.#context;
+		const {service: {retry, limits, choose}, match, request} = this.#context;
 		const overdueMilliseconds = retry.getOverdueMilliseconds?.() ?? Infinity;
 		const isMovable = core.isIdempotent(match.route.class)
 			&& count < (limits.attempts ?? retries.MAX_ATTEMPTS)
 			&& isReplayable
+			// The host that forwarded the request has made an attempt already.
+			&& request.tierRetry === undefined
 			&& overdueMilliseconds + retry.getUsualMilliseconds() < this.#getRemainingMilliseconds();
 		return isMovable
 			? startOverdueWatch({
