Fleet: one check of a host's reach at a time, and a resend counts as one only from another host

Read in the diff: each of several failures that share a check reset its marker, so that a second check could start beside a third; and the header by which a host says that it has sent a request was believed from callers too, who could have spent a service's resends with it. routing.test has the second case, and failed before.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/directory.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/directory.test.ts
@@ -67,6 +67,7 @@
 	const table: DirectoryTable = {
 		addresses: {a: ['10.0.0.0:80'], b: ['10.0.0.1:80']},
 		detours: [{host: 'scans.example', from: 'a', to: 'b'}],
+		forwardingAddresses: [],
 	};
 	t.deepEqual(links.get('a')?.notified, [['fleet.directory', table]]);
 	t.deepEqual(links.get('b')?.notified, []);
--- a/packages/wagtailroute-fleet/src/__tests__/unit/routing.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/routing.test.ts
@@ -163,7 +163,8 @@
 	const fixture = createFixture();
 	await choose(getPort(fixture, {isForwarded: true, tierRetry: '1'}));
 	await choose(getPort(fixture, {isForwarded: true}));
-	t.deepEqual(fixture.drafts.map(({isResend}) => isResend), [true, false]);
+	await choose(getPort(fixture, {tierRetry: '1'}));
+	t.deepEqual(fixture.drafts.map(({isResend}) => isResend), [true, false, false], 'a caller cannot spend resends by the header');
 });
 
 type Report = {
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -106,7 +106,7 @@
 			waitedMilliseconds: callerDeadlines.estimateWaited(route, timeoutMilliseconds),
 			caller,
 			isForwarded,
-			isSentBefore: tierRetry !== undefined,
+			isSentBefore: isForwarded && tierRetry !== undefined,
 		};
 		return {
 			match: {service: service.name, route: {class: route.class}},
--- a/packages/wagtailroute-fleet/src/upstream-reach.ts
+++ b/packages/wagtailroute-fleet/src/upstream-reach.ts
@@ -107,6 +107,18 @@
 		return results.includes('answered') || (results.includes('silent') && answeredAt > startedAt);
 	};
 
+	const startCheck = async (failed: core.UpstreamId): Promise<boolean> => {
+		const isReached = await check(failed);
+		running = undefined;
+		if (isReached) {
+			checkedAt = now();
+		} else {
+			setIsolated(true);
+		}
+
+		return isReached;
+	};
+
 	return {
 		isIsolated: () => isIsolated,
 		recordAnswer() {
@@ -117,16 +129,8 @@
 				return !isIsolated;
 			}
 
-			running ??= check(failed);
-			const isReached = await running;
-			running = undefined;
-			if (isReached) {
-				checkedAt = now();
-			} else {
-				setIsolated(true);
-			}
-
-			return isReached;
+			running ??= startCheck(failed);
+			return running;
 		},
 		teardown() {
 			cancelCheck();
