Fleet: a crash that takes all upstreams down is not taken for lost paths of the hosts

Traced: - Upstreams that have crashed stay on an entry host's list for a minute. Checks of drawn ones met four of them, and the host held itself for isolated. Now it checks those that answered it last. - An isolated host dropped what it had lost. With six upstreams and two attempts a request all are down at once, so that every host is isolated and no crash was counted. Now its losses count as silent ones: the heartbeats that reach the control hosts decide. - The answer of another host counted as a completion of the request, which cleared its crashes. Now only an upstream's does. - An isolated host did not look at the quarantine, and a request that no host took went out on its own paths.

Tests of each but the third in crash-guard.test, upstream-reach.test, routing.test.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/crash-guard.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/crash-guard.test.ts
@@ -372,6 +372,27 @@
 	});
 }
 
+for (const result of ['gone', 'closed'] as const) {
+	test(`a host that reaches no other upstream leaves it to the control hosts whether an upstream whose check is ${result} has crashed`, async t => {
+		// Guards against requests that are blamed for the paths of a host, and against crashes that are forgotten when they take all upstreams down.
+		const context = createFakeContext();
+		const methods: string[] = [];
+		const {guard, listRecords} = createEntryCrashGuard(context, {
+			...SOUND,
+			isRefusing: async () => true,
+			probe: async () => result,
+			confirmReach: async () => false,
+			notifyControlHosts(method) {
+				methods.push(method);
+			},
+		});
+		t.false(await guard.detectCrash(LOST));
+		await context.pass(1000);
+		t.deepEqual(listRecords(), []);
+		t.deepEqual([...new Set(methods)], [METHODS.losses]);
+	});
+}
+
 test('an unanswered attempt is looked into, and ends when its upstream has crashed', async t => {
 	const context = createFakeContext();
 	let isGone = false;
--- a/packages/wagtailroute-fleet/src/__tests__/unit/routing.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/routing.test.ts
@@ -137,6 +137,11 @@
 	t.is((await choose(port, {isMove: true}) as proxy.Target).kind, 'host');
 });
 
+test('the quarantine applies to requests that an isolated host forwards', t => {
+	// Guards against a request that crashes upstreams and reaches them through a host that found no other to forward it to.
+	t.true(getPort(createFixture({isIsolated: true})).isCarried);
+});
+
 test('an isolated host refuses requests that were forwarded to it', t => {
 	const routed = createFixture({isIsolated: true}).route({isForwarded: true});
 	t.is('kind' in routed && routed.kind, 'host-isolated');
--- a/packages/wagtailroute-fleet/src/__tests__/unit/upstream-reach.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/upstream-reach.test.ts
@@ -105,7 +105,7 @@
 
 		reach.context.schedule(CHECK_MILLISECONDS / 2, () => {
 			if (isAnswered) {
-				reach.recordAnswer();
+				reach.recordAnswer('f');
 			}
 		});
 		t.is(await confirm(reach), isReached);
@@ -126,6 +126,20 @@
 	t.deepEqual(reach.changes, [true, false]);
 });
 
+test('a host checks the upstreams that answered last, not those that have ended', async t => {
+	// Guards against a host that holds itself for isolated because most of the upstreams that it knows have crashed.
+	const ended = Array.from({length: 40}, (_, index) => `ended-${index}`);
+	const reach = createReach([...ended, 'a', 'b', 'c']);
+	setAll(reach, 'gone');
+	for (const upstream of ['a', 'b', 'c']) {
+		reach.results.set(upstream, 'answered');
+		reach.recordAnswer(upstream);
+	}
+
+	t.true(await confirm(reach, 'ended-0'));
+	t.deepEqual(reach.probed, ['c']);
+});
+
 test('failures in quick succession share one check', async t => {
 	const reach = createReach(UPSTREAMS);
 	const confirmed = ['a', 'b', 'c'].map(async upstream => reach.confirm(upstream));
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -509,6 +509,11 @@
 export const FIRST_REACH_CHECKS = 1;
 export const FURTHER_REACH_CHECKS = 3;
 
+/**
+Upstreams that are remembered as having answered last.
+*/
+export const MAX_ANSWERING = 8;
+
 /**
 Smallest number of upstreams, beside the one that failed, without an answer of which a host considers itself isolated.
 */
--- a/packages/wagtailroute-fleet/src/crash-inquiries.ts
+++ b/packages/wagtailroute-fleet/src/crash-inquiries.ts
@@ -104,19 +104,21 @@
 		}
 
 		inquiry.lastProbeAt = now();
-		const result = options.isReplaced(first.upstream) ? 'gone' : await options.probe(first);
-		const isReached = result === 'answered' || await options.confirmReach(first.upstream);
+		const result = options.isReplaced(first.upstream) ? 'gone' : await check(first);
 		inquiry.isScheduled = false;
-		if (!isReached) {
-			// What a host without paths to any upstream sees says nothing about this one.
-			inquiry.losses.clear();
-			return;
-		}
-
 		inquiry.closedProbes = result === 'closed' ? inquiry.closedProbes + 1 : 0;
 		schedule(inquiry, resultHandlers[result](inquiry, checked));
 	};
 
+	/**
+	A host that reaches no other upstream cannot tell a crash from a fault of its own paths. To it the upstream is silent, so that its heartbeats decide.
+	*/
+	const check = async (loss: Loss): Promise<proxy.ProbeResult> => {
+		const result = await options.probe(loss);
+		const isConclusive = result === 'answered' || result === 'silent' || await options.confirmReach(loss.upstream);
+		return isConclusive ? result : 'silent';
+	};
+
 	const listUndecided = ({losses}: Inquiry): readonly Loss[] => {
 		for (const [fingerprint, {lostAt}] of losses) {
 			if (now() - lostAt > UNDECIDED_LOSS_MILLISECONDS) {
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -185,7 +185,8 @@
 			connectionsPerUpstream: service.connectionsPerUpstream,
 			attempts: reach.isIsolated() ? MAX_FORWARDS + route.attempts : route.attempts,
 		},
-		isCarried: !reach.isIsolated(),
+		// A request that is forwarded may come back to this host's own paths, so the quarantine applies here too.
+		isCarried: true,
 		admit: () => undefined,
 		release: () => undefined,
 		choose(choice) {
@@ -214,7 +215,7 @@
 			}
 
 			if (ANSWERED_ENDINGS.has(ending)) {
-				reach.recordAnswer();
+				reach.recordAnswer(target.id);
 			}
 
 			if (ending === 'success') {
--- a/packages/wagtailroute-fleet/src/upstream-reach.ts
+++ b/packages/wagtailroute-fleet/src/upstream-reach.ts
@@ -13,6 +13,7 @@
 	FURTHER_REACH_CHECKS,
 	ISOLATION_CHECK_INTERVAL_MILLISECONDS,
 	ISOLATION_CHECKS,
+	MAX_ANSWERING,
 	MIN_UNREACHED_UPSTREAMS,
 	REACHED_MILLISECONDS,
 } from './constants.ts';
@@ -29,7 +30,7 @@
 	/**
 	Records that an upstream has answered a request, in whatever way.
 	*/
-	readonly recordAnswer: () => void;
+	readonly recordAnswer: (upstream: core.UpstreamId) => void;
 	/**
 	Resolves with whether this host reaches other upstreams than the one that failed: at once after a recent check, otherwise after health checks.
 	*/
@@ -56,6 +57,10 @@
 	const {now, random} = context;
 	const log = context.logs('reach');
 	let isIsolated = false;
+	/**
+	Upstreams that have answered, the latest last.
+	*/
+	const answering = new Map<core.UpstreamId, true>();
 	let answeredAt = -Infinity;
 	let checkedAt = -Infinity;
 	let running: Promise<boolean> | undefined;
@@ -74,6 +79,16 @@
 		}
 	};
 
+	/**
+	Lists the upstreams to check, those that answered last first: others may have ended long before they are removed from the list.
+	*/
+	const listChecked = (failed?: core.UpstreamId): readonly instances.Instance[] => {
+		const others = utils.shuffle(random, options.listInstances().filter(({upstream}) => upstream !== failed));
+		const byId = new Map(others.map(instance => [instance.upstream, instance]));
+		const latest = answering.keys().toArray().toReversed().map(upstream => byId.get(upstream)).filter(instance => instance !== undefined);
+		return [...new Set([...latest, ...others])];
+	};
+
 	const probeAll = async (checked: readonly instances.Instance[]) => Promise.all(checked.map(async instance => options.probe(instance)));
 
 	const scheduleCheck = () => {
@@ -83,8 +98,7 @@
 	};
 
 	const checkIsolation = async () => {
-		const checked = utils.shuffle(random, options.listInstances()).slice(0, ISOLATION_CHECKS);
-		const results = await probeAll(checked);
+		const results = await probeAll(utils.shuffle(random, listChecked().slice(0, MAX_ANSWERING)).slice(0, ISOLATION_CHECKS));
 		if (results.every(result => result === 'answered')) {
 			setIsolated(false);
 		} else if (isIsolated) {
@@ -94,7 +108,7 @@
 
 	const check = async (failed: core.UpstreamId): Promise<boolean> => {
 		const startedAt = now();
-		const others = utils.shuffle(random, options.listInstances().filter(({upstream}) => upstream !== failed));
+		const others = listChecked(failed);
 		const first = others.slice(0, FIRST_REACH_CHECKS);
 		const further = others.slice(FIRST_REACH_CHECKS, FIRST_REACH_CHECKS + FURTHER_REACH_CHECKS);
 		const results = others.length < MIN_UNREACHED_UPSTREAMS ? ['answered'] : await probeAll(first);
@@ -121,7 +135,8 @@
 
 	return {
 		isIsolated: () => isIsolated,
-		recordAnswer() {
+		recordAnswer(upstream) {
+			utils.setBounded(answering, upstream, true, MAX_ANSWERING);
 			answeredAt = now();
 		},
 		async confirm(failed) {
--- a/packages/wagtailroute-proxy/src/request-sender.ts
+++ b/packages/wagtailroute-proxy/src/request-sender.ts
@@ -200,7 +200,7 @@
 			: {result: expired, hasCrashed: false};
 		this.lastResult = result;
 		this.#hasBeenSent ||= result.kind !== 'not-sent';
-		this.#recordSurvival(result, trial);
+		this.#recordSurvival(target, result, trial);
 		if (result.kind === 'relayed') {
 			return {};
 		}
@@ -235,10 +235,13 @@
 		})) ?? false;
 	}
 
-	#recordSurvival(result: attempts.AttemptResult, trial: GrantedTrial | undefined): void {
-		const {match, service, ports: {guard}} = this.#context;
+	/**
+	The answer of another host may be its refusal, and it records the survival itself.
+	*/
+	#recordSurvival({kind}: ports.Target, result: attempts.AttemptResult, trial: GrantedTrial | undefined): void {
+		const {match, ports: {guard}} = this.#context;
 		const ending = endings.getTrialEnding(result);
-		if (ending === 'completed' && service.isCarried) {
+		if (ending === 'completed' && kind === 'upstream') {
 			guard.recordSurvival(match.service, this.fingerprint);
 		}
 
