--- a/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
@@ -63,6 +63,10 @@
 	readonly releases: proxy.AdmissionRelease[];
 	readonly lostAttempts: proxy.LostAttempt[];
 	readonly trialEndings: proxy.TrialEnding[];
+	/**
+	Fingerprints of the requests that an upstream has answered without crashing.
+	*/
+	readonly survivals: string[];
 };
 
 /**
@@ -116,6 +120,7 @@
 	const releases: proxy.AdmissionRelease[] = [];
 	const lostAttempts: proxy.LostAttempt[] = [];
 	const trialEndings: proxy.TrialEnding[] = [];
+	const survivals: string[] = [];
 	const table = catalogue.createRouteTable([ENTRY]);
 	const service: proxy.ServicePort = {
 		limits: ENTRY.limits,
@@ -168,7 +173,9 @@
 				lostAttempts.push(attempt);
 				return setup.hasCrashed === true;
 			},
-			recordSurvival: () => undefined,
+			recordSurvival(_service, fingerprint) {
+				survivals.push(fingerprint);
+			},
 		},
 		random: () => 0,
 		answerReserved(_message, response) {
@@ -189,6 +196,7 @@
 		releases,
 		lostAttempts,
 		trialEndings,
+		survivals,
 	};
 }
 
--- a/packages/wagtailroute-proxy/src/__tests__/unit/waiting.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/waiting.test.ts
@@ -183,3 +183,12 @@
 	const {choosingMilliseconds, milliseconds} = fixture.requestReports[0]!;
 	t.true(choosingMilliseconds > 0 && choosingMilliseconds <= milliseconds);
 });
+
+for (const {isForwarding, survivals} of [{isForwarding: false, survivals: 1}, {isForwarding: true, survivals: 0}]) {
+	test(`an answer of ${isForwarding ? 'another host' : 'a backend server'} shows ${survivals} survivals`, async t => {
+		// Guards against crash records that are cleared because another host answered that it refuses the request.
+		const fixture = await openFixture(t, {faults: [[]], isForwarding});
+		t.is((await send(fixture, '/x')).status, 200);
+		t.is(fixture.survivals.length, survivals);
+	});
+}
