Fleet: a host with an older catalogue takes no forwarded request, and an isolated host comes back sooner

It was cut off from the upstreams and forwarded the request to a host with an older catalogue. Now the version goes with the request, and a host with an older one refuses it so that the next is asked; the failure is `forwarding-refused`, as for a host that is isolated.

An isolated host waited for the slowest of its checks, drew them from upstreams that may all have ended, and needed two answers. Now it checks two that answered last and the two newest each 0.25 s, and the first answer ends it.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/routing.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/routing.test.ts
@@ -144,9 +144,21 @@
 
 test('an isolated host refuses requests that were forwarded to it', t => {
 	const routed = createFixture({isIsolated: true}).route({isForwarded: true});
-	t.is('kind' in routed && routed.kind, 'host-isolated');
+	t.is('kind' in routed && routed.kind, 'forwarding-refused');
 });
 
+for (const {name, catalogueVersion, isTaken} of [
+	{name: 'an older catalogue', catalogueVersion: 2, isTaken: false},
+	{name: 'the same catalogue', catalogueVersion: 1, isTaken: true},
+	{name: 'a newer catalogue', catalogueVersion: 0, isTaken: true},
+]) {
+	test(`a host with ${name} ${isTaken ? 'takes' : 'does not take'} a forwarded request`, t => {
+		// Guards against callers that meet an older catalogue at a host that has had the newer one in force.
+		const routed = createFixture().route({isForwarded: true, catalogueVersion});
+		t.is('service' in routed, isTaken);
+	});
+}
+
 test('a request whose host becomes isolated while it waits for a slot gives the slot back and is forwarded', async t => {
 	const fixture = createFixture();
 	const port = getPort(fixture);
@@ -161,7 +173,7 @@
 	const port = getPort(fixture, {isForwarded: true});
 	const chosen = choose(port);
 	fixture.state.isIsolated = true;
-	t.like(await chosen, {kind: 'host-isolated'});
+	t.like(await chosen, {kind: 'forwarding-refused'});
 });
 
 test('a request that was sent by the host that forwarded it counts as a resend', async t => {
--- a/packages/wagtailroute-fleet/src/__tests__/unit/upstream-reach.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/upstream-reach.test.ts
@@ -114,17 +114,30 @@
 	});
 }
 
-test('a host that is isolated uses its paths again when two upstreams answer', async t => {
-	const reach = createReach(UPSTREAMS);
-	setAll(reach, 'silent');
-	await confirm(reach);
-	await reach.context.pass(3000);
-	t.true(reach.isIsolated());
-	setAll(reach, 'answered');
-	await reach.context.pass(1000);
-	t.false(reach.isIsolated());
-	t.deepEqual(reach.changes, [true, false]);
-});
+for (const {name, answering} of [
+	{name: 'when its upstreams answer again', answering: UPSTREAMS},
+	{name: 'when a new upstream answers though the others have ended', answering: ['f']},
+]) {
+	test(`a host that is isolated uses its paths again ${name}`, async t => {
+		const reach = createReach(UPSTREAMS);
+		for (const upstream of ['a', 'b', 'c', 'd']) {
+			reach.recordAnswer(upstream);
+		}
+
+		await reach.context.pass(1);
+		setAll(reach, 'silent');
+		await confirm(reach);
+		await reach.context.pass(3000);
+		t.true(reach.isIsolated());
+		for (const upstream of answering) {
+			reach.results.set(upstream, 'answered');
+		}
+
+		await reach.context.pass(1000);
+		t.false(reach.isIsolated());
+		t.deepEqual(reach.changes, [true, false]);
+	});
+}
 
 test('a host checks the upstreams that answered last, not those that have ended', async t => {
 	// Guards against a host that holds itself for isolated because most of the upstreams that it knows have crashed.
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -520,9 +520,9 @@
 export const MIN_UNREACHED_UPSTREAMS = 2;
 
 /**
-Milliseconds between two checks of a host that is isolated, and the upstreams that must all answer for it to use its own paths again.
+Milliseconds between two checks of a host that is isolated, and the upstreams that it checks of those that answered last and of the newest ones.
 */
-export const ISOLATION_CHECK_INTERVAL_MILLISECONDS = 500;
+export const ISOLATION_CHECK_INTERVAL_MILLISECONDS = 250;
 export const ISOLATION_CHECKS = 2;
 
 /**
--- a/packages/wagtailroute-fleet/src/forwarding.ts
+++ b/packages/wagtailroute-fleet/src/forwarding.ts
@@ -25,9 +25,10 @@
 };
 
 /**
-Failure of a request at a host that reaches no upstream and may not forward it.
+Failures of forwarded requests that a host does not take, so that another one may be asked.
 */
-export const HOST_ISOLATED = proxy.createRequestFailure('host-isolated', 'This host reaches no backend server.');
+export const HOST_ISOLATED = proxy.createRequestFailure('forwarding-refused', 'This host reaches no backend server.');
+export const HOST_OUTDATED = proxy.createRequestFailure('forwarding-refused', 'This host has an older catalogue than the one that forwarded the request.');
 
 /**
 Endings after which a host is not chosen for a while.
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -14,7 +14,7 @@
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
 import type {FleetView} from './fleet-view.ts';
-import {type ForwardingTargets, HOST_ISOLATED} from './forwarding.ts';
+import {type ForwardingTargets, HOST_ISOLATED, HOST_OUTDATED} from './forwarding.ts';
 import type {UpstreamReach} from './upstream-reach.ts';
 import {createCallerDeadlines} from './caller-deadlines.ts';
 import {createUsualTimes, type UsualTimes} from './usual-times.ts';
@@ -77,9 +77,14 @@
 	const callerDeadlines = createCallerDeadlines();
 
 	return ({
-		host, path, method, timeoutMilliseconds, key, isForwarded, tierRetry,
+		host, path, method, timeoutMilliseconds, key, isForwarded, tierRetry, catalogueVersion = 0,
 	}) => {
 		const generation = fleetView.getGeneration();
+		// With an older catalogue the caller's host would seem to have gone back to it.
+		if (isForwarded && (generation?.version ?? 0) < catalogueVersion) {
+			return HOST_OUTDATED;
+		}
+
 		if (generation === undefined) {
 			return proxy.createRequestFailure('no-upstream', 'This host has no catalogue yet.', NO_GENERATION_RETRY_MILLISECONDS);
 		}
@@ -111,6 +116,7 @@
 		return {
 			match: {service: service.name, route: {class: route.class}},
 			organisation: caller.organisation,
+			catalogueVersion: generation.version,
 			service: createServicePort(context, options, {...routeContext, usualTimes}),
 		};
 	};
--- a/packages/wagtailroute-fleet/src/upstream-reach.ts
+++ b/packages/wagtailroute-fleet/src/upstream-reach.ts
@@ -89,7 +89,23 @@
 		return [...new Set([...latest, ...others])];
 	};
 
-	const probeAll = async (checked: readonly instances.Instance[]) => Promise.all(checked.map(async instance => options.probe(instance)));
+	/**
+	Checks several upstreams at once. Resolves with their results, or with those so far as soon as one has answered.
+	*/
+	const probeUntilAnswer = async (checked: readonly instances.Instance[]): Promise<readonly proxy.ProbeResult[]> => {
+		const results: proxy.ProbeResult[] = [];
+		const {promise, resolve} = Promise.withResolvers<void>();
+		const probe = async (instance: instances.Instance) => {
+			const result = await options.probe(instance);
+			results.push(result);
+			if (result === 'answered') {
+				resolve();
+			}
+		};
+
+		await Promise.race([promise, Promise.all(checked.map(async instance => probe(instance)))]);
+		return [...results];
+	};
 
 	const scheduleCheck = () => {
 		cancelCheck = context.schedule(ISOLATION_CHECK_INTERVAL_MILLISECONDS, () => {
@@ -98,8 +114,11 @@
 	};
 
 	const checkIsolation = async () => {
-		const results = await probeAll(utils.shuffle(random, listChecked().slice(0, MAX_ANSWERING)).slice(0, ISOLATION_CHECKS));
-		if (results.every(result => result === 'answered')) {
+		const latest = utils.shuffle(random, listChecked().slice(0, MAX_ANSWERING)).slice(0, ISOLATION_CHECKS);
+		// Where the upstreams that answered last have ended, others have taken their place.
+		const newest = options.listInstances().slice(-ISOLATION_CHECKS);
+		const results = await probeUntilAnswer([...new Set([...latest, ...newest])]);
+		if (results.length === 0 || results.includes('answered')) {
 			setIsolated(false);
 		} else if (isIsolated) {
 			scheduleCheck();
@@ -111,12 +130,12 @@
 		const others = listChecked(failed);
 		const first = others.slice(0, FIRST_REACH_CHECKS);
 		const further = others.slice(FIRST_REACH_CHECKS, FIRST_REACH_CHECKS + FURTHER_REACH_CHECKS);
-		const results = others.length < MIN_UNREACHED_UPSTREAMS ? ['answered'] : await probeAll(first);
-		if (results.includes('answered')) {
+		if (others.length < MIN_UNREACHED_UPSTREAMS) {
 			return true;
 		}
 
-		results.push(...await probeAll(further));
+		const firstResults = await probeUntilAnswer(first);
+		const results = firstResults.includes('answered') ? firstResults : [...firstResults, ...await probeUntilAnswer(further)];
 		// Upstreams that are too busy for health checks still answer requests. Where new connections are refused, open ones may live on for a while.
 		return results.includes('answered') || (results.includes('silent') && answeredAt > startedAt);
 	};
--- a/packages/wagtailroute-proxy/src/__tests__/unit/waiting.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/waiting.test.ts
@@ -188,7 +188,8 @@
 	test(`an answer of ${isForwarding ? 'another host' : 'a backend server'} shows ${survivals} survivals`, async t => {
 		// Guards against crash records that are cleared because another host answered that it refuses the request.
 		const fixture = await openFixture(t, {faults: [[]], isForwarding});
-		t.is((await send(fixture, '/x')).status, 200);
+		const {status} = await send(fixture, '/x');
+		t.is(status, 200);
 		t.is(fixture.survivals.length, survivals);
 	});
 }
--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -40,6 +40,10 @@
 	See `RoutedRequest`.
 	*/
 	readonly organisation?: core.Organisation;
+	/**
+	See `RoutedRequest`.
+	*/
+	readonly catalogueVersion?: number;
 };
 
 /**
--- a/packages/wagtailroute-proxy/src/headers.ts
+++ b/packages/wagtailroute-proxy/src/headers.ts
@@ -63,6 +63,10 @@
 	*/
 	readonly forwardedBy?: string;
 	/**
+	See `RoutedRequest`.
+	*/
+	readonly catalogueVersion?: number;
+	/**
 	Number of earlier attempts, set on a resend so that the next tier does not retry it.
 	*/
 	readonly retry?: string;
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -205,6 +205,10 @@
 	Organisation that the catalogue assigns to the caller's key; empty on a public route when the request has no known key, absent where the catalogue has no organisations.
 	*/
 	readonly organisation?: core.Organisation;
+	/**
+	Version of the catalogue that the route is from; absent where catalogues have none.
+	*/
+	readonly catalogueVersion?: number;
 };
 
 /**
--- a/packages/wagtailroute-proxy/src/request-sender.ts
+++ b/packages/wagtailroute-proxy/src/request-sender.ts
@@ -36,6 +36,10 @@
 	See `RoutedRequest`.
 	*/
 	readonly organisation?: core.Organisation;
+	/**
+	See `RoutedRequest`.
+	*/
+	readonly catalogueVersion?: number;
 };
 
 /**
@@ -313,7 +317,9 @@
 	}
 
 	#createAttemptOptions(target: ports.Target, onAnswerHeaders: () => void): attempts.AttemptOptions {
-		const {service, request, organisation, message, response, ports: {dialect, hostId, pacers}} = this.#context;
+		const {
+			service, request, organisation, catalogueVersion, message, response, ports: {dialect, hostId, pacers},
+		} = this.#context;
 		const body = this.#body!;
 		const pool = this.#context.connections.getPool(target.address, service.limits.connectionsPerUpstream);
 		return {
@@ -327,6 +333,7 @@
 				contentLength: bodies.getContentLength(body, request),
 				organisation,
 				forwardedBy: target.kind === 'host' ? hostId : undefined,
+				catalogueVersion,
 				retry: this.#isResendTo(target) ? String(this.#attemptCount - 1) : request.tierRetry,
 			}),
 			body: bodies.getSendableBody(body, pacers?.sending),
--- a/packages/wagtailroute-proxy/src/requests.ts
+++ b/packages/wagtailroute-proxy/src/requests.ts
@@ -64,6 +64,10 @@
 	Value of the Wagtailroute-Retry header: number of earlier attempts by another tier; absent for a first attempt.
 	*/
 	readonly tierRetry?: string;
+	/**
+	Version of the catalogue of the host that forwarded the request; absent where hosts do not tell it.
+	*/
+	readonly catalogueVersion?: number | undefined;
 };
 
 const VISIBLE_PATTERN = /^[\u{21}-\u{7E}]+$/v;
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -216,6 +216,7 @@
 		match: routed.match,
 		service: routed.service,
 		organisation: routed.organisation,
+		catalogueVersion: routed.catalogueVersion,
 	});
 	return undefined;
 }
--- a/packages/wagtailroute-retries/src/request-failures.ts
+++ b/packages/wagtailroute-retries/src/request-failures.ts
@@ -120,7 +120,7 @@
 const CONNECTING = {
 	'connect-refused': defineNotRun('connecting', [502, 'connection_refused'], 'The backend server refused the connection', UPSTREAM_FAULT),
 	'connect-timeout': defineNotRun('connecting', [504, 'connection_timeout'], 'The backend server did not accept the connection in time', UPSTREAM_FAULT),
-	'host-isolated': defineNotRun('connecting', [503, 'destination_unavailable'], 'This host reaches no backend server', RETRY_LATER),
+	'forwarding-refused': defineNotRun('connecting', [503, 'destination_unavailable'], 'This host does not take the forwarded request', RETRY_LATER),
 	'connect-unreachable': defineNotRun('connecting', [502, 'destination_ip_unroutable'], 'The backend server can not be reached', UPSTREAM_FAULT),
 } as const;
 
