--- a/packages/wagtailroute-fleet/src/__tests__/unit/routing.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/routing.test.ts
@@ -85,9 +85,9 @@
 	return chosen !== undefined && 'result' in chosen ? chosen.result : chosen;
 }
 
-const end = (port: proxy.ServicePort, target: proxy.Target, ending: proxy.AttemptEnding) => {
+const end = (port: proxy.ServicePort, target: proxy.Target, ending: proxy.AttemptEnding, fingerprint = 'f') => {
 	port.end({
-		target, ending, latencyMilliseconds: 1, fingerprint: '', hasCrashed: false,
+		target, ending, latencyMilliseconds: 1, fingerprint, hasCrashed: false,
 	});
 };
 
@@ -142,6 +142,14 @@
 	t.true(getPort(createFixture({isIsolated: true})).isCarried);
 });
 
+test('a target that is released without an attempt does not count as one', async t => {
+	const port = getPort(createFixture());
+	end(port, await choose(port) as proxy.Target, 'reset');
+	end(port, await choose(port) as proxy.Target, 'cancelled', '');
+	t.is((await choose(port) as proxy.Target).kind, 'upstream');
+	t.is(await choose(port), undefined);
+});
+
 test('an isolated host refuses requests that were forwarded to it', t => {
 	const routed = createFixture({isIsolated: true}).route({isForwarded: true});
 	t.is('kind' in routed && routed.kind, 'forwarding-refused');
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -214,12 +214,14 @@
 			}
 		},
 		end(report) {
-			const {target, ending, latencyMilliseconds} = report;
+			const {target, ending, latencyMilliseconds, fingerprint} = report;
 			if (target.kind === 'host') {
 				forwarder.recordEnding(target, ending);
 				return;
 			}
 
+			// A target that was released without an attempt.
+			ownAttempts -= fingerprint === '' ? 1 : 0;
 			if (ANSWERED_ENDINGS.has(ending)) {
 				reach.recordAnswer(target.id);
 			}
