Fleet: the first failure after an answer counts against its upstream at once

Cause: each failure waited for a health check of another upstream before it was reported, 25 ms in which others are sent into the same failure period.

Now the first failure after an answer, within a second, is reported without waiting, while the check runs; further ones wait for it. A host that loses all its paths reports one failure in place of none.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/upstream-reach.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/upstream-reach.test.ts
@@ -153,6 +153,18 @@
 	t.deepEqual(reach.probed, ['c']);
 });
 
+test('the first failure after an answer counts at once, and further ones after a check', async t => {
+	// Guards against reports of a failure period that come late, since each request waits for a check.
+	const reach = createReach(UPSTREAMS);
+	setAll(reach, 'gone');
+	reach.recordAnswer('b');
+	t.true(await reach.confirm('a'));
+	const second = reach.confirm('c');
+	await reach.context.pass(CHECK_MILLISECONDS * 2);
+	t.false(await second);
+	t.true(reach.isIsolated());
+});
+
 test('failures in quick succession share one check', async t => {
 	const reach = createReach(UPSTREAMS);
 	const confirmed = ['a', 'b', 'c'].map(async upstream => reach.confirm(upstream));
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -503,6 +503,11 @@
 */
 export const REACHED_MILLISECONDS = 300;
 
+/**
+Milliseconds after an answer in which a single failure counts against its upstream at once.
+*/
+export const RECENT_ANSWER_MILLISECONDS = 1000;
+
 /**
 Upstreams that are sent a health check, one and then several at once, before a host considers itself isolated.
 */
--- a/packages/wagtailroute-fleet/src/upstream-reach.ts
+++ b/packages/wagtailroute-fleet/src/upstream-reach.ts
@@ -16,6 +16,7 @@
 	MAX_ANSWERING,
 	MIN_UNREACHED_UPSTREAMS,
 	REACHED_MILLISECONDS,
+	RECENT_ANSWER_MILLISECONDS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
 
@@ -32,7 +33,8 @@
 	*/
 	readonly recordAnswer: (upstream: core.UpstreamId) => void;
 	/**
-	Resolves with whether this host reaches other upstreams than the one that failed: at once after a recent check, otherwise after health checks.
+	Resolves with whether this host reaches other upstreams than the one that failed: at once for the first failure after a recent answer, and after a recent check,
+	otherwise after health checks.
 	*/
 	readonly confirm: (failed: core.UpstreamId) => Promise<boolean>;
 	readonly teardown: utils.Teardown;
@@ -63,6 +65,7 @@
 	const answering = new Map<core.UpstreamId, true>();
 	let answeredAt = -Infinity;
 	let checkedAt = -Infinity;
+	let hasFailedSinceAnswer = false;
 	let running: Promise<boolean> | undefined;
 	let cancelCheck: utils.Teardown = () => undefined;
 
@@ -157,6 +160,7 @@
 		recordAnswer(upstream) {
 			utils.setBounded(answering, upstream, true, MAX_ANSWERING);
 			answeredAt = now();
+			hasFailedSinceAnswer = false;
 		},
 		async confirm(failed) {
 			if (isIsolated || now() - checkedAt < REACHED_MILLISECONDS) {
@@ -164,7 +168,10 @@
 			}
 
 			running ??= startCheck(failed);
-			return running;
+			// A single failure is reported without delay: in a failure period each later report costs requests.
+			const isSingle = !hasFailedSinceAnswer && now() - answeredAt < RECENT_ANSWER_MILLISECONDS;
+			hasFailedSinceAnswer = true;
+			return isSingle || running;
 		},
 		teardown() {
 			cancelCheck();
