Laboratory: hosts that need processor time for messages, and the worst window of an allotment

The laboratory's hosts answered in no time, so no standby ever answered late, and no entry host alternated between dispatchers. A scenario may now say what a message costs on entry and on control hosts; hosts handle one after the other. Default 0: the older scenarios play as before.

It may also have more entry hosts in use (`directoryAddresses`), and the figures tell the worst window of an organisation as a part of what may pass (`allotmentLoad`), not only what is beyond it: a margin that shrinks was not to be seen.

--- a/packages/wagtailroute-lab/src/comparison.ts
+++ b/packages/wagtailroute-lab/src/comparison.ts
@@ -53,6 +53,7 @@
 	'backoffArrivals',
 	'drainingArrivals',
 	'allotmentExcess',
+	'allotmentLoad',
 	'refusedWithinAllotment',
 	'leastUsedShare',
 	'microseconds',
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -166,7 +166,7 @@
 
 	find({failureDomain, entry}: Arrival): EntryHost | undefined {
 		const near = this.#entries.filter(host => host.failureDomain === failureDomain && host.endpoint.state === 'up');
-		return near[Math.floor(entry * Math.min(fleet.MIN_DIRECTORY_ADDRESSES, near.length))];
+		return near[Math.floor(entry * Math.min(this.#plan.scenario.directoryAddresses, near.length))];
 	}
 
 	findForwardingTarget(target: string): EntryHost | undefined {
@@ -247,7 +247,7 @@
 		const {scenario} = this.#plan;
 		this.#controls = Array.from({length: scenario.controlHosts}, (_, index) => this.#createControl(index));
 		this.#entries = scenario.failureDomains.flatMap(failureDomain =>
-			Array.from({length: Math.min(scenario.entryHostsPerDomain, fleet.MIN_DIRECTORY_ADDRESSES)}, (_, index) => this.#createEntry(failureDomain, index)));
+			Array.from({length: Math.min(scenario.entryHostsPerDomain, scenario.directoryAddresses)}, (_, index) => this.#createEntry(failureDomain, index)));
 		for (const entry of this.#entries) {
 			for (const control of this.#controls) {
 				this.#connect(entry, control);
@@ -336,7 +336,7 @@
 		const failureDomain = scenario.failureDomains[index % scenario.failureDomains.length]!;
 		const methods = new Map<string, link.LinkMethod>();
 		const endpoint: Endpoint = {
-			role: 'control', failureDomain, methods, state: 'up', frozenUntil: 0,
+			role: 'control', failureDomain, methods, state: 'up', frozenUntil: 0, messageMilliseconds: scenario.messageMilliseconds.control,
 		};
 		const id = `control-${index}`;
 		const askers = fleet.createRequestingHosts();
@@ -458,11 +458,11 @@
 	}
 
 	#createEntry(failureDomain: core.FailureDomain, index: number): Entry {
-		const {clock, random, listCandidates} = this.#plan;
+		const {clock, random, scenario, listCandidates} = this.#plan;
 		const id = `entry-${failureDomain}-${index}`;
 		const methods = new Map<string, link.LinkMethod>();
 		const endpoint: Endpoint = {
-			role: 'entry', failureDomain, methods, state: 'up', frozenUntil: 0,
+			role: 'entry', failureDomain, methods, state: 'up', frozenUntil: 0, messageMilliseconds: scenario.messageMilliseconds.entry,
 		};
 		const askers = fleet.createRequestingHosts();
 		const controls: fleet.LinkedHost[] = [];
--- a/packages/wagtailroute-lab/src/links.ts
+++ b/packages/wagtailroute-lab/src/links.ts
@@ -21,6 +21,14 @@
 	*/
 	state: 'up' | 'away' | 'frozen';
 	frozenUntil: number;
+	/**
+	Processor time that the host needs for each message; it handles one after the other, so that messages wait while it is busy.
+	*/
+	readonly messageMilliseconds: number;
+	/**
+	When it will have handled all messages that have arrived; absent when it has had none.
+	*/
+	busyUntil?: number;
 };
 
 /**
@@ -143,7 +151,25 @@
 		}
 
 		this.#heardAt = this.#clock.now();
-		run();
+		this.#process(run);
+	}
+
+	/**
+	Handles a message as soon as the host has handled those that arrived before.
+	*/
+	#process(run: () => void): void {
+		const end = this.#end;
+		if (end.messageMilliseconds === 0) {
+			run();
+			return;
+		}
+
+		end.busyUntil = Math.max(end.busyUntil ?? 0, this.#clock.now()) + end.messageMilliseconds;
+		this.#clock.schedule(end.busyUntil - this.#clock.now(), () => {
+			if (end.state !== 'away') {
+				run();
+			}
+		});
 	}
 
 	/**
--- a/packages/wagtailroute-lab/src/scenario.ts
+++ b/packages/wagtailroute-lab/src/scenario.ts
@@ -6,6 +6,7 @@
 import * as files from 'node:fs/promises';
 import * as path from 'node:path';
 import * as core from 'wagtailroute-core';
+import * as fleet from 'wagtailroute-fleet';
 import * as results from 'ts-results-es';
 import * as yaml from 'yaml';
 import * as zod from 'zod';
@@ -154,7 +155,15 @@
 	seconds: positive,
 	failureDomains: zod.array(zod.string()).min(1),
 	entryHostsPerDomain: zod.int().min(1),
+	/**
+	Entry hosts of a failure domain that callers are told of.
+	*/
+	directoryAddresses: zod.int().min(1).default(fleet.MIN_DIRECTORY_ADDRESSES),
 	controlHosts: zod.int().min(1),
+	/**
+	Processor time that a host needs for each message of another one.
+	*/
+	messageMilliseconds: zod.strictObject({entry: zod.number().min(0), control: zod.number().min(0)}).prefault({entry: 0, control: 0}),
 	nearMilliseconds: positive,
 	farMilliseconds: positive,
 	services: zod.array(serviceSchema).min(1),
--- a/packages/wagtailroute-lab/src/tally.ts
+++ b/packages/wagtailroute-lab/src/tally.ts
@@ -81,6 +81,10 @@
 	*/
 	readonly allotmentExcess: number;
 	/**
+	Most requests of an organisation in five seconds, as a part of what may pass.
+	*/
+	readonly allotmentLoad: number;
+	/**
 	Part of the requests of organisations that never flood that were refused.
 	*/
 	readonly refusedWithinAllotment: number;
@@ -238,6 +242,7 @@
 			const {goal} = scenario;
 			const nines = Math.min(1, Math.log(unserved) / Math.log(goal.ninesBest));
 			const earned = total.earned / total.owed;
+			const allotmentWindows = listAllotmentWindows(scenario, uses);
 			const hit = spells.filter(({sent}) => sent > 0);
 			const sum = (pick: (spell: (typeof hit)[number]) => number) => hit.reduce((before, spell) => before + pick(spell), 0) / Math.max(1, hit.length);
 			return {
@@ -267,7 +272,8 @@
 				rateLimitExcess: Math.max(0, ...rateLimits.map(rateLimit => countExcess(rateLimit))),
 				backoffArrivals: countMost(closures, 'backoff'),
 				drainingArrivals: countMost(closures, 'draining'),
-				allotmentExcess: countAllotmentExcess(scenario, uses),
+				allotmentExcess: getMost(allotmentWindows, ({most, allowed}) => most - allowed),
+				allotmentLoad: getMost(allotmentWindows, ({most, allowed}) => most / allowed),
 				refusedWithinAllotment: getRefusedShare(scenario, uses),
 				leastUsedShare: Math.min(1, ...requests.entries().map(([service, asked]) => getLeastUsedShare({
 					requests: asked,
@@ -292,13 +298,23 @@
 	readonly refused: number;
 };
 
-function countAllotmentExcess({organisations}: Scenario, uses: ReadonlyMap<string, OrganisationUse>): number {
-	const excesses = organisations.map(({name, perSecond, burst}) => {
-		const at = uses.get(name)!.at.toSorted((left, right) => left - right);
-		const most = (((perSecond * ALLOTMENT_WINDOW_MILLISECONDS / MILLISECONDS) + burst) * (1 + ALLOTMENT_OVER)) + ALLOTMENT_SLACK;
-		return countInWindow(at, ALLOTMENT_WINDOW_MILLISECONDS) - most;
-	});
-	return organisations.length === 0 ? 0 : Math.max(...excesses);
+/**
+The worst window of an organisation.
+*/
+type AllotmentWindow = {
+	readonly most: number;
+	readonly allowed: number;
+};
+
+function listAllotmentWindows({organisations}: Scenario, uses: ReadonlyMap<string, OrganisationUse>): readonly AllotmentWindow[] {
+	return organisations.map(({name, perSecond, burst}) => ({
+		most: countInWindow(uses.get(name)!.at.toSorted((left, right) => left - right), ALLOTMENT_WINDOW_MILLISECONDS),
+		allowed: (((perSecond * ALLOTMENT_WINDOW_MILLISECONDS / MILLISECONDS) + burst) * (1 + ALLOTMENT_OVER)) + ALLOTMENT_SLACK,
+	}));
+}
+
+function getMost(windows: readonly AllotmentWindow[], getFigure: (window: AllotmentWindow) => number): number {
+	return windows.length === 0 ? 0 : Math.max(...windows.map(window => getFigure(window)));
 }
 
 /**
