Report: the worst window of each organisation, from log lines

Whether an allotment holds was only seen when it broke. `wagtailroute report allotments` reads the log lines of all hosts and lists, for each organisation that was refused, its fullest window of five seconds against rate and burst. The line on a refusal now tells the burst and the time that entry hosts have lent the dispatcher, so that two dispatchers that give out the same part can be told apart from one that gives out too much.

--- a/packages/wagtailroute-allotments/src/allotments.ts
+++ b/packages/wagtailroute-allotments/src/allotments.ts
@@ -113,6 +113,7 @@
 		*/
 		readonly retryAfterMilliseconds: number;
 		readonly ratePerSecond: number;
+		readonly burst: number;
 		/**
 		Requests of the last window, over the whole fleet, as far as is known here.
 		*/
@@ -122,6 +123,10 @@
 		*/
 		readonly fraction: number;
 		/**
+		Time that entry hosts lent this dispatcher so far, in milliseconds of the whole fleet; absent where it admits the whole allotment.
+		*/
+		readonly lentMilliseconds?: number | undefined;
+		/**
 		Milliseconds since the last report of another dispatcher; absent when there was none.
 		*/
 		readonly reportAgeMilliseconds?: number;
@@ -282,6 +287,8 @@
 			kind: 'refused',
 			retryAfterMilliseconds: Math.min(limiter.getDelay(now), this.#settings.windowMilliseconds),
 			ratePerSecond: allotment.ratePerSecond,
+			burst: allotment.burst,
+			lentMilliseconds: limits.lentMilliseconds,
 			used: limiter.getUsage(now),
 			fraction: limits.fraction,
 			reportAgeMilliseconds: this.#lastReportAt === undefined ? undefined : now - this.#lastReportAt,
--- a/packages/wagtailroute-cli/src/__tests__/unit/cli-runner.ts
+++ b/packages/wagtailroute-cli/src/__tests__/unit/cli-runner.ts
@@ -11,14 +11,14 @@
 };
 
 /**
-Runs the arguments with the given environment variables.
+Runs the arguments with the given environment variables and standard input.
 */
-export async function runCli(argv: readonly string[], environment: Readonly<Record<string, string>> = {}): Promise<CliRun> {
+export async function runCli(argv: readonly string[], environment: Readonly<Record<string, string>> = {}, input = ''): Promise<CliRun> {
 	const output: string[] = [];
 	const errors: string[] = [];
 	const code = await cli.runCli(argv, {
 		environment,
-		stdin: stream.Readable.from([]),
+		stdin: stream.Readable.from([input]),
 		stdout: createSink(output),
 		stderr: createSink(errors),
 	});
--- a/packages/wagtailroute-cli/src/cli.ts
+++ b/packages/wagtailroute-cli/src/cli.ts
@@ -1,6 +1,7 @@
 /**
 The command line with all commands.
 */
+import * as allotments from './commands/allotments.ts';
 import * as changes from './commands/changes.ts';
 import * as hosts from './commands/hosts.ts';
 import * as load from './commands/load.ts';
@@ -20,6 +21,7 @@
 	queries.FleetStatusCommand,
 	queries.UpstreamsListCommand,
 	queries.ReportBurnCommand,
+	allotments.ReportAllotmentsCommand,
 	load.LoadCommand,
 ];
 
--- a/packages/wagtailroute-fleet/src/allotment-enforcer.ts
+++ b/packages/wagtailroute-fleet/src/allotment-enforcer.ts
@@ -175,7 +175,7 @@
 		return labels.has(organisation) ? organisation : 'other';
 	};
 
-	return ({id, service, organisation = ''}, {ratePerSecond, used, fraction, reportAgeMilliseconds, retryAfterMilliseconds}) => {
+	return ({id, service, organisation = ''}, refusal) => {
 		context.metrics.count('allotment_refusals', {organisation: getLabel(organisation)});
 		const lastLine = lastLines.get(organisation);
 		if (lastLine !== undefined && context.now() - lastLine.loggedAt < REFUSAL_LOG_INTERVAL_MILLISECONDS) {
@@ -188,12 +188,18 @@
 			id,
 			service,
 			organisation,
-			ratePerSecond,
-			used: Math.round(used),
-			part: Number(fraction.toFixed(2)),
-			heardMillisecondsAgo: reportAgeMilliseconds === undefined ? undefined : Math.round(reportAgeMilliseconds),
-			retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
+			ratePerSecond: refusal.ratePerSecond,
+			burst: refusal.burst,
+			used: Math.round(refusal.used),
+			part: Number(refusal.fraction.toFixed(2)),
+			lentMilliseconds: roundDefined(refusal.lentMilliseconds),
+			heardMillisecondsAgo: roundDefined(refusal.reportAgeMilliseconds),
+			retryAfterMilliseconds: Math.round(refusal.retryAfterMilliseconds),
 			refusedBefore: lastLine?.refusals ?? 0,
 		});
 	};
 }
+
+function roundDefined(value: number | undefined): number | undefined {
+	return value === undefined ? undefined : Math.round(value);
+}
--- a/packages/wagtailroute-report/src/index.ts
+++ b/packages/wagtailroute-report/src/index.ts
@@ -1,6 +1,7 @@
 /**
 Service-level burn: counts of one host, their copies, the merge over the fleet, and the report.
 */
+export {type AllotmentWindow, createAllotmentWindows, formatAllotmentWindows} from './allotment-windows.ts';
 export type {Alert, BurnRates} from './alerts.ts';
 export {type BurnCounters, createBurnCounters} from './counters.ts';
 export {type Copy, limitDays, type ServiceCopy} from './copies.ts';
