Fleet: an entry host that gets no answer at all for half a second checks whether it reaches upstreams

Cause: the host looked for a failed attempt, and where connections hang no attempt fails before its deadline.

Fix: a host whose requests to three upstreams or more are unanswered, and that got no answer of any for 0.5 s, checks four upstreams at once. If one answers, nothing else happens.

Connections that are reset, or new ones refused: as before. The test of a host without any answer fails without the check (two of four cases).

What is left: the first 0.9 s, of which 0.4 s are the checks.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/routing.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/routing.test.ts
@@ -63,7 +63,9 @@
 			listCandidates: () => [],
 		},
 		dispatchClient: dispatchClient as DispatchClient,
-		reach: {isIsolated: () => state.isIsolated, recordAnswer: () => undefined, confirm: async () => isReached},
+		reach: {
+			isIsolated: () => state.isIsolated, recordSent: () => undefined, recordAnswer: () => undefined, confirm: async () => isReached,
+		},
 		forwardingTargets: createForwardingTargets(context, () => OTHER_HOSTS),
 	});
 	return {
--- a/packages/wagtailroute-fleet/src/__tests__/unit/upstream-reach.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/upstream-reach.test.ts
@@ -165,6 +165,59 @@
 	t.true(reach.isIsolated());
 });
 
+type SilenceCase = {
+	readonly name: string;
+	/**
+	Upstreams that requests are sent to, one each 100 ms.
+	*/
+	readonly sentTo: readonly string[];
+	/**
+	When an upstream answers a request, in milliseconds; absent: never.
+	*/
+	readonly answeredAt?: number;
+	readonly all: proxy.ProbeResult;
+	readonly isChecked: boolean;
+	readonly isIsolated: boolean;
+};
+
+const SILENCE_CASES: readonly SilenceCase[] = [
+	{
+		name: 'no upstream answers requests or checks', sentTo: ['a', 'b', 'c'], all: 'silent', isChecked: true, isIsolated: true,
+	},
+	{
+		name: 'requests are unanswered and checks are answered', sentTo: ['a', 'b', 'c'], all: 'answered', isChecked: true, isIsolated: false,
+	},
+	{
+		name: 'a request is answered', sentTo: ['a', 'b', 'c'], answeredAt: 450, all: 'silent', isChecked: false, isIsolated: false,
+	},
+	{
+		name: 'only two upstreams have requests', sentTo: ['a', 'b', 'a'], all: 'silent', isChecked: false, isIsolated: false,
+	},
+];
+
+for (const {name, sentTo, answeredAt, all, isChecked, isIsolated} of SILENCE_CASES) {
+	test(`a host ${isChecked ? 'checks' : 'does not check'} its paths after half a second in which ${name}`, async t => {
+		// Guards against requests that are lost for the length of a deadline because connections hang and no attempt fails before it.
+		const reach = createReach(UPSTREAMS);
+		setAll(reach, all);
+		if (answeredAt !== undefined) {
+			reach.context.schedule(answeredAt, () => {
+				reach.recordAnswer('d');
+			});
+		}
+
+		for (const upstream of sentTo) {
+			reach.recordSent(upstream);
+			// eslint-disable-next-line no-await-in-loop -- One after the other.
+			await reach.context.pass(100);
+		}
+
+		await reach.context.pass(200 + (CHECK_MILLISECONDS * 2));
+		t.is(reach.probed.length > 0, isChecked);
+		t.is(reach.isIsolated(), isIsolated);
+	});
+}
+
 test('failures in quick succession share one check', async t => {
 	const reach = createReach(UPSTREAMS);
 	const confirmed = ['a', 'b', 'c'].map(async upstream => reach.confirm(upstream));
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -513,6 +513,12 @@
 */
 export const RECENT_ANSWER_MILLISECONDS = 1000;
 
+/**
+Milliseconds without an answer of any upstream, and upstreams with unanswered requests, after which a host checks whether it reaches any. Single requests take as long.
+*/
+export const SILENT_UPSTREAMS_MILLISECONDS = 500;
+export const MIN_SILENT_UPSTREAMS = 3;
+
 /**
 Upstreams that are sent a health check, one and then several at once, before a host considers itself isolated.
 */
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -30,7 +30,7 @@
 export type RouterOptions = {
 	readonly fleetView: Pick<FleetView, 'getGeneration' | 'findRoute' | 'findOrganisation' | 'findService' | 'listCandidates'>;
 	readonly dispatchClient: DispatchClient;
-	readonly reach: Pick<UpstreamReach, 'isIsolated' | 'recordAnswer' | 'confirm'>;
+	readonly reach: Pick<UpstreamReach, 'isIsolated' | 'recordSent' | 'recordAnswer' | 'confirm'>;
 	readonly forwardingTargets: ForwardingTargets;
 };
 
@@ -206,7 +206,11 @@
 		},
 		hasOtherTarget: choice => (reach.isIsolated() && forwarder.canChoose(choice))
 			|| (mayAttempt(choice) && fleetView.listCandidates(service.name).some(({upstream, isDraining}) => !choice.excluded.has(upstream) && !isDraining && !dispatchClient.isClosed(upstream))),
-		begin: () => undefined,
+		begin({id, kind}) {
+			if (kind === 'upstream') {
+				reach.recordSent(id);
+			}
+		},
 		recordAdvertisements(target, advertisements) {
 			const id = grantedIds.get(target);
 			if (id !== undefined) {
--- a/packages/wagtailroute-fleet/src/upstream-reach.ts
+++ b/packages/wagtailroute-fleet/src/upstream-reach.ts
@@ -3,6 +3,8 @@
 
 A host that has lost its paths to all upstreams sees each of them fail. Without this, it would refuse every request although other hosts could serve it, and its
 reports would have working upstreams suspended for the whole fleet. So a failure counts against its upstream only if another upstream answers at about the same time.
+
+Where connections hang, no attempt fails before its deadline. So a host that gets no answer at all for a while, from several upstreams, checks its paths as well.
 */
 import type * as core from 'wagtailroute-core';
 import type * as instances from 'wagtailroute-instances';
@@ -14,9 +16,11 @@
 	ISOLATION_CHECK_INTERVAL_MILLISECONDS,
 	ISOLATION_CHECKS,
 	MAX_ANSWERING,
+	MIN_SILENT_UPSTREAMS,
 	MIN_UNREACHED_UPSTREAMS,
 	REACHED_MILLISECONDS,
 	RECENT_ANSWER_MILLISECONDS,
+	SILENT_UPSTREAMS_MILLISECONDS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
 
@@ -29,6 +33,10 @@
 	*/
 	readonly isIsolated: () => boolean;
 	/**
+	Records that a request is sent to an upstream.
+	*/
+	readonly recordSent: (upstream: core.UpstreamId) => void;
+	/**
 	Records that an upstream has answered a request, in whatever way.
 	*/
 	readonly recordAnswer: (upstream: core.UpstreamId) => void;
@@ -66,8 +74,14 @@
 	let answeredAt = -Infinity;
 	let checkedAt = -Infinity;
 	let hasFailedSinceAnswer = false;
+	/**
+	Upstreams with requests that were sent since the last answer, and when the first of them was sent.
+	*/
+	const unanswered = new Set<core.UpstreamId>();
+	let unansweredSince = 0;
 	let running: Promise<boolean> | undefined;
 	let cancelCheck: utils.Teardown = () => undefined;
+	let cancelSilenceCheck: utils.Teardown | undefined;
 
 	const setIsolated = (value: boolean) => {
 		if (value === isIsolated) {
@@ -128,11 +142,12 @@
 		}
 	};
 
-	const check = async (failed: core.UpstreamId): Promise<boolean> => {
+	const check = async (failed?: core.UpstreamId): Promise<boolean> => {
 		const startedAt = now();
 		const others = listChecked(failed);
-		const first = others.slice(0, FIRST_REACH_CHECKS);
-		const further = others.slice(FIRST_REACH_CHECKS, FIRST_REACH_CHECKS + FURTHER_REACH_CHECKS);
+		const firstChecks = failed === undefined ? FIRST_REACH_CHECKS + FURTHER_REACH_CHECKS : FIRST_REACH_CHECKS;
+		const first = others.slice(0, firstChecks);
+		const further = others.slice(firstChecks, FIRST_REACH_CHECKS + FURTHER_REACH_CHECKS);
 		if (others.length < MIN_UNREACHED_UPSTREAMS) {
 			return true;
 		}
@@ -143,7 +158,7 @@
 		return results.includes('answered') || (results.includes('silent') && answeredAt > startedAt);
 	};
 
-	const startCheck = async (failed: core.UpstreamId): Promise<boolean> => {
+	const startCheck = async (failed?: core.UpstreamId): Promise<boolean> => {
 		const isReached = await check(failed);
 		running = undefined;
 		if (isReached) {
@@ -155,9 +170,37 @@
 		return isReached;
 	};
 
+	/**
+	Checks the paths if several upstreams have not answered for a while, and no other one has.
+	*/
+	const checkSilence = () => {
+		cancelSilenceCheck = undefined;
+		if (isIsolated || unanswered.size === 0) {
+			return;
+		}
+
+		const remaining = unansweredSince + SILENT_UPSTREAMS_MILLISECONDS - now();
+		if (remaining > 0) {
+			scheduleSilenceCheck(remaining);
+		} else if (unanswered.size >= MIN_SILENT_UPSTREAMS) {
+			unanswered.clear();
+			running ??= startCheck();
+		}
+	};
+
+	const scheduleSilenceCheck = (milliseconds: number) => {
+		cancelSilenceCheck ??= context.schedule(milliseconds, checkSilence);
+	};
+
 	return {
 		isIsolated: () => isIsolated,
+		recordSent(upstream) {
+			unansweredSince = unanswered.size === 0 ? now() : unansweredSince;
+			unanswered.add(upstream);
+			scheduleSilenceCheck(Math.max(0, unansweredSince + SILENT_UPSTREAMS_MILLISECONDS - now()));
+		},
 		recordAnswer(upstream) {
+			unanswered.clear();
 			utils.setBounded(answering, upstream, true, MAX_ANSWERING);
 			answeredAt = now();
 			hasFailedSinceAnswer = false;
@@ -175,6 +218,7 @@
 		},
 		teardown() {
 			cancelCheck();
+			cancelSilenceCheck?.();
 		},
 	};
 }
