Allotments: a dispatcher takes no more lent time than has passed since it began

After a restart of everything it knows one, then two, and each seems to lend a large part of the whole: 100 hosts that become known within a second lent 3.7 s of an organisation's rate (373 requests of a rate of 100 in one second; test). The share that was used before was at most the whole.

Fix: the time lent to a dispatcher is at most the time since it began and 0.3 s, the time before its first requests. The test admits 138 at most now.

--- a/packages/wagtailroute-allotments/src/__tests__/unit/allotments.test.ts
+++ b/packages/wagtailroute-allotments/src/__tests__/unit/allotments.test.ts
@@ -408,6 +408,21 @@
 	});
 }
 
+test('a dispatcher that knows only a few of the entry hosts admits no more than the rate', t => {
+	// Guards against a restart of all hosts: the first entry hosts that a control host knows seem to be all there are, and each lends all its time.
+	const limiter = create({getShare: () => 1});
+	limiter.setAllotments([{...PARISH, ratePerSecond: 100, burst: 50}], 0);
+	let admitted = 0;
+	for (let known = 1; known <= 100; known++) {
+		const at = known * 10;
+		limiter.addLoan({milliseconds: 1000, isBurstLent: false, hostShare: 1 / known}, at);
+		admitted += countAdmitted(limiter, 10, {at});
+	}
+
+	// One second of the rate and 0.3 s ahead, and 8 tokens of the slack.
+	t.true(admitted >= 130 && admitted <= 138, String(admitted));
+});
+
 const RATES = [1, 5, 16, 60, 150] as const;
 const DISPATCHERS = [1, 2, 3, 5, 12, 24] as const;
 
--- a/packages/wagtailroute-allotments/src/allotments.ts
+++ b/packages/wagtailroute-allotments/src/allotments.ts
@@ -34,6 +34,7 @@
 } from './organisation-limiter.ts';
 import {
 	FRESH_REPORT_MILLISECONDS,
+	MAX_LENT_AHEAD_MILLISECONDS,
 	MAX_LENT_MILLISECONDS,
 	MAX_UNREPORTED_REQUESTS,
 	MAX_UNREPORTED_SECONDS,
@@ -262,7 +263,9 @@
 
 	addLoan({milliseconds, isBurstLent, hostShare}: Loan, now: number): void {
 		this.#resetAfterIdle(now);
-		this.#lentMilliseconds += Math.min(milliseconds, MAX_LENT_MILLISECONDS) * hostShare;
+		const lentMilliseconds = this.#lentMilliseconds + (Math.min(milliseconds, MAX_LENT_MILLISECONDS) * hostShare);
+		// Where few entry hosts are known yet, each of them seems to lend a large share.
+		this.#lentMilliseconds = Math.min(lentMilliseconds, now - this.#usageKnownSince + MAX_LENT_AHEAD_MILLISECONDS);
 		this.#lentBurstShare += isBurstLent ? hostShare : 0;
 	}
 
--- a/packages/wagtailroute-allotments/src/constants.ts
+++ b/packages/wagtailroute-allotments/src/constants.ts
@@ -61,6 +61,11 @@
 */
 export const MAX_LENT_MILLISECONDS = 1000;
 
+/**
+Milliseconds by which the time lent to a dispatcher may exceed the time since its start: the first requests lend the time before it.
+*/
+export const MAX_LENT_AHEAD_MILLISECONDS = 300;
+
 /**
 Fraction of the slack that a full bucket holds beyond its burst, and with which a bucket starts when earlier usage is unknown. The rest is
 reserved for what dispatchers admit before they receive each other's reports.
--- a/packages/wagtailroute-allotments/src/organisation-limiter.ts
+++ b/packages/wagtailroute-allotments/src/organisation-limiter.ts
@@ -231,10 +231,10 @@
 	Adds the tokens of the time that was lent since the last call.
 	*/
 	#addLentTokens(now: number): void {
-		const {lentMilliseconds, fraction, share} = this.#limits;
+		const {lentMilliseconds} = this.#limits;
 		if (lentMilliseconds !== undefined) {
 			const newMilliseconds = lentMilliseconds - (this.#filledLentMilliseconds ?? lentMilliseconds);
-			this.#bucket.consumeTokens(now, -newMilliseconds * this.#allotment.ratePerSecond / MILLISECONDS_PER_SECOND * fraction / share);
+			this.#bucket.consumeTokens(now, -newMilliseconds * this.#allotment.ratePerSecond / MILLISECONDS_PER_SECOND);
 		}
 
 		this.#filledLentMilliseconds = lentMilliseconds;
