--- a/packages/wagtailroute-cli/src/__tests__/unit/allotments.test.ts
+++ b/packages/wagtailroute-cli/src/__tests__/unit/allotments.test.ts
@@ -14,6 +14,11 @@
 	{name: 'requests and a refusal', input: `${REQUEST}\n${REFUSAL}\n`, output: `${HEAD}parish\t1\t20\t0.05\t0\t2026-01-01T00:00:00.000Z\n`},
 ] as const;
 
+test('report allotments: as JSON', async t => {
+	const {output} = await runCli(['report', 'allotments', '--format', 'json'], {}, `${REQUEST}\n${REFUSAL}\n`);
+	t.like(JSON.parse(output), [{organisation: 'parish', admitted: 1, allotment: 20}]);
+});
+
 for (const {name, input, output} of CASES) {
 	test(`report allotments: ${name}`, async t => {
 		t.deepEqual(await runCli(['report', 'allotments'], {}, input), {code: 0, output, errors: ''});
--- a/packages/wagtailroute-cli/src/settings.ts
+++ b/packages/wagtailroute-cli/src/settings.ts
@@ -73,6 +73,11 @@
 	revision: flags.FLAGS.revision.schema,
 });
 
+/**
+Settings of reports on what is read from standard input.
+*/
+export const INPUT_REPORT_SETTINGS = zod.object({format: flags.FLAGS.format.schema});
+
 /**
 Settings of `report burn`.
 */
