--- a/packages/wagtailroute-lab/src/day.ts
+++ b/packages/wagtailroute-lab/src/day.ts
@@ -123,8 +123,8 @@
 	}
 
 	readonly #field = {
-		darken: (which: 'first' | 'all', milliseconds: number) => {
-			this.#fleet.darken(which, milliseconds);
+		powerOff: (which: 'first' | 'all', milliseconds: number) => {
+			this.#fleet.powerOff(which, milliseconds);
 		},
 		freeze: (milliseconds: number) => {
 			this.#fleet.freeze(milliseconds);
@@ -313,7 +313,7 @@
 }
 
 type Field = {
-	readonly darken: (which: 'first' | 'all', milliseconds: number) => void;
+	readonly powerOff: (which: 'first' | 'all', milliseconds: number) => void;
 	readonly freeze: (milliseconds: number) => void;
 	readonly cutOff: (share: number, milliseconds: number) => void;
 	readonly restart: (milliseconds: number) => void;
@@ -328,10 +328,10 @@
 	// Drawn with the arrivals.
 	burst: () => undefined,
 	'control-away'(field, {forSeconds}) {
-		field.darken('first', forSeconds * MILLISECONDS);
+		field.powerOff('first', forSeconds * MILLISECONDS);
 	},
 	'controls-away'(field, {forSeconds}) {
-		field.darken('all', forSeconds * MILLISECONDS);
+		field.powerOff('all', forSeconds * MILLISECONDS);
 	},
 	'control-frozen'(field, {forSeconds}) {
 		field.freeze(forSeconds * MILLISECONDS);
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -1,5 +1,5 @@
 /**
-The hosts of a fleet in virtual time: the real asking, routing and dispatching over virtual links.
+The hosts of a fleet in virtual time: the fleet's own routing, dispatch clients and dispatchers over simulated links.
 */
 import type * as allotments from 'wagtailroute-allotments';
 import * as core from 'wagtailroute-core';
@@ -31,7 +31,7 @@
 };
 
 /**
-Serves requests, and is befallen by faults.
+A fleet that serves requests and into which faults are injected.
 */
 export type Fleet = {
 	/**
@@ -43,26 +43,26 @@
 	*/
 	readonly findForwardingTarget: (target: string) => EntryHost | undefined;
 	/**
-	The upstreams of a service have changed.
+	Has all hosts read the upstreams of a service again.
 	*/
 	readonly refresh: (service: core.ServiceName) => void;
 	/**
-	Control hosts lose power, all or the one that dispatches most.
+	Takes power from control hosts, all or the one that dispatches most; they start again afterwards.
 	*/
-	readonly darken: (which: 'first' | 'all', milliseconds: number) => void;
+	readonly powerOff: (which: 'first' | 'all', milliseconds: number) => void;
 	readonly freeze: (milliseconds: number) => void;
 	/**
-	A share of the entry hosts loses all control hosts, and goes on to serve callers.
+	Cuts a share of the entry hosts off from all control hosts; callers still reach them.
 	*/
 	readonly cutOff: (share: number, milliseconds: number) => void;
 	/**
-	All processes end and start again.
+	Ends all processes and starts them again.
 	*/
 	readonly restart: (milliseconds: number) => void;
 };
 
 /**
-What the fleet is made from.
+What a fleet is created from.
 */
 export type FleetPlan = {
 	readonly clock: Clock;
@@ -85,33 +85,33 @@
 	readonly parameters: unknown;
 };
 
-type MessageHandler = (control: Pick<Control, 'dispatching' | 'allotting'>, parameters: unknown, from: object) => void;
+type MessageHandler = (control: Pick<Control, 'dispatcher' | 'allotmentEnforcer'>, parameters: unknown, from: object) => void;
 
 const MESSAGE_HANDLERS: Readonly<Record<string, MessageHandler>> = {
-	[fleet.METHODS.believe]({dispatching}, belief) {
-		dispatching.applyBelief(belief as fleet.Belief);
+	[fleet.METHODS.believe]({dispatcher}, belief) {
+		dispatcher.applyBelief(belief as fleet.Belief);
 	},
-	[fleet.METHODS.updates]({dispatching}, updates) {
-		dispatching.applyUpdates(updates as fleet.ServiceUpdates);
+	[fleet.METHODS.updates]({dispatcher}, updates) {
+		dispatcher.applyUpdates(updates as fleet.ServiceUpdates);
 	},
-	[fleet.METHODS.use]({allotting}, news, from) {
-		allotting.applyReport(news as allotments.UsageReport, from);
+	[fleet.METHODS.use]({allotmentEnforcer}, news, from) {
+		allotmentEnforcer.applyReport(news as allotments.UsageReport, from);
 	},
 };
 
 type Control = {
 	readonly id: core.HostId;
 	readonly endpoint: Endpoint;
-	readonly allotting: fleet.AllotmentEnforcer;
-	readonly askers: ReturnType<typeof fleet.createRequestingHosts>;
-	readonly dispatching: fleet.HostDispatcher;
+	readonly allotmentEnforcer: fleet.AllotmentEnforcer;
+	readonly requestingHosts: ReturnType<typeof fleet.createRequestingHosts>;
+	readonly dispatcher: fleet.HostDispatcher;
 };
 
 type Entry = EntryHost & {
 	readonly endpoint: Endpoint;
-	readonly askers: ReturnType<typeof fleet.createRequestingHosts>;
-	readonly own: fleet.HostDispatcher;
-	readonly asking: fleet.DispatchClient;
+	readonly requestingHosts: ReturnType<typeof fleet.createRequestingHosts>;
+	readonly ownDispatcher: fleet.HostDispatcher;
+	readonly dispatchClient: fleet.DispatchClient;
 	readonly controls: fleet.LinkedHost[];
 	readonly standbys: fleet.LinkedHost[];
 	readonly end: () => void;
@@ -139,12 +139,12 @@
 const LINK_SILENCE_MILLISECONDS = 6500;
 
 /**
-How the users' platform judges allotments.
+Settings of allotments, as on the users' platform.
 */
 const ALLOTMENTS = {slack: 20, windowMilliseconds: 5000} as const;
 
 /**
-Starts the hosts.
+Creates a fleet with all hosts running.
 */
 export function createFleet(plan: FleetPlan): Fleet {
 	return new VirtualFleet(plan);
@@ -174,16 +174,16 @@
 	}
 
 	refresh(service: core.ServiceName): void {
-		for (const {dispatching} of this.#controls) {
-			dispatching.refreshCandidates(service);
+		for (const {dispatcher} of this.#controls) {
+			dispatcher.refreshCandidates(service);
 		}
 
-		for (const {own} of this.#entries) {
-			own.refreshCandidates(service);
+		for (const {ownDispatcher} of this.#entries) {
+			ownDispatcher.refreshCandidates(service);
 		}
 	}
 
-	darken(which: 'first' | 'all', milliseconds: number): void {
+	powerOff(which: 'first' | 'all', milliseconds: number): void {
 		// None runs during a restart of everything.
 		const chosen = which === 'all' ? [...this.#controls] : this.#listFirst();
 		for (const control of chosen) {
@@ -217,7 +217,7 @@
 
 		clock.schedule(Math.min(milliseconds, LINK_SILENCE_MILLISECONDS), () => {
 			for (const entry of milliseconds > LINK_SILENCE_MILLISECONDS ? chosen : []) {
-				this.#loseLinks(entry);
+				this.#closeLinks(entry);
 			}
 		});
 		clock.schedule(milliseconds, () => {
@@ -228,7 +228,7 @@
 	}
 
 	restart(milliseconds: number): void {
-		const kept = this.#plan.variant.isForgetful ? [] : this.#controls[0]!.dispatching.listBeliefs();
+		const kept = this.#plan.variant.isForgetful ? [] : this.#controls[0]!.dispatcher.listBeliefs();
 		for (const entry of this.#entries) {
 			entry.end();
 		}
@@ -237,8 +237,8 @@
 		this.#controls = [];
 		this.#plan.clock.schedule(milliseconds + START_MILLISECONDS, () => {
 			this.#start();
-			for (const {dispatching} of this.#controls) {
-				dispatching.mergeBeliefs(kept);
+			for (const {dispatcher} of this.#controls) {
+				dispatcher.mergeBeliefs(kept);
 			}
 		});
 	}
@@ -255,10 +255,10 @@
 		}
 	}
 
-	#loseLinks(entry: Entry): void {
+	#closeLinks(entry: Entry): void {
 		for (const old of entry.controls.splice(0)) {
 			old.link.close();
-			entry.asking.handleDispatcherLost(old);
+			entry.dispatchClient.handleDispatcherLost(old);
 		}
 	}
 
@@ -288,13 +288,13 @@
 		const control = this.#createControl(index);
 		this.#controls[index] = control;
 		const neighbour = this.#controls.find(({endpoint, id}) => endpoint.state === 'up' && id !== control.id);
-		control.dispatching.mergeBeliefs(neighbour?.dispatching.listBeliefs() ?? []);
+		control.dispatcher.mergeBeliefs(neighbour?.dispatcher.listBeliefs() ?? []);
 		for (const entry of this.#entries) {
 			const place = entry.controls.findIndex(({host}) => host.id === control.id);
 			const [old] = entry.controls.splice(place, place === -1 ? 0 : 1);
 			if (old !== undefined) {
 				old.link.close();
-				entry.asking.handleDispatcherLost(old);
+				entry.dispatchClient.handleDispatcherLost(old);
 			}
 
 			this.#reconnect(entry, control);
@@ -309,7 +309,7 @@
 			}
 
 			this.#connect(entry, control);
-			control.dispatching.mergeBeliefs(entry.askers.count() > 0 ? entry.own.listBeliefs() : []);
+			control.dispatcher.mergeBeliefs(entry.requestingHosts.count() > 0 ? entry.ownDispatcher.listBeliefs() : []);
 		};
 
 		if (scenario.reconnectSeconds === 0) {
@@ -319,15 +319,15 @@
 		}
 	}
 
-	#getWay(left: core.FailureDomain, right: core.FailureDomain): number {
+	#getDelay(left: core.FailureDomain, right: core.FailureDomain): number {
 		const {nearMilliseconds, farMilliseconds} = this.#plan.scenario;
 		return left === right ? nearMilliseconds : farMilliseconds;
 	}
 
 	#connect(entry: Entry, control: Control): void {
-		const way = this.#getWay(entry.failureDomain, control.endpoint.failureDomain);
-		const [near, far] = createLinkPair(this.#plan.clock, [entry.endpoint, control.endpoint], way);
-		control.askers.add({id: entry.id, failureDomain: entry.failureDomain}, far);
+		const delayMilliseconds = this.#getDelay(entry.failureDomain, control.endpoint.failureDomain);
+		const [near, far] = createLinkPair(this.#plan.clock, [entry.endpoint, control.endpoint], delayMilliseconds);
+		control.requestingHosts.add({id: entry.id, failureDomain: entry.failureDomain}, far);
 		entry.controls.push({host: {id: control.id, address: ADDRESS, failureDomain: control.endpoint.failureDomain}, link: near});
 	}
 
@@ -339,78 +339,78 @@
 			role: 'control', failureDomain, methods, state: 'up', frozenUntil: 0, messageMilliseconds: scenario.messageMilliseconds.control,
 		};
 		const id = `control-${index}`;
-		const askers = fleet.createRequestingHosts();
+		const requestingHosts = fleet.createRequestingHosts();
 		const requestShare = fleet.createRequestShare(() => this.#entries.length, 1);
 		const absences = fleet.startAbsenceTracker(createContext(this.#plan.clock, this.#plan.random, () => undefined), {
-			listHosts: () => this.#listHeard(askers),
+			listHosts: () => this.#listEntryHostStatus(requestingHosts),
 			getHostShare: requestShare.getHostShare,
 			windowMilliseconds: ALLOTMENTS.windowMilliseconds,
 		});
-		const allotting = this.#startAllotting({
+		const allotmentEnforcer = this.#startAllotmentEnforcer({
 			requestShare,
 			absences,
-			isTold: true,
-			tellDispatchers: message => {
+			isReceivingReports: true,
+			notifyDispatchers: message => {
 				if (endpoint.state === 'up') {
-					this.#tellControls(id, message);
+					this.#notifyControlHosts(id, message);
 				}
 			},
 		});
-		const dispatching = this.#startDispatching({
-			askers,
-			allotting,
+		const dispatcher = this.#startHostDispatcher({
+			requestingHosts,
+			allotmentEnforcer,
 			requestShare,
-			isTold: true,
+			isReceivingReports: true,
 			listStandbys: service => fleet.orderDispatchers(service, this.#listStandbys(), host => host).slice(0, fleet.STANDBYS_PER_SERVICE),
-			tellControls: message => {
-				this.#tellControls(id, message);
+			notifyControlHosts: message => {
+				this.#notifyControlHosts(id, message);
 			},
 			getState: () => endpoint.state,
 		});
 		register(methods, {
-			...fleet.createSlotRequestMethods(dispatching, askers.findByLink),
+			...fleet.createSlotRequestMethods(dispatcher, requestingHosts.findByLink),
 			[fleet.METHODS.probe]: () => ({}),
-			...Object.fromEntries(Object.entries(MESSAGE_HANDLERS).map(([method, handle]): [string, link.LinkMethod] => [method, (parameters: never, over) => {
-				handle({dispatching, allotting}, parameters, over);
+			...Object.fromEntries(Object.entries(MESSAGE_HANDLERS).map(([method, handle]): [string, link.LinkMethod] => [method, (parameters: never, hostLink) => {
+				handle({dispatcher, allotmentEnforcer}, parameters, hostLink);
 			}])),
 		});
 		return {
-			id, endpoint, askers, dispatching, allotting,
+			id, endpoint, requestingHosts, dispatcher, allotmentEnforcer,
 		};
 	}
 
-	#listHeard(askers: ReturnType<typeof fleet.createRequestingHosts>): ReadonlyArray<Parameters<fleet.AbsenceTracker['recordLinkClosed']>[0]> {
+	#listEntryHostStatus(requestingHosts: ReturnType<typeof fleet.createRequestingHosts>): ReadonlyArray<Parameters<fleet.AbsenceTracker['recordLinkClosed']>[0]> {
 		return this.#entries.flatMap(({id}) => {
-			const over = askers.find(id);
-			return over === undefined ? [] : [{id, isReady: true, silenceMilliseconds: over.getSilenceMilliseconds()}];
+			const hostLink = requestingHosts.find(id);
+			return hostLink === undefined ? [] : [{id, isReady: true, silenceMilliseconds: hostLink.getSilenceMilliseconds()}];
 		});
 	}
 
-	#startAllotting({requestShare, absences, isTold, tellDispatchers}: {
+	#startAllotmentEnforcer({requestShare, absences, isReceivingReports, notifyDispatchers}: {
 		readonly requestShare: fleet.RequestShare;
 		readonly absences?: fleet.AbsenceTracker;
-		readonly isTold: boolean;
-		readonly tellDispatchers: (message: Message) => void;
+		readonly isReceivingReports: boolean;
+		readonly notifyDispatchers: (message: Message) => void;
 	}): fleet.AllotmentEnforcer {
 		const {clock, random, onSuspended} = this.#plan;
-		const allotting = fleet.startAllotmentEnforcer(createContext(clock, random, onSuspended), {
+		const allotmentEnforcer = fleet.startAllotmentEnforcer(createContext(clock, random, onSuspended), {
 			settings: ALLOTMENTS,
 			requestShare,
 			absences,
-			isReceivingReports: isTold,
+			isReceivingReports,
 			notifyDispatchers(method, parameters) {
-				tellDispatchers({method, parameters});
+				notifyDispatchers({method, parameters});
 			},
 		});
-		allotting.setOrganisations(this.#generation.organisations);
-		return allotting;
+		allotmentEnforcer.setOrganisations(this.#generation.organisations);
+		return allotmentEnforcer;
 	}
 
 	#listStandbys(): readonly core.HostId[] {
 		return this.#plan.variant.hasStandbys ? this.#entries.slice(0, fleet.MAX_STANDBYS).map(({id}) => id) : [];
 	}
 
-	#tellControls(from: core.HostId, {method, parameters}: Message): void {
+	#notifyControlHosts(from: core.HostId, {method, parameters}: Message): void {
 		const {clock, scenario} = this.#plan;
 		const sender = this.#controls.find(({id}) => id === from) ?? {};
 		clock.schedule(scenario.farMilliseconds, () => {
@@ -422,37 +422,37 @@
 		});
 	}
 
-	#startDispatching({askers, allotting, requestShare, isTold, listStandbys, tellControls, getState, onAnswer}: {
-		readonly askers: ReturnType<typeof fleet.createRequestingHosts>;
-		readonly allotting: fleet.AllotmentEnforcer;
+	#startHostDispatcher({requestingHosts, allotmentEnforcer, requestShare, isReceivingReports, listStandbys, notifyControlHosts, getState, onAnswer}: {
+		readonly requestingHosts: ReturnType<typeof fleet.createRequestingHosts>;
+		readonly allotmentEnforcer: fleet.AllotmentEnforcer;
 		readonly requestShare: fleet.RequestShare;
-		readonly isTold: boolean;
+		readonly isReceivingReports: boolean;
 		readonly listStandbys: (service: core.ServiceName) => readonly core.HostId[];
-		readonly tellControls: (message: Message) => void;
+		readonly notifyControlHosts: (message: Message) => void;
 		readonly getState: () => Endpoint['state'];
 		/**
-		Takes what is for this host itself.
+		Handles answers for this host itself.
 		*/
 		readonly onAnswer?: (parameters: [number, fleet.EncodedAnswer]) => void;
 	}): fleet.HostDispatcher {
 		const {clock, random, scenario, variant, listCandidates, onSuspended} = this.#plan;
 		return fleet.startHostDispatcher(createContext(clock, random, onSuspended), {
 			settings: {budget: scenario.budget, floor: scenario.floor, policy: variant.policy},
-			allotmentEnforcer: allotting,
+			allotmentEnforcer,
 			requestShare,
-			isReceivingUpdates: isTold,
+			isReceivingUpdates: isReceivingReports,
 			listCandidates,
 			listStandbys,
 			notify(host, method, parameters) {
-				const over = askers.find(host);
-				if (over === undefined && method === fleet.METHODS.answer) {
+				const hostLink = requestingHosts.find(host);
+				if (hostLink === undefined && method === fleet.METHODS.answer) {
 					onAnswer?.(parameters as [number, fleet.EncodedAnswer]);
 				} else if (getState() === 'up') {
-					over?.notify(method, parameters);
+					hostLink?.notify(method, parameters);
 				}
 			},
 			notifyControlHosts(method, parameters) {
-				tellControls({method, parameters});
+				notifyControlHosts({method, parameters});
 			},
 		});
 	}
@@ -464,7 +464,7 @@
 		const endpoint: Endpoint = {
 			role: 'entry', failureDomain, methods, state: 'up', frozenUntil: 0, messageMilliseconds: scenario.messageMilliseconds.entry,
 		};
-		const askers = fleet.createRequestingHosts();
+		const requestingHosts = fleet.createRequestingHosts();
 		const controls: fleet.LinkedHost[] = [];
 		const standbys: fleet.LinkedHost[] = [];
 		const notifyControls = (message: Message) => {
@@ -472,35 +472,35 @@
 		};
 
 		const requestShare = fleet.createRequestShare(() => this.#entries.length, 1);
-		const allotting = this.#startAllotting({
+		const allotmentEnforcer = this.#startAllotmentEnforcer({
 			requestShare,
-			isTold: false,
-			tellDispatchers(message) {
+			isReceivingReports: false,
+			notifyDispatchers(message) {
 				notifyAll(controls, message);
 				notifyAll(standbys, message);
 			},
 		});
-		const own = this.#startDispatching({
-			askers,
-			allotting,
+		const ownDispatcher = this.#startHostDispatcher({
+			requestingHosts,
+			allotmentEnforcer,
 			requestShare,
-			isTold: false,
+			isReceivingReports: false,
 			listStandbys: () => [],
-			tellControls(message) {
-				if (askers.count() > 0) {
+			notifyControlHosts(message) {
+				if (requestingHosts.count() > 0) {
 					notifyControls(message);
 				}
 			},
 			getState: () => endpoint.state,
 			onAnswer([ask, answer]) {
-				asking.handleAnswer(ask, answer);
+				dispatchClient.handleAnswer(ask, answer);
 			},
 		});
 		const context = createContext(clock, random, () => undefined);
-		const asking = fleet.createDispatchClient(context, {
+		const dispatchClient = fleet.createDispatchClient(context, {
 			settings: {hostId: id, failureDomain, allotments: ALLOTMENTS},
 			countEntryHosts: () => this.#entries.length,
-			getControlHosts: () => controls.filter(({link: over}) => over.isOpen()),
+			getControlHosts: () => controls.filter(({link: hostLink}) => hostLink.isOpen()),
 			standbys: {
 				getOpen: () => standbys,
 				open: () => {
@@ -511,28 +511,28 @@
 				}),
 				isOwnHostStandby: () => this.#listStandbys().includes(id),
 			},
-			ownDispatcher: own,
+			ownDispatcher,
 			isRetired: () => false,
 			getLinkDelay: () => 0,
 		});
 		register(methods, {
 			[fleet.METHODS.answer]([ask, answer]: [number, fleet.EncodedAnswer]) {
-				asking.handleAnswer(ask, answer);
+				dispatchClient.handleAnswer(ask, answer);
 			},
-			[fleet.METHODS.believe]: own.applyBelief,
-			[fleet.METHODS.updates]: own.applyUpdates,
-			[fleet.METHODS.use]: allotting.applyReport,
-			[fleet.METHODS.beliefNews]: own.applyBeliefs,
-			...fleet.createSlotRequestMethods(own, askers.findByLink),
+			[fleet.METHODS.believe]: ownDispatcher.applyBelief,
+			[fleet.METHODS.updates]: ownDispatcher.applyUpdates,
+			[fleet.METHODS.use]: allotmentEnforcer.applyReport,
+			[fleet.METHODS.beliefNews]: ownDispatcher.applyBeliefs,
+			...fleet.createSlotRequestMethods(ownDispatcher, requestingHosts.findByLink),
 		});
 		const {promise, resolve} = Promise.withResolvers<'left'>();
 		const entry: Entry = {
 			id,
 			failureDomain,
 			endpoint,
-			askers,
-			own,
-			asking,
+			requestingHosts,
+			ownDispatcher,
+			dispatchClient,
 			controls,
 			standbys,
 			ended: promise,
@@ -548,7 +548,7 @@
 					findService: name => this.#generation.services.find(service => service.name === name),
 					listCandidates,
 				},
-				dispatchClient: asking,
+				dispatchClient,
 				reach: this.#createReach(context, id),
 				forwardingTargets: fleet.createForwardingTargets(context, () => this.#entries.filter(other => other.id !== id).map(other => createForwardingAddress(other.id))),
 			}),
@@ -583,9 +583,9 @@
 			const missing = this.#entries.filter(({id}) =>
 				id !== entry.id && wanted.has(id) && entry.standbys.every(({host}) => host.id !== id));
 			for (const other of missing) {
-				const way = this.#getWay(entry.failureDomain, other.failureDomain);
-				const [near, far] = createLinkPair(this.#plan.clock, [entry.endpoint, other.endpoint], way);
-				other.askers.add({id: entry.id, failureDomain: entry.failureDomain}, far);
+				const delayMilliseconds = this.#getDelay(entry.failureDomain, other.failureDomain);
+				const [near, far] = createLinkPair(this.#plan.clock, [entry.endpoint, other.endpoint], delayMilliseconds);
+				other.requestingHosts.add({id: entry.id, failureDomain: entry.failureDomain}, far);
 				entry.standbys.push({host: {id: other.id, address: ADDRESS, failureDomain: other.failureDomain}, link: near});
 			}
 		});
@@ -597,8 +597,8 @@
 }
 
 function notifyAll(hosts: readonly fleet.LinkedHost[], {method, parameters}: Message): void {
-	for (const {link: over} of hosts) {
-		over.notify(method, parameters);
+	for (const {link: hostLink} of hosts) {
+		hostLink.notify(method, parameters);
 	}
 }
 
--- a/packages/wagtailroute-lab/src/links.ts
+++ b/packages/wagtailroute-lab/src/links.ts
@@ -1,23 +1,23 @@
 /**
-Links between hosts in virtual time. What is sent arrives after the way between the hosts, or never when the other one is away.
+Simulated links between hosts in virtual time. A message arrives after the delay between the hosts, or never when the receiver has no power.
 */
 import * as results from 'ts-results-es';
 import type * as link from 'wagtailroute-link';
 import type {Clock} from './clock.ts';
 
 /**
-A host as links see it.
+A host as its links see it.
 */
 export type Endpoint = {
 	readonly role: 'control' | 'entry';
 	readonly failureDomain: string;
 	readonly methods: link.LinkMethods;
 	/**
-	Since when it has been cut off from all hosts of the other role, and until when; absent while it reaches them. What is sent meanwhile arrives afterwards.
+	Time in which it is cut off from all hosts of the other role; absent while it reaches them. Messages sent meanwhile arrive afterwards.
 	*/
 	cut?: {readonly from: number; readonly until: number};
 	/**
-	`away`: nothing arrives. `frozen`: what arrives waits.
+	`away`: no power, messages are lost. `frozen`: messages wait.
 	*/
 	state: 'up' | 'away' | 'frozen';
 	frozenUntil: number;
@@ -32,13 +32,13 @@
 };
 
 /**
-Creates the two ends of a link, the first one's first.
+Creates the two ends of a link, in the order of the given endpoints.
 
-@param way Milliseconds from one to the other.
+@param delayMilliseconds Delay in each direction.
 */
-export function createLinkPair(clock: Clock, ends: readonly [Endpoint, Endpoint], way: number): readonly [link.Link, link.Link] {
-	const first = new VirtualLink(clock, ends[0], way);
-	const second = new VirtualLink(clock, ends[1], way);
+export function createLinkPair(clock: Clock, ends: readonly [Endpoint, Endpoint], delayMilliseconds: number): readonly [link.Link, link.Link] {
+	const first = new VirtualLink(clock, ends[0], delayMilliseconds);
+	const second = new VirtualLink(clock, ends[1], delayMilliseconds);
 	first.peer = second;
 	second.peer = first;
 	return [first, second];
@@ -48,18 +48,18 @@
 	peer: VirtualLink | undefined;
 	readonly #clock: Clock;
 	readonly #end: Endpoint;
-	readonly #way: number;
+	readonly #delayMilliseconds: number;
 	/**
-	What has arrived and waits.
+	Messages that have arrived and wait.
 	*/
 	readonly #held: Array<() => void> = [];
 	#isOpen = true;
 	#heardAt: number;
 
-	constructor(clock: Clock, end: Endpoint, way: number) {
+	constructor(clock: Clock, end: Endpoint, delayMilliseconds: number) {
 		this.#clock = clock;
 		this.#end = end;
-		this.#way = way;
+		this.#delayMilliseconds = delayMilliseconds;
 		this.#heardAt = clock.now();
 	}
 
@@ -100,7 +100,7 @@
 			return this.#clock.now() - this.#heardAt;
 		}
 
-		// A host that runs pings, as long as its messages arrive.
+		// A running host pings, so it is silent only while its messages do not arrive.
 		const cut = findCut(this.#end, peer);
 		return cut === undefined ? 0 : this.#clock.now() - Math.max(cut.from, this.#heardAt);
 	}
@@ -130,11 +130,11 @@
 	}
 
 	/**
-	Runs at the other side when this side's message has arrived there.
+	Runs a function at the other end after the delay, as the arrival of a message.
 	*/
 	#deliver(run: () => void): void {
 		const peer = this.peer!;
-		this.#clock.schedule(this.#way, () => {
+		this.#clock.schedule(this.#delayMilliseconds, () => {
 			peer.#receive(run);
 		});
 	}
@@ -173,14 +173,14 @@
 	}
 
 	/**
-	Returns until when what arrives waits; undefined when it does not.
+	Returns until when arriving messages wait; undefined when they do not.
 	*/
 	#findHoldEnd(): number | undefined {
 		return this.#end.state === 'frozen' ? this.#end.frozenUntil : findCut(this.#end, this.peer!.#end)?.until;
 	}
 
 	/**
-	Takes what waits in the order in which it came.
+	Schedules the handling of waiting messages, in the order of their arrival.
 	*/
 	#releaseLater(): void {
 		if (this.#held.length > 1) {
