--- a/packages/wagtailroute-allotments/src/allotments.ts
+++ b/packages/wagtailroute-allotments/src/allotments.ts
@@ -6,11 +6,11 @@
 
 - A control host that has received all reports for a whole window admits all of it. So do the other control hosts that receive slot requests, for other services or
   for the same one: what each admits is deducted at the others.
-- Any other dispatcher admits the share of the entry hosts that request slots from it. These are the dispatchers on entry hosts, since others may be in use at the
-  same time, and on a control host that started less than a window ago, since entry hosts may still dispatch. Such a dispatcher deducts the same share of the usage that
-  others report: the rest was admitted for hosts that request slots elsewhere.
-- An entry host that turns to another dispatcher reports to it what it was admitted in the last window. So a dispatcher that takes over does not admit the burst a
-  second time, whichever dispatcher failed before.
+- Any other dispatcher admits what entry hosts lend it. These are the dispatchers on entry hosts, since others may be in use at the same time, and on a control host that
+  started less than a window ago, since entry hosts may still dispatch. With each slot request a host lends the time since its previous one, to whichever dispatcher, and
+  once in a window its part of the bursts. The tokens of all dispatchers together are those of the time that passes, whatever each of them knows of the others.
+- An entry host that turns to another dispatcher reports to it what it was admitted in the last window. This usage counts in the window of requests, which bounds what
+  is admitted a second time. So does the usage that other dispatchers report, as the share of the entry hosts that request slots here.
 
 Failures, and their effect:
 
@@ -21,6 +21,7 @@
 - Dispatchers are cut off from each other while entry hosts reach both. Without reports each would admit the whole rate. So a dispatcher that misses the reports on
   a service admits only the fraction that its other services used before; the fractions of both sides add up to the whole.
 - A dispatcher fails. Its successor has received its reports and dispatches the service from the first slot request on, so no fraction stays reserved.
+- Entry hosts alternate between dispatchers that answer late. What a host lends to one of them it does not lend to another.
 - All hosts restart. What was admitted before is unknown, so the buckets start nearly empty.
 */
 import type * as core from 'wagtailroute-core';
@@ -186,8 +187,8 @@
 	*/
 	readonly getShare: (now: number) => number;
 	/**
-	Returns the entry hosts from which this dispatcher receives nothing; the same array as long as nothing changes. Absent on entry hosts, which admit only the share of
-	the hosts that request slots from them.
+	Returns the entry hosts from which this dispatcher receives nothing; the same array as long as nothing changes. Absent on entry hosts, which admit only
+	what is lent to them.
 	*/
 	readonly listAbsences?: (now: number) => readonly Absence[];
 	/**
@@ -454,7 +455,7 @@
 	}
 
 	/**
-	Lists the entry hosts whose shares are not admitted here. A dispatcher that admits only the share of the hosts that request slots from it needs no list.
+	Lists the entry hosts whose shares are not admitted here. A dispatcher that admits only what is lent to it needs no list.
 	*/
 	#listAbsences(now: number): readonly Absence[] {
 		return (this.#hasWholeWindow(now) ? this.#settings.listAbsences?.(now) : undefined) ?? NO_ABSENCES;
--- a/packages/wagtailroute-allotments/src/organisation-limiter.ts
+++ b/packages/wagtailroute-allotments/src/organisation-limiter.ts
@@ -42,7 +42,7 @@
 	*/
 	readonly burstFraction: number;
 	/**
-	Share of the entry hosts that this dispatcher admits requests for, 0 to 1. It bounds the window, and the same share of the usage that others report is deducted here.
+	Share of the entry hosts that this dispatcher admits requests for, 0 to 1. It bounds the window, and the same share of the usage that others report counts here.
 	*/
 	readonly share: number;
 	/**
