--- a/packages/wagtailroute-fleet/src/__tests__/unit/allotment-enforcer.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/allotment-enforcer.test.ts
@@ -156,20 +156,27 @@
 	t.deepEqual(reports, []);
 });
 
-test('a dispatcher that does not receive all reports admits the share of the entry hosts that request slots from it', async t => {
-	const {requestSlot, dispatching, context} = await setUp({requestShare: {get: () => 0.2, getHostShare: () => 0.1}, isReceivingReports: false});
-	let granted = 0;
-	for (let turn = 0; turn < 500; turn++) {
-		const {id, answer} = requestSlot({host: `front-${turn % 2}`, lentMilliseconds: 40});
-		dispatching.end({id, ending: 'success', milliseconds: 10});
-		granted += answer.kind === 'grant' ? 1 : 0;
-		// eslint-disable-next-line no-await-in-loop -- One after the other.
-		await context.pass(20);
-	}
+const LENDING_HOSTS = [
+	{name: 'that say how much time they lend', lending: {lentMilliseconds: 40}},
+	{name: 'of an earlier version, which do not', lending: {}},
+] as const;
 
-	// A fifth of what is admitted in ten seconds at ten a second.
-	t.true(granted >= 17 && granted <= 24, String(granted));
-});
+for (const {name, lending} of LENDING_HOSTS) {
+	test(`a dispatcher that does not receive all reports admits the share of the entry hosts that request slots from it, ${name}`, async t => {
+		const {requestSlot, dispatching, context} = await setUp({requestShare: {get: () => 0.2, getHostShare: () => 0.1}, isReceivingReports: false});
+		let granted = 0;
+		for (let turn = 0; turn < 500; turn++) {
+			const {id, answer} = requestSlot({host: `front-${turn % 2}`, ...lending});
+			dispatching.end({id, ending: 'success', milliseconds: 10});
+			granted += answer.kind === 'grant' ? 1 : 0;
+			// eslint-disable-next-line no-await-in-loop -- One after the other.
+			await context.pass(20);
+		}
+
+		// A fifth of what is admitted in ten seconds at ten a second.
+		t.true(granted >= 17 && granted <= 24, String(granted));
+	});
+}
 
 test('many refusals are logged once a second, with their number', async t => {
 	const {requestSlot, exhaustTokens, lines, context} = await setUp();
