Laboratory: messages between control hosts wait while one is frozen

A real link keeps them.

The tests of floods are a table now, with a frozen dispatcher as a second case.

--- a/packages/wagtailroute-lab/src/__tests__/unit/allotments.test.ts
+++ b/packages/wagtailroute-lab/src/__tests__/unit/allotments.test.ts
@@ -173,22 +173,41 @@
 	});
 }
 
-const BUSY_STANDBY_SEEDS = [1, 2, 3] as const;
-
-for (const seed of BUSY_STANDBY_SEEDS) {
-	test(`an organisation that floods gets no more than its allotment while entry hosts alternate between busy standbys and themselves, seed ${seed}`, async t => {
-		// Guards against shares of two dispatchers that both count the same entry host: its slot requests time out at one, and it turns to the other.
-		const history: History = {
-			seed,
-			perSecond: 60,
-			use: 0.62,
-			floods: [{atSeconds: 2, forSeconds: 6, times: 8}],
-			faults: [{kind: 'controls-away', atSeconds: 1.84, forSeconds: 0.77}],
-			mediaPerSecond: 6,
-			reconnectSeconds: 1,
-			messageMilliseconds: {entry: 4, control: 0.8},
-		};
-		const {allotmentExcess} = await play(history);
-		t.true(allotmentExcess <= 0, `${allotmentExcess} beyond the allotment`);
-	});
+type FloodCase = Pick<History, 'faults' | 'messageMilliseconds'> & {
+	readonly name: string;
+};
+
+const FLOOD_SEEDS = [1, 2, 3] as const;
+
+const FLOOD_CASES: readonly FloodCase[] = [
+	{
+		// Slot requests time out at one dispatcher, and their host turns to another one: both must not count the same host.
+		name: 'entry hosts alternate between busy standbys and themselves',
+		faults: [{kind: 'controls-away', atSeconds: 1.84, forSeconds: 0.77}],
+		messageMilliseconds: {entry: 4, control: 0.8},
+	},
+	{
+		// The reports of a frozen dispatcher arrive late, and so do those of the one that takes over.
+		name: 'a dispatcher freezes and thaws',
+		faults: [{kind: 'control-frozen', atSeconds: 2.5, forSeconds: 2}],
+	},
+];
+
+for (const {name, faults, messageMilliseconds} of FLOOD_CASES) {
+	for (const seed of FLOOD_SEEDS) {
+		test(`an organisation that floods gets no more than its allotment while ${name}, seed ${seed}`, async t => {
+			// Guards against two dispatchers that both admit the same part of an allotment.
+			const {allotmentExcess} = await play({
+				seed,
+				perSecond: 60,
+				use: 0.62,
+				floods: [{atSeconds: 2, forSeconds: 6, times: 8}],
+				faults,
+				mediaPerSecond: 6,
+				reconnectSeconds: 1,
+				messageMilliseconds,
+			});
+			t.true(allotmentExcess <= 0, `${allotmentExcess} beyond the allotment`);
+		});
+	}
 }
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -351,9 +351,7 @@
 			absences,
 			isReceivingReports: true,
 			notifyDispatchers: message => {
-				if (endpoint.state === 'up') {
-					this.#notifyControlHosts(id, message);
-				}
+				this.#notifyControlHosts(id, message);
 			},
 		});
 		const dispatcher = this.#startHostDispatcher({
@@ -412,16 +410,40 @@
 
 	#notifyControlHosts(from: core.HostId, {method, parameters}: Message): void {
 		const {clock, scenario} = this.#plan;
-		const sender = this.#controls.find(({id}) => id === from) ?? {};
-		clock.schedule(scenario.farMilliseconds, () => {
+		const sender = this.#controls.find(({id}) => id === from);
+		if (sender === undefined || sender.endpoint.state === 'away') {
+			return;
+		}
+
+		clock.schedule(this.#getFrozenMilliseconds(sender) + scenario.farMilliseconds, () => {
 			for (const control of this.#controls) {
-				if (control.id !== from && control.endpoint.state === 'up') {
-					MESSAGE_HANDLERS[method]?.(control, parameters, sender);
+				if (control !== sender) {
+					this.#deliver(control, () => {
+						MESSAGE_HANDLERS[method]?.(control, parameters, sender);
+					});
 				}
 			}
 		});
 	}
 
+	/**
+	Handles a message at a control host, after it has thawed if it is frozen.
+	*/
+	#deliver(control: Control, handle: () => void): void {
+		const frozenMilliseconds = this.#getFrozenMilliseconds(control);
+		if (frozenMilliseconds > 0) {
+			this.#plan.clock.schedule(frozenMilliseconds, () => {
+				this.#deliver(control, handle);
+			});
+		} else if (control.endpoint.state === 'up') {
+			handle();
+		}
+	}
+
+	#getFrozenMilliseconds({endpoint}: Control): number {
+		return endpoint.state === 'frozen' ? Math.max(0, endpoint.frozenUntil - this.#plan.clock.now()) : 0;
+	}
+
 	#startHostDispatcher({requestingHosts, allotmentEnforcer, requestShare, isReceivingReports, listStandbys, notifyControlHosts, getState, onAnswer}: {
 		readonly requestingHosts: ReturnType<typeof fleet.createRequestingHosts>;
 		readonly allotmentEnforcer: fleet.AllotmentEnforcer;
