Allotments: what the review of the whole change found

- Time lent with a request that was answered with "wait" was taken back when the link was lost, though the dispatcher had received it: two dispatchers got it.
- Dead since lent time: other dispatchers' requests for another service were still "deducted" from a bucket that ignores it, and those of the same service weighed by a share that is always 1 there.
- A variable renamed for no reason, a number computed twice, a comment that could not be understood.

--- a/packages/wagtailroute-allotments/src/allotments.ts
+++ b/packages/wagtailroute-allotments/src/allotments.ts
@@ -8,7 +8,8 @@
   for the same one: what each admits is deducted at the others.
 - Any other dispatcher admits what entry hosts lend it. These are the dispatchers on entry hosts, since others may be in use at the same time, and on a control host that
   started less than a window ago, since entry hosts may still dispatch. With each slot request a host lends the time since its previous one, to whichever dispatcher, and
-  once in a window its part of the bursts. The tokens of all dispatchers together are those of the time that passes, whatever each of them knows of the others.
+  once in a window its part of the bursts. So all dispatchers together get the tokens of the time that passes, whatever each of them knows of the others. What several
+  of them have not used yet is bounded by the capacity of each bucket, and by the windows.
 - An entry host that turns to another dispatcher reports to it what it was admitted in the last window. This usage counts in the window of requests, which bounds what
   is admitted a second time. So does the usage that other dispatchers report, as the share of the entry hosts that request slots here.
 
@@ -335,7 +336,7 @@
 			if (fraction === undefined) {
 				limiter.recordRemoteUsage(service, requests, {at, now});
 			} else {
-				limiter.recordSharedUsage(service, requests, {at, now, fraction});
+				limiter.recordSharedUsage(service, requests, {at, fraction});
 			}
 		}
 	}
--- a/packages/wagtailroute-allotments/src/organisation-limiter.ts
+++ b/packages/wagtailroute-allotments/src/organisation-limiter.ts
@@ -157,18 +157,18 @@
 	each by itself keeps to the allotment. Delayed reports arrive together, and the tokens for their requests have been refilled since: they count in the window only.
 	*/
 	recordRemoteUsage(service: core.ServiceName, requests: number, {at, now}: {readonly at: number; readonly now: number}): void {
-		this.#deductRemote(requests * this.#limits.share, {at, now});
+		this.#deductRemote(requests, {at, now});
 		this.#remoteWindow.add(requests, at);
 		this.#recordConfirmed(service, requests, at);
 	}
 
 	/**
-	Records requests that another dispatcher admitted, for another service, on behalf of entry hosts that request slots here too.
+	Records requests that another dispatcher admitted, for another service, on behalf of entry hosts that request slots here too. They count in the window only: the
+	other dispatcher admitted them with what was lent to it.
 
 	@param fraction Fraction of the requests that may come from these hosts, 0 to 1.
 	*/
-	recordSharedUsage(service: core.ServiceName, requests: number, {at, now, fraction}: {readonly at: number; readonly now: number; readonly fraction: number}): void {
-		this.#deductRemote(requests * fraction, {at, now});
+	recordSharedUsage(service: core.ServiceName, requests: number, {at, fraction}: {readonly at: number; readonly fraction: number}): void {
 		this.#ownWindow.add(requests * fraction, at);
 		this.#recordConfirmed(service, requests, at);
 	}
--- a/packages/wagtailroute-fleet/src/__tests__/unit/dispatch-client.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/dispatch-client.test.ts
@@ -286,6 +286,22 @@
 	t.true(typeof next === 'object' && next[2]! >= 70);
 });
 
+test('the time lent with a request that was answered with wait is not lent again', async t => {
+	// Guards against time that two dispatchers get: the one whose link is lost has received it.
+	const other = createOther('d');
+	const {client, link, control, context} = setUp(method => method === 'dispatch.ask' ? ['wait'] : undefined, [other]);
+	const service = Array.from({length: 50}, (_, index) => `service-${index}`)
+		.find(name => orderDispatchers(name, ['c', 'd'], id => id)[0] === 'c')!;
+	await context.pass(70);
+	const {answer} = client.requestSlot({...fixture.SLOT_REQUEST_DRAFT, organisation: 'parish', service});
+	await context.pass(5);
+	link.close();
+	client.handleDispatcherLost(control);
+	await answer;
+	const [next] = (other.link as fixture.FakeLink).called.filter(([method]) => method === 'dispatch.ask').map(([, ask]) => (ask as EncodedSlotRequest)[1]);
+	t.true(typeof next === 'object' && next[2]! < 70);
+});
+
 test('requests queued at a dispatcher that has become silent go to the next one', async t => {
 	// Guards against requests that miss their deadlines because they were queued when their dispatcher froze: a later slot request finds it
 	// unresponsive, and must take the queued ones along.
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -514,7 +514,7 @@
 export const RECENT_ANSWER_MILLISECONDS = 1000;
 
 /**
-Milliseconds without an answer of any upstream, and upstreams with unanswered requests, after which a host checks whether it reaches any. Single requests take as long.
+Milliseconds without an answer of any upstream, and upstreams with unanswered requests, after which a host checks whether it reaches any. A single answer may take as long.
 */
 export const SILENT_UPSTREAMS_MILLISECONDS = 500;
 export const MIN_SILENT_UPSTREAMS = 3;
--- a/packages/wagtailroute-fleet/src/dispatch-client.ts
+++ b/packages/wagtailroute-fleet/src/dispatch-client.ts
@@ -142,7 +142,7 @@
 	*/
 	dispatcher?: LinkedHost;
 	/**
-	Time that was lent to the dispatcher with the request.
+	Time that was lent to the dispatcher with the request; absent once it has answered.
 	*/
 	lentMilliseconds?: number;
 };
@@ -334,6 +334,8 @@
 
 		if (answer.isOk()) {
 			this.#recentUsage.recordAnswer(dispatcher.link);
+			// The dispatcher has received the loan.
+			pending.lentMilliseconds = undefined;
 			this.#handleFirstAnswer(pending, decodeAnswer(answer.value as EncodedAnswer));
 		} else {
 			this.#abandonDispatcher(dispatcher, answer.error.kind);
@@ -436,9 +438,9 @@
 		this.#context.metrics.count('asks_own', {reason});
 		this.#context.logs('dispatch').warn('No other dispatcher is available; the host requests the slot from its own.', {id: request.id, service: request.service, reason});
 		this.#options.ownDispatcher.applyUpdates({service: request.service, updates: this.#advertisements.list(request.service)});
-		const handover = this.#recentUsage.collectUnreported(this.#options.ownDispatcher);
-		if (handover !== undefined) {
-			this.#options.ownDispatcher.applyPastUsage(this.#options.settings.hostId, handover);
+		const uses = this.#recentUsage.collectUnreported(this.#options.ownDispatcher);
+		if (uses !== undefined) {
+			this.#options.ownDispatcher.applyPastUsage(this.#options.settings.hostId, uses);
 		}
 
 		const answer = this.#options.ownDispatcher.requestSlot({...this.#addLoan(request, this.#options.ownDispatcher), remainingMilliseconds});
@@ -549,5 +551,5 @@
 function notifyCancelled(dispatcherLink: link.Link, request: dispatch.SlotRequest, reclaimedMilliseconds = 0): void {
 	const number = getSlotRequestNumber(request.id);
 	dispatcherLink.notify(METHODS.cancel, (reclaimedMilliseconds === 0 ? [number] : [number, reclaimedMilliseconds]) satisfies EncodedCancellation);
-	dispatcherLink.notify(METHODS.end, [getSlotRequestNumber(request.id), 'unused', 0] satisfies EncodedEnd);
+	dispatcherLink.notify(METHODS.end, [number, 'unused', 0] satisfies EncodedEnd);
 }
