--- a/packages/wagtailroute-cli/src/commands/platform.ts
+++ b/packages/wagtailroute-cli/src/commands/platform.ts
@@ -18,6 +18,7 @@
 
 	settingsFile = base.createFlag('settingsFile');
 	logLevel = base.createFlag('logLevel');
+	overloadControl = base.createFlag('overloadControl');
 
 	override async run(): Promise<base.CommandResult> {
 		const read = this.readSettings(settings.PLATFORM_SETTINGS);
@@ -25,9 +26,9 @@
 			return read;
 		}
 
-		const {settingsFile, logLevel} = read.value;
+		const {settingsFile, logLevel, overloadControl} = read.value;
 		const platform = await import('wagtailroute-platform');
-		const started = await platform.runProcess(settingsFile, logLevel);
+		const started = await platform.runProcess(settingsFile, {level: logLevel, overloadControl});
 		return started.isErr()
 			? results.Err(core.createFailure('bad-setting', started.error.message))
 			: running.runUntilStopped(this.context.stdout, 'run: ready', async () => started.value);
--- a/packages/wagtailroute-cli/src/flag-schemas.ts
+++ b/packages/wagtailroute-cli/src/flag-schemas.ts
@@ -112,3 +112,8 @@
 The lowest level that is logged.
 */
 export const logLevel = zod.enum(['error', 'warn', 'info', 'debug']);
+
+/**
+When overload control is on.
+*/
+export const overloadControl = zod.enum(['on', 'off', 'auto']);
--- a/packages/wagtailroute-cli/src/flags.ts
+++ b/packages/wagtailroute-cli/src/flags.ts
@@ -82,6 +82,12 @@
 	logLevel: {
 		name: 'log-level', description: 'Least level that is logged', accepted: 'error, warn, info or debug', schema: schemas.logLevel.prefault('info'),
 	},
+	overloadControl: {
+		name: 'overload-control',
+		description: 'Whether services are divided among dispatchers and requests ordered by the cost of delay; by default as the settings file asks',
+		accepted: 'on, off or auto',
+		schema: schemas.overloadControl.optional(),
+	},
 	statsd: {
 		name: 'statsd', description: 'Address that metrics are sent to over UDP', accepted: ADDRESS_ACCEPTED, schema: schemas.address.optional(),
 	},
--- a/packages/wagtailroute-cli/src/settings.ts
+++ b/packages/wagtailroute-cli/src/settings.ts
@@ -43,6 +43,7 @@
 export const PLATFORM_SETTINGS = zod.object({
 	settingsFile: flags.FLAGS.settingsFile.schema,
 	logLevel: flags.FLAGS.logLevel.schema,
+	overloadControl: flags.FLAGS.overloadControl.schema,
 });
 
 /**
--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -7,13 +7,17 @@
 import * as core from 'wagtailroute-core';
 import type {SlotRequest} from './slot-requests.ts';
 import type {Policy} from './policy.ts';
+import {
+	getCost,
+	getDomainCost,
+	getShortfallTrialDelay,
+	isRested,
+} from './costs/index.ts';
 import {
 	getBackoff,
 	getDoubt,
 	getRisk,
-	getSlowness,
 	hasCapacity,
-	isIdle,
 	isPathSuspect,
 	isServing,
 	isSuspended,
@@ -101,11 +105,7 @@
 			&& (upstream.rateLimit?.getDelay(now) ?? 0) < remainingWait
 			&& isEligible(upstream, request, now)
 			// Crossing is better than an upstream at which the request is likely to fail.
-			&& getRisk(upstream, now) * policy.riskCost < getCrossingCost(request, policy));
-}
-
-function getCrossingCost({requestClass}: SlotRequest, {uploadDomainCost, domainCost}: Policy): number {
-	return requestClass === 'upload' ? uploadDomainCost : domainCost;
+			&& getRisk(upstream, now) * policy.riskCost < getDomainCost(request, policy));
 }
 
 /**
@@ -209,37 +209,3 @@
 	const dueAt = nextTrialAt + extra + (candidate.failureDomain === request.failureDomain ? 0 : policy.domainTrialMilliseconds);
 	return needsIdleUpstreams ? Math.min(dueAt, Math.max(nextTrialAt, lastFailureAt + getShortfallTrialDelay(upstream))) : dueAt;
 }
-
-function getShortfallTrialDelay({failedTrials, policy}: Upstream): number {
-	return Math.min(policy.shortfallTrialMostMilliseconds, policy.shortfallTrialLeastMilliseconds * (2 ** failedTrials));
-}
-
-/**
-Returns the cost of an upstream for a request. The risk rises with the ages of the requests in progress there, long before the first of them ends.
-*/
-function getCost(upstream: Upstream, request: SlotRequest, {now, needsIdleUpstreams}: Pick<ChoiceContext, 'now' | 'needsIdleUpstreams'>): number {
-	const {candidate, heldSlots, policy} = upstream;
-	const load = (heldSlots.size + 1) / candidate.slots;
-	return (getSlowness(upstream, now) * (1 + load))
-		+ (candidate.failureDomain === request.failureDomain ? 0 : getCrossingCost(request, policy))
-		+ (getDoubt(upstream, now) * policy.doubtCost)
-		+ (getRisk(upstream, now) * policy.riskCost)
-		- (isRested(upstream, now) ? getRestGain(upstream, request, {now, needsIdleUpstreams}) : 0);
-}
-
-function getRestGain(upstream: Upstream, {requestClass}: SlotRequest, {now, needsIdleUpstreams}: Pick<ChoiceContext, 'now' | 'needsIdleUpstreams'>): number {
-	const {restGain, repeatableRestGain, shortfallRestGain} = upstream.policy;
-	if (needsIdleUpstreams && now - upstream.lastFailureAt >= getShortfallTrialDelay(upstream)) {
-		return shortfallRestGain;
-	}
-
-	return core.isIdempotent(requestClass) ? repeatableRestGain : restGain;
-}
-
-/**
-Returns whether an upstream has had no request for a while. With little traffic, the upstreams with the latest successes would otherwise get all
-requests, and the others none: they would be unavailable as replacements when one of the few fails.
-*/
-function isRested(upstream: Upstream, now: number): boolean {
-	return isIdle(upstream, upstream.policy.restMilliseconds, now);
-}
--- a/packages/wagtailroute-dispatch/src/dispatcher-types.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher-types.ts
@@ -40,6 +40,10 @@
 	Returns the share of the retry budget that this dispatcher grants, 0 to 1. Absent: all of it.
 	*/
 	readonly getBudgetShare?: (now: number) => number;
+	/**
+	Returns whether queued requests are ordered by what it costs callers to delay or refuse them. Absent: they keep the place that they got on arrival.
+	*/
+	readonly isOrderedByCost?: () => boolean;
 };
 
 /**
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -560,3 +560,8 @@
 Milliseconds after a change of the crash records before they are saved to disk.
 */
 export const CRASHES_SAVE_DELAY_MILLISECONDS = 100;
+
+/**
+Entry hosts from which on a fleet counts as large: a dispatcher with 0.4 of a core doesn't answer the slot requests of more hosts in time.
+*/
+export const LARGE_FLEET_ENTRY_HOSTS = 150;
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -37,6 +37,7 @@
 } from './leader-calls.ts';
 import {createMessageOrder} from './message-order.ts';
 import * as messages from './messages.ts';
+import {createOverloadControl} from './overload-control.ts';
 import {startInstanceRegistry} from './registry.ts';
 import {watchPauses} from './pauses.ts';
 import {createRequestShare} from './request-share.ts';
@@ -115,6 +116,7 @@
 		settings,
 		allotmentEnforcer,
 		requestShare,
+		overloadControl: createOverloadControl(settings.overloadControl ?? 'off', entryHostCount.get),
 		isReceivingUpdates: true,
 		onEntryHostCount: entryHostCount.record,
 		listCandidates: registry.listCandidates,
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -38,6 +38,7 @@
 import {startLoadMeter} from './load.ts';
 import {createMessageOrder} from './message-order.ts';
 import * as messages from './messages.ts';
+import {createOverloadControl} from './overload-control.ts';
 import {createRequestLog} from './request-log.ts';
 import {watchPauses} from './pauses.ts';
 import {createRequestShare} from './request-share.ts';
@@ -136,6 +137,7 @@
 
 	const entryHostCount = createEntryHostCount(context.now, () => countAddresses(directory));
 	const requestShare = createRequestShare(entryHostCount.get, ASSUMED_ENTRY_HOSTS);
+	const overloadControl = createOverloadControl(settings.overloadControl ?? 'off', entryHostCount.get);
 	const allotmentEnforcer = startAllotmentEnforcer(context, {
 		settings: settings.allotments,
 		requestShare,
@@ -165,6 +167,7 @@
 		settings,
 		allotmentEnforcer,
 		requestShare,
+		overloadControl,
 		isReceivingUpdates: false,
 		onEntryHostCount: entryHostCount.record,
 		listCandidates: fleetView.listCandidates,
--- a/packages/wagtailroute-fleet/src/host-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/host-dispatcher.ts
@@ -15,6 +15,7 @@
 } from './constants.ts';
 import {getSlotRequestNumber, encodeAnswer} from './slot-request-encoding.ts';
 import type {AllotmentEnforcer} from './allotment-enforcer.ts';
+import type {OverloadControl} from './overload-control.ts';
 import type {RequestShare} from './request-share.ts';
 import type {FleetContext} from './context.ts';
 import {createPeerUpdates} from './peer-updates.ts';
@@ -106,6 +107,10 @@
 	*/
 	readonly requestShare: RequestShare;
 	/**
+	Absent: off.
+	*/
+	readonly overloadControl?: OverloadControl;
+	/**
 	Whether this host receives what other dispatchers grant, as control hosts do. Otherwise its dispatcher grants only its share of a rate limit.
 	*/
 	readonly isReceivingUpdates: boolean;
@@ -145,6 +150,7 @@
 	const {requestShare} = options;
 	const dispatcher = dispatch.createDispatcher({
 		...options.settings, random, getShare: options.isReceivingUpdates ? undefined : requestShare.get, getBudgetShare: requestShare.get,
+		isOrderedByCost: options.overloadControl?.isOn,
 	});
 	const retryBudgetLog = createRetryBudgetLog(context, service => dispatcher.reportBudget(service, now()));
 	const knownServices = new Set<core.ServiceName>();
--- a/packages/wagtailroute-fleet/src/settings.ts
+++ b/packages/wagtailroute-fleet/src/settings.ts
@@ -3,6 +3,7 @@
 */
 import type * as core from 'wagtailroute-core';
 import type * as dispatch from 'wagtailroute-dispatch';
+import type {OverloadControlMode} from './overload-control.ts';
 
 /**
 A control host as others know it.
@@ -53,6 +54,10 @@
 	Policy of the dispatcher; the default policy when absent.
 	*/
 	readonly policy?: dispatch.Policy;
+	/**
+	Absent: `off`.
+	*/
+	readonly overloadControl?: OverloadControlMode;
 };
 
 /**
