Dispatch: requests that an allotment refuses count as a shortfall of their service

Requests refused for an allotment never reached the dispatcher's shortfall, so idle upstreams weren't tried sooner. The new case of the test failed before: the idle upstream with doubt got its first request after 8,560 ms, now after 1.4 to 2 s.

--- a/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/dispatcher.test.ts
@@ -108,6 +108,10 @@
 	readonly errors: number;
 	readonly failsTrials: boolean;
 	/**
+	One of this many further requests is refused because of an allotment; absent: none.
+	*/
+	readonly refused?: number;
+	/**
 	Ranges of milliseconds after its last failure in which it gets its requests.
 	*/
 	readonly tried: ReadonlyArray<readonly [from: number, to: number]>;
@@ -126,12 +130,15 @@
 	{
 		name: 'not suspended but with doubt, while the others fail some requests', failing: 8, errors: 1, failsTrials: false, tried: [[1400, 2000]],
 	},
+	{
+		name: 'not suspended but with doubt, while an organisation exceeds its allotment', failing: Infinity, errors: 1, failsTrials: false, refused: 4, tried: [[1400, 2000]],
+	},
 	{
 		name: 'suspended and still failing, while the others succeed: its trials do not count', failing: Infinity, errors: 2, failsTrials: true, tried: [[6000, 6500], [6000, 7500]],
 	},
 ];
 
-for (const {name, failing, errors, failsTrials, tried} of SHORTFALL_CASES) {
+for (const {name, failing, errors, failsTrials, refused = Infinity, tried} of SHORTFALL_CASES) {
 	test(`an idle upstream is tried with non-idempotent requests: ${name}`, t => {
 		// Guards against healthy upstreams that stay idle for eight seconds after they have recovered, while the requests at the others fail.
 		const others = ['b', 'c', 'd', 'e', 'f', 'g'];
@@ -144,6 +151,10 @@
 		let failedAt = 0;
 		const times: number[] = [];
 		for (let now = 20; times.length < tried.length && now < 20_000; now += 20) {
+			if (now / 20 % refused === 0) {
+				dispatcher.recordRefused(SERVICE, now);
+			}
+
 			const granted = getGrant(dispatcher.requestSlot(createSlotRequest(String(now)), now));
 			const isTried = granted?.upstream === 'a';
 			if (isTried) {
--- a/packages/wagtailroute-dispatch/src/dispatcher-types.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher-types.ts
@@ -79,6 +79,11 @@
 	*/
 	readonly requestSlot: (request: SlotRequest, now: number) => readonly Effect[];
 	/**
+	Records that a request of the service was refused before it reached this dispatcher's queue, because its organisation has used up its allotment.
+	Its callers see a service that fails, so idle upstreams are tried sooner.
+	*/
+	readonly recordRefused: (service: core.ServiceName, now: number) => void;
+	/**
 	Removes a queued slot request and returns it; undefined when it is not in the queue.
 	*/
 	readonly cancel: (id: SlotRequestId, now: number) => SlotRequest | undefined;
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -117,6 +117,12 @@
 		return this.#servicesByQueuedId.has(request.id) ? [...effects, ...this.#waitOrRefuse(service, queued, now)] : effects;
 	}
 
+	recordRefused(name: core.ServiceName, now: number): void {
+		const {shortfall} = this.#getService(name);
+		shortfall.recordRequest(now);
+		shortfall.recordFailure(now);
+	}
+
 	cancel(id: SlotRequestId, now: number): SlotRequest | undefined {
 		const service = this.#servicesByQueuedId.get(id);
 		const request = service && this.#dequeue(service, id);
--- a/packages/wagtailroute-fleet/src/host-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/host-dispatcher.ts
@@ -340,6 +340,7 @@
 
 			const refusal = dispatch.isFirstAttempt(request) ? options.allotmentEnforcer?.admit(request) : undefined;
 			if (refusal !== undefined) {
+				dispatcher.recordRefused(request.service, now());
 				return refusal;
 			}
 
