Dispatch: requests with large responses stay in their failure domain

Entry hosts now report response bytes as an optional fourth item of dispatch.end, and dispatchers keep a moving average by route. The cost of crossing, the gain of a rested upstream, the wait for a slot in the own failure domain and trials follow it. Routes with responses of up to 8 KB are decided as before.

Two counters by route show granted slots and expected bytes, within the failure domain and across.

--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -7,6 +7,7 @@
 import * as core from 'wagtailroute-core';
 import type {SlotRequest} from './slot-requests.ts';
 import type {Policy} from './policy.ts';
+import type {ExpectedResponse} from './response-bytes.ts';
 import {
 	getCost,
 	getDomainCost,
@@ -53,6 +54,11 @@
 	Whether idle upstreams are tried sooner, since requests fail and no idempotent ones came recently.
 	*/
 	readonly needsIdleUpstreams: boolean;
+	/**
+	Usual response time of the request's route.
+	*/
+	readonly usualMilliseconds: number;
+	readonly response: ExpectedResponse;
 	readonly policy: Policy;
 };
 
@@ -70,7 +76,7 @@
 @param upstreams Upstreams that are not suspended and have a free slot.
 */
 export function choose(upstreams: Iterable<Upstream>, request: SlotRequest, context: ChoiceContext): Choice | undefined {
-	const {now, random, needsIdleUpstreams} = context;
+	const {now, random, needsIdleUpstreams, response} = context;
 	let best: Upstream | undefined;
 	let bestCost = Infinity;
 	for (const upstream of upstreams) {
@@ -78,7 +84,7 @@
 			continue;
 		}
 
-		const cost = getCost(upstream, request, {now, needsIdleUpstreams}) + (random() * upstream.policy.spreadCost);
+		const cost = getCost(upstream, request, {now, needsIdleUpstreams, response}) + (random() * upstream.policy.spreadCost);
 		if (!(cost < bestCost)) {
 			continue;
 		}
@@ -88,7 +94,10 @@
 	}
 
 	const isCrossing = best !== undefined && best.candidate.failureDomain !== request.failureDomain;
-	const isExploring = best !== undefined && (needsIdleUpstreams || core.isIdempotent(request.requestClass)) && isRested(best, now);
+	const isExploring = best !== undefined
+		&& (needsIdleUpstreams || core.isIdempotent(request.requestClass))
+		&& (response.largePart < 1 || response.isExplored(best.candidate.failureDomain))
+		&& isRested(best, now);
 	return best === undefined || (isCrossing && !isExploring && isWaitingForOwnDomain(request, context)) ? undefined : {upstream: best, isTrial: false};
 }
 
@@ -96,8 +105,11 @@
 Returns whether a request should wait for a slot in its own failure domain. Under load one becomes free there within milliseconds. If each request
 took the first free slot of any domain, nearly half of all requests would cross, each leaving a slot in its own domain to another that crosses.
 */
-function isWaitingForOwnDomain(request: SlotRequest, {now, queuedMilliseconds, allUpstreams, policy}: ChoiceContext): boolean {
-	const remainingWait = policy[DOMAIN_WAIT_FIELDS[request.requestClass]] - queuedMilliseconds;
+function isWaitingForOwnDomain(request: SlotRequest, context: ChoiceContext): boolean {
+	const {
+		now, queuedMilliseconds, allUpstreams, policy, response,
+	} = context;
+	const remainingWait = getDomainWait(request, context) - queuedMilliseconds;
 	return !request.isResend
 		&& remainingWait > 0
 		&& allUpstreams.values().some(upstream => upstream.candidate.failureDomain === request.failureDomain
@@ -105,7 +117,22 @@
 			&& (upstream.rateLimit?.getDelay(now) ?? 0) < remainingWait
 			&& isEligible(upstream, request, now)
 			// Crossing is better than an upstream at which the request is likely to fail.
-			&& getRisk(upstream, now) * policy.riskCost < getDomainCost(request, policy));
+			&& getRisk(upstream, now) * policy.riskCost < getDomainCost(request, response.bytes, policy));
+}
+
+/**
+Returns the milliseconds that a request waits for a slot in its own failure domain. Those for a large response end while the request can still meet
+its objective.
+*/
+function getDomainWait(request: SlotRequest, {policy, response: {largePart}, usualMilliseconds}: ChoiceContext): number {
+	const classWait = policy[DOMAIN_WAIT_FIELDS[request.requestClass]];
+	if (largePart === 0) {
+		return classWait;
+	}
+
+	const largeWait = classWait + (Math.max(0, policy.largeDomainWaitMilliseconds - classWait) * largePart);
+	const objectiveWait = request.objectiveMilliseconds - request.waitedMilliseconds - (usualMilliseconds * policy.objectivePart);
+	return Math.max(classWait, Math.min(largeWait, objectiveWait));
 }
 
 /**
@@ -125,6 +152,7 @@
 	Whether idle upstreams are tried sooner, since requests fail and no idempotent ones came recently.
 	*/
 	readonly needsIdleUpstreams: boolean;
+	readonly response: ExpectedResponse;
 };
 
 /**
@@ -138,7 +166,10 @@
 	let earliestDueAt = now;
 	for (const upstream of upstreams) {
 		const at = getTrialDueAt(upstream, request, context);
-		const isNext = at <= earliestDueAt && isAvailable(upstream, request, now) && isTrialAllowed(upstream, request);
+		const isNext = at <= earliestDueAt
+			&& isAvailable(upstream, request, now)
+			&& isTrialAllowed(upstream, request)
+			&& !context.response.isLeftToOthers(upstream.candidate.failureDomain);
 		trial = isNext ? upstream : trial;
 		earliestDueAt = isNext ? at : earliestDueAt;
 	}
@@ -148,13 +179,20 @@
 
 /**
 Returns the suspended upstream with the least doubt, or undefined. It serves a request that would otherwise be refused.
+
+@param isAllowed Returns whether an upstream of a failure domain may be used.
 */
-export function chooseFallback(upstreams: Iterable<Upstream>, request: SlotRequest, now: number): Choice | undefined {
+export function chooseFallback(
+	upstreams: Iterable<Upstream>,
+	request: SlotRequest,
+	now: number,
+	isAllowed: (failureDomain: core.FailureDomain) => boolean = () => true,
+): Choice | undefined {
 	let best: Upstream | undefined;
 	let bestDoubt = Infinity;
 	for (const upstream of upstreams) {
 		const doubt = getDoubt(upstream, now);
-		if (!(doubt < bestDoubt && isSuspended(upstream, now) && isAvailable(upstream, request, now))) {
+		if (!(doubt < bestDoubt && isSuspended(upstream, now) && isAvailable(upstream, request, now) && isAllowed(upstream.candidate.failureDomain))) {
 			continue;
 		}
 
--- a/packages/wagtailroute-dispatch/src/constants.ts
+++ b/packages/wagtailroute-dispatch/src/constants.ts
@@ -14,6 +14,13 @@
 */
 export const MAX_QUEUE_SCAN = 64;
 
+/**
+Routes of a service for which a dispatcher keeps the expected response bytes; routes of catalogues replaced long ago are dropped first.
+*/
+export const MAX_RESPONSE_BYTES_ROUTES = 4096;
+
+export const BYTES_PER_KIBIBYTE = 1024;
+
 export const MILLISECONDS_PER_SECOND = 1000;
 
 /**
--- a/packages/wagtailroute-dispatch/src/costs/rest.ts
+++ b/packages/wagtailroute-dispatch/src/costs/rest.ts
@@ -8,7 +8,15 @@
 import type {CostContext} from './term.ts';
 
 export function getRestCost(upstream: Upstream, request: SlotRequest, context: CostContext): number {
-	return isRested(upstream, context.now) ? -getRestGain(upstream, request, context) : 0;
+	return isRested(upstream, context.now) ? -getRestGain(upstream, request, context) * getGainPart(upstream, request, context) : 0;
+}
+
+/**
+Returns the fraction of the gain that counts. A large response must not cross failure domains only to explore an upstream, unless requests fail and
+no other request explores it: idle upstreams may then be what is missing.
+*/
+function getGainPart({candidate: {failureDomain}}: Upstream, request: SlotRequest, {response}: CostContext): number {
+	return failureDomain === request.failureDomain || response.isExplored(failureDomain) ? 1 : 1 - response.largePart;
 }
 
 /**
--- a/packages/wagtailroute-dispatch/src/costs/term.ts
+++ b/packages/wagtailroute-dispatch/src/costs/term.ts
@@ -1,6 +1,7 @@
 /**
 Interface of the terms that make up the cost of an upstream.
 */
+import type {ExpectedResponse} from '../response-bytes.ts';
 import type {SlotRequest} from '../slot-requests.ts';
 import type {Upstream} from '../upstreams.ts';
 
@@ -13,6 +14,7 @@
 	Whether idle upstreams are tried sooner, since requests fail and no idempotent ones came recently.
 	*/
 	readonly needsIdleUpstreams: boolean;
+	readonly response: ExpectedResponse;
 };
 
 /**
--- a/packages/wagtailroute-dispatch/src/dispatcher-types.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher-types.ts
@@ -5,8 +5,8 @@
 import type {
 	Candidate,
 	Effect,
-	Ending,
 	HeldSlotReport,
+	Outcome,
 	SlotRequest,
 	SlotRequestId,
 	UpstreamUpdate,
@@ -88,10 +88,8 @@
 	readonly findGrantedRequest: (id: SlotRequestId) => SlotRequest | undefined;
 	/**
 	Releases the slot of a granted request and applies its ending to the upstream.
-
-	@param milliseconds From the send to the answer's header section.
 	*/
-	readonly end: (id: SlotRequestId, outcome: {readonly ending: Ending; readonly milliseconds: number}, now: number) => readonly Effect[];
+	readonly end: (id: SlotRequestId, outcome: Outcome, now: number) => readonly Effect[];
 	/**
 	Records what the answer to a granted request advertised about its upstream.
 	*/
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -19,6 +19,7 @@
 	type Effect,
 	type Ending,
 	type HeldSlotReport,
+	type Outcome,
 	type RefusalReason,
 	type SlotRequest,
 	type SlotRequestId,
@@ -39,6 +40,13 @@
 import type {Dispatcher, DispatcherSettings, UpstreamReport} from './dispatcher-types.ts';
 import {type IdleUpstream, listIdleUpstreams} from './idle-upstreams.ts';
 import {DEFAULT_POLICY} from './policy.ts';
+import {
+	createCheapExplorers,
+	describeResponse,
+	getResponseBytes,
+	recordExplorer,
+	recordResponseBytes,
+} from './response-bytes.ts';
 import {createShortfall} from './shortfall.ts';
 import {ServiceRateLimits} from './service-rate-limits.ts';
 import {
@@ -111,7 +119,14 @@
 			service.shortfall.recordRequest(now);
 		}
 
-		service.lastIdempotentAt = core.isIdempotent(request.requestClass) ? now : service.lastIdempotentAt;
+		if (core.isIdempotent(request.requestClass)) {
+			service.lastIdempotentAt = now;
+			// A resend is never a trial.
+			if (!request.isResend) {
+				recordExplorer(service, request, now);
+			}
+		}
+
 		const queued = this.#enqueue(service, request, now);
 		const effects = this.#serveQueue(service, now);
 		return this.#servicesByQueuedId.has(request.id) ? [...effects, ...this.#waitOrRefuse(service, queued, now)] : effects;
@@ -131,7 +146,7 @@
 		return this.#heldSlots.get(id)?.request;
 	}
 
-	end(id: SlotRequestId, {ending, milliseconds}: {readonly ending: Ending; readonly milliseconds: number}, now: number): readonly Effect[] {
+	end(id: SlotRequestId, {ending, milliseconds, responseBytes}: Outcome, now: number): readonly Effect[] {
 		const heldSlot = this.#heldSlots.get(id);
 		if (heldSlot === undefined) {
 			return [];
@@ -144,6 +159,7 @@
 			service.budget.refundResend(now);
 		}
 
+		recordResponseBytes(service, heldSlot.route, responseBytes);
 		const effects: Effect[] = [];
 		if (upstream !== undefined) {
 			const wasSuspended = isSuspended(upstream, now);
@@ -325,8 +341,8 @@
 	#moveOrRefuse(service: Service, request: SlotRequest, now: number): Effect {
 		const choice = service.queue.length > 0
 			? undefined
-			: choose(listFreeUpstreams(service, now), request, this.#createChoiceContext(service, {
-				now, queuedAt: now, needsIdleUpstreams: needsIdleUpstreams(service, now),
+			: choose(listFreeUpstreams(service, now), request, this.#createChoiceContext(service, request, {
+				now, queuedAt: now, needsIdleUpstreams: needsIdleUpstreams(service, now), response: describeResponse(service, request, now),
 			}));
 		if (choice === undefined) {
 			return refuse(request, 'no-slot-in-time', service.policy.retryAfterLeastMilliseconds);
@@ -338,11 +354,19 @@
 	}
 
 	#createChoiceContext(
-		{upstreams, policy}: Service,
-		{queuedAt, now, ...known}: Pick<ChoiceContext, 'now' | 'needsIdleUpstreams'> & {readonly queuedAt: number},
+		service: Service,
+		request: SlotRequest,
+		{queuedAt, now, ...known}: Pick<ChoiceContext, 'now' | 'needsIdleUpstreams' | 'response'> & {readonly queuedAt: number},
 	): ChoiceContext {
+		const {upstreams, policy} = service;
 		return {
-			...known, now, random: this.#settings.random, queuedMilliseconds: now - queuedAt, allUpstreams: upstreams, policy,
+			...known,
+			now,
+			random: this.#settings.random,
+			queuedMilliseconds: now - queuedAt,
+			allUpstreams: upstreams,
+			usualMilliseconds: getUsualMilliseconds(service, request),
+			policy,
 		};
 	}
 
@@ -352,6 +376,8 @@
 			upstreams: new Map(),
 			queue: [],
 			usualMillisecondsByRoute: new Map(),
+			responseBytesByRoute: new Map(),
+			cheapExplorers: createCheapExplorers(),
 			policy: this.#settings.policy ?? DEFAULT_POLICY,
 			shortfall: createShortfall(),
 			budget: createBudget(this.#settings.budget, this.#settings.policy ?? DEFAULT_POLICY, this.#settings.getBudgetShare ?? (() => 1)),
@@ -381,7 +407,13 @@
 		upstream.lastGrantedAt = now;
 		service.rateLimits.consume(upstream, 1, now);
 		return {
-			kind: 'grant', request, upstream: heldSlot.upstream, address: upstream.candidate.address, isTrial,
+			kind: 'grant',
+			request,
+			upstream: heldSlot.upstream,
+			address: upstream.candidate.address,
+			isTrial,
+			isCrossing: upstream.candidate.failureDomain !== request.failureDomain,
+			expectedResponseBytes: getResponseBytes(service, request),
 		};
 	}
 
@@ -419,7 +451,8 @@
 
 	/**
 	Grants a slot of a suspended upstream, or refuses the request. Below the floor, a suspended upstream is better than a refusal. For a first attempt
-	of an idempotent request it always is: the request finds out the state of the upstream, and is moved if it hangs.
+	of an idempotent request it always is: the request finds out the state of the upstream, and is moved if it hangs. Above the floor, a large response
+	doesn't cross failure domains for that while cheaper requests come.
 	*/
 	#useFallbackOrRefuse(
 		service: Service,
@@ -429,8 +462,11 @@
 		const mayExplore = core.isIdempotent(request.requestClass)
 			&& !request.isResend
 			&& request.remainingMilliseconds >= getUsualMilliseconds(service, request) * service.policy.worthwhilePart;
-		const mayUseSuspended = mayExplore || isBelowFloor(service, this.#settings.floor, now);
-		const choice = mayUseSuspended ? chooseFallback(service.upstreams.values(), request, now) : undefined;
+		const isFloorReached = isBelowFloor(service, this.#settings.floor, now);
+		const {isLeftToOthers} = describeResponse(service, request, now);
+		const choice = mayExplore || isFloorReached
+			? chooseFallback(service.upstreams.values(), request, now, failureDomain => isFloorReached || !isLeftToOthers(failureDomain))
+			: undefined;
 		if (choice !== undefined) {
 			return [this.#grant(service, request, choice, now)];
 		}
@@ -476,8 +512,9 @@
 			}
 
 			const request = {...queued.request, remainingMilliseconds: queued.deadlineAt - now};
-			const choice = chooseTrial(trialUpstreams, request, createTrialContext(service, now, {...context, isFull: freeUpstreams.length === 0}))
-				?? choose(freeUpstreams, request, this.#createChoiceContext(service, {...context, queuedAt: queued.queuedAt}));
+			const response = describeResponse(service, request, now);
+			const choice = chooseTrial(trialUpstreams, request, createTrialContext(service, now, {...context, isFull: freeUpstreams.length === 0, response}))
+				?? choose(freeUpstreams, request, this.#createChoiceContext(service, request, {...context, queuedAt: queued.queuedAt, response}));
 			if (choice === undefined) {
 				continue;
 			}
--- a/packages/wagtailroute-dispatch/src/index.ts
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -7,6 +7,7 @@
 	Effect,
 	Ending,
 	HeldSlotReport,
+	Outcome,
 	RateLimitUpdate,
 	RefusalReason,
 	SlotRequest,
@@ -22,5 +23,6 @@
 	findWorstWindow,
 	getExcess,
 } from './budget-audit.ts';
+export {averageResponseBytes} from './response-bytes.ts';
 export {averageUsualMilliseconds, estimateUsualMilliseconds} from './services.ts';
 export {DEFAULT_POLICY, type Policy} from './policy.ts';
--- a/packages/wagtailroute-dispatch/src/policy.ts
+++ b/packages/wagtailroute-dispatch/src/policy.ts
@@ -168,6 +168,35 @@
 	*/
 	uploadDomainCost: 2.5,
 	/**
+	Expected response bytes up to which crossing costs what its request class costs, and nothing else changes either.
+	*/
+	smallResponseBytes: 8192,
+	/**
+	Expected response bytes from which on a response counts as large in every respect; between the two sizes the effects grow evenly.
+	*/
+	largeResponseBytes: 32_768,
+	/**
+	Additional cost of an upstream in another failure domain for each KiB of the expected response above `smallResponseBytes`. With 90 KB it adds 3.2,
+	more than the difference between an empty upstream and a full one that is twice as slow.
+	*/
+	kibibyteDomainCost: 0.04,
+	/**
+	Upper bound of the cost of an upstream in another failure domain: a risk of 0.4 in the own failure domain costs as much.
+	*/
+	mostDomainCost: 8,
+	/**
+	Bytes that one measurement of a response counts for at most.
+	*/
+	mostResponseBytes: 1_000_000,
+	/**
+	Multiple of the moving average, or of `smallResponseBytes` if that is more, that one measurement of a response counts for at most.
+	*/
+	responseGrowth: 8,
+	/**
+	Weight of a new measurement in the moving average of a route's response bytes.
+	*/
+	responseBytesShare: 0.1,
+	/**
 	Milliseconds that a request waits for a slot in its own failure domain while usable upstreams there are full, by request class: the more bytes
 	would cross, the longer. With 40 slots of 0.4 s each, one becomes free every 10 ms.
 	*/
@@ -175,6 +204,10 @@
 	unrepeatableDomainWaitMilliseconds: 60,
 	uploadDomainWaitMilliseconds: 250,
 	/**
+	The same for a request with a large response, while its objective allows.
+	*/
+	largeDomainWaitMilliseconds: 250,
+	/**
 	Additional milliseconds before a request from another failure domain may be a trial.
 	*/
 	domainTrialMilliseconds: 1000,
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -6,6 +6,7 @@
 import type {Budget} from './budget.ts';
 import type {TrialContext} from './choosing.ts';
 import {DEFAULT_POLICY, type Policy} from './policy.ts';
+import type {CheapExplorers} from './response-bytes.ts';
 import type {ServiceRateLimits} from './service-rate-limits.ts';
 import type {Shortfall} from './shortfall.ts';
 import {
@@ -45,6 +46,11 @@
 	Moving averages of the response times in milliseconds, by name of the route.
 	*/
 	readonly usualMillisecondsByRoute: Map<string, number>;
+	/**
+	Moving averages of the response bytes, by name of the route.
+	*/
+	readonly responseBytesByRoute: Map<string, number>;
+	readonly cheapExplorers: CheapExplorers;
 	readonly budget: Budget;
 	readonly shortfall: Shortfall;
 	/**
@@ -92,10 +98,10 @@
 export function createTrialContext(
 	service: Service,
 	now: number,
-	{isFull, needsIdleUpstreams: areIdleNeeded}: Pick<TrialContext, 'isFull' | 'needsIdleUpstreams'>,
+	{isFull, needsIdleUpstreams: areIdleNeeded, response}: Pick<TrialContext, 'isFull' | 'needsIdleUpstreams' | 'response'>,
 ): TrialContext {
 	return {
-		now, hasRecentIdempotent: hasRecentIdempotent(service, now), isFull, needsIdleUpstreams: areIdleNeeded,
+		now, hasRecentIdempotent: hasRecentIdempotent(service, now), isFull, needsIdleUpstreams: areIdleNeeded, response,
 	};
 }
 
--- a/packages/wagtailroute-dispatch/src/slot-requests.ts
+++ b/packages/wagtailroute-dispatch/src/slot-requests.ts
@@ -102,6 +102,21 @@
 	| 'cancelled'
 	| 'unused';
 
+/**
+The end of a granted request.
+*/
+export type Outcome = {
+	readonly ending: Ending;
+	/**
+	From the send to the answer's header section.
+	*/
+	readonly milliseconds: number;
+	/**
+	Size of the response's body; absent where its entry host doesn't know it.
+	*/
+	readonly responseBytes?: number;
+};
+
 /**
 Action that the caller of a dispatcher has to carry out. `grant` and `refuse` answer a slot request.
 */
@@ -112,6 +127,14 @@
 		readonly upstream: core.UpstreamId;
 		readonly address: core.Address;
 		readonly isTrial: boolean;
+		/**
+		Whether the upstream is in another failure domain than the entry host.
+		*/
+		readonly isCrossing: boolean;
+		/**
+		Moving average of the route; 0 without measurements.
+		*/
+		readonly expectedResponseBytes: number;
 	}
 	| {
 		readonly kind: 'refuse';
--- a/packages/wagtailroute-fleet/src/__tests__/unit/slot-request-encoding.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/slot-request-encoding.test.ts
@@ -75,3 +75,10 @@
 	t.deepEqual(numbers.assign(over, {...ROUTE, objectiveMilliseconds: 500}), {number: 1, isNew: true});
 	t.deepEqual(numbers.assign(other, ROUTE), {number: 0, isNew: true});
 });
+
+test('the end of a request has a fourth item where the size of the response is known, and the same first three items either way', t => {
+	// A host of the version before reads the first three items only.
+	const id = wire.createSlotRequestId(FROM.host, 7);
+	t.deepEqual(wire.encodeEnd(id, {ending: 'success', milliseconds: 12.4}), [7, 'success', 12]);
+	t.deepEqual(wire.encodeEnd(id, {ending: 'success', milliseconds: 12.4, responseBytes: 90_000.6}), [7, 'success', 12, 90_001]);
+});
--- a/packages/wagtailroute-fleet/src/dispatch-client.ts
+++ b/packages/wagtailroute-fleet/src/dispatch-client.ts
@@ -24,8 +24,8 @@
 	type EncodedAdvertisements,
 	type EncodedAnswer,
 	type EncodedCancellation,
-	type EncodedEnd,
 	type EncodedSlotRequest,
+	encodeEnd,
 	encodeSlotRequest,
 	getRouteParameters,
 	getSlotRequestNumber,
@@ -78,9 +78,10 @@
 export type DispatchClient = {
 	readonly requestSlot: (draft: SlotRequestDraft) => SlotRequestHandle;
 	/**
-	Gives a slot back with the ending of its attempt, and the milliseconds that the attempt took. Ignored for a slot that is not held.
+	Gives a slot back with the ending of its attempt, the milliseconds that the attempt took and the size of its response, if that is known. Ignored
+	for a slot that is not held.
 	*/
-	readonly reportEnd: (id: dispatch.SlotRequestId, ending: dispatch.Ending, milliseconds: number) => void;
+	readonly reportEnd: (id: dispatch.SlotRequestId, ending: dispatch.Ending, milliseconds: number, responseBytes?: number) => void;
 	/**
 	Records what the answer to an attempt advertised about its upstream, and passes it on to the dispatcher that granted the slot.
 	*/
@@ -206,7 +207,7 @@
 		};
 	}
 
-	reportEnd(id: dispatch.SlotRequestId, ending: dispatch.Ending, milliseconds: number): void {
+	reportEnd(id: dispatch.SlotRequestId, ending: dispatch.Ending, milliseconds: number, responseBytes?: number): void {
 		const held = this.#heldSlots.remove(id);
 		if (held === undefined) {
 			return;
@@ -216,7 +217,7 @@
 			this.#advertisements.liftRateLimit(held.request.service, held.upstream, held.grantedAt);
 		}
 
-		this.#notifyEnd(held, ending, milliseconds);
+		this.#notifyEnd(held, {ending, milliseconds, ...responseBytes !== undefined && {responseBytes}});
 	}
 
 	recordAdvertisements(id: dispatch.SlotRequestId, advertisements: readonly core.Advertisement[]): void {
@@ -454,7 +455,7 @@
 			if (answer.kind === 'grant') {
 				this.#notifyEnd({
 					request, upstream: answer.upstream, grantedAt: 0, dispatcher,
-				}, 'unused', 0);
+				}, UNUSED);
 			}
 
 			return;
@@ -495,7 +496,7 @@
 		this.#context.logs('dispatch').info('The granted slot is given back, because its upstream is closed or retired.', {
 			id: request.id, service: request.service, upstream, cause,
 		});
-		this.#notifyEnd(held, 'unused', 0);
+		this.#notifyEnd(held, UNUSED);
 	}
 
 	#retry(pending: PendingSlotRequest, excluded: readonly core.UpstreamId[] = []): void {
@@ -529,15 +530,20 @@
 		pending.resolve({kind: 'refuse', reason: 'no-slot-in-time', retryAfterMilliseconds: 0});
 	}
 
-	#notifyEnd({request, dispatcher}: HeldSlot, ending: dispatch.Ending, milliseconds: number): void {
+	#notifyEnd({request, dispatcher}: HeldSlot, outcome: dispatch.Outcome): void {
 		if (dispatcher === undefined) {
-			this.#options.ownDispatcher.end({id: request.id, ending, milliseconds});
+			this.#options.ownDispatcher.end({id: request.id, ...outcome});
 		} else {
-			dispatcher.link.notify(METHODS.end, [getSlotRequestNumber(request.id), ending, Math.round(milliseconds)] satisfies EncodedEnd);
+			dispatcher.link.notify(METHODS.end, encodeEnd(request.id, outcome));
 		}
 	}
 }
 
+/**
+The end of a slot that is given back without an attempt.
+*/
+const UNUSED: dispatch.Outcome = {ending: 'unused', milliseconds: 0};
+
 /**
 The answer when not even this host's own dispatcher knows an upstream of the service.
 */
@@ -551,5 +557,5 @@
 function notifyCancelled(dispatcherLink: link.Link, request: dispatch.SlotRequest, reclaimedMilliseconds = 0): void {
 	const number = getSlotRequestNumber(request.id);
 	dispatcherLink.notify(METHODS.cancel, (reclaimedMilliseconds === 0 ? [number] : [number, reclaimedMilliseconds]) satisfies EncodedCancellation);
-	dispatcherLink.notify(METHODS.end, [number, 'unused', 0] satisfies EncodedEnd);
+	dispatcherLink.notify(METHODS.end, encodeEnd(request.id, UNUSED));
 }
--- a/packages/wagtailroute-fleet/src/host-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/host-dispatcher.ts
@@ -164,8 +164,12 @@
 		options.notify(effect.request.host, METHODS.answer, [getSlotRequestNumber(effect.request.id), encodeAnswer(toAnswer(effect))]);
 	};
 
-	const recordGrant = ({request}: Extract<dispatch.Effect, {kind: 'grant'}>) => {
-		peerUpdates.onGranted(request.service);
+	const recordGrant = ({request, isCrossing, expectedResponseBytes}: Extract<dispatch.Effect, {kind: 'grant'}>) => {
+		const {service, route} = request;
+		peerUpdates.onGranted(service);
+		const labels = {service, route, crossing: isCrossing ? 'yes' : 'no'};
+		metrics.count('grants_by_route', labels);
+		metrics.count('expected_response_bytes', labels, Math.round(expectedResponseBytes));
 		if (request.isResend) {
 			retryBudgetLog.record(request.service, 'granted');
 		}
@@ -367,7 +371,8 @@
 				refundAllotment(cancelled);
 			}
 		},
-		end({id, ending, milliseconds}) {
+		end({id, ...outcome}) {
+			const {ending} = outcome;
 			metrics.count('ends', {ending});
 			const unusedRequest = ending === 'unused' ? dispatcher.findGrantedRequest(id) : undefined;
 			if (unusedRequest !== undefined) {
@@ -375,7 +380,7 @@
 			}
 
 			const service = dispatcher.findGrantedRequest(id)?.service;
-			applyEffects(dispatcher.end(id, {ending, milliseconds}, now()));
+			applyEffects(dispatcher.end(id, outcome, now()));
 			if (service !== undefined && ending !== 'success') {
 				logIdleUpstreams(service);
 			}
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -162,12 +162,10 @@
 export type SlotDecision = Extract<SlotAnswer, {kind: 'grant' | 'refuse'}>;
 
 /**
-How a granted request ended, with the milliseconds from the send to the answer's header section.
+How a granted request ended.
 */
-export type GrantEnd = {
+export type GrantEnd = dispatch.Outcome & {
 	readonly id: dispatch.SlotRequestId;
-	readonly ending: dispatch.Ending;
-	readonly milliseconds: number;
 };
 
 /**
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -17,6 +17,7 @@
 import {type ForwardingTargets, HOST_ISOLATED, HOST_OUTDATED} from './forwarding.ts';
 import type {UpstreamReach} from './upstream-reach.ts';
 import {createCallerDeadlines} from './caller-deadlines.ts';
+import {createResponseSizes, type ResponseSizes} from './response-sizes.ts';
 import {createUsualTimes, type UsualTimes} from './usual-times.ts';
 
 /**
@@ -74,6 +75,7 @@
 	const {fleetView} = options;
 	const chooseService = generations.createServiceChooser(context.random);
 	const usualTimes = createUsualTimes();
+	const responseSizes = createResponseSizes();
 	const callerDeadlines = createCallerDeadlines();
 
 	return ({
@@ -117,7 +119,7 @@
 			match: {service: service.name, route: {class: route.class}},
 			organisation: caller.organisation,
 			catalogueVersion: generation.version,
-			service: createServicePort(context, options, {...routeContext, usualTimes}),
+			service: createServicePort(context, options, {...routeContext, usualTimes, responseSizes}),
 		};
 	};
 }
@@ -143,10 +145,12 @@
 function createServicePort(
 	context: FleetContext,
 	options: RouterOptions,
-	routeContext: RouteContext & {readonly usualTimes: UsualTimes},
+	routeContext: RouteContext & {readonly usualTimes: UsualTimes; readonly responseSizes: ResponseSizes},
 ): proxy.ServicePort {
 	const {fleetView, dispatchClient, reach} = options;
-	const {route, service, bodyBytes, usualTimes, isForwarded} = routeContext;
+	const {
+		route, service, bodyBytes, usualTimes, responseSizes, isForwarded,
+	} = routeContext;
 	const grantedIds = new Map<proxy.Target, dispatch.SlotRequestId>();
 	const forwarder = createForwarder(options, isForwarded);
 
@@ -179,9 +183,12 @@
 	/**
 	Reports the end of an attempt to its dispatcher. A failure counts against the upstream only if this host reaches others.
 	*/
-	const reportEnd = async (id: dispatch.SlotRequestId, {target, ending, latencyMilliseconds, failure}: proxy.AttemptReport): Promise<void> => {
+	const reportEnd = async (id: dispatch.SlotRequestId, {
+		target, ending, latencyMilliseconds, failure, responseSize,
+	}: proxy.AttemptReport): Promise<void> => {
+		const responseBytes = responseSize && responseSizes.record(route, responseSize);
 		const isReached = !UNREACHED_ENDINGS.has(ending) || await reach.confirm(target.id);
-		dispatchClient.reportEnd(id, isReached ? toDispatchEnding(ending, failure) : 'cancelled', latencyMilliseconds);
+		dispatchClient.reportEnd(id, isReached ? toDispatchEnding(ending, failure) : 'cancelled', latencyMilliseconds, responseBytes);
 	};
 
 	return {
--- a/packages/wagtailroute-fleet/src/slot-request-encoding.ts
+++ b/packages/wagtailroute-fleet/src/slot-request-encoding.ts
@@ -61,9 +61,10 @@
 export type EncodedCancellation = readonly [number: number, reclaimedMilliseconds?: number];
 
 /**
-The end of a granted request, with the milliseconds from the send to the answer's header section.
+The end of a granted request, with the milliseconds from the send to the answer's header section and, where its entry host knows it, the size of the
+response's body. A host that doesn't know the last item ignores it.
 */
-export type EncodedEnd = readonly [number: number, ending: dispatch.Ending, milliseconds: number];
+export type EncodedEnd = readonly [number: number, ending: dispatch.Ending, milliseconds: number, responseBytes?: number];
 
 /**
 What the answer to a granted request advertises about its upstream.
@@ -177,6 +178,14 @@
 	elsewhere: () => ['elsewhere'],
 };
 
+/**
+Encodes the end of a granted request. Milliseconds and bytes are rounded.
+*/
+export function encodeEnd(id: dispatch.SlotRequestId, {ending, milliseconds, responseBytes}: dispatch.Outcome): EncodedEnd {
+	const encoded = [getSlotRequestNumber(id), ending, Math.round(milliseconds)] as const;
+	return responseBytes === undefined ? encoded : [...encoded, Math.round(responseBytes)];
+}
+
 /**
 Encodes an answer. The milliseconds of a refusal are rounded up.
 */
--- a/packages/wagtailroute-fleet/src/slot-request-methods.ts
+++ b/packages/wagtailroute-fleet/src/slot-request-methods.ts
@@ -81,8 +81,10 @@
 		[METHODS.cancel]([number, reclaimedMilliseconds]: EncodedCancellation, from: link.Link) {
 			dispatcher.cancel(createSlotRequestId(getHost(from).id, number), reclaimedMilliseconds);
 		},
-		[METHODS.end]([number, ending, milliseconds]: EncodedEnd, from: link.Link) {
-			dispatcher.end({id: createSlotRequestId(getHost(from).id, number), ending, milliseconds});
+		[METHODS.end]([number, ending, milliseconds, responseBytes]: EncodedEnd, from: link.Link) {
+			dispatcher.end({
+				id: createSlotRequestId(getHost(from).id, number), ending, milliseconds, ...responseBytes !== undefined && {responseBytes},
+			});
 		},
 		[METHODS.advertised]([number, advertisements]: EncodedAdvertisements, from: link.Link) {
 			dispatcher.recordAdvertisements(createSlotRequestId(getHost(from).id, number), advertisements);
--- a/packages/wagtailroute-proxy/src/attempts.ts
+++ b/packages/wagtailroute-proxy/src/attempts.ts
@@ -10,7 +10,7 @@
 import {MAX_DISCARDED_ANSWER_BYTES, MAX_STORED_ANSWER_BYTES} from './constants.ts';
 import {FOREIGN_ANSWER_CODE} from './endings.ts';
 import {type HeaderFields} from './headers.ts';
-import type {StoredAnswer} from './ports.ts';
+import type {ResponseSize, StoredAnswer} from './ports.ts';
 
 /**
 Result of an attempt. `code` is an error code of Node, undici or this package.
@@ -28,11 +28,11 @@
 	The answer was not relayed; another attempt may follow.
 	*/
 	| {readonly kind: 'discarded'; readonly status: number; readonly isShed: boolean; readonly isMisdirected?: boolean}
-	| {readonly kind: 'relayed'; readonly status: number; readonly answer?: StoredAnswer}
+	| {readonly kind: 'relayed'; readonly status: number; readonly answer?: StoredAnswer; readonly responseSize?: ResponseSize}
 	/**
 	The answer was cut off after some of it was relayed.
 	*/
-	| {readonly kind: 'truncated'; readonly status: number; readonly code: string};
+	| {readonly kind: 'truncated'; readonly status: number; readonly code: string; readonly responseSize?: ResponseSize};
 
 /**
 What is done with an answer. `relay`: send it to the caller. `shed`, `misdirected`: discard it, the target did not run the request.
@@ -120,6 +120,7 @@
 	#status = 0;
 	#receivedBytes = 0;
 	#isFramed = true;
+	#statedBytes: number | undefined;
 	#storedChunks: buffer.Buffer[] | undefined;
 	#headers: Record<string, string | string[]> = {};
 	#resume: (() => void) | undefined;
@@ -164,6 +165,7 @@
 
 		this.#status = status;
 		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+		this.#statedBytes = parseContentLength(headers);
 		this.#options.onAnswerHeaders();
 		this.#action = this.#options.decideAnswer(status, headers);
 		if (this.#action === 'foreign') {
@@ -205,7 +207,9 @@
 			this.#end(this.#createDiscarded());
 		} else if (this.#phase === 'relaying') {
 			this.#options.response.end();
-			this.#end({kind: 'relayed', status: this.#status, answer: this.#getStoredAnswer()});
+			this.#end({
+				kind: 'relayed', status: this.#status, answer: this.#getStoredAnswer(), responseSize: this.#getResponseSize(true),
+			});
 		}
 	}
 
@@ -250,6 +254,15 @@
 		this.#storedChunks?.push(chunk);
 	}
 
+	/**
+	A response that was cut off counts with the length that it stated: large ones are cut off most often.
+	*/
+	#getResponseSize(isComplete: boolean): ResponseSize | undefined {
+		const isSuccessful = this.#status < 300 && this.#options.method !== 'HEAD';
+		const isStated = this.#statedBytes !== undefined;
+		return isSuccessful && (isStated || isComplete) ? {bytes: this.#statedBytes ?? this.#receivedBytes, isStated} : undefined;
+	}
+
 	#getStoredAnswer(): StoredAnswer | undefined {
 		return this.#storedChunks === undefined
 			? undefined
@@ -265,7 +278,9 @@
 			waiting: {kind: 'not-sent', code},
 			sent: {kind: 'lost', code},
 			discarding: this.#createDiscarded(),
-			relaying: {kind: 'truncated', status: this.#status, code},
+			relaying: {
+				kind: 'truncated', status: this.#status, code, responseSize: this.#getResponseSize(false),
+			},
 		};
 		if (this.#phase !== 'ended') {
 			this.#end(results[this.#phase]);
@@ -277,3 +292,8 @@
 		this.#resolve(result);
 	}
 }
+
+function parseContentLength({'content-length': value}: HeaderFields): number | undefined {
+	const length = typeof value === 'string' && value !== '' ? Number(value) : NaN;
+	return Number.isSafeInteger(length) && length >= 0 ? length : undefined;
+}
--- a/packages/wagtailroute-proxy/src/index.ts
+++ b/packages/wagtailroute-proxy/src/index.ts
@@ -22,6 +22,7 @@
 	PendingAdmission,
 	PendingTarget,
 	ReleaseEnding,
+	ResponseSize,
 	RequestLimits,
 	RequestReport,
 	RetryPort,
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -90,6 +90,17 @@
 	| 'impatience'
 	| 'cancelled';
 
+/**
+Size of the body of a successful response.
+*/
+export type ResponseSize = {
+	readonly bytes: number;
+	/**
+	Whether the head of the response states the size. Otherwise it is the number of bytes received.
+	*/
+	readonly isStated: boolean;
+};
+
 /**
 Report of one finished attempt.
 */
@@ -112,6 +123,10 @@
 	Absent when the answer was relayed to the caller.
 	*/
 	readonly failure?: RequestFailureKind;
+	/**
+	Absent without a successful response to a request that has a body, and when the response was cut off before its size was known.
+	*/
+	readonly responseSize?: ResponseSize;
 };
 
 /**
--- a/packages/wagtailroute-proxy/src/request-sender.ts
+++ b/packages/wagtailroute-proxy/src/request-sender.ts
@@ -295,6 +295,7 @@
 			fingerprint: this.fingerprint,
 			hasCrashed,
 			failure: result.kind === 'relayed' ? undefined : endings.getFailureKind(result, hasCrashed),
+			responseSize: 'responseSize' in result ? result.responseSize : undefined,
 		});
 		return {result, hasCrashed};
 	}
--- a/packages/wagtailroute-telemetry/src/metrics.ts
+++ b/packages/wagtailroute-telemetry/src/metrics.ts
@@ -16,7 +16,10 @@
 The metrics of a process.
 */
 export type Metrics = {
-	readonly count: (name: string, labels?: Labels) => void;
+	/**
+	@param amount 1 when absent.
+	*/
+	readonly count: (name: string, labels?: Labels, amount?: number) => void;
 	readonly observe: (name: string, milliseconds: number, labels?: Labels) => void;
 	/**
 	Registers a value that is read when the metrics are fetched.
@@ -58,13 +61,13 @@
 function createLabelledMetrics(registered: RegisteredMetrics, common: Labels): Metrics {
 	const {registry, counters, histograms} = registered;
 	return {
-		count(name, labels = {}) {
+		count(name, labels = {}, amount = 1) {
 			const all = {...common, ...labels};
 			const counter = counters.get(name) ?? new prometheus.Counter({
 				name: `${PREFIX}${name}_total`, help: name, labelNames: Object.keys(all), registers: [registry],
 			});
 			counters.set(name, counter);
-			counter.inc(all);
+			counter.inc(all, amount);
 		},
 		observe(name, milliseconds, labels = {}) {
 			const all = {...common, ...labels};
