Overload control: upstreams and callers that send without end are bounded

A limit of own covers what undici doesn't bound: status line, interim responses, chunk framing and bytes outside of a response. undici's parser is stopped at the first error of a header section that is too large. A cut response to an HTTP/1.0 caller resets the connection. A health check passes over interim responses, and one that is answered without end shows that the upstream runs.

--- a/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
@@ -30,6 +30,15 @@
 	Number of upstreams without a listener; they are tried first.
 	*/
 	readonly unreachableCount?: number;
+	/**
+	Addresses of further upstreams; they are tried last.
+	*/
+	readonly addresses?: readonly core.Address[];
+	/**
+	Timeout of the routes; that of `ENTRY` when absent.
+	*/
+	readonly timeoutMilliseconds?: number;
+	readonly isDraining?: () => boolean;
 	readonly claim?: proxy.ClaimAnswer;
 	readonly quarantineStatus?: ReturnType<proxy.CrashGuard['getQuarantineStatus']>;
 	readonly trial?: proxy.TrialAnswer | 'granted';
@@ -57,6 +66,7 @@
 export type Fixture = {
 	readonly origin: string;
 	readonly address: core.Address;
+	readonly server: proxy.TrafficServer;
 	readonly standins: readonly standin.Standin[];
 	readonly requestReports: proxy.RequestReport[];
 	readonly attemptReports: proxy.AttemptReport[];
@@ -101,7 +111,8 @@
 	}));
 	const kind = setup.isForwarding === true ? 'host' : 'upstream';
 	const listening = standins.map(started => ({id: started.id, kind, address: started.getAddress()} as const));
-	return [...unreachable, ...listening];
+	const further = (setup.addresses ?? []).map((address, index) => ({id: `further-${index}`, kind, address} as const));
+	return [...unreachable, ...listening, ...further];
 }
 
 async function resolveAfter(delay: Promise<void>, target: proxy.Target): Promise<proxy.Target> {
@@ -123,7 +134,7 @@
 	const survivals: string[] = [];
 	const table = catalogue.createRouteTable([ENTRY]);
 	const service: proxy.ServicePort = {
-		limits: ENTRY.limits,
+		limits: {...ENTRY.limits, timeoutMilliseconds: setup.timeoutMilliseconds ?? ENTRY.limits.timeoutMilliseconds},
 		isCarried: setup.isForwarding !== true,
 		admit: setup.admit ?? (() => undefined),
 		release(release) {
@@ -181,7 +192,7 @@
 		answerReserved(_message, response) {
 			proxy.answerJson(response, 200, {});
 		},
-		isDraining: () => false,
+		isDraining: setup.isDraining ?? (() => false),
 		recordRequest(report) {
 			requestReports.push(report);
 		},
@@ -190,6 +201,7 @@
 	return {
 		origin: `http://127.0.0.1:${server.address.port}`,
 		address: server.address,
+		server,
 		standins,
 		requestReports,
 		attemptReports,
--- /dev/null
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/raw-upstream.ts
@@ -0,0 +1,108 @@
+/**
+A backend server on a plain socket, which sends any bytes as its response.
+*/
+import * as buffer from 'node:buffer';
+import * as net from 'node:net';
+import type {ExecutionContext} from 'ava';
+import type * as core from 'wagtailroute-core';
+import * as utils from 'wagtailroute-utils';
+
+/**
+What the server sends to a request: `head` once, then `filler` again and again while the connection is open.
+*/
+export type RawResponse = {
+	readonly head: string;
+	readonly filler?: string;
+};
+
+/**
+One connection of the server.
+*/
+export type RawConnection = {
+	/**
+	Paths of its requests.
+	*/
+	readonly paths: string[];
+	sentBytes: number;
+	isClosed: boolean;
+};
+
+/**
+A running server.
+*/
+export type RawUpstream = {
+	readonly address: core.Address;
+	readonly connections: RawConnection[];
+};
+
+const FILLER_BYTES = 65_536;
+const REQUEST_LINE_PATTERN = /^[A-Z]+ (?<path>\S+) HTTP\/1\.1\r\n/gmv;
+
+/**
+Starts a server that answers each path as `respond` says; undefined leaves the request unanswered.
+*/
+export async function startRawUpstream(t: ExecutionContext, respond: (path: string) => RawResponse | undefined): Promise<RawUpstream> {
+	const connections: RawConnection[] = [];
+	const sockets = new Set<net.Socket>();
+	const server = net.createServer(socket => {
+		const connection: RawConnection = {paths: [], sentBytes: 0, isClosed: false};
+		connections.push(connection);
+		sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			connection.isClosed = true;
+			sockets.delete(socket);
+		});
+		socket.on('data', chunk => {
+			for (const {groups} of String(chunk).matchAll(REQUEST_LINE_PATTERN)) {
+				const {path = ''} = groups!;
+				connection.paths.push(path);
+				const response = respond(path);
+				if (response !== undefined) {
+					send(socket, connection, response);
+				}
+			}
+		});
+	});
+	const address = await utils.listen(server, {ip: '127.0.0.1', port: 0});
+	t.teardown(async () => {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		await new Promise<void>(resolve => {
+			server.close(() => {
+				resolve();
+			});
+		});
+	});
+	return {address, connections};
+}
+
+function send(socket: net.Socket, connection: RawConnection, {head, filler}: RawResponse): void {
+	socket.write(head, 'latin1');
+	connection.sentBytes += head.length;
+	if (filler === undefined) {
+		return;
+	}
+
+	const block = buffer.Buffer.from(filler.repeat(Math.ceil(FILLER_BYTES / filler.length)), 'latin1');
+	const pump = () => {
+		while (socket.writable) {
+			connection.sentBytes += block.length;
+			if (!socket.write(block)) {
+				socket.once('drain', pump);
+				return;
+			}
+		}
+	};
+
+	pump();
+}
+
+/**
+A valid response.
+*/
+export function createResponse(body: string): RawResponse {
+	return {head: `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`};
+}
--- a/packages/wagtailroute-proxy/src/__tests__/unit/upstream-probe.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/upstream-probe.test.ts
@@ -3,12 +3,16 @@
 */
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import test from 'ava';
 import * as utils from 'wagtailroute-utils';
 import * as proxy from '../../index.ts';
 
 const LOOPBACK = '127.0.0.1';
 const INSTANCE_HEADER = 'instance';
+const MAX_CLOSE_WAITS = 100;
+const CLOSE_WAIT_MILLISECONDS = 10;
+const FILLER_CHARACTERS = 65_536;
 
 /**
 Answers with the instance that the address belongs to.
@@ -22,6 +26,24 @@
 	response.writeHead(status, {[INSTANCE_HEADER]: instance}).end();
 });
 
+/**
+Sends the text, then the filler without end.
+*/
+const stream = (head: string, filler: string): net.Server => net.createServer(socket => {
+	const block = filler.repeat(Math.ceil(FILLER_CHARACTERS / filler.length));
+	const pump = () => {
+		while (socket.writable && socket.write(block)) {
+			// Fills the buffer of the socket.
+		}
+	};
+
+	socket.on('error', () => undefined);
+	socket.on('drain', pump);
+	socket.resume();
+	socket.write(head);
+	pump();
+});
+
 type Case = {
 	readonly name: string;
 	readonly server: () => net.Server;
@@ -57,10 +79,22 @@
 			socket.end('not an answer\r\n\r\n');
 		}), result: 'answered',
 	},
+	{name: 'a server whose status line never ends', server: () => stream('HTTP/1.1 200 ', 'a'), result: 'answered'},
+	{name: 'a server whose header section never ends', server: () => stream('HTTP/1.1 200 OK\r\n', 'x: y\r\n'), result: 'answered'},
+	{name: 'a server whose interim responses never end', server: () => stream('', 'HTTP/1.1 103 Early Hints\r\n\r\n'), result: 'answered'},
+	{name: 'a server that sends blank lines without end', server: () => stream('', '\r\n'), result: 'answered'},
+	{name: 'a server whose response body never ends', server: () => stream('HTTP/1.1 200 OK\r\ninstance: i\r\n\r\n', 'a'), result: 'answered'},
+	{
+		name: 'a server that sends an interim response first', server: () => net.createServer(socket => {
+			socket.on('error', () => undefined);
+			socket.end('HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\ninstance: i\r\ncontent-length: 0\r\n\r\n');
+		}), result: 'answered',
+	},
 ];
 
 for (const {name, server: create, isClosed = false, result} of CASES) {
-	test(`a health check of ${name}`, async t => {
+	// Serial, as a server that sends without end takes the time of the process from the others.
+	test.serial(`a health check of ${name}`, async t => {
 		const server = create();
 		const sockets = new Set<net.Socket>();
 		server.on('connection', (socket: net.Socket) => {
@@ -82,5 +116,12 @@
 		await (isClosed ? close() : undefined);
 		t.teardown(isClosed ? () => undefined : close);
 		t.is(await proxy.createUpstreamProbe(DIALECT)({upstream: 'i', address, healthPath: '/health'}), result);
+		for (let waits = 0; [...sockets].some(socket => !socket.destroyed && !socket.writableEnded) && waits < MAX_CLOSE_WAITS; waits++) {
+			// eslint-disable-next-line no-await-in-loop -- Waits for the close to arrive.
+			await timers.setTimeout(CLOSE_WAIT_MILLISECONDS);
+		}
+
+		// Guards against a connection that stays open while its server sends on.
+		t.true([...sockets].every(socket => socket.destroyed || socket.writableEnded));
 	});
 }
--- a/packages/wagtailroute-proxy/src/answers.ts
+++ b/packages/wagtailroute-proxy/src/answers.ts
@@ -64,7 +64,7 @@
 */
 export function answerFailure(response: http.ServerResponse, createAnswer: () => Problem): void {
 	if (response.headersSent || response.destroyed) {
-		response.destroy();
+		cutOff(response);
 		return;
 	}
 
@@ -80,6 +80,17 @@
 	endAfterBody(response, problem.body);
 }
 
+/**
+An HTTP/1.0 caller takes the regular end of a connection for the end of a response without length, so the connection is reset.
+*/
+function cutOff(response: http.ServerResponse): void {
+	if (response.req.httpVersionMinor === 0) {
+		response.socket?.resetAndDestroy();
+	}
+
+	response.destroy();
+}
+
 /**
 Answers a request whose body is still being received, and reads the rest of the body for `LINGER_MILLISECONDS` at most.
 
--- a/packages/wagtailroute-proxy/src/constants.ts
+++ b/packages/wagtailroute-proxy/src/constants.ts
@@ -17,6 +17,17 @@
 */
 export const MAX_DISCARDED_ANSWER_BYTES = 65_536;
 
+/**
+Maximum number of bytes that an upstream may send on a connection for one request besides the body of its response. Up to 128 KiB of a paused body wait in the buffers
+of the connection and are counted as overhead until they are read.
+*/
+export const MAX_OVERHEAD_BYTES = 262_144;
+
+/**
+Bytes of overhead allowed for each byte of a body: a chunk of one byte has five bytes of framing.
+*/
+export const MAX_OVERHEAD_PER_BODY_BYTE = 8;
+
 /**
 Maximum size of the header section of a request in bytes; a larger one is answered with 431.
 */
--- a/packages/wagtailroute-proxy/src/upstream-probe.ts
+++ b/packages/wagtailroute-proxy/src/upstream-probe.ts
@@ -5,10 +5,11 @@
 has ended.
 */
 import * as core from 'wagtailroute-core';
-import * as undici from 'undici';
 import * as utils from 'wagtailroute-utils';
+import {createUpstreamClient} from './connections.ts';
 import {HEALTH_CHECK_TIMEOUT_MILLISECONDS} from './constants.ts';
 import type {Dialect} from './dialect.ts';
+import {OVERHEAD_CODE} from './overhead.ts';
 
 /**
 What a health check shows. `answered`: the upstream runs. `gone`: nothing listens at its address, or another instance does. `closed`: the connection ended without an
@@ -33,21 +34,31 @@
 const CLOSED_CODES: ReadonlySet<unknown> = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET']);
 const PARSER_ERROR_NAME = 'HTTPParserError';
 
+/**
+Codes of responses that go on without end. The upstream runs, as one that sends something else than HTTP does.
+*/
+const ENDLESS_CODES: ReadonlySet<unknown> = new Set([OVERHEAD_CODE, 'UND_ERR_HEADERS_OVERFLOW']);
+
 /**
 Creates the check. Each uses a connection of its own: one of a pool may be in the state that the check is to find out.
 */
 export function createUpstreamProbe({createProbeHeaders, isAnswerOfOther}: Pick<Dialect, 'createProbeHeaders' | 'isAnswerOfOther'>): UpstreamProbe {
 	return async ({upstream, address, healthPath}) => {
-		const pool = new undici.Pool(`http://${core.formatAddress(address)}`, {
-			connections: 1, connect: undici.buildConnector({timeout: HEALTH_CHECK_TIMEOUT_MILLISECONDS}),
+		const client = createUpstreamClient(`http://${core.formatAddress(address)}`, {}, {
+			connectTimeoutMilliseconds: HEALTH_CHECK_TIMEOUT_MILLISECONDS,
 		});
 		const {promise, resolve} = Promise.withResolvers<ProbeResult>();
 		const cancelTimeout = utils.schedule(HEALTH_CHECK_TIMEOUT_MILLISECONDS, () => {
 			resolve('silent');
 		});
-		pool.dispatch({path: healthPath, method: 'GET', headers: createProbeHeaders(upstream)}, {
+		client.dispatch({path: healthPath, method: 'GET', headers: createProbeHeaders(upstream)}, {
 			onRequestStart: () => undefined,
 			onResponseStart(_controller, status, headers) {
+				if (status < 200) {
+					// An interim response names no instance.
+					return;
+				}
+
 				resolve(isAnswerOfOther(status, headers, upstream) ? 'gone' : 'answered');
 			},
 			onResponseData: () => undefined,
@@ -58,7 +69,7 @@
 		});
 		const result = await promise;
 		cancelTimeout();
-		void pool.destroy();
+		void client.destroy();
 		return result;
 	};
 }
@@ -72,5 +83,5 @@
 		return 'closed';
 	}
 
-	return name === PARSER_ERROR_NAME ? 'answered' : 'silent';
+	return name === PARSER_ERROR_NAME || ENDLESS_CODES.has(code) ? 'answered' : 'silent';
 }
