Overload control: queued slot requests ordered by what it costs callers to delay or refuse them

In the order of arrival, the kind with the shortest objective was refused most often, whatever its priority. A request that can't be served in time is refused when this is known. Expected waits use the observed release of slots. Without the setting, every decision is as before.

--- /dev/null
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/order.test.ts
@@ -0,0 +1,144 @@
+/**
+Tests of the order of queued requests by cost: who is granted the next slot, who is refused when, and when a refused request may return.
+*/
+import test from 'ava';
+import type * as dispatch from '../../index.ts';
+import {MAX_ORGANISATIONS} from '../../order/constants.ts';
+import {FairShares} from '../../order/fair-shares.ts';
+import {
+	createCandidate,
+	createDispatcher,
+	createSlotRequest,
+	SERVICE,
+} from './fixture.ts';
+
+const ON: Partial<dispatch.DispatcherSettings> = {isOrderedByCost: () => true};
+
+const listIds = (effects: readonly dispatch.Effect[], kind: 'grant' | 'refuse') => effects.flatMap(effect => effect.kind === kind ? [effect.request.id] : []);
+const getRefusals = (effects: readonly dispatch.Effect[]) => effects.filter(effect => effect.kind === 'refuse');
+
+/**
+A dispatcher with one slot, which the request `under-way` holds. Requests usually take 100 ms.
+*/
+function createBusyDispatcher(settings: Partial<dispatch.DispatcherSettings> = ON): dispatch.Dispatcher {
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 1})], settings);
+	dispatcher.requestSlot(createSlotRequest('earlier'), -100);
+	dispatcher.end('earlier', {ending: 'success', milliseconds: 100}, 0);
+	dispatcher.requestSlot(createSlotRequest('under-way'), 0);
+	return dispatcher;
+}
+
+type OrderCase = {
+	readonly name: string;
+	readonly waiting: Readonly<Record<string, Partial<dispatch.SlotRequest>>>;
+	readonly first: string;
+};
+
+const ORDER_CASES: readonly OrderCase[] = [
+	{name: 'the more urgent', waiting: {low: {priority: 2}, high: {priority: 0}}, first: 'high'},
+	{name: 'one that can meet its objective, before a more urgent one that can not', waiting: {late: {priority: 0, waitedMilliseconds: 1900}, new: {priority: 2}}, first: 'new'},
+	{name: 'one that returns, before newcomers of its priority', waiting: {new: {}, back: {waitedMilliseconds: 300}}, first: 'back'},
+	{name: 'the one with less slack', waiting: {long: {objectiveMilliseconds: 1800}, short: {objectiveMilliseconds: 900}}, first: 'short'},
+	{name: 'a resend, before new requests', waiting: {new: {priority: 0}, resend: {priority: 0, isResend: true, waitedMilliseconds: 100}}, first: 'resend'},
+	{name: 'the more urgent, when another has no valid priority', waiting: {low: {priority: 2}, invalid: {priority: NaN}, middle: {priority: 1}}, first: 'middle'},
+];
+
+for (const {name, waiting, first} of ORDER_CASES) {
+	test(`grants first: ${name}`, t => {
+		const dispatcher = createBusyDispatcher({...ON, budget: {ratio: 1, extra: 60, windowMilliseconds: 10_000}});
+		for (const [id, changes] of Object.entries(waiting)) {
+			t.deepEqual(dispatcher.requestSlot(createSlotRequest(id, {objectiveMilliseconds: 1500, remainingMilliseconds: 6000, ...changes}), 1), []);
+		}
+
+		t.deepEqual(listIds(dispatcher.end('under-way', {ending: 'success', milliseconds: 100}, 100), 'grant'), [first]);
+	});
+}
+
+test('a request that more urgent ones leave no slot in time is refused when they arrive, and told when to return', t => {
+	// Guards against requests that are held until their deadline is out of reach, 0.9 s after it was clear that they would not be served.
+	const dispatcher = createBusyDispatcher();
+	t.deepEqual(dispatcher.requestSlot(createSlotRequest('low', {priority: 2}), 1), []);
+	const refusals = Array.from({length: 8}, (_, index) => dispatcher.requestSlot(createSlotRequest(`high-${index}`, {priority: 0}), 2 + index)).flatMap(effects => getRefusals(effects));
+	const refusal = refusals.find(({request}) => request.id === 'low');
+	t.like(refusal, {reason: 'no-slot-in-time', isDisplaced: true});
+	t.true(refusal!.expectedWaitMilliseconds! > 250);
+	t.true(refusal!.retryAfterMilliseconds >= 250 && refusal!.retryAfterMilliseconds <= 2000, String(refusal!.retryAfterMilliseconds));
+});
+
+test('a request is not refused while a slot that it could use is free', t => {
+	// Guards against requests that wait for a slot of their own failure domain and are refused meanwhile, although others have free slots.
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 1}), createCandidate('b', {failureDomain: 'y', slots: 2})], ON);
+	dispatcher.requestSlot(createSlotRequest('under-way'), 0);
+	dispatcher.setDoubt(SERVICE, 'b', 0, 0);
+	const effects = Array.from({length: 2}, (_, index) => dispatcher.requestSlot(
+		createSlotRequest(String(index), {requestClass: 'upload', objectiveMilliseconds: 300, remainingMilliseconds: 310}),
+		1100 + index,
+	)).flat();
+	t.deepEqual(getRefusals(effects), []);
+});
+
+test('slow upstreams lengthen the expected wait', t => {
+	// Guards against waits that are computed from slots and usual times alone: while upstreams hang, slots are released later.
+	const countQueued = (milliseconds: number) => {
+		const dispatcher = createBusyDispatcher();
+		let now = 0;
+		for (let index = 0; index < 40; index++) {
+			dispatcher.requestSlot(createSlotRequest(`next-${index}`), now);
+			now += milliseconds;
+			dispatcher.end(index === 0 ? 'under-way' : `next-${index - 1}`, {ending: 'cancelled', milliseconds}, now);
+		}
+
+		return Array.from({length: 20}, (_, index) => dispatcher.requestSlot(createSlotRequest(`late-${index}`, {objectiveMilliseconds: 2000, remainingMilliseconds: 4000}), now))
+			.filter(effects => effects.length === 0).length;
+	};
+
+	t.true(countQueued(250) > 2 * countQueued(700), `${countQueued(250)} ${countQueued(700)}`);
+});
+
+test('the last tokens of the retry budget are left to resends of more urgent requests', t => {
+	const dispatcher = createDispatcher([createCandidate('a', {slots: 100}), createCandidate('b', {slots: 100})], {
+		...ON, budget: {ratio: 0.5, extra: 30, windowMilliseconds: 10_000},
+	});
+	for (let index = 0; index < 60; index++) {
+		dispatcher.requestSlot(createSlotRequest(`first-${index}`, {priority: index % 2}), index);
+	}
+
+	const countGranted = (priority: number) => Array.from({length: 30}, (_, index) => dispatcher.requestSlot(createSlotRequest(`${priority}-${index}`, {
+		priority, isResend: true, excluded: ['a'],
+	}), 60)).filter(effects => listIds(effects, 'grant').length > 0).length;
+	t.is(countGranted(1), 12);
+	t.is(countGranted(0), 6);
+});
+
+test('refused requests return at different times, the more urgent ones sooner', t => {
+	const dispatcher = createBusyDispatcher();
+	const collect = (priority: number) => Array.from({length: 30}, (_, index) => dispatcher.requestSlot(createSlotRequest(`${priority}-${index}`, {priority, remainingMilliseconds: 8000}), 1))
+		.flatMap(effects => getRefusals(effects)).map(({retryAfterMilliseconds}) => retryAfterMilliseconds);
+	const high = collect(0);
+	const low = collect(2);
+	t.true(new Set(high).size > high.length / 2);
+	t.true(average(high) < average(low), `${average(high)} ${average(low)}`);
+});
+
+test('without a valid deadline the objective is the limit, and the slot is released', t => {
+	const dispatcher = createBusyDispatcher();
+	dispatcher.requestSlot(createSlotRequest('invalid', {remainingMilliseconds: Infinity}), 1);
+	dispatcher.end('under-way', {ending: 'success', milliseconds: 100}, 100);
+	dispatcher.tick(5000);
+	t.false(dispatcher.isBusy());
+});
+
+test('the table of organisations is bounded, and forgets those that are gone', t => {
+	const shares = new FairShares();
+	for (let index = 0; index < MAX_ORGANISATIONS * 3; index++) {
+		shares.add(String(index), 100, index);
+	}
+
+	t.true(shares.size <= MAX_ORGANISATIONS + 1);
+	shares.add('later', 100, 10_000);
+	t.is(shares.size, 1);
+});
+
+function average(values: readonly number[]): number {
+	return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- a/packages/wagtailroute-dispatch/src/budget.ts
+++ b/packages/wagtailroute-dispatch/src/budget.ts
@@ -52,8 +52,10 @@
 	readonly countRequest: (now: number) => void;
 	/**
 	Consumes one resend from the budget; returns false when none is left.
+
+	@param leavesReserve Whether the last third of the bucket is left to others. Absent: false.
 	*/
-	readonly consumeResend: (now: number) => boolean;
+	readonly consumeResend: (now: number, leavesReserve?: boolean) => boolean;
 	/**
 	Returns the token of a resend that was not sent.
 	*/
@@ -95,8 +97,10 @@
 		countRequest(now) {
 			add(ratio, now);
 		},
-		consumeResend(now) {
-			const hasToken = report(now).tokens >= 1;
+		consumeResend(now, leavesReserve = false) {
+			const {tokens: available, capacity} = report(now);
+			// A bucket that holds one token only has nothing to reserve.
+			const hasToken = available >= (leavesReserve ? Math.max(1, Math.min(capacity, 1 + (capacity * RESERVED_PART))) : 1);
 			add(hasToken ? -1 : 0, now);
 			return hasToken;
 		},
@@ -106,3 +110,8 @@
 		report,
 	};
 }
+
+/**
+Part of the bucket that is reserved for resends of more urgent requests.
+*/
+const RESERVED_PART = 1 / 3;
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -38,6 +38,7 @@
 } from './constants.ts';
 import type {Dispatcher, DispatcherSettings, UpstreamReport} from './dispatcher-types.ts';
 import {type IdleUpstream, listIdleUpstreams} from './idle-upstreams.ts';
+import {getRetryAfter, type OrderedEntry, OrderedQueue} from './order/index.ts';
 import {DEFAULT_POLICY} from './policy.ts';
 import {createShortfall} from './shortfall.ts';
 import {ServiceRateLimits} from './service-rate-limits.ts';
@@ -47,6 +48,7 @@
 	createTrialContext,
 	getBackoffDelay,
 	getQueueKey,
+	getTrialDelay,
 	getUsualMilliseconds,
 	hasUsableUpstream,
 	isBelowFloor,
@@ -94,15 +96,18 @@
 		this.#settings = settings;
 	}
 
-	requestSlot(request: SlotRequest, now: number): readonly Effect[] {
-		const service = this.#getService(request.service);
+	requestSlot(received: SlotRequest, now: number): readonly Effect[] {
+		const service = this.#getService(received.service);
 		service.rateLimits.recordRequest(now);
+		const order = this.#getOrder(service, now);
+		const request = order === undefined ? received : normalize(received, order.normalizePriority(received.priority, now));
+		order?.recordPriority(request.priority, now);
 		if (request.isMove) {
 			return [this.#moveOrRefuse(service, request, now)];
 		}
 
 		if (request.isResend) {
-			if (!service.budget.consumeResend(now)) {
+			if (!service.budget.consumeResend(now, order?.isLowestOfSeveral(request.priority, now))) {
 				return [refuse(request, 'budget', service.policy.retryAfterLeastMilliseconds)];
 			}
 		} else if (request.isAgain !== true) {
@@ -114,7 +119,8 @@
 		service.lastIdempotentAt = core.isIdempotent(request.requestClass) ? now : service.lastIdempotentAt;
 		const queued = this.#enqueue(service, request, now);
 		const effects = this.#serveQueue(service, now);
-		return this.#servicesByQueuedId.has(request.id) ? [...effects, ...this.#waitOrRefuse(service, queued, now)] : effects;
+		const ownEffects = this.#servicesByQueuedId.has(request.id) ? this.#waitOrRefuse(service, queued, now) : [];
+		return [...effects, ...ownEffects, ...this.#refuseMissing(service, now)];
 	}
 
 	cancel(id: SlotRequestId, now: number): SlotRequest | undefined {
@@ -140,6 +146,10 @@
 		const service = this.#getService(heldSlot.service);
 		const upstream = service.upstreams.get(heldSlot.upstream);
 		this.#releaseSlot(heldSlot);
+		if (ending !== 'unused') {
+			service.order?.releaseSpeed.record(heldSlot.usualMilliseconds, now - heldSlot.grantedAt, now);
+		}
+
 		if (ending === 'unused' && heldSlot.request?.isResend === true) {
 			service.budget.refundResend(now);
 		}
@@ -173,7 +183,7 @@
 			}
 		}
 
-		return [...effects, ...this.#serveQueue(service, now)];
+		return [...effects, ...this.#serveQueue(service, now), ...this.#refuseMissing(service, now)];
 	}
 
 	recordAdvertisements(id: SlotRequestId, advertisements: readonly core.Advertisement[], now: number): readonly Effect[] {
@@ -251,7 +261,7 @@
 			}
 		}
 
-		return this.#serveQueue(service, now);
+		return [...this.#serveQueue(service, now), ...this.#refuseMissing(service, now)];
 	}
 
 	setDoubt(service: core.ServiceName, upstream: core.UpstreamId, doubt: number, now: number): void {
@@ -279,7 +289,10 @@
 			this.#releaseSlot(heldSlot);
 		}
 
-		return this.#services.values().flatMap(service => [...this.#serveQueue(service, now), ...this.#refuseExpiring(service, now)]).toArray();
+		return this.#services.values().flatMap(service => {
+			this.#getOrder(service, now);
+			return [...this.#serveQueue(service, now), ...this.#refuseExpiring(service, now), ...this.#refuseMissing(service, now)];
+		}).toArray();
 	}
 
 	countWaiting(): number {
@@ -323,7 +336,7 @@
 	that was not sent yet, and discard the work done so far. A refusal uses none of the retry budget.
 	*/
 	#moveOrRefuse(service: Service, request: SlotRequest, now: number): Effect {
-		const choice = service.queue.length > 0
+		const choice = service.queue.length > 0 || (service.order?.size ?? 0) > 0
 			? undefined
 			: choose(listFreeUpstreams(service, now), request, this.#createChoiceContext(service, {
 				now, queuedAt: now, needsIdleUpstreams: needsIdleUpstreams(service, now),
@@ -332,7 +345,7 @@
 			return refuse(request, 'no-slot-in-time', service.policy.retryAfterLeastMilliseconds);
 		}
 
-		return service.budget.consumeResend(now)
+		return service.budget.consumeResend(now, service.order?.isLowestOfSeveral(request.priority, now))
 			? this.#grant(service, request, choice, now)
 			: refuse(request, 'budget', service.policy.retryAfterLeastMilliseconds);
 	}
@@ -401,7 +414,12 @@
 		upstream?.heldSlots.delete(heldSlot.id);
 	}
 
-	#waitOrRefuse(service: Service, {request, queueKey}: QueuedRequest, now: number): readonly Effect[] {
+	#waitOrRefuse(service: Service, queued: QueuedRequest | OrderedEntry, now: number): readonly Effect[] {
+		if (!('queueKey' in queued)) {
+			return this.#waitOrRefuseOrdered(service, queued, now);
+		}
+
+		const {request, queueKey} = queued;
 		const slots = countUsableSlots(service, request, now);
 		const usual = getUsualMilliseconds(service, request);
 		// The count includes the request itself.
@@ -424,7 +442,12 @@
 	#useFallbackOrRefuse(
 		service: Service,
 		request: SlotRequest,
-		{now, wait, slots}: {readonly now: number; readonly wait: number; readonly slots: number},
+		{now, wait, slots, ordered}: {
+			readonly now: number;
+			readonly wait: number;
+			readonly slots: number;
+			readonly ordered?: {readonly entry: OrderedEntry; readonly isDisplaced: boolean};
+		},
 	): readonly Effect[] {
 		const mayExplore = core.isIdempotent(request.requestClass)
 			&& !request.isResend
@@ -440,12 +463,127 @@
 		}
 
 		service.shortfall.recordFailure(now);
+		const reason = slots === 0 ? 'no-upstream' : 'no-slot-in-time';
+		if (ordered !== undefined) {
+			const capacityDelay = slots === 0 ? Math.min(wait, getTrialDelay(service, now)) : service.order!.getDrainMilliseconds(ordered.entry, now);
+			const drainMilliseconds = Number.isFinite(wait) ? Math.max(wait, capacityDelay) : capacityDelay;
+			const retryAfterMilliseconds = getRetryAfter({
+				drainMilliseconds, remainingMilliseconds: request.remainingMilliseconds, leastMilliseconds: service.policy.retryAfterLeastMilliseconds,
+			}, this.#settings.random());
+			return [{
+				...refuse(request, reason, retryAfterMilliseconds),
+				...Number.isFinite(wait) && {expectedWaitMilliseconds: wait},
+				...ordered.isDisplaced && {isDisplaced: true},
+			}];
+		}
+
 		const expectedWait = Number.isFinite(wait) ? wait : request.remainingMilliseconds / 4;
 		const retryAfter = Math.max(service.policy.retryAfterLeastMilliseconds, Math.min(expectedWait, request.remainingMilliseconds / 3));
-		return [refuse(request, slots === 0 ? 'no-upstream' : 'no-slot-in-time', retryAfter)];
+		return [refuse(request, reason, retryAfter)];
+	}
+
+	/**
+	Returns the ordered queue of a service; undefined while requests are not ordered by cost. Once it is in use, it stays.
+	*/
+	#getOrder(service: Service, now: number): OrderedQueue | undefined {
+		if (service.order !== undefined || this.#settings.isOrderedByCost?.() !== true) {
+			return service.order;
+		}
+
+		service.order = new OrderedQueue(service.policy.orderWorkSteps);
+		for (const {request, queuedAt, deadlineAt} of service.queue.splice(0)) {
+			this.#addOrdered(service, {
+				request, queuedAt, deadlineAt, isLate: isObjectiveMissed(service, request),
+			}, now);
+		}
+
+		return service.order;
+	}
+
+	#addOrdered(service: Service, queued: Pick<OrderedEntry, 'request' | 'queuedAt' | 'deadlineAt' | 'isLate'>, now: number): OrderedEntry {
+		return service.order!.add({...queued, work: getUsualMilliseconds(service, queued.request), worthwhilePart: service.policy.worthwhilePart}, now);
+	}
+
+	#waitOrRefuseOrdered(service: Service, entry: OrderedEntry, now: number): readonly Effect[] {
+		const slots = countUsableSlots(service, entry.request, now);
+		if (slots > 0) {
+			service.order!.setSlots(slots);
+		}
+
+		const wait = slots === 0 ? getBackoffDelay(service, entry.request, now) : service.order!.getExpectedWait(entry, now);
+		const isFirstInTime = !entry.isLate && !entry.request.isResend;
+		const margin = isFirstInTime ? entry.work * (service.policy.objectivePart - 1) : 0;
+		if (now + wait + margin <= entry.startBy) {
+			return [];
+		}
+
+		if (isFirstInTime && entry.isReturning) {
+			service.order!.remove(entry.request.id);
+			return this.#waitOrRefuseOrdered(service, this.#addOrdered(service, {...entry, isLate: true}, now), now);
+		}
+
+		return this.#refuseOrdered(service, entry, {
+			now, wait, slots, isDisplaced: entry.queuedAt < now,
+		});
+	}
+
+	/**
+	Refuses a queued request, unless a slot is free that it left to others so far, for example one in another failure domain.
+	*/
+	#refuseOrdered(
+		service: Service,
+		entry: OrderedEntry,
+		{now, wait, slots, isDisplaced}: {readonly now: number; readonly wait: number; readonly slots: number; readonly isDisplaced: boolean},
+	): readonly Effect[] {
+		const request = {...entry.request, remainingMilliseconds: entry.deadlineAt - now};
+		const isWorthwhile = request.remainingMilliseconds >= entry.work * service.policy.worthwhilePart;
+		const choice = isWorthwhile
+			? choose(listFreeUpstreams(service, now), request, this.#createChoiceContext(service, {
+				now, queuedAt: -Infinity, needsIdleUpstreams: needsIdleUpstreams(service, now),
+			}))
+			: undefined;
+		this.#dequeue(service, request.id, choice === undefined ? undefined : now);
+		return choice === undefined
+			? this.#useFallbackOrRefuse(service, request, {
+				now, wait, slots, ordered: {entry, isDisplaced},
+			})
+			: [this.#grant(service, request, choice, now)];
 	}
 
-	#enqueue(service: Service, request: SlotRequest, now: number): QueuedRequest {
+	/**
+	Refuses the queued requests that can't be served in time any more. One that has missed its objective although the plan said otherwise, or that has
+	come back after a refusal, waits on behind those that are in time.
+	*/
+	#refuseMissing(service: Service, now: number): readonly Effect[] {
+		const {order} = service;
+		if (order === undefined) {
+			return [];
+		}
+
+		const effects: Effect[] = [];
+		for (const {entry, wait} of order.listMissing(now)) {
+			if (entry.isLate || entry.request.isResend || (now <= entry.startBy && !entry.isReturning)) {
+				effects.push(...this.#refuseOrdered(service, entry, {
+					now, wait, slots: 1, isDisplaced: entry.queuedAt < now,
+				}));
+			} else {
+				order.remove(entry.request.id);
+				this.#addOrdered(service, {...entry, isLate: true}, now);
+			}
+		}
+
+		order.releaseSpeed.setQueued(order.size > 0, now);
+		return effects;
+	}
+
+	#enqueue(service: Service, request: SlotRequest, now: number): QueuedRequest | OrderedEntry {
+		if (service.order !== undefined) {
+			this.#servicesByQueuedId.set(request.id, service);
+			return this.#addOrdered(service, {
+				request, queuedAt: now, deadlineAt: now + request.remainingMilliseconds, isLate: isObjectiveMissed(service, request),
+			}, now);
+		}
+
 		const queued: QueuedRequest = {
 			request, queueKey: getQueueKey(service, request, now), queuedAt: now, deadlineAt: now + request.remainingMilliseconds,
 		};
@@ -454,8 +592,17 @@
 		return queued;
 	}
 
-	#dequeue(service: Service, id: SlotRequestId): SlotRequest | undefined {
+	/**
+	Removes a request from the queue.
+
+	@param grantedAt Time at which it was granted a slot; absent when it is not served here.
+	*/
+	#dequeue(service: Service, id: SlotRequestId, grantedAt?: number): SlotRequest | undefined {
 		this.#servicesByQueuedId.delete(id);
+		if (service.order !== undefined) {
+			return grantedAt === undefined ? service.order.remove(id)?.request : service.order.grant(id, grantedAt)?.request;
+		}
+
 		const index = service.queue.findIndex(queued => queued.request.id === id);
 		return index === -1 ? undefined : service.queue.splice(index, 1)[0]!.request;
 	}
@@ -469,8 +616,12 @@
 		const effects: Effect[] = [];
 		let freeUpstreams = listFreeUpstreams(service, now);
 		let trialUpstreams = listTrialUpstreams(service, now);
+		if (freeUpstreams.length === 0 && trialUpstreams.length === 0) {
+			return effects;
+		}
+
 		const context = {now, needsIdleUpstreams: needsIdleUpstreams(service, now)};
-		for (const queued of service.queue.slice(0, MAX_QUEUE_SCAN)) {
+		for (const queued of service.order?.listNext(MAX_QUEUE_SCAN, now) ?? service.queue.slice(0, MAX_QUEUE_SCAN)) {
 			if (freeUpstreams.length === 0 && trialUpstreams.length === 0) {
 				break;
 			}
@@ -482,7 +633,7 @@
 				continue;
 			}
 
-			this.#dequeue(service, request.id);
+			this.#dequeue(service, request.id, now);
 			effects.push(this.#grant(service, request, choice, now));
 			freeUpstreams = freeUpstreams.filter(upstream => hasCapacity(upstream, now));
 			trialUpstreams = trialUpstreams.filter(upstream => hasCapacity(upstream, now));
@@ -499,7 +650,8 @@
 			return [];
 		}
 
-		return service.queue
+		const waiting: ReadonlyArray<QueuedRequest | OrderedEntry> = service.order?.list() ?? service.queue;
+		return waiting
 			.filter(({request}) => !hasUsableUpstream(service, request, now))
 			.flatMap(queued => this.#waitOrRefuse(service, {...queued, request: {...queued.request, remainingMilliseconds: queued.deadlineAt - now}}, now));
 	}
@@ -508,6 +660,12 @@
 	Refuses the queued requests that can no longer be answered before their deadline.
 	*/
 	#refuseExpiring(service: Service, now: number): readonly Effect[] {
+		if (service.order !== undefined) {
+			return service.order.list().filter(entry => isDeadlineUnreachable(service, entry, now)).flatMap(entry => this.#refuseOrdered(service, entry, {
+				now, wait: Infinity, slots: 1, isDisplaced: true,
+			}));
+		}
+
 		const expiring = service.queue.filter(queued => isDeadlineUnreachable(service, queued, now));
 		return expiring.flatMap(({request, deadlineAt}) => {
 			this.#dequeue(service, request.id);
@@ -522,7 +680,23 @@
 */
 const FAILURE_ENDINGS: ReadonlySet<Ending> = new Set(['error', 'reset', 'timeout']);
 
-function refuse(request: SlotRequest, reason: RefusalReason, retryAfterMilliseconds: number): Effect {
+/**
+Returns the request with valid numbers. Without a valid deadline, the latency objective of the route is the limit that is known here.
+*/
+function normalize(request: SlotRequest, priority: number): SlotRequest {
+	const {remainingMilliseconds, waitedMilliseconds} = request;
+	const isValid = priority === request.priority && Number.isFinite(remainingMilliseconds) && Number.isFinite(waitedMilliseconds);
+	return isValid
+		? request
+		: {
+			...request,
+			priority,
+			remainingMilliseconds: Number.isFinite(remainingMilliseconds) ? remainingMilliseconds : request.objectiveMilliseconds,
+			waitedMilliseconds: Number.isFinite(waitedMilliseconds) ? waitedMilliseconds : 0,
+		};
+}
+
+function refuse(request: SlotRequest, reason: RefusalReason, retryAfterMilliseconds: number): Extract<Effect, {kind: 'refuse'}> {
 	return {
 		kind: 'refuse', request, reason, retryAfterMilliseconds,
 	};
--- a/packages/wagtailroute-dispatch/src/policy.ts
+++ b/packages/wagtailroute-dispatch/src/policy.ts
@@ -50,6 +50,11 @@
 	*/
 	lateMilliseconds: 1000,
 	/**
+	Steps of priority that a doubling of the work of a request counts as, where queued requests are ordered by cost: 0 orders by priority alone, 1 by
+	value per unit of work.
+	*/
+	orderWorkSteps: 0,
+	/**
 	Number of usual response times that must fit into the latency objective after the wait for a slot. Under overload the number of served requests is
 	the same for any wait; with a short wait they are served in time.
 	*/
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -7,6 +7,7 @@
 import type {TrialContext} from './choosing.ts';
 import {DEFAULT_POLICY, type Policy} from './policy.ts';
 import type {ServiceRateLimits} from './service-rate-limits.ts';
+import type {OrderedQueue} from './order/index.ts';
 import type {Shortfall} from './shortfall.ts';
 import {
 	countSlots,
@@ -42,6 +43,10 @@
 	*/
 	readonly queue: QueuedRequest[];
 	/**
+	Takes the place of `queue` while requests are ordered by cost.
+	*/
+	order?: OrderedQueue;
+	/**
 	Moving averages of the response times in milliseconds, by name of the route.
 	*/
 	readonly usualMillisecondsByRoute: Map<string, number>;
@@ -154,7 +159,7 @@
 /**
 Returns whether a queued request could no longer be answered before its deadline.
 */
-export function isDeadlineUnreachable(service: Service, {request, deadlineAt}: QueuedRequest, now: number): boolean {
+export function isDeadlineUnreachable(service: Service, {request, deadlineAt}: Pick<QueuedRequest, 'request' | 'deadlineAt'>, now: number): boolean {
 	return deadlineAt - now < getUsualMilliseconds(service, request) * service.policy.worthwhilePart;
 }
 
@@ -200,6 +205,14 @@
 	return delays.reduce((least, delay) => Math.min(least, delay), Infinity);
 }
 
+/**
+Returns the milliseconds until the next trial of a suspended upstream is due; Infinity when none is suspended.
+*/
+export function getTrialDelay({upstreams}: Service, now: number): number {
+	const delays = upstreams.values().filter(upstream => isServing(upstream) && isSuspended(upstream, now)).map(({nextTrialAt}) => Math.max(0, nextTrialAt - now));
+	return delays.reduce((least, delay) => Math.min(least, delay), Infinity);
+}
+
 function isUsableNow(upstream: Upstream, request: SlotRequest, now: number): boolean {
 	return isUsable(upstream, request, now) && getBackoff(upstream, request.host, now) === 0;
 }
--- a/packages/wagtailroute-dispatch/src/slot-requests.ts
+++ b/packages/wagtailroute-dispatch/src/slot-requests.ts
@@ -118,6 +118,14 @@
 		readonly request: SlotRequest;
 		readonly reason: RefusalReason;
 		readonly retryAfterMilliseconds: number;
+		/**
+		Expected milliseconds until a slot; absent where requests are not ordered by cost, and where no slot is expected.
+		*/
+		readonly expectedWaitMilliseconds?: number;
+		/**
+		Whether the request was queued before, and more urgent ones or slower upstreams left no slot for it in time; absent means false.
+		*/
+		readonly isDisplaced?: boolean;
 	}
 	/**
 	An upstream was suspended or readmitted.
