Divided dispatching: pools by failure domain while overload control is on

One dispatcher for 205 upstreams and 174 entry hosts has no CPU time left. With overload control on, an entry host requests slots from the pool of its own failure domain, at a control host of that domain. The pool is part of the announced route and of the handover report. A dispatcher keeps a record for each pool next to that of the undivided service, and applies what it learns about an upstream to all records that contain it.

The shares of the retry budget are kept by pool while services are divided. Upstreams of a domain without entry hosts belong to one other pool. Without overload control, no message and no decision changes.

--- a/packages/wagtailroute-dispatch/src/dispatcher-types.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher-types.ts
@@ -33,13 +33,13 @@
 	*/
 	readonly policy?: Policy;
 	/**
-	Returns the share of the fleet's requests that this dispatcher handles, 0 to 1. Absent: all of them.
+	Returns the share of the fleet's requests of a service that this dispatcher handles, 0 to 1. Absent: all of them.
 	*/
-	readonly getShare?: (now: number) => number;
+	readonly getShare?: (now: number, service: core.ServiceName) => number;
 	/**
-	Returns the share of the retry budget that this dispatcher grants, 0 to 1. Absent: all of it.
+	Returns the share of a service's retry budget that this dispatcher grants, 0 to 1. Absent: all of it.
 	*/
-	readonly getBudgetShare?: (now: number) => number;
+	readonly getBudgetShare?: (now: number, service: core.ServiceName) => number;
 	/**
 	Returns whether queued requests are ordered by what it costs callers to delay or refuse them. Absent: they keep the place that they got on arrival.
 	*/
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -222,6 +222,12 @@
 		for (const report of reports) {
 			const upstream = knownService.upstreams.get(report.upstream);
 			const heldSlot = createHeldSlot(report, knownService.usualMillisecondsByRoute.get(report.route) ?? (report.ageMilliseconds + report.remainingMilliseconds), now);
+			// A host that divides a service reports slots that another record of this dispatcher granted.
+			const known = this.#heldSlots.get(heldSlot.id);
+			if (known !== undefined) {
+				this.#releaseSlot(known);
+			}
+
 			this.#heldSlots.set(heldSlot.id, heldSlot);
 			upstream?.heldSlots.set(heldSlot.id, heldSlot);
 		}
@@ -354,10 +360,10 @@
 			usualMillisecondsByRoute: new Map(),
 			policy: this.#settings.policy ?? DEFAULT_POLICY,
 			shortfall: createShortfall(),
-			budget: createBudget(this.#settings.budget, this.#settings.policy ?? DEFAULT_POLICY, this.#settings.getBudgetShare ?? (() => 1)),
+			budget: createBudget(this.#settings.budget, this.#settings.policy ?? DEFAULT_POLICY, now => this.#settings.getBudgetShare?.(now, name) ?? 1),
 			lastIdempotentAt: -Infinity,
 			unpublishedDraining: new Set(),
-			rateLimits: new ServiceRateLimits({getShare: this.#settings.getShare ?? (() => 1), random: this.#settings.random}),
+			rateLimits: new ServiceRateLimits({getShare: now => this.#settings.getShare?.(now, name) ?? 1, random: this.#settings.random}),
 		};
 		this.#services.set(name, service);
 		return service;
--- a/packages/wagtailroute-dispatch/src/index.ts
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -15,6 +15,7 @@
 } from './slot-requests.ts';
 export {createDispatcher} from './dispatcher.ts';
 export type {Dispatcher, DispatcherSettings, UpstreamReport} from './dispatcher-types.ts';
+export type {IdleUpstream} from './idle-upstreams.ts';
 export type {BudgetReport, BudgetSettings} from './budget.ts';
 export {
 	type AuditedTimes,
--- a/packages/wagtailroute-dispatch/src/slot-requests.ts
+++ b/packages/wagtailroute-dispatch/src/slot-requests.ts
@@ -20,6 +20,10 @@
 	readonly failureDomain: core.FailureDomain;
 	readonly service: core.ServiceName;
 	/**
+	Failure domain of the pool from which the slot is requested; absent for the undivided service.
+	*/
+	readonly pool?: core.FailureDomain;
+	/**
 	Caller's organisation; absent where the catalogue has no organisations or the route requires no API key.
 	*/
 	readonly organisation?: core.Organisation;
--- a/packages/wagtailroute-fleet/src/__tests__/unit/advertisements.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/advertisements.test.ts
@@ -104,6 +104,6 @@
 	advertisements.record(SERVICE, 'u', BACKOFF);
 	const link = fixture.createFakeLink(() => undefined);
 	const heldSlots = createHeldSlots(() => ADVERTISED_AT, {advertisements, recentUsage: {collectUnreported: () => undefined}, countEntryHosts: () => 3});
-	heldSlots.reportTo(SERVICE, {host: {id: 'c', address: {ip: '10.0.0.2', port: 1}}, link});
+	heldSlots.reportTo({service: SERVICE}, {host: {id: 'c', address: {ip: '10.0.0.2', port: 1}}, link});
 	t.deepEqual(link.notified, [['dispatch.hold', {service: SERVICE, places: [], updates: [createLimitUpdate(0), createBackoffUpdate(3000)]}]]);
 });
--- a/packages/wagtailroute-fleet/src/__tests__/unit/dispatcher-finder.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/dispatcher-finder.test.ts
@@ -13,14 +13,14 @@
 }
 
 const createOptions = (controls: readonly LinkedHost[], changes: Partial<DispatcherFinderOptions> = {}): DispatcherFinderOptions => ({
-	hostId: 'front', getControlHosts: () => controls, getStandbys: () => [], isOwnHostStandby: () => false, ...changes,
+	hostId: 'front', failureDomain: 'x', getControlHosts: () => controls, getStandbys: () => [], isOwnHostStandby: () => false, ...changes,
 });
 
 test('all hosts find the same dispatcher, and services are spread over dispatchers', t => {
 	const context = fixture.createFakeContext();
 	const controls = createControls(5);
 	const services = Array.from({length: 50}, (_, index) => `service-${index}`);
-	const find = (order: readonly LinkedHost[]) => services.map(service => createDispatcherFinder(context, createOptions(order)).find(service)?.host.id);
+	const find = (order: readonly LinkedHost[]) => services.map(service => createDispatcherFinder(context, createOptions(order)).find({service})?.host.id);
 	t.deepEqual(find(controls), find(controls.toReversed()));
 	t.is(new Set(find(controls)).size, 5);
 });
@@ -63,7 +63,7 @@
 		const order: Array<string | undefined> = [];
 		const left = [...controls];
 		while (left.length > 0) {
-			const first = createDispatcherFinder(context, createOptions(left)).find('archive')!;
+			const first = createDispatcherFinder(context, createOptions(left)).find({service: 'archive'})!;
 			order.push(first.host.id);
 			left.splice(left.indexOf(first), 1);
 		}
@@ -73,7 +73,7 @@
 		}
 
 		await context.pass(waitMilliseconds);
-		t.is(finder.find('archive')?.host.id, asked === undefined ? undefined : order[asked]);
+		t.is(finder.find({service: 'archive'})?.host.id, asked === undefined ? undefined : order[asked]);
 	});
 }
 
@@ -85,14 +85,14 @@
 	const other = fixture.createFakeLink(() => undefined);
 	const controls = [link, other].map((of, index): LinkedHost => ({host: {id: `c${index}`, address: {ip: '10.0.0.2', port: 1}}, link: of}));
 	const finder = createDispatcherFinder(context, createOptions(controls));
-	const first = finder.find('archive')!;
+	const first = finder.find({service: 'archive'})!;
 	finder.markUnresponsive(first);
 	const silent = first.link as fixture.FakeLink;
 	silent.silence = 3200;
 	await context.pass(3000);
-	t.not(finder.find('archive')?.host.id, first.host.id);
+	t.not(finder.find({service: 'archive'})?.host.id, first.host.id);
 	silent.silence = 100;
-	t.is(finder.find('archive')?.host.id, first.host.id);
+	t.is(finder.find({service: 'archive'})?.host.id, first.host.id);
 });
 
 test('while most control hosts do not answer, all hosts find the same standby', t => {
@@ -108,7 +108,7 @@
 			finder.markUnresponsive(control);
 		}
 
-		return services.map(service => finder.find(service)?.host.id ?? changes.hostId);
+		return services.map(service => finder.find({service})?.host.id ?? changes.hostId);
 	};
 
 	const found = find({getStandbys: () => standbys});
--- a/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
@@ -32,7 +32,9 @@
 Options of a dispatcher that is the only one of its fleet.
 */
 export const ONLY_DISPATCHER: Pick<HostDispatcherOptions, 'requestShare' | 'isReceivingUpdates'> = {
-	requestShare: {record: () => undefined, get: () => 1, getHostShare: () => 1}, isReceivingUpdates: true,
+	requestShare: {
+		record: () => undefined, get: () => 1, getOf: () => 1, getHostShare: () => 1,
+	}, isReceivingUpdates: true,
 };
 
 /**
--- a/packages/wagtailroute-fleet/src/__tests__/unit/held-slots.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/held-slots.test.ts
@@ -20,7 +20,7 @@
 	heldSlots.add({request: REQUEST, upstream: 'u', grantedAt: 100});
 	heldSlots.add({request: {...REQUEST, id: 'h:2', service: 'media'}, upstream: 'v', grantedAt: 100});
 	for (const link of [first, first, second]) {
-		heldSlots.reportTo('archive', {host, link});
+		heldSlots.reportTo({service: 'archive'}, {host, link});
 	}
 
 	const held = {
--- /dev/null
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/pools.test.ts
@@ -0,0 +1,347 @@
+/**
+Tests of services that are divided into pools by failure domain.
+*/
+import test from 'ava';
+import type * as core from 'wagtailroute-core';
+import type * as dispatch from 'wagtailroute-dispatch';
+import {orderPoolDispatchers} from '../../dispatch-order.ts';
+import {startHostDispatcher} from '../../host-dispatcher.ts';
+import {type Belief, METHODS} from '../../messages.ts';
+import {createPoolChoice} from '../../pools/pool-choice.ts';
+import {getPoolKey, type Pool} from '../../pools/pool-key.ts';
+import {listPoolMembers} from '../../pools/pool-members.ts';
+import {createRequestShare} from '../../request-share.ts';
+import * as fixture from './fixture.ts';
+import {
+	createCandidates,
+	createPoolFleet,
+	DOMAINS,
+	type PoolFleet,
+	SERVICE,
+} from './pool-fixture.ts';
+
+const CANDIDATES = createCandidates({x: 4, y: 4, z: 4});
+
+type MembersCase = {
+	readonly name: string;
+	readonly candidates: readonly dispatch.Candidate[];
+	readonly entryDomains: readonly core.FailureDomain[];
+	/**
+	Number of upstreams of the pools x, y and z, in order of size.
+	*/
+	readonly sizes: readonly number[];
+};
+
+const MEMBERS_CASES: readonly MembersCase[] = [
+	{
+		name: 'each pool has the upstreams of its domain', candidates: CANDIDATES, entryDomains: DOMAINS, sizes: [4, 4, 4],
+	},
+	{
+		// Guards against upstreams that get no requests for as long as their failure domain has no entry host: nobody requests slots from their pool.
+		name: 'upstreams of a domain without entry hosts belong to exactly one other pool', candidates: CANDIDATES, entryDomains: ['x', 'z'], sizes: [0, 4, 8],
+	},
+	{
+		// Guards against pools that move all upstreams after a restart, while a control host knows no entry host yet.
+		name: 'pools stay divided while no entry host is known', candidates: CANDIDATES, entryDomains: [], sizes: [4, 4, 4],
+	},
+	{
+		name: 'a domain without upstreams has no pool', candidates: createCandidates({x: 4, y: 4}), entryDomains: DOMAINS, sizes: [0, 4, 4],
+	},
+	{
+		// Guards against refusals in a domain whose last upstreams drain, while other domains have free slots.
+		name: 'a domain whose upstreams all drain has no pool',
+		candidates: CANDIDATES.map(candidate => candidate.failureDomain === 'y' ? {...candidate, isDraining: true} : candidate),
+		entryDomains: DOMAINS,
+		sizes: [0, 4, 4],
+	},
+];
+
+for (const {name, candidates, entryDomains, sizes} of MEMBERS_CASES) {
+	test(name, t => {
+		const members = DOMAINS.map(pool => listPoolMembers({service: SERVICE, pool}, candidates, entryDomains));
+		t.deepEqual(members.map(({length}) => length).toSorted((left, right) => left - right), sizes);
+		const all = members.flat().map(({upstream}) => upstream);
+		t.is(new Set(all).size, all.length);
+	});
+}
+
+test('slot requests of a pool go to a control host of its own domain, and to another domain only without one', t => {
+	const hosts = ['x', 'x', 'y', 'y', 'z'].map((failureDomain, index) => ({id: `c${index}`, failureDomain}));
+	const services = Array.from({length: 30}, (_, index) => `service-${index}`);
+	const find = (pool: core.FailureDomain, open: typeof hosts) => services.map(service => orderPoolDispatchers({service, pool}, open, host => host)[0]!);
+	t.true(find('x', hosts).every(({failureDomain}) => failureDomain === 'x'));
+	t.is(new Set(find('x', hosts).map(({id}) => id)).size, 2);
+	t.true(find('z', hosts.slice(0, 4)).length > 0);
+	t.deepEqual(
+		services.map(service => orderPoolDispatchers({service}, hosts, host => host)[0]),
+		services.map(service => orderPoolDispatchers({service}, hosts.map(({id}) => ({id, failureDomain: 'x'})), host => host)[0]).map(first => hosts.find(({id}) => id === first!.id)),
+	);
+});
+
+test('a control host that is lost moves only its pools', t => {
+	const hosts = DOMAINS.flatMap(failureDomain => Array.from({length: 4}, (_, index) => ({id: `${failureDomain}${index}`, failureDomain})));
+	const pools = DOMAINS.flatMap(pool => Array.from({length: 20}, (_, index): Pool => ({service: `service-${index}`, pool})));
+	const before = pools.map(pool => orderPoolDispatchers(pool, hosts, host => host)[0]!.id);
+	const [lost] = before;
+	const after = pools.map(pool => orderPoolDispatchers(pool, hosts.filter(({id}) => id !== lost), host => host)[0]!.id);
+	t.true(pools.every((_, index) => (before[index] === lost) === (before[index] !== after[index])));
+	t.true(pools.every(({pool}, index) => after[index]!.startsWith(pool!)));
+});
+
+test('an entry host requests slots of its own domain only where overload control is on and the domain has upstreams', t => {
+	const context = fixture.createFakeContext();
+	let isOn = false;
+	let candidates = createCandidates({x: 1, y: 1});
+	const pools = createPoolChoice(context, {failureDomain: 'x', overloadControl: {isOn: () => isOn}, listCandidates: () => candidates});
+	t.is(pools.find(SERVICE), undefined);
+	isOn = true;
+	t.is(pools.find(SERVICE), 'x');
+	candidates = candidates.map(candidate => ({...candidate, isDraining: candidate.failureDomain === 'x'}));
+	pools.refresh(SERVICE);
+	t.is(pools.find(SERVICE), undefined);
+});
+
+function setUpDispatcher(listEntryDomains = () => DOMAINS, candidates = CANDIDATES) {
+	const context = fixture.createFakeContext();
+	const sent: Array<{readonly method: string; readonly parameters: unknown}> = [];
+	const dispatcher = startHostDispatcher(context, {
+		...fixture.ONLY_DISPATCHER,
+		settings: {budget: {ratio: 0.2, extra: 20, windowMilliseconds: 10_000}, floor: 0},
+		listCandidates: () => candidates,
+		listEntryDomains,
+		listStandbys: () => [],
+		notify: () => undefined,
+		notifyControlHosts(method, parameters) {
+			sent.push({method, parameters});
+		},
+	});
+	let count = 0;
+	const requestSlot = (pool: core.FailureDomain | undefined, changes: Partial<dispatch.SlotRequest> = {}) => {
+		count++;
+		const id = `front:${count}`;
+		return {
+			id, answer: dispatcher.requestSlot({
+				...fixture.SLOT_REQUEST_DRAFT, id, host: 'front', failureDomain: pool ?? 'x', ...pool !== undefined && {pool}, ...changes,
+			}),
+		};
+	};
+
+	const listSuspended = () => dispatcher.listUpstreamReports(SERVICE).filter(({isSuspended}) => isSuspended).map(({upstream}) => upstream);
+	return {
+		context, dispatcher, requestSlot, listSuspended, sent,
+	};
+}
+
+const getUpstream = (answer: {readonly kind: string; readonly upstream?: string}) => answer.upstream ?? answer.kind;
+
+test('a pool grants slots of its own upstreams only', t => {
+	const {requestSlot} = setUpDispatcher();
+	const granted = DOMAINS.map(pool => Array.from({length: 8}, () => getUpstream(requestSlot(pool).answer)));
+	t.true(granted.every((upstreams, index) => upstreams.every(upstream => upstream.startsWith(DOMAINS[index]!))));
+	t.is(requestSlot('x').answer.kind, 'wait');
+});
+
+test('a pool without upstreams at its dispatcher is served by the undivided service', t => {
+	// Guards against a request that is sent to the next dispatcher, and a dispatcher that is skipped, because an entry host has learned of an upstream
+	// earlier than the dispatcher.
+	const {requestSlot} = setUpDispatcher();
+	t.regex(getUpstream(requestSlot('w').answer), /^[xyz]/v);
+});
+
+test('upstreams change their pool with the entry hosts, and keep the slots that requests hold', async t => {
+	let entryDomains = DOMAINS;
+	const {context, requestSlot, dispatcher} = setUpDispatcher(() => entryDomains);
+	for (const pool of ['x', 'z']) {
+		requestSlot(pool);
+	}
+
+	entryDomains = ['x', 'z'];
+	await context.pass(100);
+	for (const pool of ['x', 'z']) {
+		for (let count = 0; count < 16; count++) {
+			requestSlot(pool, {requestClass: 'read'});
+		}
+	}
+
+	// A read waits 20 ms for a slot of its own domain before it takes another one.
+	await context.pass(100);
+	t.deepEqual(dispatcher.listUpstreamReports(SERVICE).map(({taken}) => taken), CANDIDATES.map(() => 2));
+});
+
+test('what a pool shows about an upstream is reported under the service, and applied to all other records', async t => {
+	// Guards against the undivided service, or the directory, that goes on with an upstream which its pool has suspended.
+	const {context, requestSlot, dispatcher, listSuspended, sent} = setUpDispatcher();
+	for (let round = 0; round < 12; round++) {
+		const {id, answer} = requestSlot('x', {excluded: ['x1', 'x2', 'x3']});
+		if (answer.kind === 'grant') {
+			dispatcher.end({id, ending: 'reset', milliseconds: 10});
+		}
+	}
+
+	t.deepEqual(listSuspended(), ['x0']);
+	t.like(sent.find(({method}) => method === METHODS.believe)?.parameters, {service: SERVICE, upstream: 'x0'});
+	const undivided = Array.from({length: 22}, () => requestSlot(undefined)).map(({answer}) => getUpstream(answer));
+	t.false(undivided.includes('x0'));
+	const other = setUpDispatcher();
+	other.requestSlot('x');
+	other.dispatcher.applyBeliefs(dispatcher.listBeliefs());
+	t.false(Array.from({length: 5}, () => getUpstream(other.requestSlot('x').answer)).includes('x0'));
+	const {id, answer} = requestSlot('y');
+	dispatcher.recordAdvertisements(id, [{kind: 'draining'}]);
+	await context.pass(200);
+	t.deepEqual(sent.findLast(({method}) => method === METHODS.updates)?.parameters, {service: SERVICE, updates: [{kind: 'draining', upstream: getUpstream(answer)}]});
+	t.true(dispatcher.listUpstreamReports(SERVICE).find(({upstream}) => upstream === getUpstream(answer))!.isDraining);
+	t.false(Array.from({length: 6}, () => getUpstream(requestSlot(undefined).answer)).includes(getUpstream(answer)));
+});
+
+test('a pool that starts at a dispatcher knows what the dispatcher has received about its upstreams', t => {
+	const {requestSlot, dispatcher} = setUpDispatcher();
+	dispatcher.applyBelief({service: SERVICE, upstream: 'x0', doubt: 8});
+	dispatcher.applyUpdates({service: SERVICE, updates: [{kind: 'draining', upstream: 'x1'}]});
+	const granted = Array.from({length: 4}, () => getUpstream(requestSlot('x').answer));
+	t.true(granted.every(upstream => upstream === 'x2' || upstream === 'x3'));
+});
+
+test('the slots that a host reports count in the pool of their upstreams, and once', t => {
+	// Guards against an upstream whose slots stay taken for ever: a host that starts to divide a service reports a slot that the undivided record of the
+	// same dispatcher has granted.
+	const {requestSlot, dispatcher} = setUpDispatcher();
+	const held = Array.from({length: 24}, (_, index) => requestSlot(undefined, {failureDomain: DOMAINS[index % 3]!})).map(({id, answer}) => ({
+		id, host: 'front', service: SERVICE, route: 'r', upstream: getUpstream(answer), ageMilliseconds: 10, remainingMilliseconds: 1000,
+	}));
+	dispatcher.applyHandover('front', {service: SERVICE, pool: 'x', places: held});
+	t.is(requestSlot('x').answer.kind, 'wait');
+	t.deepEqual(dispatcher.listUpstreamReports(SERVICE).map(({taken}) => taken), CANDIDATES.map(() => 2));
+	for (const {id} of held) {
+		dispatcher.end({id, ending: 'success', milliseconds: 10});
+	}
+
+	// The request that waited has one slot.
+	t.is(dispatcher.listUpstreamReports(SERVICE).reduce((sum, {taken}) => sum + taken, 0), 1);
+});
+
+test('the shares of all pools add up to at most one while some hosts divide a service and others don\'t', t => {
+	// Guards against resends beyond the retry budget: a dispatcher of several pools counts the entry hosts of all of them for each.
+	const hosts = Array.from({length: 60}, (_, index) => ({id: `front-${index}`, failureDomain: DOMAINS[index % 3]!}));
+	for (const dividing of [0, 1, 20, 59, 60]) {
+		const dispatchers = Array.from({length: 4}, () => createRequestShare(() => hosts.length, 1, () => dividing > 0));
+		const requested = new Set<string>();
+		for (const [index, {id, failureDomain}] of hosts.entries()) {
+			const pool: Pool = index < dividing ? {service: SERVICE, pool: failureDomain} : {service: SERVICE};
+			const dispatcher = DOMAINS.indexOf(pool.pool ?? 'x');
+			dispatchers[dispatcher]!.record(id, 0, pool);
+			// Another service goes to one dispatcher, from all hosts.
+			dispatchers[0]!.record(id, 0, {service: 'media'});
+			requested.add(`${dispatcher} ${getPoolKey(pool)}`);
+		}
+
+		let sum = 0;
+		for (const text of requested) {
+			const [dispatcher, key] = text.split(' ') as [string, string];
+			sum += dispatchers[Number(dispatcher)]!.getOf(key, 0);
+		}
+
+		t.true(sum <= 1 + 1e-9, `${dividing} hosts divide: ${sum}`);
+		t.true(sum > 0.99);
+	}
+});
+
+test('without pools, the share of a service is that of all hosts that request slots from its dispatcher', t => {
+	const share = createRequestShare(() => 10, 1);
+	share.record('a', 0, {service: SERVICE});
+	share.record('b', 0, {service: 'media'});
+	t.is(share.getOf(SERVICE, 0), 0.2);
+	t.is(share.get(0), 0.2);
+});
+
+async function requestFromAll({entries, context}: PoolFleet, changes: Partial<typeof fixture.SLOT_REQUEST_DRAFT> = {}) {
+	const answers = await Promise.all(entries.map(async ({client}) => client.requestSlot({...fixture.SLOT_REQUEST_DRAFT, ...changes}).answer));
+	await context.pass(0);
+	return answers;
+}
+
+test('each entry host requests slots from the dispatcher of its own domain, and from another one after that is lost', async t => {
+	const fleet = createPoolFleet({candidates: CANDIDATES});
+	const first = await requestFromAll(fleet);
+	t.deepEqual(first.map(answer => getUpstream(answer)[0]), DOMAINS);
+	t.deepEqual(fleet.received, DOMAINS.map(domain => `control-${domain} ${domain}`));
+	fleet.received.length = 0;
+	fleet.lose('control-y');
+	const second = await requestFromAll(fleet);
+	t.deepEqual(second.map(answer => getUpstream(answer)[0]), DOMAINS);
+	t.like(fleet.received, {0: 'control-x x', 2: 'control-z z'});
+	t.regex(fleet.received[1]!, /^control-[xz] y$/v);
+	// The next dispatcher has received the slot that the host holds.
+	const {dispatcher} = fleet.controls.find(({id}) => fleet.received[1]!.startsWith(id))!;
+	t.is(dispatcher.listUpstreamReports(SERVICE).filter(({failureDomain}) => failureDomain === 'y').reduce((sum, {taken}) => sum + taken, 0), 2);
+});
+
+test('entry hosts of a domain without upstreams use the undivided service', async t => {
+	const fleet = createPoolFleet({candidates: createCandidates({x: 4, y: 4})});
+	const answers = await requestFromAll(fleet);
+	t.true(answers.every(({kind}) => kind === 'grant'));
+	t.deepEqual(fleet.received.map(text => text.slice(text.indexOf(' ') + 1)), ['x', 'y', 'undivided']);
+});
+
+test('without overload control no message names a pool', async t => {
+	// Guards against a change of earlier deployments.
+	const context = fixture.createFakeContext();
+	const share = createRequestShare(() => 1, 1);
+	t.is(createPoolChoice(context, {failureDomain: 'x', overloadControl: {isOn: () => false}, listCandidates: () => CANDIDATES}).find(SERVICE), undefined);
+	t.is(share.getOf(SERVICE, 0), 1);
+	const fleet = createPoolFleet({candidates: CANDIDATES, isDividing: () => false});
+	const reported: unknown[] = [];
+	for (const {links} of fleet.entries) {
+		for (const {link} of links) {
+			const {notify} = link;
+			Object.assign(link, {
+				notify(method: string, parameters: unknown) {
+					reported.push(parameters);
+					notify(method, parameters);
+				},
+			});
+		}
+	}
+
+	await requestFromAll(fleet);
+	t.true(reported.length > 0);
+	t.false(JSON.stringify(reported).includes('pool'));
+	t.is(new Set(fleet.received).size, 1);
+});
+
+function endAll({entries}: PoolFleet, answers: Awaited<ReturnType<typeof requestFromAll>>): void {
+	for (const [index, answer] of answers.entries()) {
+		entries[index]!.client.reportEnd(answer.kind === 'grant' ? answer.id : '', 'success', 10);
+	}
+}
+
+const PARISH = {
+	name: 'parish', keys: ['k'], ratePerSecond: 20, burst: 10,
+};
+
+for (const dividing of ['all', 'some'] as const) {
+	test(`an allotment holds over all pools while ${dividing} hosts divide a service`, async t => {
+		// Guards against an allotment that each pool's dispatcher admits in full.
+		const {ratePerSecond, burst} = PARISH;
+		const {slack, windowMilliseconds} = fixture.ALLOTMENTS;
+		const fleet = createPoolFleet({
+			candidates: createCandidates({x: 40, y: 40, z: 40}), entriesPerDomain: 3, organisations: [PARISH], isDividing: host => dividing === 'all' || host.endsWith('0'),
+		});
+		const admittedAt: number[] = [];
+		const stepMilliseconds = 50;
+		await fleet.context.pass(windowMilliseconds * 2);
+		for (let step = 0; step < 300; step++) {
+			// eslint-disable-next-line no-await-in-loop -- One step after the other.
+			const answers = await requestFromAll(fleet, {organisation: PARISH.name});
+			admittedAt.push(...answers.filter(({kind}) => kind === 'grant').map(() => fleet.context.now()));
+			endAll(fleet, answers);
+
+			// eslint-disable-next-line no-await-in-loop -- See above.
+			await fleet.context.pass(stepMilliseconds);
+		}
+
+		const worst = Math.max(...admittedAt.map(from => admittedAt.filter(at => at >= from && at < from + windowMilliseconds).length));
+		t.true(worst <= (ratePerSecond * windowMilliseconds / 1000) + burst + slack, `${worst} admitted`);
+		t.true(worst >= ratePerSecond * windowMilliseconds / 1000 * 0.5, `${worst} admitted`);
+	});
+}
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -20,9 +20,9 @@
 	STANDBYS_BATCH_MILLISECONDS,
 	STANDBYS_PER_SERVICE,
 } from './constants.ts';
-import {orderDispatchers} from './dispatch-order.ts';
+import {orderPoolDispatchers} from './dispatch-order.ts';
 import {startDirectory} from './directory.ts';
-import {countAddresses} from './directory-table.ts';
+import {countAddresses, listEntryDomains} from './directory-table.ts';
 import {sendUpdates, startHostDispatcher} from './host-dispatcher.ts';
 import {createEntryHostCount} from './host-count.ts';
 import {createEntryHosts, describeEntryHost, type EntryHost} from './entry-hosts.ts';
@@ -96,8 +96,9 @@
 		store: createInstanceStore(settings.dataFolder, context.logs('instances')),
 	});
 	const entryHostCount = createEntryHostCount(context.now, () => countAddresses(directory.getTable()));
+	const overloadControl = createOverloadControl(settings.overloadControl ?? 'off', entryHostCount.get);
 	// After a restart of the whole fleet no entry host is known yet: the hosts that request slots count as all of them.
-	const requestShare = createRequestShare(entryHostCount.get, 1);
+	const requestShare = createRequestShare(entryHostCount.get, 1, overloadControl.isOn);
 	const absenceTracker = startAbsenceTracker(context, {
 		listHosts: () => entryHosts.listAll().map(host => toEntryHostStatus(host)),
 		getHostShare: requestShare.getHostShare,
@@ -116,11 +117,12 @@
 		settings,
 		allotmentEnforcer,
 		requestShare,
-		overloadControl: createOverloadControl(settings.overloadControl ?? 'off', entryHostCount.get),
+		overloadControl,
 		isReceivingUpdates: true,
 		onEntryHostCount: entryHostCount.record,
 		listCandidates: registry.listCandidates,
-		listStandbys: service => orderDispatchers(service, standbys, host => host.id).slice(0, STANDBYS_PER_SERVICE).map(host => host.id),
+		listEntryDomains: () => listEntryDomains(directory.getTable()),
+		listStandbys: pool => orderPoolDispatchers(pool, standbys, host => host).slice(0, STANDBYS_PER_SERVICE).map(host => host.id),
 		notify(host, method, parameters) {
 			entryHosts.find(host)?.link.notify(method, parameters);
 		},
--- a/packages/wagtailroute-fleet/src/directory-table.ts
+++ b/packages/wagtailroute-fleet/src/directory-table.ts
@@ -52,6 +52,13 @@
 	return near.length > 0 ? near : Object.values(addresses).flat();
 }
 
+/**
+Returns the failure domains with entry hosts that serve callers, in the same order at all hosts.
+*/
+export function listEntryDomains({addresses}: DirectoryTable): readonly core.FailureDomain[] {
+	return Object.keys(addresses).filter(domain => addresses[domain]!.length > 0).toSorted();
+}
+
 /**
 Counts the entry hosts that the table names.
 */
--- a/packages/wagtailroute-fleet/src/dispatch-client.ts
+++ b/packages/wagtailroute-fleet/src/dispatch-client.ts
@@ -37,11 +37,13 @@
 import type {LinkedHost} from './control-links.ts';
 import {createDispatcherFinder, type DispatcherFinder} from './dispatcher-finder.ts';
 import type {HostDispatcher} from './host-dispatcher.ts';
+import type {PoolChoice} from './pools/pool-choice.ts';
 import {METHODS, type SlotAnswer, type SlotDecision} from './messages.ts';
 import {createHeldSlots, type HeldSlot, type HeldSlots} from './held-slots.ts';
 import type {EntrySettings} from './settings.ts';
 import {createRecentUsage, type RecentUsage} from './recent-usage.ts';
 import type {Standbys} from './standbys.ts';
+import type {Pool} from './pools/pool-key.ts';
 import {createTimeLender, type TimeLender} from './time-lender.ts';
 
 /**
@@ -70,7 +72,7 @@
 /**
 A slot request without the ID and the host, which the client fills in.
 */
-export type SlotRequestDraft = Omit<dispatch.SlotRequest, 'id' | 'host' | 'failureDomain'>;
+export type SlotRequestDraft = Omit<dispatch.SlotRequest, 'id' | 'host' | 'failureDomain' | 'pool'>;
 
 /**
 Requests slots from dispatchers, and reports to them what becomes of granted ones.
@@ -113,6 +115,10 @@
 	*/
 	readonly countEntryHosts: () => number;
 	readonly getControlHosts: () => readonly LinkedHost[];
+	/**
+	Chooses the pool of a service from which slots are requested. Absent: services are not divided.
+	*/
+	readonly pools?: Pick<PoolChoice, 'find'>;
 	readonly standbys: Pick<Standbys, 'getOpen' | 'open' | 'waitForOne' | 'isOwnHostStandby'>;
 	/**
 	This host's own dispatcher. Its later decisions are passed to {@link DispatchClient.handleAnswer}.
@@ -180,6 +186,7 @@
 		});
 		this.#finder = createDispatcherFinder(context, {
 			hostId: options.settings.hostId,
+			failureDomain: options.settings.failureDomain,
 			getControlHosts: options.getControlHosts,
 			getStandbys: options.standbys.getOpen,
 			isOwnHostStandby: options.standbys.isOwnHostStandby,
@@ -189,8 +196,9 @@
 
 	requestSlot(draft: SlotRequestDraft): SlotRequestHandle {
 		const {hostId, failureDomain} = this.#options.settings;
+		const pool = this.#options.pools?.find(draft.service);
 		const request: dispatch.SlotRequest = {
-			...draft, id: this.#createId(), host: hostId, failureDomain,
+			...draft, ...pool !== undefined && {pool}, id: this.#createId(), host: hostId, failureDomain,
 		};
 		const {promise, resolve} = Promise.withResolvers<FinalAnswer>();
 		const pending: PendingSlotRequest = {
@@ -309,7 +317,7 @@
 	async #send(pending: PendingSlotRequest): Promise<void> {
 		const {request} = pending;
 		const dispatcher = pending.failedDispatchers < MAX_FAILED_DISPATCHERS
-			? this.#finder.find(request.service) ?? await this.#waitForStandby(request.service)
+			? this.#finder.find(request) ?? await this.#waitForStandby(request)
 			: undefined;
 		// Cancelled, or sent anew, while this waited for a link to a standby.
 		if (pending.request !== request || !this.#pending.has(request.id)) {
@@ -323,7 +331,7 @@
 
 		pending.dispatcher = dispatcher;
 		this.#lastRequestAt.set(dispatcher.link, this.#context.now());
-		this.#heldSlots.reportTo(request.service, dispatcher);
+		this.#heldSlots.reportTo(request, dispatcher);
 		const lending = this.#addLoan(request, dispatcher.link);
 		pending.lentMilliseconds = lending.lentMilliseconds;
 		const answer = await dispatcher.link.call(METHODS.ask, this.#encode(dispatcher.link, lending), SLOT_REQUEST_TIMEOUT_MILLISECONDS + this.#options.getLinkDelay());
@@ -345,7 +353,7 @@
 	/**
 	Right after the control hosts are lost, no link to a standby is open yet. Opening one takes some milliseconds, which costs less than a choice by this host alone.
 	*/
-	async #waitForStandby(service: core.ServiceName): Promise<LinkedHost | undefined> {
+	async #waitForStandby(pool: Pool): Promise<LinkedHost | undefined> {
 		const {standbys} = this.#options;
 		if (standbys.isOwnHostStandby()) {
 			return undefined;
@@ -353,7 +361,7 @@
 
 		standbys.open();
 		await standbys.waitForOne();
-		return this.#finder.find(service);
+		return this.#finder.find(pool);
 	}
 
 	/**
@@ -432,7 +440,8 @@
 
 	#requestFromOwnDispatcher(pending: PendingSlotRequest): void {
 		pending.dispatcher = undefined;
-		const {request} = pending;
+		// Other hosts request no slots here, so nothing would keep two of its pools apart.
+		const {pool: _, ...request} = pending.request;
 		const reason = pending.failedDispatchers === 0 ? 'no-dispatcher' : 'no-answer';
 		const remainingMilliseconds = request.remainingMilliseconds - (this.#context.now() - pending.requestedAt);
 		this.#context.metrics.count('asks_own', {reason});
--- a/packages/wagtailroute-fleet/src/dispatch-order.ts
+++ b/packages/wagtailroute-fleet/src/dispatch-order.ts
@@ -5,6 +5,7 @@
 */
 import * as crypto from 'node:crypto';
 import type * as core from 'wagtailroute-core';
+import {getPoolKey, type Pool} from './pools/pool-key.ts';
 
 /**
 Returns the hosts in the service's order of preference, the dispatcher first.
@@ -16,6 +17,20 @@
 		.map(({host}) => host);
 }
 
+/**
+Returns the hosts in a pool's order of preference: those of the pool's failure domain first, so that slot requests stay in it.
+*/
+export function orderPoolDispatchers<Host>(
+	{service, pool}: Pool,
+	hosts: readonly Host[],
+	getHost: (host: Host) => {readonly id: core.HostId; readonly failureDomain?: core.FailureDomain},
+): readonly Host[] {
+	const ordered = orderDispatchers(getPoolKey({service, pool}), hosts, host => getHost(host).id);
+	return pool === undefined
+		? ordered
+		: [...ordered.filter(host => getHost(host).failureDomain === pool), ...ordered.filter(host => getHost(host).failureDomain !== pool)];
+}
+
 const cachedScores = new Map<string, number>();
 const MAX_CACHED_SCORES = 100_000;
 
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -29,6 +29,7 @@
 	countAddresses,
 	type DirectoryTable,
 	EMPTY_DIRECTORY_TABLE,
+	listEntryDomains,
 	lookUpAddresses,
 } from './directory-table.ts';
 import {sendUpdates, startHostDispatcher} from './host-dispatcher.ts';
@@ -41,6 +42,7 @@
 import {createOverloadControl} from './overload-control.ts';
 import {createRequestLog} from './request-log.ts';
 import {watchPauses} from './pauses.ts';
+import {createPoolChoice} from './pools/pool-choice.ts';
 import {createRequestShare} from './request-share.ts';
 import {createRouter} from './routing.ts';
 import type {ControlHost, EntrySettings, StandbyHost} from './settings.ts';
@@ -87,6 +89,7 @@
 		},
 		onInstancesChanged(service) {
 			ownDispatcher.refreshCandidates(service);
+			pools.refresh(service);
 			scheduleConnectionPruning();
 		},
 	});
@@ -136,8 +139,9 @@
 	};
 
 	const entryHostCount = createEntryHostCount(context.now, () => countAddresses(directory));
-	const requestShare = createRequestShare(entryHostCount.get, ASSUMED_ENTRY_HOSTS);
 	const overloadControl = createOverloadControl(settings.overloadControl ?? 'off', entryHostCount.get);
+	const requestShare = createRequestShare(entryHostCount.get, ASSUMED_ENTRY_HOSTS, overloadControl.isOn);
+	const pools = createPoolChoice(context, {failureDomain: settings.failureDomain, overloadControl, listCandidates: fleetView.listCandidates});
 	const allotmentEnforcer = startAllotmentEnforcer(context, {
 		settings: settings.allotments,
 		requestShare,
@@ -171,6 +175,7 @@
 		isReceivingUpdates: false,
 		onEntryHostCount: entryHostCount.record,
 		listCandidates: fleetView.listCandidates,
+		listEntryDomains: () => listEntryDomains(directory),
 		listStandbys: () => [],
 		notify(host, method, parameters) {
 			if (host !== settings.hostId) {
@@ -271,6 +276,7 @@
 		settings,
 		countEntryHosts: entryHostCount.get,
 		getControlHosts: controlLinks.getOpen,
+		pools,
 		standbys,
 		ownDispatcher,
 		isRetired: fleetView.isRetired,
--- a/packages/wagtailroute-fleet/src/held-slots.ts
+++ b/packages/wagtailroute-fleet/src/held-slots.ts
@@ -9,6 +9,7 @@
 import type * as link from 'wagtailroute-link';
 import type {LinkedHost} from './control-links.ts';
 import {type HandoverReport, METHODS} from './messages.ts';
+import {getPoolKey, type Pool} from './pools/pool-key.ts';
 import type {Advertisements} from './advertisements.ts';
 import type {RecentUsage} from './recent-usage.ts';
 
@@ -43,9 +44,9 @@
 	readonly find: (id: dispatch.SlotRequestId) => HeldSlot | undefined;
 	readonly count: () => number;
 	/**
-	Reports to a dispatcher the slots held of a service, what its upstreams advertised and which uses of allotments were admitted. Does nothing if the service's last report went to the same link.
+	Reports to a dispatcher the slots held of a service, what its upstreams advertised and which uses of allotments were admitted. Does nothing if the pool's last report went to the same link.
 	*/
-	readonly reportTo: (service: core.ServiceName, dispatcher: LinkedHost) => void;
+	readonly reportTo: (pool: Pool, dispatcher: LinkedHost) => void;
 };
 
 /**
@@ -67,7 +68,7 @@
 */
 export function createHeldSlots(now: () => number, {advertisements, recentUsage, countEntryHosts}: HeldSlotsOptions): HeldSlots {
 	const slots = new Map<dispatch.SlotRequestId, HeldSlot>();
-	const lastDispatcherLinks = new Map<core.ServiceName, link.Link>();
+	const lastDispatcherLinks = new Map<string, link.Link>();
 
 	const toReport = ({request, upstream, grantedAt}: HeldSlot): dispatch.HeldSlotReport => ({
 		id: request.id,
@@ -90,17 +91,19 @@
 		},
 		find: id => slots.get(id),
 		count: () => slots.size,
-		reportTo(service, dispatcher) {
-			if (lastDispatcherLinks.get(service) === dispatcher.link) {
+		reportTo({service, pool}, dispatcher) {
+			const key = getPoolKey({service, pool});
+			if (lastDispatcherLinks.get(key) === dispatcher.link) {
 				return;
 			}
 
-			lastDispatcherLinks.set(service, dispatcher.link);
+			lastDispatcherLinks.set(key, dispatcher.link);
 			const held = slots.values().filter(({request}) => request.service === service).map(slot => toReport(slot)).toArray();
 			const updates = advertisements.list(service);
 			const uses = recentUsage.collectUnreported(dispatcher.link);
 			dispatcher.link.notify(METHODS.hold, {
 				service,
+				...pool !== undefined && {pool},
 				places: held,
 				...updates.length > 0 && {updates},
 				...uses !== undefined && {uses, entryHosts: countEntryHosts()},
--- a/packages/wagtailroute-fleet/src/host-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/host-dispatcher.ts
@@ -19,6 +19,8 @@
 import type {RequestShare} from './request-share.ts';
 import type {FleetContext} from './context.ts';
 import {createPeerUpdates} from './peer-updates.ts';
+import {createPoolDispatcher} from './pools/pool-dispatcher.ts';
+import {getPoolKey, type Pool} from './pools/pool-key.ts';
 import {
 	type SlotAnswer,
 	type Belief,
@@ -103,7 +105,7 @@
 export type HostDispatcherOptions = {
 	readonly settings: Pick<FleetSettings, 'budget' | 'floor' | 'policy'>;
 	/**
-	Share of the fleet's requests that this dispatcher handles.
+	Share of the fleet's requests that this dispatcher handles, in all and of each pool.
 	*/
 	readonly requestShare: RequestShare;
 	/**
@@ -124,9 +126,14 @@
 	readonly onEntryHostCount?: (hosts: number) => void;
 	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
 	/**
-	Returns the entry hosts that dispatch the service next when no control host does. They receive updates even if they send no requests of the service.
+	Returns the failure domains with entry hosts; empty when they are not known. Absent: they are never known.
 	*/
-	readonly listStandbys: (service: core.ServiceName) => readonly core.HostId[];
+	readonly listEntryDomains?: () => readonly core.FailureDomain[];
+	/**
+	Returns the entry hosts that dispatch the service or the pool next when no control host does. They receive updates even if they send no requests of
+	the service.
+	*/
+	readonly listStandbys: (pool: Pool) => readonly core.HostId[];
 	/**
 	Sends a message to an entry host, if it has a link.
 	*/
@@ -148,17 +155,26 @@
 	const {now, random, metrics} = context;
 	const log = context.logs('dispatch');
 	const {requestShare} = options;
-	const dispatcher = dispatch.createDispatcher({
-		...options.settings, random, getShare: options.isReceivingUpdates ? undefined : requestShare.get, getBudgetShare: requestShare.get,
+	const getPoolShare = (time: number, key: string) => requestShare.getOf(key, time);
+	const dispatcher = createPoolDispatcher(dispatch.createDispatcher({
+		...options.settings, random, getShare: options.isReceivingUpdates ? undefined : getPoolShare, getBudgetShare: getPoolShare,
 		isOrderedByCost: options.overloadControl?.isOn,
-	});
-	const retryBudgetLog = createRetryBudgetLog(context, service => dispatcher.reportBudget(service, now()));
+	}), options.listEntryDomains ?? (() => []));
+	const retryBudgetLog = createRetryBudgetLog(context, key => dispatcher.reportBudget(key, now()));
 	const knownServices = new Set<core.ServiceName>();
 	const requestingHosts = new Map<core.ServiceName, RecentRequestingHosts>();
 
 	const listRequestingHosts = (service: core.ServiceName) => requestingHosts.get(service)?.list(now()) ?? [];
 
-	const peerUpdates = createPeerUpdates(context, {...options, dispatcher, listRequestingHosts});
+	const listStandbys = (service: core.ServiceName) => {
+		const pools = dispatcher.listPools(service).map((pool): Pool => ({service, pool}));
+		return [...new Set([{service}, ...pools].flatMap(pool => options.listStandbys(pool)))];
+	};
+
+	const peerUpdates = createPeerUpdates(context, {
+		...options, dispatcher, listRequestingHosts, listStandbys,
+	});
+	const getKey = (pool: Pool) => getPoolKey(dispatcher.resolve(pool));
 
 	const sendDecision = (effect: Decision) => {
 		options.notify(effect.request.host, METHODS.answer, [getSlotRequestNumber(effect.request.id), encodeAnswer(toAnswer(effect))]);
@@ -167,7 +183,7 @@
 	const recordGrant = ({request}: Extract<dispatch.Effect, {kind: 'grant'}>) => {
 		peerUpdates.onGranted(request.service);
 		if (request.isResend) {
-			retryBudgetLog.record(request.service, 'granted');
+			retryBudgetLog.record(getKey(request), 'granted');
 		}
 	};
 
@@ -208,24 +224,26 @@
 		},
 	};
 
-	const loggedIdleAt = new Map<core.ServiceName, number>();
+	const loggedIdleAt = new Map<string, number>();
 
 	/**
 	Logs, at most once in an interval, why upstreams get no requests although requests of their service fail.
 	*/
-	const logIdleUpstreams = (service: core.ServiceName) => {
-		if (now() - (loggedIdleAt.get(service) ?? -Infinity) < IDLE_LOG_INTERVAL_MILLISECONDS) {
+	const logIdleUpstreams = ({service, pool}: Pool) => {
+		const key = getKey({service, pool});
+		if (now() - (loggedIdleAt.get(key) ?? -Infinity) < IDLE_LOG_INTERVAL_MILLISECONDS) {
 			return;
 		}
 
-		loggedIdleAt.set(service, now());
-		const idle = dispatcher.listIdleUpstreams(service, now());
+		loggedIdleAt.set(key, now());
+		const idle = dispatcher.listIdleUpstreams({service, pool}, now());
 		if (idle.length === 0) {
 			return;
 		}
 
 		log.warn('Upstreams are idle although requests of their service fail.', {
 			service,
+			pool,
 			idle: idle.length,
 			causes: Object.fromEntries(Map.groupBy(idle, ({cause}) => cause).entries().map(([cause, upstreams]) => [cause, upstreams.length])),
 			first: idle.slice(0, MAX_IDLE_UPSTREAMS_LOGGED).map(({upstream, cause, doubt, failedMillisecondsAgo}) => ({
@@ -235,15 +253,16 @@
 	};
 
 	const logRefusal = ({request, reason, retryAfterMilliseconds}: Extract<dispatch.Effect, {kind: 'refuse'}>) => {
-		const upstreams = dispatcher.report(request.service, now());
+		const upstreams = dispatcher.report(dispatcher.resolve(request), now());
 		if (request.isResend) {
-			retryBudgetLog.record(request.service, reason === 'budget' ? 'refused' : 'unserved');
+			retryBudgetLog.record(getKey(request), reason === 'budget' ? 'refused' : 'unserved');
 		}
 
 		metrics.count('refusals', {service: request.service, reason});
 		log.warn('A slot request was refused.', {
 			id: request.id,
 			service: request.service,
+			pool: request.pool,
 			reason,
 			remainingMilliseconds: Math.round(request.remainingMilliseconds),
 			retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
@@ -253,9 +272,9 @@
 			rateLimited: upstreams.filter(upstream => upstream.rateLimit !== undefined).length,
 			draining: upstreams.filter(upstream => upstream.isDraining).length,
 			backingOff: upstreams.filter(upstream => upstream.hostsBackingOff.includes(request.host)).length,
-			...reason === 'budget' && retryBudgetLog.describe(request.service),
+			...reason === 'budget' && retryBudgetLog.describe(getKey(request)),
 		});
-		logIdleUpstreams(request.service);
+		logIdleUpstreams(request);
 	};
 
 	/**
@@ -268,8 +287,9 @@
 		}
 	};
 
-	const recordRequestingHost = ({service, host}: dispatch.SlotRequest) => {
-		requestShare.record(host, now());
+	const recordRequestingHost = (request: dispatch.SlotRequest) => {
+		const {service, host} = request;
+		requestShare.record(host, now(), dispatcher.resolve(request));
 		const hosts = requestingHosts.get(service) ?? createRecentRequestingHosts(REQUESTING_HOST_EXPIRY_MILLISECONDS);
 		requestingHosts.set(service, hosts);
 		hosts.record(host, now());
@@ -324,7 +344,7 @@
 		applyEffects(dispatcher.applyUpdates(service, updates, now()));
 	};
 
-	const listBeliefs = () => knownServices.values().flatMap(service => dispatcher.report(service, now())
+	const listBeliefs = () => knownServices.values().flatMap(service => dispatcher.report({service}, now())
 		.filter(({doubt}) => doubt > 0)
 		.map(({upstream, doubt}): Belief => ({service, upstream, doubt}))).toArray();
 
@@ -332,8 +352,9 @@
 	return {
 		requestSlot(request) {
 			ensureCandidates(request.service);
+			dispatcher.ensurePool(request, now());
 			recordRequestingHost(request);
-			if (!dispatcher.hasUpstreams(request.service)) {
+			if (!dispatcher.hasUpstreams(request)) {
 				log.warn('A slot request was sent elsewhere: no upstream of its service is known.', {id: request.id, service: request.service});
 				return {kind: 'elsewhere'};
 			}
@@ -374,10 +395,10 @@
 				refundAllotment(unusedRequest);
 			}
 
-			const service = dispatcher.findGrantedRequest(id)?.service;
+			const request = dispatcher.findGrantedRequest(id);
 			applyEffects(dispatcher.end(id, {ending, milliseconds}, now()));
-			if (service !== undefined && ending !== 'success') {
-				logIdleUpstreams(service);
+			if (request !== undefined && ending !== 'success') {
+				logIdleUpstreams(request);
 			}
 		},
 		recordAdvertisements(id, advertisements) {
@@ -385,7 +406,7 @@
 		},
 		applyUpdates,
 		listUpdates: () => dispatcher.listUpdates(now()).entries().map(([service, updates]): ServiceUpdates => ({service, updates})).toArray(),
-		applyHandover(host, {service, places, updates = [], uses, entryHosts}) {
+		applyHandover(host, {service, pool, places, updates = [], uses, entryHosts}) {
 			ensureCandidates(service);
 			if (entryHosts !== undefined) {
 				options.onEntryHostCount?.(entryHosts);
@@ -395,7 +416,7 @@
 				options.allotmentEnforcer?.applyPastUsage(host, uses);
 			}
 
-			dispatcher.replaceHeldSlots(host, service, places, now());
+			dispatcher.replaceHeldSlots(host, {service, pool}, places, now());
 			applyUpdates({service, updates});
 			scheduleTick();
 		},
@@ -417,7 +438,7 @@
 		listBeliefs,
 		listUpstreamReports(service) {
 			ensureCandidates(service);
-			return dispatcher.report(service, now());
+			return dispatcher.report({service}, now());
 		},
 		refreshCandidates(service) {
 			if (knownServices.has(service)) {
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -176,6 +176,10 @@
 */
 export type HandoverReport = {
 	readonly service: core.ServiceName;
+	/**
+	Failure domain of the pool from which the host requests slots; absent for the undivided service. The slots held are those of the whole service.
+	*/
+	readonly pool?: core.FailureDomain;
 	readonly places: readonly dispatch.HeldSlotReport[];
 	/**
 	What answers to the host's requests advertised; absent when there is nothing.
--- a/packages/wagtailroute-fleet/src/slot-request-encoding.ts
+++ b/packages/wagtailroute-fleet/src/slot-request-encoding.ts
@@ -9,12 +9,13 @@
 import type * as dispatch from 'wagtailroute-dispatch';
 import type * as link from 'wagtailroute-link';
 import * as utils from 'wagtailroute-utils';
+import {getPoolKey} from './pools/pool-key.ts';
 import type {SlotAnswer} from './messages.ts';
 
 /**
 What all slot requests of a route have in common.
 */
-export type RouteParameters = Pick<dispatch.SlotRequest, 'service' | 'route' | 'requestClass' | 'priority' | 'objectiveMilliseconds'>;
+export type RouteParameters = Pick<dispatch.SlotRequest, 'service' | 'pool' | 'route' | 'requestClass' | 'priority' | 'objectiveMilliseconds'>;
 
 /**
 A route as it is announced to a dispatcher: the number that stands for it on this link, and its parameters.
@@ -98,8 +99,8 @@
 Creates the numbering of routes. A route whose parameters have changed gets a new number.
 */
 export function createRouteNumbering(): LinkNumbering<RouteParameters> {
-	return createLinkNumbering(({service, route, requestClass, priority, objectiveMilliseconds}) =>
-		`${service} ${route} ${requestClass} ${priority} ${objectiveMilliseconds}`);
+	return createLinkNumbering(({service, pool, route, requestClass, priority, objectiveMilliseconds}) =>
+		`${getPoolKey({service, pool})} ${route} ${requestClass} ${priority} ${objectiveMilliseconds}`);
 }
 
 /**
@@ -131,9 +132,9 @@
 /**
 Returns the part of a slot request that all requests of its route have in common.
 */
-export function getRouteParameters({service, route, requestClass, priority, objectiveMilliseconds}: dispatch.SlotRequest): RouteParameters {
+export function getRouteParameters({service, pool, route, requestClass, priority, objectiveMilliseconds}: dispatch.SlotRequest): RouteParameters {
 	return {
-		service, route, requestClass, priority, objectiveMilliseconds,
+		service, ...pool !== undefined && {pool}, route, requestClass, priority, objectiveMilliseconds,
 	};
 }
 
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -464,7 +464,7 @@
 			requestShare,
 			isReceivingUpdates: isReceivingReports,
 			listCandidates,
-			listStandbys,
+			listStandbys: ({service}) => listStandbys(service),
 			notify(host, method, parameters) {
 				const hostLink = requestingHosts.find(host);
 				if (hostLink === undefined && method === fleet.METHODS.answer) {
