Slow dispatchers: keep waiting for one whose other messages arrive

At full size, 61 entry hosts left dispatchers that were up 1,261 times in 3 s, because no answer came within 250 ms, and loaded a second dispatcher with the same requests. With overload control on, a host now waits up to a second while messages of the dispatcher arrive, and refuses a request that can no longer be served meanwhile. Dispatchers keep queued slot requests as long. A silent dispatcher is left as before.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/dispatch-client.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/dispatch-client.test.ts
@@ -2,8 +2,9 @@
 Tests of the dispatch client: which dispatcher gets a slot request, and what happens when it does not answer.
 */
 import test from 'ava';
+import * as results from 'ts-results-es';
 import type * as dispatch from 'wagtailroute-dispatch';
-import {createDispatchClient} from '../../dispatch-client.ts';
+import {createDispatchClient, type DispatchClientOptions} from '../../dispatch-client.ts';
 import type {EncodedAnswer, EncodedSlotRequest} from '../../slot-request-encoding.ts';
 import type {LinkedHost} from '../../control-links.ts';
 import {startHostDispatcher} from '../../host-dispatcher.ts';
@@ -38,6 +39,7 @@
 	answer: (method: string, parameters: never) => unknown,
 	others: readonly LinkedHost[] = [],
 	standbys: readonly LinkedHost[] = [],
+	more: Partial<Pick<DispatchClientOptions, 'overloadControl'>> = {},
 ): Setup {
 	const context = fixture.createFakeContext();
 	const link = fixture.createFakeLink(answer);
@@ -68,6 +70,7 @@
 		ownDispatcher,
 		isRetired: upstream => retired.has(upstream),
 		getLinkDelay: () => delay.milliseconds,
+		...more,
 	});
 	return {
 		context, client, link, control, retired, delay,
@@ -318,3 +321,78 @@
 	await setup.client.requestSlot({...fixture.SLOT_REQUEST_DRAFT, service}).answer;
 	t.like(await waiting.answer, {kind: 'grant'});
 });
+
+type SlowCase = {
+	readonly name: string;
+	readonly isOn: boolean;
+	/**
+	Milliseconds that the dispatcher takes to answer.
+	*/
+	readonly answerMilliseconds: number;
+	/**
+	Milliseconds since a message of the dispatcher arrived, as long as it has not answered.
+	*/
+	readonly silence: number;
+	readonly remainingMilliseconds?: number;
+	/**
+	Milliseconds after which the request leaves the dispatcher; absent when it stays.
+	*/
+	readonly leftAt?: number;
+	/**
+	Upstream that is granted in the end, or `refuse`.
+	*/
+	readonly result: string;
+};
+
+const SLOW_CASES: readonly SlowCase[] = [
+	{
+		// Guards against a slow dispatcher that makes others slow: at full size, 61 hosts sent 1,261 slot requests to a second dispatcher within 3 s although
+		// the first one was up, and it had to decide on all of them as well.
+		name: 'waits for a slow dispatcher whose other messages arrive', isOn: true, answerMilliseconds: 900, silence: 100, result: 'u',
+	},
+	{
+		name: 'leaves a dispatcher that is slower than a second', isOn: true, answerMilliseconds: 1500, silence: 100, leftAt: 1000, result: 'd',
+	},
+	{
+		name: 'leaves a silent dispatcher as without overload control', isOn: true, answerMilliseconds: 900, silence: 3000, leftAt: 250, result: 'd',
+	},
+	{
+		name: 'refuses a request that a slow dispatcher has left undecided until it can no longer be served',
+		isOn: true,
+		answerMilliseconds: 900,
+		silence: 100,
+		remainingMilliseconds: 800,
+		leftAt: 600,
+		result: 'refuse',
+	},
+	{
+		name: 'leaves a slow dispatcher without overload control', isOn: false, answerMilliseconds: 900, silence: 100, leftAt: 250, result: 'd',
+	},
+];
+
+const USUAL_MILLISECONDS = 200;
+
+for (const {name, isOn, answerMilliseconds, silence, remainingMilliseconds = 2000, leftAt, result} of SLOW_CASES) {
+	test(`a host ${name}`, async t => {
+		const {client, link, context} = setUp(() => undefined, [createOther('d')], [], {overloadControl: {isOn: () => isOn}});
+		link.silence = silence;
+		const service = Array.from({length: 50}, (_, index) => `service-${index}`)
+			.find(other => orderDispatchers(other, ['c', 'd'], id => id)[0] === 'c')!;
+		const call: typeof link.call = async (_method, _parameters, limit) => new Promise(resolve => {
+			context.schedule(Math.min(limit, answerMilliseconds), () => {
+				resolve(limit < answerMilliseconds ? results.Err({kind: 'call-timeout', message: 'late'}) : results.Ok(GRANT));
+			});
+		});
+		Object.assign(link, {call});
+		let upstream: string | undefined;
+		void (async () => {
+			const answer = await client.requestSlot({...fixture.SLOT_REQUEST_DRAFT, service, remainingMilliseconds}, USUAL_MILLISECONDS).answer;
+			upstream = answer.kind === 'grant' ? answer.upstream : answer.kind;
+		})();
+
+		await context.pass((leftAt ?? answerMilliseconds) - 1);
+		t.is(upstream, undefined);
+		await context.pass(1);
+		t.is(upstream, result);
+	});
+}
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -13,6 +13,12 @@
 */
 export const SLOT_REQUEST_TIMEOUT_MILLISECONDS = 250;
 
+/**
+Milliseconds that a dispatcher may take for its first answer while its other messages arrive, with overload control on. A dispatcher that is short of
+CPU time is not relieved by hosts that turn away: they send their requests to a second one, which then is slow as well.
+*/
+export const SLOW_DISPATCHER_TIMEOUT_MILLISECONDS = 1000;
+
 /**
 Longest time in milliseconds that a host adds to its timeouts while large bodies fill its own network link. Without it the host would consider every control
 host lost and use its own dispatcher, which knows neither the slots in use nor the doubts of other dispatchers about upstreams.
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -264,7 +264,7 @@
 	const server = await link.openLinkServer({
 		address: settings.linkAddress,
 		methods,
-		order: createMessageOrder(context),
+		order: createMessageOrder(context, overloadControl),
 		now: context.now,
 		onClose(closed) {
 			registry.unfollow(closed);
--- a/packages/wagtailroute-fleet/src/dispatch-client.ts
+++ b/packages/wagtailroute-fleet/src/dispatch-client.ts
@@ -13,6 +13,7 @@
 	PROBE_TIMEOUT_MILLISECONDS,
 	REQUESTING_HOST_EXPIRY_MILLISECONDS,
 	SLOT_REQUEST_TIMEOUT_MILLISECONDS,
+	SLOW_DISPATCHER_TIMEOUT_MILLISECONDS,
 	UNKNOWN_SERVICE_RETRY_MILLISECONDS,
 } from './constants.ts';
 import {type Advertisements, type Closure, createAdvertisements} from './advertisements.ts';
@@ -37,6 +38,7 @@
 import type {LinkedHost} from './control-links.ts';
 import {createDispatcherFinder, type DispatcherFinder} from './dispatcher-finder.ts';
 import type {HostDispatcher} from './host-dispatcher.ts';
+import type {OverloadControl} from './overload-control.ts';
 import type {PoolChoice} from './pools/pool-choice.ts';
 import {METHODS, type SlotAnswer, type SlotDecision} from './messages.ts';
 import {createHeldSlots, type HeldSlot, type HeldSlots} from './held-slots.ts';
@@ -78,7 +80,10 @@
 Requests slots from dispatchers, and reports to them what becomes of granted ones.
 */
 export type DispatchClient = {
-	readonly requestSlot: (draft: SlotRequestDraft) => SlotRequestHandle;
+	/**
+	@param usualMilliseconds Usual time from the send of such a request to its answer. Absent: unknown.
+	*/
+	readonly requestSlot: (draft: SlotRequestDraft, usualMilliseconds?: number) => SlotRequestHandle;
 	/**
 	Gives a slot back with the ending of its attempt, and the milliseconds that the attempt took. Ignored for a slot that is not held.
 	*/
@@ -119,6 +124,10 @@
 	Chooses the pool of a service from which slots are requested. Absent: services are not divided.
 	*/
 	readonly pools?: Pick<PoolChoice, 'find'>;
+	/**
+	Absent: off.
+	*/
+	readonly overloadControl?: OverloadControl;
 	readonly standbys: Pick<Standbys, 'getOpen' | 'open' | 'waitForOne' | 'isOwnHostStandby'>;
 	/**
 	This host's own dispatcher. Its later decisions are passed to {@link DispatchClient.handleAnswer}.
@@ -134,6 +143,7 @@
 type PendingSlotRequest = {
 	request: dispatch.SlotRequest;
 	requestedAt: number;
+	readonly usualMilliseconds: number;
 	/**
 	Number of dispatchers that gave no decision: they did not answer, their link was lost, or they answered `elsewhere`.
 	*/
@@ -194,7 +204,7 @@
 		context.metrics.registerGauge('requests_held', this.#heldSlots.count);
 	}
 
-	requestSlot(draft: SlotRequestDraft): SlotRequestHandle {
+	requestSlot(draft: SlotRequestDraft, usualMilliseconds = 0): SlotRequestHandle {
 		const {hostId, failureDomain} = this.#options.settings;
 		const pool = this.#options.pools?.find(draft.service);
 		const request: dispatch.SlotRequest = {
@@ -202,7 +212,7 @@
 		};
 		const {promise, resolve} = Promise.withResolvers<FinalAnswer>();
 		const pending: PendingSlotRequest = {
-			request, requestedAt: this.#context.now(), failedDispatchers: 0, resolve,
+			request, requestedAt: this.#context.now(), usualMilliseconds, failedDispatchers: 0, resolve,
 		};
 		this.#pending.set(request.id, pending);
 		void this.#send(pending);
@@ -334,7 +344,7 @@
 		this.#heldSlots.reportTo(request, dispatcher);
 		const lending = this.#addLoan(request, dispatcher.link);
 		pending.lentMilliseconds = lending.lentMilliseconds;
-		const answer = await dispatcher.link.call(METHODS.ask, this.#encode(dispatcher.link, lending), SLOT_REQUEST_TIMEOUT_MILLISECONDS + this.#options.getLinkDelay());
+		const answer = await this.#callDispatcher(pending, dispatcher, this.#encode(dispatcher.link, lending));
 		// The request has been sent to another dispatcher meanwhile.
 		if (pending.request !== request || pending.dispatcher !== dispatcher) {
 			return;
@@ -345,11 +355,52 @@
 			// The dispatcher has received the loan.
 			pending.lentMilliseconds = undefined;
 			this.#handleFirstAnswer(pending, decodeAnswer(answer.value as EncodedAnswer));
+		} else if (answer.error.kind === 'call-timeout' && this.#isHeard(dispatcher) && this.#context.now() - pending.requestedAt < SLOW_DISPATCHER_TIMEOUT_MILLISECONDS) {
+			// Only this request can wait no longer. Another dispatcher would find that it can't be served either.
+			this.#context.metrics.count('dispatchers_left', {reason: 'slow'});
+			notifyCancelled(dispatcher.link, request, this.#reclaimTime(pending));
+			this.#settle(pending, TOO_SLOW_REFUSAL);
 		} else {
 			this.#abandonDispatcher(dispatcher, answer.error.kind);
 		}
 	}
 
+	/**
+	Returns whether messages of a dispatcher arrive, although it may be slow. Without overload control a slow dispatcher counts as silent.
+	*/
+	#isHeard(dispatcher: LinkedHost): boolean {
+		return this.#options.overloadControl?.isOn() === true
+			&& dispatcher.link.getSilenceMilliseconds() < SLOT_REQUEST_TIMEOUT_MILLISECONDS + this.#options.getLinkDelay();
+	}
+
+	/**
+	Waits for the first answer of a dispatcher. With overload control on, waits longer for one that is slow but not silent, unless the request could no
+	longer be served then.
+	*/
+	async #callDispatcher(pending: PendingSlotRequest, dispatcher: LinkedHost, encoded: EncodedSlotRequest): ReturnType<link.Link['call']> {
+		const {request, usualMilliseconds} = pending;
+		const timeout = SLOT_REQUEST_TIMEOUT_MILLISECONDS + this.#options.getLinkDelay();
+		if (this.#options.overloadControl?.isOn() !== true) {
+			return dispatcher.link.call(METHODS.ask, encoded, timeout);
+		}
+
+		const stopChecks = this.#context.repeat(timeout, () => {
+			if (pending.request !== request || pending.dispatcher !== dispatcher) {
+				return;
+			}
+
+			if (this.#isHeard(dispatcher)) {
+				this.#context.metrics.count('slow_answers');
+			} else {
+				this.#abandonDispatcher(dispatcher, 'silent');
+			}
+		});
+		const limit = Math.min(SLOW_DISPATCHER_TIMEOUT_MILLISECONDS + timeout - SLOT_REQUEST_TIMEOUT_MILLISECONDS, request.remainingMilliseconds - usualMilliseconds);
+		const answer = await dispatcher.link.call(METHODS.ask, encoded, Math.max(timeout, limit));
+		stopChecks();
+		return answer;
+	}
+
 	/**
 	Right after the control hosts are lost, no link to a standby is open yet. Opening one takes some milliseconds, which costs less than a choice by this host alone.
 	*/
@@ -423,7 +474,7 @@
 		this.#isProbing = true;
 		await Promise.all(this.#finder.listResponsiveControlHosts().map(async control => {
 			const answer = await control.link.call(METHODS.probe, {}, PROBE_TIMEOUT_MILLISECONDS + this.#options.getLinkDelay());
-			if (answer.isErr() && answer.error.kind === 'call-timeout') {
+			if (answer.isErr() && answer.error.kind === 'call-timeout' && !this.#isHeard(control)) {
 				this.#abandonDispatcher(control, 'probe');
 			}
 		}));
@@ -552,6 +603,11 @@
 */
 const NO_UPSTREAM_REFUSAL: SlotDecision = {kind: 'refuse', reason: 'no-upstream', retryAfterMilliseconds: UNKNOWN_SERVICE_RETRY_MILLISECONDS};
 
+/**
+The answer when a slow dispatcher has not decided while the request could be served.
+*/
+const TOO_SLOW_REFUSAL: SlotDecision = {kind: 'refuse', reason: 'no-slot-in-time', retryAfterMilliseconds: SLOW_DISPATCHER_TIMEOUT_MILLISECONDS};
+
 /**
 Notifies a dispatcher that a slot request is cancelled, and gives its slot back in case the grant is already on its way.
 
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -277,6 +277,7 @@
 		countEntryHosts: entryHostCount.get,
 		getControlHosts: controlLinks.getOpen,
 		pools,
+		overloadControl,
 		standbys,
 		ownDispatcher,
 		isRetired: fleetView.isRetired,
@@ -285,7 +286,7 @@
 	const linkServer = await link.openLinkServer({
 		address: settings.linkAddress,
 		methods,
-		order: createMessageOrder(context),
+		order: createMessageOrder(context, overloadControl),
 		now: context.now,
 		onClose(closed) {
 			requestingHosts.remove(closed);
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -201,7 +201,7 @@
 				return forwardingTarget;
 			}
 
-			const handle = dispatchClient.requestSlot(createDraft(routeContext, choice));
+			const handle = dispatchClient.requestSlot(createDraft(routeContext, choice), usualTimes.get(route));
 			return {cancel: handle.cancel, result: requestSlot(handle, choice)};
 		},
 		hasOtherTarget: choice => (reach.isIsolated() && forwarder.canChoose(choice))
--- a/packages/wagtailroute-link/src/link.ts
+++ b/packages/wagtailroute-link/src/link.ts
@@ -64,7 +64,7 @@
 	/**
 	Milliseconds after which a message that waits is dropped, by method: its sender waits no longer for the answer.
 	*/
-	readonly queueTimeLimits: ReadonlyMap<string, number>;
+	readonly queueTimeLimits: Pick<ReadonlyMap<string, number>, 'get'>;
 	/**
 	Told of each message that was dropped.
 	*/
