--- a/packages/wagtailroute-link/src/__tests__/unit/link.test.ts
+++ b/packages/wagtailroute-link/src/__tests__/unit/link.test.ts
@@ -168,3 +168,23 @@
 	await waitUntil(() => opened === 2);
 	t.true(dialer.getLink()?.isOpen());
 });
+
+test('messages of one turn of the event loop are sent in one write', async t => {
+	// Guards against a system call and a packet for each of the hundreds of messages that a dispatcher sends in one turn.
+	const {link: opened, received} = await openPair(t);
+	const {write} = net.Socket.prototype;
+	const written: string[] = [];
+	net.Socket.prototype.write = function (this: net.Socket, ...parameters: Parameters<typeof write>) {
+		written.push(String(parameters[0]));
+		return write.apply(this, parameters);
+	} as typeof write;
+	t.teardown(() => {
+		net.Socket.prototype.write = write;
+	});
+	for (let count = 0; count < 20; count++) {
+		opened.notify('note', {turn: 'same', count});
+	}
+
+	await waitUntil(() => received.length === 20);
+	t.is(written.filter(text => text.includes('"same"')).length, 1);
+});
