Proxy: large responses leave room on a slow link, and run only as many at once as it carries

Only request bodies were paced: a response of 90 KB filled a link of 1.4 Mbit/s for half a second, and small responses waited behind it. What the link can't carry yet is held in memory, bounded for each response and for the host, so that a slot is released when its upstream is done.

A request whose response, by the average of its route, can't be carried before its deadline with all that run is refused as not run before it is sent to an upstream, with a Retry-After.

--- a/packages/wagtailroute-fleet/src/response-sizes.ts
+++ b/packages/wagtailroute-fleet/src/response-sizes.ts
@@ -11,6 +11,10 @@
 Response sizes by route.
 */
 export type ResponseSizes = {
+	/**
+	Returns the average of a route; 0 without measurements.
+	*/
+	readonly get: (route: Pick<generations.GenerationRoute, 'name'>) => number;
 	/**
 	Records the size of a response and returns the bytes to report to the dispatcher: the stated length, else the average of the route.
 	*/
@@ -23,6 +27,7 @@
 export function createResponseSizes(): ResponseSizes {
 	const averages = new Map<string, number>();
 	return {
+		get: ({name}) => averages.get(name) ?? 0,
 		record({name}, {bytes, isStated}) {
 			const average = dispatch.averageResponseBytes(averages.get(name), bytes);
 			utils.setBounded(averages, name, average, MAX_MEASURED_ROUTES);
--- a/packages/wagtailroute-fleet/src/routing.ts
+++ b/packages/wagtailroute-fleet/src/routing.ts
@@ -246,6 +246,7 @@
 				void reportEnd(id, report);
 			}
 		},
+		getExpectedResponseBytes: () => responseSizes.get(route),
 		// The dispatcher enforces the budget of resends for all hosts.
 		retry: {
 			hasBudget: () => true,
--- a/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
@@ -49,6 +49,12 @@
 	Targets are granted only after this resolves.
 	*/
 	readonly beforeTarget?: Promise<void>;
+	/**
+	Upstreams besides the stand-ins.
+	*/
+	readonly upstreams?: readonly core.Address[];
+	readonly pacers?: proxy.Pacers;
+	readonly expectedResponseBytes?: (path: string) => number;
 };
 
 /**
@@ -58,6 +64,7 @@
 	readonly origin: string;
 	readonly address: core.Address;
 	readonly standins: readonly standin.Standin[];
+	readonly server: proxy.TrafficServer;
 	readonly requestReports: proxy.RequestReport[];
 	readonly attemptReports: proxy.AttemptReport[];
 	readonly releases: proxy.AdmissionRelease[];
@@ -101,7 +108,8 @@
 	}));
 	const kind = setup.isForwarding === true ? 'host' : 'upstream';
 	const listening = standins.map(started => ({id: started.id, kind, address: started.getAddress()} as const));
-	return [...unreachable, ...listening];
+	const others = (setup.upstreams ?? []).map((address, index) => ({id: `other-${index}`, kind, address} as const));
+	return [...unreachable, ...listening, ...others];
 }
 
 async function resolveAfter(delay: Promise<void>, target: proxy.Target): Promise<proxy.Target> {
@@ -153,9 +161,12 @@
 		dialect: proxy.DEFAULT_DIALECT,
 		route({host, method, path}) {
 			const match = catalogue.matchRoute(table, host, method, path);
-			return match === undefined ? proxy.createRequestFailure('route-unknown', 'unknown') : {match, service};
+			return match === undefined
+				? proxy.createRequestFailure('route-unknown', 'unknown')
+				: {match, service: {...service, getExpectedResponseBytes: () => setup.expectedResponseBytes?.(path) ?? 0}};
 		},
 		routes: setup.routes,
+		pacers: setup.pacers,
 		claim: async () => setup.claim ?? GRANTED_CLAIM,
 		guard: {
 			getQuarantineStatus: () => setup.quarantineStatus ?? 'free',
@@ -191,6 +202,7 @@
 		origin: `http://127.0.0.1:${server.address.port}`,
 		address: server.address,
 		standins,
+		server,
 		requestReports,
 		attemptReports,
 		releases,
--- a/packages/wagtailroute-proxy/src/__tests__/unit/unanswered.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/unanswered.test.ts
@@ -21,6 +21,7 @@
 			aborted.push(code);
 		},
 		isSent: () => isSent,
+		delivered: Promise.resolve(),
 	};
 	const guard: Pick<CrashGuard, 'inquire'> = {
 		inquire(sent) {
--- a/packages/wagtailroute-proxy/src/attempts.ts
+++ b/packages/wagtailroute-proxy/src/attempts.ts
@@ -10,6 +10,10 @@
 import {MAX_DISCARDED_ANSWER_BYTES, MAX_STORED_ANSWER_BYTES} from './constants.ts';
 import {FOREIGN_ANSWER_CODE} from './endings.ts';
 import {type HeaderFields} from './headers.ts';
+import type {HeldBytes} from './held-bytes.ts';
+import type {Transfer} from './large-responses.ts';
+import type {Pacer} from './pacing.ts';
+import {ResponseRelay} from './response-relay.ts';
 import type {ResponseSize, StoredAnswer} from './ports.ts';
 
 /**
@@ -54,6 +58,15 @@
 	readonly body: buffer.Buffer | AsyncIterable<buffer.Buffer> | undefined;
 	readonly response: http.ServerResponse;
 	/**
+	Pacer of large responses, and the count of the bytes that are held for them.
+	*/
+	readonly pacer?: Pacer;
+	readonly heldBytes: HeldBytes;
+	/**
+	Absent for a response that is expected to be small.
+	*/
+	readonly transfer?: Transfer;
+	/**
 	Decides what is done with an answer, when its header section has arrived.
 	*/
 	readonly decideAnswer: (status: number, headers: HeaderFields) => AnswerAction;
@@ -88,6 +101,10 @@
 	Returns whether the request was sent, at least in part.
 	*/
 	readonly isSent: () => boolean;
+	/**
+	Resolves when the relayed answer was written to the caller, which may be later than the result.
+	*/
+	readonly delivered: Promise<void>;
 };
 
 type Phase = 'waiting' | 'sent' | 'relaying' | 'discarding' | 'ended';
@@ -110,6 +127,7 @@
 			handler.abort(code);
 		},
 		isSent: handler.isSent,
+		delivered: handler.delivered,
 	};
 }
 
@@ -123,7 +141,7 @@
 	#statedBytes: number | undefined;
 	#storedChunks: buffer.Buffer[] | undefined;
 	#headers: Record<string, string | string[]> = {};
-	#resume: (() => void) | undefined;
+	readonly #relay: ResponseRelay;
 	readonly #options: AttemptOptions;
 	readonly #resolve: (result: AttemptResult) => void;
 
@@ -131,6 +149,24 @@
 		this.#options = options;
 		this.#resolve = resolve;
 		this.#storedChunks = options.isAnswerStored ? [] : undefined;
+		this.#relay = new ResponseRelay({
+			response: options.response,
+			pacer: options.pacer,
+			heldBytes: options.heldBytes,
+			onWritten(bytes) {
+				options.transfer?.recordSent(bytes);
+			},
+			pauseReading: () => {
+				this.#controller?.pause();
+			},
+			resumeReading: () => {
+				this.#controller?.resume();
+			},
+		});
+	}
+
+	get delivered(): Promise<void> {
+		return this.#relay.delivered;
 	}
 
 	readonly isSent = () => this.#phase !== 'waiting';
@@ -181,6 +217,11 @@
 
 		this.#phase = 'relaying';
 		this.#headers = this.#options.createAnswerHeaders(headers);
+		if (this.#statedBytes !== undefined) {
+			this.#relay.expect(this.#statedBytes);
+			this.#options.transfer?.setBytes(this.#statedBytes);
+		}
+
 		if (!this.#options.response.destroyed) {
 			this.#options.response.writeHead(status, statusText, this.#headers);
 		}
@@ -189,7 +230,8 @@
 	onResponseData(controller: undici.Dispatcher.DispatchController, chunk: buffer.Buffer): void {
 		this.#receivedBytes += chunk.length;
 		if (this.#phase === 'relaying') {
-			this.#relay(controller, chunk);
+			this.#storeChunk(chunk);
+			this.#relay.write(chunk);
 		} else if (this.#phase === 'discarding' && this.#receivedBytes > MAX_DISCARDED_ANSWER_BYTES) {
 			this.#end(this.#createDiscarded());
 			controller.abort(new Error('Discarded answer is too long to be read to its end'));
@@ -206,7 +248,7 @@
 		if (this.#phase === 'discarding') {
 			this.#end(this.#createDiscarded());
 		} else if (this.#phase === 'relaying') {
-			this.#options.response.end();
+			this.#relay.end();
 			this.#end({
 				kind: 'relayed', status: this.#status, answer: this.#getStoredAnswer(), responseSize: this.#getResponseSize(true),
 			});
@@ -217,28 +259,6 @@
 		this.#fail('code' in error ? String(error.code) : error.name);
 	}
 
-	#relay(controller: undici.Dispatcher.DispatchController, chunk: buffer.Buffer): void {
-		this.#storeChunk(chunk);
-		const {response} = this.#options;
-		// A claimed execution continues after its caller disconnected: the answer is read without writing it.
-		if (response.destroyed || response.write(chunk)) {
-			return;
-		}
-
-		// The caller reads more slowly than the target sends; without a pause the whole answer would be buffered in memory.
-		controller.pause();
-		if (this.#resume !== undefined) {
-			return;
-		}
-
-		this.#resume = () => {
-			this.#controller?.resume();
-		};
-
-		response.on('drain', this.#resume);
-		response.once('close', this.#resume);
-	}
-
 	#createDiscarded(): AttemptResult {
 		const isMisdirected = this.#action === 'misdirected';
 		return {
@@ -274,6 +294,10 @@
 	}
 
 	#fail(code: string): void {
+		if (this.#phase === 'ended') {
+			return;
+		}
+
 		const results: Readonly<Record<Exclude<Phase, 'ended'>, AttemptResult>> = {
 			waiting: {kind: 'not-sent', code},
 			sent: {kind: 'lost', code},
@@ -282,9 +306,8 @@
 				kind: 'truncated', status: this.#status, code, responseSize: this.#getResponseSize(false),
 			},
 		};
-		if (this.#phase !== 'ended') {
-			this.#end(results[this.#phase]);
-		}
+		this.#end(results[this.#phase]);
+		this.#relay.abort();
 	}
 
 	#end(result: AttemptResult): void {
--- a/packages/wagtailroute-proxy/src/constants.ts
+++ b/packages/wagtailroute-proxy/src/constants.ts
@@ -149,6 +149,34 @@
 */
 export const MIN_UNPACED_LINK_BYTES_PER_SECOND = 12_500_000;
 
+/**
+Maximum size in bytes of a response that is not paced.
+*/
+export const MAX_SMALL_RESPONSE_BYTES = 8192;
+
+/**
+Milliseconds of the link that one piece of a paced response takes, and that pieces may be sent early after a late timer. Together they are less than
+the 20 ms that a small response may wait, with the headers of the packets.
+*/
+export const PACED_PIECE_MILLISECONDS = 6;
+export const PACING_CREDIT_MILLISECONDS = 5;
+
+/**
+Bounds in bytes of one piece of a paced response.
+*/
+export const MIN_PACED_PIECE_BYTES = 512;
+export const MAX_PACED_PIECE_BYTES = 8192;
+
+/**
+Bytes of one paced response that a host holds before it stops reading from the upstream.
+*/
+export const MAX_HELD_RESPONSE_BYTES = 1_048_576;
+
+/**
+Bytes of all paced responses that a host holds before it stops reading from upstreams: an eighth of the memory of a small host.
+*/
+export const MAX_HELD_BYTES = 25_165_824;
+
 /**
 Milliseconds that an upstream may take to answer a health check. It may wait for a slot.
 */
--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -16,6 +16,7 @@
 import {OUTCOME_HEADER} from './constants.ts';
 import * as endings from './endings.ts';
 import * as failures from './failures.ts';
+import type {HeldBytes} from './held-bytes.ts';
 import type * as ports from './ports.ts';
 import {createRequestAbortController} from './request-abort.ts';
 import {type GrantedClaim, RequestSender} from './request-sender.ts';
@@ -36,6 +37,7 @@
 	readonly arrivedAt: number;
 	readonly match: ports.RouteMatch;
 	readonly service: ports.ServicePort;
+	readonly heldBytes: HeldBytes;
 	/**
 	See `RoutedRequest`.
 	*/
--- a/packages/wagtailroute-proxy/src/ports.ts
+++ b/packages/wagtailroute-proxy/src/ports.ts
@@ -261,6 +261,10 @@
 	*/
 	readonly end: (report: AttemptReport) => void;
 	readonly retry: RetryPort;
+	/**
+	Returns the number of bytes that the response is expected to have; 0 when unknown. Absent: never known.
+	*/
+	readonly getExpectedResponseBytes?: () => number;
 };
 
 /**
--- a/packages/wagtailroute-proxy/src/request-sender.ts
+++ b/packages/wagtailroute-proxy/src/request-sender.ts
@@ -14,6 +14,8 @@
 import type {AnswerKind} from './dialect.ts';
 import * as endings from './endings.ts';
 import * as failures from './failures.ts';
+import type {HeldBytes} from './held-bytes.ts';
+import type {Transfer} from './large-responses.ts';
 import type * as headers from './headers.ts';
 import type * as ports from './ports.ts';
 import type {RequestAbortController} from './request-abort.ts';
@@ -32,6 +34,7 @@
 	readonly request: requests.CallerRequest;
 	readonly match: ports.RouteMatch;
 	readonly service: ports.ServicePort;
+	readonly heldBytes: HeldBytes;
 	/**
 	See `RoutedRequest`.
 	*/
@@ -85,6 +88,8 @@
 	#claim: GrantedClaim | undefined;
 	#body: bodies.Body | undefined;
 	#attemptCount = 0;
+	#transfer: Transfer | undefined;
+	#isDelivered = true;
 	#decision: retries.RetryDecision | undefined;
 	#isTrialBusy = false;
 	#isMoving = false;
@@ -106,6 +111,25 @@
 	async run(body: bodies.Body, claim?: GrantedClaim): Promise<OptionalFailure> {
 		this.#body = body;
 		this.#claim = claim;
+		const {service, ports: {pacers}} = this.#context;
+		const transfer = pacers?.largeResponses.admit({
+			bytes: service.getExpectedResponseBytes?.() ?? 0,
+			remainingMilliseconds: this.#getRemainingMilliseconds(),
+			usualMilliseconds: service.retry.getUsualMilliseconds(),
+		});
+		if (transfer !== undefined && 'retryAfterMilliseconds' in transfer) {
+			return failures.createRequestFailure('queue-timeout', 'The link of this host carries as many large responses as it can.', transfer.retryAfterMilliseconds);
+		}
+
+		this.#transfer = transfer;
+		try {
+			return await this.#makeAttempts();
+		} finally {
+			transfer?.end();
+		}
+	}
+
+	async #makeAttempts(): Promise<OptionalFailure> {
 		let failure: OptionalFailure;
 		for (;;) {
 			// eslint-disable-next-line no-await-in-loop -- One attempt follows the other.
@@ -206,7 +230,7 @@
 		this.#hasBeenSent ||= result.kind !== 'not-sent';
 		this.#recordSurvival(target, result, trial);
 		if (result.kind === 'relayed') {
-			return {};
+			return {failure: this.#isDelivered ? undefined : this.describeAbort()};
 		}
 
 		const kind = endings.getFailureKind(result, hasCrashed);
@@ -297,9 +321,24 @@
 			failure: result.kind === 'relayed' ? undefined : endings.getFailureKind(result, hasCrashed),
 			responseSize: 'responseSize' in result ? result.responseSize : undefined,
 		});
+		await this.#deliver(attempt, result);
 		return {result, hasCrashed};
 	}
 
+	/**
+	Waits until what the host holds of a paced response was written. Its slot is released before, as the upstream is done.
+	*/
+	async #deliver({delivered}: attempts.Attempt, result: attempts.AttemptResult): Promise<void> {
+		if (result.kind !== 'relayed') {
+			return;
+		}
+
+		this.#isDelivered = await this.#abortController.race(waitForDelivery(delivered)) ?? false;
+		if (!this.#isDelivered) {
+			this.outcome = 'ran';
+		}
+	}
+
 	#watchUnanswered(target: ports.Target, attempt: attempts.Attempt, sentAt: number): UnansweredWatch | undefined {
 		const {match, service, ports: {guard, now}} = this.#context;
 		const overdueMilliseconds = service.retry.getOverdueMilliseconds?.();
@@ -339,6 +378,9 @@
 			}),
 			body: bodies.getSendableBody(body, pacers?.sending),
 			response,
+			pacer: pacers?.sending,
+			heldBytes: this.#context.heldBytes,
+			transfer: this.#transfer,
 			decideAnswer: (status, received) => this.#decideAnswer(status, received, target),
 			createAnswerHeaders: received => this.#createAnswerHeaders(received, target),
 			isAnswerStored: this.#claim !== undefined,
@@ -451,6 +493,11 @@
 	}
 }
 
+async function waitForDelivery(delivered: Promise<void>): Promise<true> {
+	await delivered;
+	return true;
+}
+
 /**
 Ends a trial that was granted after the request was aborted: nothing was sent, so another copy may be tried.
 */
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -17,6 +17,7 @@
 } from './constants.ts';
 import {serveExchange} from './exchange.ts';
 import {createRequestFailure, type RequestFailure} from './failures.ts';
+import {createHeldBytes, type HeldBytes} from './held-bytes.ts';
 import type {TrafficPorts} from './ports.ts';
 
 /**
@@ -41,6 +42,10 @@
 	*/
 	readonly getLargeBodyBytes: () => number;
 	/**
+	Returns the number of bytes of paced responses that are held in memory.
+	*/
+	readonly getHeldBytes: () => number;
+	/**
 	Accepts no new connections, and resolves when all requests in progress are finished and the connections closed.
 	*/
 	readonly drain: () => Promise<void>;
@@ -61,6 +66,7 @@
 */
 export async function openTrafficServer(address: core.Address, ports: TrafficPorts, {forwardingAddress}: TrafficServerOptions = {}): Promise<TrafficServer> {
 	const connections = createConnectionPools(ports.connectTimeoutMilliseconds);
+	const heldBytes = createHeldBytes();
 	const inFlightBySocket = new WeakMap<net.Socket, number>();
 	const countedBytesBySocket = new WeakMap<net.Socket, number>();
 	let inFlight = 0;
@@ -98,7 +104,7 @@
 				});
 			}
 		});
-		serveWhenRoutable(ports, connections, {message, response, isForwarding});
+		serveWhenRoutable(ports, {connections, heldBytes}, {message, response, isForwarding});
 	});
 	const callerServer = createServer(false);
 	const forwardingServer = createServer(true);
@@ -125,6 +131,7 @@
 		getInFlight: () => inFlight,
 		getTransferredBytes: () => transferredBytes,
 		getLargeBodyBytes: () => largeBodyBytes,
+		getHeldBytes: heldBytes.get,
 		async drain() {
 			// Idle connections are closed now, the others after their answer.
 			isClosing = true;
@@ -140,7 +147,7 @@
 
 function serveWhenRoutable(
 	ports: TrafficPorts,
-	connections: ConnectionPools,
+	shared: SharedState,
 	{message, response, isForwarding}: Omit<IncomingRequest, 'arrivedAt'>,
 ): void {
 	// Without a listener an error on a caller's connection would end the process. Exchanges react to the 'close' that follows.
@@ -151,7 +158,7 @@
 		const incoming: IncomingRequest = {
 			message, response, isForwarding, arrivedAt,
 		};
-		const failure = response.destroyed ? undefined : startExchange(ports, connections, incoming);
+		const failure = response.destroyed ? undefined : startExchange(ports, shared, incoming);
 		if (failure !== undefined) {
 			answerFailure(response, () => ports.dialect.createProblem(failure, ports.random));
 		}
@@ -168,6 +175,14 @@
 	})();
 }
 
+/**
+What all requests of a host share.
+*/
+type SharedState = {
+	readonly connections: ConnectionPools;
+	readonly heldBytes: HeldBytes;
+};
+
 type IncomingRequest = {
 	readonly message: http.IncomingMessage;
 	readonly response: http.ServerResponse;
@@ -180,7 +195,7 @@
 
 function startExchange(
 	ports: TrafficPorts,
-	connections: ConnectionPools,
+	shared: SharedState,
 	{
 		message, response, isForwarding, arrivedAt,
 	}: IncomingRequest,
@@ -208,7 +223,7 @@
 
 	void serveExchange({
 		ports,
-		connections,
+		...shared,
 		message,
 		response,
 		request,
