--- a/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
@@ -58,6 +58,8 @@
 	Targets are granted only after this resolves.
 	*/
 	readonly beforeTarget?: Promise<void>;
+	readonly pacers?: proxy.Pacers;
+	readonly expectedResponseBytes?: (path: string) => number;
 };
 
 /**
@@ -164,9 +166,12 @@
 		dialect: proxy.DEFAULT_DIALECT,
 		route({host, method, path}) {
 			const match = catalogue.matchRoute(table, host, method, path);
-			return match === undefined ? proxy.createRequestFailure('route-unknown', 'unknown') : {match, service};
+			return match === undefined
+				? proxy.createRequestFailure('route-unknown', 'unknown')
+				: {match, service: {...service, getExpectedResponseBytes: () => setup.expectedResponseBytes?.(path) ?? 0}};
 		},
 		routes: setup.routes,
+		pacers: setup.pacers,
 		claim: async () => setup.claim ?? GRANTED_CLAIM,
 		guard: {
 			getQuarantineStatus: () => setup.quarantineStatus ?? 'free',
