--- a/scripts/build/scripts.ts
+++ b/scripts/build/scripts.ts
@@ -36,6 +36,7 @@
 const PARTS: Readonly<Record<string, string>> = {
 	undici: `
 		exports.Pool = require('undici/lib/dispatcher/pool.js');
+		exports.Client = require('undici/lib/dispatcher/client.js');
 		exports.buildConnector = require('undici/lib/core/connect.js');
 	`,
 	'prom-client': `
