Proxy: what a host holds for slow callers and upstreams is bounded in total

The bound was for each connection only, and the last part of a response stayed in memory until its caller left. One count now has what is held of responses and request bodies. Beyond 64 MB the host begins to read no further response and refuses requests with a body as not run; a response that its caller doesn't read ends at the request's deadline.

--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -309,7 +309,7 @@
 	}, {forwardingAddress: settings.forwardingAddress});
 	opened.traffic = traffic;
 	context.metrics.registerGauge('requests_in_flight', traffic.getInFlight);
-	context.metrics.registerGauge('held_response_bytes', traffic.getHeldBytes);
+	context.metrics.registerGauge('held_bytes', traffic.getHeldBytes);
 	context.metrics.registerGauge('generation_version', () => fleetView.getGeneration()?.version ?? 0);
 	log.info('The entry host has started.', {traffic: core.formatAddress(settings.trafficAddress), seeds: settings.seeds.map(seed => seed.id)});
 	context.metrics.registerGauge('isolated', () => reach.isIsolated() ? 1 : 0);
--- a/packages/wagtailroute-proxy/src/__tests__/unit/large-responses.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/large-responses.test.ts
@@ -210,3 +210,66 @@
 	t.is(fixture.server.getHeldBytes(), 0);
 	t.is(fixture.requestReports.length, 1);
 });
+
+test('while a host holds all it can, it begins to read no response, and continues once there is room', t => {
+	const heldBytes = createHeldBytes(100, 1000);
+	const states: string[] = [];
+	const relay = new ResponseRelay({
+		response: createResponse(() => undefined),
+		heldBytes,
+		onWritten: () => undefined,
+		pauseReading() {
+			states.push('paused');
+		},
+		resumeReading() {
+			states.push('resumed');
+		},
+	});
+	heldBytes.add(1500);
+	relay.start();
+	t.deepEqual(states, ['paused']);
+	heldBytes.add(-400);
+	t.deepEqual(states, ['paused']);
+	heldBytes.add(-400);
+	t.deepEqual(states, ['paused', 'resumed']);
+});
+
+test.serial('a caller that never reads its response is cut off at its deadline, also on a fast link', async t => {
+	// Guards against responses that stay in memory until the caller closes its connection.
+	const upstream = await openUpstream(t);
+	const fixture = await openFixture(t, {faults: [], upstreams: [upstream.address]});
+	const socket = net.connect(fixture.address.port, fixture.address.ip);
+	socket.on('error', () => undefined);
+	socket.pause();
+	socket.write('GET /40000000 HTTP/1.1\r\nhost: archive\r\nrequest-timeout-ms: 700\r\n\r\n');
+	await timers.setTimeout(400);
+	const held = fixture.server.getHeldBytes();
+	t.true(held > 0 && held < 1_000_000, String(held));
+	await timers.setTimeout(600);
+	t.is(fixture.server.getHeldBytes(), 0);
+	t.is(fixture.server.getInFlight(), 0);
+	socket.destroy();
+});
+
+test.serial('an upstream that does not read a request body bounds what the host holds of it', async t => {
+	// Guards against uploads that are read into memory as fast as their callers send while the upstream takes nothing.
+	const stuck = net.createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.pause();
+	});
+	const address = await utils.listen(stuck, {ip: '127.0.0.1', port: 0});
+	t.teardown(() => stuck.close());
+	const fixture = await openFixture(t, {faults: [], upstreams: [address]});
+	const socket = net.connect(fixture.address.port, fixture.address.ip);
+	socket.on('error', () => undefined);
+	const bodyBytes = 45_000_000;
+	socket.write(`POST /write HTTP/1.1\r\nhost: archive\r\nrequest-timeout-ms: 1000\r\ncontent-length: ${bodyBytes}\r\n\r\n`);
+	socket.write(buffer.Buffer.alloc(bodyBytes));
+	await timers.setTimeout(600);
+	const held = fixture.server.getHeldBytes();
+	t.true(held > 0 && held < 200_000, String(held));
+	t.true(socket.writableLength > 0, 'the host has not taken the whole body');
+	await timers.setTimeout(800);
+	t.is(fixture.server.getHeldBytes(), 0);
+	socket.destroy();
+});
--- a/packages/wagtailroute-proxy/src/attempts.ts
+++ b/packages/wagtailroute-proxy/src/attempts.ts
@@ -217,6 +217,7 @@
 
 		this.#phase = 'relaying';
 		this.#headers = this.#options.createAnswerHeaders(headers);
+		this.#relay.start();
 		if (this.#statedBytes !== undefined) {
 			this.#relay.expect(this.#statedBytes);
 			this.#options.transfer?.setBytes(this.#statedBytes);
--- a/packages/wagtailroute-proxy/src/bodies.ts
+++ b/packages/wagtailroute-proxy/src/bodies.ts
@@ -11,6 +11,11 @@
 import {type Pacer, UNLIMITED_PACER} from './pacing.ts';
 import type {CallerRequest} from './requests.ts';
 
+/**
+What the pacing of a body needs.
+*/
+export type BodyPacer = Pick<Pacer, 'reserve'>;
+
 /**
 A body of which the first part is buffered.
 */
@@ -50,7 +55,7 @@
 	message: http.IncomingMessage,
 	request: CallerRequest,
 	limitBytes: number,
-	pacer: Pick<Pacer, 'reserve'> = UNLIMITED_PACER,
+	pacer: BodyPacer = UNLIMITED_PACER,
 ): Promise<results.Result<Body, RequestFailure>> {
 	if (!request.hasBody) {
 		return NO_BODY;
@@ -100,7 +105,7 @@
 /**
 Returns the body in the form that undici accepts; undefined for an empty body.
 */
-export function getSendableBody(body: Body, pacer: Pick<Pacer, 'reserve'> = UNLIMITED_PACER): buffer.Buffer | AsyncIterable<buffer.Buffer> | undefined {
+export function getSendableBody(body: Body, pacer: BodyPacer = UNLIMITED_PACER): buffer.Buffer | AsyncIterable<buffer.Buffer> | undefined {
 	if (body.rest !== undefined) {
 		return streamBody(body, body.rest, pacer);
 	}
@@ -123,14 +128,14 @@
 	return body.prefix.length > PACED_CHUNK_BYTES ? body.prefix.length : undefined;
 }
 
-async function applyPacing(pacer: Pick<Pacer, 'reserve'>, bytes: number): Promise<void> {
+async function applyPacing(pacer: BodyPacer, bytes: number): Promise<void> {
 	const milliseconds = pacer.reserve(bytes);
 	if (milliseconds >= 1) {
 		await timers.setTimeout(milliseconds);
 	}
 }
 
-async function * yieldChunks(bytes: buffer.Buffer, pacer: Pick<Pacer, 'reserve'>): AsyncIterable<buffer.Buffer> {
+async function * yieldChunks(bytes: buffer.Buffer, pacer: BodyPacer): AsyncIterable<buffer.Buffer> {
 	if (pacer === UNLIMITED_PACER) {
 		yield bytes;
 		return;
@@ -144,7 +149,7 @@
 	}
 }
 
-async function * streamBody(body: Body, rest: AsyncIterator<buffer.Buffer>, pacer: Pick<Pacer, 'reserve'>): AsyncIterable<buffer.Buffer> {
+async function * streamBody(body: Body, rest: AsyncIterator<buffer.Buffer>, pacer: BodyPacer): AsyncIterable<buffer.Buffer> {
 	let size = body.prefix.length;
 	yield * yieldChunks(body.prefix, pacer);
 	for (;;) {
--- a/packages/wagtailroute-proxy/src/constants.ts
+++ b/packages/wagtailroute-proxy/src/constants.ts
@@ -173,9 +173,15 @@
 export const MAX_HELD_RESPONSE_BYTES = 1_048_576;
 
 /**
-Bytes of all paced responses that a host holds before it stops reading from upstreams: an eighth of the memory of a small host.
+Bytes that a host holds in all before it reads paced responses no further: an eighth of the memory of a small host.
 */
-export const MAX_HELD_BYTES = 25_165_824;
+export const MAX_HELD_RESPONSES_BYTES = 25_165_824;
+
+/**
+Bytes that a host holds in all before it takes no further request body and begins to read no further response: a third of the memory of a small host,
+or a thousand request bodies of the largest size that is buffered.
+*/
+export const MAX_HELD_BYTES = 67_108_864;
 
 /**
 Milliseconds that an upstream may take to answer a health check. It may wait for a slot.
--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -154,15 +154,37 @@
 	}
 
 	async #runWithBody(): Promise<OptionalFailure> {
-		const {message, request, service, ports} = this.#context;
-		const body = request.hasBody
-			? await this.#abortController.race(bodies.readBody(message, request, service.limits.bodyBytes, ports.pacers?.receiving))
-			: bodies.NO_BODY;
-		if (body === undefined) {
-			return this.#sender.describeAbort();
+		const {message, request, service, ports, heldBytes} = this.#context;
+		if (!request.hasBody) {
+			return this.#runUnlessQuarantined(bodies.NO_BODY.value);
+		}
+
+		if (heldBytes.isExhausted()) {
+			return failures.createRequestFailure('queue-timeout', 'This host holds as many bytes of requests and responses as it can.');
 		}
 
-		return body.isErr() ? body.error : this.#runUnlessQuarantined(body.value);
+		let bodyBytes = 0;
+		let isReleased = false;
+		const pacer: bodies.BodyPacer = {
+			reserve(bytes) {
+				// After an abort the body is read up to its next chunk.
+				const countedBytes = isReleased ? 0 : bytes;
+				bodyBytes += countedBytes;
+				heldBytes.add(countedBytes);
+				return ports.pacers?.receiving.reserve(bytes) ?? 0;
+			},
+		};
+		try {
+			const body = await this.#abortController.race(bodies.readBody(message, request, service.limits.bodyBytes, pacer));
+			if (body === undefined) {
+				return this.#sender.describeAbort();
+			}
+
+			return body.isErr() ? body.error : await this.#runUnlessQuarantined(body.value);
+		} finally {
+			isReleased = true;
+			heldBytes.add(-bodyBytes);
+		}
 	}
 
 	async #runUnlessQuarantined(body: bodies.Body): Promise<OptionalFailure> {
--- a/packages/wagtailroute-proxy/src/response-relay.ts
+++ b/packages/wagtailroute-proxy/src/response-relay.ts
@@ -48,6 +48,11 @@
 	#isListening = false;
 	#withdraw: utils.Teardown | undefined;
 	#isBlocked = false;
+	#isWaitingForRoom = false;
+	/**
+	Bytes that the caller has not read yet, of those written.
+	*/
+	#unreadBytes = 0;
 
 	constructor(options: ResponseRelayOptions) {
 		this.#options = options;
@@ -56,6 +61,23 @@
 		this.#resolveDelivered = resolve;
 	}
 
+	/**
+	Has to be called before the first chunk. Reading begins only while the host can hold something.
+	*/
+	start(): void {
+		const {heldBytes, response} = this.#options;
+		if (!heldBytes.isExhausted() || response.destroyed) {
+			return;
+		}
+
+		this.#isWaitingForRoom = true;
+		this.#updateReading();
+		heldBytes.onRoom(() => {
+			this.#isWaitingForRoom = false;
+			this.#updateReading();
+		});
+	}
+
 	/**
 	Has to be called before the first chunk where the length of the response is known.
 	*/
@@ -121,8 +143,23 @@
 			return;
 		}
 
-		this.#options.response.end();
-		this.#resolveDelivered();
+		const {response} = this.#options;
+		response.end();
+		if (!this.#isBlocked) {
+			this.#resolveDelivered();
+			return;
+		}
+
+		// Without a deadline, a caller that never reads would keep the rest in memory for ever.
+		response.once('finish', () => {
+			this.#setUnread(0);
+			this.#resolveDelivered();
+		});
+	}
+
+	#setUnread(bytes: number): void {
+		this.#options.heldBytes.add(bytes - this.#unreadBytes);
+		this.#unreadBytes = bytes;
 	}
 
 	#writeNow(piece: buffer.Buffer): void {
@@ -130,6 +167,7 @@
 		onWritten(piece.length);
 		// The caller reads more slowly than the link carries.
 		this.#isBlocked = !response.write(piece);
+		this.#setUnread(this.#isBlocked ? response.writableLength : 0);
 		this.#updateReading();
 		if (this.#isBlocked) {
 			this.#listen();
@@ -145,11 +183,13 @@
 		const {response} = this.#options;
 		response.on('drain', () => {
 			this.#isBlocked = false;
+			this.#setUnread(0);
 			this.#schedule();
 			this.#updateReading();
 		});
 		response.once('close', () => {
 			this.#isBlocked = false;
+			this.#setUnread(0);
 			this.#drop();
 		});
 	}
@@ -180,9 +220,8 @@
 	#updateReading(): void {
 		const {heldBytes, pauseReading, resumeReading} = this.#options;
 		const isHolding = this.#heldBytes > 0;
-		const isFull = this.#isPaced
-			? isHolding && (this.#heldBytes >= MAX_HELD_RESPONSE_BYTES || heldBytes.isFull())
-			: this.#isBlocked;
+		const isHeldFull = isHolding && (this.#heldBytes >= MAX_HELD_RESPONSE_BYTES || heldBytes.isFull());
+		const isFull = this.#isWaitingForRoom || (this.#isPaced ? isHeldFull : this.#isBlocked);
 		if (isFull === this.#isReadingPaused) {
 			return;
 		}
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -42,7 +42,7 @@
 	*/
 	readonly getLargeBodyBytes: () => number;
 	/**
-	Returns the number of bytes of paced responses that are held in memory.
+	Returns the number of bytes that are held in memory for slow readers.
 	*/
 	readonly getHeldBytes: () => number;
 	/**
