--- a/packages/wagtailroute-proxy/src/__tests__/unit/large-responses.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/large-responses.test.ts
@@ -237,7 +237,7 @@
 test.serial('a caller that never reads its response is cut off at its deadline, also on a fast link', async t => {
 	// Guards against responses that stay in memory until the caller closes its connection.
 	const upstream = await openUpstream(t);
-	const fixture = await openFixture(t, {faults: [], upstreams: [upstream.address]});
+	const fixture = await openFixture(t, {faults: [], addresses: [upstream.address]});
 	const socket = net.connect(fixture.address.port, fixture.address.ip);
 	socket.on('error', () => undefined);
 	socket.pause();
@@ -259,7 +259,7 @@
 	});
 	const address = await utils.listen(stuck, {ip: '127.0.0.1', port: 0});
 	t.teardown(() => stuck.close());
-	const fixture = await openFixture(t, {faults: [], upstreams: [address]});
+	const fixture = await openFixture(t, {faults: [], addresses: [address]});
 	const socket = net.connect(fixture.address.port, fixture.address.ip);
 	socket.on('error', () => undefined);
 	const bodyBytes = 45_000_000;
--- a/scripts/build/scripts.ts
+++ b/scripts/build/scripts.ts
@@ -37,6 +37,7 @@
 	undici: `
 		exports.Pool = require('undici/lib/dispatcher/pool.js');
 		exports.Client = require('undici/lib/dispatcher/client.js');
+		exports.errors = require('undici/lib/core/errors.js');
 		exports.buildConnector = require('undici/lib/core/connect.js');
 	`,
 	'prom-client': `
