Overload control: pipelined requests of a connection are served one after the other

Node hands over a pipelined request as soon as it is parsed. It ran although a response before it closed the connection, so that its caller took it for not read. A bounded number of requests waits on a connection. A request to close the connection is answered also where bytes follow it; they had it cancelled.

--- a/packages/wagtailroute-proxy/src/__tests__/unit/raw-upstream.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/raw-upstream.ts
@@ -12,7 +12,11 @@
 */
 export type RawResponse = {
 	readonly head: string;
-	readonly filler?: string;
+	readonly filler?: string | undefined;
+	/**
+	The connection is closed behind `head`.
+	*/
+	readonly isClosed?: boolean;
 };
 
 /**
@@ -33,6 +37,10 @@
 export type RawUpstream = {
 	readonly address: core.Address;
 	readonly connections: RawConnection[];
+	/**
+	Paths of all requests in the order of their arrival.
+	*/
+	readonly paths: string[];
 };
 
 const FILLER_BYTES = 65_536;
@@ -43,6 +51,7 @@
 */
 export async function startRawUpstream(t: ExecutionContext, respond: (path: string) => RawResponse | undefined): Promise<RawUpstream> {
 	const connections: RawConnection[] = [];
+	const paths: string[] = [];
 	const sockets = new Set<net.Socket>();
 	const server = net.createServer(socket => {
 		const connection: RawConnection = {paths: [], sentBytes: 0, isClosed: false};
@@ -57,6 +66,7 @@
 			for (const {groups} of String(chunk).matchAll(REQUEST_LINE_PATTERN)) {
 				const {path = ''} = groups!;
 				connection.paths.push(path);
+				paths.push(path);
 				const response = respond(path);
 				if (response !== undefined) {
 					send(socket, connection, response);
@@ -76,12 +86,16 @@
 			});
 		});
 	});
-	return {address, connections};
+	return {address, connections, paths};
 }
 
-function send(socket: net.Socket, connection: RawConnection, {head, filler}: RawResponse): void {
+function send(socket: net.Socket, connection: RawConnection, {head, filler, isClosed}: RawResponse): void {
 	socket.write(head, 'latin1');
 	connection.sentBytes += head.length;
+	if (isClosed === true) {
+		socket.end();
+	}
+
 	if (filler === undefined) {
 		return;
 	}
--- a/packages/wagtailroute-proxy/src/constants.ts
+++ b/packages/wagtailroute-proxy/src/constants.ts
@@ -33,6 +33,11 @@
 */
 export const MAX_HEADER_BYTES = 16_384;
 
+/**
+Maximum number of requests that wait behind another one on a connection. With their header sections they take 1 MB at most; their bodies are not read.
+*/
+export const MAX_PIPELINED_REQUESTS = 64;
+
 /**
 Timeout in milliseconds for receiving the header section of a request.
 */
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -17,6 +17,7 @@
 } from './constants.ts';
 import {serveExchange} from './exchange.ts';
 import {createRequestFailure, type RequestFailure} from './failures.ts';
+import {createPipeline} from './pipelining.ts';
 import type {TrafficPorts} from './ports.ts';
 
 /**
@@ -67,14 +68,8 @@
 	let transferredBytes = 0;
 	let largeBodyBytes = 0;
 	let isClosing = false;
-	const createServer = (isForwarding: boolean) => http.createServer({
-		maxHeaderSize: MAX_HEADER_BYTES,
-		headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
-		requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
-		keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
-		noDelay: true,
-		...ports.pacers !== undefined && {highWaterMark: PACED_CHUNK_BYTES},
-	}, (message, response) => {
+	const pipeline = createPipeline();
+	const countRequest = (message: http.IncomingMessage, response: http.ServerResponse) => {
 		const {socket} = message;
 		const declaredBytes = Number(message.headers['content-length'] ?? 0);
 		const largeBytes = declaredBytes > PACED_CHUNK_BYTES ? declaredBytes : 0;
@@ -98,7 +93,29 @@
 				});
 			}
 		});
-		serveWhenRoutable(ports, connections, {message, response, isForwarding});
+	};
+
+	const createServer = (isForwarding: boolean) => http.createServer({
+		maxHeaderSize: MAX_HEADER_BYTES,
+		headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
+		requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+		keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+		noDelay: true,
+		...ports.pacers !== undefined && {highWaterMark: PACED_CHUNK_BYTES},
+	}, (message, response) => {
+		// Without a listener an error on a caller's connection would end the process. Exchanges react to the 'close' that follows.
+		message.on('error', () => undefined);
+		response.on('error', () => undefined);
+		const arrivedAt = ports.now();
+		pipeline.add(message.socket, {
+			response,
+			serve() {
+				countRequest(message, response);
+				serveWhenRoutable(ports, connections, {
+					message, response, isForwarding, arrivedAt,
+				});
+			},
+		});
 	});
 	const callerServer = createServer(false);
 	const forwardingServer = createServer(true);
@@ -109,7 +126,13 @@
 			// Malformed bytes may follow a complete request that is still running. A `not-run` answer written then would be taken as
 			// the answer to that request, and the caller would resend it; a destroyed connection promises nothing.
 			if ((inFlightBySocket.get(socket) ?? 0) > 0) {
-				socket.destroy();
+				if (error.code === CLOSED_CONNECTION_CODE) {
+					// The caller asked for the connection to be closed behind the request in progress, which is still answered.
+					socket.pause();
+				} else {
+					socket.destroy();
+				}
+
 				return;
 			}
 
@@ -141,16 +164,10 @@
 function serveWhenRoutable(
 	ports: TrafficPorts,
 	connections: ConnectionPools,
-	{message, response, isForwarding}: Omit<IncomingRequest, 'arrivedAt'>,
+	incoming: IncomingRequest,
 ): void {
-	// Without a listener an error on a caller's connection would end the process. Exchanges react to the 'close' that follows.
-	message.on('error', () => undefined);
-	response.on('error', () => undefined);
-	const arrivedAt = ports.now();
+	const {response} = incoming;
 	const startServing = () => {
-		const incoming: IncomingRequest = {
-			message, response, isForwarding, arrivedAt,
-		};
 		const failure = response.destroyed ? undefined : startExchange(ports, connections, incoming);
 		if (failure !== undefined) {
 			answerFailure(response, () => ports.dialect.createProblem(failure, ports.random));
@@ -221,6 +238,11 @@
 	return undefined;
 }
 
+/**
+Code of bytes that follow a request with `Connection: close`.
+*/
+const CLOSED_CONNECTION_CODE = 'HPE_CLOSED_CONNECTION';
+
 type ClientError = Error & {readonly code?: string};
 
 /**
