Divided dispatching: lending between pools

A pool whose wait would exceed 60 ms (250 ms for an upload), or that would refuse a request, sends it to a pool of the service with free slots and an empty queue. Dispatchers tell each other their free slots at most every 50 ms. A lent request is granted at once or returns to its own pool and stays; it counts once, where it first arrived. Pools in whose domain nothing is requested tell their free slots too while another one is in use.

--- a/packages/wagtailroute-dispatch/src/dispatcher-types.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher-types.ts
@@ -139,6 +139,10 @@
 	*/
 	readonly tick: (now: number) => readonly Effect[];
 	/**
+	Returns the milliseconds for which a queued slot request is expected to wait, from its place in the queue; undefined when it is not queued.
+	*/
+	readonly estimateWait: (id: SlotRequestId, now: number) => number | undefined;
+	/**
 	Returns the number of queued slot requests.
 	*/
 	readonly countWaiting: () => number;
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -288,6 +288,14 @@
 		return this.#services.values().flatMap(service => [...this.#serveQueue(service, now), ...this.#refuseExpiring(service, now)]).toArray();
 	}
 
+	estimateWait(id: SlotRequestId, now: number): number | undefined {
+		const service = this.#servicesByQueuedId.get(id);
+		const queued = service?.queue.find(({request}) => request.id === id);
+		return service === undefined || queued === undefined
+			? undefined
+			: countQueuedUntil(service, queued.queueKey) * getUsualMilliseconds(service, queued.request) / countUsableSlots(service, queued.request, now);
+	}
+
 	countWaiting(): number {
 		return this.#servicesByQueuedId.size;
 	}
--- a/packages/wagtailroute-fleet/src/__tests__/unit/pool-fixture.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/pool-fixture.ts
@@ -62,9 +62,13 @@
 	readonly controls: readonly Control[];
 	readonly entries: readonly Entry[];
 	/**
-	Slot requests that each control host received, as "control host, pool or service".
+	Slot requests that control hosts received: the control host, the pool, and whether another dispatcher had the request before.
 	*/
 	readonly received: string[];
+	/**
+	Methods of the messages among control hosts.
+	*/
+	readonly exchanged: string[];
 	readonly lose: (control: core.HostId) => void;
 };
 
@@ -74,6 +78,7 @@
 export function createPoolFleet({candidates, entryDomains = DOMAINS, entriesPerDomain = 1, isDividing = () => true, organisations}: PoolFleetOptions): PoolFleet {
 	const context = fixture.createFakeContext();
 	const received: string[] = [];
+	const exchanged: string[] = [];
 	const requestingHosts = new Map<link.Link, RequestingHost>();
 	const entryIds = entryDomains.flatMap(domain => Array.from({length: entriesPerDomain}, (_, index) => ({id: `front-${domain}${index}`, failureDomain: domain})));
 	const controls: Control[] = [];
@@ -84,6 +89,9 @@
 			[METHODS.believe]() {
 				control.dispatcher.applyBelief(parameters as never);
 			},
+			[METHODS.room]() {
+				control.dispatcher.applyRooms(parameters as never);
+			},
 			[METHODS.updates]() {
 				control.dispatcher.applyUpdates(parameters as never);
 			},
@@ -99,6 +107,7 @@
 	for (const failureDomain of DOMAINS) {
 		const id = `control-${failureDomain}`;
 		const notifyOthers = (method: string, parameters: unknown) => {
+			exchanged.push(method);
 			const sender = controls.find(control => control.id === id)!;
 			const others = controls.filter(other => other !== sender);
 			for (const control of others) {
@@ -117,6 +126,7 @@
 			requestShare,
 			isReceivingUpdates: true,
 			listCandidates: () => candidates,
+			lending: {failureDomain, isFirstDispatcher: ({pool}) => pool === failureDomain},
 			listEntryDomains: () => entryDomains,
 			listStandbys: () => [],
 			notify(host, method, parameters) {
@@ -132,7 +142,7 @@
 			dispatcher: {
 				...dispatcher,
 				requestSlot(request) {
-					received.push(`${id} ${request.pool ?? 'undivided'}`);
+					received.push(`${id} ${request.pool ?? 'undivided'}${request.isAgain === true ? ' again' : ''}`);
 					return dispatcher.requestSlot(request);
 				},
 			},
@@ -188,6 +198,7 @@
 		controls,
 		entries,
 		received,
+		exchanged,
 		lose(lostId) {
 			controls.find(({id}) => id === lostId)!.isUp = false;
 			for (const {client, links} of entries) {
--- a/packages/wagtailroute-fleet/src/__tests__/unit/pools.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/pools.test.ts
@@ -4,9 +4,10 @@
 import test from 'ava';
 import type * as core from 'wagtailroute-core';
 import type * as dispatch from 'wagtailroute-dispatch';
+import type {DispatchClient} from '../../dispatch-client.ts';
 import {orderPoolDispatchers} from '../../dispatch-order.ts';
 import {startHostDispatcher} from '../../host-dispatcher.ts';
-import {type Belief, METHODS} from '../../messages.ts';
+import {type Belief, METHODS, type RoomReport} from '../../messages.ts';
 import {createPoolChoice} from '../../pools/pool-choice.ts';
 import {getPoolKey, type Pool} from '../../pools/pool-key.ts';
 import {listPoolMembers} from '../../pools/pool-members.ts';
@@ -101,7 +102,7 @@
 	t.is(pools.find(SERVICE), undefined);
 });
 
-function setUpDispatcher(listEntryDomains = () => DOMAINS, candidates = CANDIDATES) {
+function setUpDispatcher({listEntryDomains = () => DOMAINS, candidates = CANDIDATES, isLending = false} = {}) {
 	const context = fixture.createFakeContext();
 	const sent: Array<{readonly method: string; readonly parameters: unknown}> = [];
 	const dispatcher = startHostDispatcher(context, {
@@ -109,6 +110,7 @@
 		settings: {budget: {ratio: 0.2, extra: 20, windowMilliseconds: 10_000}, floor: 0},
 		listCandidates: () => candidates,
 		listEntryDomains,
+		lending: isLending ? {failureDomain: 'x', isFirstDispatcher: ({pool}) => pool === 'x'} : undefined,
 		listStandbys: () => [],
 		notify: () => undefined,
 		notifyControlHosts(method, parameters) {
@@ -150,7 +152,7 @@
 
 test('upstreams change their pool with the entry hosts, and keep the slots that requests hold', async t => {
 	let entryDomains = DOMAINS;
-	const {context, requestSlot, dispatcher} = setUpDispatcher(() => entryDomains);
+	const {context, requestSlot, dispatcher} = setUpDispatcher({listEntryDomains: () => entryDomains});
 	for (const pool of ['x', 'z']) {
 		requestSlot(pool);
 	}
@@ -254,8 +256,8 @@
 	t.is(share.get(0), 0.2);
 });
 
-async function requestFromAll({entries, context}: PoolFleet, changes: Partial<typeof fixture.SLOT_REQUEST_DRAFT> = {}) {
-	const answers = await Promise.all(entries.map(async ({client}) => client.requestSlot({...fixture.SLOT_REQUEST_DRAFT, ...changes}).answer));
+async function requestFromAll({entries, context}: PoolFleet) {
+	const answers = await Promise.all(entries.map(async ({client}) => client.requestSlot(fixture.SLOT_REQUEST_DRAFT).answer));
 	await context.pass(0);
 	return answers;
 }
@@ -305,43 +307,206 @@
 
 	await requestFromAll(fleet);
 	t.true(reported.length > 0);
+	await fleet.context.pass(1000);
+	t.false(fleet.exchanged.includes(METHODS.room));
 	t.false(JSON.stringify(reported).includes('pool'));
 	t.is(new Set(fleet.received).size, 1);
 });
 
-function endAll({entries}: PoolFleet, answers: Awaited<ReturnType<typeof requestFromAll>>): void {
-	for (const [index, answer] of answers.entries()) {
-		entries[index]!.client.reportEnd(answer.kind === 'grant' ? answer.id : '', 'success', 10);
-	}
-}
+const WORK_MILLISECONDS = 200;
 
 const PARISH = {
 	name: 'parish', keys: ['k'], ratePerSecond: 20, burst: 10,
 };
 
-for (const dividing of ['all', 'some'] as const) {
-	test(`an allotment holds over all pools while ${dividing} hosts divide a service`, async t => {
+for (const [dividing, nearUpstreams] of [['all', 40], ['some', 40], ['all', 1]] as const) {
+	test(`an allotment holds over all pools while ${dividing} hosts divide a service, and one pool has ${nearUpstreams} upstreams`, async t => {
 		// Guards against an allotment that each pool's dispatcher admits in full.
 		const {ratePerSecond, burst} = PARISH;
 		const {slack, windowMilliseconds} = fixture.ALLOTMENTS;
 		const fleet = createPoolFleet({
-			candidates: createCandidates({x: 40, y: 40, z: 40}), entriesPerDomain: 3, organisations: [PARISH], isDividing: host => dividing === 'all' || host.endsWith('0'),
+			// With one upstream, requests are lent to the other pools.
+			candidates: createCandidates({x: nearUpstreams, y: 40, z: 40}), entriesPerDomain: 3, organisations: [PARISH], isDividing: host => dividing === 'all' || host.endsWith('0'),
 		});
 		const admittedAt: number[] = [];
+		const request = async (client: DispatchClient) => {
+			const answer = await client.requestSlot({...fixture.SLOT_REQUEST_DRAFT, organisation: PARISH.name}).answer;
+			if (answer.kind !== 'grant') {
+				return;
+			}
+
+			admittedAt.push(fleet.context.now());
+			fleet.context.schedule(WORK_MILLISECONDS, () => {
+				client.reportEnd(answer.id, 'success', WORK_MILLISECONDS);
+			});
+		};
+
 		const stepMilliseconds = 50;
 		await fleet.context.pass(windowMilliseconds * 2);
 		for (let step = 0; step < 300; step++) {
-			// eslint-disable-next-line no-await-in-loop -- One step after the other.
-			const answers = await requestFromAll(fleet, {organisation: PARISH.name});
-			admittedAt.push(...answers.filter(({kind}) => kind === 'grant').map(() => fleet.context.now()));
-			endAll(fleet, answers);
+			for (const {client} of fleet.entries) {
+				void request(client);
+			}
 
-			// eslint-disable-next-line no-await-in-loop -- See above.
+			// eslint-disable-next-line no-await-in-loop -- One step after the other.
 			await fleet.context.pass(stepMilliseconds);
 		}
 
 		const worst = Math.max(...admittedAt.map(from => admittedAt.filter(at => at >= from && at < from + windowMilliseconds).length));
 		t.true(worst <= (ratePerSecond * windowMilliseconds / 1000) + burst + slack, `${worst} admitted`);
 		t.true(worst >= ratePerSecond * windowMilliseconds / 1000 * 0.5, `${worst} admitted`);
+		t.is(fleet.received.some(text => text.endsWith('again')), nearUpstreams === 1);
+	});
+}
+
+/**
+A dispatcher of pool x with two slots, both taken.
+*/
+async function setUpFull() {
+	const setup = setUpDispatcher({candidates: createCandidates({x: 1, y: 4, z: 4}), isLending: true});
+	for (let count = 0; count < 2; count++) {
+		setup.requestSlot('x');
+	}
+
+	await setup.context.pass(100);
+	return setup;
+}
+
+type LendingCase = {
+	readonly name: string;
+	readonly rooms: readonly RoomReport[];
+	readonly changes?: Partial<dispatch.SlotRequest>;
+	/**
+	Milliseconds since the reports arrived.
+	*/
+	readonly ageMilliseconds?: number;
+	/**
+	Answers to two requests.
+	*/
+	readonly answers: readonly string[];
+};
+
+const ROOMS: readonly RoomReport[] = [[SERVICE, 'y', 3, 0], [SERVICE, 'z', 5, 0]];
+
+const LENDING_CASES: readonly LendingCase[] = [
+	{
+		name: 'are lent to the pool with the most free slots', rooms: ROOMS, answers: ['elsewhere z', 'elsewhere z'],
+	},
+	{
+		// Guards against a pool that gets more requests within one interval of its reports than it has free slots.
+		name: 'are lent once for each free slot', rooms: [[SERVICE, 'y', 1, 0]], answers: ['elsewhere y', 'wait'],
+	},
+	{
+		name: 'stay while requests are queued in the other pools', rooms: [[SERVICE, 'y', 3, 1], [SERVICE, 'z', 0, 0]], answers: ['wait', 'wait'],
+	},
+	{
+		name: 'stay at a dispatcher that is cut off from the others', rooms: [], answers: ['wait', 'wait'],
+	},
+	{
+		name: 'stay when the last reports are old', rooms: ROOMS, ageMilliseconds: 600, answers: ['wait', 'wait'],
+	},
+	{
+		name: 'stay when they have come back from another pool', rooms: ROOMS, changes: {isAgain: true}, answers: ['wait', 'wait'],
+	},
+	{
+		// A resend is charged to the retry budget of one pool.
+		name: 'stay when they are resends', rooms: ROOMS, changes: {isResend: true}, answers: ['refuse', 'refuse'],
+	},
+	{
+		name: 'stay when they are uploads that wait for less than 250 ms', rooms: ROOMS, changes: {requestClass: 'upload'}, answers: ['wait', 'wait'],
+	},
+];
+
+for (const {name, rooms, changes, ageMilliseconds = 0, answers} of LENDING_CASES) {
+	test(`requests of a full pool ${name}`, async t => {
+		const {context, dispatcher, requestSlot} = await setUpFull();
+		dispatcher.applyRooms(rooms);
+		await context.pass(ageMilliseconds);
+		const received = [requestSlot('x', changes).answer, requestSlot('x', changes).answer];
+		t.deepEqual(received.map(answer => answer.kind === 'elsewhere' ? `elsewhere ${answer.pool}` : answer.kind), answers);
 	});
 }
+
+test('a lent request is granted at once or refused, and takes no place in the queue', async t => {
+	const {dispatcher, requestSlot} = await setUpFull();
+	t.is(requestSlot('x', {failureDomain: 'y', isAgain: true}).answer.kind, 'refuse');
+	const {id} = requestSlot('z', {failureDomain: 'x', isAgain: true});
+	dispatcher.end({id, ending: 'success', milliseconds: 10});
+	t.is(requestSlot('w', {failureDomain: 'x', isAgain: true}).answer.kind, 'refuse');
+	t.deepEqual(dispatcher.listUpstreamReports(SERVICE).map(({taken}) => taken), [2, 0, 0, 0, 0, 0, 0, 0, 0]);
+});
+
+test('requests of a pool whose upstreams are all suspended go to other pools, except for trials', async t => {
+	// Guards against the loss of all requests of a failure domain whose upstreams fail together while those of the others have free slots, and against
+	// upstreams that are never tried again because of it.
+	const {context, dispatcher, requestSlot} = setUpDispatcher({isLending: true});
+	requestSlot('x');
+	for (const upstream of ['x0', 'x1', 'x2', 'x3']) {
+		dispatcher.applyBelief({service: SERVICE, upstream, doubt: 20});
+	}
+
+	await context.pass(100);
+	const kinds: string[] = [];
+	for (let count = 0; count < 30; count++) {
+		dispatcher.applyRooms([[SERVICE, 'y', 8, 0]]);
+		const {id, answer} = requestSlot('x', {requestClass: 'read'});
+		kinds.push(answer.kind);
+		if (answer.kind === 'grant') {
+			dispatcher.end({id, ending: 'reset', milliseconds: 10});
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- One after the other.
+		await context.pass(100);
+	}
+
+	t.deepEqual(new Set(kinds), new Set(['grant', 'elsewhere']));
+	t.true(kinds.filter(kind => kind === 'grant').length <= 10);
+});
+
+test('a pool without requests tells its free slots while another pool is in use, and no longer', async t => {
+	// Guards against upstreams of a domain without callers that stay unused while the other domains refuse requests.
+	const fleet = createPoolFleet({candidates: createCandidates({x: 1, y: 4, z: 4}), entryDomains: ['x', 'y', 'z']});
+	const request = async () => fleet.entries[0]!.client.requestSlot(fixture.SLOT_REQUEST_DRAFT).answer;
+	const near = [await request(), await request()];
+	t.deepEqual(near.map(answer => getUpstream(answer)), ['x0', 'x0']);
+	await fleet.context.pass(200);
+	const far = await Promise.all([request(), request(), request()]);
+	t.true(far.every(answer => /^[yz]/v.test(getUpstream(answer))));
+	await fleet.context.pass(3000);
+	const {length} = fleet.exchanged;
+	await fleet.context.pass(3000);
+	t.is(fleet.exchanged.length, length);
+});
+
+test('a lent request counts once, where it first arrived', async t => {
+	// Guards against resends beyond the retry budget: a request that earns a part of a resend at two dispatchers, and a host that counts in two pools.
+	const fleet = createPoolFleet({candidates: createCandidates({x: 1, y: 4, z: 4}), entriesPerDomain: 2});
+	await requestFromAll(fleet);
+	await fleet.context.pass(200);
+	fleet.received.length = 0;
+	const answer = await fleet.entries[0]!.client.requestSlot(fixture.SLOT_REQUEST_DRAFT).answer;
+	const [first, second, ...others] = fleet.received;
+	t.is(first, 'control-x x');
+	t.regex(second!, /^control-(?<pool>[yz]) \k<pool> again$/v);
+	t.deepEqual(others, []);
+	t.is(getUpstream(answer)[0], second!.at('control-'.length));
+	const shares = fleet.controls.map(({requestShare, failureDomain}) => requestShare.getOf(getPoolKey({service: SERVICE, pool: failureDomain}), fleet.context.now()));
+	t.deepEqual(shares.map(share => Math.round(share * 6)), [2, 2, 2]);
+});
+
+test('a request that another pool refuses returns to its own pool, and waits there', async t => {
+	const fleet = createPoolFleet({candidates: createCandidates({x: 1, y: 4, z: 4}), entriesPerDomain: 1});
+	const [entry] = fleet.entries;
+	const first = await entry!.client.requestSlot(fixture.SLOT_REQUEST_DRAFT).answer;
+	await entry!.client.requestSlot(fixture.SLOT_REQUEST_DRAFT).answer;
+	fleet.controls[0]!.dispatcher.applyRooms([[SERVICE, 'w', 9, 0]]);
+	fleet.received.length = 0;
+	const last = entry!.client.requestSlot(fixture.SLOT_REQUEST_DRAFT);
+	await fleet.context.pass(10);
+	t.is(fleet.received[0], 'control-x x');
+	t.regex(fleet.received[1]!, /w again$/v);
+	t.is(fleet.received[2], 'control-x x again');
+	entry!.client.reportEnd(first.kind === 'grant' ? first.id : '', 'success', 10);
+	t.is(getUpstream(await last.answer), 'x0');
+	t.is(fleet.received.length, 3);
+});
--- a/packages/wagtailroute-fleet/src/__tests__/unit/slot-request-encoding.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/slot-request-encoding.test.ts
@@ -58,6 +58,7 @@
 	{kind: 'refuse', reason: 'budget', retryAfterMilliseconds: 100},
 	{kind: 'refuse', reason: 'allotment', retryAfterMilliseconds: 40},
 	{kind: 'wait'},
+	{kind: 'elsewhere', pool: 'y'},
 ];
 
 for (const answer of ANSWERS) {
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -1,6 +1,7 @@
 /**
 Times and bounds of a fleet whose slots are dispatched.
 */
+import type * as core from 'wagtailroute-core';
 
 /**
 Milliseconds that the hello of a link may take; a control host that is busy with its start takes longest.
@@ -571,3 +572,36 @@
 Entry hosts from which on a fleet counts as large: a dispatcher with 0.4 of a core doesn't answer the slot requests of more hosts in time.
 */
 export const LARGE_FLEET_ENTRY_HOSTS = 150;
+
+/**
+Milliseconds between two messages about the free slots of the pools of a host, and until one without a change is repeated: twice before it expires.
+*/
+export const ROOM_INTERVAL_MILLISECONDS = 50;
+export const ROOM_REPEAT_MILLISECONDS = 200;
+
+/**
+Milliseconds after which a report of free slots no longer counts.
+*/
+export const ROOM_EXPIRY_MILLISECONDS = 500;
+
+/**
+Milliseconds after the last slot request of a pool for which its free slots are reported.
+*/
+export const POOL_USE_MILLISECONDS = 1000;
+
+/**
+Expected wait in a pool, in milliseconds, above which a request is lent to another one. It leaves the failure domain then, which costs more for an upload.
+*/
+export const LENDING_WAIT_MILLISECONDS: Readonly<Record<core.RequestClass, number>> = {
+	read: 60, idempotent: 60, 'non-idempotent': 60, upload: 250,
+};
+
+/**
+Milliseconds between two requests that try the upstreams of a pool while all of them are suspended and other pools have free slots.
+*/
+export const POOL_TRIAL_INTERVAL_MILLISECONDS = 300;
+
+/**
+Milliseconds between two log lines about the requests that one pool lends to another.
+*/
+export const LENDING_LOG_INTERVAL_MILLISECONDS = 1000;
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -121,6 +121,10 @@
 		isReceivingUpdates: true,
 		onEntryHostCount: entryHostCount.record,
 		listCandidates: registry.listCandidates,
+		lending: {
+			failureDomain: settings.failureDomain,
+			isFirstDispatcher: pool => orderPoolDispatchers(pool, listControlHosts(), host => host)[0]?.id === self.id,
+		},
 		listEntryDomains: () => listEntryDomains(directory.getTable()),
 		listStandbys: pool => orderPoolDispatchers(pool, standbys, host => host).slice(0, STANDBYS_PER_SERVICE).map(host => host.id),
 		notify(host, method, parameters) {
@@ -212,6 +216,7 @@
 			saveBeliefs();
 		},
 		[messages.METHODS.updates]: dispatcher.applyUpdates,
+		[messages.METHODS.room]: dispatcher.applyRooms,
 		[messages.METHODS.beliefs](beliefs: readonly messages.Belief[]) {
 			dispatcher.mergeBeliefs(beliefs);
 		},
--- a/packages/wagtailroute-fleet/src/dispatch-client.ts
+++ b/packages/wagtailroute-fleet/src/dispatch-client.ts
@@ -145,6 +145,10 @@
 	requestedAt: number;
 	readonly usualMilliseconds: number;
 	/**
+	The host's own pool, while the request is lent to another one.
+	*/
+	ownPool?: core.FailureDomain;
+	/**
 	Number of dispatchers that gave no decision: they did not answer, their link was lost, or they answered `elsewhere`.
 	*/
 	failedDispatchers: number;
@@ -421,6 +425,11 @@
 	#handleFirstAnswer(pending: PendingSlotRequest, answer: SlotAnswer): void {
 		if (answer.kind === 'wait') {
 			pending.isWaiting = true;
+		} else if (pending.ownPool !== undefined && answer.kind !== 'grant') {
+			this.#pending.delete(pending.request.id);
+			this.#retry(pending);
+		} else if (answer.kind === 'elsewhere' && answer.pool !== undefined) {
+			this.#lend(pending, answer.pool);
 		} else if (answer.kind === 'elsewhere') {
 			this.#finder.markUnresponsive(pending.dispatcher!);
 			this.#retryElsewhere([pending]);
@@ -429,6 +438,18 @@
 		}
 	}
 
+	/**
+	Sends a request to a pool that has free slots. If it gets none there, it returns to the own pool, and stays.
+	*/
+	#lend(pending: PendingSlotRequest, pool: core.FailureDomain): void {
+		const {id, service, pool: ownPool} = pending.request;
+		this.#context.metrics.count('slot_requests_elsewhere', {service, pool});
+		this.#pending.delete(id);
+		pending.request = {...pending.request, pool};
+		this.#retry(pending);
+		pending.ownPool = ownPool;
+	}
+
 	/**
 	Sends the requests of a dispatcher that did not answer to other dispatchers: each would reach the same timeout, one after the other. Requests
 	that are queued there for a slot stay, unless the link was silent for the whole timeout: the dispatcher may be frozen, and would then never answer.
@@ -560,9 +581,11 @@
 
 	#retry(pending: PendingSlotRequest, excluded: readonly core.UpstreamId[] = []): void {
 		const now = this.#context.now();
-		const {request} = pending;
+		const {request, ownPool} = pending;
+		pending.ownPool = undefined;
 		pending.request = {
 			...request,
+			...ownPool !== undefined && {pool: ownPool},
 			id: this.#createId(),
 			isAgain: true,
 			excluded: [...request.excluded, ...excluded],
--- a/packages/wagtailroute-fleet/src/host-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/host-dispatcher.ts
@@ -21,6 +21,7 @@
 import {createPeerUpdates} from './peer-updates.ts';
 import {createPoolDispatcher} from './pools/pool-dispatcher.ts';
 import {getPoolKey, type Pool} from './pools/pool-key.ts';
+import {createPoolLending, isLent, type PoolLendingOptions} from './pools/pool-lending.ts';
 import {
 	type SlotAnswer,
 	type Belief,
@@ -28,6 +29,7 @@
 	type GrantEnd,
 	type HandoverReport,
 	METHODS,
+	type RoomReport,
 	type ServiceUpdates,
 } from './messages.ts';
 import {createRecentRequestingHosts, type RecentRequestingHosts} from './recent-requesting-hosts.ts';
@@ -61,6 +63,10 @@
 	*/
 	readonly applyUpdates: (message: ServiceUpdates) => void;
 	/**
+	Applies what another dispatcher tells about the free slots of its pools.
+	*/
+	readonly applyRooms: (rooms: readonly RoomReport[]) => void;
+	/**
 	Returns everything that upstreams advertise and that is in force, by service.
 	*/
 	readonly listUpdates: () => readonly ServiceUpdates[];
@@ -130,6 +136,10 @@
 	*/
 	readonly listEntryDomains?: () => readonly core.FailureDomain[];
 	/**
+	Absent: requests are never lent to other pools, as on entry hosts, which receive no reports of their free slots.
+	*/
+	readonly lending?: Pick<PoolLendingOptions, 'failureDomain' | 'isFirstDispatcher'>;
+	/**
 	Returns the entry hosts that dispatch the service or the pool next when no control host does. They receive updates even if they send no requests of
 	the service.
 	*/
@@ -348,12 +358,58 @@
 		.filter(({doubt}) => doubt > 0)
 		.map(({upstream, doubt}): Belief => ({service, upstream, doubt}))).toArray();
 
+	const lending = options.lending && createPoolLending(context, {
+		...options.lending,
+		dispatcher,
+		notifyControlHosts: options.notifyControlHosts,
+		ensurePool(pool) {
+			ensureCandidates(pool.service);
+			dispatcher.ensurePool(pool, now());
+		},
+	});
+
+	/**
+	Takes back what was decided on a request that goes to another pool.
+	*/
+	const withdraw = (request: dispatch.SlotRequest, decision: Decision | undefined) => {
+		if (decision === undefined) {
+			dispatcher.cancel(request.id, now());
+		} else if (decision.kind === 'grant') {
+			applyEffects(dispatcher.end(request.id, {ending: 'unused', milliseconds: 0}, now()));
+		}
+
+		refundAllotment(request);
+	};
+
+	/**
+	Answers a request of another pool: it never waits here, since its own pool is the better place for that.
+	*/
+	const answerLent = (request: dispatch.SlotRequest, decision: Decision | undefined): SlotAnswer => {
+		metrics.count('lent_slot_requests', {service: request.service, pool: request.pool!, outcome: decision?.kind === 'grant' ? 'granted' : 'refused'});
+		if (decision?.kind === 'grant') {
+			recordGrant(decision);
+			return toAnswer(decision);
+		}
+
+		withdraw(request, decision);
+		return LENT_REFUSAL;
+	};
+
 	metrics.registerGauge('asks_waiting', () => dispatcher.countWaiting());
 	return {
 		requestSlot(request) {
 			ensureCandidates(request.service);
 			dispatcher.ensurePool(request, now());
-			recordRequestingHost(request);
+			if (isLent(request) && dispatcher.resolve(request).pool === undefined) {
+				return LENT_REFUSAL;
+			}
+
+			// A lent request counts where it first arrived.
+			if (!isLent(request)) {
+				recordRequestingHost(request);
+				lending?.recordRequest(dispatcher.resolve(request));
+			}
+
 			if (!dispatcher.hasUpstreams(request)) {
 				log.warn('A slot request was sent elsewhere: no upstream of its service is known.', {id: request.id, service: request.service});
 				return {kind: 'elsewhere'};
@@ -368,18 +424,29 @@
 			const ownDecision = effects.find(effect => isDecision(effect) && effect.request.id === request.id);
 			applyEffects(effects.filter(effect => effect !== ownDecision));
 			scheduleTick();
-			if (ownDecision === undefined || !isDecision(ownDecision)) {
+			const decision = ownDecision !== undefined && isDecision(ownDecision) ? ownDecision : undefined;
+			if (isLent(request)) {
+				return answerLent(request, decision);
+			}
+
+			const pool = lending?.choose(request, decision && toAnswer(decision));
+			if (pool !== undefined) {
+				withdraw(request, decision);
+				return {kind: 'elsewhere', pool};
+			}
+
+			if (decision === undefined) {
 				return {kind: 'wait'};
 			}
 
-			if (ownDecision.kind === 'refuse') {
+			if (decision.kind === 'refuse') {
 				refundAllotment(request);
-				logRefusal(ownDecision);
+				logRefusal(decision);
 			} else {
-				recordGrant(ownDecision);
+				recordGrant(decision);
 			}
 
-			return toAnswer(ownDecision);
+			return toAnswer(decision);
 		},
 		cancel(id, reclaimedMilliseconds = 0) {
 			options.allotmentEnforcer?.reclaimTime(reclaimedMilliseconds);
@@ -405,6 +472,9 @@
 			applyEffects(dispatcher.recordAdvertisements(id, advertisements, now()));
 		},
 		applyUpdates,
+		applyRooms(rooms) {
+			lending?.applyRooms(rooms);
+		},
 		listUpdates: () => dispatcher.listUpdates(now()).entries().map(([service, updates]): ServiceUpdates => ({service, updates})).toArray(),
 		applyHandover(host, {service, pool, places, updates = [], uses, entryHosts}) {
 			ensureCandidates(service);
@@ -451,6 +521,11 @@
 	};
 }
 
+/**
+The answer to a lent request that is not granted at once. The requesting host sends it to its own pool again, and never to the caller.
+*/
+const LENT_REFUSAL: SlotDecision = {kind: 'refuse', reason: 'no-slot-in-time', retryAfterMilliseconds: 0};
+
 type Decision = Extract<dispatch.Effect, {kind: 'grant' | 'refuse'}>;
 
 function isDecision(effect: dispatch.Effect): effect is Decision {
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -39,6 +39,7 @@
 	beliefs: 'dispatch.beliefs',
 	advertised: 'dispatch.advertised',
 	updates: 'dispatch.updates',
+	room: 'dispatch.room',
 	use: 'allotments.use',
 	standbys: 'dispatch.standbys',
 	directory: 'fleet.directory',
@@ -143,7 +144,7 @@
 
 /**
 The first answer to a slot request. `wait`: the decision follows as a message. `elsewhere`: the dispatcher knows no upstream of the service,
-since it has just started; other hosts may know some.
+since it has just started; other hosts may know some. With a pool, the failure domain: that pool of the service has free slots.
 */
 export type SlotAnswer =
 	| {
@@ -154,7 +155,7 @@
 	}
 	| {readonly kind: 'refuse'; readonly reason: dispatch.RefusalReason; readonly retryAfterMilliseconds: number}
 	| {readonly kind: 'wait'}
-	| {readonly kind: 'elsewhere'};
+	| {readonly kind: 'elsewhere'; readonly pool?: core.FailureDomain};
 
 /**
 An answer that ends a slot request.
@@ -203,6 +204,11 @@
 	readonly updates: readonly dispatch.UpstreamUpdate[];
 };
 
+/**
+Capacity of a pool, as its dispatcher tells the other control hosts: free slots and queued requests; 1 if none of its slots are requested at present.
+*/
+export type RoomReport = readonly [service: core.ServiceName, pool: core.FailureDomain, free: number, queued: number, isIdle?: 1];
+
 /**
 A dispatcher's doubt about an upstream: 0 for none, higher the more its failures speak against it.
 */
--- a/packages/wagtailroute-fleet/src/pools/pool-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/pools/pool-dispatcher.ts
@@ -38,6 +38,10 @@
 	@param key Key of a pool.
 	*/
 	readonly reportBudget: (key: string, now: number) => dispatch.BudgetReport | undefined;
+	/**
+	Returns the number of slot requests that are queued in a pool.
+	*/
+	readonly countQueued: (pool: Required<Pool>) => number;
 	readonly listIdleUpstreams: (pool: Pool, now: number) => readonly dispatch.IdleUpstream[];
 	readonly replaceHeldSlots: (host: core.HostId, pool: Pool, reports: readonly dispatch.HeldSlotReport[], now: number) => void;
 };
@@ -57,6 +61,11 @@
 	readonly #candidates = new Map<core.ServiceName, readonly dispatch.Candidate[]>();
 	readonly #recordsByKey = new Map<string, PoolRecord>();
 	readonly #recordsByService = new Map<core.ServiceName, PoolRecord[]>();
+	/**
+	Keys of the pools in which slot requests are queued.
+	*/
+	readonly #queuedKeys = new Map<dispatch.SlotRequestId, string>();
+	readonly #queuedCounts = new Map<string, number>();
 	#entryDomainsText = '';
 
 	constructor(dispatcher: dispatch.Dispatcher, listEntryDomains: () => readonly core.FailureDomain[]) {
@@ -83,10 +92,21 @@
 
 	requestSlot(request: dispatch.SlotRequest, now: number): readonly dispatch.Effect[] {
 		const key = this.#ensureRecord(request, now);
-		return this.#restore(this.#dispatcher.requestSlot(key === request.service ? request : {...request, service: key}, now), now);
+		if (key === request.service) {
+			return this.#restore(this.#dispatcher.requestSlot(request, now), now);
+		}
+
+		const effects = this.#dispatcher.requestSlot({...request, service: key}, now);
+		if (effects.every(effect => !('request' in effect && effect.request.id === request.id))) {
+			this.#queuedKeys.set(request.id, key);
+			this.#changeQueued(key, 1);
+		}
+
+		return this.#restore(effects, now);
 	}
 
 	cancel(id: dispatch.SlotRequestId, now: number): dispatch.SlotRequest | undefined {
+		this.#removeQueued(id);
 		return this.#restoreRequest(this.#dispatcher.cancel(id, now));
 	}
 
@@ -155,6 +175,14 @@
 		return [...this.#refreshEntryDomains(now), ...this.#restore(this.#dispatcher.tick(now), now)];
 	}
 
+	estimateWait(id: dispatch.SlotRequestId, now: number): number | undefined {
+		return this.#dispatcher.estimateWait(id, now);
+	}
+
+	countQueued(pool: Required<Pool>): number {
+		return this.#queuedCounts.get(getPoolKey(pool)) ?? 0;
+	}
+
 	countWaiting(): number {
 		return this.#dispatcher.countWaiting();
 	}
@@ -169,7 +197,7 @@
 
 	report({service, pool}: Pool, now: number): readonly dispatch.UpstreamReport[] {
 		if (pool !== undefined) {
-			return this.#dispatcher.report(getPoolKey(this.resolve({service, pool})), now);
+			return this.#dispatcher.report(getPoolKey({service, pool}), now);
 		}
 
 		const reports = this.#listKeys(service).flatMap(key => this.#dispatcher.report(key, now));
@@ -190,6 +218,20 @@
 		return this.#dispatcher.listIdleUpstreams(getPoolKey(this.resolve(pool)), now);
 	}
 
+	#changeQueued(key: string, change: number): void {
+		this.#queuedCounts.set(key, (this.#queuedCounts.get(key) ?? 0) + change);
+	}
+
+	#removeQueued(id: dispatch.SlotRequestId): void {
+		const key = this.#queuedKeys.get(id);
+		if (key === undefined) {
+			return;
+		}
+
+		this.#queuedKeys.delete(id);
+		this.#changeQueued(key, -1);
+	}
+
 	#listRecords(service: core.ServiceName): readonly PoolRecord[] {
 		return this.#recordsByService.get(service) ?? [];
 	}
@@ -273,6 +315,7 @@
 
 		return effects.flatMap(effect => {
 			if (effect.kind === 'grant' || effect.kind === 'refuse') {
+				this.#removeQueued(effect.request.id);
 				return [{...effect, request: this.#restoreRequest(effect.request)!}];
 			}
 
--- a/packages/wagtailroute-fleet/src/slot-request-encoding.ts
+++ b/packages/wagtailroute-fleet/src/slot-request-encoding.ts
@@ -48,13 +48,14 @@
 ];
 
 /**
-An answer: a granted upstream with its address and 1 for a trial, a refusal with the milliseconds until a resend makes sense, "wait", or "elsewhere".
+An answer: a granted upstream with its address and 1 for a trial, a refusal with the milliseconds until a resend makes sense, "wait", or "elsewhere",
+where applicable with the failure domain of a pool that has free slots.
 */
 export type EncodedAnswer =
 	| readonly ['grant', core.UpstreamId, string, number]
 	| readonly ['refuse', dispatch.RefusalReason, number]
 	| readonly ['wait']
-	| readonly ['elsewhere'];
+	| readonly ['elsewhere', core.FailureDomain?];
 
 /**
 The cancellation of a slot request, with the milliseconds lent with it that the host takes back.
@@ -175,7 +176,7 @@
 	grant: ({upstream, address, isTrial}) => ['grant', upstream, `${address.ip}:${address.port}`, Number(isTrial)],
 	refuse: ({reason, retryAfterMilliseconds}) => ['refuse', reason, Math.ceil(retryAfterMilliseconds)],
 	wait: () => ['wait'],
-	elsewhere: () => ['elsewhere'],
+	elsewhere: ({pool}) => pool === undefined ? ['elsewhere'] : ['elsewhere', pool],
 };
 
 /**
@@ -189,8 +190,13 @@
 Decodes an answer.
 */
 export function decodeAnswer(answer: EncodedAnswer): SlotAnswer {
-	if (answer[0] === 'wait' || answer[0] === 'elsewhere') {
-		return {kind: answer[0]};
+	if (answer[0] === 'wait') {
+		return {kind: 'wait'};
+	}
+
+	if (answer[0] === 'elsewhere') {
+		const [, pool] = answer;
+		return {kind: 'elsewhere', ...pool !== undefined && {pool}};
 	}
 
 	if (answer[0] === 'refuse') {
