--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -132,7 +132,10 @@
 		},
 		notifyControlHosts(method, parameters) {
 			links.notifyAll(method, parameters);
-			saveBeliefs();
+			// Reports of free slots are frequent, and change no belief.
+			if (method !== messages.METHODS.room) {
+				saveBeliefs();
+			}
 		},
 	});
 	const beliefStore = createBeliefStore(settings.dataFolder, context.logs('beliefs'), {getTimeOfDay: Date.now});
