--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -323,6 +323,14 @@
 		}).toArray();
 	}
 
+	estimateWait(id: SlotRequestId, now: number): number | undefined {
+		const service = this.#servicesByQueuedId.get(id);
+		const queued = service?.queue.find(({request}) => request.id === id);
+		return service === undefined || queued === undefined
+			? undefined
+			: countQueuedUntil(service, queued.queueKey) * getUsualMilliseconds(service, queued.request) / countUsableSlots(service, queued.request, now);
+	}
+
 	countWaiting(): number {
 		return this.#servicesByQueuedId.size;
 	}
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -121,6 +121,10 @@
 		isReceivingUpdates: true,
 		onEntryHostCount: entryHostCount.record,
 		listCandidates: registry.listCandidates,
+		lending: {
+			failureDomain: settings.failureDomain,
+			isFirstDispatcher: pool => orderPoolDispatchers(pool, listControlHosts(), host => host)[0]?.id === self.id,
+		},
 		listEntryDomains: () => listEntryDomains(directory.getTable()),
 		listStandbys: pool => orderPoolDispatchers(pool, standbys, host => host).slice(0, STANDBYS_PER_SERVICE).map(host => host.id),
 		notify(host, method, parameters) {
@@ -128,7 +132,10 @@
 		},
 		notifyControlHosts(method, parameters) {
 			links.notifyAll(method, parameters);
-			saveBeliefs();
+			// Reports of free slots are frequent, and change no belief.
+			if (method !== messages.METHODS.room) {
+				saveBeliefs();
+			}
 		},
 	});
 	const beliefStore = createBeliefStore(settings.dataFolder, context.logs('beliefs'), {getTimeOfDay: Date.now});
@@ -212,6 +219,7 @@
 			saveBeliefs();
 		},
 		[messages.METHODS.updates]: dispatcher.applyUpdates,
+		[messages.METHODS.room]: dispatcher.applyRooms,
 		[messages.METHODS.beliefs](beliefs: readonly messages.Belief[]) {
 			dispatcher.mergeBeliefs(beliefs);
 		},
