--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -605,3 +605,9 @@
 Milliseconds between two log lines about the requests that one pool lends to another.
 */
 export const LENDING_LOG_INTERVAL_MILLISECONDS = 1000;
+
+/**
+Upstreams that the smallest pool of a service needs for the service to be divided. At times a third of the upstreams fail; in a pool of a few that may be
+most of them, while the others of the service have free slots.
+*/
+export const MIN_POOL_UPSTREAMS = 16;
--- a/packages/wagtailroute-fleet/src/pools/pool-choice.ts
+++ b/packages/wagtailroute-fleet/src/pools/pool-choice.ts
@@ -1,9 +1,10 @@
 /**
-Chooses the pool from which an entry host requests slots: that of its own failure domain if overload control is on and the domain has upstreams of the
-service that accept requests, otherwise the undivided service.
+Chooses the pool from which an entry host requests slots: that of its own failure domain if overload control is on and every failure domain with upstreams
+of the service, the own one among them, has enough of them, otherwise the undivided service.
 */
 import type * as core from 'wagtailroute-core';
 import type * as dispatch from 'wagtailroute-dispatch';
+import {MIN_POOL_UPSTREAMS} from '../constants.ts';
 import type {FleetContext} from '../context.ts';
 import type {OverloadControl} from '../overload-control.ts';
 
@@ -28,6 +29,11 @@
 	readonly failureDomain: core.FailureDomain;
 	readonly overloadControl: OverloadControl;
 	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
+	/**
+	Upstreams that each pool of a service needs for the service to be divided; a divided one stays so with half of them, so that single upstreams that come
+	and go don't change the division.
+	*/
+	readonly minUpstreams?: number;
 };
 
 /**
@@ -35,24 +41,27 @@
 */
 export function createPoolChoice(
 	{logs, metrics}: Pick<FleetContext, 'logs' | 'metrics'>,
-	{failureDomain, overloadControl, listCandidates}: PoolChoiceOptions,
+	{
+		failureDomain, overloadControl, listCandidates, minUpstreams = MIN_POOL_UPSTREAMS,
+	}: PoolChoiceOptions,
 ): PoolChoice {
 	const log = logs('pools');
 	/**
-	Whether the own failure domain has upstreams of a service. Read once for each change of its instances, since a service may have hundreds.
+	The number of upstreams in the smallest pool of a service, 0 without a pool of the own failure domain. Counted once for each change of its instances,
+	since a service may have hundreds.
 	*/
-	const hasNearUpstreams = new Map<core.ServiceName, boolean>();
+	const smallestPools = new Map<core.ServiceName, number>();
 	const isDivided = new Map<core.ServiceName, boolean>();
 
-	const hasNear = (service: core.ServiceName) => {
-		const known = hasNearUpstreams.get(service);
+	const getSmallestPool = (service: core.ServiceName) => {
+		const known = smallestPools.get(service);
 		if (known !== undefined) {
 			return known;
 		}
 
-		const isNear = listCandidates(service).some(candidate => candidate.failureDomain === failureDomain && !candidate.isDraining);
-		hasNearUpstreams.set(service, isNear);
-		return isNear;
+		const smallest = countSmallestPool(listCandidates(service), failureDomain);
+		smallestPools.set(service, smallest);
+		return smallest;
 	};
 
 	const logChange = (service: core.ServiceName, isNowDivided: boolean) => {
@@ -74,12 +83,22 @@
 				return undefined;
 			}
 
-			const isNear = hasNear(service);
-			logChange(service, isNear);
-			return isNear ? failureDomain : undefined;
+			const minimum = isDivided.get(service) === true ? minUpstreams / 2 : minUpstreams;
+			const isLargeEnough = getSmallestPool(service) >= minimum;
+			logChange(service, isLargeEnough);
+			return isLargeEnough ? failureDomain : undefined;
 		},
 		refresh(service) {
-			hasNearUpstreams.delete(service);
+			smallestPools.delete(service);
 		},
 	};
 }
+
+function countSmallestPool(candidates: readonly dispatch.Candidate[], ownDomain: core.FailureDomain): number {
+	const counts = new Map<core.FailureDomain, number>();
+	for (const {failureDomain, isDraining} of candidates) {
+		counts.set(failureDomain, (counts.get(failureDomain) ?? 0) + (isDraining ? 0 : 1));
+	}
+
+	return Math.min(counts.get(ownDomain) ?? 0, ...counts.values());
+}
