Dispatcher: indexes of upstreams in place of scans for each slot request

A slot request and its end listed and classified all upstreams of the service several times. The upstreams are now kept in an index by failure domain, which changes with each of them and when time alone changes its class (doubt, closures, backoffs, due trials, tokens). A choice compares up to 64 free upstreams, and what queued requests have in common is determined once per scan of the queue. The log line of a refusal takes its counts from the index.

--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -6,23 +6,15 @@
 */
 import * as core from 'wagtailroute-core';
 import type {SlotRequest} from './slot-requests.ts';
-import type {Policy} from './policy.ts';
 import {
 	getCost,
-	getDomainCost,
 	getShortfallTrialDelay,
 	isRested,
 } from './costs/index.ts';
-import {
-	getBackoff,
-	getDoubt,
-	getRisk,
-	hasCapacity,
-	isPathSuspect,
-	isServing,
-	isSuspended,
-	type Upstream,
-} from './upstreams.ts';
+import type {DomainWait} from './domain-wait.ts';
+import {isAvailable} from './eligibility.ts';
+import {getDoubt, type Upstream} from './upstreams.ts';
+import type {UpstreamIndex} from './upstream-index.ts';
 
 /**
 A chosen upstream.
@@ -46,39 +38,39 @@
 	*/
 	readonly queuedMilliseconds: number;
 	/**
-	All upstreams of the service, with or without a free slot.
+	Upstreams of the service.
 	*/
-	readonly allUpstreams: ReadonlyMap<core.UpstreamId, Upstream>;
+	readonly index: UpstreamIndex;
 	/**
 	Whether idle upstreams are tried sooner, since requests fail and no idempotent ones came recently.
 	*/
 	readonly needsIdleUpstreams: boolean;
-	readonly policy: Policy;
+	readonly domainWait: DomainWait;
 };
 
-const DOMAIN_WAIT_FIELDS = {
-	read: 'domainWaitMilliseconds',
-	idempotent: 'domainWaitMilliseconds',
-	'non-idempotent': 'unrepeatableDomainWaitMilliseconds',
-	upload: 'uploadDomainWaitMilliseconds',
-} as const satisfies Record<core.RequestClass, keyof Policy>;
-
 /**
 Returns the available upstream with the lowest cost; undefined when there is none, or when the request should wait for a slot in its own failure
 domain.
-
-@param upstreams Upstreams that are not suspended and have a free slot.
 */
-export function choose(upstreams: Iterable<Upstream>, request: SlotRequest, context: ChoiceContext): Choice | undefined {
-	const {now, random, needsIdleUpstreams} = context;
+export function choose(request: SlotRequest, context: ChoiceContext): Choice | undefined {
+	const {
+		now, random, needsIdleUpstreams, index, domainWait, queuedMilliseconds,
+	} = context;
+	const mayExplore = needsIdleUpstreams || core.isIdempotent(request.requestClass);
+	// Spares the costs of all upstreams for each of many queued requests that can only cross.
+	if (!mayExplore && !hasAvailableInDomain(request, context) && domainWait.isWaiting(request, queuedMilliseconds)) {
+		return undefined;
+	}
+
 	let best: Upstream | undefined;
 	let bestCost = Infinity;
-	for (const upstream of upstreams) {
+	for (const upstream of index.listFree(now, request.failureDomain, other => isAvailable(other, request, now))) {
 		if (!isAvailable(upstream, request, now)) {
 			continue;
 		}
 
-		const cost = getCost(upstream, request, {now, needsIdleUpstreams}) + (random() * upstream.policy.spreadCost);
+		const spread = random() * upstream.policy.spreadCost;
+		const cost = getCost(upstream, request, {now, needsIdleUpstreams}, bestCost - spread) + spread;
 		if (!(cost < bestCost)) {
 			continue;
 		}
@@ -88,24 +80,12 @@
 	}
 
 	const isCrossing = best !== undefined && best.candidate.failureDomain !== request.failureDomain;
-	const isExploring = best !== undefined && (needsIdleUpstreams || core.isIdempotent(request.requestClass)) && isRested(best, now);
-	return best === undefined || (isCrossing && !isExploring && isWaitingForOwnDomain(request, context)) ? undefined : {upstream: best, isTrial: false};
+	const isExploring = best !== undefined && mayExplore && isRested(best, now);
+	return best === undefined || (isCrossing && !isExploring && domainWait.isWaiting(request, queuedMilliseconds)) ? undefined : {upstream: best, isTrial: false};
 }
 
-/**
-Returns whether a request should wait for a slot in its own failure domain. Under load one becomes free there within milliseconds. If each request
-took the first free slot of any domain, nearly half of all requests would cross, each leaving a slot in its own domain to another that crosses.
-*/
-function isWaitingForOwnDomain(request: SlotRequest, {now, queuedMilliseconds, allUpstreams, policy}: ChoiceContext): boolean {
-	const remainingWait = policy[DOMAIN_WAIT_FIELDS[request.requestClass]] - queuedMilliseconds;
-	return !request.isResend
-		&& remainingWait > 0
-		&& allUpstreams.values().some(upstream => upstream.candidate.failureDomain === request.failureDomain
-			&& !isSuspended(upstream, now)
-			&& (upstream.rateLimit?.getDelay(now) ?? 0) < remainingWait
-			&& isEligible(upstream, request, now)
-			// Crossing is better than an upstream at which the request is likely to fail.
-			&& getRisk(upstream, now) * policy.riskCost < getDomainCost(request, policy));
+function hasAvailableInDomain(request: SlotRequest, {index, now}: ChoiceContext): boolean {
+	return index.hasFreeInDomain(now, request.failureDomain, upstream => isAvailable(upstream, request, now));
 }
 
 /**
@@ -149,12 +129,12 @@
 /**
 Returns the suspended upstream with the least doubt, or undefined. It serves a request that would otherwise be refused.
 */
-export function chooseFallback(upstreams: Iterable<Upstream>, request: SlotRequest, now: number): Choice | undefined {
+export function chooseFallback(index: UpstreamIndex, request: SlotRequest, now: number): Choice | undefined {
 	let best: Upstream | undefined;
 	let bestDoubt = Infinity;
-	for (const upstream of upstreams) {
+	for (const upstream of index.listSuspended(now, other => isAvailable(other, request, now))) {
 		const doubt = getDoubt(upstream, now);
-		if (!(doubt < bestDoubt && isSuspended(upstream, now) && isAvailable(upstream, request, now))) {
+		if (!(doubt < bestDoubt && isAvailable(upstream, request, now))) {
 			continue;
 		}
 
@@ -166,31 +146,17 @@
 }
 
 /**
-Returns whether an upstream can take the request now, whether or not it is suspended.
-*/
-function isAvailable(upstream: Upstream, request: SlotRequest, now: number): boolean {
-	return hasCapacity(upstream, now)
-		&& upstream.closedUntil <= now
-		&& isEligible(upstream, request, now);
-}
-
-/**
-Returns whether an upstream can take the request as soon as it has capacity.
+Returns whether the request may be a trial: one trial at a time, none of a silent upstream, and none with a resend, which has failed already.
 */
-function isEligible(upstream: Upstream, request: SlotRequest, now: number): boolean {
-	const {candidate} = upstream;
-	return isServing(upstream)
-		&& candidate.slots > 0
-		&& !request.excluded.includes(candidate.upstream)
-		&& getBackoff(upstream, request.host, now) === 0
-		&& !isPathSuspect(upstream, request.host, now);
+function isTrialAllowed({candidate, heldSlots}: Upstream, request: SlotRequest): boolean {
+	return !request.isResend && !candidate.isSilent && heldSlots.size === 0;
 }
 
 /**
-Returns whether the request may be a trial: one trial at a time, none of a silent upstream, and none with a resend, which has failed already.
+Returns whether the request may be a trial of the upstream at its time.
 */
-function isTrialAllowed({candidate, heldSlots}: Upstream, request: SlotRequest): boolean {
-	return !request.isResend && !candidate.isSilent && heldSlots.size === 0;
+export function isTrialDue(upstream: Upstream, request: SlotRequest, context: TrialContext): boolean {
+	return getTrialDueAt(upstream, request, context) <= context.now;
 }
 
 /**
--- a/packages/wagtailroute-dispatch/src/constants.ts
+++ b/packages/wagtailroute-dispatch/src/constants.ts
@@ -14,6 +14,13 @@
 */
 export const MAX_QUEUE_SCAN = 64;
 
+/**
+Upstreams that are compared for one slot request. Up to this number of free ones all are; beyond it, those of the failure domain of the entry host
+come first, up to the second bound.
+*/
+export const MAX_CANDIDATES = 64;
+export const MAX_OWN_DOMAIN_CANDIDATES = 48;
+
 export const MILLISECONDS_PER_SECOND = 1000;
 
 /**
--- a/packages/wagtailroute-dispatch/src/costs/index.ts
+++ b/packages/wagtailroute-dispatch/src/costs/index.ts
@@ -18,20 +18,19 @@
 	load: getLoadCost,
 	crossing: getCrossingCost,
 	doubt: getDoubtCost,
-	risk: getRiskCost,
 	rest: getRestCost,
 } as const satisfies Record<string, CostTerm>;
 
 const TERM_LIST: readonly CostTerm[] = Object.values(TERMS);
 
 /**
-Returns the sum of all terms.
+Returns the sum of all terms. Without the risk, which takes longest to compute and is never negative, when the other terms reach the limit already.
 */
-export function getCost(upstream: Upstream, request: SlotRequest, context: CostContext): number {
+export function getCost(upstream: Upstream, request: SlotRequest, context: CostContext, limit = Infinity): number {
 	let cost = 0;
 	for (const getTerm of TERM_LIST) {
 		cost += getTerm(upstream, request, context);
 	}
 
-	return cost;
+	return cost < limit ? cost + getRiskCost(upstream, request, context) : cost;
 }
--- a/packages/wagtailroute-dispatch/src/dispatcher-types.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher-types.ts
@@ -14,6 +14,7 @@
 import type {BudgetReport, BudgetSettings} from './budget.ts';
 import type {IdleUpstream} from './idle-upstreams.ts';
 import type {Policy} from './policy.ts';
+import type {UpstreamCounts} from './upstream-index.ts';
 
 /**
 Settings of a dispatcher.
@@ -155,6 +156,10 @@
 	*/
 	readonly report: (service: core.ServiceName, now: number) => readonly UpstreamReport[];
 	/**
+	Counts the upstreams of a service by state, and those from which an entry host backs off. The cost doesn't grow with the number of upstreams.
+	*/
+	readonly countUpstreams: (service: core.ServiceName, host: core.HostId, now: number) => UpstreamCounts & {readonly backingOff: number};
+	/**
 	Returns what is left of a service's retry budget at this dispatcher; undefined before its first request.
 	*/
 	readonly reportBudget: (service: core.ServiceName, now: number) => BudgetReport | undefined;
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -30,13 +30,14 @@
 	type ChoiceContext,
 	choose,
 	chooseFallback,
-	chooseTrial,
 } from './choosing.ts';
 import {
 	HELD_SLOT_GRACE_MILLISECONDS,
 	MAX_QUEUE_SCAN,
 } from './constants.ts';
 import type {Dispatcher, DispatcherSettings, UpstreamReport} from './dispatcher-types.ts';
+import {DomainWait} from './domain-wait.ts';
+import {QueueScan} from './queue-scan.ts';
 import {type IdleUpstream, listIdleUpstreams} from './idle-upstreams.ts';
 import {DEFAULT_POLICY} from './policy.ts';
 import {createShortfall} from './shortfall.ts';
@@ -44,7 +45,6 @@
 import {
 	countQueuedUntil,
 	countUsableSlots,
-	createTrialContext,
 	getBackoffDelay,
 	getQueueKey,
 	getUsualMilliseconds,
@@ -52,8 +52,6 @@
 	isBelowFloor,
 	isDeadlineUnreachable,
 	isObjectiveMissed,
-	listFreeUpstreams,
-	listTrialUpstreams,
 	needsIdleUpstreams,
 	type QueuedRequest,
 	recordUsualMilliseconds,
@@ -65,20 +63,23 @@
 	createHeldSlot,
 	createUpstream,
 	decayDoubt,
+	getBackoff,
 	getDoubt,
-	hasCapacity,
 	type HeldSlot,
 	isSuspended,
 	listBackoffs,
 	recordResponseTime,
 	type Upstream,
 } from './upstreams.ts';
+import {createUpstreamIndex, type UpstreamCounts, type UpstreamIndex} from './upstream-index.ts';
 
 /**
 Creates a dispatcher without services or upstreams.
+
+@param createIndex Creates the index of a service's upstreams; tests replace it.
 */
-export function createDispatcher(settings: DispatcherSettings): Dispatcher {
-	return new SlotDispatcher(settings);
+export function createDispatcher(settings: DispatcherSettings, createIndex: () => UpstreamIndex = createUpstreamIndex): Dispatcher {
+	return new SlotDispatcher(settings, createIndex);
 }
 
 class SlotDispatcher implements Dispatcher {
@@ -90,13 +91,16 @@
 	*/
 	readonly #servicesByQueuedId = new Map<SlotRequestId, Service>();
 
-	constructor(settings: DispatcherSettings) {
+	readonly #createIndex: () => UpstreamIndex;
+
+	constructor(settings: DispatcherSettings, createIndex: () => UpstreamIndex) {
 		this.#settings = settings;
+		this.#createIndex = createIndex;
 	}
 
 	requestSlot(request: SlotRequest, now: number): readonly Effect[] {
 		const service = this.#getService(request.service);
-		service.rateLimits.recordRequest(now);
+		this.#recordRequest(service, now);
 		if (request.isMove) {
 			return [this.#moveOrRefuse(service, request, now)];
 		}
@@ -139,7 +143,7 @@
 
 		const service = this.#getService(heldSlot.service);
 		const upstream = service.upstreams.get(heldSlot.upstream);
-		this.#releaseSlot(heldSlot);
+		this.#releaseSlot(heldSlot, now);
 		if (ending === 'unused' && heldSlot.request?.isResend === true) {
 			service.budget.refundResend(now);
 		}
@@ -161,6 +165,7 @@
 				service.rateLimits.consume(upstream, -1, now);
 			}
 
+			service.index.refresh(upstream, now);
 			if (isSuspended(upstream, now) !== wasSuspended) {
 				effects.push({
 					kind: 'believe',
@@ -186,6 +191,7 @@
 
 		const source = {upstream, host: heldSlot.host};
 		const effects = advertisements.flatMap(advertisement => recordAdvertisement(service, source, advertisement, now));
+		service.index.refresh(upstream, now);
 		return [...effects, ...this.#refuseUnservable(service, advertisements, now)];
 	}
 
@@ -193,9 +199,12 @@
 		const service = this.#getService(name);
 		for (const update of updates) {
 			const upstream = service.upstreams.get(update.upstream);
-			if (upstream !== undefined) {
-				applyUpdate(service, upstream, update, now);
+			if (upstream === undefined) {
+				continue;
 			}
+
+			applyUpdate(service, upstream, update, now);
+			service.index.refresh(upstream, now);
 		}
 
 		return this.#refuseUnservable(service, updates, now);
@@ -215,7 +224,7 @@
 
 	replaceHeldSlots(host: core.HostId, service: core.ServiceName, reports: readonly HeldSlotReport[], now: number): void {
 		for (const heldSlot of this.#heldSlots.values().filter(other => other.host === host && other.service === service)) {
-			this.#releaseSlot(heldSlot);
+			this.#releaseSlot(heldSlot, now);
 		}
 
 		const knownService = this.#getService(service);
@@ -223,7 +232,12 @@
 			const upstream = knownService.upstreams.get(report.upstream);
 			const heldSlot = createHeldSlot(report, knownService.usualMillisecondsByRoute.get(report.route) ?? (report.ageMilliseconds + report.remainingMilliseconds), now);
 			this.#heldSlots.set(heldSlot.id, heldSlot);
-			upstream?.heldSlots.set(heldSlot.id, heldSlot);
+			if (upstream === undefined) {
+				continue;
+			}
+
+			upstream.heldSlots.set(heldSlot.id, heldSlot);
+			knownService.index.refresh(upstream, now);
 		}
 	}
 
@@ -235,48 +249,61 @@
 			if (!candidateIds.has(id) && upstream.heldSlots.size === 0) {
 				service.rateLimits.remove(upstream);
 				service.upstreams.delete(id);
+				service.index.remove(upstream);
 			} else if (!candidateIds.has(id)) {
 				upstream.candidate = {...upstream.candidate, isDraining: true};
+				service.index.refresh(upstream, now);
 			}
 		}
 
 		for (const candidate of candidates) {
 			const existing = service.upstreams.get(candidate.upstream);
 			if (existing === undefined) {
-				service.upstreams.set(candidate.upstream, createUpstream(candidate, service.policy, now));
+				const upstream = createUpstream(candidate, service.policy, now);
+				service.upstreams.set(candidate.upstream, upstream);
+				service.index.add(upstream, now);
 			} else {
 				// A heartbeat with a new address, after the answer of another instance, means that the upstream has an address of its own again.
 				existing.isMisdirected &&= core.formatAddress(existing.candidate.address) === core.formatAddress(candidate.address);
 				existing.candidate = candidate;
+				service.index.refresh(existing, now);
 			}
 		}
 
 		return this.#serveQueue(service, now);
 	}
 
-	setDoubt(service: core.ServiceName, upstream: core.UpstreamId, doubt: number, now: number): void {
-		const known = this.#services.get(service)?.upstreams.get(upstream);
-		if (known !== undefined) {
-			applyReportedDoubt(known, doubt, now);
+	setDoubt(name: core.ServiceName, upstream: core.UpstreamId, doubt: number, now: number): void {
+		const service = this.#services.get(name);
+		const known = service?.upstreams.get(upstream);
+		if (service === undefined || known === undefined) {
+			return;
 		}
+
+		applyReportedDoubt(known, doubt, now);
+		service.index.refresh(known, now);
 	}
 
 	raiseDoubt(
-		service: core.ServiceName,
+		name: core.ServiceName,
 		upstream: core.UpstreamId,
 		{doubt, ageMilliseconds}: {readonly doubt: number; readonly ageMilliseconds: number},
 		now: number,
 	): void {
-		const known = this.#services.get(service)?.upstreams.get(upstream);
+		const service = this.#services.get(name);
+		const known = service?.upstreams.get(upstream);
 		const remainingDoubt = known === undefined ? 0 : decayDoubt(known.policy, doubt, ageMilliseconds);
-		if (known !== undefined && remainingDoubt > getDoubt(known, now)) {
-			applyReportedDoubt(known, remainingDoubt, now);
+		if (service === undefined || known === undefined || remainingDoubt <= getDoubt(known, now)) {
+			return;
 		}
+
+		applyReportedDoubt(known, remainingDoubt, now);
+		service.index.refresh(known, now);
 	}
 
 	tick(now: number): readonly Effect[] {
 		for (const heldSlot of this.#heldSlots.values().filter(other => other.deadlineAt + HELD_SLOT_GRACE_MILLISECONDS < now)) {
-			this.#releaseSlot(heldSlot);
+			this.#releaseSlot(heldSlot, now);
 		}
 
 		return this.#services.values().flatMap(service => [...this.#serveQueue(service, now), ...this.#refuseExpiring(service, now)]).toArray();
@@ -309,6 +336,11 @@
 		}));
 	}
 
+	countUpstreams(name: core.ServiceName, host: core.HostId, now: number): UpstreamCounts & {readonly backingOff: number} {
+		const index = this.#services.get(name)?.index ?? this.#createIndex();
+		return {...index.count(now), backingOff: index.listBackingOff(now).filter(upstream => getBackoff(upstream, host, now) > 0).length};
+	}
+
 	reportBudget(service: core.ServiceName, now: number): BudgetReport | undefined {
 		return this.#services.get(service)?.budget.report(now);
 	}
@@ -318,6 +350,19 @@
 		return service === undefined ? [] : listIdleUpstreams(service, now);
 	}
 
+	/**
+	Records a request for the rate limits. When the share of this dispatcher changed, so did all rates.
+	*/
+	#recordRequest({rateLimits, upstreams, index}: Service, now: number): void {
+		if (!rateLimits.recordRequest(now)) {
+			return;
+		}
+
+		for (const upstream of upstreams.values().filter(({rateLimit}) => rateLimit !== undefined)) {
+			index.refresh(upstream, now);
+		}
+	}
+
 	/**
 	Grants a free slot to a request that is in progress elsewhere, or refuses it. It is never queued: under load it would take a slot from a request
 	that was not sent yet, and discard the work done so far. A refusal uses none of the retry budget.
@@ -325,9 +370,7 @@
 	#moveOrRefuse(service: Service, request: SlotRequest, now: number): Effect {
 		const choice = service.queue.length > 0
 			? undefined
-			: choose(listFreeUpstreams(service, now), request, this.#createChoiceContext(service, {
-				now, queuedAt: now, needsIdleUpstreams: needsIdleUpstreams(service, now),
-			}));
+			: choose(request, {...this.#createChoiceContext(service, now), queuedMilliseconds: 0});
 		if (choice === undefined) {
 			return refuse(request, 'no-slot-in-time', service.policy.retryAfterLeastMilliseconds);
 		}
@@ -337,12 +380,14 @@
 			: refuse(request, 'budget', service.policy.retryAfterLeastMilliseconds);
 	}
 
-	#createChoiceContext(
-		{upstreams, policy}: Service,
-		{queuedAt, now, ...known}: Pick<ChoiceContext, 'now' | 'needsIdleUpstreams'> & {readonly queuedAt: number},
-	): ChoiceContext {
+	#createChoiceContext(service: Service, now: number): Omit<ChoiceContext, 'queuedMilliseconds'> {
+		const {index, policy} = service;
 		return {
-			...known, now, random: this.#settings.random, queuedMilliseconds: now - queuedAt, allUpstreams: upstreams, policy,
+			now,
+			random: this.#settings.random,
+			index,
+			domainWait: new DomainWait({now, index, policy}),
+			needsIdleUpstreams: needsIdleUpstreams(service, now),
 		};
 	}
 
@@ -350,6 +395,7 @@
 		const service: Service = this.#services.get(name) ?? {
 			name,
 			upstreams: new Map(),
+			index: this.#createIndex(),
 			queue: [],
 			usualMillisecondsByRoute: new Map(),
 			policy: this.#settings.policy ?? DEFAULT_POLICY,
@@ -380,6 +426,7 @@
 		upstream.heldSlots.set(heldSlot.id, heldSlot);
 		upstream.lastGrantedAt = now;
 		service.rateLimits.consume(upstream, 1, now);
+		service.index.refresh(upstream, now);
 		return {
 			kind: 'grant', request, upstream: heldSlot.upstream, address: upstream.candidate.address, isTrial,
 		};
@@ -394,11 +441,16 @@
 			: [];
 	}
 
-	#releaseSlot(heldSlot: HeldSlot): void {
+	#releaseSlot(heldSlot: HeldSlot, now: number): void {
 		this.#heldSlots.delete(heldSlot.id);
-		const upstreams = this.#services.get(heldSlot.service)?.upstreams;
-		const upstream = upstreams?.get(heldSlot.upstream);
-		upstream?.heldSlots.delete(heldSlot.id);
+		const service = this.#services.get(heldSlot.service);
+		const upstream = service?.upstreams.get(heldSlot.upstream);
+		if (service === undefined || upstream === undefined) {
+			return;
+		}
+
+		upstream.heldSlots.delete(heldSlot.id);
+		service.index.refresh(upstream, now);
 	}
 
 	#waitOrRefuse(service: Service, {request, queueKey}: QueuedRequest, now: number): readonly Effect[] {
@@ -430,7 +482,7 @@
 			&& !request.isResend
 			&& request.remainingMilliseconds >= getUsualMilliseconds(service, request) * service.policy.worthwhilePart;
 		const mayUseSuspended = mayExplore || isBelowFloor(service, this.#settings.floor, now);
-		const choice = mayUseSuspended ? chooseFallback(service.upstreams.values(), request, now) : undefined;
+		const choice = mayUseSuspended ? chooseFallback(service.index, request, now) : undefined;
 		if (choice !== undefined) {
 			return [this.#grant(service, request, choice, now)];
 		}
@@ -467,25 +519,24 @@
 	*/
 	#serveQueue(service: Service, now: number): readonly Effect[] {
 		const effects: Effect[] = [];
-		let freeUpstreams = listFreeUpstreams(service, now);
-		let trialUpstreams = listTrialUpstreams(service, now);
-		const context = {now, needsIdleUpstreams: needsIdleUpstreams(service, now)};
+		if (service.queue.length === 0) {
+			return effects;
+		}
+
+		const scan = new QueueScan(service, this.#createChoiceContext(service, now));
 		for (const queued of service.queue.slice(0, MAX_QUEUE_SCAN)) {
-			if (freeUpstreams.length === 0 && trialUpstreams.length === 0) {
+			if (scan.isOver()) {
 				break;
 			}
 
 			const request = {...queued.request, remainingMilliseconds: queued.deadlineAt - now};
-			const choice = chooseTrial(trialUpstreams, request, createTrialContext(service, now, {...context, isFull: freeUpstreams.length === 0}))
-				?? choose(freeUpstreams, request, this.#createChoiceContext(service, {...context, queuedAt: queued.queuedAt}));
+			const choice = scan.choose(request, now - queued.queuedAt);
 			if (choice === undefined) {
 				continue;
 			}
 
 			this.#dequeue(service, request.id);
 			effects.push(this.#grant(service, request, choice, now));
-			freeUpstreams = freeUpstreams.filter(upstream => hasCapacity(upstream, now));
-			trialUpstreams = trialUpstreams.filter(upstream => hasCapacity(upstream, now));
 		}
 
 		return effects;
--- a/packages/wagtailroute-dispatch/src/service-rate-limits.ts
+++ b/packages/wagtailroute-dispatch/src/service-rate-limits.ts
@@ -31,6 +31,10 @@
 	readonly #options: ServiceRateLimitsOptions;
 	readonly #limits = new Map<core.UpstreamId, UpstreamRateLimit>();
 	readonly #unpublishedLifts = new Set<core.UpstreamId>();
+	/**
+	Share that all limits have; undefined while they may differ.
+	*/
+	#appliedShare: number | undefined;
 	#lastRequestAt = -Infinity;
 	#peersActiveUntil = -Infinity;
 
@@ -48,8 +52,10 @@
 		}
 
 		const {getShare, random} = this.#options;
+		const share = getShare(now);
+		this.#appliedShare = share === this.#appliedShare ? share : undefined;
 		upstream.rateLimit = new UpstreamRateLimit({
-			advertised, burstSeconds: upstream.policy.rateBurstSeconds, share: getShare(now), random,
+			advertised, burstSeconds: upstream.policy.rateBurstSeconds, share, random,
 		}, now);
 		this.#limits.set(upstream.candidate.upstream, upstream.rateLimit);
 		this.#unpublishedLifts.delete(upstream.candidate.upstream);
@@ -91,21 +97,30 @@
 
 	/**
 	Records a request of the service, and applies the present share to the limits.
+
+	@returns Whether the rates changed with the share.
 	*/
-	recordRequest(now: number): void {
+	recordRequest(now: number): boolean {
 		if (now - this.#lastRequestAt > TAKEOVER_IDLE_MILLISECONDS) {
 			this.#peersActiveUntil = now + PEER_ACTIVE_MILLISECONDS;
 		}
 
 		this.#lastRequestAt = now;
 		if (this.#limits.size === 0) {
-			return;
+			return false;
 		}
 
 		const share = this.#options.getShare(now);
+		if (share === this.#appliedShare) {
+			return false;
+		}
+
+		this.#appliedShare = share;
 		for (const limit of this.#limits.values()) {
 			limit.setShare(share, now);
 		}
+
+		return true;
 	}
 
 	/**
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -11,11 +11,11 @@
 import {
 	countSlots,
 	getBackoff,
-	hasCapacity,
 	isServing,
 	isSuspended,
 	type Upstream,
 } from './upstreams.ts';
+import type {UpstreamIndex} from './upstream-index.ts';
 
 /**
 A slot request in the queue.
@@ -38,6 +38,10 @@
 	readonly policy: Policy;
 	readonly upstreams: Map<core.UpstreamId, Upstream>;
 	/**
+	The same upstreams by what they can be used for; refreshed with each change of one.
+	*/
+	readonly index: UpstreamIndex;
+	/**
 	Sorted by `queueKey`.
 	*/
 	readonly queue: QueuedRequest[];
@@ -158,46 +162,46 @@
 	return deadlineAt - now < getUsualMilliseconds(service, request) * service.policy.worthwhilePart;
 }
 
-/**
-Lists the upstreams that are in service, not suspended, and have capacity for another request. Conditions that differ by request are not checked.
-*/
-export function listFreeUpstreams({upstreams}: Service, now: number): readonly Upstream[] {
-	return upstreams.values().filter(upstream => hasCapacity(upstream, now) && isServing(upstream) && !isSuspended(upstream, now)).toArray();
-}
-
-/**
-Lists the suspended upstreams whose next trial is due for some request.
-*/
-export function listTrialUpstreams({upstreams}: Service, now: number): readonly Upstream[] {
-	return upstreams.values().filter(upstream => upstream.nextTrialAt <= now && hasCapacity(upstream, now) && isSuspended(upstream, now)).toArray();
-}
-
 /**
 Counts the slots, free or not, of the upstreams that are usable for the request, as far as rate limits allow their use.
 */
 export function countUsableSlots(service: Service, request: SlotRequest, now: number): number {
 	const usual = getUsualMilliseconds(service, request);
-	let slots = 0;
-	for (const upstream of service.upstreams.values()) {
+	const {index} = service;
+	let slots = index.countUnlimitedSlots(now);
+	for (const upstream of listUnusable(service, request, now)) {
+		slots -= upstream.rateLimit === undefined ? upstream.candidate.slots : 0;
+	}
+
+	for (const upstream of index.listLimitedUsable(now)) {
 		slots += isUsableNow(upstream, request, now) ? countSlots(upstream, usual) : 0;
 	}
 
 	return slots;
 }
 
+/**
+Lists the upstreams in service that are not suspended and yet not usable for the request: it was sent there before, or its entry host backs off.
+*/
+function listUnusable({index, upstreams}: Service, request: SlotRequest, now: number): ReadonlySet<Upstream> {
+	const excluded = request.excluded.map(id => upstreams.get(id)).filter(upstream => upstream !== undefined);
+	const others = [...excluded, ...index.listBackingOff(now)];
+	return new Set(others.filter(upstream => isServing(upstream) && !isSuspended(upstream, now) && !isUsableNow(upstream, request, now)));
+}
+
 /**
 Returns whether any upstream is usable for the request now.
 */
-export function hasUsableUpstream({upstreams}: Service, request: SlotRequest, now: number): boolean {
-	return upstreams.values().some(upstream => isUsableNow(upstream, request, now));
+export function hasUsableUpstream({index}: Service, request: SlotRequest, now: number): boolean {
+	return index.listUsable(now).some(upstream => isUsableNow(upstream, request, now));
 }
 
 /**
 Returns the milliseconds until the backoff of the request's entry host ends at a usable upstream; Infinity when no upstream is usable.
 */
-export function getBackoffDelay({upstreams}: Service, request: SlotRequest, now: number): number {
-	const delays = upstreams.values().filter(upstream => isUsable(upstream, request, now)).map(upstream => getBackoff(upstream, request.host, now));
-	return delays.reduce((least, delay) => Math.min(least, delay), Infinity);
+export function getBackoffDelay({index}: Service, request: SlotRequest, now: number): number {
+	const delays = index.listUsable(now).filter(upstream => isUsable(upstream, request, now)).map(upstream => getBackoff(upstream, request.host, now));
+	return Math.min(Infinity, ...delays);
 }
 
 function isUsableNow(upstream: Upstream, request: SlotRequest, now: number): boolean {
@@ -215,13 +219,5 @@
 Returns whether the fraction of upstreams that are not suspended is below the floor.
 */
 export function isBelowFloor(service: Service, floor: number, now: number): boolean {
-	let serving = 0;
-	let suspended = 0;
-	for (const upstream of service.upstreams.values()) {
-		const isCounted = isServing(upstream);
-		serving += isCounted ? 1 : 0;
-		suspended += isCounted && isSuspended(upstream, now) ? 1 : 0;
-	}
-
-	return serving - suspended < Math.ceil(serving * floor);
+	return service.index.listUsable(now).length < Math.ceil(service.index.countServing() * floor);
 }
--- a/packages/wagtailroute-fleet/src/host-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/host-dispatcher.ts
@@ -235,7 +235,6 @@
 	};
 
 	const logRefusal = ({request, reason, retryAfterMilliseconds}: Extract<dispatch.Effect, {kind: 'refuse'}>) => {
-		const upstreams = dispatcher.report(request.service, now());
 		if (request.isResend) {
 			retryBudgetLog.record(request.service, reason === 'budget' ? 'refused' : 'unserved');
 		}
@@ -248,11 +247,7 @@
 			remainingMilliseconds: Math.round(request.remainingMilliseconds),
 			retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
 			waiting: dispatcher.countWaiting(),
-			upstreams: upstreams.length,
-			suspended: upstreams.filter(upstream => upstream.isSuspended).length,
-			rateLimited: upstreams.filter(upstream => upstream.rateLimit !== undefined).length,
-			draining: upstreams.filter(upstream => upstream.isDraining).length,
-			backingOff: upstreams.filter(upstream => upstream.hostsBackingOff.includes(request.host)).length,
+			...dispatcher.countUpstreams(request.service, request.host, now()),
 			...reason === 'budget' && retryBudgetLog.describe(request.service),
 		});
 		logIdleUpstreams(request.service);
