--- a/packages/wagtailroute-dispatch/src/__tests__/unit/large-responses.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/large-responses.test.ts
@@ -86,6 +86,9 @@
 	t.is(measureDomainWait(0), 20);
 	t.is(measureDomainWait(SMALL_BYTES), 20);
 	t.is(measureDomainWait(LARGE_BYTES), 250);
+	// A non-idempotent request never explores, so it is decided that it waits before any costs are compared.
+	t.is(measureDomainWait(SMALL_BYTES, {requestClass: 'non-idempotent'}), 60);
+	t.is(measureDomainWait(LARGE_BYTES, {requestClass: 'non-idempotent'}), 250);
 	const between = measureDomainWait(20_000);
 	t.true(between > 20 && between < 250, String(between));
 	// 400 ms of work, counted 1.3 times, leave 140 ms of this objective.
--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -6,24 +6,16 @@
 */
 import * as core from 'wagtailroute-core';
 import type {SlotRequest} from './slot-requests.ts';
-import type {Policy} from './policy.ts';
 import type {ExpectedResponse} from './response-bytes.ts';
 import {
 	getCost,
-	getDomainCost,
 	getShortfallTrialDelay,
 	isRested,
 } from './costs/index.ts';
-import {
-	getBackoff,
-	getDoubt,
-	getRisk,
-	hasCapacity,
-	isPathSuspect,
-	isServing,
-	isSuspended,
-	type Upstream,
-} from './upstreams.ts';
+import type {DomainWait, WaitingRequest} from './domain-wait.ts';
+import {isAvailable} from './eligibility.ts';
+import {getDoubt, type Upstream} from './upstreams.ts';
+import type {UpstreamIndex} from './upstream-index.ts';
 
 /**
 A chosen upstream.
@@ -36,55 +28,46 @@
 /**
 State on which the choice depends.
 */
-export type ChoiceContext = {
+export type ChoiceContext = WaitingRequest & {
 	readonly now: number;
 	/**
 	Uniform in [0, 1).
 	*/
 	readonly random: () => number;
 	/**
-	Milliseconds that the request has been queued here.
-	*/
-	readonly queuedMilliseconds: number;
-	/**
-	All upstreams of the service, with or without a free slot.
+	Upstreams of the service.
 	*/
-	readonly allUpstreams: ReadonlyMap<core.UpstreamId, Upstream>;
+	readonly index: UpstreamIndex;
 	/**
 	Whether idle upstreams are tried sooner, since requests fail and no idempotent ones came recently.
 	*/
 	readonly needsIdleUpstreams: boolean;
-	/**
-	Usual response time of the request's route.
-	*/
-	readonly usualMilliseconds: number;
-	readonly response: ExpectedResponse;
-	readonly policy: Policy;
+	readonly domainWait: DomainWait;
 };
 
-const DOMAIN_WAIT_FIELDS = {
-	read: 'domainWaitMilliseconds',
-	idempotent: 'domainWaitMilliseconds',
-	'non-idempotent': 'unrepeatableDomainWaitMilliseconds',
-	upload: 'uploadDomainWaitMilliseconds',
-} as const satisfies Record<core.RequestClass, keyof Policy>;
-
 /**
 Returns the available upstream with the lowest cost; undefined when there is none, or when the request should wait for a slot in its own failure
 domain.
-
-@param upstreams Upstreams that are not suspended and have a free slot.
 */
-export function choose(upstreams: Iterable<Upstream>, request: SlotRequest, context: ChoiceContext): Choice | undefined {
-	const {now, random, needsIdleUpstreams, response} = context;
+export function choose(request: SlotRequest, context: ChoiceContext): Choice | undefined {
+	const {
+		now, random, needsIdleUpstreams, index, domainWait, response,
+	} = context;
+	const mayExplore = needsIdleUpstreams || core.isIdempotent(request.requestClass);
+	// Spares the costs of all upstreams for each of many queued requests that can only cross.
+	if (!mayExplore && !hasAvailableInDomain(request, context) && domainWait.isWaiting(request, context)) {
+		return undefined;
+	}
+
 	let best: Upstream | undefined;
 	let bestCost = Infinity;
-	for (const upstream of upstreams) {
+	for (const upstream of index.listFree(now, request.failureDomain, other => isAvailable(other, request, now))) {
 		if (!isAvailable(upstream, request, now)) {
 			continue;
 		}
 
-		const cost = getCost(upstream, request, {now, needsIdleUpstreams, response}) + (random() * upstream.policy.spreadCost);
+		const spread = random() * upstream.policy.spreadCost;
+		const cost = getCost(upstream, request, {now, needsIdleUpstreams, response}, bestCost - spread) + spread;
 		if (!(cost < bestCost)) {
 			continue;
 		}
@@ -95,44 +78,14 @@
 
 	const isCrossing = best !== undefined && best.candidate.failureDomain !== request.failureDomain;
 	const isExploring = best !== undefined
-		&& (needsIdleUpstreams || core.isIdempotent(request.requestClass))
+		&& mayExplore
 		&& (response.largePart < 1 || response.isExplored(best.candidate.failureDomain))
 		&& isRested(best, now);
-	return best === undefined || (isCrossing && !isExploring && isWaitingForOwnDomain(request, context)) ? undefined : {upstream: best, isTrial: false};
-}
-
-/**
-Returns whether a request should wait for a slot in its own failure domain. Under load one becomes free there within milliseconds. If each request
-took the first free slot of any domain, nearly half of all requests would cross, each leaving a slot in its own domain to another that crosses.
-*/
-function isWaitingForOwnDomain(request: SlotRequest, context: ChoiceContext): boolean {
-	const {
-		now, queuedMilliseconds, allUpstreams, policy, response,
-	} = context;
-	const remainingWait = getDomainWait(request, context) - queuedMilliseconds;
-	return !request.isResend
-		&& remainingWait > 0
-		&& allUpstreams.values().some(upstream => upstream.candidate.failureDomain === request.failureDomain
-			&& !isSuspended(upstream, now)
-			&& (upstream.rateLimit?.getDelay(now) ?? 0) < remainingWait
-			&& isEligible(upstream, request, now)
-			// Crossing is better than an upstream at which the request is likely to fail.
-			&& getRisk(upstream, now) * policy.riskCost < getDomainCost(request, response.bytes, policy));
+	return best === undefined || (isCrossing && !isExploring && domainWait.isWaiting(request, context)) ? undefined : {upstream: best, isTrial: false};
 }
 
-/**
-Returns the milliseconds that a request waits for a slot in its own failure domain. Those for a large response end while the request can still meet
-its objective.
-*/
-function getDomainWait(request: SlotRequest, {policy, response: {largePart}, usualMilliseconds}: ChoiceContext): number {
-	const classWait = policy[DOMAIN_WAIT_FIELDS[request.requestClass]];
-	if (largePart === 0) {
-		return classWait;
-	}
-
-	const largeWait = classWait + (Math.max(0, policy.largeDomainWaitMilliseconds - classWait) * largePart);
-	const objectiveWait = request.objectiveMilliseconds - request.waitedMilliseconds - (usualMilliseconds * policy.objectivePart);
-	return Math.max(classWait, Math.min(largeWait, objectiveWait));
+function hasAvailableInDomain(request: SlotRequest, {index, now}: ChoiceContext): boolean {
+	return index.hasFreeInDomain(now, request.failureDomain, upstream => isAvailable(upstream, request, now));
 }
 
 /**
@@ -183,16 +136,17 @@
 @param isAllowed Returns whether an upstream of a failure domain may be used.
 */
 export function chooseFallback(
-	upstreams: Iterable<Upstream>,
+	index: UpstreamIndex,
 	request: SlotRequest,
 	now: number,
 	isAllowed: (failureDomain: core.FailureDomain) => boolean = () => true,
 ): Choice | undefined {
+	const isAccepted = (upstream: Upstream) => isAvailable(upstream, request, now) && isAllowed(upstream.candidate.failureDomain);
 	let best: Upstream | undefined;
 	let bestDoubt = Infinity;
-	for (const upstream of upstreams) {
+	for (const upstream of index.listSuspended(now, isAccepted)) {
 		const doubt = getDoubt(upstream, now);
-		if (!(doubt < bestDoubt && isSuspended(upstream, now) && isAvailable(upstream, request, now) && isAllowed(upstream.candidate.failureDomain))) {
+		if (!(doubt < bestDoubt && isAccepted(upstream))) {
 			continue;
 		}
 
@@ -204,31 +158,17 @@
 }
 
 /**
-Returns whether an upstream can take the request now, whether or not it is suspended.
-*/
-function isAvailable(upstream: Upstream, request: SlotRequest, now: number): boolean {
-	return hasCapacity(upstream, now)
-		&& upstream.closedUntil <= now
-		&& isEligible(upstream, request, now);
-}
-
-/**
-Returns whether an upstream can take the request as soon as it has capacity.
+Returns whether the request may be a trial: one trial at a time, none of a silent upstream, and none with a resend, which has failed already.
 */
-function isEligible(upstream: Upstream, request: SlotRequest, now: number): boolean {
-	const {candidate} = upstream;
-	return isServing(upstream)
-		&& candidate.slots > 0
-		&& !request.excluded.includes(candidate.upstream)
-		&& getBackoff(upstream, request.host, now) === 0
-		&& !isPathSuspect(upstream, request.host, now);
+function isTrialAllowed({candidate, heldSlots}: Upstream, request: SlotRequest): boolean {
+	return !request.isResend && !candidate.isSilent && heldSlots.size === 0;
 }
 
 /**
-Returns whether the request may be a trial: one trial at a time, none of a silent upstream, and none with a resend, which has failed already.
+Returns whether the request may be a trial of the upstream at its time.
 */
-function isTrialAllowed({candidate, heldSlots}: Upstream, request: SlotRequest): boolean {
-	return !request.isResend && !candidate.isSilent && heldSlots.size === 0;
+export function isTrialDue(upstream: Upstream, request: SlotRequest, context: TrialContext): boolean {
+	return getTrialDueAt(upstream, request, context) <= context.now;
 }
 
 /**
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -31,13 +31,14 @@
 	type ChoiceContext,
 	choose,
 	chooseFallback,
-	chooseTrial,
 } from './choosing.ts';
 import {
 	HELD_SLOT_GRACE_MILLISECONDS,
 	MAX_QUEUE_SCAN,
 } from './constants.ts';
 import type {Dispatcher, DispatcherSettings, UpstreamReport} from './dispatcher-types.ts';
+import {DomainWait, type WaitingRequest} from './domain-wait.ts';
+import {QueueScan} from './queue-scan.ts';
 import {type IdleUpstream, listIdleUpstreams} from './idle-upstreams.ts';
 import {getRetryAfter, type OrderedEntry, OrderedQueue} from './order/index.ts';
 import {DEFAULT_POLICY} from './policy.ts';
@@ -53,7 +54,6 @@
 import {
 	countQueuedUntil,
 	countUsableSlots,
-	createTrialContext,
 	getBackoffDelay,
 	getQueueKey,
 	getTrialDelay,
@@ -62,8 +62,6 @@
 	isBelowFloor,
 	isDeadlineUnreachable,
 	isObjectiveMissed,
-	listFreeUpstreams,
-	listTrialUpstreams,
 	needsIdleUpstreams,
 	type QueuedRequest,
 	recordUsualMilliseconds,
@@ -75,20 +73,23 @@
 	createHeldSlot,
 	createUpstream,
 	decayDoubt,
+	getBackoff,
 	getDoubt,
-	hasCapacity,
 	type HeldSlot,
 	isSuspended,
 	listBackoffs,
 	recordResponseTime,
 	type Upstream,
 } from './upstreams.ts';
+import {createUpstreamIndex, type UpstreamCounts, type UpstreamIndex} from './upstream-index.ts';
 
 /**
 Creates a dispatcher without services or upstreams.
+
+@param createIndex Creates the index of a service's upstreams; tests replace it.
 */
-export function createDispatcher(settings: DispatcherSettings): Dispatcher {
-	return new SlotDispatcher(settings);
+export function createDispatcher(settings: DispatcherSettings, createIndex: () => UpstreamIndex = createUpstreamIndex): Dispatcher {
+	return new SlotDispatcher(settings, createIndex);
 }
 
 class SlotDispatcher implements Dispatcher {
@@ -100,13 +101,16 @@
 	*/
 	readonly #servicesByQueuedId = new Map<SlotRequestId, Service>();
 
-	constructor(settings: DispatcherSettings) {
+	readonly #createIndex: () => UpstreamIndex;
+
+	constructor(settings: DispatcherSettings, createIndex: () => UpstreamIndex) {
 		this.#settings = settings;
+		this.#createIndex = createIndex;
 	}
 
 	requestSlot(received: SlotRequest, now: number): readonly Effect[] {
 		const service = this.#getService(received.service);
-		service.rateLimits.recordRequest(now);
+		this.#recordRequest(service, now);
 		const order = this.#getOrder(service, now);
 		const request = order === undefined ? received : normalize(received, order.normalizePriority(received.priority, now));
 		order?.recordPriority(request.priority, now);
@@ -166,7 +170,7 @@
 
 		const service = this.#getService(heldSlot.service);
 		const upstream = service.upstreams.get(heldSlot.upstream);
-		this.#releaseSlot(heldSlot);
+		this.#releaseSlot(heldSlot, now);
 		if (ending !== 'unused') {
 			service.order?.releaseSpeed.record(heldSlot.usualMilliseconds, now - heldSlot.grantedAt, now);
 		}
@@ -193,6 +197,7 @@
 				service.rateLimits.consume(upstream, -1, now);
 			}
 
+			service.index.refresh(upstream, now);
 			if (isSuspended(upstream, now) !== wasSuspended) {
 				effects.push({
 					kind: 'believe',
@@ -218,6 +223,7 @@
 
 		const source = {upstream, host: heldSlot.host};
 		const effects = advertisements.flatMap(advertisement => recordAdvertisement(service, source, advertisement, now));
+		service.index.refresh(upstream, now);
 		return [...effects, ...this.#refuseUnservable(service, advertisements, now)];
 	}
 
@@ -225,9 +231,12 @@
 		const service = this.#getService(name);
 		for (const update of updates) {
 			const upstream = service.upstreams.get(update.upstream);
-			if (upstream !== undefined) {
-				applyUpdate(service, upstream, update, now);
+			if (upstream === undefined) {
+				continue;
 			}
+
+			applyUpdate(service, upstream, update, now);
+			service.index.refresh(upstream, now);
 		}
 
 		return this.#refuseUnservable(service, updates, now);
@@ -247,7 +256,7 @@
 
 	replaceHeldSlots(host: core.HostId, service: core.ServiceName, reports: readonly HeldSlotReport[], now: number): void {
 		for (const heldSlot of this.#heldSlots.values().filter(other => other.host === host && other.service === service)) {
-			this.#releaseSlot(heldSlot);
+			this.#releaseSlot(heldSlot, now);
 		}
 
 		const knownService = this.#getService(service);
@@ -257,11 +266,16 @@
 			// A host that divides a service reports slots that another record of this dispatcher granted.
 			const known = this.#heldSlots.get(heldSlot.id);
 			if (known !== undefined) {
-				this.#releaseSlot(known);
+				this.#releaseSlot(known, now);
 			}
 
 			this.#heldSlots.set(heldSlot.id, heldSlot);
-			upstream?.heldSlots.set(heldSlot.id, heldSlot);
+			if (upstream === undefined) {
+				continue;
+			}
+
+			upstream.heldSlots.set(heldSlot.id, heldSlot);
+			knownService.index.refresh(upstream, now);
 		}
 	}
 
@@ -273,48 +287,61 @@
 			if (!candidateIds.has(id) && upstream.heldSlots.size === 0) {
 				service.rateLimits.remove(upstream);
 				service.upstreams.delete(id);
+				service.index.remove(upstream);
 			} else if (!candidateIds.has(id)) {
 				upstream.candidate = {...upstream.candidate, isDraining: true};
+				service.index.refresh(upstream, now);
 			}
 		}
 
 		for (const candidate of candidates) {
 			const existing = service.upstreams.get(candidate.upstream);
 			if (existing === undefined) {
-				service.upstreams.set(candidate.upstream, createUpstream(candidate, service.policy, now));
+				const upstream = createUpstream(candidate, service.policy, now);
+				service.upstreams.set(candidate.upstream, upstream);
+				service.index.add(upstream, now);
 			} else {
 				// A heartbeat with a new address, after the answer of another instance, means that the upstream has an address of its own again.
 				existing.isMisdirected &&= core.formatAddress(existing.candidate.address) === core.formatAddress(candidate.address);
 				existing.candidate = candidate;
+				service.index.refresh(existing, now);
 			}
 		}
 
 		return [...this.#serveQueue(service, now), ...this.#refuseMissing(service, now)];
 	}
 
-	setDoubt(service: core.ServiceName, upstream: core.UpstreamId, doubt: number, now: number): void {
-		const known = this.#services.get(service)?.upstreams.get(upstream);
-		if (known !== undefined) {
-			applyReportedDoubt(known, doubt, now);
+	setDoubt(name: core.ServiceName, upstream: core.UpstreamId, doubt: number, now: number): void {
+		const service = this.#services.get(name);
+		const known = service?.upstreams.get(upstream);
+		if (service === undefined || known === undefined) {
+			return;
 		}
+
+		applyReportedDoubt(known, doubt, now);
+		service.index.refresh(known, now);
 	}
 
 	raiseDoubt(
-		service: core.ServiceName,
+		name: core.ServiceName,
 		upstream: core.UpstreamId,
 		{doubt, ageMilliseconds}: {readonly doubt: number; readonly ageMilliseconds: number},
 		now: number,
 	): void {
-		const known = this.#services.get(service)?.upstreams.get(upstream);
+		const service = this.#services.get(name);
+		const known = service?.upstreams.get(upstream);
 		const remainingDoubt = known === undefined ? 0 : decayDoubt(known.policy, doubt, ageMilliseconds);
-		if (known !== undefined && remainingDoubt > getDoubt(known, now)) {
-			applyReportedDoubt(known, remainingDoubt, now);
+		if (service === undefined || known === undefined || remainingDoubt <= getDoubt(known, now)) {
+			return;
 		}
+
+		applyReportedDoubt(known, remainingDoubt, now);
+		service.index.refresh(known, now);
 	}
 
 	tick(now: number): readonly Effect[] {
 		for (const heldSlot of this.#heldSlots.values().filter(other => other.deadlineAt + HELD_SLOT_GRACE_MILLISECONDS < now)) {
-			this.#releaseSlot(heldSlot);
+			this.#releaseSlot(heldSlot, now);
 		}
 
 		return this.#services.values().flatMap(service => {
@@ -350,6 +377,11 @@
 		}));
 	}
 
+	countUpstreams(name: core.ServiceName, host: core.HostId, now: number): UpstreamCounts & {readonly backingOff: number} {
+		const index = this.#services.get(name)?.index ?? this.#createIndex();
+		return {...index.count(now), backingOff: index.listBackingOff(now).filter(upstream => getBackoff(upstream, host, now) > 0).length};
+	}
+
 	reportBudget(service: core.ServiceName, now: number): BudgetReport | undefined {
 		return this.#services.get(service)?.budget.report(now);
 	}
@@ -359,6 +391,19 @@
 		return service === undefined ? [] : listIdleUpstreams(service, now);
 	}
 
+	/**
+	Records a request for the rate limits. When the share of this dispatcher changed, so did all rates.
+	*/
+	#recordRequest({rateLimits, upstreams, index}: Service, now: number): void {
+		if (!rateLimits.recordRequest(now)) {
+			return;
+		}
+
+		for (const upstream of upstreams.values().filter(({rateLimit}) => rateLimit !== undefined)) {
+			index.refresh(upstream, now);
+		}
+	}
+
 	/**
 	Grants a free slot to a request that is in progress elsewhere, or refuses it. It is never queued: under load it would take a slot from a request
 	that was not sent yet, and discard the work done so far. A refusal uses none of the retry budget.
@@ -366,9 +411,7 @@
 	#moveOrRefuse(service: Service, request: SlotRequest, now: number): Effect {
 		const choice = service.queue.length > 0 || (service.order?.size ?? 0) > 0
 			? undefined
-			: choose(listFreeUpstreams(service, now), request, this.#createChoiceContext(service, request, {
-				now, queuedAt: now, needsIdleUpstreams: needsIdleUpstreams(service, now), response: describeResponse(service, request, now),
-			}));
+			: this.#choose(service, request, 0, now);
 		if (choice === undefined) {
 			return refuse(request, 'no-slot-in-time', service.policy.retryAfterLeastMilliseconds);
 		}
@@ -378,20 +421,26 @@
 			: refuse(request, 'budget', service.policy.retryAfterLeastMilliseconds);
 	}
 
-	#createChoiceContext(
-		service: Service,
-		request: SlotRequest,
-		{queuedAt, now, ...known}: Pick<ChoiceContext, 'now' | 'needsIdleUpstreams' | 'response'> & {readonly queuedAt: number},
-	): ChoiceContext {
-		const {upstreams, policy} = service;
+	/**
+	Chooses an upstream for a request that doesn't wait in the queue any longer.
+	*/
+	#choose(service: Service, request: SlotRequest, queuedMilliseconds: number, now: number): Choice | undefined {
+		return choose(request, {
+			...this.#createChoiceContext(service, now),
+			queuedMilliseconds,
+			usualMilliseconds: getUsualMilliseconds(service, request),
+			response: describeResponse(service, request, now),
+		});
+	}
+
+	#createChoiceContext(service: Service, now: number): Omit<ChoiceContext, keyof WaitingRequest> {
+		const {index, policy} = service;
 		return {
-			...known,
 			now,
 			random: this.#settings.random,
-			queuedMilliseconds: now - queuedAt,
-			allUpstreams: upstreams,
-			usualMilliseconds: getUsualMilliseconds(service, request),
-			policy,
+			index,
+			domainWait: new DomainWait({now, index, policy}),
+			needsIdleUpstreams: needsIdleUpstreams(service, now),
 		};
 	}
 
@@ -399,6 +448,7 @@
 		const service: Service = this.#services.get(name) ?? {
 			name,
 			upstreams: new Map(),
+			index: this.#createIndex(),
 			queue: [],
 			usualMillisecondsByRoute: new Map(),
 			responseBytesByRoute: new Map(),
@@ -431,6 +481,7 @@
 		upstream.heldSlots.set(heldSlot.id, heldSlot);
 		upstream.lastGrantedAt = now;
 		service.rateLimits.consume(upstream, 1, now);
+		service.index.refresh(upstream, now);
 		return {
 			kind: 'grant',
 			request,
@@ -451,11 +502,16 @@
 			: [];
 	}
 
-	#releaseSlot(heldSlot: HeldSlot): void {
+	#releaseSlot(heldSlot: HeldSlot, now: number): void {
 		this.#heldSlots.delete(heldSlot.id);
-		const upstreams = this.#services.get(heldSlot.service)?.upstreams;
-		const upstream = upstreams?.get(heldSlot.upstream);
-		upstream?.heldSlots.delete(heldSlot.id);
+		const service = this.#services.get(heldSlot.service);
+		const upstream = service?.upstreams.get(heldSlot.upstream);
+		if (service === undefined || upstream === undefined) {
+			return;
+		}
+
+		upstream.heldSlots.delete(heldSlot.id);
+		service.index.refresh(upstream, now);
 	}
 
 	#waitOrRefuse(service: Service, queued: QueuedRequest | OrderedEntry, now: number): readonly Effect[] {
@@ -500,7 +556,7 @@
 		const isFloorReached = isBelowFloor(service, this.#settings.floor, now);
 		const {isLeftToOthers} = describeResponse(service, request, now);
 		const choice = mayExplore || isFloorReached
-			? chooseFallback(service.upstreams.values(), request, now, failureDomain => isFloorReached || !isLeftToOthers(failureDomain))
+			? chooseFallback(service.index, request, now, failureDomain => isFloorReached || !isLeftToOthers(failureDomain))
 			: undefined;
 		if (choice !== undefined) {
 			return [this.#grant(service, request, choice, now)];
@@ -586,9 +642,7 @@
 		const request = {...entry.request, remainingMilliseconds: entry.deadlineAt - now};
 		const isWorthwhile = request.remainingMilliseconds >= entry.work * service.policy.worthwhilePart;
 		const choice = isWorthwhile
-			? choose(listFreeUpstreams(service, now), request, this.#createChoiceContext(service, request, {
-				now, queuedAt: -Infinity, needsIdleUpstreams: needsIdleUpstreams(service, now), response: describeResponse(service, request, now),
-			}))
+			? this.#choose(service, request, Infinity, now)
 			: undefined;
 		this.#dequeue(service, request.id, choice === undefined ? undefined : now);
 		return choice === undefined
@@ -662,30 +716,24 @@
 	*/
 	#serveQueue(service: Service, now: number): readonly Effect[] {
 		const effects: Effect[] = [];
-		let freeUpstreams = listFreeUpstreams(service, now);
-		let trialUpstreams = listTrialUpstreams(service, now);
-		if (freeUpstreams.length === 0 && trialUpstreams.length === 0) {
+		if ((service.order?.size ?? service.queue.length) === 0) {
 			return effects;
 		}
 
-		const context = {now, needsIdleUpstreams: needsIdleUpstreams(service, now)};
+		const scan = new QueueScan(service, this.#createChoiceContext(service, now));
 		for (const queued of service.order?.listNext(MAX_QUEUE_SCAN, now) ?? service.queue.slice(0, MAX_QUEUE_SCAN)) {
-			if (freeUpstreams.length === 0 && trialUpstreams.length === 0) {
+			if (scan.isOver()) {
 				break;
 			}
 
 			const request = {...queued.request, remainingMilliseconds: queued.deadlineAt - now};
-			const response = describeResponse(service, request, now);
-			const choice = chooseTrial(trialUpstreams, request, createTrialContext(service, now, {...context, isFull: freeUpstreams.length === 0, response}))
-				?? choose(freeUpstreams, request, this.#createChoiceContext(service, request, {...context, queuedAt: queued.queuedAt, response}));
+			const choice = scan.choose(request, now - queued.queuedAt);
 			if (choice === undefined) {
 				continue;
 			}
 
 			this.#dequeue(service, request.id, now);
 			effects.push(this.#grant(service, request, choice, now));
-			freeUpstreams = freeUpstreams.filter(upstream => hasCapacity(upstream, now));
-			trialUpstreams = trialUpstreams.filter(upstream => hasCapacity(upstream, now));
 		}
 
 		return effects;
