--- a/packages/wagtailroute-dispatch/src/constants.ts
+++ b/packages/wagtailroute-dispatch/src/constants.ts
@@ -21,6 +21,13 @@
 
 export const BYTES_PER_KIBIBYTE = 1024;
 
+/**
+Upstreams that are compared for one slot request. Up to this number of free ones all are; beyond it, those of the failure domain of the entry host
+come first, up to the second bound.
+*/
+export const MAX_CANDIDATES = 64;
+export const MAX_OWN_DOMAIN_CANDIDATES = 48;
+
 export const MILLISECONDS_PER_SECOND = 1000;
 
 /**
--- a/packages/wagtailroute-fleet/src/__tests__/unit/pools.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/pools.test.ts
@@ -3,12 +3,13 @@
 */
 import test from 'ava';
 import type * as core from 'wagtailroute-core';
-import type * as dispatch from 'wagtailroute-dispatch';
+import * as dispatch from 'wagtailroute-dispatch';
 import type {DispatchClient} from '../../dispatch-client.ts';
 import {orderPoolDispatchers} from '../../dispatch-order.ts';
 import {startHostDispatcher} from '../../host-dispatcher.ts';
 import {type Belief, METHODS, type RoomReport} from '../../messages.ts';
 import {createPoolChoice} from '../../pools/pool-choice.ts';
+import {createPoolDispatcher} from '../../pools/pool-dispatcher.ts';
 import {getPoolKey, type Pool} from '../../pools/pool-key.ts';
 import {listPoolMembers} from '../../pools/pool-members.ts';
 import {createRequestShare} from '../../request-share.ts';
@@ -204,6 +205,43 @@
 	t.true(granted.every(upstream => upstream === 'x2' || upstream === 'x3'));
 });
 
+test('the counts of a pool are those of its own upstreams, whichever record learned about them', t => {
+	// Guards against log lines about refusals of a pool with the numbers of the whole service, and against a record whose counts lag behind what another
+	// record has shown.
+	const dispatcher = createPoolDispatcher(dispatch.createDispatcher({
+		budget: {ratio: 0.2, extra: 60, windowMilliseconds: 10_000}, floor: 0.7, random: () => 0.5,
+	}), () => DOMAINS);
+	dispatcher.setCandidates(SERVICE, CANDIDATES, 0);
+	const count = (pool: core.FailureDomain | undefined) => dispatcher.countUpstreams({service: SERVICE, pool}, 'front', 1);
+	const requestSlot = (id: string, pool: core.FailureDomain | undefined, upstream: core.UpstreamId) => {
+		const excluded = CANDIDATES.map(candidate => candidate.upstream).filter(other => other !== upstream);
+		const effects = dispatcher.requestSlot({
+			...fixture.SLOT_REQUEST_DRAFT, id, host: 'front', failureDomain: 'x', service: SERVICE, pool, excluded,
+		}, 1);
+		t.like(effects.find(effect => effect.kind === 'grant'), {upstream});
+	};
+
+	dispatcher.ensurePool({service: SERVICE, pool: 'x'}, 0);
+	dispatcher.ensurePool({service: SERVICE, pool: 'y'}, 0);
+	requestSlot('1', 'x', 'x0');
+	requestSlot('2', undefined, 'x1');
+	requestSlot('3', undefined, 'y0');
+	dispatcher.recordAdvertisements('1', [{kind: 'backoff', milliseconds: 500}, {kind: 'rate-limit', ratePerSecond: 10}], 1);
+	dispatcher.recordAdvertisements('2', [{kind: 'draining'}], 1);
+	dispatcher.setDoubt(SERVICE, 'y0', 8, 1);
+	t.deepEqual(count('x'), {
+		upstreams: 4, suspended: 0, rateLimited: 1, draining: 1, backingOff: 1,
+	});
+	t.deepEqual(count('y'), {
+		upstreams: 4, suspended: 1, rateLimited: 0, draining: 0, backingOff: 0,
+	});
+	for (const undivided of [undefined, 'w']) {
+		t.deepEqual(count(undivided), {
+			upstreams: 12, suspended: 1, rateLimited: 1, draining: 1, backingOff: 1,
+		});
+	}
+});
+
 test('the slots that a host reports count in the pool of their upstreams, and once', t => {
 	// Guards against an upstream whose slots stay taken for ever: a host that starts to divide a service reports a slot that the undivided record of the
 	// same dispatcher has granted.
--- a/packages/wagtailroute-fleet/src/host-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/host-dispatcher.ts
@@ -267,7 +267,6 @@
 	};
 
 	const logRefusal = ({request, reason, retryAfterMilliseconds, expectedWaitMilliseconds, isDisplaced}: Extract<dispatch.Effect, {kind: 'refuse'}>) => {
-		const upstreams = dispatcher.report(dispatcher.resolve(request), now());
 		if (request.isResend) {
 			retryBudgetLog.record(getKey(request), reason === 'budget' ? 'refused' : 'unserved');
 		}
@@ -289,11 +288,7 @@
 			remainingMilliseconds: Math.round(request.remainingMilliseconds),
 			retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
 			waiting: dispatcher.countWaiting(),
-			upstreams: upstreams.length,
-			suspended: upstreams.filter(upstream => upstream.isSuspended).length,
-			rateLimited: upstreams.filter(upstream => upstream.rateLimit !== undefined).length,
-			draining: upstreams.filter(upstream => upstream.isDraining).length,
-			backingOff: upstreams.filter(upstream => upstream.hostsBackingOff.includes(request.host)).length,
+			...dispatcher.countUpstreams(request, request.host, now()),
 			...reason === 'budget' && retryBudgetLog.describe(getKey(request)),
 		});
 		logIdleUpstreams(request);
--- a/packages/wagtailroute-fleet/src/pools/pool-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/pools/pool-dispatcher.ts
@@ -14,7 +14,7 @@
 	upstreams: ReadonlySet<core.UpstreamId>;
 };
 
-type DivisibleMethods = 'recordRefused' | 'hasUpstreams' | 'report' | 'reportBudget' | 'listIdleUpstreams' | 'replaceHeldSlots';
+type DivisibleMethods = 'recordRefused' | 'hasUpstreams' | 'report' | 'countUpstreams' | 'reportBudget' | 'listIdleUpstreams' | 'replaceHeldSlots';
 
 /**
 Requests and effects carry the name of the service. A method that reads or replaces the state of one record has its pool as an argument.
@@ -36,6 +36,10 @@
 	*/
 	readonly report: (pool: Pool, now: number) => readonly dispatch.UpstreamReport[];
 	/**
+	Counts the upstreams of the record that serves requests for a pool.
+	*/
+	readonly countUpstreams: (pool: Pool, host: core.HostId, now: number) => ReturnType<dispatch.Dispatcher['countUpstreams']>;
+	/**
 	@param key Key of a pool.
 	*/
 	readonly reportBudget: (key: string, now: number) => dispatch.BudgetReport | undefined;
@@ -215,6 +219,10 @@
 		return merged.values().toArray();
 	}
 
+	countUpstreams(pool: Pool, host: core.HostId, now: number): ReturnType<dispatch.Dispatcher['countUpstreams']> {
+		return this.#dispatcher.countUpstreams(getPoolKey(this.resolve(pool)), host, now);
+	}
+
 	reportBudget(key: string, now: number): dispatch.BudgetReport | undefined {
 		return this.#dispatcher.reportBudget(key, now);
 	}
