--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -537,8 +537,7 @@
 		{now, wait, slots, isDisplaced}: {readonly now: number; readonly wait: number; readonly slots: number; readonly isDisplaced: boolean},
 	): readonly Effect[] {
 		const request = {...entry.request, remainingMilliseconds: entry.deadlineAt - now};
-		const isWorthwhile = request.remainingMilliseconds >= entry.work * service.policy.worthwhilePart;
-		const choice = isWorthwhile
+		const choice = request.remainingMilliseconds > 0
 			? choose(listFreeUpstreams(service, now), request, this.#createChoiceContext(service, {
 				now, queuedAt: -Infinity, needsIdleUpstreams: needsIdleUpstreams(service, now),
 			}))
