Build: the one binary holds the parts of the HTTP client that the proxy uses

The limit on what upstreams send builds on undici's client and errors, which the bundle of the platform's processes left out: they ended at their start.

--- a/scripts/build/scripts.ts
+++ b/scripts/build/scripts.ts
@@ -29,13 +29,15 @@
 };
 
 /**
-What the platform's processes use of libraries whose main module loads much more: the pool of an HTTP client without fetch, web
-sockets and caches; four kinds of metrics without those of the process. The other modules cost 0.08 s of processor time and 6 MB
+What the platform's processes use of libraries whose main module loads much more: the pool and the connections of an HTTP client without fetch,
+web sockets and caches; four kinds of metrics without those of the process. The other modules cost 0.08 s of processor time and 6 MB
 in each process.
 */
 const PARTS: Readonly<Record<string, string>> = {
 	undici: `
 		exports.Pool = require('undici/lib/dispatcher/pool.js');
+		exports.Client = require('undici/lib/dispatcher/client.js');
+		exports.errors = require('undici/lib/core/errors.js');
 		exports.buildConnector = require('undici/lib/core/connect.js');
 	`,
 	'prom-client': `
