--- a/packages/wagtailroute-fleet/src/__tests__/unit/directory.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/directory.test.ts
@@ -60,7 +60,9 @@
 	const report: dispatch.UpstreamReport = {
 		upstream: 'u', failureDomain: 'b', taken: 0, slots: 4, doubt: 0, isSuspended: false, isDraining: false, hostsBackingOff: [],
 	};
-	const directory = startDirectory(context, {failureDomain: 'a', entryHosts: entries, listUpstreamReports: () => [report]});
+	const directory = startDirectory(context, {
+		failureDomain: 'a', entryHosts: entries, isLargeFleet: () => false, listUpstreamReports: () => [report],
+	});
 	directory.setGeneration(GENERATION);
 	await context.pass(200);
 	await context.pass(200);
--- a/packages/wagtailroute-fleet/src/__tests__/unit/overload-control.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/overload-control.test.ts
@@ -3,7 +3,7 @@
 */
 import test from 'ava';
 import {LARGE_FLEET_ENTRY_HOSTS} from '../../constants.ts';
-import {createOverloadControl} from '../../overload-control.ts';
+import {createLargeFleetCheck, createOverloadControl} from '../../overload-control.ts';
 
 const CASES = [
 	{mode: 'on', counts: [0], expected: true},
@@ -17,7 +17,7 @@
 for (const {mode, counts, expected} of CASES) {
 	test(`mode ${mode} after ${counts.join(', ')} entry hosts is ${expected ? 'on' : 'off'}`, t => {
 		let hosts = 0;
-		const control = createOverloadControl(mode, () => hosts);
+		const control = createOverloadControl(mode, createLargeFleetCheck(() => hosts));
 		const states = counts.map(count => {
 			hosts = count;
 			return control.isOn();
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -37,7 +37,7 @@
 } from './leader-calls.ts';
 import {createMessageOrder} from './message-order.ts';
 import * as messages from './messages.ts';
-import {createOverloadControl} from './overload-control.ts';
+import {createLargeFleetCheck, createOverloadControl} from './overload-control.ts';
 import {startInstanceRegistry} from './registry.ts';
 import {watchPauses} from './pauses.ts';
 import {createRequestShare} from './request-share.ts';
@@ -96,7 +96,8 @@
 		store: createInstanceStore(settings.dataFolder, context.logs('instances')),
 	});
 	const entryHostCount = createEntryHostCount(context.now, () => countAddresses(directory.getTable()));
-	const overloadControl = createOverloadControl(settings.overloadControl ?? 'off', entryHostCount.get);
+	const isLargeFleet = createLargeFleetCheck(entryHosts.count);
+	const overloadControl = createOverloadControl(settings.overloadControl ?? 'off', isLargeFleet);
 	// After a restart of the whole fleet no entry host is known yet: the hosts that request slots count as all of them.
 	const requestShare = createRequestShare(entryHostCount.get, 1, overloadControl.isOn);
 	const absenceTracker = startAbsenceTracker(context, {
@@ -143,6 +144,7 @@
 		void beliefStore.save(dispatcher.listBeliefs());
 	});
 	const directory = startDirectory(context, {
+		isLargeFleet,
 		failureDomain: settings.failureDomain,
 		entryHosts,
 		listUpstreamReports: service => dispatcher.listUpstreamReports(service),
--- a/packages/wagtailroute-fleet/src/directory-table.ts
+++ b/packages/wagtailroute-fleet/src/directory-table.ts
@@ -34,6 +34,10 @@
 	Addresses of entry hosts to which others may forward requests; absent in a table of a host that does not know any.
 	*/
 	readonly forwardingAddresses?: readonly core.Address[];
+	/**
+	Whether the fleet has so many entry hosts that it counts as large. The addresses don't tell: callers are sent to a part of the hosts only. Absent: no.
+	*/
+	readonly isLargeFleet?: true;
 };
 
 /**
--- a/packages/wagtailroute-fleet/src/directory.ts
+++ b/packages/wagtailroute-fleet/src/directory.ts
@@ -38,6 +38,7 @@
 export type DirectoryOptions = {
 	readonly failureDomain: core.FailureDomain;
 	readonly entryHosts: EntryHosts;
+	readonly isLargeFleet: () => boolean;
 	/**
 	Returns the state of a service's upstreams.
 	*/
@@ -47,7 +48,9 @@
 /**
 Starts with an empty table, which is computed again at an interval and published when it has changed.
 */
-export function startDirectory(context: FleetContext, {failureDomain: ownDomain, entryHosts, listUpstreamReports}: DirectoryOptions): Directory {
+export function startDirectory(context: FleetContext, {
+	failureDomain: ownDomain, entryHosts, isLargeFleet, listUpstreamReports,
+}: DirectoryOptions): Directory {
 	let uploadServices: ReadonlyMap<string, core.ServiceName> = new Map();
 	let table = EMPTY_DIRECTORY_TABLE;
 	let publishedText = '';
@@ -67,6 +70,7 @@
 			addresses: Object.fromEntries(domains.map(domain => [domain, listAddressTexts(domain)])),
 			detours: listDetours(domains),
 			forwardingAddresses: entryHosts.listForwardingAddresses(),
+			...isLargeFleet() && {isLargeFleet: true},
 		};
 	};
 
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -139,7 +139,7 @@
 	};
 
 	const entryHostCount = createEntryHostCount(context.now, () => countAddresses(directory));
-	const overloadControl = createOverloadControl(settings.overloadControl ?? 'off', entryHostCount.get);
+	const overloadControl = createOverloadControl(settings.overloadControl ?? 'off', () => directory.isLargeFleet === true);
 	const requestShare = createRequestShare(entryHostCount.get, ASSUMED_ENTRY_HOSTS, overloadControl.isOn);
 	const pools = createPoolChoice(context, {failureDomain: settings.failureDomain, overloadControl, listCandidates: fleetView.listCandidates});
 	const allotmentEnforcer = startAllotmentEnforcer(context, {
--- a/packages/wagtailroute-fleet/src/overload-control.ts
+++ b/packages/wagtailroute-fleet/src/overload-control.ts
@@ -12,16 +12,23 @@
 	readonly isOn: () => boolean;
 };
 
+/**
+Creates the size check of a control host, which knows all entry hosts.
+*/
+export function createLargeFleetCheck(countEntryHosts: () => number): () => boolean {
+	return () => countEntryHosts() >= LARGE_FLEET_ENTRY_HOSTS;
+}
+
 /**
 Creates the control of one host. It is never turned off again: while many entry hosts are down, a fleet that alternated between both ways of
 dispatching would have two dispatchers grant the same slots.
 
-@param countEntryHosts Returns the number of entry hosts that serve callers, 0 when it is unknown.
+@param isLargeFleet Returns whether the fleet counts as large, as far as this host knows.
 */
-export function createOverloadControl(mode: OverloadControlMode, countEntryHosts: () => number): OverloadControl {
+export function createOverloadControl(mode: OverloadControlMode, isLargeFleet: () => boolean): OverloadControl {
 	let isLarge = false;
 	const checkSize = () => {
-		isLarge ||= countEntryHosts() >= LARGE_FLEET_ENTRY_HOSTS;
+		isLarge ||= isLargeFleet();
 		return isLarge;
 	};
 
