--- a/packages/wagtailroute-fleet/src/__tests__/unit/pool-fixture.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/pool-fixture.ts
@@ -173,7 +173,9 @@
 			settings: {hostId: id, failureDomain, allotments: fixture.ALLOTMENTS},
 			countEntryHosts: () => entryIds.length,
 			getControlHosts: () => links.filter(({link: opened}) => opened.isOpen()),
-			pools: createPoolChoice(context, {failureDomain, overloadControl: {isOn: () => isDividing(id)}, listCandidates: () => candidates, minUpstreams: 1}),
+			pools: createPoolChoice(context, {
+				failureDomain, overloadControl: {isOn: () => isDividing(id)}, listCandidates: () => candidates, minUpstreams: 1,
+			}),
 			standbys: {
 				getOpen: () => [], open: () => undefined, waitForOne: async () => undefined, isOwnHostStandby: () => false,
 			},
--- a/packages/wagtailroute-fleet/src/__tests__/unit/pools.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/pools.test.ts
@@ -94,7 +94,9 @@
 	const context = fixture.createFakeContext();
 	let isOn = false;
 	let candidates = createCandidates({x: 1, y: 1});
-	const pools = createPoolChoice(context, {failureDomain: 'x', overloadControl: {isOn: () => isOn}, listCandidates: () => candidates, minUpstreams: 1});
+	const pools = createPoolChoice(context, {
+		failureDomain: 'x', overloadControl: {isOn: () => isOn}, listCandidates: () => candidates, minUpstreams: 1,
+	});
 	t.is(pools.find(SERVICE), undefined);
 	isOn = true;
 	t.is(pools.find(SERVICE), 'x');
@@ -327,7 +329,9 @@
 	// Guards against a change of earlier deployments.
 	const context = fixture.createFakeContext();
 	const share = createRequestShare(() => 1, 1);
-	t.is(createPoolChoice(context, {failureDomain: 'x', overloadControl: {isOn: () => false}, listCandidates: () => CANDIDATES, minUpstreams: 1}).find(SERVICE), undefined);
+	t.is(createPoolChoice(context, {
+		failureDomain: 'x', overloadControl: {isOn: () => false}, listCandidates: () => CANDIDATES, minUpstreams: 1,
+	}).find(SERVICE), undefined);
 	t.is(share.getOf(SERVICE, 0), 1);
 	const fleet = createPoolFleet({candidates: CANDIDATES, isDividing: () => false});
 	const reported: unknown[] = [];
@@ -553,15 +557,17 @@
 	{name: 'every pool has enough upstreams', counts: {x: 4, y: 4}, expected: 'x'},
 	{name: 'another pool has too few', counts: {x: 4, y: 3}, expected: undefined},
 	{name: 'the own domain has none', counts: {y: 8}, expected: undefined},
-	{name: 'some are lost after the division', counts: {x: 4, y: 4}, countsLater: {x: 4, y: 2}, expected: 'x'},
-	{name: 'most are lost after the division', counts: {x: 4, y: 4}, countsLater: {x: 4, y: 1}, expected: undefined},
+	{
+		name: 'some are lost after the division', counts: {x: 4, y: 4}, countsLater: {x: 4, y: 2}, expected: 'x',
+	},
+	{
+		name: 'most are lost after the division', counts: {x: 4, y: 4}, countsLater: {x: 4, y: 1}, expected: undefined,
+	},
 ] as const;
 
 for (const {name, counts, expected, ...later} of SIZE_CASES) {
 	test(`a service is ${expected === undefined ? 'not ' : ''}divided when ${name}`, t => {
 		// Guards against pools so small that most of their upstreams fail at the same time, while others of the service have free slots.
-		const createCandidates = (byDomain: Readonly<Record<string, number>>) => Object.entries(byDomain).flatMap(([failureDomain, count]) =>
-			Array.from({length: count}, (_, index) => ({...CANDIDATES[0]!, upstream: `${failureDomain}${index}`, failureDomain})));
 		let candidates = createCandidates(counts);
 		const pools = createPoolChoice(fixture.createFakeContext(), {
 			failureDomain: 'x', overloadControl: {isOn: () => true}, listCandidates: () => candidates, minUpstreams: 4,
