Lending: queued requests of the ordered queue have an expected wait

With overload control on, services are divided and their queues ordered, but the expected wait was looked up in the queue by arrival, which is empty then: a pool never lent a request that it had queued, only one that it refused. The tests ran pools without the order. With the order in their fixture three of them fail on the code before.

--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -354,6 +354,11 @@
 
 	estimateWait(id: SlotRequestId, now: number): number | undefined {
 		const service = this.#servicesByQueuedId.get(id);
+		const entry = service?.order?.find(id);
+		if (entry !== undefined) {
+			return service!.order!.getExpectedWait(entry, now);
+		}
+
 		const queued = service?.queue.find(({request}) => request.id === id);
 		return service === undefined || queued === undefined
 			? undefined
--- a/packages/wagtailroute-dispatch/src/order/ordered-queue.ts
+++ b/packages/wagtailroute-dispatch/src/order/ordered-queue.ts
@@ -220,6 +220,10 @@
 		return generateNext(this.#getClasses(now), limit);
 	}
 
+	find(id: string): OrderedEntry | undefined {
+		return this.#entries.get(id);
+	}
+
 	/**
 	Returns the expected wait of a queued request in milliseconds.
 	*/
--- a/packages/wagtailroute-fleet/src/__tests__/unit/pool-fixture.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/pool-fixture.ts
@@ -124,6 +124,7 @@
 			settings: {budget: {ratio: 0.2, extra: 20, windowMilliseconds: 10_000}, floor: 0},
 			allotmentEnforcer: enforcer,
 			requestShare,
+			overloadControl: {isOn: () => true},
 			isReceivingUpdates: true,
 			listCandidates: () => candidates,
 			lending: {failureDomain, isFirstDispatcher: ({pool}) => pool === failureDomain},
