Retry budget: the pools of a service grant equal parts at most

The share of a pool is the part of the entry hosts that request slots of it, of those that the directory names. Callers may use more hosts than that, so three pools could each grant the whole of the service's resends.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/pools.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/pools.test.ts
@@ -288,6 +288,28 @@
 	}
 });
 
+test('the shares of all pools add up to at most one while callers use more entry hosts than the directory names', t => {
+	// Guards against resends beyond the retry budget: with 20 hosts named and 60 in use, each pool's share by hosts alone is one.
+	const requestShare = createRequestShare(() => 20, 1, () => true);
+	const dispatcher = createPoolDispatcher(dispatch.createDispatcher({
+		budget: {ratio: 0.2, extra: 60, windowMilliseconds: 10_000}, floor: 0, random: () => 0,
+	}), () => DOMAINS);
+	dispatcher.setCandidates(SERVICE, CANDIDATES, 0);
+	const pools = DOMAINS.map(pool => ({service: SERVICE, pool}));
+	for (const [index, pool] of pools.entries()) {
+		dispatcher.ensurePool(pool, 0);
+		for (let host = 0; host < 20; host++) {
+			requestShare.record(`front-${index}-${host}`, 0, pool);
+		}
+	}
+
+	const keys = pools.map(pool => getPoolKey(pool));
+	t.true(keys.every(key => requestShare.getOf(key, 0) === 1));
+	const sum = keys.reduce((total, key) => total + Math.min(requestShare.getOf(key, 0), dispatcher.getMaxShare(key)), 0);
+	t.true(sum <= 1 + 1e-9, String(sum));
+	t.is(dispatcher.getMaxShare(SERVICE), 1);
+});
+
 test('without pools, the share of a service is that of all hosts that request slots from its dispatcher', t => {
 	const share = createRequestShare(() => 10, 1);
 	share.record('a', 0, {service: SERVICE});
--- a/packages/wagtailroute-fleet/src/host-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/host-dispatcher.ts
@@ -165,7 +165,8 @@
 	const {now, random, metrics} = context;
 	const log = context.logs('dispatch');
 	const {requestShare} = options;
-	const getPoolShare = (time: number, key: string) => requestShare.getOf(key, time);
+	// Callers may use more entry hosts than the directory names. Shares by hosts alone would then add up to more than one over the pools of a service.
+	const getPoolShare = (time: number, key: string) => Math.min(requestShare.getOf(key, time), dispatcher.getMaxShare(key));
 	const dispatcher = createPoolDispatcher(dispatch.createDispatcher({
 		...options.settings, random, getShare: options.isReceivingUpdates ? undefined : getPoolShare, getBudgetShare: getPoolShare,
 		isOrderedByCost: options.overloadControl?.isOn,
--- a/packages/wagtailroute-fleet/src/pools/pool-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/pools/pool-dispatcher.ts
@@ -29,6 +29,12 @@
 	*/
 	readonly ensurePool: (pool: Pool, now: number) => void;
 	readonly listPools: (service: core.ServiceName) => readonly core.FailureDomain[];
+	/**
+	Returns the most of a service's retry budget that one record may grant: an equal part for each failure domain with upstreams, all for the undivided service.
+
+	@param key Key of a pool.
+	*/
+	readonly getMaxShare: (key: string) => number;
 	readonly recordRefused: (pool: Pool, now: number) => void;
 	readonly hasUpstreams: (pool: Pool) => boolean;
 	/**
@@ -64,6 +70,10 @@
 	readonly #dispatcher: dispatch.Dispatcher;
 	readonly #listEntryDomains: () => readonly core.FailureDomain[];
 	readonly #candidates = new Map<core.ServiceName, readonly dispatch.Candidate[]>();
+	/**
+	Failure domains with upstreams, by service. Counted once for each change, since every slot request reads it.
+	*/
+	readonly #domainCounts = new Map<core.ServiceName, number>();
 	readonly #recordsByKey = new Map<string, PoolRecord>();
 	readonly #recordsByService = new Map<core.ServiceName, PoolRecord[]>();
 	/**
@@ -95,6 +105,11 @@
 		return this.#listRecords(service).map(({pool}) => pool);
 	}
 
+	getMaxShare(key: string): number {
+		const service = this.#recordsByKey.get(key)?.service;
+		return service === undefined ? 1 : 1 / Math.max(1, this.#domainCounts.get(service) ?? 1);
+	}
+
 	requestSlot(request: dispatch.SlotRequest, now: number): readonly dispatch.Effect[] {
 		const key = this.#ensureRecord(request, now);
 		if (key === request.service) {
@@ -159,6 +174,7 @@
 
 	setCandidates(service: core.ServiceName, candidates: readonly dispatch.Candidate[], now: number): readonly dispatch.Effect[] {
 		this.#candidates.set(service, candidates);
+		this.#domainCounts.set(service, new Set(candidates.map(({failureDomain}) => failureDomain)).size);
 		const effects = this.#restore(this.#dispatcher.setCandidates(service, candidates, now), now);
 		return [...effects, ...this.#listRecords(service).flatMap(record => this.#refreshMembers(record, now))];
 	}
