--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -142,6 +142,10 @@
 		return [...effects, ...ownEffects, ...this.#refuseMissing(service, now)];
 	}
 
+	collectCredit(request: SlotRequest, now: number): void {
+		this.#getService(request.service).budget.collectCredit(request, now);
+	}
+
 	recordRefused(name: core.ServiceName, now: number): void {
 		const {shortfall} = this.#getService(name);
 		shortfall.recordRequest(now);
@@ -470,7 +474,12 @@
 			cheapExplorers: createCheapExplorers(),
 			policy: this.#settings.policy ?? DEFAULT_POLICY,
 			shortfall: createShortfall(),
-			budget: createBudget(this.#settings.budget, this.#settings.policy ?? DEFAULT_POLICY, now => this.#settings.getBudgetShare?.(now, name) ?? 1),
+			budget: createBudget(
+				this.#settings.budget,
+				this.#settings.policy ?? DEFAULT_POLICY,
+				now => this.#settings.getBudgetShare?.(now, name) ?? 1,
+				now => this.#settings.getCreditShares?.(now, name),
+			),
 			lastIdempotentAt: -Infinity,
 			unpublishedDraining: new Set(),
 			rateLimits: new ServiceRateLimits({getShare: now => this.#settings.getShare?.(now, name) ?? 1, random: this.#settings.random}),
--- a/packages/wagtailroute-fleet/src/__tests__/unit/pool-fixture.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/pool-fixture.ts
@@ -55,6 +55,7 @@
 	readonly entriesPerDomain?: number;
 	readonly isDividing?: (host: core.HostId) => boolean;
 	readonly organisations?: readonly generations.GenerationOrganisation[];
+	readonly countCreditHosts?: () => number;
 };
 
 export type PoolFleet = {
@@ -75,7 +76,9 @@
 /**
 Creates a fleet with one control host, and some entry hosts, in each failure domain.
 */
-export function createPoolFleet({candidates, entryDomains = DOMAINS, entriesPerDomain = 1, isDividing = () => true, organisations}: PoolFleetOptions): PoolFleet {
+export function createPoolFleet({
+	candidates, entryDomains = DOMAINS, entriesPerDomain = 1, isDividing = () => true, organisations, countCreditHosts,
+}: PoolFleetOptions): PoolFleet {
 	const context = fixture.createFakeContext();
 	const received: string[] = [];
 	const exchanged: string[] = [];
@@ -121,11 +124,12 @@
 		});
 		enforcer.setOrganisations(organisations);
 		const dispatcher = startHostDispatcher(context, {
-			settings: {budget: {ratio: 0.2, extra: 20, windowMilliseconds: 10_000}, floor: 0},
+			settings: {budget: fixture.BUDGET, floor: 0},
 			allotmentEnforcer: enforcer,
 			requestShare,
 			overloadControl: {isOn: () => true},
 			isReceivingUpdates: true,
+			...countCreditHosts !== undefined && {countCreditHosts},
 			listCandidates: () => candidates,
 			lending: {failureDomain, isFirstDispatcher: ({pool}) => pool === failureDomain},
 			listEntryDomains: () => entryDomains,
@@ -171,7 +175,9 @@
 	for (const {id, failureDomain} of entryIds) {
 		const links = controls.map(control => createLink({id, failureDomain}, control));
 		const client = createDispatchClient(context, {
-			settings: {hostId: id, failureDomain, allotments: fixture.ALLOTMENTS},
+			settings: {
+				hostId: id, failureDomain, allotments: fixture.ALLOTMENTS, budget: fixture.BUDGET,
+			},
 			countEntryHosts: () => entryIds.length,
 			getControlHosts: () => links.filter(({link: opened}) => opened.isOpen()),
 			pools: createPoolChoice(context, {
@@ -188,6 +194,7 @@
 				notify: () => undefined,
 				notifyControlHosts: () => undefined,
 			}),
+			overloadControl: {isOn: () => true},
 			isRetired: () => false,
 			getLinkDelay: () => 0,
 		});
--- a/packages/wagtailroute-fleet/src/pools/pool-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/pools/pool-dispatcher.ts
@@ -125,6 +125,10 @@
 		return this.#restore(effects, now);
 	}
 
+	collectCredit(request: dispatch.SlotRequest, now: number): void {
+		this.#dispatcher.collectCredit({...request, service: this.#ensureRecord(request, now)}, now);
+	}
+
 	recordRefused(pool: Pool, now: number): void {
 		this.#dispatcher.recordRefused(this.#ensureRecord(pool, now), now);
 	}
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -520,7 +520,9 @@
 		});
 		const context = createContext(clock, random, () => undefined);
 		const dispatchClient = fleet.createDispatchClient(context, {
-			settings: {hostId: id, failureDomain, allotments: ALLOTMENTS},
+			settings: {
+				hostId: id, failureDomain, allotments: ALLOTMENTS, budget: scenario.budget,
+			},
 			countEntryHosts: () => this.#entries.length,
 			getControlHosts: () => controls.filter(({link: hostLink}) => hostLink.isOpen()),
 			standbys: {
