--- a/packages/wagtailroute-dispatch/src/__tests__/unit/retry-budget-histories.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/retry-budget-histories.ts
@@ -39,24 +39,26 @@
 	return Array.from({length: times}, (_, index) => [steps].flat().map(step => ({...step, dispatcher: index % DISPATCHERS}))).flat();
 }
 
-const createStepsOf = (changes: ReadonlyArray<Step['change']>, milliseconds: readonly number[], hosts: ReadonlyArray<Step['hosts']>): fc.Arbitrary<readonly Step[]> =>
-	fc.array(fc.record({
-		milliseconds: fc.constantFrom(...milliseconds),
-		requests: fc.constantFrom(0, 3, 40, 200),
-		resends: fc.constantFrom(0, 5, 60, 200),
-		change: fc.constantFrom(...changes),
-		dispatcher: fc.nat(DISPATCHERS - 1),
-		hosts: fc.constantFrom(...hosts),
-	}), {minLength: 4, maxLength: 16});
-
-export const createSteps = (changes: ReadonlyArray<Step['change']>): fc.Arbitrary<readonly Step[]> =>
-	createStepsOf(changes, [20, 200, 700, 1100, 3000], ['all']);
+export const createSteps = (changes: ReadonlyArray<Step['change']>): fc.Arbitrary<readonly Step[]> => fc.array(fc.record({
+	milliseconds: fc.constantFrom(20, 200, 700, 1100, 3000),
+	requests: fc.constantFrom(0, 3, 40, 200),
+	resends: fc.constantFrom(0, 5, 60, 200),
+	change: fc.constantFrom(...changes),
+	dispatcher: fc.nat(DISPATCHERS - 1),
+	hosts: fc.constant('all'),
+}), {minLength: 4, maxLength: 16});
 
 /**
-A service that some hosts use first, and others after some time.
+A service that some hosts use first, and others after some time. Few requests earn resends, so that credit makes up most of what is granted.
 */
-export const createFirstUseSteps = (changes: ReadonlyArray<Step['change']>): fc.Arbitrary<readonly Step[]> =>
-	createStepsOf(changes, [20, 200, 700, 3000, 11_000], ['all', 'few', 'others']);
+export const createFirstUseSteps = (changes: ReadonlyArray<Step['change']>): fc.Arbitrary<readonly Step[]> => fc.array(fc.record({
+	milliseconds: fc.constantFrom(20, 20, 200, 200, 700, 11_000),
+	requests: fc.constantFrom(0, 0, 0, 3, 40),
+	resends: fc.constantFrom(5, 60, 60),
+	change: fc.constantFrom(...changes),
+	dispatcher: fc.nat(DISPATCHERS - 1),
+	hosts: fc.constantFrom('all', 'all', 'few', 'others'),
+}), {minLength: 4, maxLength: 30});
 
 /**
 An entry host as far as credit depends on it.
--- a/packages/wagtailroute-dispatch/src/__tests__/unit/retry-budget.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/retry-budget.test.ts
@@ -3,7 +3,7 @@
 */
 import test from 'ava';
 import * as fc from 'fast-check';
-import * as dispatch from '../../index.ts';
+import type * as dispatch from '../../index.ts';
 import {createCandidate, createDispatcher, createSlotRequest} from './fixture.ts';
 import {
 	BUDGET,
@@ -140,7 +140,7 @@
 
 test('the histories show a version in which every request brings credit', t => {
 	// Guards against histories in which credit is never used twice.
-	const {failed} = fc.check(fc.property(createFirstUseSteps(['none', 'restart', 'replace']), steps =>
+	const {failed} = fc.check(fc.property(createFirstUseSteps(['restart']), steps =>
 		getHistoryExcess(play(steps, {...PRESENT, claims: () => true})) <= 0), {numRuns: 300, seed: 20_261_204, endOnFailure: true});
 	t.true(failed);
 });
