--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -87,6 +87,10 @@
 
 type MessageHandler = (control: Pick<Control, 'dispatcher' | 'allotmentEnforcer'>, parameters: unknown, from: object) => void;
 
+function getOverloadControl({overloadControl}: Scenario): fleet.OverloadControl {
+	return {isOn: () => overloadControl === 'on'};
+}
+
 const MESSAGE_HANDLERS: Readonly<Record<string, MessageHandler>> = {
 	[fleet.METHODS.believe]({dispatcher}, belief) {
 		dispatcher.applyBelief(belief as fleet.Belief);
@@ -359,6 +363,7 @@
 			allotmentEnforcer,
 			requestShare,
 			isReceivingReports: true,
+			countCreditHosts: () => this.#entries.length,
 			listStandbys: service => fleet.orderDispatchers(service, this.#listStandbys(), host => host).slice(0, fleet.STANDBYS_PER_SERVICE),
 			notifyControlHosts: message => {
 				this.#notifyControlHosts(id, message);
@@ -444,11 +449,14 @@
 		return endpoint.state === 'frozen' ? Math.max(0, endpoint.frozenUntil - this.#plan.clock.now()) : 0;
 	}
 
-	#startHostDispatcher({requestingHosts, allotmentEnforcer, requestShare, isReceivingReports, listStandbys, notifyControlHosts, getState, onAnswer}: {
+	#startHostDispatcher({
+		requestingHosts, allotmentEnforcer, requestShare, isReceivingReports, countCreditHosts, listStandbys, notifyControlHosts, getState, onAnswer,
+	}: {
 		readonly requestingHosts: ReturnType<typeof fleet.createRequestingHosts>;
 		readonly allotmentEnforcer: fleet.AllotmentEnforcer;
 		readonly requestShare: fleet.RequestShare;
 		readonly isReceivingReports: boolean;
+		readonly countCreditHosts?: () => number;
 		readonly listStandbys: (service: core.ServiceName) => readonly core.HostId[];
 		readonly notifyControlHosts: (message: Message) => void;
 		readonly getState: () => Endpoint['state'];
@@ -462,7 +470,9 @@
 			settings: {budget: scenario.budget, floor: scenario.floor, policy: variant.policy},
 			allotmentEnforcer,
 			requestShare,
+			overloadControl: getOverloadControl(scenario),
 			isReceivingUpdates: isReceivingReports,
+			countCreditHosts,
 			listCandidates,
 			listStandbys: ({service}) => listStandbys(service),
 			notify(host, method, parameters) {
@@ -535,6 +545,7 @@
 				}),
 				isOwnHostStandby: () => this.#listStandbys().includes(id),
 			},
+			overloadControl: getOverloadControl(scenario),
 			ownDispatcher,
 			isRetired: () => false,
 			getLinkDelay: () => 0,
