Command line: catalogue check reports what the fleet would refuse before entries are sent

Cause: catalogue apply sends the entries of a file one after the other and stops at the first that is refused; those before it stay in force. A file could only be checked by sending it, and a refusal named only the first invalid field.

Change: catalogue check validates a file without a network. It reports all invalid fields, conflicts between routes, routes that no request matches, limits that contradict each other, and differences from a saved listing. The checks are pure functions of the package catalogue and use its schema, route index and limits. The fleet's message for an unknown field begins with the path of the field.

--- a/packages/wagtailroute-catalogue/src/entry.ts
+++ b/packages/wagtailroute-catalogue/src/entry.ts
@@ -101,18 +101,35 @@
 };
 
 /**
-Validates a value as an entry and fills in the defaults.
+A field of an entry that was refused, and why. `path` is empty for the entry as a whole, `routes.0.class` for a field of its first route.
+*/
+export type EntryIssue = {
+	readonly path: string;
+	readonly message: string;
+};
+
+/**
+Validates a value as an entry and fills in the defaults. The failure names the first invalid field.
 */
 export function parseEntry(value: unknown): results.Result<Entry, EntryFailure> {
+	return checkEntry(value).mapErr(([issue]) => {
+		const path = issue === undefined || issue.path === '' ? 'The entry' : issue.path;
+		return core.createFailure('entry-invalid', `${path}: ${issue?.message ?? 'is not valid'}.`);
+	});
+}
+
+/**
+Validates a value as an entry and fills in the defaults, or returns all its invalid fields.
+*/
+export function checkEntry(value: unknown): results.Result<Entry, readonly EntryIssue[]> {
 	const parsed = entrySchema.safeParse(applyRouteDefaults(value));
-	if (parsed.success) {
-		return results.Ok(parsed.data);
-	}
+	return parsed.success ? results.Ok(parsed.data) : results.Err(listIssues(parsed.error));
+}
 
-	const issue = parsed.error.issues[0];
-	const path = issue?.path.join('.') ?? '';
-	const message = `${path === '' ? 'The entry' : path}: ${issue?.message ?? 'is not valid'}.`;
-	return results.Err(core.createFailure('entry-invalid', message));
+function listIssues(error: zod.ZodError): readonly EntryIssue[] {
+	return error.issues.flatMap(issue => issue.code === 'unrecognized_keys'
+		? issue.keys.map(key => ({path: [...issue.path, key].join('.'), message: 'Unrecognized key'}))
+		: [{path: issue.path.join('.'), message: issue.message}]);
 }
 
 /**
@@ -142,10 +159,20 @@
 Parses and validates an entry from its text.
 */
 export function parseEntryText(text: string, format: EntryFormat): results.Result<Entry, EntryFailure> {
-	if (buffer.Buffer.byteLength(text) > MAX_ENTRY_BYTES) {
-		return results.Err(core.createFailure('entry-too-large', `The entry is larger than ${MAX_ENTRY_BYTES} bytes.`));
+	const failure = findSizeFailure(text);
+	if (failure !== undefined) {
+		return results.Err(failure);
 	}
 
 	const document = results.Result.wrap(() => PARSERS[format](text));
 	return document.isErr() ? results.Err(core.createFailure('entry-malformed', `The entry is not well-formed ${format.toUpperCase()}.`)) : parseEntry(document.value);
 }
+
+/**
+Returns a failure if the text of an entry is too large.
+*/
+export function findSizeFailure(text: string): core.Failure<'entry-too-large'> | undefined {
+	return buffer.Buffer.byteLength(text) > MAX_ENTRY_BYTES
+		? core.createFailure('entry-too-large', `The entry is larger than ${MAX_ENTRY_BYTES} bytes.`)
+		: undefined;
+}
--- a/packages/wagtailroute-catalogue/src/index.ts
+++ b/packages/wagtailroute-catalogue/src/index.ts
@@ -1,7 +1,10 @@
 /**
-The catalogue: its entries and their validation, the route table, the replicated state machine, and the views and deltas by which hosts
-update each other.
+The catalogue: its entries and their validation, the route table, the replicated state machine, the views and deltas by which hosts update
+each other, and the checks of entries before they are sent.
 */
+export {checkEntries, type CheckReport} from './checks/check.ts';
+export type {Difference} from './checks/differences.ts';
+export type {Finding, FindingCode, Severity} from './checks/findings.ts';
 export {
 	type Entry,
 	type EntryFailure,
--- a/packages/wagtailroute-catalogue/src/route-index.ts
+++ b/packages/wagtailroute-catalogue/src/route-index.ts
@@ -11,9 +11,11 @@
 import {
 	addRoute,
 	findConflict,
+	listConflicts,
 	matchRoute,
 	type MutableRouteTable,
 	removeRoutes,
+	type RouteConflict,
 	type RouteMatch,
 } from './routes.ts';
 import type {View} from './view.ts';
@@ -39,6 +41,10 @@
 	Returns a route of another service that conflicts with a route of the entry, see `findConflict`.
 	*/
 	readonly findConflict: (entry: Entry) => RouteMatch | undefined;
+	/**
+	Returns all such conflicts.
+	*/
+	readonly listConflicts: (entry: Entry) => readonly RouteConflict[];
 };
 
 /**
@@ -84,5 +90,6 @@
 		},
 		match: (host, method, path) => matchRoute(table, host, method, path),
 		findConflict: entry => findConflict(table, entry),
+		listConflicts: entry => listConflicts(table, entry),
 	};
 }
--- a/packages/wagtailroute-catalogue/src/routes.ts
+++ b/packages/wagtailroute-catalogue/src/routes.ts
@@ -75,7 +75,10 @@
 	}
 }
 
-function normalizePrefix(prefix: string): string {
+/**
+Returns a path prefix without its final slash: `/a` and `/a/` match the same requests.
+*/
+export function normalizePrefix(prefix: string): string {
 	return prefix.endsWith('/') ? prefix.slice(0, -1) : prefix;
 }
 
@@ -113,20 +116,32 @@
 	return route.methods?.includes(method) ?? true;
 }
 
+/**
+A route of an entry, by its position in the entry, and the route of another service that it conflicts with.
+*/
+export type RouteConflict = {
+	readonly index: number;
+	readonly other: RouteMatch;
+};
+
 /**
 Returns a route of another service that has the host, the prefix and a method in common with a route of the entry. Without this check,
 requests that match both would go to the service that was added first.
 */
 export function findConflict(table: RouteTable, entry: Entry): RouteMatch | undefined {
-	for (const route of entry.routes) {
-		const matches = table.get(route.host ?? ANY_HOST)?.get(normalizePrefix(route.pathPrefix)) ?? [];
-		const conflict = matches.find(match => match.service !== entry.name && haveCommonMethod(match.route, route));
-		if (conflict !== undefined) {
-			return conflict;
-		}
-	}
+	return listConflicts(table, entry)[0]?.other;
+}
 
-	return undefined;
+/**
+Returns all conflicts of the routes of an entry, see `findConflict`.
+*/
+export function listConflicts(table: RouteTable, entry: Entry): readonly RouteConflict[] {
+	return entry.routes.flatMap((route, index) => {
+		const matches = table.get(route.host ?? ANY_HOST)?.get(normalizePrefix(route.pathPrefix)) ?? [];
+		return matches
+			.filter(match => match.service !== entry.name && haveCommonMethod(match.route, route))
+			.map(other => ({index, other}));
+	});
 }
 
 function haveCommonMethod(left: Route, right: Route): boolean {
--- a/packages/wagtailroute-cli/src/cli.ts
+++ b/packages/wagtailroute-cli/src/cli.ts
@@ -3,6 +3,7 @@
 */
 import * as allotments from './commands/allotments.ts';
 import * as changes from './commands/changes.ts';
+import * as check from './commands/check.ts';
 import * as hosts from './commands/hosts.ts';
 import * as load from './commands/load.ts';
 import * as platform from './commands/platform.ts';
@@ -15,6 +16,7 @@
 	platform.PlatformCommand,
 	queries.CatalogueListCommand,
 	queries.CatalogueShowCommand,
+	check.CatalogueCheckCommand,
 	changes.CatalogueApplyCommand,
 	changes.CatalogueRemoveCommand,
 	queries.CatalogueHistoryCommand,
--- a/packages/wagtailroute-cli/src/constants.ts
+++ b/packages/wagtailroute-cli/src/constants.ts
@@ -3,7 +3,7 @@
 */
 
 /**
-Exit code for every failure other than a bad setting, and for a host that a second signal ends.
+Exit code for every failure without a code of its own, and for a host that a second signal ends.
 */
 export const EXIT_FAILURE = 1;
 
@@ -12,6 +12,11 @@
 */
 export const EXIT_BAD_SETTING = 2;
 
+/**
+Exit code of a check of entries that ends with warnings only.
+*/
+export const EXIT_WARNINGS = 2;
+
 /**
 Time in which the whole answer of an admin port must arrive.
 */
--- a/packages/wagtailroute-cli/src/entries.ts
+++ b/packages/wagtailroute-cli/src/entries.ts
@@ -23,32 +23,39 @@
 Reads the entries of a file: YAML documents, each an entry or a list of entries.
 */
 export async function readEntries(path: string): Promise<results.Result<readonly UncheckedEntry[], failures.CommandFailure>> {
+	const values = await readValues('FILE', path);
+	return values.andThen(list => {
+		const parsed = ENTRIES_SCHEMA.safeParse(list);
+		return parsed.success ? results.Ok(parsed.data) : rejectFile('FILE', path, 'catalogue entries, each with a name');
+	});
+}
+
+/**
+Reads the values of a file: YAML documents, each a value or a list of values. `argument` appears in the failure only.
+*/
+export async function readValues(argument: string, path: string): Promise<results.Result<readonly unknown[], failures.CommandFailure>> {
 	try {
 		const {size} = await files.stat(path);
-		return size > constants.MAX_ENTRIES_FILE_BYTES ? rejectFile(path, `a file of at most ${constants.MAX_ENTRIES_FILE_BYTES} bytes`) : parseEntries(path, await files.readFile(path, 'utf8'));
+		return size > constants.MAX_ENTRIES_FILE_BYTES
+			? rejectFile(argument, path, `a file of at most ${constants.MAX_ENTRIES_FILE_BYTES} bytes`)
+			: parseValues(argument, path, await files.readFile(path, 'utf8'));
 	} catch (error) {
-		return rejectFile(path, `a file that can be read (${failures.describeError(error)})`);
+		return rejectFile(argument, path, `a file that can be read (${failures.describeError(error)})`);
 	}
 }
 
-/**
-Parses the text of a file of entries. `path` appears in the failure only.
-*/
-export function parseEntries(path: string, text: string): results.Result<readonly UncheckedEntry[], failures.CommandFailure> {
+function parseValues(argument: string, path: string, text: string): results.Result<readonly unknown[], failures.CommandFailure> {
 	const documents = yaml.parseAllDocuments(text);
 	const list = Array.isArray(documents) ? documents : [];
 	const [problem] = list.flatMap(document => document.errors);
-	if (problem) {
-		return rejectFile(path, `YAML or JSON (${failures.toSingleLine(problem.message)})`);
-	}
-
-	const values = list.map(document => document.toJS() as unknown).filter(value => value !== null);
-	const parsed = ENTRIES_SCHEMA.safeParse(values.flat());
-	return parsed.success
-		? results.Ok(parsed.data)
-		: rejectFile(path, 'catalogue entries, each with a name');
+	return problem
+		? rejectFile(argument, path, `YAML or JSON (${failures.toSingleLine(problem.message)})`)
+		: results.Ok(list.map(document => document.toJS() as unknown).filter(value => value !== null).flat());
 }
 
-function rejectFile(path: string, accepted: string): results.Err<failures.CommandFailure> {
-	return results.Err(core.createFailure('bad-setting', `FILE: the value ${JSON.stringify(path)} is not accepted; accepted: ${accepted}`));
+/**
+Creates the failure of a file that isn't accepted.
+*/
+export function rejectFile(argument: string, path: string, accepted: string): results.Err<failures.CommandFailure> {
+	return results.Err(core.createFailure('bad-setting', `${argument}: the value ${JSON.stringify(path)} is not accepted; accepted: ${accepted}`));
 }
--- a/packages/wagtailroute-cli/src/failures.ts
+++ b/packages/wagtailroute-cli/src/failures.ts
@@ -10,6 +10,9 @@
 - `refused`: the host answered with an error.
 - `bad-answer`: the answer isn't of the expected shape.
 - `not-in-force`: the change was committed, but isn't in force on some hosts yet.
+- `bad-file`: a file of entries to check can't be read or parsed.
+- `entries-refused`: the fleet would refuse an entry that was checked.
+- `entries-doubtful`: a check of entries ended with warnings only.
 - `wrong-truth`: a load run found a wrong answer, or an outcome that differs from what the backend servers ran.
 - `stopped`: the host failed to start or to stop, for example because its address is in use.
 */
@@ -19,6 +22,9 @@
 	| 'refused'
 	| 'bad-answer'
 	| 'not-in-force'
+	| 'bad-file'
+	| 'entries-refused'
+	| 'entries-doubtful'
 	| 'wrong-truth'
 	| 'stopped';
 
@@ -27,11 +33,19 @@
 */
 export type CommandFailure = core.Failure<CommandFailureKind>;
 
+/**
+Exit codes other than `EXIT_FAILURE`.
+*/
+const EXIT_CODES: Readonly<Partial<Record<CommandFailureKind, number>>> = {
+	'bad-setting': constants.EXIT_BAD_SETTING,
+	'entries-doubtful': constants.EXIT_WARNINGS,
+};
+
 /**
 Returns the exit code of a failure.
 */
 export function getExitCode(failure: CommandFailure): number {
-	return failure.kind === 'bad-setting' ? constants.EXIT_BAD_SETTING : constants.EXIT_FAILURE;
+	return EXIT_CODES[failure.kind] ?? constants.EXIT_FAILURE;
 }
 
 /**
--- a/packages/wagtailroute-cli/src/settings.ts
+++ b/packages/wagtailroute-cli/src/settings.ts
@@ -74,6 +74,14 @@
 	revision: flags.FLAGS.revision.schema,
 });
 
+/**
+Settings of `catalogue check`.
+*/
+export const CHECK_SETTINGS = zod.object({
+	against: flags.FLAGS.against.schema,
+	format: flags.FLAGS.format.schema,
+});
+
 /**
 Settings of reports on what is read from standard input.
 */
