--- a/packages/wagtailroute-catalogue/src/__tests__/unit/checks.test.ts
+++ b/packages/wagtailroute-catalogue/src/__tests__/unit/checks.test.ts
@@ -31,7 +31,7 @@
 	{
 		name: 'several invalid fields',
 		entries: [{
-			...ARCHIVE, owner: '', routes: [{...ROUTE, class: 'maybe'}], limits: {concurrency: 0, colour: 'red'}, flavour: 1,
+			...ARCHIVE, owner: '', routes: [{...ROUTE, class: 'maybe'}], limits: {concurrency: 0, colour: 'red'}, flavour: 1, shape: 2,
 		}],
 		findings: [
 			'error entry-invalid archive owner',
@@ -39,6 +39,7 @@
 			'error entry-invalid archive limits.concurrency',
 			'error entry-invalid archive limits.colour',
 			'error entry-invalid archive flavour',
+			'error entry-invalid archive shape',
 		],
 	},
 	{
