Ordered queue: the expected speed is bounded by the slots that are not suspended

While most upstreams of a pool were suspended, the releases of the second before decided, so that queued requests were held although the upstreams that were left could not serve them in time. The speed is now at most 1.25 for each slot of an upstream in service.

--- a/packages/wagtailroute-dispatch/src/__tests__/unit/order.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/order.test.ts
@@ -92,6 +92,34 @@
 	t.true(countQueued(250) > 2 * countQueued(700), `${countQueued(250)} ${countQueued(700)}`);
 });
 
+test('queued requests that the upstreams left after suspensions can not serve in time are refused at once', t => {
+	// Guards against an expected wait by the releases of the last second: they were those of upstreams that had been suspended meanwhile.
+	const upstreams = Array.from({length: 10}, (_, index) => `u${index}`);
+	const dispatcher = createDispatcher(upstreams.map(upstream => createCandidate(upstream, {slots: 1})), ON);
+	const underWay: string[] = [];
+	let now = 0;
+	for (let round = 0; round < 10; round++) {
+		const ids = upstreams.map((_, index) => `${round}-${index}`);
+		const grants = ids.flatMap(id => dispatcher.requestSlot(createSlotRequest(id), now)).filter(effect => effect.kind === 'grant');
+		t.is(grants.length, 10);
+		now += 100;
+		for (const {request} of grants) {
+			if (round < 9) {
+				dispatcher.end(request.id, {ending: 'success', milliseconds: 100}, now);
+			} else {
+				underWay.push(request.id);
+			}
+		}
+	}
+
+	const waiting = Array.from({length: 30}, (_, index) => `waiting-${index}`);
+	t.deepEqual(waiting.flatMap(id => dispatcher.requestSlot(createSlotRequest(id), now)), []);
+	const refused = underWay.slice(0, 9).flatMap(id => listIds(dispatcher.end(id, {ending: 'reset', milliseconds: 100}, now), 'refuse'));
+	// The upstream that is left serves 9 of them within the objective. Those that can't be served get a slot of a suspended one or are refused.
+	t.true(dispatcher.countWaiting() >= 9 && dispatcher.countWaiting() <= 13, String(dispatcher.countWaiting()));
+	t.true(refused.length > 0);
+});
+
 test('the last tokens of the retry budget are left to resends of more urgent requests', t => {
 	const dispatcher = createDispatcher([createCandidate('a', {slots: 100}), createCandidate('b', {slots: 100})], {
 		...ON, budget: {ratio: 0.5, extra: 30, windowMilliseconds: 10_000},
--- a/packages/wagtailroute-dispatch/src/__tests__/unit/replay.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/replay.ts
@@ -96,7 +96,7 @@
 		name: 'upstreams that become four times slower under load', kinds: USUAL_KINDS, inTime: {}, getSlowness: held => held > 1 ? 4 : 1,
 	},
 	{
-		name: 'all upstreams of the pool suspended', kinds: USUAL_KINDS, inTime: {}, isFailing: at => at > 1500 && at < 3000,
+		name: 'all upstreams of the pool suspended', kinds: THREE_KINDS, inTime: {}, isFailing: at => at > 1500 && at < 3000,
 	},
 ];
 
@@ -138,14 +138,23 @@
 */
 export type Outcomes = Readonly<Record<string, Outcome>>;
 
+type Grant = Extract<dispatch.Effect, {kind: 'grant'}>;
+type Refusal = Extract<dispatch.Effect, {kind: 'refuse'}>;
+
+type Caller = {
+	readonly kind: string;
+	readonly startedAt: number;
+	sentAt: number;
+};
+
 /**
 Is told what the dispatcher receives and answers.
 */
 export type Observer = {
 	readonly start?: (dispatcher: dispatch.Dispatcher) => void;
 	readonly receive?: (request: dispatch.SlotRequest, now: number) => void;
-	readonly grant?: (effect: Extract<dispatch.Effect, {kind: 'grant'}>, now: number) => void;
-	readonly refuse?: (effect: Extract<dispatch.Effect, {kind: 'refuse'}>, now: number) => void;
+	readonly grant?: (effect: Grant, now: number) => void;
+	readonly refuse?: (effect: Refusal, now: number) => void;
 	readonly end?: (id: dispatch.SlotRequestId, outcome: dispatch.Outcome) => void;
 	/**
 	Called once per simulated millisecond, after its events.
@@ -161,8 +170,10 @@
 	readonly seed: number;
 	/**
 	Returns the milliseconds after which a refused caller returns; absent: as it was told.
+
+	@param kind Name of the kind of its request.
 	*/
-	readonly getReturnDelay?: (retryAfterMilliseconds: number) => number;
+	readonly getReturnDelay?: (retryAfterMilliseconds: number, kind: string) => number;
 	readonly observer?: Observer;
 };
 
@@ -183,7 +194,7 @@
 		events.set(Math.ceil(at), scheduled);
 	};
 
-	const callers = new Map<string, {readonly kind: string; readonly startedAt: number; sentAt: number}>();
+	const callers = new Map<string, Caller>();
 	const heldByUpstream = new Map<string, number>();
 	let now = 0;
 
@@ -219,41 +230,54 @@
 		});
 	};
 
+	const countGranted = (caller: Caller, milliseconds: number) => {
+		const {objective, deadline} = kinds[caller.kind]!;
+		const outcome = outcomes[caller.kind]!;
+		const answeredAfter = now + milliseconds - caller.startedAt;
+		outcome.served += answeredAfter <= deadline ? 1 : 0;
+		outcome.inTime += answeredAfter <= objective ? 1 : 0;
+		outcome.work += answeredAfter <= deadline && now < END_MILLISECONDS ? milliseconds : 0;
+	};
+
+	const applyGrant = (effect: Grant) => {
+		observer?.grant?.(effect, now);
+		const caller = callers.get(effect.request.id)!;
+		const held = (heldByUpstream.get(effect.upstream) ?? 0) + 1;
+		heldByUpstream.set(effect.upstream, held);
+		const milliseconds = kinds[caller.kind]!.work * (0.7 + (random() * 0.6)) * (getSlowness?.(held) ?? 1);
+		const isFailed = isFailing?.(now) === true;
+		if (!isFailed) {
+			countGranted(caller, milliseconds);
+		}
+
+		scheduleEnd(effect.request.id, effect.upstream, {ending: isFailed ? 'reset' : 'success', milliseconds});
+	};
+
+	const applyRefusal = (effect: Refusal) => {
+		observer?.refuse?.(effect, now);
+		const {id, organisation} = effect.request;
+		const caller = callers.get(id)!;
+		const {work, deadline} = kinds[caller.kind]!;
+		const outcome = outcomes[caller.kind]!;
+		outcome.refusals++;
+		outcome.lateRefusals += now - caller.sentAt > 50 ? 1 : 0;
+		const returnDelay = getReturnDelay?.(effect.retryAfterMilliseconds, caller.kind) ?? effect.retryAfterMilliseconds;
+		if (now + returnDelay + work >= caller.startedAt + deadline) {
+			return;
+		}
+
+		const nextId = `${id}+`;
+		callers.set(nextId, {...caller});
+		scheduleReturn(nextId, organisation!, returnDelay);
+	};
+
 	const apply = (effects: readonly dispatch.Effect[]) => {
 		for (const effect of effects) {
-			if (effect.kind !== 'grant' && effect.kind !== 'refuse') {
-				continue;
-			}
-
-			const {id, organisation} = effect.request;
-			const caller = callers.get(id)!;
-			const {work, objective, deadline} = kinds[caller.kind]!;
-			const outcome = outcomes[caller.kind]!;
 			if (effect.kind === 'grant') {
-				observer?.grant?.(effect, now);
-				const held = (heldByUpstream.get(effect.upstream) ?? 0) + 1;
-				heldByUpstream.set(effect.upstream, held);
-				const milliseconds = work * (0.7 + (random() * 0.6)) * (getSlowness?.(held) ?? 1);
-				const answeredAfter = now + milliseconds - caller.startedAt;
-				const isFailed = isFailing?.(now) === true;
-				outcome.served += !isFailed && answeredAfter <= deadline ? 1 : 0;
-				outcome.inTime += !isFailed && answeredAfter <= objective ? 1 : 0;
-				outcome.work += !isFailed && answeredAfter <= deadline && now < END_MILLISECONDS ? milliseconds : 0;
-				scheduleEnd(id, effect.upstream, {ending: isFailed ? 'reset' : 'success', milliseconds});
-				continue;
+				applyGrant(effect);
+			} else if (effect.kind === 'refuse') {
+				applyRefusal(effect);
 			}
-
-			observer?.refuse?.(effect, now);
-			outcome.refusals++;
-			outcome.lateRefusals += now - caller.sentAt > 50 ? 1 : 0;
-			const returnDelay = getReturnDelay?.(effect.retryAfterMilliseconds) ?? effect.retryAfterMilliseconds;
-			if (now + returnDelay + work >= caller.startedAt + deadline) {
-				continue;
-			}
-
-			const nextId = `${id}+`;
-			callers.set(nextId, {...caller});
-			scheduleReturn(nextId, organisation!, returnDelay);
 		}
 	};
 
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -53,6 +53,7 @@
 import {ServiceRateLimits} from './service-rate-limits.ts';
 import {
 	countQueuedUntil,
+	countServingSlots,
 	countUsableSlots,
 	getBackoffDelay,
 	getQueueKey,
@@ -677,6 +678,11 @@
 			return [];
 		}
 
+		const servingSlots = countServingSlots(service, now);
+		if (servingSlots > 0) {
+			order.setServingSlots(servingSlots);
+		}
+
 		const effects: Effect[] = [];
 		for (const {entry, wait} of order.listMissing(now)) {
 			if (entry.isLate || entry.request.isResend || (now <= entry.startBy && !entry.isReturning)) {
--- a/packages/wagtailroute-dispatch/src/order/constants.ts
+++ b/packages/wagtailroute-dispatch/src/order/constants.ts
@@ -47,6 +47,11 @@
 export const RELEASE_SLICE_MILLISECONDS = 100;
 export const EXPECTED_SPEED_HOLDS = 2;
 
+/**
+Upper bound of the speed of one slot. Above 1, since response times vary: bounds of 1 and 1.1 were reached without any suspension.
+*/
+export const MAX_SLOT_SPEED = 1.25;
+
 /**
 Weight of a new measurement in the averages of work and of the time for which slots are held.
 */
--- a/packages/wagtailroute-dispatch/src/order/ordered-queue.ts
+++ b/packages/wagtailroute-dispatch/src/order/ordered-queue.ts
@@ -8,6 +8,7 @@
 	MAX_CREDIT_REQUESTS,
 	MAX_EXAMINED_PER_EVENT,
 	MAX_PRIORITIES,
+	MAX_SLOT_SPEED,
 	ORGANISATION_EXPIRY_MILLISECONDS,
 } from './constants.ts';
 import {FairShares, type FairTag, getFairLevel} from './fair-shares.ts';
@@ -81,6 +82,7 @@
 	*/
 	readonly #prioritySeenAt = new Map<number, number>();
 	#slots = 0;
+	#servingSlots = Infinity;
 	#sequence = 0;
 	#examinedAt = -Infinity;
 
@@ -114,6 +116,14 @@
 		this.#slots = slots;
 	}
 
+	/**
+	Sets the number of slots of all upstreams that are not suspended, which bounds the expected speed: after a suspension, slots are also released
+	at upstreams that get no queued requests any more.
+	*/
+	setServingSlots(slots: number): void {
+		this.#servingSlots = slots;
+	}
+
 	/**
 	Returns a valid priority: one that is no finite number counts as the lowest in use.
 	*/
@@ -260,7 +270,7 @@
 	}
 
 	#getSpeed(now: number): number {
-		return Math.max(MIN_SPEED, this.releaseSpeed.get(this.#slots, now));
+		return Math.max(MIN_SPEED, Math.min(this.releaseSpeed.get(this.#slots, now), this.#servingSlots * MAX_SLOT_SPEED));
 	}
 
 	#getLowestPriority(now: number): number {
--- a/packages/wagtailroute-dispatch/src/services.ts
+++ b/packages/wagtailroute-dispatch/src/services.ts
@@ -191,6 +191,13 @@
 	return slots;
 }
 
+/**
+Counts the slots, free or not, of the upstreams that are in service and not suspended, whatever their rate limits and backoffs.
+*/
+export function countServingSlots({index}: Service, now: number): number {
+	return index.listLimitedUsable(now).reduce((slots, {candidate}) => slots + candidate.slots, index.countUnlimitedSlots(now));
+}
+
 /**
 Lists the upstreams in service that are not suspended and yet not usable for the request: it was sent there before, or its entry host backs off.
 */
