--- a/packages/wagtailroute-dispatch/src/__tests__/unit/order.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/order.test.ts
@@ -100,7 +100,8 @@
 	let now = 0;
 	for (let round = 0; round < 10; round++) {
 		const ids = upstreams.map((_, index) => `${round}-${index}`);
-		const grants = ids.flatMap(id => dispatcher.requestSlot(createSlotRequest(id), now)).filter(effect => effect.kind === 'grant');
+		const sentAt = now;
+		const grants = ids.flatMap(id => dispatcher.requestSlot(createSlotRequest(id), sentAt)).filter(effect => effect.kind === 'grant');
 		t.is(grants.length, 10);
 		now += 100;
 		for (const {request} of grants) {
