--- a/packages/wagtailroute-dispatch/src/__tests__/unit/queue-scan.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/queue-scan.test.ts
@@ -11,7 +11,12 @@
 import {describeResponse} from '../../response-bytes.ts';
 import {createTrialContext, getUsualMilliseconds} from '../../services.ts';
 import {createUpstreamIndex, type UpstreamIndex} from '../../upstream-index.ts';
-import {createSlotRequest} from './fixture.ts';
+import {
+	createCandidate,
+	createDispatcher,
+	createSlotRequest,
+	SERVICE,
+} from './fixture.ts';
 import {
 	arbitraryCall,
 	arbitraryRequest,
@@ -133,3 +138,61 @@
 	t.log(examined);
 	t.true(examined.reused < examined.individually * 0.9);
 });
+
+function listGranted(effects: readonly dispatch.Effect[]): readonly string[] {
+	return effects.flatMap(effect => effect.kind === 'grant' ? [`${effect.request.id} ${effect.upstream}`] : []);
+}
+
+/**
+Differences between requests of one kind that random histories rarely show. Each returns the grants of the last event.
+*/
+const REUSE_CASES = {
+	'a read explores an upstream that was the second choice before a grant of the same event'() {
+		const dispatcher = createDispatcher([
+			createCandidate('own', {slots: 1}),
+			createCandidate('other', {failureDomain: 'y'}),
+			createCandidate('rested', {failureDomain: 'z', slots: 1}),
+		]);
+		dispatcher.setDoubt(SERVICE, 'rested', 2, 1990);
+		dispatcher.requestSlot(createSlotRequest('holds own'), 1990);
+		dispatcher.requestSlot(createSlotRequest('holds other', {failureDomain: 'y'}), 1990);
+		dispatcher.requestSlot(createSlotRequest('first', {requestClass: 'read', priority: 0}), 2000);
+		dispatcher.requestSlot(createSlotRequest('second', {requestClass: 'read', priority: 10}), 2000);
+		return listGranted(dispatcher.requestSlot(createSlotRequest('of y', {failureDomain: 'y', priority: 9}), 2000));
+	},
+	'a request that has waited longer than another crosses when the rate limit of its own failure domain has no token in time'() {
+		const dispatcher = createDispatcher([createCandidate('own'), createCandidate('other', {failureDomain: 'y'})]);
+		const limit = {
+			kind: 'rate-limit' as const, upstream: 'own', ratePerSecond: 25, ageMilliseconds: 0,
+		};
+		dispatcher.applyUpdates(SERVICE, [{...limit, granted: 0}], 0);
+		dispatcher.requestSlot(createSlotRequest('older', {priority: 2}), 0);
+		dispatcher.applyUpdates(SERVICE, [{...limit, granted: 1}], 30);
+		return listGranted(dispatcher.requestSlot(createSlotRequest('newer', {priority: 0}), 50));
+	},
+	'a host gets the slots of a large pool from which another host backs off'() {
+		const ids = Array.from({length: 200}, (_, index) => String(index));
+		const list = (slots: number) => [createCandidate('used', {slots: 1}), ...ids.map(id => createCandidate(id, {failureDomain: 'y', slots}))];
+		const dispatcher = createDispatcher(list(0));
+		dispatcher.applyUpdates(SERVICE, ids.map((upstream): dispatch.UpstreamUpdate => ({
+			kind: 'backoff', upstream, host: 'barred', remainingMilliseconds: 5000,
+		})), 0);
+		dispatcher.requestSlot(createSlotRequest('holds used'), 0);
+		dispatcher.requestSlot(createSlotRequest('of the barred host', {host: 'barred', requestClass: 'read'}), 0);
+		dispatcher.requestSlot(createSlotRequest('of another host', {requestClass: 'read'}), 0);
+		return listGranted(dispatcher.setCandidates(SERVICE, list(1), 30)).map(grant => grant.replace(/ \d+$/v, ''));
+	},
+};
+
+const EXPECTED_GRANTS: Readonly<Record<keyof typeof REUSE_CASES, readonly string[]>> = {
+	'a read explores an upstream that was the second choice before a grant of the same event': ['of y other', 'second rested'],
+	'a request that has waited longer than another crosses when the rate limit of its own failure domain has no token in time': ['older other'],
+	'a host gets the slots of a large pool from which another host backs off': ['of another host'],
+};
+
+for (const [title, getGrants] of Object.entries(REUSE_CASES)) {
+	test(title, t => {
+		// Guards against a result that is reused after a grant, for another wait, or for another host.
+		t.deepEqual(getGrants(), EXPECTED_GRANTS[title as keyof typeof REUSE_CASES]);
+	});
+}
