Dispatcher: a read that only waits for its own failure domain compares no upstreams

While no free upstream is rested, a read can't explore, so it waits like a non-idempotent request does, without comparing up to 64 upstreams after each grant.

--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -75,8 +75,8 @@
 		now, random, needsIdleUpstreams, domainWait, response, listCandidates = () => listFree(request, context),
 	} = context;
 	const mayExplore = needsIdleUpstreams || core.isIdempotent(request.requestClass);
-	// Spares the costs of all upstreams for a request that can only cross.
-	if (!mayExplore && !hasAvailableInDomain(request, context) && domainWait.isWaiting(request, context)) {
+	// Spares the costs of all upstreams for a request that can only cross, and explores none.
+	if (!hasAvailableInDomain(request, context) && domainWait.isWaiting(request, context) && !(mayExplore && hasRested(context))) {
 		return 'waiting';
 	}
 
@@ -119,6 +119,10 @@
 	return index.hasFreeInDomain(now, request.failureDomain, upstream => isAvailable(upstream, request, now));
 }
 
+function hasRested({index, now}: ChoiceContext): boolean {
+	return index.listOpen(now).some(upstream => isRested(upstream, now));
+}
+
 /**
 State on which the choice of a trial depends.
 */
--- a/packages/wagtailroute-dispatch/src/queue-scan.ts
+++ b/packages/wagtailroute-dispatch/src/queue-scan.ts
@@ -171,10 +171,12 @@
 		return keys.get(host) === keys.get(knownHost);
 	}
 
-	#staysQueued(request: SlotRequest, waiting: WaitingRequest, {isUnavailable, remainingWait, awaited}: Queued): boolean {
+	#staysQueued(request: SlotRequest, waiting: WaitingRequest, known: Queued): boolean {
 		const {domainWait, now} = this.#context;
-		return isUnavailable
-			|| (awaited !== undefined && domainWait.getRemainingWait(request, waiting) >= remainingWait && isEligible(awaited, request, now));
+		const {host, isUnavailable, remainingWait, awaited} = known;
+		return isUnavailable || (awaited !== undefined
+			&& domainWait.getRemainingWait(request, waiting) >= remainingWait
+			&& (request.host === host || isEligible(awaited, request, now)));
 	}
 
 	#describeQueued(
@@ -186,7 +188,7 @@
 		const isUnavailable = decision === 'unavailable';
 		return {
 			host: request.host,
-			// Without candidates the free upstreams of the failure domain alone decided.
+			// Without candidates the free upstreams of the failure domain decided, and whether any upstream is rested.
 			upstreams: isUnavailable ? index.listOpen(now) : candidates ?? index.listOpen(now, request.failureDomain),
 			isUnavailable,
 			remainingWait: domainWait.getRemainingWait(request, waiting),
