Command line: platform check reports what a control host would refuse before a catalogue document is sent

Cause: a control host refuses a document as a whole and names only its first fault; a document could only be checked by sending it.

Change: platform check FILE [--against FILE] validates a document without a network and reports all faults with the paths of their fields, what can have no effect, and differences from the document in force. The types of findings and reports are in the package core.

--- a/packages/wagtailroute-catalogue/src/checks/check.ts
+++ b/packages/wagtailroute-catalogue/src/checks/check.ts
@@ -4,22 +4,20 @@
 The entries are checked as `catalogue apply` sends them: one after the other, each replaces the entry of its name, and none is removed. An
 entry counts as accepted for those after it even if it has errors, so that the errors of all entries are found at once.
 */
+import * as core from 'wagtailroute-core';
 import {MAX_ENTRIES} from '../constants.ts';
 import type {Entry} from '../entry.ts';
 import {createRouteIndex} from '../route-index.ts';
-import {type Difference, listDifferences} from './differences.ts';
+import {listDifferences} from './differences.ts';
 import {type Draft, parseDraft} from './drafts.ts';
-import {createFinding, type Finding} from './findings.ts';
+import {createFinding, type Finding, type FindingCode} from './findings.ts';
 import {findContradictions} from './limit-checks.ts';
 import {findRouteConflicts, findUnmatchedRoutes} from './route-checks.ts';
 
 /**
-Findings and differences, each sorted by entry. Printed as JSON, so its fields keep their names.
+Findings and differences of entries.
 */
-export type CheckReport = {
-	readonly findings: readonly Finding[];
-	readonly differences: readonly Difference[];
-};
+export type CheckReport = core.CheckReport<FindingCode>;
 
 /**
 Checks entries against each other and against those in force.
@@ -30,13 +28,13 @@
 export function checkEntries(bodies: readonly string[], inForce: readonly Entry[] | undefined): CheckReport {
 	const drafts = bodies.map((body, index) => parseDraft(body, index + 1));
 	return {
-		findings: sortByEntry([
+		findings: core.sortByEntry([
 			...drafts.flatMap(draft => draft.findings),
 			...findRepeatedEntries(drafts),
 			...findRefusedEntries(drafts, inForce ?? []),
 			...drafts.flatMap(({entry}) => entry === undefined ? [] : [...findUnmatchedRoutes(entry), ...findContradictions(entry)]),
 		]),
-		differences: inForce === undefined ? [] : sortByEntry(compareEntries(drafts, inForce)),
+		differences: inForce === undefined ? [] : core.sortByEntry(compareEntries(drafts, inForce)),
 	};
 }
 
@@ -69,7 +67,7 @@
 	});
 }
 
-function compareEntries(drafts: readonly Draft[], inForce: readonly Entry[]): readonly Difference[] {
+function compareEntries(drafts: readonly Draft[], inForce: readonly Entry[]): readonly core.Difference[] {
 	const present = new Map(inForce.map(entry => [entry.name, entry]));
 	// Of entries with the same name, the last one stays in force.
 	const next = new Map(drafts.map(({label, entry}) => [label, entry]));
@@ -77,7 +75,3 @@
 	const absent = inForce.filter(({name}) => !next.has(name)).map(({name}) => ({change: 'absent', entry: name} as const));
 	return [...differences, ...absent];
 }
-
-function sortByEntry<Item extends {readonly entry: string}>(items: readonly Item[]): readonly Item[] {
-	return items.toSorted((left, right) => left.entry.localeCompare(right.entry));
-}
--- a/packages/wagtailroute-catalogue/src/checks/findings.ts
+++ b/packages/wagtailroute-catalogue/src/checks/findings.ts
@@ -1,12 +1,7 @@
 /**
-Findings about entries that are about to be sent. An error is what the fleet would refuse; its code is that of the fleet's failure. A
-warning is what the fleet would accept, although it can't have the effect that the entry states.
+Codes of the findings about entries that are about to be sent.
 */
-
-/**
-How serious a finding is.
-*/
-export type Severity = 'error' | 'warning';
+import * as core from 'wagtailroute-core';
 
 const SEVERITIES = {
 	'entry-invalid': 'error',
@@ -21,7 +16,7 @@
 	'timeout-below-objective': 'warning',
 	'objective-below-queue': 'warning',
 	'share-below-one-request': 'warning',
-} as const satisfies Readonly<Record<string, Severity>>;
+} as const satisfies Readonly<Record<string, core.Severity>>;
 
 /**
 The kind of a finding. Printed and read by programs, so the codes keep their names.
@@ -29,27 +24,11 @@
 export type FindingCode = keyof typeof SEVERITIES;
 
 /**
-A finding. Printed as JSON, so its fields keep their names.
+A finding about an entry.
 */
-export type Finding = {
-	readonly severity: Severity;
-	readonly code: FindingCode;
-	/**
-	The name of the entry; `#3` for the third entry of a file if it has no name.
-	*/
-	readonly entry: string;
-	/**
-	The path of the field, such as `routes.0.class`; absent if the finding is about the entry as a whole.
-	*/
-	readonly field?: string;
-	readonly message: string;
-};
+export type Finding = core.Finding<FindingCode>;
 
 /**
 Creates a finding with the severity of its code.
 */
-export function createFinding(code: FindingCode, entry: string, message: string, field?: string): Finding {
-	return {
-		severity: SEVERITIES[code], code, entry, ...field !== undefined && {field}, message,
-	};
-}
+export const createFinding = core.createFindingFactory<FindingCode>(SEVERITIES);
--- a/packages/wagtailroute-catalogue/src/index.ts
+++ b/packages/wagtailroute-catalogue/src/index.ts
@@ -4,7 +4,7 @@
 */
 export {checkEntries, type CheckReport} from './checks/check.ts';
 export type {Difference} from './checks/differences.ts';
-export type {Finding, FindingCode, Severity} from './checks/findings.ts';
+export type {Finding, FindingCode} from './checks/findings.ts';
 export {
 	type Entry,
 	type EntryFailure,
--- a/packages/wagtailroute-cli/src/binary.ts
+++ b/packages/wagtailroute-cli/src/binary.ts
@@ -1,6 +1,6 @@
 /**
 Entry point of the single executable. The executable embeds two scripts: one for the command `platform`, which runs the many
-processes of a fleet on the platform, and one for all other commands. Each process reads and compiles only the script that it
+processes of a fleet on the platform, and one for all other commands, `platform check` included. Each process reads and compiles only the script that it
 runs.
 
 Most of the start-up time of a process is compilation. The executable therefore embeds V8's code cache of each script, created
@@ -19,7 +19,9 @@
 type ModuleWrapper = (require: NodeJS.Require, moduleObject: {exports: unknown}, exports: unknown) => void;
 
 const PLATFORM_COMMAND = 'platform';
-const scriptName = process.argv[2] === PLATFORM_COMMAND ? 'platform' : 'commands';
+const CHECK_SUBCOMMAND = 'check';
+const [command, subcommand] = process.argv.slice(2);
+const scriptName = command === PLATFORM_COMMAND && subcommand !== CHECK_SUBCOMMAND ? 'platform' : 'commands';
 const cachedData = buffer.Buffer.from(sea.getRawAsset(`${scriptName}.code`));
 const script = new vm.Script(sea.getAsset(`${scriptName}.cjs`, 'utf8'), {filename: `${scriptName}.cjs`, cachedData});
 if (script.cachedDataRejected === true) {
--- a/packages/wagtailroute-cli/src/check-input.ts
+++ b/packages/wagtailroute-cli/src/check-input.ts
@@ -47,7 +47,7 @@
 /**
 Creates the failure of a file. Its exit code differs from that of a bad setting, which is also that of a check with warnings only.
 */
-function createFileFailure(message: string): failures.CommandFailure {
+export function createFileFailure(message: string): failures.CommandFailure {
 	return core.createFailure('bad-file', message);
 }
 
--- a/packages/wagtailroute-cli/src/cli.ts
+++ b/packages/wagtailroute-cli/src/cli.ts
@@ -6,6 +6,7 @@
 import * as check from './commands/check.ts';
 import * as hosts from './commands/hosts.ts';
 import * as load from './commands/load.ts';
+import * as platformCheck from './commands/platform-check.ts';
 import * as platform from './commands/platform.ts';
 import * as queries from './commands/queries.ts';
 import * as commandLine from './command-line.ts';
@@ -13,6 +14,8 @@
 const COMMANDS: commandLine.CommandClasses = [
 	hosts.DevCommand,
 	hosts.RunCommand,
+	// Before the command whose path it continues: the first command whose path the arguments begin with is taken.
+	platformCheck.PlatformCheckCommand,
 	platform.PlatformCommand,
 	queries.CatalogueListCommand,
 	queries.CatalogueShowCommand,
--- a/packages/wagtailroute-cli/src/commands/check.ts
+++ b/packages/wagtailroute-cli/src/commands/check.ts
@@ -31,18 +31,11 @@
 		const bodies = await checkInput.readBodies(this.file);
 		const inForce = against === undefined ? results.Ok(undefined) : await checkInput.readEntriesInForce(against, catalogue.parseEntry);
 		const checked = results.Result.all([bodies, inForce]);
-		if (checked.isErr()) {
-			return checked;
-		}
-
-		const report = catalogue.checkEntries(...checked.value);
-		const text = format === 'json' ? JSON.stringify(report, undefined, 2) : checkReport.formatCheckReport(report);
-		const failure = checkReport.findCheckFailure(report);
-		if (failure === undefined) {
-			return results.Ok(text);
-		}
-
-		this.context.stdout.write(`${text}\n`);
-		return results.Err(failure);
+		return checked.andThen(([given, present]) => checkReport.reportCheck(
+			'catalogue check',
+			catalogue.checkEntries(given, present),
+			format,
+			this.context.stdout,
+		));
 	}
 }
--- a/packages/wagtailroute-cli/src/constants.ts
+++ b/packages/wagtailroute-cli/src/constants.ts
@@ -13,7 +13,7 @@
 export const EXIT_BAD_SETTING = 2;
 
 /**
-Exit code of a check of entries that ends with warnings only.
+Exit code of a check that ends with warnings only.
 */
 export const EXIT_WARNINGS = 2;
 
--- a/packages/wagtailroute-cli/src/entries.ts
+++ b/packages/wagtailroute-cli/src/entries.ts
@@ -34,11 +34,19 @@
 Reads the values of a file: YAML documents, each a value or a list of values. `argument` appears in the failure only.
 */
 export async function readValues(argument: string, path: string): Promise<results.Result<readonly unknown[], failures.CommandFailure>> {
+	const text = await readText(argument, path, constants.MAX_ENTRIES_FILE_BYTES);
+	return text.andThen(read => parseValues(argument, path, read));
+}
+
+/**
+Reads the text of a file of limited size. `argument` appears in the failure only.
+*/
+export async function readText(argument: string, path: string, maxBytes: number): Promise<results.Result<string, failures.CommandFailure>> {
 	try {
 		const {size} = await files.stat(path);
-		return size > constants.MAX_ENTRIES_FILE_BYTES
-			? rejectFile(argument, path, `a file of at most ${constants.MAX_ENTRIES_FILE_BYTES} bytes`)
-			: parseValues(argument, path, await files.readFile(path, 'utf8'));
+		return size > maxBytes
+			? rejectFile(argument, path, `a file of at most ${maxBytes} bytes`)
+			: results.Ok(await files.readFile(path, 'utf8'));
 	} catch (error) {
 		return rejectFile(argument, path, `a file that can be read (${failures.describeError(error)})`);
 	}
--- a/packages/wagtailroute-cli/src/failures.ts
+++ b/packages/wagtailroute-cli/src/failures.ts
@@ -10,9 +10,9 @@
 - `refused`: the host answered with an error.
 - `bad-answer`: the answer isn't of the expected shape.
 - `not-in-force`: the change was committed, but isn't in force on some hosts yet.
-- `bad-file`: a file of entries to check can't be read or parsed.
-- `entries-refused`: the fleet would refuse an entry that was checked.
-- `entries-doubtful`: a check of entries ended with warnings only.
+- `bad-file`: a file to check can't be read or parsed.
+- `entries-refused`: the fleet would refuse what was checked.
+- `entries-doubtful`: a check ended with warnings only.
 - `wrong-truth`: a load run found a wrong answer, or an outcome that differs from what the backend servers ran.
 - `stopped`: the host failed to start or to stop, for example because its address is in use.
 */
--- a/packages/wagtailroute-cli/src/settings.ts
+++ b/packages/wagtailroute-cli/src/settings.ts
@@ -75,7 +75,7 @@
 });
 
 /**
-Settings of `catalogue check`.
+Settings of `catalogue check` and `platform check`.
 */
 export const CHECK_SETTINGS = zod.object({
 	against: flags.FLAGS.against.schema,
--- a/packages/wagtailroute-core/src/index.ts
+++ b/packages/wagtailroute-core/src/index.ts
@@ -20,6 +20,16 @@
 export {isIdempotent, type Outcome, type RequestClass} from './outcomes.ts';
 export type {Advertisement} from './advertisements.ts';
 export {createFailure, type Failure} from './failures.ts';
+export {
+	type CheckReport,
+	createFindingFactory,
+	type Difference,
+	type Finding,
+	type FindingFactory,
+	listChangedFields,
+	type Severity,
+	sortByEntry,
+} from './findings.ts';
 export type {Circumstances, Step, Transition} from './transitions.ts';
 export {createSnapshotStore, type SnapshotStore, type UpdateListener} from './snapshots.ts';
 export {
--- a/packages/wagtailroute-generations/src/generation.ts
+++ b/packages/wagtailroute-generations/src/generation.ts
@@ -5,6 +5,7 @@
 import * as core from 'wagtailroute-core';
 import * as results from 'ts-results-es';
 import * as zod from 'zod';
+import {findRuleIssues, type GenerationItems, type Indexed} from './rules.ts';
 
 const classSchema = zod.enum(['read', 'idempotent', 'non-idempotent', 'upload']);
 
@@ -85,6 +86,16 @@
 	limits: callerLimitsSchema,
 });
 
+const looseListSchema = zod.array(zod.unknown()).catch([]);
+
+/**
+The lists of a generation whose items are validated one by one.
+*/
+const looseSchema = zod.object({routes: looseListSchema, services: looseListSchema, organisations: looseListSchema})
+	.catch({routes: [], services: [], organisations: []});
+
+const namedSchema = zod.object({name: zod.string()});
+
 /**
 A service of a route with its weight.
 */
@@ -121,71 +132,59 @@
 export type GenerationFailure = core.Failure<'generation-malformed' | 'service-unknown' | 'route-conflict' | 'weights-empty' | 'organisation-conflict' | 'key-conflict'>;
 
 /**
-Validates a value as a generation.
+A fault of a generation, at the path of its field.
 */
-export function parseGeneration(value: unknown): results.Result<Generation, GenerationFailure> {
-	const parsed = generationSchema.safeParse(value);
-	if (!parsed.success) {
-		const issue = parsed.error.issues[0]!;
-		return results.Err(core.createFailure('generation-malformed', `${issue.path.join('.')}: ${issue.message}`));
-	}
+export type GenerationIssue = {
+	readonly kind: GenerationFailure['kind'];
+	readonly path: readonly PropertyKey[];
+	readonly message: string;
+};
 
-	const failure = findUnknownService(parsed.data) ?? findEmptyWeights(parsed.data) ?? findRouteConflict(parsed.data) ?? findOrganisationConflict(parsed.data);
-	return failure === undefined ? results.Ok(parsed.data) : results.Err(failure);
+/**
+Validates a value as a generation. The failure describes the first fault.
+*/
+export function parseGeneration(value: unknown): results.Result<Generation, GenerationFailure> {
+	return checkGeneration(value).mapErr(([issue]) => toFailure(issue!));
 }
 
-function findUnknownService({routes, services}: Generation): GenerationFailure | undefined {
-	const known = new Set(services.map(service => service.name));
-	for (const route of routes) {
-		const unknown = route.shares.find(share => !known.has(share.service));
-		if (unknown !== undefined) {
-			return core.createFailure('service-unknown', `The route ${route.name} names the unknown service ${unknown.service}.`);
-		}
-	}
-
-	return undefined;
+/**
+Validates a value as a generation, or returns all its faults, at least one. Rules that relate items to each other are applied to the items
+that are valid by themselves.
+*/
+export function checkGeneration(value: unknown): results.Result<Generation, readonly GenerationIssue[]> {
+	const parsed = generationSchema.safeParse(value);
+	const issues = parsed.success ? findRuleIssues(getItems(parsed.data)) : [...listSchemaIssues(parsed.error), ...findRuleIssues(parseItems(value))];
+	return parsed.success && issues.length === 0 ? results.Ok(parsed.data) : results.Err(issues);
 }
 
-function findEmptyWeights({routes}: Generation): GenerationFailure | undefined {
-	const empty = routes.find(route => route.shares.every(share => share.weight === 0));
-	return empty && core.createFailure('weights-empty', `The weights of the route ${empty.name} add up to 0.`);
+function toFailure({kind, path, message}: GenerationIssue): GenerationFailure {
+	return core.createFailure(kind, kind === 'generation-malformed' ? `${path.join('.')}: ${message}` : message);
 }
 
-function findRouteConflict({routes}: Generation): GenerationFailure | undefined {
-	const routeKeys = new Set<string>();
-	for (const route of routes) {
-		const routeKey = `${route.host.toLowerCase()} ${route.pathPrefix}`;
-		if (routeKeys.has(routeKey)) {
-			return core.createFailure('route-conflict', `Two routes have host and prefix ${routeKey}.`);
-		}
+function listSchemaIssues({issues}: zod.ZodError): readonly GenerationIssue[] {
+	return issues.map(({path, message}) => ({kind: 'generation-malformed', path, message}));
+}
 
-		routeKeys.add(routeKey);
-	}
+function getItems({routes, services, organisations = []}: Generation): GenerationItems {
+	return {
+		routes: routes.map((item, index) => ({index, item})),
+		serviceNames: new Set(services.map(service => service.name)),
+		organisations: organisations.map((item, index) => ({index, item})),
+	};
+}
 
-	return undefined;
+function parseItems(value: unknown): GenerationItems {
+	const {routes, services, organisations} = looseSchema.parse(value);
+	return {
+		routes: parseList(routeSchema, routes),
+		serviceNames: new Set(services.map(service => namedSchema.safeParse(service).data?.name).filter(name => name !== undefined)),
+		organisations: parseList(organisationSchema, organisations),
+	};
 }
 
-/**
-Finds two organisations with the same name or key. With a shared key, one could act as the other. The failure does not contain the key.
-*/
-function findOrganisationConflict({organisations = []}: Generation): GenerationFailure | undefined {
-	const names = new Set<string>();
-	const holders = new Map<string, string>();
-	for (const {name, keys} of organisations) {
-		if (names.has(name)) {
-			return core.createFailure('organisation-conflict', `Two organisations have the name ${name}.`);
-		}
-
-		names.add(name);
-		for (const key of keys) {
-			const holder = holders.get(key) ?? name;
-			if (holder !== name) {
-				return core.createFailure('key-conflict', `The organisations ${holder} and ${name} share a key.`);
-			}
-
-			holders.set(key, name);
-		}
-	}
-
-	return undefined;
+function parseList<Item>(schema: zod.ZodType<Item>, list: readonly unknown[]): ReadonlyArray<Indexed<Item>> {
+	return list.flatMap((value, index) => {
+		const parsed = schema.safeParse(value);
+		return parsed.success ? [{index, item: parsed.data}] : [];
+	});
 }
--- a/packages/wagtailroute-generations/src/index.ts
+++ b/packages/wagtailroute-generations/src/index.ts
@@ -1,11 +1,15 @@
 /**
-Generations: a whole catalogue put in force as one. Their validation, the look-up of routes and keys, and the replicated state machine
-that stores them.
+Generations: a whole catalogue put in force as one. Their validation, the look-up of routes and keys, the replicated state machine that
+stores them, and the checks before they are sent.
 */
+export {findWarnings} from './checks/check.ts';
+export {type GenerationWarning, type GenerationWarningCode, WARNING_SEVERITIES} from './checks/warnings.ts';
 export {
 	type CallerLimits,
+	checkGeneration,
 	type Generation,
 	type GenerationFailure,
+	type GenerationIssue,
 	type GenerationOrganisation,
 	type GenerationRoute,
 	type GenerationService,
