--- a/packages/wagtailroute-cli/src/document-input.ts
+++ b/packages/wagtailroute-cli/src/document-input.ts
@@ -18,7 +18,7 @@
 }
 
 /**
-Reads the document in force, as the call `config.get` returned it.
+Reads the document in force, as a control host returned it.
 */
 export async function readDocumentInForce<Document>(
 	path: string,
--- a/packages/wagtailroute-cli/src/flags.ts
+++ b/packages/wagtailroute-cli/src/flags.ts
@@ -110,7 +110,7 @@
 		name: 'revision', description: 'Change only this revision (default: the present one)', accepted: 'a whole number, 1 or more', schema: schemas.positiveInteger.optional(),
 	},
 	against: {
-		name: 'against', description: 'File with what is in force, as "catalogue list --format json", "catalogue show" or "config.get" gives it', accepted: 'a path', schema: schemas.path.optional(),
+		name: 'against', description: 'File with what is in force, as "catalogue list --format json", "catalogue show" or a control host gives it', accepted: 'a path', schema: schemas.path.optional(),
 	},
 	targets: {
 		name: 'targets', description: 'Traffic addresses to load', accepted: ADDRESSES_ACCEPTED, schema: schemas.addresses.prefault('127.0.0.1:8080'),
