Retry budget: the reserve follows what more urgent requests were sent again for

With several priorities, a third of the bucket was kept for resends of the more urgent ones. As many tokens are now reserved as more urgent requests asked for in the last second, a third of the bucket at most.

--- a/packages/wagtailroute-dispatch/src/budget.ts
+++ b/packages/wagtailroute-dispatch/src/budget.ts
@@ -5,13 +5,14 @@
 multiply until nothing is served.
 
 Each dispatcher has a token bucket for each service. It starts empty, is filled by each request that is first requested here, by time and by the credit of
-hosts that use the service for the first time, and holds no more than the dispatcher's share of a part of the fixed number. A resend that was granted elsewhere needs no record here: what all buckets hold at one moment,
-and what they are filled with afterwards, stays within the budget of any window that starts then. So nothing is handed over when dispatchers change, and a
-restart loses tokens instead of renewing them.
+hosts that use the service for the first time, and holds no more than the dispatcher's share of a part of the fixed number. A resend that was granted
+elsewhere needs no record here: what all buckets hold at one moment, and what they are filled with afterwards, stays within the budget of any window that
+starts then. So nothing is handed over when dispatchers change, and a restart loses tokens instead of renewing them.
 */
 import {TAKEOVER_IDLE_MILLISECONDS} from './constants.ts';
 import {type CreditShares, createFirstUseCredit} from './first-use-credit.ts';
 import type {Policy} from './policy.ts';
+import {createRecentCounts} from './recent-counts.ts';
 import type {SlotRequest} from './slot-requests.ts';
 
 /**
@@ -59,7 +60,7 @@
 	/**
 	Consumes one resend from the budget; returns false when none is left.
 
-	@param leavesReserve Whether the last third of the bucket is left to others. Absent: false.
+	@param leavesReserve Whether the tokens that more urgent requests are likely to need are left to them. Absent: false.
 	*/
 	readonly consumeResend: (now: number, leavesReserve?: boolean) => boolean;
 	/**
@@ -85,6 +86,7 @@
 	const fullCapacity = Math.max(1, extra * policy.resendCapacityPart);
 	const tokensPerMillisecond = extra * policy.resendRefillPart / windowMilliseconds;
 	const credit = createFirstUseCredit(extra * policy.resendCreditPart, getCreditShares);
+	const urgentResends = createRecentCounts({requested: 0}, {windowMilliseconds: RESERVE_WINDOW_MILLISECONDS, sliceMilliseconds: RESERVE_SLICE_MILLISECONDS});
 	let tokens = 0;
 	let updatedAt: number | undefined;
 
@@ -118,8 +120,13 @@
 		},
 		consumeResend(now, leavesReserve = false) {
 			const {tokens: available, capacity} = report(now);
+			const reserved = leavesReserve ? Math.min(capacity * RESERVED_PART, urgentResends.sum(now).requested) : 0;
 			// A bucket that holds one token only has nothing to reserve.
-			const hasToken = available >= (leavesReserve ? Math.max(1, Math.min(capacity, 1 + (capacity * RESERVED_PART))) : 1);
+			const hasToken = available >= Math.max(1, Math.min(capacity, 1 + reserved));
+			if (!leavesReserve) {
+				urgentResends.add('requested', now);
+			}
+
 			add(hasToken ? -1 : 0, now);
 			return hasToken;
 		},
@@ -131,6 +138,9 @@
 }
 
 /**
-Part of the bucket that is reserved for resends of more urgent requests.
+Most of the bucket that is reserved for resends of more urgent requests: as many as they asked for a short time ago. Where these can hardly be sent again,
+a fixed reserve costs the others their resends for nothing, above all while the bucket is still filling.
 */
 const RESERVED_PART = 1 / 3;
+const RESERVE_WINDOW_MILLISECONDS = 1000;
+const RESERVE_SLICE_MILLISECONDS = 100;
