Dispatcher: the wait for a slot of the own failure domain ends while the deadline allows another one

An upload with a short deadline waited up to 250 ms for a slot of its own failure domain, past its deadline between two ticks, and was refused although a slot of another domain was free. The wait now ends a tick before the time that the request needs until its deadline.

--- a/packages/wagtailroute-dispatch/src/__tests__/unit/order.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/order.test.ts
@@ -228,16 +228,18 @@
 				open.delete(id);
 				dispatcher.cancel(id, now);
 			} else {
-				applyEffects(dispatcher.tick(now));
-				// A tick releases the slots whose requests are past their deadline.
+				const effects = dispatcher.tick(now);
+				// A tick releases the slots whose requests are past their deadline, and may grant them at once.
 				for (const id of held.values().filter(id => dispatcher.findGrantedRequest(id) === undefined)) {
 					held.delete(id);
 				}
+
+				applyEffects(effects);
 			}
 		}
 
 		t.is(dispatcher.countWaiting(), open.size);
-	}), {numRuns: 100});
+	}), {numRuns: 1000});
 });
 
 function average(values: readonly number[]): number {
--- a/packages/wagtailroute-dispatch/src/domain-wait.ts
+++ b/packages/wagtailroute-dispatch/src/domain-wait.ts
@@ -11,6 +11,11 @@
 import type {UpstreamIndex} from './upstream-index.ts';
 import {getRisk, type Upstream} from './upstreams.ts';
 
+/**
+Most milliseconds until the next tick: no event ends a wait by itself.
+*/
+const TICK_MILLISECONDS = 50;
+
 const DOMAIN_WAIT_FIELDS = {
 	read: 'domainWaitMilliseconds',
 	idempotent: 'domainWaitMilliseconds',
@@ -110,15 +115,16 @@
 
 /**
 Returns the milliseconds that a request waits for a slot in its own failure domain. Those for a large response end while the request can still meet
-its objective.
+its objective; all end at a tick after which another slot serves the request before its deadline.
 */
 function getDomainWait(request: SlotRequest, {response: {largePart}, usualMilliseconds}: WaitingRequest, policy: Policy): number {
-	const classWait = policy[DOMAIN_WAIT_FIELDS[request.requestClass]];
+	const deadlineWait = request.remainingMilliseconds - (usualMilliseconds * policy.worthwhilePart) - TICK_MILLISECONDS;
+	const classWait = Math.min(policy[DOMAIN_WAIT_FIELDS[request.requestClass]], deadlineWait);
 	if (largePart === 0) {
 		return classWait;
 	}
 
 	const largeWait = classWait + (Math.max(0, policy.largeDomainWaitMilliseconds - classWait) * largePart);
 	const objectiveWait = request.objectiveMilliseconds - request.waitedMilliseconds - (usualMilliseconds * policy.objectivePart);
-	return Math.max(classWait, Math.min(largeWait, objectiveWait));
+	return Math.max(classWait, Math.min(largeWait, objectiveWait, deadlineWait));
 }
