--- a/packages/wagtailroute-dispatch/src/choosing.ts
+++ b/packages/wagtailroute-dispatch/src/choosing.ts
@@ -43,46 +43,25 @@
 	*/
 	readonly needsIdleUpstreams: boolean;
 	readonly domainWait: DomainWait;
-	/**
-	Lists the upstreams to compare; those of the index when absent.
-	*/
-	readonly listCandidates?: () => readonly Upstream[];
 };
 
-/**
-Why no upstream is chosen. `unavailable`: no free upstream can take the request. `waiting`: the request should wait for a slot in its own failure domain.
-*/
-export type Unchosen = 'unavailable' | 'waiting';
-
 /**
 Returns the available upstream with the lowest cost; undefined when there is none, or when the request should wait for a slot in its own failure
 domain.
 */
 export function choose(request: SlotRequest, context: ChoiceContext): Choice | undefined {
-	const decision = decide(request, context);
-	return isChosen(decision) ? decision : undefined;
-}
-
-export function isChosen(decision: Choice | Unchosen): decision is Choice {
-	return typeof decision === 'object';
-}
-
-/**
-Returns the available upstream with the lowest cost, or why the request has to wait.
-*/
-export function decide(request: SlotRequest, context: ChoiceContext): Choice | Unchosen {
 	const {
-		now, random, needsIdleUpstreams, domainWait, response, listCandidates = () => listFree(request, context),
+		now, random, needsIdleUpstreams, index, domainWait, response,
 	} = context;
 	const mayExplore = needsIdleUpstreams || core.isIdempotent(request.requestClass);
-	// Spares the costs of all upstreams for a request that can only cross, and explores none.
-	if (!hasAvailableInDomain(request, context) && domainWait.isWaiting(request, context) && !(mayExplore && hasRested(context))) {
-		return 'waiting';
+	// Spares the costs of all upstreams for each of many queued requests that can only cross.
+	if (!mayExplore && !hasAvailableInDomain(request, context) && domainWait.isWaiting(request, context)) {
+		return undefined;
 	}
 
 	let best: Upstream | undefined;
 	let bestCost = Infinity;
-	for (const upstream of listCandidates()) {
+	for (const upstream of index.listFree(now, request.failureDomain, other => isAvailable(other, request, now))) {
 		if (!isAvailable(upstream, request, now)) {
 			continue;
 		}
@@ -97,32 +76,18 @@
 		bestCost = cost;
 	}
 
-	if (best === undefined) {
-		return 'unavailable';
-	}
-
-	const isCrossing = best.candidate.failureDomain !== request.failureDomain;
-	const isExploring = mayExplore
+	const isCrossing = best !== undefined && best.candidate.failureDomain !== request.failureDomain;
+	const isExploring = best !== undefined
+		&& mayExplore
 		&& (response.largePart < 1 || response.isExplored(best.candidate.failureDomain))
 		&& isRested(best, now);
-	return isCrossing && !isExploring && domainWait.isWaiting(request, context) ? 'waiting' : {upstream: best, isTrial: false};
-}
-
-/**
-Lists the free upstreams that are compared for a request.
-*/
-export function listFree(request: SlotRequest, {index, now}: Pick<ChoiceContext, 'index' | 'now'>): readonly Upstream[] {
-	return index.listFree(now, request.failureDomain, upstream => isAvailable(upstream, request, now));
+	return best === undefined || (isCrossing && !isExploring && domainWait.isWaiting(request, context)) ? undefined : {upstream: best, isTrial: false};
 }
 
 function hasAvailableInDomain(request: SlotRequest, {index, now}: ChoiceContext): boolean {
 	return index.hasFreeInDomain(now, request.failureDomain, upstream => isAvailable(upstream, request, now));
 }
 
-function hasRested({index, now}: ChoiceContext): boolean {
-	return index.listOpen(now).some(upstream => isRested(upstream, now));
-}
-
 /**
 State on which the choice of a trial depends.
 */
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -38,7 +38,7 @@
 } from './constants.ts';
 import type {Dispatcher, DispatcherSettings, UpstreamReport} from './dispatcher-types.ts';
 import {DomainWait, type WaitingRequest} from './domain-wait.ts';
-import {createQueueScan, type CreateQueueScan} from './queue-scan.ts';
+import {QueueScan} from './queue-scan.ts';
 import {type IdleUpstream, listIdleUpstreams} from './idle-upstreams.ts';
 import {getRetryAfter, type OrderedEntry, OrderedQueue} from './order/index.ts';
 import {DEFAULT_POLICY} from './policy.ts';
@@ -88,14 +88,9 @@
 Creates a dispatcher without services or upstreams.
 
 @param createIndex Creates the index of a service's upstreams; tests replace it.
-@param createScan Creates the choices for the queued requests at one event; tests replace it.
 */
-export function createDispatcher(
-	settings: DispatcherSettings,
-	createIndex: () => UpstreamIndex = createUpstreamIndex,
-	createScan: CreateQueueScan = createQueueScan,
-): Dispatcher {
-	return new SlotDispatcher(settings, createIndex, createScan);
+export function createDispatcher(settings: DispatcherSettings, createIndex: () => UpstreamIndex = createUpstreamIndex): Dispatcher {
+	return new SlotDispatcher(settings, createIndex);
 }
 
 class SlotDispatcher implements Dispatcher {
@@ -108,12 +103,10 @@
 	readonly #servicesByQueuedId = new Map<SlotRequestId, Service>();
 
 	readonly #createIndex: () => UpstreamIndex;
-	readonly #createScan: CreateQueueScan;
 
-	constructor(settings: DispatcherSettings, createIndex: () => UpstreamIndex, createScan: CreateQueueScan) {
+	constructor(settings: DispatcherSettings, createIndex: () => UpstreamIndex) {
 		this.#settings = settings;
 		this.#createIndex = createIndex;
-		this.#createScan = createScan;
 	}
 
 	requestSlot(received: SlotRequest, now: number): readonly Effect[] {
@@ -757,18 +750,18 @@
 			return effects;
 		}
 
-		const scan = this.#createScan(service, this.#createChoiceContext(service, now));
+		const scan = new QueueScan(service, this.#createChoiceContext(service, now));
 		for (const queued of service.order?.generateNext(MAX_QUEUE_SCAN, now) ?? service.queue.slice(0, MAX_QUEUE_SCAN)) {
 			if (scan.isOver()) {
 				break;
 			}
 
-			const choice = scan.choose(queued.request, now - queued.queuedAt);
+			const request = {...queued.request, remainingMilliseconds: queued.deadlineAt - now};
+			const choice = scan.choose(request, now - queued.queuedAt);
 			if (choice === undefined) {
 				continue;
 			}
 
-			const request = {...queued.request, remainingMilliseconds: queued.deadlineAt - now};
 			this.#dequeue(service, request.id, now);
 			effects.push(this.#grant(service, request, choice, now));
 		}
--- a/packages/wagtailroute-dispatch/src/domain-wait.ts
+++ b/packages/wagtailroute-dispatch/src/domain-wait.ts
@@ -68,25 +68,11 @@
 	Returns whether a request should wait for a slot in its own failure domain.
 	*/
 	isWaiting(request: SlotRequest, waiting: WaitingRequest): boolean {
-		return this.findAwaited(request, waiting) !== undefined;
+		const remainingWait = getDomainWait(request, waiting, this.#context.policy) - waiting.queuedMilliseconds;
+		return !request.isResend && remainingWait > 0 && this.#hasUsable(request, waiting.response, remainingWait);
 	}
 
-	/**
-	Returns an upstream of the request's failure domain for whose slots the request should wait, if any.
-	*/
-	findAwaited(request: SlotRequest, waiting: WaitingRequest): Upstream | undefined {
-		const remainingWait = this.getRemainingWait(request, waiting);
-		return !request.isResend && remainingWait > 0 ? this.#findUsable(request, waiting.response, remainingWait) : undefined;
-	}
-
-	/**
-	Returns the milliseconds for which a request waits at most from now on for a slot in its own failure domain; negative when it has waited for longer.
-	*/
-	getRemainingWait(request: SlotRequest, waiting: WaitingRequest): number {
-		return getDomainWait(request, waiting, this.#context.policy) - waiting.queuedMilliseconds;
-	}
-
-	#findUsable(request: SlotRequest, {bytes}: ExpectedResponse, remainingWait: number): Upstream | undefined {
+	#hasUsable(request: SlotRequest, {bytes}: ExpectedResponse, remainingWait: number): boolean {
 		const {now, index, policy} = this.#context;
 		const cost = getDomainCost(request, bytes, policy);
 		const foundByCost = this.#found.get(request.failureDomain) ?? new Map<number, Upstream | undefined>();
@@ -94,11 +80,11 @@
 		const known = foundByCost.get(cost);
 		const isUsable = (upstream: Upstream) => (upstream.rateLimit?.getDelay(now) ?? 0) < remainingWait && isEligible(upstream, request, now);
 		if (known !== undefined && isUsable(known)) {
-			return known;
+			return true;
 		}
 
 		if (known === undefined && foundByCost.has(cost)) {
-			return undefined;
+			return false;
 		}
 
 		// Crossing is better than an upstream at which the request is likely to fail.
@@ -109,7 +95,7 @@
 			foundByCost.set(cost, found);
 		}
 
-		return found;
+		return found !== undefined;
 	}
 }
 
--- a/packages/wagtailroute-dispatch/src/upstream-index.ts
+++ b/packages/wagtailroute-dispatch/src/upstream-index.ts
@@ -44,12 +44,6 @@
 	*/
 	readonly listFree: (now: number, failureDomain: core.FailureDomain, isAccepted: (upstream: Upstream) => boolean) => readonly Upstream[];
 	/**
-	Lists all free upstreams that are not closed for a while.
-
-	@param failureDomain Those of all failure domains when absent.
-	*/
-	readonly listOpen: (now: number, failureDomain?: core.FailureDomain) => readonly Upstream[];
-	/**
 	Returns whether any free upstream of the failure domain that is not closed for a while is accepted.
 	*/
 	readonly hasFreeInDomain: (now: number, failureDomain: core.FailureDomain, isAccepted: (upstream: Upstream) => boolean) => boolean;
@@ -204,11 +198,6 @@
 		return [...own, ...others.flatMap(([, upstreams]) => upstreams.takeTurns(maxEach, isAccepted))];
 	}
 
-	listOpen(now: number, failureDomain?: core.FailureDomain): readonly Upstream[] {
-		this.#advance(now);
-		return failureDomain === undefined ? this.#open.items : (this.#openByDomain.get(failureDomain)?.items ?? []);
-	}
-
 	hasFreeInDomain(now: number, failureDomain: core.FailureDomain, isAccepted: (upstream: Upstream) => boolean): boolean {
 		this.#advance(now);
 		return this.#openByDomain.get(failureDomain)?.items.some(upstream => isAccepted(upstream)) === true;
--- a/packages/wagtailroute-dispatch/src/upstreams.ts
+++ b/packages/wagtailroute-dispatch/src/upstreams.ts
@@ -220,7 +220,7 @@
 /**
 Returns whether a request has been in progress for so long that its network path may be broken.
 */
-export function isOverdue({policy}: Upstream, heldSlot: HeldSlot, now: number): boolean {
+function isOverdue({policy}: Upstream, heldSlot: HeldSlot, now: number): boolean {
 	return now - heldSlot.grantedAt > Math.max(policy.overdueMilliseconds, policy.overdueRatio * heldSlot.usualMilliseconds);
 }
 
