--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -756,12 +756,12 @@
 				break;
 			}
 
-			const request = {...queued.request, remainingMilliseconds: queued.deadlineAt - now};
-			const choice = scan.choose(request, now - queued.queuedAt);
+			const choice = scan.choose(queued.request, now - queued.queuedAt);
 			if (choice === undefined) {
 				continue;
 			}
 
+			const request = {...queued.request, remainingMilliseconds: queued.deadlineAt - now};
 			this.#dequeue(service, request.id, now);
 			effects.push(this.#grant(service, request, choice, now));
 		}
