--- a/packages/wagtailroute-proxy/src/__tests__/unit/endless-responses.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/endless-responses.test.ts
@@ -159,8 +159,12 @@
 async function measureMeanwhile({origin}: Fixture, answer: Promise<unknown>): Promise<{servedMilliseconds: number; growthBytes: number}> {
 	const state = {hasEnded: false};
 	const watchEnd = async () => {
-		await answer;
-		state.hasEnded = true;
+		try {
+			await answer;
+		} finally {
+			// Without it, the requests below would go on for ever when the answer is none of the expected ones.
+			state.hasEnded = true;
+		}
 	};
 
 	const ended = watchEnd();
