--- a/packages/wagtailroute-dispatch/src/__tests__/unit/retry-budget.test.ts
+++ b/packages/wagtailroute-dispatch/src/__tests__/unit/retry-budget.test.ts
@@ -3,22 +3,23 @@
 */
 import test from 'ava';
 import * as fc from 'fast-check';
-import type * as dispatch from '../../index.ts';
+import * as dispatch from '../../index.ts';
 import {createCandidate, createDispatcher, createSlotRequest} from './fixture.ts';
-import {
-	BUDGET,
-	createFirstUseSteps,
-	createSteps,
-	createTestDispatcher,
-	getHistoryExcess,
-	NO_STEP,
-	play,
-	PRESENT,
-	repeat,
-	type Step,
-	useSlot,
-	type Version,
-} from './retry-budget-histories.ts';
+
+const BUDGET = {ratio: 0.2, extra: 20, windowMilliseconds: 10_000};
+const ASKED_MILLISECONDS = 1000;
+
+const createTestDispatcher = (getBudgetShare: (now: number) => number = () => 1, budget: dispatch.BudgetSettings = BUDGET) =>
+	createDispatcher([createCandidate('a', {slots: 1e6})], {budget, getBudgetShare});
+
+/**
+Requests a slot and gives it back at once. Returns whether it was granted.
+*/
+const useSlot = (dispatcher: dispatch.Dispatcher, request: dispatch.SlotRequest, now: number) => {
+	const isGranted = dispatcher.requestSlot(request, now).some(({kind}) => kind === 'grant');
+	dispatcher.end(request.id, {ending: 'success', milliseconds: 1}, now);
+	return isGranted;
+};
 
 /**
 Sends requests, and returns how many resends are granted right after them.
@@ -97,6 +98,28 @@
 	});
 }
 
+const HOSTS = 8;
+const DISPATCHERS = 4;
+
+/**
+Requests and resends of all hosts over some time, and what happens to dispatchers before it.
+*/
+type Step = {
+	readonly milliseconds: number;
+	readonly requests: number;
+	readonly resends: number;
+	readonly change: 'none' | 'restart' | 'replace' | 'divide' | 'freeze';
+	readonly dispatcher: number;
+};
+
+const createSteps = (changes: ReadonlyArray<Step['change']>): fc.Arbitrary<readonly Step[]> => fc.array(fc.record({
+	milliseconds: fc.constantFrom(20, 200, 700, 1100, 3000),
+	requests: fc.constantFrom(0, 3, 40, 200),
+	resends: fc.constantFrom(0, 5, 60, 200),
+	change: fc.constantFrom(...changes),
+	dispatcher: fc.nat(DISPATCHERS - 1),
+}), {minLength: 4, maxLength: 16});
+
 const HISTORIES: ReadonlyArray<{readonly name: string; readonly changes: ReadonlyArray<Step['change']>}> = [
 	{name: 'restarts', changes: ['none', 'restart', 'restart']},
 	{name: 'replacements and freezes', changes: ['none', 'replace', 'freeze']},
@@ -104,6 +127,75 @@
 	{name: 'all of these', changes: ['none', 'restart', 'replace', 'divide', 'freeze']},
 ];
 
+/**
+A dispatcher and the hosts that asked it, by its own clock, which stands still while it is frozen.
+*/
+type Fleet = {
+	readonly dispatcher: dispatch.Dispatcher;
+	readonly askedAt: Map<number, number>;
+	frozenMilliseconds: number;
+};
+
+function createFleetMember(): Fleet {
+	const askedAt = new Map<number, number>();
+	const getShare = (now: number) => askedAt.values().filter(at => now - at <= ASKED_MILLISECONDS).toArray().length / HOSTS;
+	return {dispatcher: createTestDispatcher(getShare), askedAt, frozenMilliseconds: 0};
+}
+
+function play(steps: readonly Step[]): dispatch.AuditedTimes {
+	const members = Array.from({length: DISPATCHERS}, createFleetMember);
+	const asked: number[] = Array.from({length: HOSTS}, () => 0);
+	const requests: number[] = [];
+	const resends: number[] = [];
+	let now = 0;
+	let count = 0;
+
+	const changes: Readonly<Record<Step['change'], (dispatcher: number, milliseconds: number) => void>> = {
+		none: () => undefined,
+		restart(dispatcher) {
+			members[dispatcher] = createFleetMember();
+			asked.fill(dispatcher);
+		},
+		replace(dispatcher) {
+			asked.fill(dispatcher);
+		},
+		divide(dispatcher) {
+			asked.fill(dispatcher, 0, HOSTS / 2);
+		},
+		freeze(dispatcher, milliseconds) {
+			members[dispatcher]!.frozenMilliseconds += milliseconds;
+			asked.fill((dispatcher + 1) % DISPATCHERS);
+		},
+	};
+
+	const ask = (isResend: boolean) => {
+		count++;
+		const host = count % HOSTS;
+		const {dispatcher, askedAt, frozenMilliseconds} = members[asked[host]!]!;
+		const own = now - frozenMilliseconds;
+		askedAt.set(host, own);
+		const isGranted = useSlot(dispatcher, createSlotRequest(String(count), {host: String(host), isResend}), own);
+		if (!isResend) {
+			requests.push(now);
+		} else if (isGranted) {
+			resends.push(now);
+		}
+	};
+
+	for (const {milliseconds, requests: requestCount, resends: resendCount, change, dispatcher} of steps) {
+		changes[change](dispatcher, milliseconds);
+		const total = requestCount + resendCount;
+		for (let index = 0; index < total; index++) {
+			now += milliseconds / total;
+			ask(index * resendCount % total < resendCount);
+		}
+
+		now += total === 0 ? milliseconds : 0;
+	}
+
+	return {requests, resends};
+}
+
 for (const {name, changes} of HISTORIES) {
 	test(`over any history of ${name} resends stay within the budget of every window`, t => {
 		// Guards against a budget that dispatchers grant again after a restart, a replacement, a freeze, or while several are asked.
@@ -111,84 +203,8 @@
 		fc.assert(fc.property(createSteps(changes), steps => {
 			const played = play(steps);
 			granted += played.resends.length;
-			return getHistoryExcess(played) <= 0;
+			return dispatch.getExcess(dispatch.findWorstWindow(played, BUDGET)) <= 0;
 		}), {numRuns: 300, seed: 20_261_203});
 		t.true(granted > 0);
 	});
 }
-
-const FIRST_USE_HISTORIES: typeof HISTORIES = [
-	{name: 'dispatchers are lost', changes: ['none', 'restart', 'restart', 'replace']},
-	{name: 'dispatchers stand still', changes: ['none', 'stall', 'replace', 'resume']},
-	{name: 'dispatchers are cut off from each other', changes: ['none', 'divide', 'divide', 'understate', 'replace']},
-	{name: 'entry hosts start again or are paused', changes: ['none', 'restart', 'restart-hosts', 'pause-hosts', 'replace']},
-	{name: 'all of these happen', changes: ['none', 'restart', 'replace', 'divide', 'freeze', 'stall', 'resume', 'understate', 'restart-hosts', 'pause-hosts']},
-];
-
-for (const {name, changes} of FIRST_USE_HISTORIES) {
-	test(`at the first use of a service resends stay within the budget of every window while ${name}`, t => {
-		// Guards against credit that is brought twice, or by hosts for which an earlier dispatcher granted resends.
-		let credited = 0;
-		fc.assert(fc.property(createFirstUseSteps(changes), steps => {
-			const played = play(steps);
-			credited += played.credits;
-			return getHistoryExcess(played) <= 0;
-		}), {numRuns: 300, seed: 20_261_204});
-		t.true(credited > 0);
-	});
-}
-
-test('the histories show a version in which every request brings credit', t => {
-	// Guards against histories in which credit is never used twice.
-	const {failed} = fc.check(fc.property(createFirstUseSteps(['restart']), steps =>
-		getHistoryExcess(play(steps, {...PRESENT, claims: () => true})) <= 0), {numRuns: 300, seed: 20_261_204, endOnFailure: true});
-	t.true(failed);
-});
-
-/**
-Versions that credit too much, and a history in which each grants more than the budget.
-*/
-const WRONG_VERSIONS: ReadonlyArray<{readonly name: string; readonly version: Partial<Version>; readonly steps: ReadonlyArray<Partial<Step>>}> = [
-	{
-		name: 'every request brings credit',
-		version: {claims: () => true},
-		steps: [{resends: 80}, ...repeat(16, {change: 'restart', milliseconds: 200, resends: 80})],
-	},
-	{
-		name: 'a host brings credit to each dispatcher',
-		version: {claims: entry => entry.hasRun},
-		steps: [{resends: 80}, ...repeat(16, {change: 'restart', milliseconds: 200, resends: 80})],
-	},
-	{
-		name: 'a host that has just started brings credit',
-		version: {claims: entry => !entry.hasUsed},
-		steps: [{resends: 80}, ...repeat(16, [{change: 'restart-hosts', milliseconds: 200}, {change: 'restart', milliseconds: 200, resends: 80}])],
-	},
-	{
-		name: 'a request that is sent again brings credit',
-		version: {isCreditedAgain: true, creditPart: 0.6},
-		steps: [{change: 'stall', resends: 80, dispatcher: 0}, {resends: 80}, {change: 'resume', resends: 80, dispatcher: 0}],
-	},
-	{
-		name: 'hosts bring credit for the whole bucket, also after they started again while a dispatcher stood still',
-		version: {creditPart: 0.6},
-		steps: [
-			{requests: 200},
-			{change: 'stall', milliseconds: 1, dispatcher: 0},
-			{change: 'restart-hosts', milliseconds: 1},
-			...repeat(8, {milliseconds: 3000}),
-			{change: 'replace', resends: 80},
-			{change: 'resume', resends: 80, dispatcher: 0},
-			...repeat(9, {milliseconds: 1000, resends: 16}).map(step => ({...step, dispatcher: 0})),
-		],
-	},
-];
-
-for (const {name, version, steps} of WRONG_VERSIONS) {
-	test(`a history shows more resends than the budget if ${name}`, t => {
-		// Guards against histories that would not notice too much credit.
-		const history = steps.map(step => ({...NO_STEP, ...step}));
-		t.true(getHistoryExcess(play(history, {...PRESENT, ...version})) > 0);
-		t.true(getHistoryExcess(play(history)) <= 0);
-	});
-}
--- a/packages/wagtailroute-dispatch/src/budget.ts
+++ b/packages/wagtailroute-dispatch/src/budget.ts
@@ -4,16 +4,14 @@
 Without it, retries amplify an overload: when an upstream slows down, its requests are sent again, the added load slows the others down, and resends
 multiply until nothing is served.
 
-Each dispatcher has a token bucket for each service. It starts empty, is filled by each request that is first requested here, by time and by the credit of
-hosts that use the service for the first time, and holds no more than the dispatcher's share of a part of the fixed number. A resend that was granted
-elsewhere needs no record here: what all buckets hold at one moment, and what they are filled with afterwards, stays within the budget of any window that
-starts then. So nothing is handed over when dispatchers change, and a restart loses tokens instead of renewing them.
+Each dispatcher has a token bucket for each service. It starts empty, is filled by each request that is first requested here and by time, and holds no more
+than the dispatcher's share of a part of the fixed number. A resend that was granted elsewhere needs no record here: what all buckets hold at one moment,
+and what they are filled with afterwards, stays within the budget of any window that starts then. So nothing is handed over when dispatchers change, and a
+restart loses tokens instead of renewing them.
 */
 import {TAKEOVER_IDLE_MILLISECONDS} from './constants.ts';
-import {type CreditShares, createFirstUseCredit} from './first-use-credit.ts';
 import type {Policy} from './policy.ts';
 import {createRecentCounts} from './recent-counts.ts';
-import type {SlotRequest} from './slot-requests.ts';
 
 /**
 Settings of a retry budget.
@@ -52,10 +50,6 @@
 Retry budget of a service.
 */
 export type Budget = {
-	/**
-	Adds the credit of the request's host, if it brings one. Has to be called for each request of a host before any other method.
-	*/
-	readonly collectCredit: (request: Pick<SlotRequest, 'host' | 'isFirstUse'>, now: number) => void;
 	readonly countRequest: (now: number) => void;
 	/**
 	Consumes one resend from the budget; returns false when none is left.
@@ -74,18 +68,11 @@
 Creates an empty bucket.
 
 @param getShare Returns the share of the fleet's budget that this dispatcher grants, 0 to 1.
-@param getCreditShares Returns undefined while hosts that use the service for the first time bring no credit.
 */
-export function createBudget(
-	settings: BudgetSettings,
-	policy: Policy,
-	getShare: (now: number) => number,
-	getCreditShares: (now: number) => CreditShares | undefined = () => undefined,
-): Budget {
+export function createBudget(settings: BudgetSettings, policy: Policy, getShare: (now: number) => number): Budget {
 	const {ratio, extra, windowMilliseconds} = settings;
 	const fullCapacity = Math.max(1, extra * policy.resendCapacityPart);
 	const tokensPerMillisecond = extra * policy.resendRefillPart / windowMilliseconds;
-	const credit = createFirstUseCredit(extra * policy.resendCreditPart, getCreditShares);
 	const urgentResends = createRecentCounts({requested: 0}, {windowMilliseconds: RESERVE_WINDOW_MILLISECONDS, sliceMilliseconds: RESERVE_SLICE_MILLISECONDS});
 	let tokens = 0;
 	let updatedAt: number | undefined;
@@ -109,12 +96,6 @@
 	};
 
 	return {
-		collectCredit(request, now) {
-			const collected = credit.collect(request, now);
-			if (collected > 0) {
-				add(collected, now);
-			}
-		},
 		countRequest(now) {
 			add(ratio, now);
 		},
--- a/packages/wagtailroute-dispatch/src/dispatcher-types.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher-types.ts
@@ -12,7 +12,6 @@
 	UpstreamUpdate,
 } from './slot-requests.ts';
 import type {BudgetReport, BudgetSettings} from './budget.ts';
-import type {CreditShares} from './first-use-credit.ts';
 import type {IdleUpstream} from './idle-upstreams.ts';
 import type {Policy} from './policy.ts';
 import type {UpstreamCounts} from './upstream-index.ts';
@@ -43,10 +42,6 @@
 	*/
 	readonly getBudgetShare?: (now: number, service: core.ServiceName) => number;
 	/**
-	Returns the parts of the credit that hosts bring to the retry budget at the first use of a service; undefined while they bring none. Absent: they never do.
-	*/
-	readonly getCreditShares?: (now: number, service: core.ServiceName) => CreditShares | undefined;
-	/**
 	Returns whether queued requests are ordered by what it costs callers to delay or refuse them. Absent: they keep the place that they got on arrival.
 	*/
 	readonly isOrderedByCost?: () => boolean;
@@ -85,11 +80,6 @@
 	*/
 	readonly requestSlot: (request: SlotRequest, now: number) => readonly Effect[];
 	/**
-	Adds the credit that the request's host brings to the retry budget. Has to be called for each request of a host, before the request is admitted; not for
-	a request that was lent by another record, where its host counts.
-	*/
-	readonly collectCredit: (service: core.ServiceName, request: Pick<SlotRequest, 'host' | 'isFirstUse'>, now: number) => void;
-	/**
 	Records that a request of the service was refused before it reached this dispatcher's queue, because its organisation has used up its allotment.
 	Its callers see a service that fails, so idle upstreams are tried sooner.
 	*/
--- a/packages/wagtailroute-dispatch/src/dispatcher.ts
+++ b/packages/wagtailroute-dispatch/src/dispatcher.ts
@@ -143,10 +143,6 @@
 		return [...effects, ...ownEffects, ...this.#refuseMissing(service, now)];
 	}
 
-	collectCredit(name: core.ServiceName, request: Pick<SlotRequest, 'host' | 'isFirstUse'>, now: number): void {
-		this.#getService(name).budget.collectCredit(request, now);
-	}
-
 	recordRefused(name: core.ServiceName, now: number): void {
 		const {shortfall} = this.#getService(name);
 		shortfall.recordRequest(now);
@@ -475,12 +471,7 @@
 			cheapExplorers: createCheapExplorers(),
 			policy: this.#settings.policy ?? DEFAULT_POLICY,
 			shortfall: createShortfall(),
-			budget: createBudget(
-				this.#settings.budget,
-				this.#settings.policy ?? DEFAULT_POLICY,
-				now => this.#settings.getBudgetShare?.(now, name) ?? 1,
-				now => this.#settings.getCreditShares?.(now, name),
-			),
+			budget: createBudget(this.#settings.budget, this.#settings.policy ?? DEFAULT_POLICY, now => this.#settings.getBudgetShare?.(now, name) ?? 1),
 			lastIdempotentAt: -Infinity,
 			unpublishedDraining: new Set(),
 			rateLimits: new ServiceRateLimits({getShare: now => this.#settings.getShare?.(now, name) ?? 1, random: this.#settings.random}),
--- a/packages/wagtailroute-dispatch/src/index.ts
+++ b/packages/wagtailroute-dispatch/src/index.ts
@@ -16,7 +16,6 @@
 } from './slot-requests.ts';
 export {createDispatcher} from './dispatcher.ts';
 export type {Dispatcher, DispatcherSettings, UpstreamReport} from './dispatcher-types.ts';
-export type {CreditShares} from './first-use-credit.ts';
 export type {IdleUpstream} from './idle-upstreams.ts';
 export type {BudgetReport, BudgetSettings} from './budget.ts';
 export {
--- a/packages/wagtailroute-dispatch/src/policy.ts
+++ b/packages/wagtailroute-dispatch/src/policy.ts
@@ -238,11 +238,6 @@
 	*/
 	resendRefillPart: 0.2,
 	/**
-	Fraction of the fixed number that entry hosts bring as credit at the first use of a service. It is half of what neither the bucket nor the refill grants: the
-	budget then holds even where a dispatcher stood still with a full bucket for longer than a window, or where the parts of all hosts are credited twice.
-	*/
-	resendCreditPart: 0.1,
-	/**
 	Rate of failure periods ("spells") per second of an upstream without other information: one in half a minute.
 	*/
 	spellsPerSecond: 0.03,
--- a/packages/wagtailroute-dispatch/src/slot-requests.ts
+++ b/packages/wagtailroute-dispatch/src/slot-requests.ts
@@ -65,11 +65,6 @@
 	*/
 	readonly isAgain?: boolean;
 	/**
-	Whether the host requests a slot of the service for the first time since it started, and started at least a window of the retry budget ago. Never sent
-	again with the request. Absent means false.
-	*/
-	readonly isFirstUse?: boolean;
-	/**
 	Milliseconds since the host last requested a slot for an organisation, from any dispatcher; absent without an organisation.
 	*/
 	readonly lentMilliseconds?: number;
--- a/packages/wagtailroute-fleet/src/__tests__/unit/dispatch-client.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/dispatch-client.test.ts
@@ -58,9 +58,7 @@
 		notifyControlHosts: () => undefined,
 	});
 	const client = createDispatchClient(context, {
-		settings: {
-			hostId: 'front', failureDomain: 'x', allotments: fixture.ALLOTMENTS, budget: fixture.BUDGET,
-		},
+		settings: {hostId: 'front', failureDomain: 'x', allotments: fixture.ALLOTMENTS},
 		countEntryHosts: () => 3,
 		getControlHosts: () => controls.filter(({link: of}) => of.isOpen()),
 		standbys: {
@@ -259,37 +257,6 @@
 	link: fixture.createFakeLink(() => undefined),
 });
 
-const FIRST_USE_CASES = [
-	{name: 'says so with the first request only', isOn: true, sent: [true, undefined]},
-	{name: 'says nothing without overload control', isOn: false, sent: [undefined, undefined]},
-] as const;
-
-for (const {name, isOn, sent} of FIRST_USE_CASES) {
-	test(`a host that uses a service for the first time ${name}`, async t => {
-		// Guards against earlier deployments with messages of another form, and against credit that a host brings twice.
-		const {client, link, context} = setUp(() => GRANT, [], [], {overloadControl: {isOn: () => isOn}});
-		await context.pass(fixture.BUDGET.windowMilliseconds);
-		await client.requestSlot(fixture.SLOT_REQUEST_DRAFT).answer;
-		await client.requestSlot(fixture.SLOT_REQUEST_DRAFT).answer;
-		t.deepEqual(link.called.map(([, ask]) => (ask as EncodedSlotRequest)[8]), [...sent]);
-	});
-}
-
-test('a request that is sent again to another dispatcher brings no credit', async t => {
-	// Guards against two dispatchers that both count the credit of one host.
-	const other = createOther('d');
-	const {client, link, context} = setUp(() => undefined, [other], [], {overloadControl: {isOn: () => true}});
-	link.silence = 1000;
-	const service = Array.from({length: 50}, (_, index) => `service-${index}`)
-		.find(name => orderDispatchers(name, ['c', 'd'], id => id)[0] === 'c')!;
-	await context.pass(fixture.BUDGET.windowMilliseconds);
-	const {answer} = client.requestSlot({...fixture.SLOT_REQUEST_DRAFT, service});
-	await context.pass(1000);
-	t.like(await answer, {kind: 'grant', upstream: 'd'});
-	const listSent = (of: fixture.FakeLink) => of.called.filter(([method]) => method === 'dispatch.ask').map(([, ask]) => (ask as EncodedSlotRequest).slice(7));
-	t.deepEqual([listSent(link), listSent(other.link as fixture.FakeLink)], [[[false, true]], [[true]]]);
-});
-
 test('without an answer in time the slot request goes to the next dispatcher', async t => {
 	// Guards against requests that are shed and lost while one control host is frozen and the others run: a host whose slot request is not answered
 	// must not use its own dispatcher at once.
--- a/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/fixture.ts
@@ -37,11 +37,6 @@
 	}, isReceivingUpdates: true,
 };
 
-/**
-Settings of the retry budget.
-*/
-export const BUDGET: FleetSettings['budget'] = {ratio: 0.2, extra: 20, windowMilliseconds: 10_000};
-
 /**
 Settings of the allotments of organisations.
 */
--- a/packages/wagtailroute-fleet/src/__tests__/unit/pool-fixture.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/pool-fixture.ts
@@ -55,7 +55,6 @@
 	readonly entriesPerDomain?: number;
 	readonly isDividing?: (host: core.HostId) => boolean;
 	readonly organisations?: readonly generations.GenerationOrganisation[];
-	readonly countCreditHosts?: () => number;
 };
 
 export type PoolFleet = {
@@ -76,9 +75,7 @@
 /**
 Creates a fleet with one control host, and some entry hosts, in each failure domain.
 */
-export function createPoolFleet({
-	candidates, entryDomains = DOMAINS, entriesPerDomain = 1, isDividing = () => true, organisations, countCreditHosts,
-}: PoolFleetOptions): PoolFleet {
+export function createPoolFleet({candidates, entryDomains = DOMAINS, entriesPerDomain = 1, isDividing = () => true, organisations}: PoolFleetOptions): PoolFleet {
 	const context = fixture.createFakeContext();
 	const received: string[] = [];
 	const exchanged: string[] = [];
@@ -124,12 +121,11 @@
 		});
 		enforcer.setOrganisations(organisations);
 		const dispatcher = startHostDispatcher(context, {
-			settings: {budget: fixture.BUDGET, floor: 0},
+			settings: {budget: {ratio: 0.2, extra: 20, windowMilliseconds: 10_000}, floor: 0},
 			allotmentEnforcer: enforcer,
 			requestShare,
 			overloadControl: {isOn: () => true},
 			isReceivingUpdates: true,
-			...countCreditHosts !== undefined && {countCreditHosts},
 			listCandidates: () => candidates,
 			lending: {failureDomain, isFirstDispatcher: ({pool}) => pool === failureDomain},
 			listEntryDomains: () => entryDomains,
@@ -175,9 +171,7 @@
 	for (const {id, failureDomain} of entryIds) {
 		const links = controls.map(control => createLink({id, failureDomain}, control));
 		const client = createDispatchClient(context, {
-			settings: {
-				hostId: id, failureDomain, allotments: fixture.ALLOTMENTS, budget: fixture.BUDGET,
-			},
+			settings: {hostId: id, failureDomain, allotments: fixture.ALLOTMENTS},
 			countEntryHosts: () => entryIds.length,
 			getControlHosts: () => links.filter(({link: opened}) => opened.isOpen()),
 			pools: createPoolChoice(context, {
@@ -194,7 +188,6 @@
 				notify: () => undefined,
 				notifyControlHosts: () => undefined,
 			}),
-			overloadControl: {isOn: () => true},
 			isRetired: () => false,
 			getLinkDelay: () => 0,
 		});
--- a/packages/wagtailroute-fleet/src/__tests__/unit/slot-request-encoding.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/slot-request-encoding.test.ts
@@ -23,9 +23,6 @@
 	{
 		isResend: false, isMove: false, waitedMilliseconds: 0, isAgain: true,
 	},
-	{
-		isResend: false, isMove: false, waitedMilliseconds: 5, isFirstUse: true,
-	},
 ] as const;
 
 test('a slot request is decoded as it was encoded', t => {
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -25,7 +25,6 @@
 import {startDirectory} from './directory.ts';
 import {countAddresses, listEntryDomains} from './directory-table.ts';
 import {sendUpdates, startHostDispatcher} from './host-dispatcher.ts';
-import {createCreditHosts} from './credit-hosts.ts';
 import {createEntryHostCount} from './host-count.ts';
 import {createEntryHosts, describeEntryHost, type EntryHost} from './entry-hosts.ts';
 import type {FleetContext} from './context.ts';
@@ -98,7 +97,6 @@
 		store: createInstanceStore(settings.dataFolder, context.logs('instances')),
 	});
 	const entryHostCount = createEntryHostCount(context.now, () => countAddresses(directory.getTable()));
-	const creditHosts = createCreditHosts(context.now, () => Math.max(entryHosts.count(), entryHostCount.get()), settings.budget.windowMilliseconds);
 	const isLargeFleet = createLargeFleetCheck(entryHosts.count);
 	const overloadControl = createOverloadControl(settings.overloadControl ?? 'off', isLargeFleet);
 	// After a restart of the whole fleet no entry host is known yet: the hosts that request slots count as all of them.
@@ -124,7 +122,6 @@
 		overloadControl,
 		isReceivingUpdates: true,
 		onEntryHostCount: entryHostCount.record,
-		countCreditHosts: creditHosts.get,
 		listCandidates: registry.listCandidates,
 		lending: {
 			failureDomain: settings.failureDomain,
@@ -184,7 +181,6 @@
 					id: hello.id, failureDomain: hello.failureDomain, state: hello.entry, link: from,
 				};
 				entryHosts.add(host);
-				creditHosts.refresh();
 				absenceTracker.recordHello(hello.id, hello.runningMilliseconds ?? Infinity);
 				publishStandbys();
 				crashRegistry.sendTo(from, 'entry');
--- a/packages/wagtailroute-fleet/src/dispatch-client.ts
+++ b/packages/wagtailroute-fleet/src/dispatch-client.ts
@@ -37,7 +37,6 @@
 import type {FleetContext} from './context.ts';
 import type {LinkedHost} from './control-links.ts';
 import {createDispatcherFinder, type DispatcherFinder} from './dispatcher-finder.ts';
-import {createFirstUses, type FirstUses} from './first-uses.ts';
 import type {HostDispatcher} from './host-dispatcher.ts';
 import type {OverloadControl} from './overload-control.ts';
 import type {PoolChoice} from './pools/pool-choice.ts';
@@ -116,7 +115,7 @@
 Settings and collaborators of a dispatch client.
 */
 export type DispatchClientOptions = {
-	readonly settings: Pick<EntrySettings, 'hostId' | 'failureDomain' | 'allotments' | 'budget'>;
+	readonly settings: Pick<EntrySettings, 'hostId' | 'failureDomain' | 'allotments'>;
 	/**
 	Returns how many entry hosts serve callers, 0 when it is not known.
 	*/
@@ -185,7 +184,6 @@
 	readonly #recentUsage: RecentUsage;
 	readonly #finder: DispatcherFinder;
 	readonly #timeLender: TimeLender;
-	readonly #firstUses: FirstUses;
 	readonly #routeNumbering = createRouteNumbering();
 	readonly #organisationNumbering = createOrganisationNumbering();
 	readonly #lastRequestAt = new WeakMap<link.Link, number>();
@@ -198,7 +196,6 @@
 		this.#advertisements = createAdvertisements(options.settings.hostId, context.now);
 		this.#recentUsage = createRecentUsage(context.now, options.settings.allotments.windowMilliseconds);
 		this.#timeLender = createTimeLender(context.now);
-		this.#firstUses = createFirstUses(context.now, options.settings.budget.windowMilliseconds);
 		this.#heldSlots = createHeldSlots(context.now, {
 			advertisements: this.#advertisements, recentUsage: this.#recentUsage, countEntryHosts: options.countEntryHosts,
 		});
@@ -215,9 +212,8 @@
 	requestSlot(draft: SlotRequestDraft, usualMilliseconds = 0): SlotRequestHandle {
 		const {hostId, failureDomain} = this.#options.settings;
 		const pool = this.#options.pools?.find(draft.service);
-		const isFirstUse = this.#firstUses.recordUse(draft.service) && this.#options.overloadControl?.isOn() === true;
 		const request: dispatch.SlotRequest = {
-			...draft, ...pool !== undefined && {pool}, ...isFirstUse && {isFirstUse}, id: this.#createId(), host: hostId, failureDomain,
+			...draft, ...pool !== undefined && {pool}, id: this.#createId(), host: hostId, failureDomain,
 		};
 		const {promise, resolve} = Promise.withResolvers<FinalAnswer>();
 		const pending: PendingSlotRequest = {
@@ -518,7 +514,7 @@
 	#requestFromOwnDispatcher(pending: PendingSlotRequest): void {
 		pending.dispatcher = undefined;
 		// Other hosts request no slots here, so nothing would keep two of its pools apart.
-		const {pool: _, isFirstUse: __, ...request} = pending.request;
+		const {pool: _, ...request} = pending.request;
 		const reason = pending.failedDispatchers === 0 ? 'no-dispatcher' : 'no-answer';
 		const remainingMilliseconds = request.remainingMilliseconds - (this.#context.now() - pending.requestedAt);
 		this.#context.metrics.count('asks_own', {reason});
@@ -586,8 +582,7 @@
 
 	#retry(pending: PendingSlotRequest, excluded: readonly core.UpstreamId[] = []): void {
 		const now = this.#context.now();
-		// The dispatcher that had the request may have counted the credit of this host.
-		const {request: {isFirstUse: _, ...request}, ownPool} = pending;
+		const {request, ownPool} = pending;
 		pending.ownPool = undefined;
 		pending.request = {
 			...request,
--- a/packages/wagtailroute-fleet/src/host-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/host-dispatcher.ts
@@ -130,11 +130,6 @@
 	Called with the number of entry hosts that serve callers, when a host reports it.
 	*/
 	readonly onEntryHostCount?: (hosts: number) => void;
-	/**
-	Returns the number of entry hosts that bring credit at the first use of a service, 0 while it is not known. Absent: they bring none, as to dispatchers on
-	entry hosts, which don't know how many there are.
-	*/
-	readonly countCreditHosts?: () => number;
 	readonly listCandidates: (service: core.ServiceName) => readonly dispatch.Candidate[];
 	/**
 	Returns the failure domains with entry hosts; empty when they are not known. Absent: they are never known.
@@ -172,13 +167,8 @@
 	const {requestShare} = options;
 	// Callers may use more entry hosts than the directory names. Shares by hosts alone would then add up to more than one over the pools of a service.
 	const getPoolShare = (time: number, key: string) => Math.min(requestShare.getOf(key, time), dispatcher.getMaxShare(key));
-	const getCreditShares = (_time: number, key: string): dispatch.CreditShares | undefined => {
-		const hosts = options.overloadControl?.isOn() === true ? options.countCreditHosts?.() ?? 0 : 0;
-		return hosts === 0 ? undefined : {host: 1 / hosts, most: dispatcher.getMaxShare(key)};
-	};
-
 	const dispatcher = createPoolDispatcher(dispatch.createDispatcher({
-		...options.settings, random, getShare: options.isReceivingUpdates ? undefined : getPoolShare, getBudgetShare: getPoolShare, getCreditShares,
+		...options.settings, random, getShare: options.isReceivingUpdates ? undefined : getPoolShare, getBudgetShare: getPoolShare,
 		isOrderedByCost: options.overloadControl?.isOn,
 	}), options.listEntryDomains ?? (() => []));
 	const retryBudgetLog = createRetryBudgetLog(context, key => dispatcher.reportBudget(key, now()));
@@ -425,7 +415,6 @@
 			// A lent request counts where it first arrived.
 			if (!isLent(request)) {
 				recordRequestingHost(request);
-				dispatcher.collectCredit(request, now());
 				lending?.recordRequest(dispatcher.resolve(request));
 			}
 
--- a/packages/wagtailroute-fleet/src/index.ts
+++ b/packages/wagtailroute-fleet/src/index.ts
@@ -18,7 +18,7 @@
 export {createDispatchClient, type DispatchClient} from './dispatch-client.ts';
 export type {LinkedHost} from './control-links.ts';
 export {orderDispatchers} from './dispatch-order.ts';
-export type {OverloadControl, OverloadControlMode} from './overload-control.ts';
+export type {OverloadControlMode} from './overload-control.ts';
 export {type HostDispatcher, startHostDispatcher} from './host-dispatcher.ts';
 export {type Belief, METHODS, type ServiceUpdates} from './messages.ts';
 export {createRequestShare, type RequestShare} from './request-share.ts';
--- a/packages/wagtailroute-fleet/src/pools/pool-dispatcher.ts
+++ b/packages/wagtailroute-fleet/src/pools/pool-dispatcher.ts
@@ -14,7 +14,7 @@
 	upstreams: ReadonlySet<core.UpstreamId>;
 };
 
-type DivisibleMethods = 'collectCredit' | 'recordRefused' | 'hasUpstreams' | 'report' | 'countUpstreams' | 'reportBudget' | 'listIdleUpstreams' | 'replaceHeldSlots';
+type DivisibleMethods = 'recordRefused' | 'hasUpstreams' | 'report' | 'countUpstreams' | 'reportBudget' | 'listIdleUpstreams' | 'replaceHeldSlots';
 
 /**
 Requests and effects carry the name of the service. A method that reads or replaces the state of one record has its pool as an argument.
@@ -35,7 +35,6 @@
 	@param key Key of a pool.
 	*/
 	readonly getMaxShare: (key: string) => number;
-	readonly collectCredit: (request: dispatch.SlotRequest, now: number) => void;
 	readonly recordRefused: (pool: Pool, now: number) => void;
 	readonly hasUpstreams: (pool: Pool) => boolean;
 	/**
@@ -126,10 +125,6 @@
 		return this.#restore(effects, now);
 	}
 
-	collectCredit(request: dispatch.SlotRequest, now: number): void {
-		this.#dispatcher.collectCredit(this.#ensureRecord(request, now), request, now);
-	}
-
 	recordRefused(pool: Pool, now: number): void {
 		this.#dispatcher.recordRefused(this.#ensureRecord(pool, now), now);
 	}
--- a/packages/wagtailroute-fleet/src/slot-request-encoding.ts
+++ b/packages/wagtailroute-fleet/src/slot-request-encoding.ts
@@ -34,8 +34,7 @@
 
 /**
 A slot request: its number on the requesting host, its route and organisation, and the milliseconds until its deadline; for a resend the
-upstreams that have received the request; the milliseconds that its caller has waited; whether the slot was requested of another dispatcher before;
-whether it is the host's first use of the service. A host that doesn't know the last item ignores it.
+upstreams that have received the request; the milliseconds that its caller has waited; whether the slot was requested of another dispatcher before.
 */
 export type EncodedSlotRequest = readonly [
 	number: number,
@@ -46,7 +45,6 @@
 	isMove?: boolean,
 	waited?: number,
 	isAgain?: boolean,
-	isFirstUse?: boolean,
 ];
 
 /**
@@ -153,10 +151,6 @@
 		return [...encoded, request.excluded, request.isResend, request.isMove, waited, true];
 	}
 
-	if (request.isFirstUse === true) {
-		return [...encoded, request.excluded, request.isResend, request.isMove, waited, false, true];
-	}
-
 	return request.isResend || request.excluded.length > 0 || waited > 0 ? [...encoded, request.excluded, request.isResend, request.isMove, waited] : encoded;
 }
 
@@ -166,21 +160,12 @@
 @param from Requesting host, and the organisation and the loan of the request's reference.
 */
 export function decodeSlotRequest(
-	[number, , remainingMilliseconds, excluded = [], isResend = false, isMove = false, waitedMilliseconds = 0, isAgain, isFirstUse]: EncodedSlotRequest,
+	[number, , remainingMilliseconds, excluded = [], isResend = false, isMove = false, waitedMilliseconds = 0, isAgain]: EncodedSlotRequest,
 	from: Pick<dispatch.SlotRequest, 'host' | 'failureDomain' | 'organisation' | 'lentMilliseconds' | 'isBurstLent'>,
 	route: RouteParameters,
 ): dispatch.SlotRequest {
 	return {
-		...route,
-		...from,
-		id: createSlotRequestId(from.host, number),
-		remainingMilliseconds,
-		excluded,
-		isResend,
-		isMove,
-		waitedMilliseconds,
-		...isAgain === true && {isAgain},
-		...isFirstUse === true && {isFirstUse},
+		...route, ...from, id: createSlotRequestId(from.host, number), remainingMilliseconds, excluded, isResend, isMove, waitedMilliseconds, ...isAgain === true && {isAgain},
 	};
 }
 
--- a/packages/wagtailroute-lab/src/__tests__/unit/retry-budget.test.ts
+++ b/packages/wagtailroute-lab/src/__tests__/unit/retry-budget.test.ts
@@ -29,20 +29,12 @@
 	readonly reconnectSeconds: number;
 };
 
-type Control = {
-	readonly windowMilliseconds: number;
-	readonly overloadControl: 'on' | 'off';
-};
-
 const SECONDS = 16;
 
 /**
 An archive whose upstreams have room for all requests, and fail in spells.
 */
-function createScenario(
-	{perSecond, extra, spell, faults, reconnectSeconds}: History,
-	{windowMilliseconds = 10_000, overloadControl = 'off'}: Partial<Control> = {},
-): lab.Scenario {
+function createScenario({perSecond, extra, spell, faults, reconnectSeconds}: History): lab.Scenario {
 	return lab.parseScenario(JSON.stringify({
 		...fixture.SITE,
 		about: 'upstreams that fail while dispatchers change',
@@ -67,8 +59,7 @@
 			errorShare: 0,
 		}],
 		spells: [{...spell, everySeconds: 4, failing: 1}],
-		budget: {ratio: 0.2, extra, windowMilliseconds},
-		overloadControl,
+		budget: {ratio: 0.2, extra, windowMilliseconds: 10_000},
 		callers: {retries: 0},
 		faults,
 		reconnectSeconds,
@@ -125,27 +116,3 @@
 		t.true(resends > 0);
 	});
 }
-
-/**
-A window shorter than the time for which hosts have run when the first requests come, so that entry hosts bring credit.
-*/
-const FIRST_USE: Control = {windowMilliseconds: 5000, overloadControl: 'on'};
-
-test('at the first use of a service resends stay within the budget while dispatchers are lost, frozen or cut off', async t => {
-	// Guards against credit that several dispatchers count.
-	const present = lab.findVariant('present').unwrap();
-	const setCredit = (resendCreditPart: number) => ({...present, policy: {...present.policy, resendCreditPart}});
-	const early = createHistories(fc.tuple(series, fc.array(single, {maxLength: 2})).map(faults => faults.flat().map(fault => ({...fault, atSeconds: fault.atSeconds / 10}))));
-	let more = 0;
-	await fc.assert(fc.asyncProperty(early, async history => {
-		const scenario = createScenario({...history, spell: {kind: 'shed', lengthSeconds: 12, share: 1}}, FIRST_USE);
-		const credited = await lab.playDay(scenario, present, history.seed);
-		const uncredited = await lab.playDay(scenario, setCredit(0), history.seed);
-		// As much as a bucket holds: with less, credit that is counted several times stays within the budget.
-		const whole = await lab.playDay(scenario, setCredit(present.policy.resendCapacityPart), history.seed);
-		more += credited.resends - uncredited.resends;
-		t.is(credited.resendExcess, 0, JSON.stringify(history));
-		t.is(whole.resendExcess, 0, JSON.stringify(history));
-	}), {seed: SEED, numRuns: HISTORIES});
-	t.true(more > 0);
-});
--- a/packages/wagtailroute-lab/src/fleet.ts
+++ b/packages/wagtailroute-lab/src/fleet.ts
@@ -87,10 +87,6 @@
 
 type MessageHandler = (control: Pick<Control, 'dispatcher' | 'allotmentEnforcer'>, parameters: unknown, from: object) => void;
 
-function getOverloadControl({overloadControl}: Scenario): fleet.OverloadControl {
-	return {isOn: () => overloadControl === 'on'};
-}
-
 const MESSAGE_HANDLERS: Readonly<Record<string, MessageHandler>> = {
 	[fleet.METHODS.believe]({dispatcher}, belief) {
 		dispatcher.applyBelief(belief as fleet.Belief);
@@ -363,7 +359,6 @@
 			allotmentEnforcer,
 			requestShare,
 			isReceivingReports: true,
-			countCreditHosts: () => this.#entries.length,
 			listStandbys: service => fleet.orderDispatchers(service, this.#listStandbys(), host => host).slice(0, fleet.STANDBYS_PER_SERVICE),
 			notifyControlHosts: message => {
 				this.#notifyControlHosts(id, message);
@@ -449,14 +444,11 @@
 		return endpoint.state === 'frozen' ? Math.max(0, endpoint.frozenUntil - this.#plan.clock.now()) : 0;
 	}
 
-	#startHostDispatcher({
-		requestingHosts, allotmentEnforcer, requestShare, isReceivingReports, countCreditHosts, listStandbys, notifyControlHosts, getState, onAnswer,
-	}: {
+	#startHostDispatcher({requestingHosts, allotmentEnforcer, requestShare, isReceivingReports, listStandbys, notifyControlHosts, getState, onAnswer}: {
 		readonly requestingHosts: ReturnType<typeof fleet.createRequestingHosts>;
 		readonly allotmentEnforcer: fleet.AllotmentEnforcer;
 		readonly requestShare: fleet.RequestShare;
 		readonly isReceivingReports: boolean;
-		readonly countCreditHosts?: () => number;
 		readonly listStandbys: (service: core.ServiceName) => readonly core.HostId[];
 		readonly notifyControlHosts: (message: Message) => void;
 		readonly getState: () => Endpoint['state'];
@@ -470,9 +462,7 @@
 			settings: {budget: scenario.budget, floor: scenario.floor, policy: variant.policy},
 			allotmentEnforcer,
 			requestShare,
-			overloadControl: getOverloadControl(scenario),
 			isReceivingUpdates: isReceivingReports,
-			countCreditHosts,
 			listCandidates,
 			listStandbys: ({service}) => listStandbys(service),
 			notify(host, method, parameters) {
@@ -530,9 +520,7 @@
 		});
 		const context = createContext(clock, random, () => undefined);
 		const dispatchClient = fleet.createDispatchClient(context, {
-			settings: {
-				hostId: id, failureDomain, allotments: ALLOTMENTS, budget: scenario.budget,
-			},
+			settings: {hostId: id, failureDomain, allotments: ALLOTMENTS},
 			countEntryHosts: () => this.#entries.length,
 			getControlHosts: () => controls.filter(({link: hostLink}) => hostLink.isOpen()),
 			standbys: {
@@ -545,7 +533,6 @@
 				}),
 				isOwnHostStandby: () => this.#listStandbys().includes(id),
 			},
-			overloadControl: getOverloadControl(scenario),
 			ownDispatcher,
 			isRetired: () => false,
 			getLinkDelay: () => 0,
--- a/packages/wagtailroute-lab/src/scenario.ts
+++ b/packages/wagtailroute-lab/src/scenario.ts
@@ -201,10 +201,6 @@
 		.prefault({ratio: 0.2, extra: 62, windowMilliseconds: 10_000}),
 	floor: share.default(0.7),
 	/**
-	Services aren't divided into pools in either case.
-	*/
-	overloadControl: zod.enum(['on', 'off']).default('off'),
-	/**
 	Weights of the parts of the value, and the unserved share that earns the whole of its part.
 	*/
 	goal: zod.strictObject({
