--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -160,6 +160,11 @@
 export const MAX_LEADER_CALL_ATTEMPTS = 3;
 export const LEADER_CALL_RETRY_DELAY_MILLISECONDS = 60;
 
+/**
+Milliseconds after which a proposal counts as slow in the leader's log: those who wait for it retry soon.
+*/
+export const SLOW_PROPOSAL_MILLISECONDS = 300;
+
 /**
 Milliseconds between two steps by which the leader of the control group adapts its members to the control hosts that run.
 */
--- a/packages/wagtailroute-fleet/src/group.ts
+++ b/packages/wagtailroute-fleet/src/group.ts
@@ -15,6 +15,7 @@
 	RECONCILE_INTERVAL_MILLISECONDS,
 	REOPEN_DELAY_MILLISECONDS,
 	REPLACE_MEMBER_DELAY_MILLISECONDS,
+	SLOW_PROPOSAL_MILLISECONDS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
 import type {GroupMessage, ProposalAnswer, ReadAnswer} from './messages.ts';
@@ -94,6 +95,16 @@
 		log.info('The role in the control group changed.', {role, term, leader});
 	};
 
+	const countSent = (message: GroupMessage) => {
+		const {entries, bytes} = measureMessage(message);
+		if (entries === 0) {
+			return;
+		}
+
+		context.metrics.count('group_sent_entries', {kind: message.kind}, entries);
+		context.metrics.count('group_sent_bytes', {kind: message.kind}, bytes);
+	};
+
 	const notifyGeneration = () => {
 		const stored = replicated.getStored();
 		if (stored !== undefined) {
@@ -150,7 +161,10 @@
 			host: settings.hostId,
 			store: replication.createDurableStore(path.join(settings.dataFolder, GROUP_NAME)),
 			stateMachine: createStateMachine(),
-			send: options.send,
+			send(to, message) {
+				countSent(message);
+				options.send(to, message);
+			},
 			clock: context.now,
 			random: context.random,
 			schedule: context.schedule,
@@ -207,7 +221,13 @@
 				return createNotLeaderAnswer(null);
 			}
 
+			const startedAt = context.now();
 			const proposed: results.Result<replication.Applied, replication.GroupFailure> = await group.propose(command);
+			const milliseconds = Math.round(context.now() - startedAt);
+			if (milliseconds >= SLOW_PROPOSAL_MILLISECONDS) {
+				log.warn('A proposal of this leader took long.', {command: command.name, milliseconds, isCommitted: proposed.isOk()});
+			}
+
 			if (proposed.isOk()) {
 				return {kind: 'applied', version: (proposed.value.value as generations.GenerationAnswer).version};
 			}
@@ -257,3 +277,14 @@
 		}
 	}
 }
+
+/**
+Returns the number and the size, in bytes of JSON, of the entries in a message; a snapshot counts as one.
+*/
+function measureMessage(message: GroupMessage): {readonly entries: number; readonly bytes: number} {
+	if (message.kind === 'append') {
+		return {entries: message.entries.length, bytes: message.entries.reduce((sum, entry) => sum + entry.bytes, 0)};
+	}
+
+	return message.kind === 'install' ? {entries: 1, bytes: message.snapshot.bytes} : {entries: 0, bytes: 0};
+}
