Replication: entries are resent when they were lost, not when they take long

Cause: a leader took the entries sent to a follower for lost when the follower confirmed nothing between two heartbeats, 150 ms apart. An entry that takes longer than that to send to eleven followers, to receive or to write was sent again to all of them, and each copy made the next one later. A new leader sent each entry twice, as its probe was answered by a heartbeat first.

Links deliver in order, so a heartbeat that names the last entry sent finds out: the follower rejects it if it lacks that entry. No answer means slow. Ruled out: a longer interval, which only moves the size from which on it happens.

--- a/packages/wagtailroute-replication/src/committing.ts
+++ b/packages/wagtailroute-replication/src/committing.ts
@@ -25,16 +25,22 @@
 	const responded = {...progress, lastResponseAt: step.now, confirmedReadRound: Math.max(progress.confirmedReadRound, message.round)};
 	const next = message.accepted ? applyAcceptedAnswer(responded, message) : applyRejectedAnswer(responded, message);
 	draft.progress.set(message.from, next);
-	sending.sendMissingEntries(step, message.from);
+	const isProbeUnanswered = progress.isProbing && !next.isProbing && next.inFlightIndexes.length > 0;
+	const hasSent = sending.sendMissingEntries(step, message.from);
+	if (isProbeUnanswered && !hasSent) {
+		// The answer is that of a heartbeat: another one finds out at once whether the entries were lost.
+		sending.sendEmptyAppend(step, message.from);
+	}
 }
 
 function applyAcceptedAnswer(progress: replica.Progress, message: messages.AppendAnswer): replica.Progress {
 	const match = Math.max(progress.matchIndex, message.match);
+	const inFlightIndexes = progress.inFlightIndexes.filter(last => last > match);
 	return {
 		...progress,
 		matchIndex: match,
-		nextIndex: Math.max(progress.nextIndex, match + 1),
-		inFlightIndexes: progress.inFlightIndexes.filter(last => last > match),
+		nextIndex: Math.max(progress.nextIndex, match + 1, (inFlightIndexes.at(-1) ?? 0) + 1),
+		inFlightIndexes,
 		isProbing: false,
 	};
 }
--- a/packages/wagtailroute-replication/src/constants.ts
+++ b/packages/wagtailroute-replication/src/constants.ts
@@ -3,7 +3,7 @@
 */
 
 /**
-Interval of a leader's heartbeats to a member with unacknowledged entries; also the delay before these entries are resent.
+Interval of a leader's heartbeats to a member with unacknowledged entries; also the delay before a loss of these entries is found.
 */
 export const HEARTBEAT_INTERVAL_MILLISECONDS = 150;
 /**
@@ -26,7 +26,7 @@
 */
 export const MAX_ELECTION_TIMEOUT_MILLISECONDS = 2000;
 /**
-Delay before an unacknowledged snapshot is resent.
+Age of a snapshot from which on any answer other than its acknowledgement means that it was lost.
 */
 export const SNAPSHOT_RETRY_MILLISECONDS = 2000;
 /**
--- a/packages/wagtailroute-replication/src/replica.ts
+++ b/packages/wagtailroute-replication/src/replica.ts
@@ -52,10 +52,6 @@
 	*/
 	readonly isProbing: boolean;
 	/**
-	`matchIndex` at the last heartbeat, to detect a stalled window.
-	*/
-	readonly matchIndexAtHeartbeat: number;
-	/**
 	Last commit index sent.
 	*/
 	readonly sentCommit: number;
--- a/packages/wagtailroute-replication/src/sending.ts
+++ b/packages/wagtailroute-replication/src/sending.ts
@@ -63,7 +63,6 @@
 		nextIndex: log.getLastIndex(step.draft) + 1,
 		inFlightIndexes: [],
 		isProbing: true,
-		matchIndexAtHeartbeat: 0,
 		sentCommit: 0,
 		lastResponseAt: step.now,
 		snapshotSentAt: -Infinity,
@@ -95,30 +94,21 @@
 /**
 Sends the heartbeats that are due.
 
-If the window made no progress since the last heartbeat, its messages are considered lost and resent, one message at a time.
-Otherwise a single lost message would stall the follower until the next election.
+Links deliver in order, so a heartbeat also finds out whether the entries sent before it were lost: it names the last of them as its predecessor, and the follower rejects it
+if it lacks that one. No answer means that the follower is slow. Entries are therefore never resent on a timer: a large one would be sent again and again to followers
+that still receive or write it, and each copy would delay the next.
 */
 export function sendHeartbeats(step: steps.StepContext): void {
 	const {draft} = step;
 	for (const member of draft.members) {
-		const dueAt = draft.progress.get(member.id)?.heartbeatDueAt ?? Infinity;
-		if (dueAt <= step.now) {
-			sendHeartbeat(step, member);
+		const progress = draft.progress.get(member.id);
+		if (progress === undefined || !(progress.heartbeatDueAt <= step.now)) {
+			continue;
 		}
-	}
-}
 
-function sendHeartbeat(step: steps.StepContext, member: members.Member): void {
-	const {draft} = step;
-	const progress = draft.progress.get(member.id)!;
-	const isStalled = progress.inFlightIndexes.length > 0 && progress.matchIndex === progress.matchIndexAtHeartbeat;
-	draft.progress.set(member.id, {
-		...progress,
-		...(isStalled && {nextIndex: progress.matchIndex + 1, inFlightIndexes: [], isProbing: true}),
-		matchIndexAtHeartbeat: progress.matchIndex,
-		heartbeatDueAt: step.now + getHeartbeatInterval(step, member),
-	});
-	sendEntriesOrHeartbeat(step, member.id);
+		draft.progress.set(member.id, {...progress, heartbeatDueAt: step.now + getHeartbeatInterval(step, member)});
+		sendEntriesOrHeartbeat(step, member.id);
+	}
 }
 
 function getHeartbeatInterval({draft}: steps.StepContext, member: members.Member): number {
@@ -195,7 +185,10 @@
 	return end === -1 ? entries : entries.slice(0, end);
 }
 
-function sendEmptyAppend(step: steps.StepContext, id: members.MemberId): void {
+/**
+Sends a heartbeat that names the last entry sent as its predecessor.
+*/
+export function sendEmptyAppend(step: steps.StepContext, id: members.MemberId): void {
 	const {draft} = step;
 	const progress = draft.progress.get(id)!;
 	sendAppend(step, id, Math.max(progress.nextIndex - 1, draft.base.index), []);
@@ -217,7 +210,8 @@
 function sendSnapshot(step: steps.StepContext, id: members.MemberId): boolean {
 	const {draft} = step;
 	const progress = draft.progress.get(id)!;
-	if (step.now - progress.snapshotSentAt < constants.SNAPSHOT_RETRY_MILLISECONDS) {
+	// A follower that still receives or installs the snapshot does not answer.
+	if (progress.lastResponseAt - progress.snapshotSentAt < constants.SNAPSHOT_RETRY_MILLISECONDS) {
 		return false;
 	}
 
