--- a/packages/wagtailroute-replication/src/committing.ts
+++ b/packages/wagtailroute-replication/src/committing.ts
@@ -200,8 +200,23 @@
 		draft.bytesSinceSnapshot += entry.bytes;
 	}
 
-	const baseIndex = Math.max(draft.base.index, index - draft.settings.retainedEntries);
+	const baseIndex = findRetainedStart(step, index);
 	const base = {index: baseIndex, term: log.getTerm(draft, baseIndex)!, members: log.findMembers(draft, baseIndex).members};
 	draft.log = log.getEntries(draft, baseIndex + 1);
 	draft.base = base;
 }
+
+/**
+Returns the index after which entries are kept when the log is compacted up to an index: some entries, of a bounded size.
+*/
+function findRetainedStart({draft}: steps.StepContext, index: number): number {
+	const {retainedEntries, maxRetainedBytes} = draft.settings;
+	const minStart = Math.max(draft.base.index, index - retainedEntries);
+	const candidates = log.getEntries(draft, minStart + 1, index);
+	let bytes = 0;
+	const excess = candidates.findLastIndex(entry => {
+		bytes += entry.bytes;
+		return bytes > maxRetainedBytes;
+	});
+	return minStart + excess + 1;
+}
--- a/packages/wagtailroute-replication/src/constants.ts
+++ b/packages/wagtailroute-replication/src/constants.ts
@@ -67,6 +67,10 @@
 */
 export const RETAINED_ENTRIES = 256;
 /**
+Maximum size of these entries, in bytes of JSON. Otherwise large commands would take hundreds of times the memory of the state.
+*/
+export const MAX_RETAINED_BYTES = 4_194_304;
+/**
 Interval of the announcements of a host that has no group or no leader.
 */
 export const ANNOUNCEMENT_INTERVAL_MILLISECONDS = 1000;
--- a/packages/wagtailroute-replication/src/engine.ts
+++ b/packages/wagtailroute-replication/src/engine.ts
@@ -31,6 +31,7 @@
 		maxElectionTimeoutMs: constants.MAX_ELECTION_TIMEOUT_MILLISECONDS,
 		minCompactionBytes: constants.MIN_COMPACTION_BYTES,
 		retainedEntries: constants.RETAINED_ENTRIES,
+		maxRetainedBytes: constants.MAX_RETAINED_BYTES,
 		maxCommandBytes: constants.MAX_COMMAND_BYTES,
 		...settings,
 	};
--- a/packages/wagtailroute-replication/src/replica.ts
+++ b/packages/wagtailroute-replication/src/replica.ts
@@ -28,6 +28,10 @@
 	Number of entries kept in memory after a compaction.
 	*/
 	readonly retainedEntries: number;
+	/**
+	Size of these entries at most.
+	*/
+	readonly maxRetainedBytes: number;
 	readonly maxCommandBytes: number;
 };
 
