Control group: a command that is sent again waits for the pending one

A leader now lets a command wait for a pending one after which it would change nothing: the same or an older generation, the same retirement. A control host confirms a version that its replica has applied without the leader; that was the case for retirements already.

--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -323,6 +323,11 @@
 			return proposed.map(() => undefined);
 		},
 		async putGeneration(submitted) {
+			// A version that this replica has applied is committed, so that a resend needs no leader.
+			if (submitted.generation.version <= getVersion()) {
+				return results.Ok(getVersion());
+			}
+
 			const startedAt = context.now();
 			const proposed = await proposeToLeader(leaderCallOptions, {name: 'put', stored: generations.encodeGeneration(submitted)});
 			log.info('A catalogue generation was proposed to the leader.', {
--- a/packages/wagtailroute-fleet/src/group.ts
+++ b/packages/wagtailroute-fleet/src/group.ts
@@ -19,6 +19,7 @@
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
 import type {GroupMessage, ProposalAnswer, ReadAnswer} from './messages.ts';
+import {createPendingProposals} from './pending-proposals.ts';
 import type {ControlHost, ControlSettings} from './settings.ts';
 
 /**
@@ -212,28 +213,31 @@
 		void reconcile();
 	});
 	const createNotLeaderAnswer = (leader: core.HostId | null) => ({kind: 'not-leader', leader} as const);
-	return {
-		receive(message) {
-			group?.receive(message);
-		},
-		async propose(command) {
-			if (group === undefined) {
-				return createNotLeaderAnswer(null);
-			}
+	const append = async (command: generations.GenerationCommand): Promise<ProposalAnswer> => {
+		if (group === undefined) {
+			return createNotLeaderAnswer(null);
+		}
 
-			const startedAt = context.now();
-			const proposed: results.Result<replication.Applied, replication.GroupFailure> = await group.propose(command);
-			const milliseconds = Math.round(context.now() - startedAt);
-			if (milliseconds >= SLOW_PROPOSAL_MILLISECONDS) {
-				log.warn('A proposal of this leader took long.', {command: command.name, milliseconds, isCommitted: proposed.isOk()});
-			}
+		const startedAt = context.now();
+		const proposed: results.Result<replication.Applied, replication.GroupFailure> = await group.propose(command);
+		const milliseconds = Math.round(context.now() - startedAt);
+		if (milliseconds >= SLOW_PROPOSAL_MILLISECONDS) {
+			log.warn('A proposal of this leader took long.', {command: command.name, milliseconds, isCommitted: proposed.isOk()});
+		}
 
-			if (proposed.isOk()) {
-				return {kind: 'applied', version: (proposed.value.value as generations.GenerationAnswer).version};
-			}
+		if (proposed.isOk()) {
+			return {kind: 'applied', version: (proposed.value.value as generations.GenerationAnswer).version};
+		}
+
+		return proposed.error.kind === 'not-leader' ? createNotLeaderAnswer(proposed.error.leader ?? null) : {kind: 'unknown'};
+	};
 
-			return proposed.error.kind === 'not-leader' ? createNotLeaderAnswer(proposed.error.leader ?? null) : {kind: 'unknown'};
+	const pendingProposals = createPendingProposals(append);
+	return {
+		receive(message) {
+			group?.receive(message);
 		},
+		propose: pendingProposals.propose,
 		async read() {
 			if (group === undefined) {
 				return createNotLeaderAnswer(null);
