Retirements: every host knows what any of its control hosts knows

Cause, as reproduced on real processes: a retirement that is confirmed reaches an entry host by the announcements of the control hosts that it has links to at that moment. One that starts later, or was cut off, learned of earlier retirements only from the one control host whose instances it follows.

Each control host now tells the log index of its last retirement when a link opens and with each announcement, to entry hosts and to other control hosts; whoever is behind fetches what it lacks from whoever has it. A late 'draining' no longer replaces 'gone' in a control host's list.

--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -138,6 +138,11 @@
 */
 export const NO_GENERATION_RETRY_MILLISECONDS = 700;
 
+/**
+Retirements that an announcement contains at most; of more, only the log index of the last one is announced, and hosts that lack some fetch them.
+*/
+export const MAX_ANNOUNCED_RETIREMENTS = 64;
+
 /**
 Milliseconds before a fetch that failed is retried.
 */
--- a/packages/wagtailroute-fleet/src/control.ts
+++ b/packages/wagtailroute-fleet/src/control.ts
@@ -18,6 +18,7 @@
 	BELIEFS_SAVE_DELAY_MILLISECONDS,
 	CONTROL_HOSTS_BATCH_MILLISECONDS,
 	ENTRY_CONTROL_HOSTS_BATCH_MILLISECONDS,
+	MAX_ANNOUNCED_RETIREMENTS,
 	STANDBYS_BATCH_MILLISECONDS,
 	STANDBYS_PER_SERVICE,
 } from './constants.ts';
@@ -42,6 +43,7 @@
 import {startInstanceRegistry} from './registry.ts';
 import {watchPauses} from './pauses.ts';
 import {createRequestShare} from './request-share.ts';
+import {createRetirementFollower} from './retirement-follower.ts';
 import type {ControlHost, ControlSettings, StandbyHost} from './settings.ts';
 import {chooseStandbys} from './standby-choice.ts';
 
@@ -163,6 +165,14 @@
 	const crashRegistry = createCrashRegistry(context, {
 		folder: settings.dataFolder, notifyEntryHosts: entryHosts.notifyAll, findHeartbeatStatus: registry.findHeartbeatStatus,
 	});
+	const applyRetirements = (retirements: readonly generations.Retirement[]) => {
+		for (const retirement of retirements) {
+			registry.retire(retirement);
+		}
+	};
+
+	// The replica of this host may be behind, or not open.
+	const retirementFollower = createRetirementFollower(context, applyRetirements);
 	const listControlHosts = () => [self, ...links.getOpen().map(open => open.host)];
 	const getVersion = () => group.getStored()?.generation.version ?? 0;
 
@@ -192,7 +202,12 @@
 			}
 
 			return {
-				failureDomain: settings.failureDomain, controls: listControlHosts(), standbys, directory: directory.getTable(), version: getVersion(),
+				failureDomain: settings.failureDomain,
+				controls: listControlHosts(),
+				standbys,
+				directory: directory.getTable(),
+				version: getVersion(),
+				retirementIndex: group.getRetirementIndex(),
 			} satisfies messages.Welcome;
 		},
 		[messages.METHODS.state](state: messages.EntryState, from: link.Link) {
@@ -216,6 +231,10 @@
 			const stored = group.getStored();
 			return isEncoded ? {encodedGeneration: stored?.encoded.generation ?? null} : {generation: stored?.generation ?? null};
 		},
+		[messages.METHODS.retired](changes: messages.RetirementChanges, from: link.Link) {
+			retirementFollower.applyChanges(from, changes);
+		},
+		[messages.METHODS.fetchRetirements]: ({after}: messages.RetirementFetch) => group.listRetirements(after),
 		[messages.METHODS.heard]: registry.receiveRelayed,
 		[messages.METHODS.listInstances]: () => registry.getSnapshot(),
 		[messages.METHODS.followInstances](_parameters: unknown, from: link.Link) {
@@ -245,7 +264,8 @@
 		failureDomain: settings.failureDomain,
 		createHello: () => ({id: settings.hostId, failureDomain: settings.failureDomain, control: self}),
 		methods,
-		onOpen({link: opened}) {
+		onOpen({link: opened}, {retirementIndex = 0}) {
+			retirementFollower.recordIndex(opened, retirementIndex);
 			publishControlHosts();
 			opened.notify(messages.METHODS.beliefs, dispatcher.listBeliefs());
 			sendUpdates(opened, dispatcher);
@@ -267,12 +287,12 @@
 			allotmentEnforcer.setOrganisations(generation.organisations);
 			entryHosts.notifyAll(messages.METHODS.generationVersion, {version: generation.version});
 		},
-		onRetired(retirements) {
-			for (const retirement of retirements) {
-				registry.retire(retirement);
-			}
-
-			entryHosts.notifyAll(messages.METHODS.retired, {retirements});
+		onRetired(changes) {
+			applyRetirements(changes.retirements);
+			const {retirements, index} = changes;
+			const announced = retirements.length > MAX_ANNOUNCED_RETIREMENTS ? {retirements: [], after: index, index} : changes;
+			entryHosts.notifyAll(messages.METHODS.retired, announced);
+			links.notifyAll(messages.METHODS.retired, announced);
 		},
 	});
 	await Promise.all([registry.loaded, crashRegistry.load()]);
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -44,6 +44,7 @@
 import {watchPauses} from './pauses.ts';
 import {createPoolChoice} from './pools/pool-choice.ts';
 import {createRequestShare} from './request-share.ts';
+import {createRetirementFollower} from './retirement-follower.ts';
 import {createRouter} from './routing.ts';
 import type {ControlHost, EntrySettings, StandbyHost} from './settings.ts';
 import {createStandbys} from './standbys.ts';
@@ -93,6 +94,7 @@
 			scheduleConnectionPruning();
 		},
 	});
+	const retirementFollower = createRetirementFollower(context, fleetView.applyRetirements);
 	/**
 	Closes the connections to addresses that no instance has any more. Otherwise a connection pool stays for every address that was ever used.
 	*/
@@ -202,8 +204,8 @@
 			}
 		},
 		[messages.METHODS.instancesChanged]: fleetView.applyInstances,
-		[messages.METHODS.retired]({retirements}: Pick<messages.InstanceChanges, 'retirements'>) {
-			fleetView.applyRetirements(retirements);
+		[messages.METHODS.retired](changes: messages.RetirementChanges, from: link.Link) {
+			retirementFollower.applyChanges(from, changes);
 		},
 		[messages.METHODS.answer]([requestNumber, answer]: [number, EncodedAnswer]) {
 			dispatchClient.handleAnswer(requestNumber, answer);
@@ -243,7 +245,9 @@
 		createHello,
 		methods,
 		isRecentlyAsked: dispatcherLink => dispatchClient.isRecentlyAsked(dispatcherLink),
-		onOpen(control, {version, standbys: standbyHosts, directory: directoryTable}) {
+		onOpen(control, {
+			version, standbys: standbyHosts, directory: directoryTable, retirementIndex = 0,
+		}) {
 			standbys.setHosts(standbyHosts);
 			applyDirectory(directoryTable);
 			// The state may have changed since the hello, so it is sent again.
@@ -256,6 +260,7 @@
 			}
 
 			fleetView.recordVersion(control, version);
+			retirementFollower.recordIndex(control.link, retirementIndex);
 			fleetView.followInstances();
 			startupGate.check();
 		},
--- a/packages/wagtailroute-fleet/src/group.ts
+++ b/packages/wagtailroute-fleet/src/group.ts
@@ -18,7 +18,12 @@
 	SLOW_PROPOSAL_MILLISECONDS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
-import type {GroupMessage, ProposalAnswer, ReadAnswer} from './messages.ts';
+import type {
+	GroupMessage,
+	ProposalAnswer,
+	ReadAnswer,
+	RetirementChanges,
+} from './messages.ts';
 import {createPendingProposals} from './pending-proposals.ts';
 import type {ControlHost, ControlSettings} from './settings.ts';
 
@@ -41,6 +46,14 @@
 	*/
 	readonly getStored: () => generations.StoredGeneration | undefined;
 	readonly getRetirement: (upstream: core.UpstreamId) => generations.RetirementState | undefined;
+	/**
+	Returns the log index of the last retirement that this replica has applied, 0 before the first.
+	*/
+	readonly getRetirementIndex: () => number;
+	/**
+	Returns the retirements that this replica has applied after a log index.
+	*/
+	readonly listRetirements: (after: number) => RetirementChanges;
 	readonly getStatus: () => replication.GroupStatus | undefined;
 	readonly close: () => Promise<void>;
 };
@@ -60,7 +73,7 @@
 	*/
 	readonly listSeeds: () => readonly core.HostId[];
 	readonly onGeneration: (generation: generations.Generation) => void;
-	readonly onRetired: (retirements: readonly generations.Retirement[]) => void;
+	readonly onRetired: (changes: RetirementChanges) => void;
 };
 
 const GROUP_NAME = 'generations';
@@ -113,19 +126,23 @@
 		}
 	};
 
+	const listRetirements = (after: number): RetirementChanges => ({
+		retirements: replicated.listRetirements(after), after, index: replicated.getRetirementIndex(),
+	});
+
 	const createStateMachine = (): replication.StateMachine => {
 		replicated = generations.createReplicatedGenerations();
 		return {
-			apply(command) {
+			apply(command, {index}) {
 				const before = replicated.getStored();
-				const answer = replicated.apply(command as generations.GenerationCommand);
+				const retirementIndex = replicated.getRetirementIndex();
+				const answer = replicated.apply(command as generations.GenerationCommand, index);
 				if (replicated.getStored() !== before) {
 					notifyGeneration();
 				}
 
-				const {name} = command as generations.GenerationCommand;
-				if (name === 'retire') {
-					options.onRetired([(command as Extract<generations.GenerationCommand, {name: 'retire'}>).retirement]);
+				if (replicated.getRetirementIndex() > retirementIndex) {
+					options.onRetired(listRetirements(retirementIndex));
 				}
 
 				return answer;
@@ -135,7 +152,7 @@
 				const snapshot = state as generations.GenerationSnapshot;
 				replicated.restoreSnapshot(snapshot);
 				notifyGeneration();
-				options.onRetired(snapshot.retirements);
+				options.onRetired(listRetirements(0));
 			},
 		};
 	};
@@ -251,6 +268,8 @@
 		getLeader: () => group?.getStatus().leader ?? null,
 		getStored: () => replicated.getStored(),
 		getRetirement: upstream => replicated.getRetirement(upstream),
+		getRetirementIndex: () => replicated.getRetirementIndex(),
+		listRetirements,
 		getStatus: () => group?.getStatus(),
 		async close() {
 			isClosed = true;
--- a/packages/wagtailroute-fleet/src/message-order.ts
+++ b/packages/wagtailroute-fleet/src/message-order.ts
@@ -19,6 +19,7 @@
 	METHODS.fetchGeneration,
 	METHODS.generationVersion,
 	METHODS.retired,
+	METHODS.fetchRetirements,
 ]);
 
 /**
--- a/packages/wagtailroute-fleet/src/messages.ts
+++ b/packages/wagtailroute-fleet/src/messages.ts
@@ -28,6 +28,7 @@
 	unfollowInstances: 'instances.unfollow',
 	instancesChanged: 'instances.changed',
 	retired: 'instances.retired',
+	fetchRetirements: 'instances.retirements',
 	route: 'dispatch.route',
 	organisation: 'dispatch.organisation',
 	ask: 'dispatch.ask',
@@ -108,6 +109,10 @@
 	Version of the answering host's generation, 0 when it has none.
 	*/
 	readonly version: number;
+	/**
+	Log index of the last retirement that a control host knows, 0 before the first; absent from older builds and standbys.
+	*/
+	readonly retirementIndex?: number;
 };
 
 /**
@@ -143,6 +148,20 @@
 	readonly retirements: readonly generations.Retirement[];
 };
 
+/**
+All retirements after a log index, up to another one.
+*/
+export type RetirementChanges = {
+	readonly retirements: readonly generations.Retirement[];
+	readonly after: number;
+	readonly index: number;
+};
+
+/**
+Asks a control host for the retirements after a log index.
+*/
+export type RetirementFetch = {readonly after: number};
+
 /**
 The first answer to a slot request. `wait`: the decision follows as a message. `elsewhere`: the dispatcher knows no upstream of the service,
 since it has just started; other hosts may know some. With a pool, the failure domain: that pool of the service has free slots.
--- a/packages/wagtailroute-fleet/src/registry.ts
+++ b/packages/wagtailroute-fleet/src/registry.ts
@@ -227,7 +227,8 @@
 		},
 		retire({upstream, state}) {
 			const service = table.get(upstream)?.service;
-			utils.setBounded(retirements, upstream, state, generations.MAX_RETIREMENTS);
+			const isGone = retirements.get(upstream) === 'gone';
+			utils.setBounded(retirements, upstream, isGone ? 'gone' : state, generations.MAX_RETIREMENTS);
 			const isChanged = table.retire(upstream, state);
 			if (service === undefined || !isChanged) {
 				return;
--- a/packages/wagtailroute-generations/src/__tests__/unit/encoding.test.ts
+++ b/packages/wagtailroute-generations/src/__tests__/unit/encoding.test.ts
@@ -46,12 +46,12 @@
 test('a generation that an older build stored in plain form is kept', t => {
 	const submitted = {generation: createGeneration(3, 7), document: 'document 7'};
 	const fromLog = generations.createReplicatedGenerations();
-	fromLog.apply({name: 'put', stored: submitted});
+	fromLog.apply({name: 'put', stored: submitted}, 1);
 	const fromSnapshot = generations.createReplicatedGenerations();
 	fromSnapshot.restoreSnapshot({stored: submitted, retirements: []});
 	for (const replicated of [fromLog, fromSnapshot]) {
 		t.deepEqual(replicated.getStored()!.generation, submitted.generation);
 		t.is(generations.decodeDocument(replicated.getStored()!.encoded.document), 'document 7');
-		t.is(replicated.apply({name: 'put', stored: submitted}).version, 7);
+		t.is(replicated.apply({name: 'put', stored: submitted}, 2).version, 7);
 	}
 });
--- a/packages/wagtailroute-generations/src/__tests__/unit/generations.test.ts
+++ b/packages/wagtailroute-generations/src/__tests__/unit/generations.test.ts
@@ -113,7 +113,7 @@
 	const replicated = generations.createReplicatedGenerations();
 	replicated.restoreSnapshot({stored: {generation: GENERATION, document: '{}'}, retirements: []});
 	t.deepEqual(generations.parseGeneration(replicated.getStored()?.generation).unwrap(), GENERATION);
-	replicated.apply({name: 'put', stored: {generation: {...GENERATION, version: 2, organisations: [ORGANISATION]}, document: '{}'}});
+	replicated.apply({name: 'put', stored: {generation: {...GENERATION, version: 2, organisations: [ORGANISATION]}, document: '{}'}}, 1);
 	t.deepEqual(replicated.getStored()?.generation.organisations, [ORGANISATION]);
 });
 
@@ -173,9 +173,9 @@
 	// Guards against an operator reading back another document than the one acknowledged under its version: after version 5 is acknowledged,
 	// a late resend of version 4 and other content under version 5 arrive and are put in force because they arrived last.
 	const replicated = generations.createReplicatedGenerations();
-	replicated.apply({name: 'put', stored: submit(5)});
-	t.deepEqual(replicated.apply({name: 'put', stored: submit(4)}), {version: 5});
-	t.deepEqual(replicated.apply({name: 'put', stored: submit(5, 'other')}), {version: 5});
+	replicated.apply({name: 'put', stored: submit(5)}, 2);
+	t.deepEqual(replicated.apply({name: 'put', stored: submit(4)}, 3), {version: 5});
+	t.deepEqual(replicated.apply({name: 'put', stored: submit(5, 'other')}, 4), {version: 5});
 	t.is(generations.decodeDocument(replicated.getStored()!.encoded.document), 'document 5');
 });
 
@@ -183,8 +183,8 @@
 	// Guards against requests to an upstream that was acknowledged as gone, after a restart of all control hosts: a delayed retirement as
 	// draining replaced the final one, or the snapshot did not contain it.
 	const replicated = generations.createReplicatedGenerations();
-	replicated.apply({name: 'retire', retirement: {upstream: 'u', state: 'gone'}});
-	replicated.apply({name: 'retire', retirement: {upstream: 'u', state: 'draining'}});
+	replicated.apply({name: 'retire', retirement: {upstream: 'u', state: 'gone'}}, 5);
+	replicated.apply({name: 'retire', retirement: {upstream: 'u', state: 'draining'}}, 6);
 	const restored = generations.createReplicatedGenerations();
 	restored.restoreSnapshot(structuredClone(replicated.takeSnapshot()));
 	t.is(restored.getRetirement('u'), 'gone');
@@ -198,13 +198,22 @@
 	);
 	fc.assert(fc.property(fc.array(command), fc.array(command), (before, after) => {
 		const whole = generations.createReplicatedGenerations();
-		for (const item of before) {
-			whole.apply(item);
+		for (const [at, item] of before.entries()) {
+			whole.apply(item, at + 1);
 		}
 
 		const restored = generations.createReplicatedGenerations();
 		restored.restoreSnapshot(structuredClone(whole.takeSnapshot()));
-		t.deepEqual(after.map(item => restored.apply(item)), after.map(item => whole.apply(item)));
+		const known = new Map(whole.listRetirements(0).map(({upstream, state}) => [upstream, state]));
+		const knownIndex = whole.getRetirementIndex();
+		const first = before.length + 1;
+		t.deepEqual(after.map((item, at) => restored.apply(item, first + at)), after.map((item, at) => whole.apply(item, first + at)));
 		t.deepEqual(restored.takeSnapshot(), whole.takeSnapshot());
+		// A host that knows the retirements up to an index needs those after it only.
+		for (const {upstream, state} of whole.listRetirements(knownIndex)) {
+			known.set(upstream, state);
+		}
+
+		t.deepEqual(Object.fromEntries(known), Object.fromEntries(whole.listRetirements(0).map(({upstream, state}) => [upstream, state])));
 	}));
 });
--- a/packages/wagtailroute-generations/src/index.ts
+++ b/packages/wagtailroute-generations/src/index.ts
@@ -33,6 +33,7 @@
 	type GenerationCommand,
 	type GenerationSnapshot,
 	getSubmittedVersion,
+	type IndexedRetirement,
 	type ReplicatedGenerations,
 	type Retirement,
 	type RetirementState,
--- a/packages/wagtailroute-generations/src/replicated.ts
+++ b/packages/wagtailroute-generations/src/replicated.ts
@@ -41,6 +41,11 @@
 	readonly state: RetirementState;
 };
 
+/**
+A retirement with the log index of its command, which snapshots of older builds do not contain.
+*/
+export type IndexedRetirement = Retirement & {readonly index?: number};
+
 /**
 A command of the replication group. Logs and snapshots on disks may still hold a generation that is not encoded.
 */
@@ -58,16 +63,27 @@
 */
 export type GenerationSnapshot = {
 	readonly stored: EncodedGeneration | SubmittedGeneration | null;
-	readonly retirements: readonly Retirement[];
+	readonly retirements: readonly IndexedRetirement[];
 };
 
 /**
 The replicated state machine. `getStored` returns the generation in force.
 */
 export type ReplicatedGenerations = {
-	readonly apply: (command: GenerationCommand) => GenerationAnswer;
+	/**
+	@param index Log index of the command.
+	*/
+	readonly apply: (command: GenerationCommand, index: number) => GenerationAnswer;
 	readonly getStored: () => StoredGeneration | undefined;
 	readonly getRetirement: (upstream: core.UpstreamId) => RetirementState | undefined;
+	/**
+	Returns the log index of the last retirement that changed something, 0 before the first.
+	*/
+	readonly getRetirementIndex: () => number;
+	/**
+	Lists the retirements after a log index, oldest first; all of them after 0.
+	*/
+	readonly listRetirements: (after: number) => readonly Retirement[];
 	readonly takeSnapshot: () => GenerationSnapshot;
 	readonly restoreSnapshot: (snapshot: GenerationSnapshot) => void;
 };
@@ -77,28 +93,37 @@
 	/**
 	Oldest first; the oldest are dropped beyond `MAX_RETIREMENTS`.
 	*/
-	retirements: Map<core.UpstreamId, RetirementState>;
+	retirements: Map<core.UpstreamId, {readonly state: RetirementState; readonly index: number}>;
+	retirementIndex: number;
 };
 
+/**
+Index of retirements whose own is unknown: the lowest that a log has.
+*/
+const FIRST_INDEX = 1;
+
 /**
 Creates the state before the first generation.
 */
 export function createReplicatedGenerations(): ReplicatedGenerations {
-	const tables: Tables = {stored: undefined, retirements: new Map()};
+	const tables: Tables = {stored: undefined, retirements: new Map(), retirementIndex: 0};
 	return {
-		apply(command) {
-			HANDLERS[command.name](tables, command as never);
+		apply(command, index) {
+			HANDLERS[command.name](tables, command as never, index);
 			return {version: tables.stored?.generation.version ?? 0};
 		},
 		getStored: () => tables.stored,
-		getRetirement: upstream => tables.retirements.get(upstream),
+		getRetirement: upstream => tables.retirements.get(upstream)?.state,
+		getRetirementIndex: () => tables.retirementIndex,
+		listRetirements: after => listRetirements(tables).filter(({index}) => index > after),
 		takeSnapshot: () => ({
 			stored: tables.stored?.encoded ?? null,
-			retirements: tables.retirements.entries().map(([upstream, state]) => ({upstream, state})).toArray(),
+			retirements: listRetirements(tables),
 		}),
 		restoreSnapshot({stored, retirements}) {
 			tables.stored = stored === null ? undefined : toStored(stored);
-			tables.retirements = new Map(retirements.map(({upstream, state}) => [upstream, state]));
+			tables.retirements = new Map(retirements.map(({upstream, state, index = FIRST_INDEX}) => [upstream, {state, index}]));
+			tables.retirementIndex = Math.max(0, ...tables.retirements.values().map(({index}) => index));
 		},
 	};
 }
@@ -120,8 +145,12 @@
 		: {generation: stored.generation, encoded: encodeGeneration(stored)};
 }
 
+function listRetirements({retirements}: Tables): ReadonlyArray<Required<IndexedRetirement>> {
+	return retirements.entries().map(([upstream, {state, index}]) => ({upstream, state, index})).toArray();
+}
+
 type Handlers = {
-	readonly [Name in GenerationCommand['name']]: (tables: Tables, command: Extract<GenerationCommand, {name: Name}>) => void;
+	readonly [Name in GenerationCommand['name']]: (tables: Tables, command: Extract<GenerationCommand, {name: Name}>, index: number) => void;
 };
 
 const HANDLERS: Handlers = {
@@ -130,8 +159,13 @@
 			tables.stored = toStored(stored);
 		}
 	},
-	retire(tables, {retirement: {upstream, state}}) {
-		const isGone = tables.retirements.get(upstream) === 'gone';
-		utils.setBounded(tables.retirements, upstream, isGone ? 'gone' : state, MAX_RETIREMENTS);
+	retire(tables, {retirement: {upstream, state}}, index) {
+		const known = tables.retirements.get(upstream)?.state;
+		if (known === 'gone' || known === state) {
+			return;
+		}
+
+		utils.setBounded(tables.retirements, upstream, {state, index}, MAX_RETIREMENTS);
+		tables.retirementIndex = index;
 	},
 };
