Entry hosts: a generation is fetched until it is there, from another control host when one does not answer

Cause, from the code and two tests that failed before: an entry host asked one control host for a new generation and waited for its answer for 2 s, the whole time within which a version must be in force, though others had reported it too; one that is busy, frozen or cut off after its report costs all of it. And a control host that had failed once was never asked again for that version: where all were too busy once, the host stayed behind until a link was opened anew or the next version came. Links of tests answered a timeout at once, so neither showed.

Now another control host is asked as well after 0.4 s, and all of them again after each has failed. Fetching is a module of its own. A fetch of missed retirements waits 0.5 s before the next control host is asked, and writes a line.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/fleet-view.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/fleet-view.test.ts
@@ -2,6 +2,7 @@
 Tests of an entry host's view of the fleet: versions of generations never decrease, instances and retirements are followed.
 */
 import test from 'ava';
+import * as results from 'ts-results-es';
 import type * as generations from 'wagtailroute-generations';
 import type {LinkedHost} from '../../control-links.ts';
 import {createFleetView, type FleetView} from '../../fleet-view.ts';
@@ -53,6 +54,20 @@
 	};
 }
 
+/**
+Creates a link whose peer receives calls and does not answer.
+*/
+function createFrozenLink(context: fixture.FakeContext): fixture.FakeLink {
+	return {
+		...fixture.createFakeLink(() => undefined),
+		call: async (_method, _parameters, limit) => new Promise(resolve => {
+			context.schedule(limit, () => {
+				resolve(results.Err({kind: 'call-timeout', message: 'late'} as const));
+			});
+		}),
+	};
+}
+
 test('a generation is fetched from the own failure domain if possible', async t => {
 	const {context, fleetView, controls, links} = setUp([3, 3]);
 	fleetView.recordVersion(controls[0]!, 3);
@@ -81,6 +96,27 @@
 	t.is(fleetView.getGeneration()?.version, 7);
 });
 
+test('a generation comes from another control host soon when one does not answer', async t => {
+	// Guards against a host that serves by an older generation seconds after a newer one was confirmed: the control host of its failure domain is frozen after it has
+	// reported the newer one, and the call takes its whole timeout.
+	const {context, fleetView, controls} = setUp([7, 7]);
+	const frozen = {...controls[1]!, link: createFrozenLink(context)};
+	controls[1] = frozen;
+	fleetView.recordVersion(frozen, 7);
+	fleetView.recordVersion(controls[0]!, 7);
+	await context.pass(500);
+	t.is(fleetView.getGeneration()?.version, 7);
+});
+
+test('a generation is fetched although each control host failed to send it once', async t => {
+	// Guards against a host that never learns of a generation: all control hosts were too busy to answer in time, and each was asked only once.
+	const {context, fleetView, controls, links} = setUp([undefined, undefined]);
+	fleetView.recordVersion(controls[0]!, 7);
+	fleetView.recordVersion(controls[1]!, 7);
+	await context.pass(1000);
+	t.true(links.every(link => link.called.length > 1));
+});
+
 test('a retired instance gets no more requests, and no heartbeat makes it serve again', async t => {
 	const {context, fleetView} = setUp([1, 1]);
 	fleetView.followInstances();
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -143,6 +143,17 @@
 */
 export const MAX_ANNOUNCED_RETIREMENTS = 64;
 
+/**
+Milliseconds after which another control host is asked for a generation as well. Together with the answer it fits several times into the seconds within which a
+generation must be in force; a busy control host answers sooner.
+*/
+export const FETCH_HEDGE_DELAY_MILLISECONDS = 400;
+
+/**
+Milliseconds that fetching missed retirements may take: some kilobytes, and the next control host must still be asked in time.
+*/
+export const RETIREMENT_FETCH_TIMEOUT_MILLISECONDS = 500;
+
 /**
 Milliseconds before a fetch that failed is retried.
 */
--- a/packages/wagtailroute-fleet/src/fleet-view.ts
+++ b/packages/wagtailroute-fleet/src/fleet-view.ts
@@ -2,8 +2,7 @@
 What an entry host has received from the control hosts: the catalogue generation in force, the instances of upstreams, and the retired ones among
 them.
 
-The generation's version never decreases. A generation is fetched from a control host of the same failure domain if possible: each host fetches it
-once, and traffic between failure domains costs.
+The generation's version never decreases.
 */
 import * as core from 'wagtailroute-core';
 import type * as dispatch from 'wagtailroute-dispatch';
@@ -11,7 +10,6 @@
 import * as instances from 'wagtailroute-instances';
 import * as utils from 'wagtailroute-utils';
 import {
-	FAR_FETCH_DELAY_MILLISECONDS,
 	FAR_FOLLOW_DELAY_MILLISECONDS,
 	FETCH_RETRY_DELAY_MILLISECONDS,
 	FETCH_TIMEOUT_MILLISECONDS,
@@ -19,12 +17,8 @@
 import {toCandidate} from './candidates.ts';
 import type {FleetContext} from './context.ts';
 import type {LinkedHost} from './control-links.ts';
-import {
-	type FetchedGeneration,
-	type GenerationFetch,
-	type InstanceChanges,
-	METHODS,
-} from './messages.ts';
+import {createGenerationFetcher} from './generation-fetcher.ts';
+import {type InstanceChanges, METHODS} from './messages.ts';
 
 /**
 An entry host's copy of the catalogue and the instances. Lookups of an unknown route, key or service return undefined.
@@ -83,12 +77,6 @@
 	findRoute: generations.RouteFinder;
 	findOrganisation: generations.OrganisationFinder;
 	services: ReadonlyMap<core.ServiceName, generations.GenerationService>;
-	/**
-	Highest version that a control host reported, and the control hosts that reported it.
-	*/
-	newestVersion: number;
-	newestVersionHolders: Set<core.HostId>;
-	isFetching: boolean;
 	instanceSource: LinkedHost | undefined;
 };
 
@@ -105,9 +93,6 @@
 		findRoute: () => undefined,
 		findOrganisation: () => undefined,
 		services: new Map(),
-		newestVersion: 0,
-		newestVersionHolders: new Set(),
-		isFetching: false,
 		instanceSource: undefined,
 	};
 
@@ -129,34 +114,7 @@
 		options.onGeneration(generation);
 	};
 
-	const fetchGeneration = async () => {
-		if (state.isFetching || state.newestVersion <= getVersion()) {
-			return;
-		}
-
-		const openHolders = options.getControlHosts().filter(control => state.newestVersionHolders.has(control.host.id));
-		const source = openHolders.find(control => isNear(control)) ?? openHolders[Math.floor(context.random() * openHolders.length)];
-		if (source === undefined) {
-			return;
-		}
-
-		state.isFetching = true;
-		const answer = await source.link.call(METHODS.fetchGeneration, {isEncoded: true} satisfies GenerationFetch, FETCH_TIMEOUT_MILLISECONDS);
-		state.isFetching = false;
-		const generation = answer.isOk() ? getFetched(answer.value as FetchedGeneration) : null;
-		if (generation !== null) {
-			applyGeneration(generation);
-		}
-
-		if (!(state.newestVersion > getVersion())) {
-			return;
-		}
-
-		state.newestVersionHolders.delete(source.host.id);
-		schedule(generation === null ? FETCH_RETRY_DELAY_MILLISECONDS : 0, () => {
-			void fetchGeneration();
-		});
-	};
+	const generationFetcher = createGenerationFetcher(context, {...options, getVersion, apply: applyGeneration});
 
 	const applyRetirements = (retirements: readonly generations.Retirement[]) => {
 		for (const {upstream, state: retirement} of retirements) {
@@ -238,30 +196,12 @@
 		isRetired: upstream => retired.has(upstream),
 		isReplaced: instanceTable.isReplaced,
 		listAddresses: () => new Set(instanceTable.listAll().map(instance => core.formatAddress(instance.address))),
-		recordVersion(control, version) {
-			if (version < state.newestVersion || version <= getVersion()) {
-				return;
-			}
-
-			if (version > state.newestVersion) {
-				state.newestVersion = version;
-				state.newestVersionHolders = new Set();
-			}
-
-			state.newestVersionHolders.add(control.host.id);
-			if (isNear(control)) {
-				void fetchGeneration();
-			} else {
-				schedule(FAR_FETCH_DELAY_MILLISECONDS, () => {
-					void fetchGeneration();
-				});
-			}
-		},
+		recordVersion: generationFetcher.recordVersion,
 		applyInstances,
 		applyRetirements,
 		followInstances,
 		handleControlHostLost(control) {
-			state.newestVersionHolders.delete(control.host.id);
+			generationFetcher.handleControlHostLost(control);
 			if (state.instanceSource?.link !== control.link) {
 				return;
 			}
@@ -271,10 +211,3 @@
 		},
 	};
 }
-
-/**
-Returns the generation of an answer. A control host of an older build answers in the plain form.
-*/
-function getFetched({encodedGeneration, generation}: FetchedGeneration): generations.Generation | null {
-	return typeof encodedGeneration === 'string' ? generations.decodeGeneration(encodedGeneration) : generation ?? null;
-}
--- a/packages/wagtailroute-fleet/src/retirement-follower.ts
+++ b/packages/wagtailroute-fleet/src/retirement-follower.ts
@@ -7,7 +7,7 @@
 */
 import type * as generations from 'wagtailroute-generations';
 import type * as link from 'wagtailroute-link';
-import {FETCH_RETRY_DELAY_MILLISECONDS, FETCH_TIMEOUT_MILLISECONDS} from './constants.ts';
+import {FETCH_RETRY_DELAY_MILLISECONDS, RETIREMENT_FETCH_TIMEOUT_MILLISECONDS} from './constants.ts';
 import type {FleetContext} from './context.ts';
 import {METHODS, type RetirementChanges, type RetirementFetch} from './messages.ts';
 
@@ -31,7 +31,7 @@
 @param apply Applies retirements; those already applied may be among them.
 */
 export function createRetirementFollower(
-	{schedule}: Pick<FleetContext, 'schedule'>,
+	{logs, schedule}: Pick<FleetContext, 'logs' | 'schedule'>,
 	apply: (retirements: readonly generations.Retirement[]) => void,
 ): RetirementFollower {
 	/**
@@ -63,10 +63,13 @@
 		const [control, toldIndex] = source;
 		isFetching = true;
 		const parameters: RetirementFetch = {after: knownIndex};
-		const answer = await control.call(METHODS.fetchRetirements, parameters, FETCH_TIMEOUT_MILLISECONDS);
+		const answer = await control.call(METHODS.fetchRetirements, parameters, RETIREMENT_FETCH_TIMEOUT_MILLISECONDS);
 		isFetching = false;
 		if (answer.isOk()) {
-			const {retirements, index} = answer.value as RetirementChanges;
+			const {retirements, after, index} = answer.value as RetirementChanges;
+			logs('retirements').info('Missed retirements were fetched.', {
+				retirements: retirements.length, after, index, toldIndex,
+			});
 			apply(retirements);
 			knownIndex = Math.max(knownIndex, index);
 			if (index < toldIndex) {
