--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -144,8 +144,7 @@
 export const MAX_ANNOUNCED_RETIREMENTS = 64;
 
 /**
-Milliseconds after which another control host is asked for a generation as well. Together with the answer it fits several times into the seconds within which a
-generation must be in force; a busy control host answers sooner.
+Milliseconds without an answer after which another control host is asked for a generation as well: a fraction of the time within which it must be in force.
 */
 export const FETCH_HEDGE_DELAY_MILLISECONDS = 400;
 
--- a/packages/wagtailroute-fleet/src/pending-proposals.ts
+++ b/packages/wagtailroute-fleet/src/pending-proposals.ts
@@ -25,7 +25,7 @@
 /**
 Creates an empty list.
 
-@param append Appends a command to the log; resolves once it is committed, or may never be.
+@param append Appends a command to the log; resolves once its outcome is known, or can't be known.
 */
 export function createPendingProposals(append: (command: generations.GenerationCommand) => Promise<ProposalAnswer>): PendingProposals {
 	const pending = new Set<PendingProposal>();
