--- a/packages/wagtailroute-replication/src/__tests__/unit/large-entries.test.ts
+++ b/packages/wagtailroute-replication/src/__tests__/unit/large-entries.test.ts
@@ -66,3 +66,31 @@
 
 	t.true(cluster.getRetainedBytes() <= MAX_RETAINED_BYTES, `${cluster.getRetainedBytes()} bytes`);
 });
+
+const CHANGES = 8;
+const CHANGE_INTERVAL_MILLISECONDS = 760;
+
+/**
+Time after which an operator reads at another host.
+*/
+const READ_MILLISECONDS = 1000;
+
+test('reads are answered while large entries are replicated one after the other', t => {
+	// Guards against a catalogue that can't be read back: a leader that all hosts know answers nothing, since it sends a large entry to its followers again and again.
+	for (const seed of SEEDS) {
+		const cluster = start(seed, HOST_CASES[0]!);
+		const durations: number[] = [];
+		for (let change = 0; change < CHANGES; change++) {
+			cluster.propose(LARGE_ENTRY_BYTES, () => undefined);
+			const sentAt = cluster.getTime();
+			cluster.read(() => {
+				durations.push(cluster.getTime() - sentAt);
+			});
+			cluster.advance(CHANGE_INTERVAL_MILLISECONDS);
+		}
+
+		cluster.advance(READ_MILLISECONDS);
+		t.is(durations.length, CHANGES, `seed ${seed}`);
+		t.true(Math.max(...durations) <= READ_MILLISECONDS, `seed ${seed}: ${Math.max(...durations)} ms`);
+	}
+});
