--- a/packages/wagtailroute-fleet/src/__tests__/unit/fleet-view.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/fleet-view.test.ts
@@ -117,6 +117,37 @@
 	t.true(links.every(link => link.called.length > 1));
 });
 
+test('a control host that lags behind is not asked again and again without a pause', async t => {
+	// Guards against fetches that keep a control host busy while it catches up: it has reported a version, and its replica was opened anew with an older one.
+	const {context, fleetView, controls, links} = setUp([7, 4]);
+	fleetView.recordVersion(controls[1]!, 7);
+	await context.pass(1000);
+	t.is(fleetView.getGeneration()?.version, 4);
+	t.true(links[1]!.called.length <= 11, `${links[1]!.called.length} fetches`);
+});
+
+test('no more than three control hosts are asked for a generation at once', async t => {
+	// Guards against slow control hosts that get slower: each host that waits for one of them asks all the others as well.
+	const {context, fleetView, controls} = setUp([7, 7, 7, 7, 7, 7]);
+	let asked = 0;
+	const frozen = controls.map(control => ({
+		...control, link: {
+			...createFrozenLink(context),
+			async call(...parameters: Parameters<fixture.FakeLink['call']>) {
+				asked++;
+				return createFrozenLink(context).call(...parameters);
+			},
+		},
+	}));
+	controls.splice(0, controls.length, ...frozen);
+	for (const control of frozen) {
+		fleetView.recordVersion(control, 7);
+	}
+
+	await context.pass(1900);
+	t.is(asked, 3);
+});
+
 test('a retired instance gets no more requests, and no heartbeat makes it serve again', async t => {
 	const {context, fleetView} = setUp([1, 1]);
 	fleetView.followInstances();
--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -148,6 +148,11 @@
 */
 export const FETCH_HEDGE_DELAY_MILLISECONDS = 400;
 
+/**
+Control hosts that are asked for a generation at the same time at most: two of them may be lost at once.
+*/
+export const MAX_CONCURRENT_FETCHES = 3;
+
 /**
 Milliseconds that fetching missed retirements may take: some kilobytes, and the next control host must still be asked in time.
 */
--- a/packages/wagtailroute-fleet/src/generation-fetcher.ts
+++ b/packages/wagtailroute-fleet/src/generation-fetcher.ts
@@ -12,6 +12,7 @@
 	FETCH_HEDGE_DELAY_MILLISECONDS,
 	FETCH_RETRY_DELAY_MILLISECONDS,
 	FETCH_TIMEOUT_MILLISECONDS,
+	MAX_CONCURRENT_FETCHES,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
 import type {LinkedHost} from './control-links.ts';
@@ -85,7 +86,9 @@
 		const {id} = source.host;
 		askedHolders.add(id);
 		const cancelHedge: utils.Teardown = schedule(FETCH_HEDGE_DELAY_MILLISECONDS, () => {
-			void fetchGeneration();
+			if (askedHolders.size < MAX_CONCURRENT_FETCHES) {
+				void fetchGeneration();
+			}
 		});
 		const generation = await ask(source);
 		cancelHedge();
@@ -99,7 +102,7 @@
 		}
 
 		failedHolders.add(id);
-		schedule(generation === null ? FETCH_RETRY_DELAY_MILLISECONDS : 0, fetchUnlessAsked);
+		schedule(FETCH_RETRY_DELAY_MILLISECONDS, fetchUnlessAsked);
 	};
 
 	const fetchUnlessAsked = () => {
