--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
 # Starts the case; TROUBLE=0 leaves the disruption out. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")/../.." || exit 2
-exec node_modules/.bin/node review/2/case.ts
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
+exec node_modules/.bin/node "$folder/case.ts"
