--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -1,4 +1,4 @@
-/* eslint-disable unicorn/no-await-expression-member -- Type checking doesn't look into this folder; scripts. */
+/* eslint-disable @typescript-eslint/no-loop-func, unicorn/no-await-expression-member, unicorn/prefer-promise-with-resolvers -- Type checking does not look into this folder; a script. */
 /**
 One of four upstreams spoils one byte in the status line of one answer. The other requests of the entry host are in progress at sound upstreams.
 */
