--- a/review/3/case.ts
+++ b/review/3/case.ts
@@ -1,12 +1,10 @@
-/* eslint-disable @typescript-eslint/no-unsafe-assignment, @typescript-eslint/no-unsafe-call, unicorn/no-await-expression-member -- Type checking doesn't look into this folder; scripts. */
+/* eslint-disable @typescript-eslint/restrict-plus-operands, unicorn/no-await-expression-member -- Type checking doesn't look into this folder; scripts. */
 /**
-An entry host is stopped (SIGTERM) while consumers read large answers slowly: they pause for some seconds and read the rest well before the host has to end.
+An upstream answers long uploads before it has read them. The consumers send the rest, as they have to, and go on to use their connections, which were kept open.
 */
-import * as buffer from 'node:buffer';
 import * as net from 'node:net';
 import {
 	fixture,
-	GRACE_SECONDS,
 	hasTrouble,
 	runCase,
 	sendHeartbeats,
@@ -18,106 +16,105 @@
 	within,
 } from '../lib/installation.ts';
 
-const CONSUMERS = 200;
+const CONSUMERS = 12;
+const BODY_BYTES = 300_000;
+const PIECE_BYTES = 20_000;
+const PIECE_MILLISECONDS = 20;
+const EARLY_MILLISECONDS = 50;
+const TIMEOUT_MILLISECONDS = 2000;
+const DEADLINE_MILLISECONDS = 8000;
 /**
-Sizes of the answers. What the system's buffers hold lies between the least and the largest.
+The rule: no final answer this long after the route's timeout.
 */
-const MIN_ANSWER_BYTES = 3_900_000;
-const STEP_BYTES = 2000;
-const TIMEOUT_MILLISECONDS = 12_000;
-const SIGTERM_MILLISECONDS = 1000;
-/**
-Milliseconds after the SIGTERM at which the consumers read on. The host ends at GRACE_SECONDS.
-*/
-const RESUME_MILLISECONDS = 3500;
+const SLACK_MILLISECONDS = 500;
+const MIN_UNANSWERED = 8;
+const MAX_SHARE = 1 / 4;
 
-type Download = {readonly name: string; bytes: number; length: number; endedAt: number};
+type Sent = {readonly name: string; readonly sentAt: number; answeredAt?: number};
 
 await runCase(import.meta.dirname, async tools => {
-	const document = fixture.createDocument(1, {timeoutMs: TIMEOUT_MILLISECONDS}) as {version: number; resources: unknown[]};
-	document.resources.push({
-		entryType: 'routes',
-		metadata: {name: 'bundle'},
-		spec: {
-			host: 'shop.example', pathPrefix: '/bundle/', type: 'download', timeoutMs: TIMEOUT_MILLISECONDS, targetLatencyMs: TIMEOUT_MILLISECONDS, priority: 1, service: 'shop', attempts: 2,
-		},
-	});
-	const installation = await startInstallation(tools, document);
+	const installation = await startInstallation(tools, fixture.createDocument(1, {timeoutMs: TIMEOUT_MILLISECONDS}));
 	const [front] = installation.fronts;
-	const finished = new Set<string>();
 	const address = await startHttpUpstream(tools, 'u1', (message, response) => {
 		const id = message.headers['request-id'] as string;
-		const body = buffer.Buffer.alloc((Number(/large-(?<number>\d+)/v.exec(id)?.groups!.number ?? 0) * STEP_BYTES) + MIN_ANSWER_BYTES, 'x');
+		const isEarly = hasTrouble && message.url!.startsWith('/upload/');
+		tools.record(`upstream: ${id} ${message.method} ${message.url} begins`);
+		const answer = (status: number) => {
+			const body = isEarly ? 'rejected' : 'served';
+			tools.record(`upstream: ${id} answered with ${status}`);
+			response.writeHead(status, {'request-id': id, 'response-stamp': `stamp-${id}`, 'content-length': body.length}).end(body);
+		};
+
+		if (isEarly) {
+			setTimeout(() => {
+				answer(500);
+			}, EARLY_MILLISECONDS);
+			// It reads on later.
+			setTimeout(() => {
+				message.resume();
+			}, EARLY_MILLISECONDS * 4);
+			return;
+		}
+
 		message.resume();
-		response.once('finish', () => {
-			finished.add(id);
+		message.once('end', () => {
+			answer(200);
 		});
-		response.writeHead(200, {'request-id': id, 'response-stamp': `stamp-${id}`, 'content-length': body.length}).end(body);
 	});
 	sendHeartbeats(tools, installation, {id: 'u1', address, slots: CONSUMERS * 2});
 	await within(10_000, async () => (await fixture.callFront(front!, '/read/join')).status === 200, 'the upstream in use');
 	await sleep(STABILITY_MILLISECONDS + 1000);
 
-	const resumeAt = performance.now() + SIGTERM_MILLISECONDS + RESUME_MILLISECONDS;
-	const downloads = Array.from({length: CONSUMERS}, async (_, number) => download(front!.ip, `large-${number}`, resumeAt));
-	await sleep(SIGTERM_MILLISECONDS);
-	const stoppedAt = performance.now();
-	if (hasTrouble) {
-		front!.signal('SIGTERM');
-		tools.record('SIGTERM to the entry host');
-	}
-
-	const ended = await Promise.all(downloads);
-	for (const {name, bytes, length, endedAt} of ended) {
-		const upstreamState = finished.has(name) ? 'the upstream has sent all' : 'the upstream is still sending';
-		tools.record(`${name}: ${bytes} of ${length} bytes, ended ${Math.round(endedAt - stoppedAt)} ms after the SIGTERM, ${upstreamState}`);
-	}
-
-	const isDue = ({name, endedAt}: Download) => finished.has(name) && endedAt - stoppedAt < (GRACE_SECONDS * 1000) * (5 / 6);
-	const cut = ended.filter(item => item.bytes < item.length && isDue(item));
-	tools.record(`${cut.length} of ${ended.length} answers were cut off`);
-	return cut.length > 0;
+	const seconds = await Promise.all(Array.from({length: CONSUMERS}, async (_, number) => consume(tools, front!.ip, number)));
+	const late = seconds.filter(({sentAt, answeredAt}) => (answeredAt ?? Infinity) - sentAt > TIMEOUT_MILLISECONDS + SLACK_MILLISECONDS);
+	const other = await fixture.callFront(front!, '/write/other', {method: 'POST', headers: {'request-id': 'other'}});
+	tools.record(`a request on a new connection is answered with ${other.status}`);
+	tools.record(`${late.length} of ${seconds.length} requests without a final answer ${TIMEOUT_MILLISECONDS + SLACK_MILLISECONDS} ms after they were sent`);
+	return late.length >= MIN_UNANSWERED && late.length > seconds.length * MAX_SHARE;
 });
 
 /**
-Reads the head of an answer, pauses, and reads the rest.
+Sends an upload and, when it is answered and sent in full, a second request on the same connection.
 */
-async function download(ip: string, name: string, resumeAt: number): Promise<Download> {
+async function consume(tools: Tools, ip: string, number: number): Promise<Sent> {
 	const socket = net.connect({host: ip, port: 8144});
-	const result: Download = {
-		name, bytes: 0, length: Infinity, endedAt: Infinity,
-	};
-	const {promise, resolve} = Promise.withResolvers<void>();
-	let head = '';
-	socket.on('error', () => undefined);
-	socket.once('close', () => {
-		resolve();
+	let received = '';
+	socket.setEncoding('latin1');
+	socket.on('error', error => {
+		tools.record(`consumer ${number}: ${error.message}`);
+	});
+	socket.on('data', text => {
+		received += text;
+	});
+	tools.teardown(() => {
+		socket.destroy();
 	});
-	socket.on('data', chunk => {
-		if (result.length === Infinity) {
-			head += chunk.toString('latin1');
-			const end = head.indexOf('\r\n\r\n');
-			if (end === -1) {
-				return;
-			}
+	const first = `upload-${number}`;
+	socket.write(`POST /upload/${number} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: ${first}\r\nDeadline-Ms: ${DEADLINE_MILLISECONDS}\r\nContent-Length: ${BODY_BYTES}\r\n\r\n`);
+	for (let sent = 0; sent < BODY_BYTES; sent += PIECE_BYTES) {
+		socket.write('x'.repeat(PIECE_BYTES));
+		// eslint-disable-next-line no-await-in-loop -- One piece after the other.
+		await sleep(PIECE_MILLISECONDS);
+	}
 
-			result.length = /^content-length: (?<length>\d+)/imv.exec(head)!.groups!.length;
-			result.bytes = head.length - end - 4;
-			socket.pause();
-			setTimeout(() => {
-				socket.resume();
-			}, Math.max(1, resumeAt - performance.now()));
-		} else {
-			result.bytes += chunk.length;
-		}
+	await within(5000, () => received.includes(`stamp-${first}`), `the answer to ${first}`);
+	if (/^connection: close/imv.test(received)) {
+		throw new Error('the connection is not kept');
+	}
 
-		if (result.bytes >= result.length) {
-			resolve();
-		}
-	});
-	socket.write(`GET /bundle/${name} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: ${name}\r\nDeadline-Ms: ${TIMEOUT_MILLISECONDS}\r\n\r\n`);
-	await promise;
-	result.endedAt = performance.now();
-	socket.destroy();
-	return result;
+	tools.record(`consumer ${number}: ${first} sent in full and answered: ${received.split('\r\n', 1)[0]}, ${/^connection:.*$/imv.exec(received)?.[0]}`);
+	const name = `second-${number}`;
+	const second: Sent = {name, sentAt: performance.now()};
+	received = '';
+	socket.write(`POST /write/${number} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: ${name}\r\nDeadline-Ms: ${DEADLINE_MILLISECONDS}\r\nContent-Length: 2\r\n\r\nok`);
+	const isAnswered = await fixture.waitWithin(() => received.includes('\r\n\r\n') || socket.destroyed, DEADLINE_MILLISECONDS);
+	if (isAnswered && received !== '') {
+		second.answeredAt = performance.now();
+	}
+
+	const ending = second.answeredAt === undefined
+		? `not answered within its ${DEADLINE_MILLISECONDS} ms`
+		: `answered after ${Math.round(second.answeredAt - second.sentAt)} ms: ${received.split('\r\n', 1)[0]}`;
+	tools.record(`consumer ${number}: ${name} ${ending}`);
+	return second;
 }
