Log each signal that a process on the platform receives

Observability for the incident of requests lost around SIGTERM: the log said that a process was stopping, not by which signal, nor which ones came after it. No change of what a signal does.

--- a/packages/wagtailroute-cli/src/running.ts
+++ b/packages/wagtailroute-cli/src/running.ts
@@ -8,9 +8,18 @@
 import * as signals from './signals.ts';
 
 /**
-A host that has started. `stop` drains it.
+A host that has started.
 */
-export type RunningHost = {readonly stop: () => Promise<void>};
+export type RunningHost = {
+	/**
+	Drains the host.
+	*/
+	readonly stop: () => Promise<void>;
+	/**
+	Called with each signal that asks for a stop, before `stop` and while it lasts.
+	*/
+	readonly recordSignal?: (signal: NodeJS.Signals) => void;
+};
 
 /**
 Starts a host, prints `readyLine` once it has started, waits for a signal to stop, and stops the host.
@@ -19,10 +28,13 @@
 	output: stream.Writable,
 	readyLine: string,
 	start: () => Promise<RunningHost>,
-	waitForStopSignal: () => Promise<undefined> = signals.waitForStopSignal,
+	waitForStopSignal: signals.StopSignalWaiter = signals.waitForStopSignal,
 ): Promise<results.Result<string, failures.CommandFailure>> {
 	try {
-		const stopSignal = waitForStopSignal();
+		const started: {host?: RunningHost} = {};
+		const stopSignal = waitForStopSignal(signal => {
+			started.host?.recordSignal?.(signal);
+		});
 		const running = await Promise.race([start(), stopSignal]);
 		// The start can take long, for example without a quorum. A signal during the start ends the process without a drain, since
 		// the host has not served anything yet.
@@ -30,6 +42,7 @@
 			return results.Ok('');
 		}
 
+		started.host = running;
 		output.write(`${readyLine}\n`);
 		await stopSignal;
 		await running.stop();
