No signal shortens a stop that has begun

Callers saw: the connections of all requests in flight at an entry host closed at one moment, long before the end of the grace time, where a SIGHUP, a second SIGTERM or a SIGINT followed the SIGTERM.

At the first SIGTERM the watch of the settings file was ended and with it the only handler of SIGHUP, so that the next one had its default action; a second SIGTERM or SIGINT exited at once, on purpose. The class: a signal whose default or own action ends the process while requests are in flight. On real machines a supervisor, a process group or a change of settings sends several.

The command line, which owns the signals of a process, handles all three from the first stop signal to the end of the process; later ones are passed to the host, which logs them. This holds for run and dev as well. SIGKILL ends a drain that hangs.

--- a/packages/wagtailroute-cli/src/constants.ts
+++ b/packages/wagtailroute-cli/src/constants.ts
@@ -3,7 +3,7 @@
 */
 
 /**
-Exit code for every failure without a code of its own, and for a host that a second signal ends.
+Exit code for every failure without a code of its own.
 */
 export const EXIT_FAILURE = 1;
 
--- a/packages/wagtailroute-cli/src/signals.ts
+++ b/packages/wagtailroute-cli/src/signals.ts
@@ -2,29 +2,34 @@
 The signals that stop a host.
 */
 import process from 'node:process';
-import * as constants from './constants.ts';
 
 const STOP_SIGNALS: readonly NodeJS.Signals[] = ['SIGTERM', 'SIGINT'];
 
 /**
-Resolves when a signal asks the process to stop; `onSignal` is called with each such signal.
+Signals that would end a stopping process by their default action, beside those that stop it.
+*/
+const HELD_SIGNALS: readonly NodeJS.Signals[] = ['SIGHUP'];
+
+/**
+Resolves when a signal asks the process to stop; `onSignal` is called with each signal from then on.
 */
 export type StopSignalWaiter = (onSignal: (signal: NodeJS.Signals) => void) => Promise<undefined>;
 
 /**
-Resolves at the first SIGTERM or SIGINT. The second one exits the process at once, so that an operator can end a host whose drain
-hangs.
+Resolves at the first SIGTERM or SIGINT. Until the process has ended, later ones and SIGHUP neither end it nor shorten its drain: a supervisor or a process group may send them several times.
 */
 export async function waitForStopSignal(onSignal: (signal: NodeJS.Signals) => void): Promise<undefined> {
 	return new Promise<undefined>(resolve => {
-		let signalCount = 0;
+		let isStopping = false;
 		const handleSignal = (signal: NodeJS.Signals): void => {
-			signalCount++;
 			onSignal(signal);
-			if (signalCount > 1) {
-				// Setting process.exitCode would not end a process whose drain hangs.
-				// eslint-disable-next-line unicorn/no-process-exit
-				process.exit(constants.EXIT_FAILURE);
+			if (isStopping) {
+				return;
+			}
+
+			isStopping = true;
+			for (const held of HELD_SIGNALS) {
+				process.on(held, onSignal);
 			}
 
 			resolve(undefined);
