A signal that comes while a host starts drains what it serves already

A host opens its traffic port a little before its start has ended. On the platform the signals were handled only after the start, so a SIGTERM at that moment had its default action; with run and dev it ended the process without a drain. Either way requests that had been read ended without an answer.

Signals are handled from before the start. Once a stop is asked for, a start has one more second: a host that serves has started by then and is drained; one that waits for a quorum serves nobody and is ended as before.

--- a/packages/wagtailroute-cli/src/commands/hosts.ts
+++ b/packages/wagtailroute-cli/src/commands/hosts.ts
@@ -2,6 +2,7 @@
 The commands that run hosts until a signal ends them.
 */
 import * as clipanion from 'clipanion';
+import * as results from 'ts-results-es';
 import type * as host from 'wagtailroute-host';
 import * as settings from '../settings.ts';
 import * as running from '../running.ts';
@@ -39,7 +40,7 @@
 		}
 
 		const module = await importHost();
-		return running.runUntilStopped(this.context.stdout, 'run: ready', async () => module.runHost(read.value));
+		return running.runUntilStopped(this.context.stdout, 'run: ready', async () => results.Ok(await module.runHost(read.value)));
 	}
 }
 
@@ -64,7 +65,8 @@
 
 		const module = await importHost();
 		const {optionalOperatorToken: operatorToken, ...others} = read.value;
-		return running.runUntilStopped(this.context.stdout, 'dev: ready', async () => module.runDev({...others, ...operatorToken !== undefined && {operatorToken}}));
+		return running.runUntilStopped(this.context.stdout, 'dev: ready', async () =>
+			results.Ok(await module.runDev({...others, ...operatorToken !== undefined && {operatorToken}})));
 	}
 }
 
--- a/packages/wagtailroute-cli/src/commands/platform.ts
+++ b/packages/wagtailroute-cli/src/commands/platform.ts
@@ -4,7 +4,6 @@
 */
 import * as clipanion from 'clipanion';
 import * as core from 'wagtailroute-core';
-import * as results from 'ts-results-es';
 import * as running from '../running.ts';
 import * as settings from '../settings.ts';
 import * as base from './command.ts';
@@ -28,9 +27,9 @@
 
 		const {settingsFile, logLevel, overloadControl} = read.value;
 		const platform = await import('wagtailroute-platform');
-		const started = await platform.runProcess(settingsFile, {level: logLevel, overloadControl});
-		return started.isErr()
-			? results.Err(core.createFailure('bad-setting', started.error.message))
-			: running.runUntilStopped(this.context.stdout, 'run: ready', async () => started.value);
+		return running.runUntilStopped(this.context.stdout, 'run: ready', async () => {
+			const started = await platform.runProcess(settingsFile, {level: logLevel, overloadControl});
+			return started.mapErr(({message}) => core.createFailure('bad-setting', message));
+		});
 	}
 }
--- a/packages/wagtailroute-cli/src/constants.ts
+++ b/packages/wagtailroute-cli/src/constants.ts
@@ -51,3 +51,8 @@
 Time after which the command no longer waits for a change to be in force on every host.
 */
 export const IN_FORCE_TIMEOUT_MILLISECONDS = 15_000;
+
+/**
+Time that a start still has once a signal has asked for a stop.
+*/
+export const MAX_STOPPED_START_MILLISECONDS = 1000;
--- a/packages/wagtailroute-cli/src/running.ts
+++ b/packages/wagtailroute-cli/src/running.ts
@@ -2,8 +2,10 @@
 Runs a host until a signal stops it.
 */
 import type * as stream from 'node:stream';
+import * as timers from 'node:timers/promises';
 import * as core from 'wagtailroute-core';
 import * as results from 'ts-results-es';
+import * as constants from './constants.ts';
 import * as failures from './failures.ts';
 import * as signals from './signals.ts';
 
@@ -22,30 +24,32 @@
 };
 
 /**
-Starts a host, prints `readyLine` once it has started, waits for a signal to stop, and stops the host.
+Starts a host, prints `readyLine` once it has started, waits for a signal to stop, and stops the host. Signals are handled from before the start.
 */
 export async function runUntilStopped(
 	output: stream.Writable,
 	readyLine: string,
-	start: () => Promise<RunningHost>,
+	start: () => Promise<results.Result<RunningHost, failures.CommandFailure>>,
 	waitForStopSignal: signals.StopSignalWaiter = signals.waitForStopSignal,
 ): Promise<results.Result<string, failures.CommandFailure>> {
 	try {
-		const started: {host?: RunningHost} = {};
+		const known: {host?: RunningHost} = {};
 		const stopSignal = waitForStopSignal(signal => {
-			started.host?.recordSignal?.(signal);
+			known.host?.recordSignal?.(signal);
 		});
-		const running = await Promise.race([start(), stopSignal]);
-		// The start can take long, for example without a quorum. A signal during the start ends the process without a drain, since
-		// the host has not served anything yet.
-		if (!running) {
+		const started = await waitForStart(start(), stopSignal);
+		if (started === undefined) {
 			return results.Ok('');
 		}
 
-		started.host = running;
+		if (started.isErr()) {
+			return started;
+		}
+
+		known.host = started.value;
 		output.write(`${readyLine}\n`);
 		await stopSignal;
-		await running.stop();
+		await started.value.stop();
 		return results.Ok('');
 	} catch (error) {
 		// An error without a code is a defect: it is thrown, so that its stack is printed.
@@ -56,3 +60,11 @@
 		return results.Err(core.createFailure('stopped', failures.describeError(error)));
 	}
 }
+
+/**
+Waits for the end of a start, once a stop is asked for only briefly: a host that serves already is about to have started and must be drained, one that waits for a quorum serves nobody and can be
+ended. Resolves with undefined for the latter.
+*/
+async function waitForStart<Started>(starting: Promise<Started>, stopSignal: Promise<undefined>): Promise<Started | undefined> {
+	return await Promise.race([starting, stopSignal]) ?? Promise.race([starting, timers.setTimeout(constants.MAX_STOPPED_START_MILLISECONDS, undefined)]);
+}
