Connections are closed for writing first, and linger until the caller has closed

What callers saw: a response that its upstream had sent whole, and that the host had written whole, arrived cut with ECONNRESET when bytes of a next request stood unread on the connection at its close, or came after it. Both for an idle connection that a drain closes and behind a response with Connection: close (every response during a stop has it).

Cause: socket.destroy() and Node's destroySoon() close the descriptor as soon as the system has taken the response. TCP answers unread bytes at a close, and bytes after it, with a reset, and a reset drops what is still in the send buffer (slow reader, slow link).

Change: createDrain has its server close a connection by a lingering close: the end of the sending side first, then what still comes is read and dropped until the caller has closed as well. The parser of HTTP is taken off the connection, so nothing that arrives on it is run. Bounds: 2 s without a byte, 5 s in all, 64 MiB, 512 connections of a server (beyond it the one that has lingered longest is closed). The bounds of silence, time and bytes are those that the rest of a request's body had in remainder.ts; they are now in utils and used by both. A drain resolves when the last of these connections is gone. The callers' server, the forwarding server and the product's own host all get it, as all three use createDrain.

--- a/packages/wagtailroute-proxy/src/constants.ts
+++ b/packages/wagtailroute-proxy/src/constants.ts
@@ -145,11 +145,6 @@
 */
 export const TIMEOUT_HEADER = 'request-timeout-ms';
 
-/**
-Milliseconds without a byte after which the rest of an answered request's body is waited for no longer, and its connection is closed.
-*/
-export const LINGER_MILLISECONDS = 2000;
-
 /**
 Milliseconds that the rest of an answered request's body may take in all: as long as an idle connection is kept.
 */
--- a/packages/wagtailroute-proxy/src/remainder.ts
+++ b/packages/wagtailroute-proxy/src/remainder.ts
@@ -6,7 +6,8 @@
 */
 import type * as buffer from 'node:buffer';
 import type * as http from 'node:http';
-import {LINGER_MILLISECONDS, MAX_REMAINDER_BYTES, MAX_REMAINDER_MILLISECONDS} from './constants.ts';
+import * as utils from 'wagtailroute-utils';
+import {MAX_REMAINDER_BYTES, MAX_REMAINDER_MILLISECONDS} from './constants.ts';
 
 /**
 The one iterator of each message: while a message has one, its stream can be read by no other means.
@@ -84,37 +85,31 @@
 
 async function readToEnd(message: http.IncomingMessage): Promise<boolean> {
 	const {promise, resolve} = Promise.withResolvers<boolean>();
-	const giveUp = () => {
+	let isExceeded = false;
+	const discard = utils.startDiscard({milliseconds: MAX_REMAINDER_MILLISECONDS, bytes: MAX_REMAINDER_BYTES}, () => {
+		isExceeded = true;
 		resolve(false);
-	};
-
-	const silenceTimer = setTimeout(giveUp, LINGER_MILLISECONDS);
-	const timer = setTimeout(giveUp, MAX_REMAINDER_MILLISECONDS);
+	});
 	void (async () => {
-		resolve(await readChunks(message, () => {
-			silenceTimer.refresh();
-		}));
+		resolve(await readChunks(message, discard, () => isExceeded));
 	})();
 
 	const isReceived = await promise;
-	clearTimeout(silenceTimer);
-	clearTimeout(timer);
+	discard.end();
 	return isReceived;
 }
 
-async function readChunks(message: http.IncomingMessage, onChunk: () => void): Promise<boolean> {
+async function readChunks(message: http.IncomingMessage, discard: utils.Discard, isExceeded: () => boolean): Promise<boolean> {
 	const chunks = getChunks(message);
-	let bytes = 0;
 	try {
-		while (bytes <= MAX_REMAINDER_BYTES) {
+		while (!isExceeded()) {
 			// eslint-disable-next-line no-await-in-loop -- The chunks of a body arrive one after the other.
 			const chunk = await chunks.next();
 			if (chunk.done === true) {
 				return message.complete;
 			}
 
-			bytes += chunk.value.length;
-			onChunk();
+			discard.count(chunk.value.length);
 		}
 	} catch {
 		// The caller has left.
--- a/packages/wagtailroute-utils/src/__tests__/unit/draining.test.ts
+++ b/packages/wagtailroute-utils/src/__tests__/unit/draining.test.ts
@@ -3,15 +3,13 @@
 */
 import * as buffer from 'node:buffer';
 import * as http from 'node:http';
-import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import * as utils from '../../index.ts';
+import {type Caller, connect, MAX_WAIT_MILLISECONDS} from './callers.ts';
 
 const LARGE_BYTES = 20_000_000;
 const SLOW_MILLISECONDS = 300;
-const WAIT_MILLISECONDS = 10;
-const MAX_WAIT_MILLISECONDS = 5000;
 const SETTLE_MILLISECONDS = 50;
 const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
 
@@ -21,12 +19,6 @@
 	readonly served: string[];
 };
 
-type Caller = {
-	readonly socket: net.Socket;
-	readonly received: () => string;
-	readonly waitFor: (condition: () => boolean) => Promise<boolean>;
-};
-
 /**
 Answers `/large` with more than the system's buffers hold, `/slow` after a while, all others at once.
 */
@@ -52,31 +44,6 @@
 	return {drain, served, connect: () => connect(t, port)};
 }
 
-function connect(t: ExecutionContext, port: number): Caller {
-	const socket = net.connect(port, '127.0.0.1');
-	const chunks: buffer.Buffer[] = [];
-	socket.on('data', chunk => {
-		chunks.push(chunk);
-	});
-	socket.on('error', () => undefined);
-	t.teardown(() => {
-		socket.destroy();
-	});
-	return {
-		socket,
-		received: () => buffer.Buffer.concat(chunks).toString('latin1'),
-		async waitFor(condition) {
-			const end = performance.now() + MAX_WAIT_MILLISECONDS;
-			while (!condition() && performance.now() < end) {
-				// eslint-disable-next-line no-await-in-loop -- Polls.
-				await timers.setTimeout(WAIT_MILLISECONDS);
-			}
-
-			return condition();
-		},
-	};
-}
-
 // Guards against a response whose last bytes are lost: it was ended, but its reader had not taken them when the drain began.
 test('a response that was ended and not yet written is written whole', async t => {
 	const {drain, connect: connectCaller, served} = await open(t);
--- a/packages/wagtailroute-utils/src/draining.ts
+++ b/packages/wagtailroute-utils/src/draining.ts
@@ -5,6 +5,7 @@
 */
 import type * as http from 'node:http';
 import type * as net from 'node:net';
+import {createLingeringClose} from './lingering.ts';
 
 type ConnectionState = {
 	/**
@@ -18,17 +19,19 @@
 };
 
 /**
-Has a server close a connection as idle only after all of its responses were written and all of its requests received. To be called before the server listens.
+Has a server close a connection as idle only after all of its responses were written and all of its requests received, and linger on each connection that it closes, also behind a response
+with `Connection: close`. To be called before the server listens.
 
 @returns Starts the drain; resolves when all connections are closed. A connection on which no request has been received stays open for its first one.
 */
 export function createDrain(server: http.Server): () => Promise<void> {
 	const connections = new Map<net.Socket, ConnectionState>();
+	const closeLingering = createLingeringClose();
 	let isDraining = false;
 
 	const closeIfIdle = (socket: net.Socket, {pending, idleBytes}: ConnectionState) => {
 		if (pending === 0 && socket.bytesRead === idleBytes) {
-			socket.destroy();
+			closeLingering(socket);
 		}
 	};
 
@@ -49,6 +52,11 @@
 
 	server.on('connection', (socket: net.Socket) => {
 		connections.set(socket, {pending: 0, idleBytes: undefined});
+		// Called by Node behind a response that closes its connection.
+		socket.destroySoon = () => {
+			closeLingering(socket);
+		};
+
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
