A lingering close reads on where reading was paused

What callers saw: nothing wrong on the wire, but a connection whose reading had been paused (bytes behind a request with Connection: close, more pipelined requests than are held) lingered for its whole 2 s although its caller had closed it at once.

Cause: the parser of HTTP pauses below the stream. The stream takes its read for pending and starts no other one when it is resumed, so neither the rest nor the caller's end is ever seen.

Change: an empty push ends the pending read before the stream is resumed.

--- a/packages/wagtailroute-utils/src/__tests__/unit/lingering.test.ts
+++ b/packages/wagtailroute-utils/src/__tests__/unit/lingering.test.ts
@@ -21,6 +21,7 @@
 
 type Fixture = {
 	readonly port: number;
+	readonly server: http.Server;
 	readonly drain: () => Promise<void>;
 	/**
 	Paths of the requests that were handed over.
@@ -50,7 +51,7 @@
 		server.closeAllConnections();
 	});
 	return {
-		port, drain, served, written,
+		port, server, drain, served, written,
 	};
 }
 
@@ -181,6 +182,24 @@
 	t.true(performance.now() - startedAt < SLACK_MILLISECONDS);
 });
 
+// Guards against a connection that is read no further, on which the end of its caller's side is never seen.
+test('a paused connection that its response closes is read, and closed with its caller', async t => {
+	const {port, server, written} = await open(t);
+	const closed = Promise.withResolvers<number>();
+	server.on('request', ({socket}: http.IncomingMessage) => {
+		socket.pause();
+		socket.once('close', () => {
+			closed.resolve(performance.now());
+		});
+	});
+	const caller = connect(t, port);
+	caller.socket.write(CLOSING_REQUEST);
+	await written;
+	const startedAt = performance.now();
+	t.true(await closed.promise - startedAt < SLACK_MILLISECONDS);
+	t.is(getBodyBytes(caller), BODY_BYTES);
+});
+
 // Guards against callers that never close their connections and take all descriptors of the process.
 test('of the connections that linger, the longest ones are closed beyond a number', async t => {
 	const lingering: net.Socket[] = [];
--- a/packages/wagtailroute-utils/src/lingering.ts
+++ b/packages/wagtailroute-utils/src/lingering.ts
@@ -49,6 +49,8 @@
 	socket.on('data', chunk => {
 		discard?.count(chunk.length);
 	});
+	// A stream that the parser had paused takes a read for pending; this ends it, so that `resume` starts a new one.
+	socket.push('');
 	socket.resume();
 	const start = () => {
 		discard = startDiscard({milliseconds: MAX_LINGER_MILLISECONDS, bytes: MAX_LINGER_BYTES}, () => {
