In a drain the last request received on a connection closes it, not the first one answered

What callers saw: requests that were pipelined behind another one and had been read whole ended without an answer in a stop, as soon as the response before them was sent: it carried Connection: close. Also, the responses to requests that were in flight when the stop began did not announce the close, and their connections were closed right behind them, so that the caller could send its next request on them.

Cause: whether a response closes its connection was decided when its request was started, from the state of the host alone.

Change: it is decided when the head is written, by the pipeline: during a drain, or with more requests than are held, the response closes the connection if no other request has been started after its own and none waits. What arrives behind a head that announces the close is never sent to an upstream, as before.

--- a/packages/wagtailroute-proxy/src/pipelining.ts
+++ b/packages/wagtailroute-proxy/src/pipelining.ts
@@ -28,6 +28,10 @@
 	More requests arrived than are held: the connection is closed behind the last one that is held.
 	*/
 	isOverfull: boolean;
+	/**
+	Response to the request that was started last.
+	*/
+	last: http.ServerResponse | undefined;
 	readonly waiting: PipelinedRequest[];
 };
 
@@ -44,16 +48,23 @@
 
 /**
 Creates a pipeline without requests.
+
+@param isDraining Whether a connection is closed behind the last request that was received on it, so that its caller looks up another address.
 */
-export function createPipeline(): Pipeline {
+export function createPipeline(isDraining: () => boolean): Pipeline {
 	const queues = new WeakMap<net.Socket, ConnectionQueue>();
 
+	// Known only when the head is written: until then further requests are received, which would be lost behind a response that closes the connection.
+	const mustClose = ({isOverfull, last, waiting}: ConnectionQueue, response: http.ServerResponse) =>
+		last === response && waiting.length === 0 && (isOverfull || isDraining());
+
 	const mayStart = ({running, isExclusive}: ConnectionQueue, {mayRunBeside}: PipelinedRequest) =>
 		running === 0 || (mayRunBeside && !isExclusive && running < MAX_PARALLEL_PIPELINED_REQUESTS);
 
 	const start = (socket: net.Socket, queue: ConnectionQueue, {response, mayRunBeside, serve}: PipelinedRequest) => {
 		queue.running++;
 		queue.isExclusive = !mayRunBeside;
+		queue.last = response;
 		response.once('finish', () => {
 			queue.running--;
 			// Node's own listener runs first and ends the connection where the response says so.
@@ -63,10 +74,11 @@
 				queue.waiting.length = 0;
 			}
 		});
-		if (queue.isOverfull && queue.waiting.length === 0) {
-			response.setHeader('connection', 'close');
-		}
-
+		onHead(response, () => {
+			if (mustClose(queue, response)) {
+				response.setHeader('connection', 'close');
+			}
+		});
 		serve();
 	};
 
@@ -79,7 +91,7 @@
 	return {
 		add(socket, request) {
 			const queue = queues.get(socket) ?? {
-				running: 0, isExclusive: false, isOverfull: false, waiting: [],
+				running: 0, isExclusive: false, isOverfull: false, last: undefined, waiting: [],
 			};
 			queues.set(socket, queue);
 			if (queue.waiting.length === 0 && mayStart(queue, request)) {
@@ -93,3 +105,14 @@
 		},
 	};
 }
+
+/**
+Runs a function right before the head of a response is written.
+*/
+function onHead(response: http.ServerResponse, run: () => void): void {
+	const writeHead = response.writeHead.bind(response) as (...head: unknown[]) => http.ServerResponse;
+	response.writeHead = (...head: unknown[]) => {
+		run();
+		return writeHead(...head);
+	};
+}
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -73,7 +73,7 @@
 	let inFlight = 0;
 	let transferredBytes = 0;
 	let largeBodyBytes = 0;
-	const pipeline = createPipeline();
+	const pipeline = createPipeline(ports.isDraining);
 	const countRequest = (message: http.IncomingMessage, response: http.ServerResponse) => {
 		const {socket} = message;
 		const declaredBytes = Number(message.headers['content-length'] ?? 0);
@@ -218,11 +218,6 @@
 		return undefined;
 	}
 
-	if (ports.isDraining()) {
-		// The connection is closed after the answer, so that the caller looks up another address.
-		response.setHeader('connection', 'close');
-	}
-
 	const routed = ports.route(request);
 	if ('kind' in routed) {
 		return routed;
