A drain accepts the connections that wait, and reads what has arrived, before it closes

What callers saw: connections that were established, and requests that were sent, before the drain were reset when the host had not got round to them yet.

Cause: the system resets the connections in the queue of a listening socket when it is closed; Node accepts one in each turn of the event loop, so a busy host has a queue. Idle connections were closed in the same turn, with requests unread that had arrived on them.

Change: the drain first waits for two turns of the event loop without a new connection, for 500 ms at most. Each turn also reads what has arrived on open connections. In the turn after that the listening socket and the idle connections are closed.

A request on an idle connection, written right before the drain, was lost before and is served now.

--- a/packages/wagtailroute-utils/src/__tests__/unit/draining.test.ts
+++ b/packages/wagtailroute-utils/src/__tests__/unit/draining.test.ts
@@ -11,6 +11,7 @@
 const LARGE_BYTES = 20_000_000;
 const SLOW_MILLISECONDS = 300;
 const SETTLE_MILLISECONDS = 50;
+const WAITING_CALLERS = 100;
 const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
 
 type Fixture = {
@@ -131,3 +132,34 @@
 	caller.socket.destroy();
 	t.is(await Promise.race([drained, timers.setTimeout(MAX_WAIT_MILLISECONDS, 'delayed')]), undefined);
 });
+
+// Guards against requests that are lost as the system resets connections which the process has not accepted when its listening socket is closed.
+test('the requests on connections that were established before the drain and not accepted are served', async t => {
+	const {drain, connect: connectCaller, served} = await open(t);
+	const callers = Array.from({length: WAITING_CALLERS}, () => connectCaller());
+	for (const {socket} of callers) {
+		socket.write(REQUEST);
+	}
+
+	// In one turn of the event loop all connections are established, and one is accepted.
+	await timers.setImmediate();
+	t.true(served.length < WAITING_CALLERS);
+	await drain();
+	t.true(await callers.at(-1)!.waitFor(() => callers.every(({socket}) => socket.closed)));
+	t.is(callers.filter(caller => caller.received().endsWith('served')).length, WAITING_CALLERS);
+});
+
+// Guards against a request that the caller has sent and the process has not received when its idle connection is closed.
+test('a request that waits unread on an idle connection when the drain begins is served', async t => {
+	const {drain, connect: connectCaller, served} = await open(t);
+	const caller = connectCaller();
+	caller.socket.write(REQUEST);
+	await caller.waitFor(() => caller.received().endsWith('served'));
+	await timers.setTimeout(SETTLE_MILLISECONDS);
+	caller.socket.write(REQUEST);
+	t.is(served.length, 1);
+	await drain();
+	t.true(await caller.waitFor(() => caller.socket.closed));
+	t.is(caller.received().split('served').length, 3);
+	t.deepEqual(caller.errors, []);
+});
--- a/packages/wagtailroute-utils/src/draining.ts
+++ b/packages/wagtailroute-utils/src/draining.ts
@@ -5,8 +5,19 @@
 */
 import type * as http from 'node:http';
 import type * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import {createLingeringClose} from './lingering.ts';
 
+/**
+Milliseconds in which a drain accepts the connections that wait.
+*/
+const MAX_ACCEPTING_MILLISECONDS = 500;
+
+/**
+Turns of the event loop without a new connection after which none waits. Less than one turn may be left of the first.
+*/
+const QUIET_TURNS = 2;
+
 type ConnectionState = {
 	/**
 	Requests that are not received or not answered whole.
@@ -81,6 +92,7 @@
 		});
 	});
 	return async () => {
+		await acceptWaiting(server);
 		isDraining = true;
 		await new Promise<void>(resolve => {
 			server.close(() => {
@@ -89,3 +101,24 @@
 		});
 	};
 }
+
+/**
+Accepts the connections that the system has established and the process has not accepted yet, and receives what has arrived on the others. The system resets the former
+when the listening socket is closed, with the requests that were sent on them. Node accepts one in each turn of the event loop.
+*/
+async function acceptWaiting(server: http.Server): Promise<void> {
+	const end = performance.now() + MAX_ACCEPTING_MILLISECONDS;
+	let quietTurns = 0;
+	const record = () => {
+		quietTurns = -1;
+	};
+
+	server.on('connection', record);
+	while (quietTurns < QUIET_TURNS && performance.now() < end) {
+		// eslint-disable-next-line no-await-in-loop -- One turn after the other.
+		await timers.setImmediate();
+		quietTurns++;
+	}
+
+	server.off('connection', record);
+}
