The answer to a request that the parser refuses ends with a lingering close

What callers saw: the 400, 408 or 431 was lost to a reset when the caller was still sending. A caller that did not close its connection after such an answer kept it half-open for good, and a drain of its host waited for it without end.

Cause: the socket was ended and then left alone; the next bytes raised another error of the parser, at which it was destroyed with bytes unread.

Change: it is closed as behind a response with Connection: close.

--- a/packages/wagtailroute-proxy/src/__tests__/unit/closing.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/closing.test.ts
@@ -11,6 +11,7 @@
 const WAIT_MILLISECONDS = 10;
 const MAX_WAIT_MILLISECONDS = 4000;
 const SETTLE_MILLISECONDS = 100;
+const SENT_PIECES = 10;
 const BODY = 'x'.repeat(100_000);
 const NEXT = 'GET /next HTTP/1.1\r\nhost: archive\r\n\r\n';
 
@@ -274,3 +275,38 @@
 	t.deepEqual(upstream.paths, ['/a']);
 	t.is(fixture.requestReports.length, 1);
 });
+
+const REFUSED = [
+	{name: 'a malformed request', first: 'GET /a HTTP/1.1\r\nhost archive\r\n\r\n', status: 400},
+	{name: 'a header section that is too large', first: `GET /a HTTP/1.1\r\nhost: archive\r\na: ${'x'.repeat(20_000)}\r\n\r\n`, status: 431},
+];
+
+for (const {name, first, status} of REFUSED) {
+	// Guards against a reset that takes the answer away while the caller still sends.
+	test(`the answer to ${name} arrives although its caller sends on`, async t => {
+		const fixture = await openFixture(t, {faults: []});
+		const caller = connect(t, fixture);
+		caller.socket.pause();
+		caller.socket.write(first);
+		for (let pieces = 0; pieces < SENT_PIECES; pieces++) {
+			// eslint-disable-next-line no-await-in-loop -- One piece after the other.
+			await timers.setTimeout(WAIT_MILLISECONDS);
+			caller.socket.write(BODY);
+		}
+
+		caller.socket.resume();
+		t.true(await caller.waitFor(() => caller.socket.readableEnded), 'the connection is closed');
+		t.true(caller.received().startsWith(`HTTP/1.1 ${status} `), caller.received());
+		t.regex(caller.received(), /\}$/v);
+		t.deepEqual(caller.errors, []);
+	});
+
+	// Guards against callers that take descriptors for as long as they like.
+	test(`the connection of ${name} is closed although its caller does not close it`, async t => {
+		const fixture = await openFixture(t, {faults: []});
+		const caller = connect(t, fixture);
+		caller.socket.write(first);
+		t.true(await caller.waitFor(() => caller.socket.readableEnded));
+		t.is(await Promise.race([fixture.server.drain(), timers.setTimeout(MAX_WAIT_MILLISECONDS, 'held')]), undefined);
+	});
+}
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -268,4 +268,6 @@
 	const fields = Object.entries(problem.headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
 	const reason = http.STATUS_CODES[problem.status] ?? '';
 	socket.end(`HTTP/1.1 ${problem.status} ${reason}\r\n${fields}connection: close\r\n\r\n${problem.body}`);
+	// Lingers, as behind the response to a request.
+	socket.destroySoon();
 }
