A drain closes a connection whose request had an unknown expectation

What callers saw: nothing; but a drain waited for such a connection until its caller left.

Cause: Node answers an unknown Expect with 417 by itself and emits no request, so the drain took the connection for one without a request so far, which it leaves open.

Change: the drain counts these requests too, and gives the same answer.

Evidence: the new test fails without the change (the drain is held for the 5 s that the test waits) and passes with it.

--- a/packages/wagtailroute-utils/src/__tests__/unit/draining.test.ts
+++ b/packages/wagtailroute-utils/src/__tests__/unit/draining.test.ts
@@ -163,3 +163,13 @@
 	t.is(caller.received().split('served').length, 3);
 	t.deepEqual(caller.errors, []);
 });
+
+// Guards against a connection that is never seen as idle, as its only request was refused before it was handed over.
+test('a connection whose request had an unknown expectation is closed', async t => {
+	const {drain, connect: connectCaller, served} = await open(t);
+	const caller = connectCaller();
+	caller.socket.write('GET / HTTP/1.1\r\nhost: a\r\nexpect: other\r\n\r\n');
+	t.true(await caller.waitFor(() => caller.received().startsWith('HTTP/1.1 417 ')));
+	t.is(await Promise.race([drain(), timers.setTimeout(MAX_WAIT_MILLISECONDS, 'held')]), undefined);
+	t.deepEqual(served, []);
+});
--- a/packages/wagtailroute-utils/src/draining.ts
+++ b/packages/wagtailroute-utils/src/draining.ts
@@ -18,6 +18,8 @@
 */
 const QUIET_TURNS = 2;
 
+const UNKNOWN_EXPECTATION_STATUS = 417;
+
 type ConnectionState = {
 	/**
 	Requests that are not received or not answered whole.
@@ -72,7 +74,7 @@
 			connections.delete(socket);
 		});
 	});
-	server.on('request', (message, response) => {
+	const track = (message: http.IncomingMessage, response: http.ServerResponse) => {
 		const {socket} = message;
 		const state = connections.get(socket);
 		if (state === undefined) {
@@ -90,6 +92,13 @@
 				settle(socket, state);
 			});
 		});
+	};
+
+	server.on('request', track);
+	// Node answers an expectation that it does not know by itself, and without a request.
+	server.on('checkExpectation', (message: http.IncomingMessage, response: http.ServerResponse) => {
+		track(message, response);
+		response.writeHead(UNKNOWN_EXPECTATION_STATUS).end();
 	});
 	return async () => {
 		await acceptWaiting(server);
