Test of slow readers during a stop on the callers' and the forwarding server

A response of 400,000 bytes that its reader has not taken arrives whole on both, although bytes of a next request come behind it; the next request is not sent to an upstream.

--- a/packages/wagtailroute-proxy/src/__tests__/unit/closing.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/closing.test.ts
@@ -3,6 +3,7 @@
 */
 import * as net from 'node:net';
 import * as http from 'node:http';
+import process from 'node:process';
 import * as timers from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import * as utils from 'wagtailroute-utils';
@@ -13,6 +14,10 @@
 const SETTLE_MILLISECONDS = 100;
 const SENT_PIECES = 10;
 const BODY = 'x'.repeat(100_000);
+/**
+More than the caller's system takes for a caller that reads nothing, and less than both systems' buffers hold.
+*/
+const WIDE_BODY = 'x'.repeat(400_000);
 const NEXT = 'GET /next HTTP/1.1\r\nhost: archive\r\n\r\n';
 
 /**
@@ -38,6 +43,9 @@
 		response.write('served');
 		response.end();
 	},
+	'/wide'(response) {
+		response.writeHead(200, {'content-length': WIDE_BODY.length}).end(WIDE_BODY);
+	},
 	'/large'(response) {
 		response.writeHead(200, {'content-length': BODY.length}).end(BODY);
 	},
@@ -310,3 +318,46 @@
 		t.is(await Promise.race([fixture.server.drain(), timers.setTimeout(MAX_WAIT_MILLISECONDS, 'held')]), undefined);
 	});
 }
+
+/**
+An address of this process alone, with a port that no other test uses there.
+*/
+const FORWARDING_ADDRESS = {ip: `127.8.${Math.floor(process.pid / 256) % 256}.${process.pid % 256}`, port: 8149};
+
+const SERVERS = [
+	{name: 'callers', getAddress: ({address}: Fixture) => address},
+	{name: 'other hosts', getAddress: () => FORWARDING_ADDRESS},
+];
+
+// Guards against a reset that cuts a response which its reader has not taken, because bytes of a next request come behind it.
+test('a response to a slow reader arrives whole during a stop although its caller sends on, on the server for each kind of caller', async t => {
+	const upstream = await startHeldUpstream(t);
+	upstream.release();
+	const fixture = await openFixture(t, {
+		faults: [], addresses: [upstream.address], isDraining: () => true, forwardingAddress: FORWARDING_ADDRESS,
+	});
+	const callers = SERVERS.map(({getAddress}) => connect(t, {address: getAddress(fixture)}));
+	for (const {socket} of callers) {
+		socket.pause();
+		socket.write('GET /wide HTTP/1.1\r\nhost: archive\r\n\r\n');
+	}
+
+	await timers.setTimeout(SETTLE_MILLISECONDS * 3);
+	const drained = fixture.server.drain();
+	for (const {socket} of callers) {
+		socket.write(NEXT);
+	}
+
+	await timers.setTimeout(SETTLE_MILLISECONDS);
+	for (const [index, caller] of callers.entries()) {
+		caller.socket.resume();
+		// eslint-disable-next-line no-await-in-loop -- One after the other.
+		t.true(await caller.waitFor(() => caller.socket.readableEnded), SERVERS[index]!.name);
+		t.is(caller.received().length - caller.received().indexOf('\r\n\r\n') - 4, WIDE_BODY.length, SERVERS[index]!.name);
+		t.deepEqual(caller.errors, []);
+		caller.socket.end();
+	}
+
+	await drained;
+	t.deepEqual(upstream.paths, ['/wide', '/wide']);
+});
--- a/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
@@ -59,6 +59,7 @@
 	*/
 	readonly beforeTarget?: Promise<void>;
 	readonly pacers?: proxy.Pacers;
+	readonly forwardingAddress?: core.Address;
 	readonly expectedResponseBytes?: (path: string) => number;
 	/**
 	Called when a request is recorded; may throw.
@@ -214,7 +215,7 @@
 		onDefect(error) {
 			defects.push(error);
 		},
-	});
+	}, {forwardingAddress: setup.forwardingAddress});
 	t.teardown(async () => server.drain());
 	return {
 		origin: `http://127.0.0.1:${server.address.port}`,
