A drain closes at once what has been idle for as long as a connection lingers

What callers saw: with the lingering close a drain waited 2 s for callers that do not close an idle connection, and read and dropped a request that crossed the close. Callers send an unsafe request again only if the host has closed the connection without having read it.

Change: a connection on which nothing has come for 2 s since its last response is closed without lingering, as the limit of silence has passed already. The request that crosses the close stays unread and is reset. What the reader has not taken is still sent by the system, as long as no further bytes come.

--- a/packages/wagtailroute-utils/src/__tests__/unit/draining.test.ts
+++ b/packages/wagtailroute-utils/src/__tests__/unit/draining.test.ts
@@ -3,6 +3,7 @@
 */
 import * as buffer from 'node:buffer';
 import * as http from 'node:http';
+import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import * as utils from '../../index.ts';
@@ -12,11 +13,12 @@
 const SLOW_MILLISECONDS = 300;
 const SETTLE_MILLISECONDS = 50;
 const WAITING_CALLERS = 100;
+const MAX_CLOSE_MILLISECONDS = 1000;
 const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
 
 type Fixture = {
 	readonly drain: () => Promise<void>;
-	readonly connect: () => Caller;
+	readonly connect: (options?: Partial<net.TcpNetConnectOpts>) => Caller;
 	readonly served: string[];
 };
 
@@ -42,7 +44,7 @@
 		server.close();
 		server.closeAllConnections();
 	});
-	return {drain, served, connect: () => connect(t, port)};
+	return {drain, served, connect: options => connect(t, port, options)};
 }
 
 // Guards against a response whose last bytes are lost: it was ended, but its reader had not taken them when the drain began.
@@ -173,3 +175,21 @@
 	t.is(await Promise.race([drain(), timers.setTimeout(MAX_WAIT_MILLISECONDS, 'held')]), undefined);
 	t.deepEqual(served, []);
 });
+
+// Guards against a stop that waits for callers whose responses arrived long ago, and reads requests that it will not run.
+test('a connection that has been idle for as long as one lingers is closed at once, and a request that crosses the close is not read', async t => {
+	const {drain, connect: connectCaller, served} = await open(t);
+	const caller = connectCaller({allowHalfOpen: true});
+	caller.socket.write(REQUEST);
+	await caller.waitFor(() => caller.received().endsWith('served'));
+	await timers.setTimeout(utils.LINGER_MILLISECONDS + SETTLE_MILLISECONDS);
+	const startedAt = performance.now();
+	await drain();
+	t.true(performance.now() - startedAt < MAX_CLOSE_MILLISECONDS);
+	t.true(await caller.waitFor(() => {
+		// The system answers the first write with a reset, which the next one shows.
+		caller.socket.write(REQUEST);
+		return caller.errors.length > 0;
+	}));
+	t.deepEqual(served, ['/']);
+});
--- a/packages/wagtailroute-utils/src/draining.ts
+++ b/packages/wagtailroute-utils/src/draining.ts
@@ -6,6 +6,7 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
+import {LINGER_MILLISECONDS} from './discards.ts';
 import {createLingeringClose} from './lingering.ts';
 
 /**
@@ -29,11 +30,15 @@
 	Bytes that had been received when the connection became idle last; undefined before its first request.
 	*/
 	idleBytes: number | undefined;
+	/**
+	Monotonic time in milliseconds when the connection became idle last.
+	*/
+	idleAt: number;
 };
 
 /**
-Has a server close a connection as idle only after all of its responses were written and all of its requests received, and linger on each connection that it closes, also behind a response
-with `Connection: close`. To be called before the server listens.
+Has a server close a connection as idle only after all of its responses were written and all of its requests received, and linger on each connection that may still have
+a response on its way, also behind a response with `Connection: close`. To be called before the server listens.
 
 @returns Starts the drain; resolves when all connections are closed. A connection on which no request has been received stays open for its first one.
 */
@@ -42,8 +47,16 @@
 	const closeLingering = createLingeringClose();
 	let isDraining = false;
 
-	const closeIfIdle = (socket: net.Socket, {pending, idleBytes}: ConnectionState) => {
-		if (pending === 0 && socket.bytesRead === idleBytes) {
+	const closeIfIdle = (socket: net.Socket, {pending, idleBytes, idleAt}: ConnectionState) => {
+		if (pending > 0 || socket.bytesRead !== idleBytes) {
+			return;
+		}
+
+		// A caller that has sent nothing for as long as a connection lingers has had the time for its response. A request that crosses the close stays unread then, and
+		// the reset tells its caller so.
+		if (performance.now() - idleAt >= LINGER_MILLISECONDS) {
+			socket.destroy();
+		} else {
 			closeLingering(socket);
 		}
 	};
@@ -51,6 +64,7 @@
 	const settle = (socket: net.Socket, state: ConnectionState) => {
 		state.pending--;
 		state.idleBytes = socket.bytesRead;
+		state.idleAt = performance.now();
 		if (isDraining) {
 			closeIfIdle(socket, state);
 		}
@@ -64,7 +78,7 @@
 	};
 
 	server.on('connection', (socket: net.Socket) => {
-		connections.set(socket, {pending: 0, idleBytes: undefined});
+		connections.set(socket, {pending: 0, idleBytes: undefined, idleAt: 0});
 		// Called by Node behind a response that closes its connection.
 		socket.destroySoon = () => {
 			closeLingering(socket);
