--- a/packages/wagtailroute-utils/src/__tests__/unit/draining.test.ts
+++ b/packages/wagtailroute-utils/src/__tests__/unit/draining.test.ts
@@ -3,30 +3,25 @@
 */
 import * as buffer from 'node:buffer';
 import * as http from 'node:http';
-import * as net from 'node:net';
+import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import * as utils from '../../index.ts';
+import {type Caller, connect, MAX_WAIT_MILLISECONDS} from './callers.ts';
 
 const LARGE_BYTES = 20_000_000;
 const SLOW_MILLISECONDS = 300;
-const WAIT_MILLISECONDS = 10;
-const MAX_WAIT_MILLISECONDS = 5000;
 const SETTLE_MILLISECONDS = 50;
+const WAITING_CALLERS = 100;
+const MAX_CLOSE_MILLISECONDS = 1000;
 const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
 
 type Fixture = {
 	readonly drain: () => Promise<void>;
-	readonly connect: () => Caller;
+	readonly connect: (options?: Partial<net.TcpNetConnectOpts>) => Caller;
 	readonly served: string[];
 };
 
-type Caller = {
-	readonly socket: net.Socket;
-	readonly received: () => string;
-	readonly waitFor: (condition: () => boolean) => Promise<boolean>;
-};
-
 /**
 Answers `/large` with more than the system's buffers hold, `/slow` after a while, all others at once.
 */
@@ -49,32 +44,7 @@
 		server.close();
 		server.closeAllConnections();
 	});
-	return {drain, served, connect: () => connect(t, port)};
-}
-
-function connect(t: ExecutionContext, port: number): Caller {
-	const socket = net.connect(port, '127.0.0.1');
-	const chunks: buffer.Buffer[] = [];
-	socket.on('data', chunk => {
-		chunks.push(chunk);
-	});
-	socket.on('error', () => undefined);
-	t.teardown(() => {
-		socket.destroy();
-	});
-	return {
-		socket,
-		received: () => buffer.Buffer.concat(chunks).toString('latin1'),
-		async waitFor(condition) {
-			const end = performance.now() + MAX_WAIT_MILLISECONDS;
-			while (!condition() && performance.now() < end) {
-				// eslint-disable-next-line no-await-in-loop -- Polls.
-				await timers.setTimeout(WAIT_MILLISECONDS);
-			}
-
-			return condition();
-		},
-	};
+	return {drain, served, connect: options => connect(t, port, options)};
 }
 
 // Guards against a response whose last bytes are lost: it was ended, but its reader had not taken them when the drain began.
@@ -164,3 +134,62 @@
 	caller.socket.destroy();
 	t.is(await Promise.race([drained, timers.setTimeout(MAX_WAIT_MILLISECONDS, 'delayed')]), undefined);
 });
+
+// Guards against requests that are lost as the system resets connections which the process has not accepted when its listening socket is closed.
+test('the requests on connections that were established before the drain and not accepted are served', async t => {
+	const {drain, connect: connectCaller, served} = await open(t);
+	const callers = Array.from({length: WAITING_CALLERS}, () => connectCaller());
+	for (const {socket} of callers) {
+		socket.write(REQUEST);
+	}
+
+	// In one turn of the event loop all connections are established, and one is accepted.
+	await timers.setImmediate();
+	t.true(served.length < WAITING_CALLERS);
+	await drain();
+	t.true(await callers.at(-1)!.waitFor(() => callers.every(({socket}) => socket.closed)));
+	t.is(callers.filter(caller => caller.received().endsWith('served')).length, WAITING_CALLERS);
+});
+
+// Guards against a request that the caller has sent and the process has not received when its idle connection is closed.
+test('a request that waits unread on an idle connection when the drain begins is served', async t => {
+	const {drain, connect: connectCaller, served} = await open(t);
+	const caller = connectCaller();
+	caller.socket.write(REQUEST);
+	await caller.waitFor(() => caller.received().endsWith('served'));
+	await timers.setTimeout(SETTLE_MILLISECONDS);
+	caller.socket.write(REQUEST);
+	t.is(served.length, 1);
+	await drain();
+	t.true(await caller.waitFor(() => caller.socket.closed));
+	t.is(caller.received().split('served').length, 3);
+	t.deepEqual(caller.errors, []);
+});
+
+// Guards against a connection that is never seen as idle, as its only request was refused before it was handed over.
+test('a connection whose request had an unknown expectation is closed', async t => {
+	const {drain, connect: connectCaller, served} = await open(t);
+	const caller = connectCaller();
+	caller.socket.write('GET / HTTP/1.1\r\nhost: a\r\nexpect: other\r\n\r\n');
+	t.true(await caller.waitFor(() => caller.received().startsWith('HTTP/1.1 417 ')));
+	t.is(await Promise.race([drain(), timers.setTimeout(MAX_WAIT_MILLISECONDS, 'held')]), undefined);
+	t.deepEqual(served, []);
+});
+
+// Guards against a stop that waits for callers whose responses arrived long ago, and reads requests that it will not run.
+test('a connection that has been idle for as long as one lingers is closed at once, and a request that crosses the close is not read', async t => {
+	const {drain, connect: connectCaller, served} = await open(t);
+	const caller = connectCaller({allowHalfOpen: true});
+	caller.socket.write(REQUEST);
+	await caller.waitFor(() => caller.received().endsWith('served'));
+	await timers.setTimeout(utils.LINGER_MILLISECONDS + SETTLE_MILLISECONDS);
+	const startedAt = performance.now();
+	await drain();
+	t.true(performance.now() - startedAt < MAX_CLOSE_MILLISECONDS);
+	t.true(await caller.waitFor(() => {
+		// The system answers the first write with a reset, which the next one shows.
+		caller.socket.write(REQUEST);
+		return caller.errors.length > 0;
+	}));
+	t.deepEqual(served, ['/']);
+});
--- a/packages/wagtailroute-utils/src/draining.ts
+++ b/packages/wagtailroute-utils/src/draining.ts
@@ -5,6 +5,21 @@
 */
 import type * as http from 'node:http';
 import type * as net from 'node:net';
+import * as timers from 'node:timers/promises';
+import {LINGER_MILLISECONDS} from './discards.ts';
+import {createLingeringClose} from './lingering.ts';
+
+/**
+Milliseconds in which a drain accepts the connections that wait.
+*/
+const MAX_ACCEPTING_MILLISECONDS = 500;
+
+/**
+Turns of the event loop without a new connection after which none waits. Less than one turn may be left of the first.
+*/
+const QUIET_TURNS = 2;
+
+const UNKNOWN_EXPECTATION_STATUS = 417;
 
 type ConnectionState = {
 	/**
@@ -15,26 +30,41 @@
 	Bytes that had been received when the connection became idle last; undefined before its first request.
 	*/
 	idleBytes: number | undefined;
+	/**
+	Monotonic time in milliseconds when the connection became idle last.
+	*/
+	idleAt: number;
 };
 
 /**
-Has a server close a connection as idle only after all of its responses were written and all of its requests received. To be called before the server listens.
+Has a server close a connection as idle only after all of its responses were written and all of its requests received, and linger on each connection that may still have
+a response on its way, also behind a response with `Connection: close`. To be called before the server listens.
 
 @returns Starts the drain; resolves when all connections are closed. A connection on which no request has been received stays open for its first one.
 */
 export function createDrain(server: http.Server): () => Promise<void> {
 	const connections = new Map<net.Socket, ConnectionState>();
+	const closeLingering = createLingeringClose();
 	let isDraining = false;
 
-	const closeIfIdle = (socket: net.Socket, {pending, idleBytes}: ConnectionState) => {
-		if (pending === 0 && socket.bytesRead === idleBytes) {
+	const closeIfIdle = (socket: net.Socket, {pending, idleBytes, idleAt}: ConnectionState) => {
+		if (pending > 0 || socket.bytesRead !== idleBytes) {
+			return;
+		}
+
+		// A caller that has sent nothing for as long as a connection lingers has had the time for its response. A request that crosses the close stays unread then, and
+		// the reset tells its caller so.
+		if (performance.now() - idleAt >= LINGER_MILLISECONDS) {
 			socket.destroy();
+		} else {
+			closeLingering(socket);
 		}
 	};
 
 	const settle = (socket: net.Socket, state: ConnectionState) => {
 		state.pending--;
 		state.idleBytes = socket.bytesRead;
+		state.idleAt = performance.now();
 		if (isDraining) {
 			closeIfIdle(socket, state);
 		}
@@ -48,12 +78,17 @@
 	};
 
 	server.on('connection', (socket: net.Socket) => {
-		connections.set(socket, {pending: 0, idleBytes: undefined});
+		connections.set(socket, {pending: 0, idleBytes: undefined, idleAt: 0});
+		// Called by Node behind a response that closes its connection.
+		socket.destroySoon = () => {
+			closeLingering(socket);
+		};
+
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
 	});
-	server.on('request', (message, response) => {
+	const track = (message: http.IncomingMessage, response: http.ServerResponse) => {
 		const {socket} = message;
 		const state = connections.get(socket);
 		if (state === undefined) {
@@ -71,8 +106,16 @@
 				settle(socket, state);
 			});
 		});
+	};
+
+	server.on('request', track);
+	// Node answers an expectation that it does not know by itself, and without a request.
+	server.on('checkExpectation', (message: http.IncomingMessage, response: http.ServerResponse) => {
+		track(message, response);
+		response.writeHead(UNKNOWN_EXPECTATION_STATUS).end();
 	});
 	return async () => {
+		await acceptWaiting(server);
 		isDraining = true;
 		await new Promise<void>(resolve => {
 			server.close(() => {
@@ -81,3 +124,24 @@
 		});
 	};
 }
+
+/**
+Accepts the connections that the system has established and the process has not accepted yet, and receives what has arrived on the others. The system resets the former
+when the listening socket is closed, with the requests that were sent on them. Node accepts one in each turn of the event loop.
+*/
+async function acceptWaiting(server: http.Server): Promise<void> {
+	const end = performance.now() + MAX_ACCEPTING_MILLISECONDS;
+	let quietTurns = 0;
+	const record = () => {
+		quietTurns = -1;
+	};
+
+	server.on('connection', record);
+	while (quietTurns < QUIET_TURNS && performance.now() < end) {
+		// eslint-disable-next-line no-await-in-loop -- One turn after the other.
+		await timers.setImmediate();
+		quietTurns++;
+	}
+
+	server.off('connection', record);
+}
