Log what each request waits for when a stop leaves it unfinished

A stopping entry host logged only the number of requests in flight when it ended, so that the record of lost requests doesn't tell which they were, how long they had been there, nor whether they waited for the host, the caller or an upstream.

Each request in progress now has a progress that the exchange and the sender keep up to date (a few assignments a request); the traffic server describes those in progress, and the stop of an entry host logs one line for each that is left: request, service, class, milliseconds since it arrived, what it waits for, attempts, upstream and milliseconds since the last attempt was started. The rate limit of the log bounds the lines. No metric: nobody would scrape it in the 10 ms between these lines and the end of the process. The stop is a module of its own (traffic-stop.ts), so that it can be tested with a clock that the test advances.

--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -2,7 +2,6 @@
 An entry host: it serves callers, follows the catalogue generation and the instances through the control hosts, and requests a slot at an upstream
 from their dispatchers for each attempt of a request.
 */
-import * as timers from 'node:timers/promises';
 import * as core from 'wagtailroute-core';
 import type * as instances from 'wagtailroute-instances';
 import * as link from 'wagtailroute-link';
@@ -49,7 +48,7 @@
 import {createRouter} from './routing.ts';
 import type {ControlHost, EntrySettings, StandbyHost} from './settings.ts';
 import {createStandbys} from './standbys.ts';
-import {divideStopTime} from './stop-times.ts';
+import {stopTraffic} from './traffic-stop.ts';
 import {createUpstreamReach} from './upstream-reach.ts';
 
 /**
@@ -340,9 +339,7 @@
 			isStopping = true;
 			reportState();
 			log.info('The entry host is stopping.', {inFlight: traffic.getInFlight()});
-			const {acceptingMilliseconds, drainingMilliseconds} = divideStopTime(settings.stopMilliseconds);
-			await timers.setTimeout(acceptingMilliseconds);
-			await Promise.race([traffic.drain(), timers.setTimeout(drainingMilliseconds)]);
+			await stopTraffic(context, traffic, settings.stopMilliseconds);
 			log.info('The entry host has stopped.', {inFlight: traffic.getInFlight()});
 			teardown();
 			await linkServer.close();
--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -21,6 +21,7 @@
 import type * as ports from './ports.ts';
 import {endResponse, isFullyRead, receiveNextRequest} from './remainder.ts';
 import {createRequestAbortController} from './request-abort.ts';
+import type {RequestProgress} from './request-progress.ts';
 import {type GrantedClaim, RequestSender} from './request-sender.ts';
 import type * as requests from './requests.ts';
 
@@ -34,9 +35,9 @@
 	readonly response: http.ServerResponse;
 	readonly request: requests.CallerRequest;
 	/**
-	Monotonic time in milliseconds when the header section had arrived; the deadline counts from then.
+	The deadline counts from the arrival of the request.
 	*/
-	readonly arrivedAt: number;
+	readonly progress: RequestProgress;
 	readonly match: ports.RouteMatch;
 	readonly service: ports.ServicePort;
 	readonly heldBytes: HeldBytes;
@@ -73,7 +74,7 @@
 
 	constructor(context: ExchangeContext) {
 		this.#context = context;
-		this.#startedAt = context.arrivedAt;
+		this.#startedAt = context.progress.arrivedAt;
 		const limit = context.service.limits.timeoutMilliseconds;
 		this.#deadlineAt = this.#startedAt + Math.min(limit, context.request.timeoutMilliseconds ?? limit);
 		this.#sender = new RequestSender(context, this.#abortController, {
@@ -149,6 +150,7 @@
 	}
 
 	async #waitForAdmission(pending: ports.PendingAdmission): Promise<OptionalFailure> {
+		this.#context.progress.waitsFor = 'admission';
 		this.#abortController.setListener(() => {
 			pending.cancel();
 		});
@@ -157,7 +159,9 @@
 	}
 
 	async #runWithBody(): Promise<OptionalFailure> {
-		const {message, request, service, ports, heldBytes} = this.#context;
+		const {
+			message, request, service, ports, heldBytes, progress,
+		} = this.#context;
 		if (!request.hasBody) {
 			return this.#runUnlessQuarantined(bodies.NO_BODY.value);
 		}
@@ -166,6 +170,7 @@
 			return failures.createRequestFailure('queue-timeout', 'This host holds as many bytes of requests and responses as it can.');
 		}
 
+		progress.waitsFor = 'body';
 		let bodyBytes = 0;
 		let isReleased = false;
 		const pacer: bodies.BodyPacer = {
@@ -214,6 +219,7 @@
 				: this.#sender.run(body);
 		}
 
+		this.#context.progress.waitsFor = 'claim';
 		const pending = this.#claimKey(request.idempotencyKey, body);
 		const answer = await this.#abortController.race(pending);
 		if (answer === undefined) {
--- a/packages/wagtailroute-proxy/src/index.ts
+++ b/packages/wagtailroute-proxy/src/index.ts
@@ -44,6 +44,7 @@
 export {
 	getConnectionOptions, type HeaderFields, HOP_BY_HOP_HEADERS, type RequestHeaderOptions,
 } from './headers.ts';
+export type {RequestInProgress, WaitCause} from './request-progress.ts';
 export type {CallerRequest} from './requests.ts';
 export {FORWARDED_HEADER} from './constants.ts';
 export {isFullyRead} from './remainder.ts';
--- a/packages/wagtailroute-proxy/src/request-sender.ts
+++ b/packages/wagtailroute-proxy/src/request-sender.ts
@@ -21,6 +21,7 @@
 import type * as ports from './ports.ts';
 import {receiveNextRequest} from './remainder.ts';
 import type {RequestAbortController} from './request-abort.ts';
+import type {RequestProgress} from './request-progress.ts';
 import type * as requests from './requests.ts';
 import {type RequestClock, Targets} from './targets.ts';
 import {startUnansweredWatch, type UnansweredWatch} from './unanswered.ts';
@@ -34,6 +35,7 @@
 	readonly message: http.IncomingMessage;
 	readonly response: http.ServerResponse;
 	readonly request: requests.CallerRequest;
+	readonly progress: RequestProgress;
 	readonly match: ports.RouteMatch;
 	readonly service: ports.ServicePort;
 	readonly heldBytes: HeldBytes;
@@ -160,13 +162,15 @@
 				return failure;
 			}
 
+			this.#context.progress.waitsFor = 'retry';
 			// eslint-disable-next-line no-await-in-loop -- See above.
 			await this.#abortController.race(timers.setTimeout(step.delayMilliseconds));
 		}
 	}
 
 	async #chooseTarget(): Promise<ports.Target | failures.RequestFailure | undefined> {
-		const {now} = this.#context.ports;
+		const {ports: {now}, progress} = this.#context;
+		progress.waitsFor = 'slot';
 		const choosingStartedAt = now();
 		const target = await this.#targets.choose(this.#hasBeenSent);
 		this.choosingMilliseconds += now() - choosingStartedAt;
@@ -207,6 +211,7 @@
 			return undefined;
 		}
 
+		this.#context.progress.waitsFor = 'trial';
 		const pending = guard.requestTrial({
 			service: match.service, fingerprint, upstream: target.id, budgetMilliseconds: Math.ceil(this.#getRemainingMilliseconds()),
 		});
@@ -282,12 +287,16 @@
 		target: ports.Target,
 		isOnTrial: boolean,
 	): Promise<{readonly result: attempts.AttemptResult; readonly hasCrashed: boolean}> {
-		const {service, ports: {now}} = this.#context;
+		const {service, progress, ports: {now}} = this.#context;
 		this.#targets.exclude(target);
 		this.lastUpstream = target.id;
 		this.#attemptCount++;
 		service.begin(target);
 		const startedAt = now();
+		progress.waitsFor = 'upstream';
+		progress.attempts = this.#attemptCount;
+		progress.upstream = target.id;
+		progress.sentAt = startedAt;
 		let answerHeadersAt: number | undefined;
 		const listener: {onAnswerHeaders?: () => void} = {};
 		const attempt = this.#startAttempt(target, () => {
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -20,6 +20,12 @@
 import {createHeldBytes, type HeldBytes} from './held-bytes.ts';
 import {createPipeline} from './pipelining.ts';
 import type {TrafficPorts} from './ports.ts';
+import {
+	createRequestProgress,
+	describeProgress,
+	type RequestInProgress,
+	type RequestProgress,
+} from './request-progress.ts';
 
 /**
 A running traffic server.
@@ -35,6 +41,10 @@
 	*/
 	readonly getInFlight: () => number;
 	/**
+	Describes the requests in progress.
+	*/
+	readonly listInProgress: () => readonly RequestInProgress[];
+	/**
 	Returns the total number of bytes received from and sent to callers for finished requests.
 	*/
 	readonly getTransferredBytes: () => number;
@@ -70,19 +80,19 @@
 	const heldBytes = createHeldBytes();
 	const inFlightBySocket = new WeakMap<net.Socket, number>();
 	const countedBytesBySocket = new WeakMap<net.Socket, number>();
-	let inFlight = 0;
+	const inProgress = new Set<RequestProgress>();
 	let transferredBytes = 0;
 	let largeBodyBytes = 0;
 	const pipeline = createPipeline();
-	const countRequest = (message: http.IncomingMessage, response: http.ServerResponse) => {
+	const countRequest = (message: http.IncomingMessage, progress: RequestProgress) => {
 		const {socket} = message;
 		const declaredBytes = Number(message.headers['content-length'] ?? 0);
 		const largeBytes = declaredBytes > PACED_CHUNK_BYTES ? declaredBytes : 0;
 		largeBodyBytes += largeBytes;
-		inFlight++;
+		inProgress.add(progress);
 		inFlightBySocket.set(socket, (inFlightBySocket.get(socket) ?? 0) + 1);
-		response.once('close', () => {
-			inFlight--;
+		progress.response.once('close', () => {
+			inProgress.delete(progress);
 			largeBodyBytes -= largeBytes;
 			const socketBytes = socket.bytesRead + socket.bytesWritten;
 			transferredBytes += socketBytes - (countedBytesBySocket.get(socket) ?? 0);
@@ -108,9 +118,10 @@
 			// What stands behind a response that closes the connection must not run, and here it is known beforehand.
 			mayRunBeside: SAFE_METHODS.has(message.method ?? '') && response.shouldKeepAlive && !ports.isDraining(),
 			serve() {
-				countRequest(message, response);
+				const progress = createRequestProgress(response, arrivedAt);
+				countRequest(message, progress);
 				utils.runDetached(async () => serveWhenRoutable(ports, {connections, heldBytes}, {
-					message, response, isForwarding, arrivedAt,
+					message, response, isForwarding, progress,
 				}), error => {
 					ports.onDefect(error);
 					answerDefect(ports, response);
@@ -147,7 +158,8 @@
 	return {
 		connections,
 		address: listening,
-		getInFlight: () => inFlight,
+		getInFlight: () => inProgress.size,
+		listInProgress: () => inProgress.values().map(progress => describeProgress(progress, ports.now())).toArray(),
 		getTransferredBytes: () => transferredBytes,
 		getLargeBodyBytes: () => largeBodyBytes,
 		getHeldBytes: heldBytes.get,
@@ -197,14 +209,14 @@
 	Another host forwarded the request to this host's address for that.
 	*/
 	readonly isForwarding: boolean;
-	readonly arrivedAt: number;
+	readonly progress: RequestProgress;
 };
 
 async function startExchange(
 	ports: TrafficPorts,
 	shared: SharedState,
 	{
-		message, response, isForwarding, arrivedAt,
+		message, response, isForwarding, progress,
 	}: IncomingRequest,
 ): Promise<RequestFailure | undefined> {
 	const parsedRequest = ports.dialect.parseRequest(message);
@@ -228,13 +240,16 @@
 		return routed;
 	}
 
+	progress.requestId = request.id;
+	progress.service = routed.match.service;
+	progress.requestClass = routed.match.route.class;
 	await serveExchange({
 		ports,
 		...shared,
 		message,
 		response,
 		request,
-		arrivedAt,
+		progress,
 		match: routed.match,
 		service: routed.service,
 		organisation: routed.organisation,
