A stopping entry host answers what it can't finish, and starts nothing of the kind

Callers saw: the connection of a request in flight closed without an answer 600 ms before the end of the grace time, reads and POSTs at one host at the same moment; among them requests that came first on an open connection long after the listening sockets had been closed, were passed on all the same, and had no time to be answered.

The stop raced the drain against a timer and then let the process exit. The class: a request that has been read, whatever it waits for (routes, admission, the rest of its body, a slot, an upstream), and whose own time limit lies beyond the end of its host.

When the stop begins, the traffic server is told the moment of the abort (as before, a tenth of the stop time but 600 ms at most before its end). The time that is left to every request, those in flight included, is counted to it at most, and dispatchers and upstreams are told so. At the abort, a request that was not sent gets 503 host-draining (not run, Retry-After 0, Connection: close), one that was sent gets 504; neither is evidence against an upstream. Responses that have begun have half of the margin (300 ms of 600) for their last bytes; what is left then is cut off such that it doesn't look complete, also for HTTP/1.0.

Late requests, weighed: a request that arrives once the listening sockets are closed is served only if its own time limit ends before the abort; otherwise it is refused at once as not run. A refusal costs its caller the way to another host, milliseconds; a start on the strength of the usual time would serve most, and lose the others without a chance for those that may not run twice. One that another host forwarded is refused as forwarding-refused, so that host turns to the next one. wagtailroute-host sets no such moment, and drains as before.

--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -307,6 +307,12 @@
 export const STOP_MARGIN_MILLISECONDS = 600;
 export const MAX_STOP_MARGIN_FRACTION = 0.1;
 
+/**
+Fraction of that time in which the responses to aborted requests are written, and milliseconds between two checks of whether they are.
+*/
+export const FLUSHING_FRACTION = 0.5;
+export const FLUSH_CHECK_INTERVAL_MILLISECONDS = 10;
+
 /**
 Multiple of the route's usual time after which a repeatable request is overdue and is sent to another upstream: with log-normal service times
 of sigma 0.5, one in a hundred takes longer on a healthy upstream.
--- a/packages/wagtailroute-fleet/src/entry.ts
+++ b/packages/wagtailroute-fleet/src/entry.ts
@@ -339,8 +339,8 @@
 			isStopping = true;
 			reportState();
 			log.info('The entry host is stopping.', {inFlight: traffic.getInFlight()});
-			await stopTraffic(context, traffic, settings.stopMilliseconds);
-			log.info('The entry host has stopped.', {inFlight: traffic.getInFlight()});
+			const inFlight = await stopTraffic(context, traffic, settings.stopMilliseconds);
+			log.info('The entry host has stopped.', {inFlight});
 			teardown();
 			await linkServer.close();
 		},
--- a/packages/wagtailroute-fleet/src/stop-times.ts
+++ b/packages/wagtailroute-fleet/src/stop-times.ts
@@ -1,7 +1,12 @@
 /**
 Divides the time that an entry host has for stopping.
 */
-import {ACCEPTING_FRACTION, STOP_MARGIN_MILLISECONDS, MAX_STOP_MARGIN_FRACTION} from './constants.ts';
+import {
+	ACCEPTING_FRACTION,
+	FLUSHING_FRACTION,
+	MAX_STOP_MARGIN_FRACTION,
+	STOP_MARGIN_MILLISECONDS,
+} from './constants.ts';
 
 /**
 The phases of a stop.
@@ -15,6 +20,10 @@
 	Time after that, until the host aborts the requests that are still in flight.
 	*/
 	readonly drainingMilliseconds: number;
+	/**
+	Time after that, until the host cuts off the responses that are not written whole.
+	*/
+	readonly flushingMilliseconds: number;
 };
 
 /**
@@ -25,5 +34,5 @@
 export function divideStopTime(milliseconds: number): StopTimes {
 	const acceptingMilliseconds = milliseconds * ACCEPTING_FRACTION;
 	const margin = Math.min(STOP_MARGIN_MILLISECONDS, milliseconds * MAX_STOP_MARGIN_FRACTION);
-	return {acceptingMilliseconds, drainingMilliseconds: milliseconds - acceptingMilliseconds - margin};
+	return {acceptingMilliseconds, drainingMilliseconds: milliseconds - acceptingMilliseconds - margin, flushingMilliseconds: margin * FLUSHING_FRACTION};
 }
--- a/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/fixture.ts
@@ -58,6 +58,10 @@
 	Targets are granted only after this resolves.
 	*/
 	readonly beforeTarget?: Promise<void>;
+	/**
+	No target is granted until the request is withdrawn.
+	*/
+	readonly isSlotPending?: boolean;
 	readonly pacers?: proxy.Pacers;
 	readonly expectedResponseBytes?: (path: string) => number;
 	/**
@@ -130,6 +134,16 @@
 	return target;
 }
 
+function createPendingTarget(): proxy.PendingTarget {
+	const {promise, resolve} = Promise.withResolvers<proxy.RequestFailure>();
+	return {
+		result: promise,
+		cancel() {
+			resolve(proxy.createRequestFailure('queue-timeout', 'Withdrawn.'));
+		},
+	};
+}
+
 /**
 Starts the server and the stand-in backend servers. Targets are tried in order.
 */
@@ -152,6 +166,10 @@
 			releases.push(release);
 		},
 		choose({excluded}) {
+			if (setup.isSlotPending === true) {
+				return createPendingTarget();
+			}
+
 			const target = targets.find(candidate => !excluded.has(candidate.id));
 			return target === undefined || setup.beforeTarget === undefined
 				? target
--- a/packages/wagtailroute-proxy/src/answers.ts
+++ b/packages/wagtailroute-proxy/src/answers.ts
@@ -83,9 +83,9 @@
 }
 
 /**
-An HTTP/1.0 caller takes the regular end of a connection for the end of a response without length, so the connection is reset.
+Cuts off a response that is not finished. An HTTP/1.0 caller takes the regular end of a connection for the end of a response without length, so the connection is reset.
 */
-function cutOff(response: http.ServerResponse): void {
+export function cutOff(response: http.ServerResponse): void {
 	if (response.req.httpVersionMinor === 0) {
 		response.socket?.resetAndDestroy();
 	}
--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -3,7 +3,7 @@
 answers it.
 
 The key is claimed before the first byte is sent and settled after the whole answer. Whatever the request waits for, it is
-answered as soon as its deadline passes, and its admission is released as soon as its caller disconnects.
+answered as soon as its deadline passes or its host has to end, and its admission is released as soon as its caller disconnects.
 */
 import * as buffer from 'node:buffer';
 import * as crypto from 'node:crypto';
@@ -20,10 +20,11 @@
 import type {HeldBytes} from './held-bytes.ts';
 import type * as ports from './ports.ts';
 import {endResponse, isFullyRead, receiveNextRequest} from './remainder.ts';
-import {createRequestAbortController} from './request-abort.ts';
+import type {RequestAbortController} from './request-abort.ts';
 import type {RequestProgress} from './request-progress.ts';
 import {type GrantedClaim, RequestSender} from './request-sender.ts';
 import type * as requests from './requests.ts';
+import type {StopLimit} from './stop-limit.ts';
 
 /**
 The request of an exchange, its route, and the ports and connections that are used.
@@ -38,6 +39,8 @@
 	The deadline counts from the arrival of the request.
 	*/
 	readonly progress: RequestProgress;
+	readonly abortController: RequestAbortController;
+	readonly stopLimit: StopLimit;
 	readonly match: ports.RouteMatch;
 	readonly service: ports.ServicePort;
 	readonly heldBytes: HeldBytes;
@@ -67,13 +70,14 @@
 	readonly #context: ExchangeContext;
 	readonly #startedAt: number;
 	readonly #deadlineAt: number;
-	readonly #abortController = createRequestAbortController();
+	readonly #abortController: RequestAbortController;
 	readonly #sender: RequestSender;
 	#claim: GrantedClaim | undefined;
 	#storedOutcome: core.Outcome | undefined;
 
 	constructor(context: ExchangeContext) {
 		this.#context = context;
+		this.#abortController = context.abortController;
 		this.#startedAt = context.progress.arrivedAt;
 		const limit = context.service.limits.timeoutMilliseconds;
 		this.#deadlineAt = this.#startedAt + Math.min(limit, context.request.timeoutMilliseconds ?? limit);
@@ -85,14 +89,15 @@
 
 	async serve(): Promise<void> {
 		const {response} = this.#context;
-		if (this.#getRemainingMilliseconds() === 0) {
+		const untilDeadline = Math.max(0, this.#deadlineAt - this.#context.ports.now());
+		if (untilDeadline === 0) {
 			// The deadline passed while the request waited for routes. The timer alone would fire only after the request was sent.
 			this.#abortController.abort('deadline');
 		}
 
 		const timer = setTimeout(() => {
 			this.#abortController.abort('deadline');
-		}, this.#getRemainingMilliseconds());
+		}, untilDeadline);
 		response.once('close', () => {
 			// A claimed execution continues without its caller: if it were cancelled, the outcome of its key would stay unknown
 			// for ever, although the caller resends the request to get the stored answer.
@@ -107,7 +112,9 @@
 
 	async #run(): Promise<OptionalFailure> {
 		try {
-			return this.#correctOutcome(await this.#runWithAdmission());
+			return this.#context.stopLimit.mayStart(this.#deadlineAt)
+				? this.#correctOutcome(await this.#runWithAdmission())
+				: failures.createStoppingFailure(this.#context.request);
 		} catch (error) {
 			this.#context.ports.onDefect(error as Error);
 			return failures.createRequestFailure('internal-error', error instanceof Error ? error.message : 'failed');
@@ -275,14 +282,23 @@
 		utils.runDetached(async () => receiveNextRequest(response), onDefect);
 	}
 
+	/**
+	Returns the milliseconds until the deadline, or until the host ends its requests.
+	*/
 	#getRemainingMilliseconds(): number {
-		return Math.max(0, this.#deadlineAt - this.#context.ports.now());
+		const {stopLimit, ports: {now}} = this.#context;
+		return Math.max(0, Math.min(this.#deadlineAt, stopLimit.getEnd()) - now());
 	}
 
 	#finish(failure: OptionalFailure): void {
-		const {response, ports: {dialect, random}} = this.#context;
+		const {response, ports: {dialect, random, isDraining}} = this.#context;
 		try {
 			if (failure !== undefined) {
+				if (isDraining() && !response.headersSent) {
+					// The drain may have begun after the request arrived.
+					response.setHeader('connection', 'close');
+				}
+
 				answers.answerFailure(response, () => dialect.createProblem(failure, random));
 			}
 		} finally {
--- a/packages/wagtailroute-proxy/src/failures.ts
+++ b/packages/wagtailroute-proxy/src/failures.ts
@@ -20,6 +20,13 @@
 	readonly retryAfterMilliseconds?: number;
 };
 
+/**
+Creates the failure of a request that was not sent because its host stops. Other hosts can take it at once; one that was forwarded goes back to the host that did so.
+*/
+export function createStoppingFailure({isForwarded}: {readonly isForwarded: boolean}): RequestFailure {
+	return createRequestFailure(isForwarded ? 'forwarding-refused' : 'host-draining', 'This host stops before the request could be finished.', 0);
+}
+
 /**
 Creates a failure.
 
--- a/packages/wagtailroute-proxy/src/index.ts
+++ b/packages/wagtailroute-proxy/src/index.ts
@@ -48,7 +48,9 @@
 export type {CallerRequest} from './requests.ts';
 export {FORWARDED_HEADER} from './constants.ts';
 export {isFullyRead} from './remainder.ts';
-export {openTrafficServer, type TrafficServer, type TrafficServerOptions} from './traffic.ts';
+export {
+	openTrafficServer, type AbortScope, type TrafficServer, type TrafficServerOptions,
+} from './traffic.ts';
 export type {ConnectionPools} from './connections.ts';
 export {MOVE_TIMEOUT_MILLISECONDS} from './constants.ts';
 export {
--- a/packages/wagtailroute-proxy/src/request-abort.ts
+++ b/packages/wagtailroute-proxy/src/request-abort.ts
@@ -1,12 +1,12 @@
 /**
-Abort of a request whose deadline has passed or whose caller has disconnected. Whatever the request waits for is cancelled at
+Abort of a request whose deadline has passed, whose caller has disconnected or whose host stops. Whatever the request waits for is cancelled at
 once, so that the final answer is not delayed by it.
 */
 
 /**
-Why a request was aborted. `cancelled`: the caller disconnected.
+Why a request was aborted. `cancelled`: the caller disconnected. `stopping`: the host ends before the request.
 */
-export type AbortReason = 'deadline' | 'cancelled';
+export type AbortReason = 'deadline' | 'cancelled' | 'stopping';
 
 /**
 Aborts one request and notifies what it waits for.
--- a/packages/wagtailroute-proxy/src/request-sender.ts
+++ b/packages/wagtailroute-proxy/src/request-sender.ts
@@ -20,7 +20,7 @@
 import type * as headers from './headers.ts';
 import type * as ports from './ports.ts';
 import {receiveNextRequest} from './remainder.ts';
-import type {RequestAbortController} from './request-abort.ts';
+import type {AbortReason, RequestAbortController} from './request-abort.ts';
 import type {RequestProgress} from './request-progress.ts';
 import type * as requests from './requests.ts';
 import {type RequestClock, Targets} from './targets.ts';
@@ -193,8 +193,8 @@
 			return undefined;
 		}
 
-		const [kind, message] = ABORT_FAILURES[reason][this.outcome === 'not-run' ? 'unsent' : 'sent'];
-		return failures.createRequestFailure(kind, message);
+		const {request} = this.#context;
+		return ABORT_FAILURES[reason][this.outcome === 'not-run' ? 'unsent' : 'sent'](request);
 	}
 
 	#createNoUpstreamFailure(): failures.RequestFailure {
@@ -503,7 +503,7 @@
 			return endings.getAttemptEnding(result);
 		}
 
-		if (reason === 'cancelled') {
+		if (reason !== 'deadline') {
 			return 'cancelled';
 		}
 
@@ -528,13 +528,19 @@
 	}
 }
 
-const ABORT_FAILURES = {
+type AbortFailure = (request: requests.CallerRequest) => failures.RequestFailure;
+
+const ABORT_FAILURES: Readonly<Record<AbortReason, Readonly<Record<'sent' | 'unsent', AbortFailure>>>> = {
 	deadline: {
-		sent: ['deadline-after-send', 'The request was sent and not answered before its deadline.'],
-		unsent: ['deadline-before-send', 'The deadline passed before the request was sent.'],
+		sent: () => failures.createRequestFailure('deadline-after-send', 'The request was sent and not answered before its deadline.'),
+		unsent: () => failures.createRequestFailure('deadline-before-send', 'The deadline passed before the request was sent.'),
 	},
 	cancelled: {
-		sent: ['cancelled-after-send', 'The caller left after the request was sent.'],
-		unsent: ['cancelled-before-send', 'The caller left before the request was sent.'],
+		sent: () => failures.createRequestFailure('cancelled-after-send', 'The caller left after the request was sent.'),
+		unsent: () => failures.createRequestFailure('cancelled-before-send', 'The caller left before the request was sent.'),
+	},
+	stopping: {
+		sent: () => failures.createRequestFailure('deadline-after-send', 'The request was sent and not answered before this host had to stop.'),
+		unsent: failures.createStoppingFailure,
 	},
-} as const;
+};
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -5,7 +5,7 @@
 import type * as net from 'node:net';
 import type * as core from 'wagtailroute-core';
 import * as utils from 'wagtailroute-utils';
-import {answerFailure} from './answers.ts';
+import {answerFailure, cutOff} from './answers.ts';
 import {type ConnectionPools, createConnectionPools} from './connections.ts';
 import {
 	HEADERS_TIMEOUT_MILLISECONDS,
@@ -20,12 +20,14 @@
 import {createHeldBytes, type HeldBytes} from './held-bytes.ts';
 import {createPipeline} from './pipelining.ts';
 import type {TrafficPorts} from './ports.ts';
+import {createRequestAbortController, type RequestAbortController} from './request-abort.ts';
 import {
 	createRequestProgress,
 	describeProgress,
 	type RequestInProgress,
 	type RequestProgress,
 } from './request-progress.ts';
+import {createStopLimit, type StopLimit} from './stop-limit.ts';
 
 /**
 A running traffic server.
@@ -57,11 +59,24 @@
 	*/
 	readonly getHeldBytes: () => number;
 	/**
+	Sets the monotonic time in milliseconds at which requests are ended, by `abort`. Deadlines are shortened to it; once the drain has begun, a request whose own deadline is later is refused as not run.
+	*/
+	readonly limitTime: (endsAt: number) => void;
+	/**
+	Ends requests in progress: those to which no response has begun are answered with a failure, and with `all` the responses that are not finished are cut off.
+	*/
+	readonly abort: (scope: AbortScope) => void;
+	/**
 	Accepts no new connections, and resolves when all requests in progress are finished and the connections closed.
 	*/
 	readonly drain: () => Promise<void>;
 };
 
+/**
+Which of the requests in progress are ended.
+*/
+export type AbortScope = 'unanswered' | 'all';
+
 /**
 Optional parts of a traffic server.
 */
@@ -80,16 +95,18 @@
 	const heldBytes = createHeldBytes();
 	const inFlightBySocket = new WeakMap<net.Socket, number>();
 	const countedBytesBySocket = new WeakMap<net.Socket, number>();
-	const inProgress = new Set<RequestProgress>();
+	const stopLimit = createStopLimit();
+	const inProgress = new Map<RequestProgress, RequestAbortController>();
 	let transferredBytes = 0;
 	let largeBodyBytes = 0;
 	const pipeline = createPipeline();
-	const countRequest = (message: http.IncomingMessage, progress: RequestProgress) => {
+	const countRequest = (message: http.IncomingMessage, progress: RequestProgress): RequestAbortController => {
+		const abortController = createRequestAbortController();
 		const {socket} = message;
 		const declaredBytes = Number(message.headers['content-length'] ?? 0);
 		const largeBytes = declaredBytes > PACED_CHUNK_BYTES ? declaredBytes : 0;
 		largeBodyBytes += largeBytes;
-		inProgress.add(progress);
+		inProgress.set(progress, abortController);
 		inFlightBySocket.set(socket, (inFlightBySocket.get(socket) ?? 0) + 1);
 		progress.response.once('close', () => {
 			inProgress.delete(progress);
@@ -99,6 +116,7 @@
 			countedBytesBySocket.set(socket, socketBytes);
 			inFlightBySocket.set(socket, (inFlightBySocket.get(socket) ?? 1) - 1);
 		});
+		return abortController;
 	};
 
 	const createServer = (isForwarding: boolean) => http.createServer({
@@ -119,9 +137,9 @@
 			mayRunBeside: SAFE_METHODS.has(message.method ?? '') && response.shouldKeepAlive && !ports.isDraining(),
 			serve() {
 				const progress = createRequestProgress(response, arrivedAt);
-				countRequest(message, progress);
-				utils.runDetached(async () => serveWhenRoutable(ports, {connections, heldBytes}, {
-					message, response, isForwarding, progress,
+				const abortController = countRequest(message, progress);
+				utils.runDetached(async () => serveWhenRoutable(ports, {connections, heldBytes, stopLimit}, {
+					message, response, isForwarding, progress, abortController,
 				}), error => {
 					ports.onDefect(error);
 					answerDefect(ports, response);
@@ -159,11 +177,24 @@
 		connections,
 		address: listening,
 		getInFlight: () => inProgress.size,
-		listInProgress: () => inProgress.values().map(progress => describeProgress(progress, ports.now())).toArray(),
+		listInProgress: () => inProgress.keys().map(progress => describeProgress(progress, ports.now())).toArray(),
 		getTransferredBytes: () => transferredBytes,
 		getLargeBodyBytes: () => largeBodyBytes,
 		getHeldBytes: heldBytes.get,
+		limitTime: stopLimit.setEnd,
+		abort(scope) {
+			for (const [{response}, abortController] of inProgress) {
+				if (scope === 'all' || !response.headersSent) {
+					abortController.abort('stopping');
+				}
+
+				if (scope === 'all') {
+					cutOff(response);
+				}
+			}
+		},
 		async drain() {
+			stopLimit.startDrain();
 			await Promise.all(drains.map(async drain => drain()));
 			await connections.close();
 		},
@@ -183,9 +214,9 @@
 }
 
 async function serveWhenRoutable(ports: TrafficPorts, shared: SharedState, incoming: IncomingRequest): Promise<void> {
-	const {response} = incoming;
+	const {response, abortController} = incoming;
 	if (ports.routes?.areKnown() === false) {
-		await ports.routes.wait();
+		await abortController.race(ports.routes.wait());
 	}
 
 	const failure = response.destroyed ? undefined : await startExchange(ports, shared, incoming);
@@ -200,6 +231,7 @@
 type SharedState = {
 	readonly connections: ConnectionPools;
 	readonly heldBytes: HeldBytes;
+	readonly stopLimit: StopLimit;
 };
 
 type IncomingRequest = {
@@ -210,13 +242,14 @@
 	*/
 	readonly isForwarding: boolean;
 	readonly progress: RequestProgress;
+	readonly abortController: RequestAbortController;
 };
 
 async function startExchange(
 	ports: TrafficPorts,
 	shared: SharedState,
 	{
-		message, response, isForwarding, progress,
+		message, response, isForwarding, progress, abortController,
 	}: IncomingRequest,
 ): Promise<RequestFailure | undefined> {
 	const parsedRequest = ports.dialect.parseRequest(message);
@@ -250,6 +283,7 @@
 		response,
 		request,
 		progress,
+		abortController,
 		match: routed.match,
 		service: routed.service,
 		organisation: routed.organisation,
