--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -3,7 +3,7 @@
 answers it.
 
 The key is claimed before the first byte is sent and settled after the whole answer. Whatever the request waits for, it is
-answered as soon as its deadline passes, and its admission is released as soon as its caller disconnects.
+answered as soon as its deadline passes or its host has to end, and its admission is released as soon as its caller disconnects.
 */
 import * as buffer from 'node:buffer';
 import * as crypto from 'node:crypto';
@@ -20,9 +20,11 @@
 import type {HeldBytes} from './held-bytes.ts';
 import type * as ports from './ports.ts';
 import {endResponse, isFullyRead, receiveNextRequest} from './remainder.ts';
-import {createRequestAbortController} from './request-abort.ts';
+import type {RequestAbortController} from './request-abort.ts';
+import type {RequestProgress} from './request-progress.ts';
 import {type GrantedClaim, RequestSender} from './request-sender.ts';
 import type * as requests from './requests.ts';
+import type {StopLimit} from './stop-limit.ts';
 
 /**
 The request of an exchange, its route, and the ports and connections that are used.
@@ -34,9 +36,11 @@
 	readonly response: http.ServerResponse;
 	readonly request: requests.CallerRequest;
 	/**
-	Monotonic time in milliseconds when the header section had arrived; the deadline counts from then.
+	The deadline counts from the arrival of the request.
 	*/
-	readonly arrivedAt: number;
+	readonly progress: RequestProgress;
+	readonly abortController: RequestAbortController;
+	readonly stopLimit: StopLimit;
 	readonly match: ports.RouteMatch;
 	readonly service: ports.ServicePort;
 	readonly heldBytes: HeldBytes;
@@ -66,14 +70,15 @@
 	readonly #context: ExchangeContext;
 	readonly #startedAt: number;
 	readonly #deadlineAt: number;
-	readonly #abortController = createRequestAbortController();
+	readonly #abortController: RequestAbortController;
 	readonly #sender: RequestSender;
 	#claim: GrantedClaim | undefined;
 	#storedOutcome: core.Outcome | undefined;
 
 	constructor(context: ExchangeContext) {
 		this.#context = context;
-		this.#startedAt = context.arrivedAt;
+		this.#abortController = context.abortController;
+		this.#startedAt = context.progress.arrivedAt;
 		const limit = context.service.limits.timeoutMilliseconds;
 		this.#deadlineAt = this.#startedAt + Math.min(limit, context.request.timeoutMilliseconds ?? limit);
 		this.#sender = new RequestSender(context, this.#abortController, {
@@ -84,14 +89,15 @@
 
 	async serve(): Promise<void> {
 		const {response} = this.#context;
-		if (this.#getRemainingMilliseconds() === 0) {
+		const untilDeadline = Math.max(0, this.#deadlineAt - this.#context.ports.now());
+		if (untilDeadline === 0) {
 			// The deadline passed while the request waited for routes. The timer alone would fire only after the request was sent.
 			this.#abortController.abort('deadline');
 		}
 
 		const timer = setTimeout(() => {
 			this.#abortController.abort('deadline');
-		}, this.#getRemainingMilliseconds());
+		}, untilDeadline);
 		response.once('close', () => {
 			// A claimed execution continues without its caller: if it were cancelled, the outcome of its key would stay unknown
 			// for ever, although the caller resends the request to get the stored answer.
@@ -106,7 +112,9 @@
 
 	async #run(): Promise<OptionalFailure> {
 		try {
-			return this.#correctOutcome(await this.#runWithAdmission());
+			return this.#context.stopLimit.mayStart(this.#deadlineAt)
+				? this.#correctOutcome(await this.#runWithAdmission())
+				: failures.createStoppingFailure(this.#context.request);
 		} catch (error) {
 			this.#context.ports.onDefect(error as Error);
 			return failures.createRequestFailure('internal-error', error instanceof Error ? error.message : 'failed');
@@ -149,6 +157,7 @@
 	}
 
 	async #waitForAdmission(pending: ports.PendingAdmission): Promise<OptionalFailure> {
+		this.#context.progress.waitsFor = 'admission';
 		this.#abortController.setListener(() => {
 			pending.cancel();
 		});
@@ -157,7 +166,9 @@
 	}
 
 	async #runWithBody(): Promise<OptionalFailure> {
-		const {message, request, service, ports, heldBytes} = this.#context;
+		const {
+			message, request, service, ports, heldBytes, progress,
+		} = this.#context;
 		if (!request.hasBody) {
 			return this.#runUnlessQuarantined(bodies.NO_BODY.value);
 		}
@@ -166,6 +177,7 @@
 			return failures.createRequestFailure('queue-timeout', 'This host holds as many bytes of requests and responses as it can.');
 		}
 
+		progress.waitsFor = 'body';
 		let bodyBytes = 0;
 		let isReleased = false;
 		const pacer: bodies.BodyPacer = {
@@ -214,6 +226,7 @@
 				: this.#sender.run(body);
 		}
 
+		this.#context.progress.waitsFor = 'claim';
 		const pending = this.#claimKey(request.idempotencyKey, body);
 		const answer = await this.#abortController.race(pending);
 		if (answer === undefined) {
@@ -269,8 +282,12 @@
 		utils.runDetached(async () => receiveNextRequest(response), onDefect);
 	}
 
+	/**
+	Returns the milliseconds until the deadline, or until the host ends its requests.
+	*/
 	#getRemainingMilliseconds(): number {
-		return Math.max(0, this.#deadlineAt - this.#context.ports.now());
+		const {stopLimit, ports: {now}} = this.#context;
+		return Math.max(0, Math.min(this.#deadlineAt, stopLimit.getEnd()) - now());
 	}
 
 	#finish(failure: OptionalFailure): void {
--- a/packages/wagtailroute-proxy/src/index.ts
+++ b/packages/wagtailroute-proxy/src/index.ts
@@ -44,10 +44,13 @@
 export {
 	getConnectionOptions, type HeaderFields, HOP_BY_HOP_HEADERS, type RequestHeaderOptions,
 } from './headers.ts';
+export type {RequestInProgress, WaitCause} from './request-progress.ts';
 export type {CallerRequest} from './requests.ts';
 export {FORWARDED_HEADER} from './constants.ts';
 export {isFullyRead} from './remainder.ts';
-export {openTrafficServer, type TrafficServer, type TrafficServerOptions} from './traffic.ts';
+export {
+	openTrafficServer, type AbortScope, type TrafficServer, type TrafficServerOptions,
+} from './traffic.ts';
 export type {ConnectionPools} from './connections.ts';
 export {MOVE_TIMEOUT_MILLISECONDS} from './constants.ts';
 export {
