Responses to requests that arrived before a stop close their connections too

Callers saw: a response without Connection: close from a host that was stopping already, because its request had arrived before the stop. A caller that keeps connections sent its next request there, or met the close of an idle connection with a request on its way.

Connection: close was set when a request arrived. Now it is set once more when the head of the response is written (relayed, stored, or a failure of the host), unless other requests of the same connection are in progress: pipelined safe ones may have been passed on, and their responses come behind this one. The answers to aborted requests had no such check and could have cost pipelined requests their answers.

--- a/packages/wagtailroute-proxy/src/exchange.ts
+++ b/packages/wagtailroute-proxy/src/exchange.ts
@@ -41,6 +41,10 @@
 	readonly progress: RequestProgress;
 	readonly abortController: RequestAbortController;
 	readonly stopLimit: StopLimit;
+	/**
+	See `SenderContext`.
+	*/
+	readonly closeIfDraining: () => void;
 	readonly match: ports.RouteMatch;
 	readonly service: ports.ServicePort;
 	readonly heldBytes: HeldBytes;
@@ -275,7 +279,8 @@
 
 	#sendStoredAnswer(answer: ports.StoredAnswer): void {
 		this.#storedOutcome = 'ran';
-		const {response, ports: {onDefect}} = this.#context;
+		const {response, closeIfDraining, ports: {onDefect}} = this.#context;
+		closeIfDraining();
 		response.writeHead(answer.status, {...answer.headers, [OUTCOME_HEADER]: 'ran'});
 		response.write(buffer.Buffer.from(answer.body, 'base64'));
 		endResponse(response);
@@ -291,14 +296,10 @@
 	}
 
 	#finish(failure: OptionalFailure): void {
-		const {response, ports: {dialect, random, isDraining}} = this.#context;
+		const {response, ports: {dialect, random}} = this.#context;
 		try {
 			if (failure !== undefined) {
-				if (isDraining() && !response.headersSent) {
-					// The drain may have begun after the request arrived.
-					response.setHeader('connection', 'close');
-				}
-
+				this.#context.closeIfDraining();
 				answers.answerFailure(response, () => dialect.createProblem(failure, random));
 			}
 		} finally {
--- a/packages/wagtailroute-proxy/src/request-sender.ts
+++ b/packages/wagtailroute-proxy/src/request-sender.ts
@@ -36,6 +36,10 @@
 	readonly response: http.ServerResponse;
 	readonly request: requests.CallerRequest;
 	readonly progress: RequestProgress;
+	/**
+	To be called before the head of the response is written: has the connection closed behind it where the host drains by now.
+	*/
+	readonly closeIfDraining: () => void;
 	readonly match: ports.RouteMatch;
 	readonly service: ports.ServicePort;
 	readonly heldBytes: HeldBytes;
@@ -492,9 +496,11 @@
 	}
 
 	#createAnswerHeaders(received: headers.HeaderFields, target: ports.Target): Record<string, string | string[]> {
+		const {closeIfDraining, ports: {dialect}} = this.#context;
+		closeIfDraining();
 		const targetOutcome = target.kind === 'host' ? endings.readOutcome(received) : 'ran';
 		this.reportedOutcome = retries.mergeOutcomes(this.outcome, targetOutcome);
-		return this.#context.ports.dialect.createAnswerHeaders(received, this.reportedOutcome);
+		return dialect.createAnswerHeaders(received, this.reportedOutcome);
 	}
 
 	#getEnding(result: attempts.AttemptResult): ports.AttemptEnding {
--- a/packages/wagtailroute-proxy/src/traffic.ts
+++ b/packages/wagtailroute-proxy/src/traffic.ts
@@ -136,10 +136,18 @@
 			// What stands behind a response that closes the connection must not run, and here it is known beforehand.
 			mayRunBeside: SAFE_METHODS.has(message.method ?? '') && response.shouldKeepAlive && !ports.isDraining(),
 			serve() {
+				const closeIfDraining = () => {
+					// Other requests of the connection may have been passed on already; their responses come behind this one.
+					const isAlone = inFlightBySocket.get(message.socket) === 1;
+					if (isAlone && !response.headersSent && ports.isDraining()) {
+						response.setHeader('connection', 'close');
+					}
+				};
+
 				const progress = createRequestProgress(response, arrivedAt);
 				const abortController = countRequest(message, progress);
 				utils.runDetached(async () => serveWhenRoutable(ports, {connections, heldBytes, stopLimit}, {
-					message, response, isForwarding, progress, abortController,
+					message, response, isForwarding, progress, abortController, closeIfDraining,
 				}), error => {
 					ports.onDefect(error);
 					answerDefect(ports, response);
@@ -243,13 +251,14 @@
 	readonly isForwarding: boolean;
 	readonly progress: RequestProgress;
 	readonly abortController: RequestAbortController;
+	readonly closeIfDraining: () => void;
 };
 
 async function startExchange(
 	ports: TrafficPorts,
 	shared: SharedState,
 	{
-		message, response, isForwarding, progress, abortController,
+		message, response, isForwarding, progress, abortController, closeIfDraining,
 	}: IncomingRequest,
 ): Promise<RequestFailure | undefined> {
 	const parsedRequest = ports.dialect.parseRequest(message);
@@ -284,6 +293,7 @@
 		request,
 		progress,
 		abortController,
+		closeIfDraining,
 		match: routed.match,
 		service: routed.service,
 		organisation: routed.organisation,
