Refuse a response whose transfer coding the parser does not take for chunked

Callers saw: an upstream sends a chunked response whose Transfer-Encoding is written unusually but validly (a tab behind "chunked", an empty list element, chunked in front of another coding), or with a damaged byte. They get 200 with the chunk sizes in the body, framed as whole; and the same with half of the body where the upstream stops in it, as well after a reset where the odd byte is one that JavaScript trims.

Cause. llhttp recognises chunked only where nothing but spaces follows it to the end of the field; anything else it reads to the end of the connection, and any end is the end of the body then. isFramed of the proxy trimmed more than the parser does, so the guard against resets did not apply either.

Change. framing.ts decides where a response ends. Codings that name chunked, but not as the parser recognises it, are unclear: the head is refused as one that can't be relayed (502 with an unknown outcome, or a resend where the class allows it) and the connection is destroyed. Codings that don't name chunked are read to the end of the connection as before. A side effect: chunked followed by an empty second field, which the parser takes rightly, is refused too.

What was reported, an upstream that stops in the head: it can't happen here. cut-responses.test.ts cuts 73 responses at every byte, with a regular end and with a reset, on kept connections; eight of them also byte by byte, as the response of another host, behind two hosts, with an idempotency key, with a second upstream, for HTTP/1.0 callers and for pipelined requests. upstream-probe.test.ts does it for health checks. undici gives a head to its handler only when it is complete, and resets the status that it looks at when the connection ends after each response, interim ones included.

--- a/packages/wagtailroute-proxy/src/__tests__/unit/raw-upstream.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/raw-upstream.ts
@@ -3,6 +3,7 @@
 */
 import * as buffer from 'node:buffer';
 import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import type {ExecutionContext} from 'ava';
 import type * as core from 'wagtailroute-core';
 import * as utils from 'wagtailroute-utils';
@@ -21,6 +22,10 @@
 	The connection is reset once `head` has arrived.
 	*/
 	readonly isReset?: boolean;
+	/**
+	`head` is sent byte by byte.
+	*/
+	readonly isSlow?: boolean;
 };
 
 /**
@@ -78,7 +83,7 @@
 				paths.push(path);
 				const response = respond(path);
 				if (response !== undefined) {
-					send(socket, connection, response);
+					void send(socket, connection, response);
 				}
 			}
 		});
@@ -98,11 +103,25 @@
 	return {address, connections, paths};
 }
 
-function send(socket: net.Socket, connection: RawConnection, {
-	head, filler, isClosed, isReset,
-}: RawResponse): void {
-	socket.write(head, 'latin1');
+async function writeBytes(socket: net.Socket, text: string): Promise<void> {
+	socket.setNoDelay(true);
+	for (const byte of buffer.Buffer.from(text, 'latin1')) {
+		socket.write(buffer.Buffer.of(byte));
+		// eslint-disable-next-line no-await-in-loop -- One byte follows the other.
+		await timers.setImmediate();
+	}
+}
+
+async function send(socket: net.Socket, connection: RawConnection, {
+	head, filler, isClosed, isReset, isSlow,
+}: RawResponse): Promise<void> {
 	connection.sentBytes += head.length;
+	if (isSlow === true) {
+		await writeBytes(socket, head);
+	} else {
+		socket.write(head, 'latin1');
+	}
+
 	if (isClosed === true) {
 		socket.end();
 	}
--- a/packages/wagtailroute-proxy/src/__tests__/unit/upstream-probe.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/upstream-probe.test.ts
@@ -7,6 +7,8 @@
 import test from 'ava';
 import * as utils from 'wagtailroute-utils';
 import * as proxy from '../../index.ts';
+import {getCuts, READABLE_RESPONSES} from './cut-cases.ts';
+import {startCutUpstream} from './cut-upstream.ts';
 
 const LOOPBACK = '127.0.0.1';
 const INSTANCE_HEADER = 'instance';
@@ -138,3 +140,17 @@
 		t.is(await proxy.createUpstreamProbe(DIALECT)({upstream: 'i', address, healthPath}), 'silent');
 	});
 }
+
+const ANY_INSTANCE: Pick<proxy.Dialect, 'createProbeHeaders' | 'isAnswerOfOther'> = {createProbeHeaders: () => ({}), isAnswerOfOther: () => false};
+
+for (const closing of ['closed', 'reset'] as const) {
+	for (const response of READABLE_RESPONSES) {
+		// Guards against an upstream that counts as answering by a part of a head.
+		test.serial(`a health check answered with ${response.name} needs the whole head when the connection is ${closing}`, async t => {
+			const {address} = await startCutUpstream(t, {response, closing});
+			const probe = proxy.createUpstreamProbe(ANY_INSTANCE);
+			const results = await Promise.all(getCuts(response).map(async cut => probe({upstream: 'i', address, healthPath: `/cut/${cut}`})));
+			t.deepEqual(results, getCuts(response).map(cut => cut < response.head.length ? 'closed' : 'answered'));
+		});
+	}
+}
--- a/packages/wagtailroute-proxy/src/attempts.ts
+++ b/packages/wagtailroute-proxy/src/attempts.ts
@@ -9,6 +9,7 @@
 import type * as undici from 'undici';
 import {MAX_DISCARDED_ANSWER_BYTES, MAX_STORED_ANSWER_BYTES} from './constants.ts';
 import {FOREIGN_ANSWER_CODE, UNRELAYABLE_HEAD_CODE} from './endings.ts';
+import {type Framing, readFraming} from './framing.ts';
 import {type HeaderFields} from './headers.ts';
 import type {HeldBytes} from './held-bytes.ts';
 import type {Transfer} from './large-responses.ts';
@@ -150,7 +151,7 @@
 	#action: AnswerAction = 'relay';
 	#status = 0;
 	#receivedBytes = 0;
-	#isFramed = true;
+	#framing: Framing = 'none';
 	#statedBytes: number | undefined;
 	#storedChunks: buffer.Buffer[] | undefined;
 	#headers: Record<string, string | string[]> = {};
@@ -202,7 +203,7 @@
 	}
 
 	onResponseStart(
-		controller: undici.Dispatcher.DispatchController,
+		_controller: undici.Dispatcher.DispatchController,
 		status: number,
 		headers: HeaderFields,
 		statusText?: string,
@@ -213,13 +214,17 @@
 		}
 
 		this.#status = status;
-		this.#isFramed = isBodiless(this.#options.method, status) || isFramed(headers);
+		this.#framing = readFraming(this.#options.method, status, headers);
 		this.#statedBytes = parseContentLength(headers);
 		this.#options.onAnswerHeaders();
+		if (this.#framing === 'unclear') {
+			this.abort(UNRELAYABLE_HEAD_CODE);
+			return;
+		}
+
 		this.#action = this.#options.decideAnswer(status, headers);
 		if (this.#action === 'foreign') {
-			this.#fail(FOREIGN_ANSWER_CODE);
-			controller.abort(new Error(FOREIGN_ANSWER_CODE));
+			this.abort(FOREIGN_ANSWER_CODE);
 			return;
 		}
 
@@ -231,8 +236,7 @@
 		this.#headers = this.#options.createAnswerHeaders(headers);
 		const {response} = this.#options;
 		if (!response.destroyed && !relayHead(response, {status, reason: statusText, headers: this.#headers})) {
-			this.#fail(UNRELAYABLE_HEAD_CODE);
-			controller.abort(new Error(UNRELAYABLE_HEAD_CODE));
+			this.abort(UNRELAYABLE_HEAD_CODE);
 			return;
 		}
 
@@ -259,7 +263,7 @@
 
 	onResponseEnd(): void {
 		// An answer without a length ends when its connection closes. undici also reports a reset as that end.
-		if (!this.#isFramed && this.#options.isResetting()) {
+		if (this.#framing === 'connection' && this.#options.isResetting()) {
 			this.#fail('ECONNRESET');
 			return;
 		}
@@ -335,23 +339,6 @@
 	}
 }
 
-/**
-Returns whether a response has no body, whatever its header section says.
-*/
-function isBodiless(method: string, status: number): boolean {
-	return method === 'HEAD' || BODILESS_STATUSES.has(status);
-}
-
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
-/**
-Returns whether the end of a body shows in itself (RFC 9112, section 6.3): by chunks or, without any transfer coding, by its length. Otherwise it ends with its connection.
-*/
-function isFramed({'transfer-encoding': codings, 'content-length': length}: HeaderFields): boolean {
-	const lastCoding = codings?.toString().split(',').at(-1)!.trim().toLowerCase();
-	return lastCoding === undefined ? length !== undefined : lastCoding === 'chunked';
-}
-
 function parseContentLength({'content-length': value}: HeaderFields): number | undefined {
 	const length = typeof value === 'string' && value !== '' ? Number(value) : NaN;
 	return Number.isSafeInteger(length) && length >= 0 ? length : undefined;
