A reset cuts only the response on its own connection

Callers saw: a whole response without length, whose connection ended regularly, is cut off where another connection to the same upstream is reset at that moment, as when an upstream stops.

Cause. undici reports a reset as the end of a response that ends with its connection. The proxy told the two apart by whether any connection of the pool had an error in this turn of the event loop.

The client of a connection knows whether that connection has failed, and reports such an end as an error (ECONNRESET) to the handler of the response. The pool's count, and the question of each attempt to it, are gone.

New besides: large responses of three framings to a caller that reads slowly, ended or reset in the middle, one byte before their end and at it, as the end may be reported while reading is paused.

Why it works. undici calls the handler within the event of the error, after the listener that notes it. A response that was complete before has been reported before. One with a length or in chunks that is complete but not parsed yet stays complete.

--- a/packages/wagtailroute-proxy/src/__tests__/unit/cut-callers.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/cut-callers.ts
@@ -3,6 +3,7 @@
 */
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import type {Expected} from './cut-cases.ts';
 
 /**
@@ -15,6 +16,10 @@
 	readonly method?: string | undefined;
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly body?: string;
+	/**
+	Time between the head of the response and the reading of its body.
+	*/
+	readonly pauseMilliseconds?: number;
 };
 
 const FAILURE_STATUS = 502;
@@ -23,12 +28,13 @@
 Sends a request and returns what its caller gets.
 */
 export async function receive({
-	origin, path, agent, method = 'GET', headers = {}, body,
+	origin, path, agent, method = 'GET', headers = {}, body, pauseMilliseconds = 0,
 }: CallerRequest): Promise<Expected> {
 	const {promise, resolve, reject} = Promise.withResolvers<http.IncomingMessage>();
 	http.request(origin + path, {agent, method, headers}, resolve).once('error', reject).end(body);
 	try {
 		const response = await promise;
+		await (pauseMilliseconds === 0 ? undefined : timers.setTimeout(pauseMilliseconds));
 		const chunks: string[] = [];
 		for await (const chunk of response.setEncoding('latin1')) {
 			chunks.push(String(chunk));
--- a/packages/wagtailroute-proxy/src/__tests__/unit/cut-responses.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/cut-responses.test.ts
@@ -5,13 +5,16 @@
 */
 import * as buffer from 'node:buffer';
 import * as http from 'node:http';
+import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
+import * as utils from 'wagtailroute-utils';
 import type * as proxy from '../../index.ts';
 import {exchangeBytes, readOldResponse, receive} from './cut-callers.ts';
 import {
 	type Closing,
 	CUT_RESPONSES,
+	type CutResponse,
 	type Expected,
 	getCuts,
 	getExpected,
@@ -23,6 +26,10 @@
 
 const CLOSINGS: readonly Closing[] = ['closed', 'reset'];
 const POLL_MILLISECONDS = 2;
+/**
+Milliseconds in which what was written arrives.
+*/
+const ARRIVAL_MILLISECONDS = 20;
 const ENDINGS: Readonly<Record<Expected['kind'], readonly proxy.AttemptEnding[]>> = {
 	refused: ['reset'],
 	cut: ['truncated'],
@@ -203,3 +210,71 @@
 		await checkKept(t, cuts, await open(t, cuts));
 	});
 }
+
+const PAIRS = 20;
+
+// Guards against a whole response that is cut because another connection to the same upstream is reset at that moment.
+test('a response without length is complete where its connection ends while another one is reset', async t => {
+	const sockets = new Map<string, net.Socket>();
+	const server = net.createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.on('data', data => {
+			const [, path = ''] = String(data).split(' ', 2);
+			sockets.set(path, socket);
+			socket.write(`HTTP/1.1 200 OK\r\n\r\n${path}`);
+		});
+	});
+	const address = await utils.listen(server, {ip: '127.0.0.1', port: 0});
+	t.teardown(() => {
+		server.close();
+	});
+	const {origin} = await openFixture(t, {faults: [], addresses: [address]});
+	for (let pair = 0; pair < PAIRS; pair++) {
+		const paths = [`/ended/${pair}`, `/reset/${pair}`];
+		const responses = Promise.all(paths.map(async path => receive({origin, path, agent: new http.Agent()})));
+		while (paths.some(path => !sockets.has(path))) {
+			// eslint-disable-next-line no-await-in-loop -- Polls until both requests have arrived.
+			await timers.setTimeout(POLL_MILLISECONDS);
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- What was written arrives before the connections end.
+		await timers.setTimeout(ARRIVAL_MILLISECONDS);
+		sockets.get(paths[1]!)!.resetAndDestroy();
+		sockets.get(paths[0]!)!.end();
+		// eslint-disable-next-line no-await-in-loop -- One pair follows the other.
+		t.deepEqual(await responses, [{kind: 'whole', status: 200, content: paths[0]}, {kind: 'cut'}]);
+	}
+});
+
+const LARGE_BYTES = 12_000_000;
+const SLOW_READ_MILLISECONDS = 150;
+const LARGE_BODY = 'a'.repeat(LARGE_BYTES);
+const LARGE_RESPONSES: readonly CutResponse[] = [
+	{name: 'a length', head: `HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: ${LARGE_BYTES}\r\n\r\n`, body: LARGE_BODY},
+	{
+		name: 'chunks', head: 'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n', body: `${LARGE_BYTES.toString(16)}\r\n${LARGE_BODY}\r\n0\r\n\r\n`, content: LARGE_BODY,
+	},
+	{
+		name: 'neither', head: 'HTTP/1.1 200 OK\r\n\r\n', body: LARGE_BODY, isUnframed: true,
+	},
+];
+
+for (const response of LARGE_RESPONSES) {
+	for (const closing of CLOSINGS) {
+		// Guards against an end that is reported while reading is paused, with a part of the body not parsed yet.
+		test.serial(`a large response with ${response.name} to a slow caller is not complete before its end when the connection is ${closing}`, async t => {
+			const {entry: {origin, attemptReports}, agent} = await open(t, {response, closing});
+			const endCut = response.head.length + response.body!.length;
+			for (const cut of [response.head.length + (LARGE_BYTES / 2), endCut - 1, endCut]) {
+				const expected = getExpected(response, cut, closing);
+				// eslint-disable-next-line no-await-in-loop -- One cut follows the other.
+				const received = await receive({
+					origin, path: `/cut/${cut}`, agent, pauseMilliseconds: SLOW_READ_MILLISECONDS,
+				});
+				const isSame = received.kind === expected.kind && (received.kind !== 'whole' || received.content.length === (expected as {content: string}).content.length);
+				// A reset may overtake what was sent before it.
+				t.true(isSame || (closing === 'reset' && received.kind === 'cut'), `cut at ${cut}: ${received.kind}, ${attemptReports.at(-1)?.ending}`);
+			}
+		});
+	}
+}
--- a/packages/wagtailroute-proxy/src/attempts.ts
+++ b/packages/wagtailroute-proxy/src/attempts.ts
@@ -9,7 +9,7 @@
 import type * as undici from 'undici';
 import {MAX_DISCARDED_ANSWER_BYTES, MAX_STORED_ANSWER_BYTES} from './constants.ts';
 import {FOREIGN_ANSWER_CODE, UNRELAYABLE_HEAD_CODE} from './endings.ts';
-import {type Framing, readFraming} from './framing.ts';
+import {readFraming} from './framing.ts';
 import {type HeaderFields} from './headers.ts';
 import type {HeldBytes} from './held-bytes.ts';
 import type {Transfer} from './large-responses.ts';
@@ -77,10 +77,6 @@
 	*/
 	readonly createAnswerHeaders: (headers: HeaderFields) => Record<string, string | string[]>;
 	/**
-	Returns whether a connection of the pool is being reset at this moment.
-	*/
-	readonly isResetting: () => boolean;
-	/**
 	Whether the result of a relayed answer includes a copy of it.
 	*/
 	readonly isAnswerStored: boolean;
@@ -151,7 +147,6 @@
 	#action: AnswerAction = 'relay';
 	#status = 0;
 	#receivedBytes = 0;
-	#framing: Framing = 'none';
 	#statedBytes: number | undefined;
 	#storedChunks: buffer.Buffer[] | undefined;
 	#headers: Record<string, string | string[]> = {};
@@ -214,10 +209,9 @@
 		}
 
 		this.#status = status;
-		this.#framing = readFraming(this.#options.method, status, headers);
 		this.#statedBytes = parseContentLength(headers);
 		this.#options.onAnswerHeaders();
-		if (this.#framing === 'unclear') {
+		if (readFraming(this.#options.method, status, headers) === 'unclear') {
 			this.abort(UNRELAYABLE_HEAD_CODE);
 			return;
 		}
@@ -262,12 +256,6 @@
 	}
 
 	onResponseEnd(): void {
-		// An answer without a length ends when its connection closes. undici also reports a reset as that end.
-		if (this.#framing === 'connection' && this.#options.isResetting()) {
-			this.#fail('ECONNRESET');
-			return;
-		}
-
 		if (this.#phase === 'discarding') {
 			this.#end(this.#createDiscarded());
 		} else if (this.#phase === 'relaying') {
--- a/packages/wagtailroute-proxy/src/connections.ts
+++ b/packages/wagtailroute-proxy/src/connections.ts
@@ -9,19 +9,9 @@
 import * as core from 'wagtailroute-core';
 import * as undici from 'undici';
 import {CONNECT_TIMEOUT_MILLISECONDS, UPSTREAM_KEEP_ALIVE_MILLISECONDS} from './constants.ts';
+import {type Framing, readFraming} from './framing.ts';
 import {createOverheadMeter, type OverheadMeter} from './overhead.ts';
 
-/**
-The connection pool of one address.
-*/
-export type UpstreamPool = {
-	readonly dispatcher: undici.Pool;
-	/**
-	Returns whether one of its connections is being reset at this moment.
-	*/
-	readonly isResetting: () => boolean;
-};
-
 /**
 The connection pools of a host by address.
 */
@@ -31,7 +21,7 @@
 
 	@param limit Maximum number of connections; applies when the pool is created.
 	*/
-	readonly getPool: (address: core.Address, limit: number) => UpstreamPool | undefined;
+	readonly getPool: (address: core.Address, limit: number) => undici.Pool | undefined;
 	/**
 	Closes the pools of all addresses that are not given (as `ip:port`), after their requests in progress.
 	*/
@@ -46,7 +36,7 @@
 Creates an empty set of pools.
 */
 export function createConnectionPools(connectTimeoutMilliseconds: number = CONNECT_TIMEOUT_MILLISECONDS): ConnectionPools {
-	const pools = new Map<string, UpstreamPool>();
+	const pools = new Map<string, undici.Pool>();
 	return {
 		getPool(address, limit) {
 			const authority = core.formatAddress(address);
@@ -66,38 +56,26 @@
 				}
 
 				pools.delete(authority);
-				void pool.dispatcher.close();
+				void pool.close();
 			}
 		},
 		async close() {
-			await Promise.all(pools.values().map(async pool => pool.dispatcher.destroy()));
+			await Promise.all(pools.values().map(async pool => pool.destroy()));
 			pools.clear();
 		},
 	};
 }
 
-function createPool(authority: string, limit: number, connectTimeoutMilliseconds: number): UpstreamPool {
-	let resettingConnections = 0;
-	const dispatcher = new undici.Pool(`http://${authority}`, {
+function createPool(authority: string, limit: number, connectTimeoutMilliseconds: number): undici.Pool {
+	return new undici.Pool(`http://${authority}`, {
 		connections: limit,
 		pipelining: 1,
-		factory: (origin, options: undici.Client.Options) => createUpstreamClient(origin, options, {
-			connectTimeoutMilliseconds,
-			onConnect(socket) {
-				socket.once('error', () => {
-					resettingConnections++;
-					setImmediate(() => {
-						resettingConnections--;
-					});
-				});
-			},
-		}),
+		factory: (origin, options: undici.Client.Options) => createUpstreamClient(origin, options, {connectTimeoutMilliseconds}),
 		keepAliveTimeout: UPSTREAM_KEEP_ALIVE_MILLISECONDS,
 		// The exchange has a deadline for the whole request.
 		headersTimeout: 0,
 		bodyTimeout: 0,
 	});
-	return {dispatcher, isResetting: () => resettingConnections > 0};
 }
 
 /**
@@ -105,23 +83,19 @@
 */
 export type UpstreamClientOptions = {
 	readonly connectTimeoutMilliseconds: number;
-	/**
-	Called for a new connection before undici registers its own listeners.
-	*/
-	readonly onConnect?: (socket: net.Socket) => void;
 };
 
 /**
-Creates a client of one connection that limits what its upstream may send besides bodies.
+Creates a client of one connection that limits what its upstream may send besides bodies, and reports a reset in a body as an error.
 */
 export function createUpstreamClient(
 	origin: string | URL,
 	options: undici.Client.Options,
-	{connectTimeoutMilliseconds, onConnect}: UpstreamClientOptions,
+	{connectTimeoutMilliseconds}: UpstreamClientOptions,
 ): undici.Client {
-	const meter = createOverheadMeter();
+	const connection: Connection = {meter: createOverheadMeter(), hasFailed: false};
 	const connect = undici.buildConnector({timeout: connectTimeoutMilliseconds});
-	return new MeteredClient(origin, {
+	return new UpstreamClient(origin, {
 		...options,
 		connect(connectOptions, callback) {
 			connect(connectOptions, (...[error, socket]) => {
@@ -130,13 +104,41 @@
 					return;
 				}
 
-				onConnect?.(socket);
+				watchFailure(socket, connection);
 				stopOnOverflow(socket);
-				meter.watch(socket);
+				connection.meter.watch(socket);
 				callback(null, socket);
 			});
 		},
-	}, meter);
+	}, connection);
+}
+
+/**
+The connection of a client, one at a time.
+*/
+type Connection = {
+	readonly meter: OverheadMeter;
+	hasFailed: boolean;
+};
+
+/**
+Has to be called before undici registers its own listeners: its listener for errors reports the end of a response.
+*/
+function watchFailure(socket: net.Socket, connection: Connection): void {
+	connection.hasFailed = false;
+	socket.once('error', () => {
+		connection.hasFailed = true;
+	});
+}
+
+/**
+A connection that was reset in the body of a response that ends with it.
+*/
+class ResetError extends Error {
+	override readonly name = 'ResetError';
+	get code(): string {
+		return 'ECONNRESET';
+	}
 }
 
 /**
@@ -157,45 +159,56 @@
 }
 
 /**
-A client of one connection whose handlers report to a meter.
+A client of one connection whose handlers watch the connection.
 */
-class MeteredClient extends undici.Client {
-	readonly #meter: OverheadMeter;
+class UpstreamClient extends undici.Client {
+	readonly #connection: Connection;
 
-	constructor(origin: string | URL, options: undici.Client.Options, meter: OverheadMeter) {
+	constructor(origin: string | URL, options: undici.Client.Options, connection: Connection) {
 		super(origin, options);
-		this.#meter = meter;
+		this.#connection = connection;
 	}
 
 	override dispatch(options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler): boolean {
-		return super.dispatch(options, new MeteredHandler(handler, this.#meter));
+		return super.dispatch(options, new UpstreamHandler(handler, options.method, this.#connection));
 	}
 }
 
-class MeteredHandler implements undici.Dispatcher.DispatchHandler {
+class UpstreamHandler implements undici.Dispatcher.DispatchHandler {
 	readonly #handler: undici.Dispatcher.DispatchHandler;
-	readonly #meter: OverheadMeter;
+	readonly #method: string;
+	readonly #connection: Connection;
+	#framing: Framing = 'none';
 
-	constructor(handler: undici.Dispatcher.DispatchHandler, meter: OverheadMeter) {
+	constructor(handler: undici.Dispatcher.DispatchHandler, method: string, connection: Connection) {
 		this.#handler = handler;
-		this.#meter = meter;
+		this.#method = method;
+		this.#connection = connection;
 	}
 
 	onRequestStart(controller: undici.Dispatcher.DispatchController, context: unknown): void {
-		this.#meter.start();
+		this.#connection.meter.start();
 		this.#handler.onRequestStart?.(controller, context);
 	}
 
 	onResponseStart(...parameters: Parameters<NonNullable<undici.Dispatcher.DispatchHandler['onResponseStart']>>): void {
+		const [, status, headers] = parameters;
+		this.#framing = readFraming(this.#method, status, headers);
 		this.#handler.onResponseStart?.(...parameters);
 	}
 
 	onResponseData(controller: undici.Dispatcher.DispatchController, chunk: buffer.Buffer): void {
-		this.#meter.recordBody(chunk.length);
+		this.#connection.meter.recordBody(chunk.length);
 		this.#handler.onResponseData?.(controller, chunk);
 	}
 
 	onResponseEnd(...parameters: Parameters<NonNullable<undici.Dispatcher.DispatchHandler['onResponseEnd']>>): void {
+		// Undici also reports a reset as the end of a response that ends with its connection.
+		if (this.#framing === 'connection' && this.#connection.hasFailed) {
+			this.#handler.onResponseError?.(parameters[0], new ResetError('The connection was reset in the body of a response that ends with it.'));
+			return;
+		}
+
 		this.#handler.onResponseEnd?.(...parameters);
 	}
 
--- a/packages/wagtailroute-proxy/src/request-sender.ts
+++ b/packages/wagtailroute-proxy/src/request-sender.ts
@@ -7,6 +7,7 @@
 import type * as http from 'node:http';
 import * as timers from 'node:timers/promises';
 import type * as core from 'wagtailroute-core';
+import type * as undici from 'undici';
 import * as retries from 'wagtailroute-retries';
 import * as utils from 'wagtailroute-utils';
 import * as attempts from './attempts.ts';
@@ -368,14 +369,13 @@
 			: attempts.startAttempt(this.#createAttemptOptions(target, pool, onAnswerHeaders));
 	}
 
-	#createAttemptOptions(target: ports.Target, pool: connections.UpstreamPool, onAnswerHeaders: () => void): attempts.AttemptOptions {
+	#createAttemptOptions(target: ports.Target, pool: undici.Dispatcher, onAnswerHeaders: () => void): attempts.AttemptOptions {
 		const {
 			service, request, organisation, catalogueVersion, message, response, ports: {dialect, hostId, pacers},
 		} = this.#context;
 		const body = this.#body!;
 		return {
-			pool: pool.dispatcher,
-			isResetting: pool.isResetting,
+			pool,
 			method: request.method,
 			requestTarget: request.requestTarget,
 			headers: dialect.createRequestHeaders(message, {
