Test of a cut response behind a whole one

An upstream sends a whole response and, behind it on the kept connection, another one that stops at any byte. The eight main responses, at every byte: each request gets its own response, whether the rest is a part of a head or a whole response.

--- a/packages/wagtailroute-proxy/src/__tests__/unit/cut-responses.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/cut-responses.test.ts
@@ -15,6 +15,7 @@
 	type Closing,
 	CUT_RESPONSES,
 	type CutResponse,
+	cutResponse,
 	type Expected,
 	getCuts,
 	getExpected,
@@ -211,6 +212,28 @@
 	});
 }
 
+for (const response of MAIN_RESPONSES) {
+	// Guards against a cut response behind a whole one that is taken for the response to the next request, or for its beginning.
+	test(`a cut response with ${response.name} behind a whole one belongs to no request`, async t => {
+		const upstream = await startRawUpstream(t, path => {
+			const {head} = createResponse(path);
+			const [, cut] = path.split('/extra/', 2);
+			return {head: cut === undefined ? head : head + cutResponse(response, Number(cut))};
+		});
+		const {origin, defects} = await openFixture(t, {faults: [], addresses: [upstream.address]});
+		const agent = new http.Agent({keepAlive: true, maxSockets: 1});
+		for (const cut of getCuts(response)) {
+			for (const path of [`/extra/${cut}`, `/after/${cut}`]) {
+				// eslint-disable-next-line no-await-in-loop -- One request follows the other on the same connections.
+				t.deepEqual(await receive({origin, path, agent}), {kind: 'whole', status: 200, content: path});
+			}
+		}
+
+		agent.destroy();
+		t.deepEqual(defects, []);
+	});
+}
+
 const PAIRS = 20;
 
 // Guards against a whole response that is cut because another connection to the same upstream is reset at that moment.
