--- a/packages/wagtailroute-proxy/src/attempts.ts
+++ b/packages/wagtailroute-proxy/src/attempts.ts
@@ -9,6 +9,7 @@
 import type * as undici from 'undici';
 import {MAX_DISCARDED_ANSWER_BYTES, MAX_STORED_ANSWER_BYTES} from './constants.ts';
 import {FOREIGN_ANSWER_CODE, UNRELAYABLE_HEAD_CODE} from './endings.ts';
+import {readFraming} from './framing.ts';
 import {type HeaderFields} from './headers.ts';
 import type {HeldBytes} from './held-bytes.ts';
 import type {Transfer} from './large-responses.ts';
@@ -76,10 +77,6 @@
 	*/
 	readonly createAnswerHeaders: (headers: HeaderFields) => Record<string, string | string[]>;
 	/**
-	Returns whether a connection of the pool is being reset at this moment.
-	*/
-	readonly isResetting: () => boolean;
-	/**
 	Whether the result of a relayed answer includes a copy of it.
 	*/
 	readonly isAnswerStored: boolean;
@@ -150,7 +147,6 @@
 	#action: AnswerAction = 'relay';
 	#status = 0;
 	#receivedBytes = 0;
-	#isFramed = true;
 	#statedBytes: number | undefined;
 	#storedChunks: buffer.Buffer[] | undefined;
 	#headers: Record<string, string | string[]> = {};
@@ -202,7 +198,7 @@
 	}
 
 	onResponseStart(
-		controller: undici.Dispatcher.DispatchController,
+		_controller: undici.Dispatcher.DispatchController,
 		status: number,
 		headers: HeaderFields,
 		statusText?: string,
@@ -213,13 +209,16 @@
 		}
 
 		this.#status = status;
-		this.#isFramed = isBodiless(this.#options.method, status) || isFramed(headers);
 		this.#statedBytes = parseContentLength(headers);
 		this.#options.onAnswerHeaders();
+		if (readFraming(this.#options.method, status, headers) === 'unclear') {
+			this.abort(UNRELAYABLE_HEAD_CODE);
+			return;
+		}
+
 		this.#action = this.#options.decideAnswer(status, headers);
 		if (this.#action === 'foreign') {
-			this.#fail(FOREIGN_ANSWER_CODE);
-			controller.abort(new Error(FOREIGN_ANSWER_CODE));
+			this.abort(FOREIGN_ANSWER_CODE);
 			return;
 		}
 
@@ -231,8 +230,7 @@
 		this.#headers = this.#options.createAnswerHeaders(headers);
 		const {response} = this.#options;
 		if (!response.destroyed && !relayHead(response, {status, reason: statusText, headers: this.#headers})) {
-			this.#fail(UNRELAYABLE_HEAD_CODE);
-			controller.abort(new Error(UNRELAYABLE_HEAD_CODE));
+			this.abort(UNRELAYABLE_HEAD_CODE);
 			return;
 		}
 
@@ -258,12 +256,6 @@
 	}
 
 	onResponseEnd(): void {
-		// An answer without a length ends when its connection closes. undici also reports a reset as that end.
-		if (!this.#isFramed && this.#options.isResetting()) {
-			this.#fail('ECONNRESET');
-			return;
-		}
-
 		if (this.#phase === 'discarding') {
 			this.#end(this.#createDiscarded());
 		} else if (this.#phase === 'relaying') {
@@ -335,23 +327,6 @@
 	}
 }
 
-/**
-Returns whether a response has no body, whatever its header section says.
-*/
-function isBodiless(method: string, status: number): boolean {
-	return method === 'HEAD' || BODILESS_STATUSES.has(status);
-}
-
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
-/**
-Returns whether the end of a body shows in itself (RFC 9112, section 6.3): by chunks or, without any transfer coding, by its length. Otherwise it ends with its connection.
-*/
-function isFramed({'transfer-encoding': codings, 'content-length': length}: HeaderFields): boolean {
-	const lastCoding = codings?.toString().split(',').at(-1)!.trim().toLowerCase();
-	return lastCoding === undefined ? length !== undefined : lastCoding === 'chunked';
-}
-
 function parseContentLength({'content-length': value}: HeaderFields): number | undefined {
 	const length = typeof value === 'string' && value !== '' ? Number(value) : NaN;
 	return Number.isSafeInteger(length) && length >= 0 ? length : undefined;
