Test of responses to requests that arrived before a stop

Each way in which a response is written (relayed, a relayed failure, a failure of the host, a stored answer) announces the close of its connection once the host drains, and of three pipelined requests in flight when a stop begins all are answered.

--- a/packages/wagtailroute-proxy/src/__tests__/unit/stopping.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/stopping.test.ts
@@ -13,6 +13,7 @@
 
 const NEVER = Promise.withResolvers<never>().promise;
 const POLL_MILLISECONDS = 10;
+const KEPT_MILLISECONDS = 2000;
 const READ = 'GET /x HTTP/1.1\r\nhost: a\r\n\r\n';
 const HALF_RESPONSE = 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhe';
 
@@ -129,6 +130,48 @@
 	});
 }
 
+const ENDINGS: ReadonlyArray<{readonly title: string; readonly setup: Partial<Setup>; readonly text?: string; readonly status: number}> = [
+	{title: 'relayed response', setup: {faults: [[{kind: 'slow', delayMilliseconds: 200}]]}, status: 200},
+	{title: 'relayed failure', setup: {faults: [[{kind: 'slow', delayMilliseconds: 200}, {kind: 'fail', status: 500}]]}, status: 500},
+	{title: 'failure of the host', setup: {timeoutMilliseconds: 200, isSlotPending: true}, status: 504},
+	{
+		title: 'stored answer',
+		setup: {claim: {kind: 'stored', answer: {status: 201, headers: {}, body: ''}}, admit: () => ({result: timers.setTimeout(200, undefined), cancel: () => undefined})},
+		text: 'POST /write HTTP/1.1\r\nhost: a\r\nidempotency-key: k\r\ncontent-length: 1\r\n\r\nx',
+		status: 201,
+	},
+];
+
+for (const {
+	title, setup, text = READ, status,
+} of ENDINGS) {
+	// Guards against callers that keep a connection to a stopping host for their next request, because the stop began after the last one had arrived.
+	test(`a ${title} to a request that arrived before the stop closes its connection`, async t => {
+		let isDraining = false;
+		const fixture = await openFixture(t, {faults: [], isDraining: () => isDraining, ...setup});
+		const {socket, received} = connect(t, fixture.address);
+		socket.write(text);
+		await waitUntil(() => fixture.server.getInFlight() > 0);
+		isDraining = true;
+		const answer = await Promise.race([received, timers.setTimeout(KEPT_MILLISECONDS, 'The connection was kept.')]);
+		t.true(answer.startsWith(`HTTP/1.1 ${status} `), `received: ${answer}`);
+		t.regex(answer, /^connection: close\r$/imv);
+	});
+}
+
+test('pipelined requests that are in flight when a stop begins are all answered', async t => {
+	// Guards against a response that closes the connection while others behind it have been passed on.
+	let isDraining = false;
+	const fixture = await openFixture(t, {faults: [[{kind: 'slow', delayMilliseconds: 200}]], isDraining: () => isDraining});
+	const {socket, received} = connect(t, fixture.address);
+	socket.write(`${READ}${READ}${READ}`);
+	await waitUntil(() => fixture.server.getInFlight() === 3);
+	isDraining = true;
+	void fixture.server.drain();
+	const answer = await received;
+	t.is(answer.match(/HTTP\/1\.1 200 /gv)?.length, 3, `received: ${answer}`);
+});
+
 const RESPONSES = [
 	{title: 'finished when its last bytes come in time', isFinished: true},
 	{title: 'cut off when they do not', isFinished: false},
