Test of early responses: time for a busy machine to send the first bytes

The case of an upload that is still being sent when the timeout of its route has passed gave the first bytes 500 ms to reach the upstream. The time limit and the interval of the upload are four times as long; all checks are as before.

--- a/packages/wagtailroute-proxy/src/__tests__/unit/early-responses.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/early-responses.test.ts
@@ -112,8 +112,8 @@
 		name: 'that is still being sent when the timeout of its route has passed',
 		head: `POST /write/early HTTP/1.1\r\n${LENGTH}`,
 		pieces: WHOLE,
-		intervalMilliseconds: 60,
-		open: async t => openEarly(t, {timeoutMilliseconds: 500}),
+		intervalMilliseconds: 240,
+		open: async t => openEarly(t, {timeoutMilliseconds: 2000}),
 	},
 ];
 
