SIGHUP drains a host that has no settings to reload

The command line handles all three signals from before the start. SIGHUP asks a host for what its command says: run and dev stop by it as by SIGTERM, on the platform the host reads its settings again. A start that is stopped has 0.5 s more instead of 1 s, so that it and the stop fit into a grace time of 6 s.

--- a/packages/wagtailroute-cli/src/commands/platform.ts
+++ b/packages/wagtailroute-cli/src/commands/platform.ts
@@ -6,6 +6,7 @@
 import * as core from 'wagtailroute-core';
 import * as running from '../running.ts';
 import * as settings from '../settings.ts';
+import * as signals from '../signals.ts';
 import * as base from './command.ts';
 
 /**
@@ -30,6 +31,6 @@
 		return running.runUntilStopped(this.context.stdout, 'run: ready', async () => {
 			const started = await platform.runProcess(settingsFile, {level: logLevel, overloadControl});
 			return started.mapErr(({message}) => core.createFailure('bad-setting', message));
-		});
+		}, signals.createStopSignalWaiter('reload'));
 	}
 }
--- a/packages/wagtailroute-cli/src/constants.ts
+++ b/packages/wagtailroute-cli/src/constants.ts
@@ -55,4 +55,4 @@
 /**
 Time that a start still has once a signal has asked for a stop.
 */
-export const MAX_STOPPED_START_MILLISECONDS = 1000;
+export const MAX_STOPPED_START_MILLISECONDS = 500;
--- a/packages/wagtailroute-cli/src/running.ts
+++ b/packages/wagtailroute-cli/src/running.ts
@@ -18,7 +18,7 @@
 	*/
 	readonly stop: () => Promise<void>;
 	/**
-	Called with each signal that asks for a stop, before `stop` and while it lasts.
+	Called with each signal that arrives, before `stop` and while it lasts.
 	*/
 	readonly recordSignal?: (signal: NodeJS.Signals) => void;
 };
@@ -30,7 +30,7 @@
 	output: stream.Writable,
 	readyLine: string,
 	start: () => Promise<results.Result<RunningHost, failures.CommandFailure>>,
-	waitForStopSignal: signals.StopSignalWaiter = signals.waitForStopSignal,
+	waitForStopSignal: signals.StopSignalWaiter = signals.createStopSignalWaiter('stop'),
 ): Promise<results.Result<string, failures.CommandFailure>> {
 	try {
 		const known: {host?: RunningHost} = {};
--- a/packages/wagtailroute-cli/src/signals.ts
+++ b/packages/wagtailroute-cli/src/signals.ts
@@ -3,40 +3,39 @@
 */
 import process from 'node:process';
 
-const STOP_SIGNALS: readonly NodeJS.Signals[] = ['SIGTERM', 'SIGINT'];
-
 /**
-Signals that would end a stopping process by their default action, beside those that stop it.
+What SIGHUP asks a host for: to stop, or to read its settings again, which the host does itself.
 */
-const HELD_SIGNALS: readonly NodeJS.Signals[] = ['SIGHUP'];
+export type HangupAction = 'stop' | 'reload';
 
 /**
-Resolves when a signal asks the process to stop; `onSignal` is called with each signal from then on.
+Resolves when a signal asks the process to stop; `onSignal` is called with each signal that arrives.
 */
 export type StopSignalWaiter = (onSignal: (signal: NodeJS.Signals) => void) => Promise<undefined>;
 
+const STOP_SIGNALS: Readonly<Record<HangupAction, ReadonlySet<NodeJS.Signals>>> = {
+	stop: new Set(['SIGTERM', 'SIGINT', 'SIGHUP']),
+	reload: new Set(['SIGTERM', 'SIGINT']),
+};
+
 /**
-Resolves at the first SIGTERM or SIGINT. Until the process has ended, later ones and SIGHUP neither end it nor shorten its drain: a supervisor or a process group may send them several times.
+Signals that end a process by their default action.
 */
-export async function waitForStopSignal(onSignal: (signal: NodeJS.Signals) => void): Promise<undefined> {
-	return new Promise<undefined>(resolve => {
-		let isStopping = false;
-		const handleSignal = (signal: NodeJS.Signals): void => {
-			onSignal(signal);
-			if (isStopping) {
-				return;
-			}
-
-			isStopping = true;
-			for (const held of HELD_SIGNALS) {
-				process.on(held, onSignal);
-			}
+const HANDLED_SIGNALS: readonly NodeJS.Signals[] = ['SIGTERM', 'SIGINT', 'SIGHUP'];
 
-			resolve(undefined);
-		};
-
-		for (const signal of STOP_SIGNALS) {
-			process.on(signal, handleSignal);
+/**
+Creates a waiter for the first signal that asks for a stop. From its call until the process has ended, no handled signal ends the process or shortens its drain: a supervisor or a process group may
+send them several times.
+*/
+export function createStopSignalWaiter(hangupAction: HangupAction): StopSignalWaiter {
+	return async onSignal => new Promise<undefined>(resolve => {
+		for (const handled of HANDLED_SIGNALS) {
+			process.on(handled, signal => {
+				onSignal(signal);
+				if (STOP_SIGNALS[hangupAction].has(signal)) {
+					resolve(undefined);
+				}
+			});
 		}
 	});
 }
