--- a/packages/wagtailroute-fleet/src/constants.ts
+++ b/packages/wagtailroute-fleet/src/constants.ts
@@ -308,9 +308,13 @@
 export const MAX_STOP_MARGIN_FRACTION = 0.1;
 
 /**
-Fraction of that time in which the responses to aborted requests are written, and milliseconds between two checks of whether they are.
+Fraction of the time between the abort and the end of a stop in which the responses to aborted requests are written.
 */
 export const FLUSHING_FRACTION = 0.5;
+
+/**
+Milliseconds between two checks of whether these responses are written.
+*/
 export const FLUSH_CHECK_INTERVAL_MILLISECONDS = 10;
 
 /**
--- a/packages/wagtailroute-fleet/src/traffic-stop.ts
+++ b/packages/wagtailroute-fleet/src/traffic-stop.ts
@@ -2,8 +2,8 @@
 Stops the traffic of an entry host: it serves until callers have looked up other hosts, finishes the requests in flight, and answers those that it can't finish before its process ends.
 
 After the stop has begun no request may last beyond the time of the abort, and dispatchers and upstreams are told so. Once the listening sockets are closed, a request that comes late on an open
-connection is served only if its own time limit ends before the abort, and is refused as not run otherwise: a refusal costs its caller the way to another host, a late start may cost it an answer
-that never comes, which an unsafe request can't be sent again for.
+connection is served only if its own time limit ends before the abort, and is refused as not run otherwise: a refused request can be sent to another host, while one that is started and not finished
+can't be sent again if it may run only once.
 */
 import type * as proxy from 'wagtailroute-proxy';
 import * as utils from 'wagtailroute-utils';
