--- a/packages/wagtailroute-proxy/src/__tests__/unit/closing.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/closing.test.ts
@@ -7,10 +7,11 @@
 import * as timers from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import * as utils from 'wagtailroute-utils';
+import {connect, MAX_WAIT_MILLISECONDS} from './callers.ts';
 import {type Fixture, openFixture} from './fixture.ts';
 
 const WAIT_MILLISECONDS = 10;
-const MAX_WAIT_MILLISECONDS = 4000;
+const HALF_OPEN = {allowHalfOpen: true};
 const SETTLE_MILLISECONDS = 100;
 const SENT_PIECES = 10;
 const BODY = 'x'.repeat(100_000);
@@ -85,43 +86,6 @@
 	};
 }
 
-type Caller = {
-	readonly socket: net.Socket;
-	readonly received: () => string;
-	readonly errors: string[];
-	readonly waitFor: (condition: () => boolean) => Promise<boolean>;
-};
-
-function connect(t: ExecutionContext, {address}: Pick<Fixture, 'address'>): Caller {
-	const socket = net.connect({port: address.port, host: address.ip, allowHalfOpen: true});
-	const errors: string[] = [];
-	let received = '';
-	socket.setEncoding('latin1');
-	socket.on('data', text => {
-		received += String(text);
-	});
-	socket.on('error', ({code}: NodeJS.ErrnoException) => {
-		errors.push(String(code));
-	});
-	t.teardown(() => {
-		socket.destroy();
-	});
-	return {
-		socket,
-		received: () => received,
-		errors,
-		async waitFor(condition) {
-			const end = performance.now() + MAX_WAIT_MILLISECONDS;
-			while (!condition() && performance.now() < end) {
-				// eslint-disable-next-line no-await-in-loop -- Polls.
-				await timers.setTimeout(WAIT_MILLISECONDS);
-			}
-
-			return condition();
-		},
-	};
-}
-
 type Case = {
 	readonly name: string;
 	readonly first: string;
@@ -241,7 +205,7 @@
 			const upstream = await startHeldUpstream(t);
 			let isDraining = isBefore;
 			const fixture = await openFixture(t, {faults: [], addresses: [upstream.address], isDraining: () => isDraining});
-			const caller = connect(t, fixture);
+			const caller = connect(t, fixture, HALF_OPEN);
 			caller.socket.write(first);
 			await timers.setTimeout(SETTLE_MILLISECONDS);
 			isDraining = true;
@@ -268,7 +232,7 @@
 test('a request that arrives together with the response that closes its connection is not passed on', async t => {
 	const upstream = await startHeldUpstream(t);
 	const fixture = await openFixture(t, {faults: [], addresses: [upstream.address], isDraining: () => true});
-	const caller = connect(t, fixture);
+	const caller = connect(t, fixture, HALF_OPEN);
 	caller.socket.write('GET /a HTTP/1.1\r\nhost: archive\r\n\r\n');
 	t.true(await caller.waitFor(() => upstream.paths.length === 1));
 	await timers.setTimeout(SETTLE_MILLISECONDS);
@@ -293,7 +257,7 @@
 	// Guards against a reset that takes the answer away while the caller still sends.
 	test(`the answer to ${name} arrives although its caller sends on`, async t => {
 		const fixture = await openFixture(t, {faults: []});
-		const caller = connect(t, fixture);
+		const caller = connect(t, fixture, HALF_OPEN);
 		caller.socket.pause();
 		caller.socket.write(first);
 		for (let pieces = 0; pieces < SENT_PIECES; pieces++) {
@@ -312,7 +276,7 @@
 	// Guards against callers that take descriptors for as long as they like.
 	test(`the connection of ${name} is closed although its caller does not close it`, async t => {
 		const fixture = await openFixture(t, {faults: []});
-		const caller = connect(t, fixture);
+		const caller = connect(t, fixture, HALF_OPEN);
 		caller.socket.write(first);
 		t.true(await caller.waitFor(() => caller.socket.readableEnded));
 		t.is(await Promise.race([fixture.server.drain(), timers.setTimeout(MAX_WAIT_MILLISECONDS, 'held')]), undefined);
@@ -336,7 +300,7 @@
 	const fixture = await openFixture(t, {
 		faults: [], addresses: [upstream.address], isDraining: () => true, forwardingAddress: FORWARDING_ADDRESS,
 	});
-	const callers = SERVERS.map(({getAddress}) => connect(t, {address: getAddress(fixture)}));
+	const callers = SERVERS.map(({getAddress}) => connect(t, {address: getAddress(fixture)}, HALF_OPEN));
 	for (const {socket} of callers) {
 		socket.pause();
 		socket.write('GET /wide HTTP/1.1\r\nhost: archive\r\n\r\n');
--- a/packages/wagtailroute-proxy/src/__tests__/unit/early-responses.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/early-responses.test.ts
@@ -2,9 +2,9 @@
 Tests of requests that are answered before their whole body has been received: what becomes of the rest, of the requests behind it and of their connection.
 */
 import * as buffer from 'node:buffer';
-import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
+import {type Caller, connect, MAX_WAIT_MILLISECONDS} from './callers.ts';
 import {type Fixture, openFixture, type Setup} from './fixture.ts';
 import {createResponse, type RawResponse, startRawUpstream} from './raw-upstream.ts';
 
@@ -13,50 +13,8 @@
 const PIECE = 'x'.repeat(BODY_BYTES / PIECES);
 const CHUNK = `${PIECE.length.toString(16)}\r\n${PIECE}\r\n`;
 const NEXT = 'POST /write/next HTTP/1.1\r\nhost: archive\r\ncontent-length: 2\r\n\r\nok';
-const WAIT_MILLISECONDS = 10;
-const MAX_WAIT_MILLISECONDS = 4000;
 const LINGER_MILLISECONDS = 2000;
 
-type Caller = {
-	readonly socket: net.Socket;
-	readonly received: () => string;
-	readonly errors: string[];
-	/**
-	Resolves with whether the condition holds in time.
-	*/
-	readonly waitFor: (condition: () => boolean, milliseconds?: number) => Promise<boolean>;
-};
-
-function connect(t: ExecutionContext, {address}: Fixture): Caller {
-	const socket = net.connect(address.port, address.ip);
-	const errors: string[] = [];
-	let received = '';
-	socket.setEncoding('latin1');
-	socket.on('data', text => {
-		received += String(text);
-	});
-	socket.on('error', ({code}: NodeJS.ErrnoException) => {
-		errors.push(String(code));
-	});
-	t.teardown(() => {
-		socket.destroy();
-	});
-	return {
-		socket,
-		received: () => received,
-		errors,
-		async waitFor(condition, milliseconds = MAX_WAIT_MILLISECONDS) {
-			const end = performance.now() + milliseconds;
-			while (!condition() && performance.now() < end) {
-				// eslint-disable-next-line no-await-in-loop -- Polls.
-				await timers.setTimeout(WAIT_MILLISECONDS);
-			}
-
-			return condition();
-		},
-	};
-}
-
 async function sendPieces({socket}: Caller, pieces: readonly string[], intervalMilliseconds: number): Promise<void> {
 	for (const piece of pieces) {
 		socket.write(piece);
