A drain accepts all connections that wait, however busy the process is

What callers saw: requests that were sent on established connections right before the drain of a busy host were reset, without an answer (LOST around a stop).

Cause: the drain accepted waiting connections for 500 ms at most. A process that gets little processor time, or serves costly requests, accepts one in some 10 ms, so it left many in the queue of the listening socket, which the system resets when it is closed.

Change: the bound is the number of connections that the system can hold for a socket, instead of a time.

--- a/packages/wagtailroute-utils/src/__tests__/unit/draining.test.ts
+++ b/packages/wagtailroute-utils/src/__tests__/unit/draining.test.ts
@@ -13,6 +13,7 @@
 const SLOW_MILLISECONDS = 300;
 const SETTLE_MILLISECONDS = 50;
 const WAITING_CALLERS = 100;
+const BUSY_MILLISECONDS = 10;
 const MAX_CLOSE_MILLISECONDS = 1000;
 const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
 
@@ -23,12 +24,16 @@
 };
 
 /**
-Answers `/large` with more than the system's buffers hold, `/slow` after a while, all others at once.
+Answers `/large` with more than the system's buffers hold, `/slow` after a while, `/busy` with much processor time, all others at once.
 */
 async function open(t: ExecutionContext): Promise<Fixture> {
 	const served: string[] = [];
 	const server = http.createServer((message, response) => {
 		served.push(message.url!);
+		if (message.url === '/busy') {
+			spendProcessorTime(BUSY_MILLISECONDS);
+		}
+
 		if (message.url === '/large') {
 			response.writeHead(200, {'content-length': LARGE_BYTES});
 			response.end(buffer.Buffer.alloc(LARGE_BYTES, 'x'));
@@ -47,6 +52,13 @@
 	return {drain, served, connect: options => connect(t, port, options)};
 }
 
+function spendProcessorTime(milliseconds: number): void {
+	const end = performance.now() + milliseconds;
+	while (performance.now() < end) {
+		// Spins.
+	}
+}
+
 // Guards against a response whose last bytes are lost: it was ended, but its reader had not taken them when the drain began.
 test('a response that was ended and not yet written is written whole', async t => {
 	const {drain, connect: connectCaller, served} = await open(t);
@@ -136,19 +148,45 @@
 });
 
 // Guards against requests that are lost as the system resets connections which the process has not accepted when its listening socket is closed.
-test('the requests on connections that were established before the drain and not accepted are served', async t => {
-	const {drain, connect: connectCaller, served} = await open(t);
-	const callers = Array.from({length: WAITING_CALLERS}, () => connectCaller());
-	for (const {socket} of callers) {
-		socket.write(REQUEST);
-	}
+for (const {title, path} of [
+	{title: 'a host', path: '/'},
+	{title: 'a busy host', path: '/busy'},
+]) {
+	test(`the requests on connections that were established before the drain of ${title} and not accepted are served`, async t => {
+		const {drain, connect: connectCaller, served} = await open(t);
+		const callers = Array.from({length: WAITING_CALLERS}, () => connectCaller());
+		for (const {socket} of callers) {
+			socket.write(`GET ${path} HTTP/1.1\r\nhost: a\r\n\r\n`);
+		}
 
-	// In one turn of the event loop all connections are established, and one is accepted.
-	await timers.setImmediate();
-	t.true(served.length < WAITING_CALLERS);
-	await drain();
-	t.true(await callers.at(-1)!.waitFor(() => callers.every(({socket}) => socket.closed)));
-	t.is(callers.filter(caller => caller.received().endsWith('served')).length, WAITING_CALLERS);
+		// In one turn of the event loop all connections are established, and one is accepted.
+		await timers.setImmediate();
+		t.true(served.length < WAITING_CALLERS);
+		await drain();
+		t.true(await callers.at(-1)!.waitFor(() => callers.every(({socket}) => socket.closed)));
+		t.is(callers.filter(caller => caller.received().endsWith('served')).length, WAITING_CALLERS);
+	});
+}
+
+// Guards against a drain that never ends, as it waits for a moment without a new connection.
+test('a drain ends while new connections keep coming', async t => {
+	const {drain, connect: connectCaller} = await open(t);
+	const ending = new AbortController();
+	const comingCallers = async () => {
+		while (!ending.signal.aborted) {
+			const {socket} = connectCaller();
+			socket.once('connect', () => {
+				socket.destroy();
+			});
+			// eslint-disable-next-line no-await-in-loop -- One connection in each turn.
+			await timers.setImmediate();
+		}
+	};
+
+	const coming = comingCallers();
+	t.is(await Promise.race([drain(), timers.setTimeout(MAX_WAIT_MILLISECONDS, 'endless')]), undefined);
+	ending.abort();
+	await coming;
 });
 
 // Guards against a request that the caller has sent and the process has not received when its idle connection is closed.
--- a/packages/wagtailroute-utils/src/draining.ts
+++ b/packages/wagtailroute-utils/src/draining.ts
@@ -10,9 +10,9 @@
 import {createLingeringClose} from './lingering.ts';
 
 /**
-Milliseconds in which a drain accepts the connections that wait.
+Connections that the system holds for a listening socket until the process accepts them, with Node's default backlog.
 */
-const MAX_ACCEPTING_MILLISECONDS = 500;
+const MAX_WAITING_CONNECTIONS = 512;
 
 /**
 Turns of the event loop without a new connection after which none waits. Less than one turn may be left of the first.
@@ -127,17 +127,20 @@
 
 /**
 Accepts the connections that the system has established and the process has not accepted yet, and receives what has arrived on the others. The system resets the former
-when the listening socket is closed, with the requests that were sent on them. Node accepts one in each turn of the event loop.
+when the listening socket is closed, with the requests that were sent on them. Node accepts one in each turn of the event loop, so a busy process takes long; a limit in
+time would leave some of them. While new connections keep coming, all that waited at first have been accepted after as many as the system holds.
 */
 async function acceptWaiting(server: http.Server): Promise<void> {
-	const end = performance.now() + MAX_ACCEPTING_MILLISECONDS;
+	let accepted = 0;
 	let quietTurns = 0;
 	const record = () => {
+		accepted++;
 		quietTurns = -1;
 	};
 
+	const mayWait = () => quietTurns < QUIET_TURNS && accepted < MAX_WAITING_CONNECTIONS;
 	server.on('connection', record);
-	while (quietTurns < QUIET_TURNS && performance.now() < end) {
+	while (mayWait()) {
 		// eslint-disable-next-line no-await-in-loop -- One turn after the other.
 		await timers.setImmediate();
 		quietTurns++;
