Metrics that can't be read are answered with 500 and don't end the process

Cause: the metrics server started its answer as a task that nobody awaits. A gauge whose `read` throws rejects `getText()`, and a rejection that nobody handles ends the process.

Evidence: before the change the new test fails with "Unhandled rejection: Error: The value can not be read." from `respond`, and the fetch of the first case gets no answer within 5 s.

Change: the task is started by `utils.runDetached`; an error is answered with 500 and passed to `onError`, which the platform logs as those of its other interfaces. `openMetricsServer` also returns its address, so that a test can let the system choose the port. All five cases of the test pass: one gauge and several that throw, and reads that succeed after it on the same server.

The other servers for operators handle theirs: `http-api.ts` answers 500, the admin server destroys the response, the control server of the stand-in too.

--- a/packages/wagtailroute-telemetry/src/__tests__/unit/telemetry.test.ts
+++ b/packages/wagtailroute-telemetry/src/__tests__/unit/telemetry.test.ts
@@ -5,6 +5,9 @@
 import test from 'ava';
 import * as telemetry from '../../index.ts';
 
+const MAX_WAIT_MILLISECONDS = 5000;
+const FAILED_READ = 'The value can not be read.';
+
 type LogCapture = {
 	readonly logs: telemetry.Logs;
 	readonly read: () => ReadonlyArray<Readonly<Record<string, unknown>>>;
@@ -118,3 +121,64 @@
 	t.regex(text, /^wagtailroute_requests_total\{.*role="entry".*\} 1$/mv);
 	t.regex(text, /^wagtailroute_request_milliseconds_count\{role="entry"\} 1$/mv);
 });
+
+type ReadCase = {
+	readonly name: string;
+	/**
+	Values of the gauges while the metrics are fetched; undefined for one that throws.
+	*/
+	readonly values: ReadonlyArray<number | undefined>;
+	readonly expectedStatus: number;
+	readonly expectedErrors: readonly string[];
+};
+
+const READ_CASES: readonly ReadCase[] = [
+	{
+		name: 'a gauge throws', values: [undefined], expectedStatus: 500, expectedErrors: [FAILED_READ],
+	},
+	{
+		name: 'the next read succeeds', values: [1], expectedStatus: 200, expectedErrors: [],
+	},
+	{
+		name: 'one of several gauges throws', values: [1, undefined], expectedStatus: 500, expectedErrors: [FAILED_READ],
+	},
+	{
+		name: 'several gauges throw', values: [undefined, undefined], expectedStatus: 500, expectedErrors: [FAILED_READ],
+	},
+	{
+		name: 'all reads succeed', values: [1, 2], expectedStatus: 200, expectedErrors: [],
+	},
+];
+
+// Guards against a host that ends, with all its requests, when its metrics are fetched: a gauge that threw was a rejection that nobody handled.
+test('metrics that can not be read are answered with 500 and reported, and the server goes on', async t => {
+	const metrics = telemetry.createMetrics();
+	const errors: string[] = [];
+	const server = await telemetry.openMetricsServer({ip: '127.0.0.1', port: 0}, metrics, error => {
+		errors.push(error.message);
+	});
+	t.teardown(server.close);
+	const gauges: {values: ReadCase['values']} = {values: []};
+	for (const index of [0, 1]) {
+		metrics.registerGauge(`gauge_${index}`, () => {
+			const value = gauges.values.length > index ? gauges.values[index] : 0;
+			if (value === undefined) {
+				throw new Error(FAILED_READ);
+			}
+
+			return value;
+		});
+	}
+
+	for (const {name, values, expectedStatus, expectedErrors} of READ_CASES) {
+		gauges.values = values;
+		errors.length = 0;
+		// eslint-disable-next-line no-await-in-loop -- One case after the other.
+		const response = await fetch(`http://127.0.0.1:${server.address.port}/metrics`, {signal: AbortSignal.timeout(MAX_WAIT_MILLISECONDS)});
+		// eslint-disable-next-line no-await-in-loop -- One case after the other.
+		const text = await response.text();
+		t.is(response.status, expectedStatus, name);
+		t.is(text.includes('wagtailroute_gauge_0'), expectedStatus === 200, name);
+		t.deepEqual(errors, expectedErrors, name);
+	}
+});
--- a/packages/wagtailroute-telemetry/src/index.ts
+++ b/packages/wagtailroute-telemetry/src/index.ts
@@ -13,5 +13,6 @@
 	createMetrics,
 	type Labels,
 	type Metrics,
+	type MetricsServer,
 	openMetricsServer,
 } from './metrics.ts';
--- a/packages/wagtailroute-telemetry/src/metrics.ts
+++ b/packages/wagtailroute-telemetry/src/metrics.ts
@@ -108,14 +108,29 @@
 }
 
 /**
-Serves the metrics on an address. Returns how to stop.
+A listening server of metrics.
 */
-export async function openMetricsServer(address: core.Address, metrics: Metrics): Promise<{readonly close: () => Promise<void>}> {
+export type MetricsServer = {
+	/**
+	Where it listens; the system may have chosen the port.
+	*/
+	readonly address: core.Address;
+	readonly close: () => Promise<void>;
+};
+
+/**
+Serves the metrics on an address. An error that reading them throws is answered with 500 and passed to `onError`.
+*/
+export async function openMetricsServer(address: core.Address, metrics: Metrics, onError: (error: Error) => void): Promise<MetricsServer> {
 	const server = http.createServer((_request, response) => {
-		void respond(metrics, response);
+		utils.runDetached(async () => respond(metrics, response), error => {
+			onError(error);
+			response.writeHead(500).end();
+		});
 	});
-	await utils.listen(server, address);
+	const listening = await utils.listen(server, address);
 	return {
+		address: listening,
 		close: async () => utils.closeServer(server),
 	};
 }
