A drain cuts no response for the number of connections that linger

Cause: at most 512 connections of a server linger at once; beyond it the one that has lingered longest is destroyed. A drain has all of its connections linger at about the same time. What the caller sends on a destroyed connection is answered with a reset, and the system drops what it still has to send.

Evidence: a slow reader beside 512 callers that never close their connections. Before the change four of the five cases of the new test fail, with 195,457 or 195,485 of 400,000 bytes: idle connections that the drain closes, connections closed behind responses of the drain, each with a slow reader whose own connection the drain closes or has lingered before. The fifth, a server at work, passes before and after: its bound stays, and the longest is closed.

Change: the bound is asked for at each close, and there is none from the begin of the drain. Cutting only connections whose data the other side has confirmed was weighed: Node doesn't tell which these are.

Not covered: responses that close their connections after the stop was announced and before the listening sockets begin to close still count as those of a server at work.

--- a/packages/wagtailroute-utils/src/__tests__/unit/lingering.test.ts
+++ b/packages/wagtailroute-utils/src/__tests__/unit/lingering.test.ts
@@ -16,8 +16,11 @@
 const ARRIVAL_MILLISECONDS = 50;
 const SLACK_MILLISECONDS = 1000;
 const MAX_CONNECTIONS = 3;
+const SMALL_BYTES = 6;
 const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
 const CLOSING_REQUEST = REQUEST.replace('\r\n\r\n', '\r\nconnection: close\r\n\r\n');
+const SMALL_REQUEST = REQUEST.replace('/', '/small');
+const CLOSING_HELD_REQUEST = CLOSING_REQUEST.replace('/', '/held');
 
 type Fixture = {
 	readonly port: number;
@@ -31,18 +34,32 @@
 	Resolves as soon as the system has taken a whole response.
 	*/
 	readonly written: Promise<void>;
+	/**
+	Answers the requests for `/held`.
+	*/
+	readonly release: () => void;
 };
 
 async function open(t: ExecutionContext): Promise<Fixture> {
 	const served: string[] = [];
 	const {promise: written, resolve} = Promise.withResolvers<void>();
+	const held: Array<() => void> = [];
 	const server = http.createServer((message, response) => {
 		served.push(message.url!);
 		response.once('finish', () => {
 			resolve();
 		});
-		response.writeHead(200, {'content-length': BODY_BYTES});
-		response.end(buffer.Buffer.alloc(BODY_BYTES, 'x'));
+		const bytes = message.url === '/' ? BODY_BYTES : SMALL_BYTES;
+		const answer = () => {
+			response.writeHead(200, {'content-length': bytes});
+			response.end(buffer.Buffer.alloc(bytes, 'x'));
+		};
+
+		if (message.url === '/held') {
+			held.push(answer);
+		} else {
+			answer();
+		}
 	});
 	const drain = utils.createDrain(server);
 	const {port} = await utils.listen(server, {ip: '127.0.0.1', port: 0});
@@ -51,7 +68,16 @@
 		server.closeAllConnections();
 	});
 	return {
-		port, server, drain, served, written,
+		port,
+		server,
+		drain,
+		served,
+		written,
+		release() {
+			for (const answer of held) {
+				answer();
+			}
+		},
 	};
 }
 
@@ -201,10 +227,103 @@
 	t.is(getBodyBytes(caller), BODY_BYTES);
 });
 
+type Crowd = {
+	readonly name: string;
+	/**
+	Request of the slow reader.
+	*/
+	readonly request: string;
+	/**
+	Request of each of the other callers.
+	*/
+	readonly otherRequest: string;
+	/**
+	Runs once the system has taken the response to the slow reader, and has each connection linger.
+	*/
+	readonly close: (fixture: Fixture) => Promise<void>;
+	readonly isWhole: boolean;
+};
+
+const CROWDS: readonly Crowd[] = [
+	{
+		name: 'a drain closes them as idle',
+		request: REQUEST,
+		otherRequest: SMALL_REQUEST,
+		async close({drain}) {
+			void drain();
+		},
+		isWhole: true,
+	},
+	{
+		name: 'a drain closes it as idle, and the others behind their responses',
+		request: REQUEST,
+		otherRequest: CLOSING_HELD_REQUEST,
+		async close({drain, release}) {
+			void drain();
+			await timers.setTimeout(ARRIVAL_MILLISECONDS);
+			release();
+		},
+		isWhole: true,
+	},
+	{
+		name: 'its response has closed its connection, and a drain closes the others as idle',
+		request: CLOSING_REQUEST,
+		otherRequest: SMALL_REQUEST,
+		async close({drain}) {
+			void drain();
+		},
+		isWhole: true,
+	},
+	{
+		name: 'its response has closed its connection, and the others are closed behind their responses while a drain begins',
+		request: CLOSING_REQUEST,
+		otherRequest: CLOSING_HELD_REQUEST,
+		async close({drain, release}) {
+			void drain();
+			release();
+		},
+		isWhole: true,
+	},
+	{
+		name: 'a server at work closes all behind their responses',
+		request: CLOSING_REQUEST,
+		otherRequest: CLOSING_HELD_REQUEST,
+		async close({release}) {
+			release();
+		},
+		isWhole: false,
+	},
+];
+
+for (const {name, request, otherRequest, close, isWhole} of CROWDS) {
+	// Guards against a drain that cuts responses on their way, as more connections than a server at work may have linger at once.
+	test.serial(`the response to a slow reader beside many others that never close their connections, where ${name}`, async t => {
+		const fixture = await open(t);
+		const slow = connect(t, fixture.port);
+		slow.socket.pause();
+		slow.socket.write(request);
+		await fixture.written;
+		const others = Array.from({length: utils.MAX_LINGERING_CONNECTIONS}, () => connect(t, fixture.port, {allowHalfOpen: true}));
+		for (const {socket} of others) {
+			socket.write(otherRequest);
+		}
+
+		t.true(await slow.waitFor(() => fixture.served.length === others.length + 1), 'all requests are received');
+		await close(fixture);
+		t.true(await slow.waitFor(() => others.every(({socket}) => socket.readableEnded || socket.destroyed)), 'all connections linger');
+		// Beyond the bound the connection is closed entirely by now, and the system answers further bytes with a reset.
+		slow.socket.write(REQUEST);
+		await timers.setTimeout(ARRIVAL_MILLISECONDS);
+		slow.socket.resume();
+		t.true(await slow.waitFor(() => slow.socket.closed), 'the connection is closed');
+		t.is(getBodyBytes(slow) === BODY_BYTES, isWhole, `${getBodyBytes(slow)} of ${BODY_BYTES} bytes arrived`);
+	});
+}
+
 // Guards against callers that never close their connections and take all descriptors of the process.
 test('of the connections that linger, the longest ones are closed beyond a number', async t => {
 	const lingering: net.Socket[] = [];
-	const closeLingering = utils.createLingeringClose(MAX_CONNECTIONS);
+	const closeLingering = utils.createLingeringClose(() => MAX_CONNECTIONS);
 	const server = net.createServer({allowHalfOpen: true}, socket => {
 		lingering.push(socket);
 		closeLingering(socket);
--- a/packages/wagtailroute-utils/src/draining.ts
+++ b/packages/wagtailroute-utils/src/draining.ts
@@ -7,7 +7,7 @@
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import {LINGER_MILLISECONDS} from './discards.ts';
-import {createLingeringClose} from './lingering.ts';
+import {createLingeringClose, MAX_LINGERING_CONNECTIONS} from './lingering.ts';
 
 /**
 Connections that the system holds for a listening socket until the process accepts them, with Node's default backlog.
@@ -21,6 +21,11 @@
 
 const UNKNOWN_EXPECTATION_STATUS = 417;
 
+/**
+`accepting`: the drain has begun and accepts the connections that wait. `closing`: it closes each connection as soon as it is idle.
+*/
+type DrainStage = 'serving' | 'accepting' | 'closing';
+
 type ConnectionState = {
 	/**
 	Requests that are not received or not answered whole.
@@ -44,8 +49,9 @@
 */
 export function createDrain(server: http.Server): () => Promise<void> {
 	const connections = new Map<net.Socket, ConnectionState>();
-	const closeLingering = createLingeringClose();
-	let isDraining = false;
+	let stage: DrainStage = 'serving';
+	// A drain closes all connections at about the same time. It accepts new ones only at its beginning, so that the number of the open ones is the bound.
+	const closeLingering = createLingeringClose(() => stage === 'serving' ? MAX_LINGERING_CONNECTIONS : Infinity);
 
 	const closeIfIdle = (socket: net.Socket, {pending, idleBytes, idleAt}: ConnectionState) => {
 		if (pending > 0 || socket.bytesRead !== idleBytes) {
@@ -65,7 +71,7 @@
 		state.pending--;
 		state.idleBytes = socket.bytesRead;
 		state.idleAt = performance.now();
-		if (isDraining) {
+		if (stage === 'closing') {
 			closeIfIdle(socket, state);
 		}
 	};
@@ -115,8 +121,9 @@
 		response.writeHead(UNKNOWN_EXPECTATION_STATUS).end();
 	});
 	return async () => {
+		stage = 'accepting';
 		await acceptWaiting(server);
-		isDraining = true;
+		stage = 'closing';
 		await new Promise<void>(resolve => {
 			server.close(() => {
 				resolve();
--- a/packages/wagtailroute-utils/src/index.ts
+++ b/packages/wagtailroute-utils/src/index.ts
@@ -8,7 +8,7 @@
 } from './discards.ts';
 export {createDrain} from './draining.ts';
 export {BrokenInvariant, invariant} from './invariant.ts';
-export {createLingeringClose, MAX_LINGER_MILLISECONDS} from './lingering.ts';
+export {createLingeringClose, MAX_LINGER_MILLISECONDS, MAX_LINGERING_CONNECTIONS} from './lingering.ts';
 export {closeServer, listen, type ListenAddress} from './listening.ts';
 export {isRefusing} from './probing.ts';
 export {mergeTeardowns, type Teardown} from './teardown.ts';
--- a/packages/wagtailroute-utils/src/lingering.ts
+++ b/packages/wagtailroute-utils/src/lingering.ts
@@ -18,21 +18,23 @@
 const MAX_LINGER_BYTES = 67_108_864;
 
 /**
-Connections of one server that linger at the same time. Each one takes a descriptor; beyond this number the one that has lingered longest is closed.
+Connections of one server at work that linger at the same time. Each one takes a descriptor; beyond this number the one that has lingered longest is closed.
 */
-const MAX_LINGERING_CONNECTIONS = 512;
+export const MAX_LINGERING_CONNECTIONS = 512;
 
 /**
 Returns a function that closes a connection: at once for writing and receiving requests, and entirely when the other side has closed too or the limits are exceeded.
+
+@param getMaxConnections Returns how many connections may linger at the time of a call.
 */
-export function createLingeringClose(maxConnections = MAX_LINGERING_CONNECTIONS): (socket: net.Socket) => void {
+export function createLingeringClose(getMaxConnections: () => number): (socket: net.Socket) => void {
 	const lingering = new Set<net.Socket>();
 	return socket => {
 		if (socket.destroyed || lingering.has(socket)) {
 			return;
 		}
 
-		const [longest] = lingering.size >= maxConnections ? lingering : [];
+		const [longest] = lingering.size >= getMaxConnections() ? lingering : [];
 		longest?.destroy();
 		lingering.add(socket);
 		socket.once('close', () => {
