Answered requests end a host's isolation when checks stay silent

Cause: a host becomes isolated only if its checks fail and no request is answered meanwhile, since upstreams that are too busy for a health check still answer requests. The checks that end the isolation took no account of answered requests. With health checks slower than 400 ms a host stayed isolated however many requests were answered.

Change: both use the same condition. Refused checks still count, since open connections may live on.

Evidence: the new test on the code before: a host that is isolated uses its paths again when a request is answered although checks stay silent Difference (- actual, + expected): - true + false Its counterpart (refused checks: stays isolated) passed before and passes after.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/upstream-reach.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/upstream-reach.test.ts
@@ -146,6 +146,27 @@
 	});
 }
 
+for (const {name, all, isIsolated} of [
+	{name: 'uses its paths again when a request is answered although checks stay silent', all: 'silent', isIsolated: false},
+	{name: 'stays isolated when a request is answered on an open connection and checks are refused', all: 'gone', isIsolated: true},
+] as const) {
+	test(`a host that is isolated ${name}`, async t => {
+		// Guards against a host that refuses what others forward and withholds its reports for seconds although upstreams answer it, because they are too busy for health checks.
+		const reach = createReach(UPSTREAMS);
+		setAll(reach, all);
+		await confirm(reach);
+		t.true(reach.isIsolated());
+		await reach.context.pass(1000 + (CHECK_MILLISECONDS / 2));
+		for (const _ of UPSTREAMS) {
+			reach.recordAnswer('f');
+			// eslint-disable-next-line no-await-in-loop -- One after the other.
+			await reach.context.pass(CHECK_MILLISECONDS);
+		}
+
+		t.is(reach.isIsolated(), isIsolated);
+	});
+}
+
 test('a host checks the upstreams that answered last, not those that have ended', async t => {
 	// Guards against a host that holds itself for isolated because most of the upstreams that it knows have crashed.
 	const ended = Array.from({length: 40}, (_, index) => `ended-${index}`);
--- a/packages/wagtailroute-fleet/src/upstream-reach.ts
+++ b/packages/wagtailroute-fleet/src/upstream-reach.ts
@@ -138,6 +138,13 @@
 		return [...results];
 	};
 
+	/**
+	Returns whether checks, or a request that was answered meanwhile, show that this host reaches upstreams. Upstreams that are too busy for health checks still answer
+	requests. Where new connections are refused, open ones may live on for a while.
+	*/
+	const isReachShown = (results: readonly proxy.ProbeResult[], startedAt: number): boolean =>
+		results.includes('answered') || (results.includes('silent') && answeredAt > startedAt);
+
 	const scheduleCheck = () => {
 		cancelCheck = context.schedule(ISOLATION_CHECK_INTERVAL_MILLISECONDS, () => {
 			utils.runDetached(checkIsolation, onDefect);
@@ -148,8 +155,9 @@
 		const latest = utils.shuffle(random, listChecked().slice(0, MAX_ANSWERING)).slice(0, ISOLATION_CHECKS);
 		// Where the upstreams that answered last have ended, others have taken their place.
 		const newest = options.listInstances().slice(-ISOLATION_CHECKS);
+		const startedAt = now();
 		const results = await probeUntilAnswer([...new Set([...latest, ...newest])]);
-		if (results.length === 0 || results.includes('answered')) {
+		if (results.length === 0 || isReachShown(results, startedAt)) {
 			setIsolated(false);
 		} else if (isIsolated) {
 			scheduleCheck();
@@ -168,8 +176,7 @@
 
 		const firstResults = await probeUntilAnswer(first);
 		const results = firstResults.includes('answered') ? firstResults : [...firstResults, ...await probeUntilAnswer(further)];
-		// Upstreams that are too busy for health checks still answer requests. Where new connections are refused, open ones may live on for a while.
-		return results.includes('answered') || (results.includes('silent') && answeredAt > startedAt);
+		return isReachShown(results, startedAt);
 	};
 
 	const startCheck = async (failed?: core.UpstreamId): Promise<boolean> => {
