An unexpected error of the replica doesn't end a control host; the replica is opened again

Cause: `group.ts` started the opening, the reopening and the reconciliation of the members as tasks that nobody awaits; a rejection ended the process. No real cause was found; injected by the callbacks.

Change: the tasks are started by `utils.runDetached`; an error is logged and counted as a defect, and the replica is opened again after the delay, as after a failure of the store. So it is after a failed reconciliation: a step that threw leaves the replica in the midst of an event, where it would take no further one and still say that it leads. What is on the disk is as after a crash of the process. A replica that fails to close is logged and doesn't prevent the reopening; as a failing disk explains it, it is no defect.

The replica is closed at once instead of after the delay, and ends if its formation can't start: with the process gone neither could run beside its successor, with the same identity and the same file. The store is closed if the opening throws.

Not covered: an error that a callback of the state machine throws behind a write or in a timer still ends the process.

--- a/packages/wagtailroute-fleet/src/group.ts
+++ b/packages/wagtailroute-fleet/src/group.ts
@@ -2,13 +2,15 @@
 The replicated group of the control hosts, which stores the generation and the retirements.
 
 A replica whose store failed stops for good, since the content of its disk is uncertain. After a delay a new replica is opened from that disk: a
-full disk has room again after a while, and the other parts of the host work meanwhile.
+full disk has room again after a while, and the other parts of the host work meanwhile. The same happens after an unexpected error: an event that a
+replica has handled in part leaves it in no known state, but what is on its disk is as after a crash.
 */
 import * as path from 'node:path';
 import type * as core from 'wagtailroute-core';
 import * as generations from 'wagtailroute-generations';
 import * as replication from 'wagtailroute-replication';
 import type * as results from 'ts-results-es';
+import * as utils from 'wagtailroute-utils';
 import {
 	MAX_COMMAND_BYTES,
 	MAX_VOTERS,
@@ -18,6 +20,7 @@
 	SLOW_PROPOSAL_MILLISECONDS,
 } from './constants.ts';
 import type {FleetContext} from './context.ts';
+import {createDefectHandler} from './defects.ts';
 import type {
 	GroupMessage,
 	ProposalAnswer,
@@ -84,6 +87,7 @@
 export function startControlGroup(context: FleetContext, options: ControlGroupOptions): ControlGroup {
 	const {settings} = options;
 	const log = context.logs('group');
+	const onDefect = createDefectHandler(context, 'control-group');
 	const unreachableSince = new Map<core.HostId, number>();
 	let replicated = generations.createReplicatedGenerations();
 	let group: replication.Group | undefined;
@@ -157,27 +161,60 @@
 		};
 	};
 
-	const reopen = (reason: string) => {
-		log.error('The store failed, the replica will be reopened.', {reason});
-		const failed = group;
+	const closeFailed = async (failed: Pick<replication.Store, 'close'> | undefined) => {
+		try {
+			await failed?.close();
+		} catch (error) {
+			// A disk that failed may also fail at the close of a file.
+			log.warn('The failed replica could not be closed.', {error: (error as Error).stack});
+		}
+	};
+
+	/**
+	Closes the replica at once, so that it doesn't run beside its successor, and opens that one after a delay.
+	*/
+	const scheduleReopen = () => {
+		const closed = closeFailed(group);
 		group = undefined;
 		context.schedule(REOPEN_DELAY_MILLISECONDS, () => {
-			void (async () => {
-				await failed?.close();
-				await open();
-			})();
+			startOpening(closed);
 		});
 	};
 
+	const reopen = (reason: string) => {
+		log.error('The store failed, the replica will be reopened.', {reason});
+		scheduleReopen();
+	};
+
 	const open = async () => {
 		if (isClosed) {
 			return;
 		}
 
+		const store = replication.createDurableStore(path.join(settings.dataFolder, GROUP_NAME));
+		try {
+			await openFrom(store);
+		} catch (error) {
+			await closeFailed(store);
+			throw error;
+		}
+	};
+
+	const startOpening = (closed?: Promise<void>) => {
+		utils.runDetached(async () => {
+			await closed;
+			await open();
+		}, error => {
+			onDefect(error);
+			scheduleReopen();
+		});
+	};
+
+	const openFrom = async (store: replication.Store) => {
 		const opened = await replication.createGroup({
 			group: GROUP_NAME,
 			host: settings.hostId,
-			store: replication.createDurableStore(path.join(settings.dataFolder, GROUP_NAME)),
+			store,
 			stateMachine: createStateMachine(),
 			send(to, message) {
 				countSent(message);
@@ -224,10 +261,16 @@
 		}
 	};
 
-	void open();
+	startOpening();
 	const stopReconciling = context.repeat(RECONCILE_INTERVAL_MILLISECONDS, () => {
 		logRole();
-		void reconcile();
+		const reconciled = group;
+		utils.runDetached(reconcile, error => {
+			onDefect(error);
+			if (group === reconciled) {
+				scheduleReopen();
+			}
+		});
 	});
 	const createNotLeaderAnswer = (leader: core.HostId | null) => ({kind: 'not-leader', leader} as const);
 	const append = async (command: generations.GenerationCommand): Promise<ProposalAnswer> => {
--- a/packages/wagtailroute-replication/src/runner.ts
+++ b/packages/wagtailroute-replication/src/runner.ts
@@ -25,6 +25,10 @@
 export type ReplicaLoop = {
 	readonly getState: () => replica.Replica;
 	readonly dispatch: (event: replica.ReplicaEvent) => void;
+	/**
+	Ends the replica without waiting for its writes.
+	*/
+	readonly stop: () => void;
 	readonly close: () => Promise<void>;
 };
 
@@ -38,7 +42,7 @@
 	const pendingRequests = waiters.createWaiters();
 	const loop = createReplicaLoop(options, restored, pendingRequests);
 	const batches = createBatches(loop.dispatch);
-	const formation = formations.createFormation(options, announcements, loop);
+	const formation = startFormation(options, announcements, loop);
 	let isClosed = false;
 
 	const request = async (start: (id: string) => void) => isClosed
@@ -93,6 +97,18 @@
 	};
 }
 
+/**
+Starts the formation, and ends the replica if that fails: its owner has no means to close it, and may run another one from the same store.
+*/
+function startFormation(options: group.GroupOptions, announcements: observation.Announcements, loop: ReplicaLoop): formations.Formation {
+	try {
+		return formations.createFormation(options, announcements, loop);
+	} catch (error) {
+		loop.stop();
+		throw error;
+	}
+}
+
 /**
 Creates the loop of a replica. Events raised while effects are carried out are queued until all effects of the step are done.
 */
@@ -181,13 +197,18 @@
 		},
 	};
 
+	const stop = () => {
+		isClosed = true;
+		timer.cancel();
+	};
+
 	dispatch({kind: 'tick'});
 	return {
 		getState: () => state,
 		dispatch,
+		stop,
 		async close() {
-			isClosed = true;
-			timer.cancel();
+			stop();
 			await writer.wait();
 			await store.close();
 		},
