Link: a call times out only after what had arrived was read

Seen: platform/src/__tests__/unit/advertisements.test.ts beside 12 busy processes, the case of backoffs: 3 of 156 requests got 503, while the other upstream had hardly anything to do (0.1 and 0.4 of its 4 slots in use, between 1.8 and 2.2 s). One entry host had read nothing since 1.64 s. At 1.98 s it left its first dispatcher (call-timeout), at 2.18 s the other two (probe), and had its own one grant. That one gave out slots at the upstream that sheds, and had no budget yet to send the three requests again. Dispatchers had granted slots to the other entry host at 1.91 s, and again at 2.19 s.

Cause: a process that gets no processor time, or is paused, runs its expired timers before it reads its connections when it goes on. The timeout of a call was decided then, whatever had arrived. The silence of the link is counted from the last reading too, so the host took its dispatcher for frozen, and its queued requests with it. That an answer had arrived in the run above is only suspected: its lines can't show it.

Ruled out for that run: too few slots (the other upstream was idle), suspended upstreams (none), a backoff at the wrong host.

Change: the timer of a call lets the loop poll its connections once before it gives up (setImmediate). The time limit is otherwise the same. Pending calls are still removed when they time out.

Not shown: that advertisements.test.ts passes beside any load. Before the change it failed in 1 of 22 cases here, so runs after it would not tell. With overload control on, the host also judges its dispatcher's silence by a timer of its own (#callDispatcher); that one is as it was.

--- a/packages/wagtailroute-link/src/link.ts
+++ b/packages/wagtailroute-link/src/link.ts
@@ -20,6 +20,7 @@
 import {createLineReader} from './lines.ts';
 import {encodeNotification} from './notifications.ts';
 import {compressLine, decompressLine} from './compression.ts';
+import {scheduleAfterReading} from './reading.ts';
 import {runInTurn} from './turns.ts';
 import {registerCheck} from './link-checks.ts';
 
@@ -103,6 +104,16 @@
 const METHOD_SEARCH_CHARACTERS = 100;
 const METHOD_PATTERN = /"method":"(?<method>[^"]+)"/v;
 
+type CallResponse = {
+	readonly result?: unknown;
+	readonly error?: {readonly message: string} | null;
+};
+
+/**
+Code of the error that stands for the missing answer to a call. It never leaves the process.
+*/
+const TIMEOUT_ERROR_CODE = 0;
+
 /**
 Runs a link over a connection that is open.
 */
@@ -117,6 +128,7 @@
 	#outgoingLines: string[] = [];
 	#isOpen = true;
 	#queuedMessages = 0;
+	#lastCallId = 0;
 	#lastReceivedAt: number;
 	#lastSentAt: number;
 	readonly #stopChecks: utils.Teardown;
@@ -156,20 +168,22 @@
 			return results.Err(createLinkFailure('link-closed', method, 'no connection'));
 		}
 
+		this.#lastCallId++;
+		const id = this.#lastCallId;
 		let isTimedOut = false;
-		const caller = this.#rpc.timeout(Math.max(1, Math.ceil(timeoutMilliseconds)));
-		const timer = setTimeout(() => {
+		const cancelTimeout = scheduleAfterReading(Math.ceil(timeoutMilliseconds), () => {
 			isTimedOut = true;
-		}, Math.max(0, timeoutMilliseconds - 1));
-		try {
-			return results.Ok(await caller.request(method, parameters as rpc.JSONRPCParams));
-		} catch (error) {
-			const {message} = error as Error;
-			const kind = this.#isOpen ? 'call-refused' : 'call-lost';
-			return results.Err(createLinkFailure(isTimedOut ? 'call-timeout' : kind, method, message));
-		} finally {
-			clearTimeout(timer);
+			this.#rpc.client.receive(rpc.createJSONRPCErrorResponse(id, TIMEOUT_ERROR_CODE, 'Request timeout'));
+		});
+		const response: CallResponse = await this.#rpc.requestAdvanced(rpc.createJSONRPCRequest(id, method, parameters as rpc.JSONRPCParams));
+		cancelTimeout();
+		const {result, error} = response;
+		if (result !== undefined && !error) {
+			return results.Ok(result);
 		}
+
+		const kind = this.#isOpen ? 'call-refused' : 'call-lost';
+		return results.Err(createLinkFailure(isTimedOut ? 'call-timeout' : kind, method, error?.message ?? 'no result'));
 	}
 
 	notify(method: string, parameters: unknown): void {
