The log names the checks that made an entry host isolated

Both lines ("This host reaches no upstream", "This host reaches upstreams again") now have `checks`, the results by upstream, and `answeredMillisecondsAgo`.

Evidence: the new test fails on the code before (checks: undefined in place of two results).

--- a/packages/wagtailroute-fleet/src/__tests__/unit/upstream-reach.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/upstream-reach.test.ts
@@ -1,9 +1,11 @@
 /**
 Tests of how an entry host finds out that it reaches no upstream, and that it reaches them again.
 */
+import * as stream from 'node:stream';
 import test from 'ava';
 import type * as instances from 'wagtailroute-instances';
 import type * as proxy from 'wagtailroute-proxy';
+import * as telemetry from 'wagtailroute-telemetry';
 import {createUpstreamReach, type UpstreamReach} from '../../upstream-reach.ts';
 import {createFakeContext, type FakeContext} from './fixture.ts';
 
@@ -19,6 +21,10 @@
 	readonly results: Map<string, FakeResult>;
 	readonly probed: string[];
 	readonly changes: boolean[];
+	/**
+	Returns the lines of the log.
+	*/
+	readonly readLog: () => ReadonlyArray<Readonly<Record<string, unknown>>>;
 };
 
 function createReach(upstreams: readonly string[]): Reach {
@@ -26,7 +32,11 @@
 	const results = new Map<string, FakeResult>(upstreams.map(upstream => [upstream, 'answered']));
 	const probed: string[] = [];
 	const changes: boolean[] = [];
-	const reach = createUpstreamReach(context, {
+	const output = new stream.PassThrough({encoding: 'utf8'});
+	const logs = telemetry.createLogs({
+		output, level: 'warn', now: context.now, fields: {},
+	});
+	const reach = createUpstreamReach({...context, logs}, {
 		listInstances: () => upstreams.map((upstream, index): instances.Instance => ({
 			upstream, service: 's', address: {ip: '10.0.0.1', port: index}, failureDomain: 'a', slots: 1, sequence: 1, state: 'serving', heardAt: 0, warmAt: 0,
 		})),
@@ -47,7 +57,12 @@
 		},
 	});
 	return {
-		...reach, context, results, probed, changes,
+		...reach,
+		context,
+		results,
+		probed,
+		changes,
+		readLog: () => String(output.read() ?? '').split('\n').filter(line => line !== '').map(line => JSON.parse(line) as Readonly<Record<string, unknown>>),
 	};
 }
 
@@ -167,6 +182,22 @@
 	});
 }
 
+test('the log names the checks that made a host isolated and those that ended it', async t => {
+	// Guards against an isolation whose cause can't be told: paths that are lost, upstreams that have ended, or checks that are too slow.
+	const reach = createReach(['a', 'b', 'c']);
+	reach.recordAnswer('b');
+	await reach.context.pass(1200);
+	setAll(reach, 'silent');
+	reach.results.set('c', 'gone');
+	await confirm(reach);
+	setAll(reach, 'answered');
+	await reach.context.pass(1000);
+	const [isolated, reached] = reach.readLog();
+	t.deepEqual(isolated!.checks, [{upstream: 'b', result: 'silent'}, {upstream: 'c', result: 'gone'}]);
+	t.is(isolated!.answeredMillisecondsAgo, 1200 + (CHECK_MILLISECONDS * 2));
+	t.true((reached!.checks as ReadonlyArray<{readonly result: string}>).some(({result}) => result === 'answered'));
+});
+
 test('a host checks the upstreams that answered last, not those that have ended', async t => {
 	// Guards against a host that holds itself for isolated because most of the upstreams that it knows have crashed.
 	const ended = Array.from({length: 40}, (_, index) => `ended-${index}`);
--- a/packages/wagtailroute-fleet/src/upstream-reach.ts
+++ b/packages/wagtailroute-fleet/src/upstream-reach.ts
@@ -61,6 +61,14 @@
 	readonly onChanged: (isIsolated: boolean) => void;
 };
 
+/**
+The result of one upstream's health check.
+*/
+type Check = {
+	readonly upstream: core.UpstreamId;
+	readonly result: proxy.ProbeResult;
+};
+
 /**
 Starts with a host that reaches upstreams.
 */
@@ -85,13 +93,15 @@
 	let cancelCheck: utils.Teardown = () => undefined;
 	let cancelSilenceCheck: utils.Teardown | undefined;
 
-	const setIsolated = (value: boolean) => {
+	const setIsolated = (value: boolean, checks: readonly Check[]) => {
 		if (value === isIsolated) {
 			return;
 		}
 
 		isIsolated = value;
-		log.warn(value ? 'This host reaches no upstream; it forwards requests to other entry hosts.' : 'This host reaches upstreams again.', {});
+		log.warn(value ? 'This host reaches no upstream; it forwards requests to other entry hosts.' : 'This host reaches upstreams again.', {
+			checks, ...Number.isFinite(answeredAt) && {answeredMillisecondsAgo: Math.round(now() - answeredAt)},
+		});
 		options.onChanged(value);
 		if (value) {
 			scheduleCheck();
@@ -123,27 +133,27 @@
 	/**
 	Checks several upstreams at once. Resolves with their results, or with those so far as soon as one has answered.
 	*/
-	const probeUntilAnswer = async (checked: readonly instances.Instance[]): Promise<readonly proxy.ProbeResult[]> => {
-		const results: proxy.ProbeResult[] = [];
+	const probeUntilAnswer = async (checked: readonly instances.Instance[]): Promise<readonly Check[]> => {
+		const checks: Check[] = [];
 		const {promise, resolve} = Promise.withResolvers<void>();
 		const probe = async (instance: instances.Instance) => {
 			const result = await probeInstance(instance);
-			results.push(result);
+			checks.push({upstream: instance.upstream, result});
 			if (result === 'answered') {
 				resolve();
 			}
 		};
 
 		await Promise.race([promise, Promise.all(checked.map(async instance => probe(instance)))]);
-		return [...results];
+		return [...checks];
 	};
 
 	/**
 	Returns whether checks, or a request that was answered meanwhile, show that this host reaches upstreams. Upstreams that are too busy for health checks still answer
 	requests. Where new connections are refused, open ones may live on for a while.
 	*/
-	const isReachShown = (results: readonly proxy.ProbeResult[], startedAt: number): boolean =>
-		results.includes('answered') || (results.includes('silent') && answeredAt > startedAt);
+	const isReachShown = (checks: readonly Check[], startedAt: number): boolean =>
+		hasResult(checks, 'answered') || (hasResult(checks, 'silent') && answeredAt > startedAt);
 
 	const scheduleCheck = () => {
 		cancelCheck = context.schedule(ISOLATION_CHECK_INTERVAL_MILLISECONDS, () => {
@@ -156,39 +166,42 @@
 		// Where the upstreams that answered last have ended, others have taken their place.
 		const newest = options.listInstances().slice(-ISOLATION_CHECKS);
 		const startedAt = now();
-		const results = await probeUntilAnswer([...new Set([...latest, ...newest])]);
-		if (results.length === 0 || isReachShown(results, startedAt)) {
-			setIsolated(false);
+		const checks = await probeUntilAnswer([...new Set([...latest, ...newest])]);
+		if (checks.length === 0 || isReachShown(checks, startedAt)) {
+			setIsolated(false, checks);
 		} else if (isIsolated) {
 			scheduleCheck();
 		}
 	};
 
-	const check = async (failed?: core.UpstreamId): Promise<boolean> => {
+	/**
+	Resolves with the checks that show that no upstream answers; undefined when this host reaches upstreams.
+	*/
+	const findFailedChecks = async (failed?: core.UpstreamId): Promise<readonly Check[] | undefined> => {
 		const startedAt = now();
 		const others = listChecked(failed);
-		const firstChecks = failed === undefined ? FIRST_REACH_CHECKS + FURTHER_REACH_CHECKS : FIRST_REACH_CHECKS;
-		const first = others.slice(0, firstChecks);
-		const further = others.slice(firstChecks, FIRST_REACH_CHECKS + FURTHER_REACH_CHECKS);
+		const firstCount = failed === undefined ? FIRST_REACH_CHECKS + FURTHER_REACH_CHECKS : FIRST_REACH_CHECKS;
+		const first = others.slice(0, firstCount);
+		const further = others.slice(firstCount, FIRST_REACH_CHECKS + FURTHER_REACH_CHECKS);
 		if (others.length < MIN_UNREACHED_UPSTREAMS) {
-			return true;
+			return undefined;
 		}
 
-		const firstResults = await probeUntilAnswer(first);
-		const results = firstResults.includes('answered') ? firstResults : [...firstResults, ...await probeUntilAnswer(further)];
-		return isReachShown(results, startedAt);
+		const firstChecks = await probeUntilAnswer(first);
+		const checks = hasResult(firstChecks, 'answered') ? firstChecks : [...firstChecks, ...await probeUntilAnswer(further)];
+		return isReachShown(checks, startedAt) ? undefined : checks;
 	};
 
 	const startCheck = async (failed?: core.UpstreamId): Promise<boolean> => {
-		const isReached = await check(failed);
+		const failedChecks = await findFailedChecks(failed);
 		running = undefined;
-		if (isReached) {
+		if (failedChecks === undefined) {
 			checkedAt = now();
 		} else {
-			setIsolated(true);
+			setIsolated(true, failedChecks);
 		}
 
-		return isReached;
+		return failedChecks === undefined;
 	};
 
 	/**
@@ -243,3 +256,7 @@
 		},
 	};
 }
+
+function hasResult(checks: readonly Check[], wanted: proxy.ProbeResult): boolean {
+	return checks.some(({result}) => result === wanted);
+}
