A control group that is closed while its replica is opened closes that one too

A control host that was stopped during its start, or in the moment in which its replica is opened again, left a replica that ran and led after the group had been closed.

Cause: `close` closed the replica that was open at its call. One that was just being opened was taken over afterwards.

Change: `close` waits for the opening and the closing that are under way, and a replica that was opened meanwhile is closed at once.

Evidence: the new test fails on the code before (status: leader, term 1, in place of none) and passes with the change.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/group.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/group.test.ts
@@ -308,3 +308,13 @@
 		t.is(await countDefects(), expectedDefects);
 	});
 }
+
+test('a group that is closed while its replica is opened has no replica', async t => {
+	// Guards against a replica that runs on after its host has ended, beside the one of the host's next start.
+	const {group, countOpenings} = start(t, createFolder(t));
+	await timers.setImmediate();
+	await group.close();
+	await timers.setTimeout(STABLE_MILLISECONDS);
+	t.is(group.getStatus(), undefined);
+	t.is(countOpenings(), 0);
+});
--- a/packages/wagtailroute-fleet/src/group.ts
+++ b/packages/wagtailroute-fleet/src/group.ts
@@ -170,15 +170,26 @@
 		}
 	};
 
+	let closing: Promise<void> = Promise.resolve();
+	let opening: Promise<void> = Promise.resolve();
+
 	/**
 	Closes the replica at once, so that it doesn't run beside its successor, and opens that one after a delay.
 	*/
 	const scheduleReopen = () => {
-		const closed = closeFailed(group);
+		closing = closeFailed(group);
 		group = undefined;
-		context.schedule(REOPEN_DELAY_MILLISECONDS, () => {
-			startOpening(closed);
-		});
+		context.schedule(REOPEN_DELAY_MILLISECONDS, startOpening);
+	};
+
+	/**
+	Replaces the replica in which an unexpected error occurred, unless that has been done.
+	*/
+	const replace = (faulty: replication.Group | undefined, error: Error) => {
+		onDefect(error);
+		if (group === faulty) {
+			scheduleReopen();
+		}
 	};
 
 	const reopen = (reason: string) => {
@@ -200,14 +211,17 @@
 		}
 	};
 
-	const startOpening = (closed?: Promise<void>) => {
-		utils.runDetached(async () => {
-			await closed;
+	const openAfterClosing = async () => {
+		try {
+			await closing;
 			await open();
-		}, error => {
-			onDefect(error);
-			scheduleReopen();
-		});
+		} catch (error) {
+			replace(undefined, error as Error);
+		}
+	};
+
+	const startOpening = () => {
+		opening = openAfterClosing();
 	};
 
 	const openFrom = async (store: replication.Store) => {
@@ -236,6 +250,11 @@
 			return;
 		}
 
+		if (isClosed) {
+			await opened.value.close();
+			return;
+		}
+
 		group = opened.value;
 		log.info('The replica is open.', {member: group.getStatus().self, version: replicated.getStored()?.generation.version ?? 0});
 	};
@@ -266,10 +285,7 @@
 		logRole();
 		const reconciled = group;
 		utils.runDetached(reconcile, error => {
-			onDefect(error);
-			if (group === reconciled) {
-				scheduleReopen();
-			}
+			replace(reconciled, error);
 		});
 	});
 	const createNotLeaderAnswer = (leader: core.HostId | null) => ({kind: 'not-leader', leader} as const);
@@ -317,6 +333,7 @@
 		async close() {
 			isClosed = true;
 			stopReconciling();
+			await Promise.all([opening, closing]);
 			await group?.close();
 		},
 	};
