A replica that fails in handling a message is opened again

A step that threw while a message was handled left the replica in the midst of an event: it still said that it led, and no proposal or read was ever answered.

Cause: the link contains the error of a message, so that the group did not learn of it. For its own tasks the group replaces the replica.

Change: an error in handling a message is counted as a defect of the group, and the replica is replaced as after the others.

Evidence: the new case fails on the code before (the error leaves `receive`) and passes with the change: one defect, two openings, the replica leads with what was stored.

--- a/packages/wagtailroute-fleet/src/__tests__/unit/group.test.ts
+++ b/packages/wagtailroute-fleet/src/__tests__/unit/group.test.ts
@@ -12,6 +12,7 @@
 import type * as telemetry from 'wagtailroute-telemetry';
 import * as utils from 'wagtailroute-utils';
 import {type ControlGroup, type ControlGroupOptions, startControlGroup} from '../../group.ts';
+import type {GroupMessage} from '../../messages.ts';
 import * as fixture from './fixture.ts';
 
 const POLL_MILLISECONDS = 10;
@@ -195,6 +196,24 @@
 	};
 }
 
+/**
+Returns a message of an earlier leader, which the replica answers with its own term.
+*/
+function createOutdatedMessage(group: ControlGroup): GroupMessage {
+	return {
+		kind: 'append',
+		group: 'generations',
+		from: 'd~1',
+		to: group.getStatus()!.self,
+		term: 0,
+		previousIndex: 0,
+		previousTerm: 0,
+		entries: [],
+		commit: 0,
+		round: 0,
+	};
+}
+
 /**
 Replaces the file of the replica by one with this state alone, until the repair.
 */
@@ -242,6 +261,24 @@
 		expectedDefects: 1,
 		expectedOpenings: 2,
 	},
+	{
+		name: 'that can not answer a message',
+		arrange() {
+			const failing = createFailing(undefined);
+			return {
+				replaced: {send: failing.call},
+				hasOccurred({group}) {
+					if (isLeading(group)) {
+						group.receive(createOutdatedMessage(group));
+					}
+
+					return failing.hasFailed();
+				},
+			};
+		},
+		expectedDefects: 1,
+		expectedOpenings: 2,
+	},
 	{
 		name: 'whose disk fails at a write and at the close of the file',
 		async arrange(t, dataFolder) {
--- a/packages/wagtailroute-fleet/src/group.ts
+++ b/packages/wagtailroute-fleet/src/group.ts
@@ -311,7 +311,12 @@
 	const pendingProposals = createPendingProposals(append);
 	return {
 		receive(message) {
-			group?.receive(message);
+			const receiving = group;
+			try {
+				receiving?.receive(message);
+			} catch (error) {
+				replace(receiving, error as Error);
+			}
 		},
 		propose: pendingProposals.propose,
 		async read() {
