--- a/packages/wagtailroute-telemetry/src/metrics.ts
+++ b/packages/wagtailroute-telemetry/src/metrics.ts
@@ -125,7 +125,11 @@
 	const server = http.createServer((_request, response) => {
 		utils.runDetached(async () => respond(metrics, response), error => {
 			onError(error);
-			response.writeHead(500).end();
+			if (response.headersSent) {
+				response.destroy();
+			} else {
+				response.writeHead(500).end();
+			}
 		});
 	});
 	const listening = await utils.listen(server, address);
