A health check is silent only after what had arrived was read

An upstream whose answer had arrived while the host stood still for 0.7 s counted as silent, in four of four checks. Silent checks make a host take itself for one without paths, and take part in telling which request crashed an upstream.

Cause: the same as that of calls over links: expired timers run before the connections are read.

Change: `scheduleAfterReading` moves to the utils package, and the check uses it. So does the dialer, which had the same by hand.

Evidence: the new test (a server in a thread of its own answers while the event loop stands still for 0.7 s) fails on the code before ('silent' in place of 'answered') and passes with the change.

--- a/packages/wagtailroute-link/src/dialer.ts
+++ b/packages/wagtailroute-link/src/dialer.ts
@@ -146,26 +146,23 @@
 		const dialedSocket = net.connect({host: options.address.ip, port: options.address.port});
 		socket = dialedSocket;
 		// Towards a host without power the system would try for minutes.
-		const connectTimer = setTimeout(() => {
-			// A process that was busy or paused takes its timers before its connections: the connection may be there already.
-			setImmediate(() => {
-				if (!dialedSocket.connecting) {
-					return;
-				}
-
-				connectTimeoutMilliseconds = getNextConnectTimeout(connectTimeoutMilliseconds);
-				dialedSocket.destroy();
-			});
-		}, connectTimeoutMilliseconds);
+		const cancelTimeout = utils.scheduleAfterReading(connectTimeoutMilliseconds, () => {
+			if (!dialedSocket.connecting) {
+				return;
+			}
+
+			connectTimeoutMilliseconds = getNextConnectTimeout(connectTimeoutMilliseconds);
+			dialedSocket.destroy();
+		});
 		const onFailed = () => {
-			clearTimeout(connectTimer);
+			cancelTimeout();
 			scheduleDial();
 		};
 
 		dialedSocket.on('error', () => undefined);
 		dialedSocket.once('close', onFailed);
 		dialedSocket.once('connect', () => {
-			clearTimeout(connectTimer);
+			cancelTimeout();
 			dialedSocket.off('close', onFailed);
 			open(run(dialedSocket));
 		});
--- a/packages/wagtailroute-link/src/link.ts
+++ b/packages/wagtailroute-link/src/link.ts
@@ -8,7 +8,7 @@
 import type * as net from 'node:net';
 import * as rpc from 'json-rpc-2.0';
 import * as results from 'ts-results-es';
-import type * as utils from 'wagtailroute-utils';
+import * as utils from 'wagtailroute-utils';
 import {
 	MAX_MESSAGE_BYTES,
 	MAX_SILENCE_MILLISECONDS,
@@ -20,7 +20,6 @@
 import {createLineReader} from './lines.ts';
 import {encodeNotification} from './notifications.ts';
 import {compressLine, decompressLine} from './compression.ts';
-import {scheduleAfterReading} from './reading.ts';
 import {runInTurn} from './turns.ts';
 import {registerCheck} from './link-checks.ts';
 
@@ -171,7 +170,7 @@
 		this.#lastCallId++;
 		const id = this.#lastCallId;
 		let isTimedOut = false;
-		const cancelTimeout = scheduleAfterReading(Math.ceil(timeoutMilliseconds), () => {
+		const cancelTimeout = utils.scheduleAfterReading(Math.ceil(timeoutMilliseconds), () => {
 			isTimedOut = true;
 			this.#rpc.client.receive(rpc.createJSONRPCErrorResponse(id, TIMEOUT_ERROR_CODE, 'Request timeout'));
 		});
--- a/packages/wagtailroute-proxy/src/__tests__/unit/upstream-probe.test.ts
+++ b/packages/wagtailroute-proxy/src/__tests__/unit/upstream-probe.test.ts
@@ -1,9 +1,11 @@
 /**
 Tests of health checks against servers that answer, shed, crash and fall silent.
 */
+import {once} from 'node:events';
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
+import * as threads from 'node:worker_threads';
 import test from 'ava';
 import * as utils from 'wagtailroute-utils';
 import * as proxy from '../../index.ts';
@@ -15,6 +17,10 @@
 const MAX_CLOSE_WAITS = 100;
 const CLOSE_WAIT_MILLISECONDS = 10;
 const FILLER_CHARACTERS = 65_536;
+/**
+Longer than a health check may take.
+*/
+const STALL_MILLISECONDS = 700;
 
 /**
 Answers with the instance that the address belongs to.
@@ -154,3 +160,21 @@
 		});
 	}
 }
+
+// Guards against a host that got no processor time for a moment, and took upstreams that had answered meanwhile for silent and itself for one without paths.
+test.serial('a health check whose answer arrived while the event loop stood still is answered', async t => {
+	const thread = new threads.Worker(new URL('answering-thread.ts', import.meta.url));
+	t.teardown(async () => {
+		await thread.terminate();
+	});
+	const [port] = await once(thread, 'message') as [number];
+	const asked = once(thread, 'message');
+	const result = proxy.createUpstreamProbe(ANY_INSTANCE)({upstream: 'i', address: {ip: LOOPBACK, port}, healthPath: '/'});
+	await asked;
+	const end = performance.now() + STALL_MILLISECONDS;
+	while (performance.now() < end) {
+		// Stands still.
+	}
+
+	t.is(await result, 'answered');
+});
--- a/packages/wagtailroute-proxy/src/upstream-probe.ts
+++ b/packages/wagtailroute-proxy/src/upstream-probe.ts
@@ -52,7 +52,7 @@
 			connectTimeoutMilliseconds: HEALTH_CHECK_TIMEOUT_MILLISECONDS,
 		});
 		const {promise, resolve} = Promise.withResolvers<ProbeResult>();
-		const cancelTimeout = utils.schedule(HEALTH_CHECK_TIMEOUT_MILLISECONDS, () => {
+		const cancelTimeout = utils.scheduleAfterReading(HEALTH_CHECK_TIMEOUT_MILLISECONDS, () => {
 			resolve('silent');
 		});
 		client.dispatch({path: healthPath, method: 'GET', headers: createProbeHeaders(upstream)}, {
--- a/packages/wagtailroute-utils/src/index.ts
+++ b/packages/wagtailroute-utils/src/index.ts
@@ -14,7 +14,7 @@
 export {mergeTeardowns, type Teardown} from './teardown.ts';
 export {
 	coalesce,
-	createRepeat, repeat, schedule,
+	createRepeat, repeat, schedule, scheduleAfterReading,
 } from './timers.ts';
 export {
 	createRandom,
--- a/packages/wagtailroute-utils/src/timers.ts
+++ b/packages/wagtailroute-utils/src/timers.ts
@@ -13,6 +13,24 @@
 	};
 }
 
+/**
+Runs once after a delay in milliseconds and one reading of the connections, unless it is torn down before.
+
+A process that gets no processor time for a while, or is paused, runs its expired timers first when it goes on. A timeout that was decided then would ignore an answer that
+arrived long before, and this host would count others as unresponsive because it was.
+*/
+export function scheduleAfterReading(milliseconds: number, run: () => void): Teardown {
+	let immediate: NodeJS.Immediate | undefined;
+	const timer = setTimeout(() => {
+		// Immediates run after the loop has polled its connections.
+		immediate = setImmediate(run);
+	}, milliseconds);
+	return () => {
+		clearTimeout(timer);
+		clearImmediate(immediate);
+	};
+}
+
 /**
 Runs every so many milliseconds until it is torn down.
 */
