--- a/review/6/case.ts
+++ b/review/6/case.ts
@@ -110,7 +110,8 @@
 		}
 
 		if (!socket.closed && pending.length > 0) {
-			deployment.record(`${pending.map(({id}) => id).join(' ')}: no answer within ${DEADLINE_MILLISECONDS} ms on an open connection, ${received.length} bytes of an answer; the consumer leaves.`);
+			const ids = pending.map(({id}) => id).join(' ');
+			deployment.record(`${ids}: no answer within ${DEADLINE_MILLISECONDS} ms on an open connection, ${received.length} bytes of one; the consumer leaves.`);
 			break;
 		}
 
--- a/review/lib-2/upstream.ts
+++ b/review/lib-2/upstream.ts
@@ -37,6 +37,10 @@
 	Whether the answer to a request is broken off in the middle of its body.
 	*/
 	readonly isBrokenOff?: (requestId: string) => boolean;
+	/**
+	Whether a request is rejected as not run although a slot is free.
+	*/
+	readonly isTurnedAway?: (requestId: string) => boolean;
 };
 
 /**
@@ -162,6 +166,11 @@
 			run.bodyBytes += chunk.length;
 		});
 		message.once('end', () => {
+			if (options.isTurnedAway?.(requestId) === true) {
+				reject(response, requestId);
+				return;
+			}
+
 			const isTaken = enqueue(() => {
 				if (isDropping && response.destroyed) {
 					release();
